--- /dev/null
+++ b/src/main/java/plumlever/Node.java
@@ -0,0 +1,221 @@
+package plumlever;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import plumlever.cloud.CloudClient;
+import plumlever.cloud.PriceBook;
+import plumlever.concurrent.Duty;
+import plumlever.concurrent.Loop;
+import plumlever.concurrent.Scope;
+import plumlever.election.Office;
+import plumlever.http.Caller;
+import plumlever.http.Front;
+import plumlever.http.Responder;
+import plumlever.http.UserApi;
+import plumlever.leader.Context;
+import plumlever.leader.Leader;
+import plumlever.metrics.Metrics;
+import plumlever.peer.PeerStatus;
+import plumlever.peer.Peers;
+import plumlever.settings.Platform;
+import plumlever.settings.Tunables;
+import plumlever.store.JobStore;
+import plumlever.store.StateClient;
+import plumlever.wire.Flavor;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
+
+/** One controller, without its sockets: everything lives on the loop it is given. */
+public final class Node implements AutoCloseable {
+    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+    private static final long SUMMARY_MICROS = 60_000_000;
+    private static final long CATALOG_RETRY_MICROS = 1_500_000;
+    private static final long STRAY_MICROS = 5_000_000;
+
+    private final Loop loop;
+    private final Platform platform;
+    private final Metrics metrics = new Metrics();
+    private final Scope scope = new Scope();
+    private final StateClient store;
+    private final CloudClient cloud;
+    private final PriceBook prices;
+    private final Office office;
+    private final Peers peers;
+    private final Front front;
+    private final Context context;
+    private final Map<String, Long> strays = new HashMap<>();
+    private Leader leader;
+
+    public Node(Loop loop, Caller caller, Platform platform, Tunables tunables, long seed) {
+        this.loop = loop;
+        this.platform = platform;
+        this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits());
+        this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits());
+        this.prices = new PriceBook(tunables);
+        JobStore layout = new JobStore(platform.stateLimits().valueBytes());
+        this.office = new Office(platform.label(), loop, store, tunables, new Office.Holder() {
+            @Override
+            public void elected(long term) {
+                leader = new Leader(context, term);
+                leader.start();
+            }
+
+            @Override
+            public void left(String why) {
+                if (leader != null) {
+                    leader.close();
+                    leader = null;
+                }
+            }
+        }, seed);
+        this.context = new Context(loop, platform, tunables, office, store, layout, cloud, prices, caller, metrics);
+        this.peers = new Peers(loop, caller, platform, this::status);
+        UserApi users = new UserApi(loop, store, layout, prices, platform, metrics, new UserApi.Desk() {
+            @Override
+            public void aborted(String uid) {
+                if (leader != null) {
+                    leader.aborted(uid);
+                }
+            }
+
+            @Override
+            public int[] counts(String uid) {
+                return Node.this.counts(uid);
+            }
+        });
+        this.front = new Front(users, new Front.House() {
+            @Override
+            public Leader leader() {
+                return office.mayAct() ? leader : null;
+            }
+
+            @Override
+            public String leaderLabel() {
+                return office.leaderLabel();
+            }
+
+            @Override
+            public boolean canTakeRequests() {
+                return Node.this.canTakeRequests();
+            }
+
+            @Override
+            public void strayReport(String host) {
+                strays.put(host, loop.nowMicros());
+            }
+        }, metrics);
+    }
+
+    public void start() {
+        scope.own(office);
+        office.start();
+        scope.own(new Duty("catalog", loop, this::learnCatalog)).start();
+        scope.own(peers.duty()).start();
+        scope.own(new Duty("summary", loop, () -> {
+            metrics.logSummary();
+            return SUMMARY_MICROS;
+        })).start();
+    }
+
+    public Front front() {
+        return front;
+    }
+
+    public void peer(String method, String path, byte[] body, Responder out) {
+        peers.handle(method, path, body, out);
+    }
+
+    public Leader leader() {
+        return leader;
+    }
+
+    /** The machine types from the cloud, or while it is down from what was last stored. */
+    private long learnCatalog() {
+        if (prices.known()) {
+            return -1;
+        }
+        cloud.catalog(flavors -> {
+            if (flavors != null) {
+                prices.update(flavors);
+                storeCatalog(flavors);
+            } else {
+                store.get(JobStore.CATALOG, StateClient.Class.ORDINARY, got -> {
+                    if (got.found() && !prices.known() && got.item().data() instanceof ObjectNode o) {
+                        try {
+                            prices.update(Flavor.parseCatalog(o));
+                            LOG.info("machine types taken from the state service, the cloud does not answer");
+                        } catch (InvalidMessage e) {
+                            LOG.warn("the stored machine types can't be read: {}", e.getMessage());
+                        }
+                    }
+                });
+            }
+        });
+        return CATALOG_RETRY_MICROS;
+    }
+
+    private void storeCatalog(List<Flavor> flavors) {
+        ObjectNode o = Json.object();
+        ArrayNode a = o.putArray("flavors");
+        for (Flavor f : flavors) {
+            ObjectNode n = a.addObject();
+            n.put("sku", f.sku()).put("cores", f.cores()).put("accelerators", f.accelerators()).put("memory_gb", f.memoryGb())
+                    .put("cache_gb", f.cacheGb()).put("fetch_gb_per_s", f.fetchGbPerS()).put("hourly", f.hourly())
+                    .put("low_price", f.lowPrice()).put("startup_s", f.startupS());
+            ArrayNode sites = n.putArray("sites");
+            f.sites().forEach(sites::add);
+        }
+        store.get(JobStore.CATALOG, StateClient.Class.ORDINARY, got -> {
+            if (got.missing()) {
+                store.txn(new plumlever.store.Txn().guard(JobStore.CATALOG, 0).put(JobStore.CATALOG, o),
+                        StateClient.Class.ORDINARY, outcome -> LOG.debug("machine types stored: {}", outcome));
+            }
+        });
+    }
+
+    private int[] counts(String uid) {
+        if (leader != null) {
+            return leader.counts(uid);
+        }
+        for (PeerStatus p : peers.lately(5_000_000)) {
+            int[] c = p.leading() ? p.counts().get(uid) : null;
+            if (c != null) {
+                return c;
+            }
+        }
+        return null;
+    }
+
+    /** False when the state service refuses this node alone: users are better off with another. */
+    private boolean canTakeRequests() {
+        long silent = loop.nowMicros() - store.lastServedMicros();
+        if (silent < 2_500_000) {
+            return true;
+        }
+        for (PeerStatus p : peers.lately(3_000_000)) {
+            if (p.storeSilentMicros() < 1_000_000) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private PeerStatus status() {
+        long now = loop.nowMicros();
+        strays.values().removeIf(at -> now - at > STRAY_MICROS);
+        return new PeerStatus(platform.label(), office.term(), office.leading(), Math.max(0, now - store.lastServedMicros()),
+                strays.size(), leader == null ? Map.of() : leader.allCounts(new LinkedHashMap<>()));
+    }
+
+    @Override
+    public void close() {
+        scope.close();
+        metrics.logSummary();
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/cli/Service.java
@@ -0,0 +1,114 @@
+package plumlever.cli;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.security.SecureRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import plumlever.Node;
+import plumlever.http.Server;
+import plumlever.http.UndertowCaller;
+import plumlever.http.XnioLoop;
+import plumlever.settings.Platform;
+import plumlever.settings.Tunables;
+
+/** A controller with its sockets: one XNIO I/O thread that is the loop, and the two listeners. */
+final class Service implements AutoCloseable {
+    /** Stands for "goes on until killed" where an exit code is expected. */
+    static final int RUNNING = -1;
+
+    private static final Logger LOG = LoggerFactory.getLogger(Service.class);
+    private static final int BUFFER_BYTES = 8 * 1024;
+    private static final int PEER_CONNECTIONS = 32;
+    private static final long PEER_BODY = 512 * 1024;
+    private static final int STOP_S = 3;
+
+    private final Platform platform;
+    private final Tunables tunables;
+    private XnioWorker worker;
+    private XnioLoop loop;
+    private Node node;
+    private UndertowCaller caller;
+    private Server front;
+    private Server back;
+
+    Service(Platform platform, Tunables tunables) {
+        this.platform = platform;
+        this.tunables = tunables;
+    }
+
+    int run() {
+        try {
+            start();
+        } catch (RuntimeException | java.io.IOException e) {
+            LOG.error("could not start: {}", e.toString());
+            LOG.debug("could not start", e);
+            close();
+            return 1;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close, "stop"));
+        return RUNNING;
+    }
+
+    void start() throws java.io.IOException {
+        worker = Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, "plumlever")
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.STACK_SIZE, 256L * 1024)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+        loop = new XnioLoop(worker.getIoThread());
+        caller = new UndertowCaller(loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 4));
+        node = new Node(loop, caller, platform, tunables, new SecureRandom().nextLong());
+        // Peers and the pools of other addresses need sockets too.
+        int users = Math.max(32, platform.socketLimit() - 350);
+        front = new Server(worker, platform.bind(), users, Server.MAX_BODY,
+                (method, path, body, out) -> node.front().handle(method, path, body, out));
+        back = new Server(worker, platform.back(), PEER_CONNECTIONS, PEER_BODY,
+                (method, path, body, out) -> node.peer(method, path, body, out));
+        back.start();
+        front.start();
+        loop.execute(node::start);
+        LOG.info("{} serves {} and {}", platform.label(), platform.bind(), platform.back());
+    }
+
+    int port() {
+        return front.port();
+    }
+
+    /** Orderly: no new requests, the office given up so that a successor need not wait, then the sockets. */
+    @Override
+    public void close() {
+        if (node != null) {
+            CountDownLatch stopped = new CountDownLatch(1);
+            loop.execute(() -> {
+                node.close();
+                // The last request, which ends the grant, gets a moment to go out.
+                loop.after(100_000, stopped::countDown);
+            });
+            try {
+                if (!stopped.await(STOP_S, TimeUnit.SECONDS)) {
+                    LOG.warn("stopped without the orderly end");
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        if (front != null) {
+            front.close();
+        }
+        if (back != null) {
+            back.close();
+        }
+        if (worker != null) {
+            worker.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/fleet/Attempt.java
@@ -0,0 +1,120 @@
+package plumlever.fleet;
+
+import plumlever.wire.ExitCause;
+import plumlever.wire.TaskName;
+import plumlever.wire.TaskStatus;
+
+/** One try at running a task on a machine. It ends only by proof, see {@link Fleet#end}. */
+public final class Attempt {
+    private final Job job;
+    private final int task;
+    private final long id;
+    private final Machine machine;
+    private final long tenure;
+    private final long sentTick;
+    private final long sentMicros;
+    private TaskStatus status;
+    private long runningSinceMicros = -1;
+    private boolean over;
+    private ExitCause cause;
+    private boolean halting;
+    private double windDownS;
+    private long haltedMicros;
+
+    /** @param sentTick number of the report whose answer carried the order, -1 for an adopted attempt */
+    Attempt(Job job, int task, long id, Machine machine, long tenure, long sentTick, long sentMicros) {
+        this.job = job;
+        this.task = task;
+        this.id = id;
+        this.machine = machine;
+        this.tenure = tenure;
+        this.sentTick = sentTick;
+        this.sentMicros = sentMicros;
+    }
+
+    public Job job() {
+        return job;
+    }
+
+    public int task() {
+        return task;
+    }
+
+    public TaskName name() {
+        return new TaskName(job.uid(), task);
+    }
+
+    public long id() {
+        return id;
+    }
+
+    public Machine machine() {
+        return machine;
+    }
+
+    public long tenure() {
+        return tenure;
+    }
+
+    public long sentTick() {
+        return sentTick;
+    }
+
+    public long sentMicros() {
+        return sentMicros;
+    }
+
+    /** Null until the worker has reported it. */
+    public TaskStatus status() {
+        return status;
+    }
+
+    public long runningSinceMicros() {
+        return runningSinceMicros;
+    }
+
+    public void see(TaskStatus now, long nowMicros) {
+        if (now == TaskStatus.RUNNING && runningSinceMicros < 0) {
+            runningSinceMicros = nowMicros;
+        }
+        status = now;
+    }
+
+    /** True when it surely runs no more. */
+    public boolean over() {
+        return over;
+    }
+
+    /** Why it ended, as reported; null if it vanished with its machine or session. */
+    public ExitCause cause() {
+        return cause;
+    }
+
+    void end(ExitCause why) {
+        over = true;
+        cause = why;
+    }
+
+    public boolean halting() {
+        return halting;
+    }
+
+    public double windDownS() {
+        return windDownS;
+    }
+
+    /** From now on every answer to its machine says halt, until it is reported as ended. */
+    public void halt(double windDown, long nowMicros) {
+        if (!halting) {
+            halting = true;
+            haltedMicros = nowMicros;
+            windDownS = windDown;
+        } else {
+            windDownS = Math.min(windDownS, windDown);
+        }
+    }
+
+    public long haltedMicros() {
+        return haltedMicros;
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/fleet/Estimates.java
@@ -0,0 +1,26 @@
+package plumlever.fleet;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** How far owners' estimates are off, by class of jobs; on some days they are mostly too high or too low. */
+public final class Estimates {
+    private static final double WEIGHT = 0.08;
+
+    private final Map<String, Double> ratios = new HashMap<>();
+
+    public void observe(String jobclass, double ratio) {
+        double bounded = Math.max(0.2, Math.min(5, ratio));
+        ratios.merge(jobclass, bounded, (old, seen) -> old * (1 - WEIGHT) + seen * WEIGHT);
+    }
+
+    public double ratio(String jobclass) {
+        return ratios.getOrDefault(jobclass, 1.0);
+    }
+
+    /** Run time to plan with for a task of the job, on a machine of nominal speed. */
+    public long runMicros(Job job) {
+        double ratio = job.ratio(ratio(job.spec().jobclass()));
+        return Math.max(100_000, (long) (job.spec().expectS() * 1e6 * ratio));
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -0,0 +1,188 @@
+package plumlever.fleet;
+
+import java.util.BitSet;
+import org.agrona.collections.Int2ObjectHashMap;
+import plumlever.wire.JobSpec;
+
+/** An accepted job that has not ended, and what is known of its tasks. */
+public final class Job {
+    private final JobSpec spec;
+    private final long stamp;
+    private final long acceptedMicros;
+    /** Known before this term: an old leader may have started its tasks on machines not yet accounted for. */
+    private final boolean inherited;
+    /** Tasks that completed. */
+    private final BitSet done = new BitSet();
+    /** The part of {@link #done} that the state service holds. */
+    private final BitSet stored = new BitSet();
+    /** Tasks that are neither done nor possibly on a machine. */
+    private final BitSet free = new BitSet();
+    private final Int2ObjectHashMap<Attempt> live = new Int2ObjectHashMap<>();
+    private int doneCount;
+    private boolean over;
+    private int errors;
+    private long notBeforeMicros;
+    private double ratioSum;
+    private int ratioCount;
+
+    /** @param acceptedMicros on this node's steady clock */
+    public Job(JobSpec spec, long stamp, long acceptedMicros, boolean inherited) {
+        this.spec = spec;
+        this.stamp = stamp;
+        this.acceptedMicros = acceptedMicros;
+        this.inherited = inherited;
+        free.set(0, spec.pieces());
+    }
+
+    public JobSpec spec() {
+        return spec;
+    }
+
+    public String uid() {
+        return spec.uid();
+    }
+
+    /** Revision of the record that accepted it; its end is guarded by it. */
+    public long stamp() {
+        return stamp;
+    }
+
+    public long acceptedMicros() {
+        return acceptedMicros;
+    }
+
+    /** Long.MAX_VALUE for none. */
+    public long deadlineMicros() {
+        return spec.hasDeadline() ? acceptedMicros + (long) (spec.dueS() * 1e6) : Long.MAX_VALUE;
+    }
+
+    public boolean inherited() {
+        return inherited;
+    }
+
+    public BitSet done() {
+        return done;
+    }
+
+    public BitSet stored() {
+        return stored;
+    }
+
+    public int doneCount() {
+        return doneCount;
+    }
+
+    public boolean complete() {
+        return doneCount == spec.pieces();
+    }
+
+    public int freeCount() {
+        return free.cardinality();
+    }
+
+    public boolean hasFree() {
+        return !free.isEmpty();
+    }
+
+    public int firstFree() {
+        return free.nextSetBit(0);
+    }
+
+    public Iterable<Attempt> live() {
+        return live.values();
+    }
+
+    public int liveCount() {
+        return live.size();
+    }
+
+    public Attempt liveAttempt(int task) {
+        return live.get(task);
+    }
+
+    /** True once the job is done, aborted or dropped: none of its tasks may start any more. */
+    public boolean over() {
+        return over;
+    }
+
+    public void end() {
+        over = true;
+    }
+
+    public void markDone(int task) {
+        if (task < spec.pieces() && !done.get(task)) {
+            done.set(task);
+            doneCount++;
+            free.clear(task);
+        }
+    }
+
+    /** A task may be on a machine from now on. */
+    void occupy(Attempt a) {
+        free.clear(a.task());
+        live.put(a.task(), a);
+    }
+
+    /** The attempt is surely over. */
+    void release(Attempt a) {
+        if (live.get(a.task()) == a) {
+            live.remove(a.task());
+            if (!done.get(a.task())) {
+                free.set(a.task());
+            }
+        }
+    }
+
+    /** How many of its tasks may be in a zone, unreachable machines included. */
+    public int inZone(String zone) {
+        int n = 0;
+        for (Attempt a : live.values()) {
+            if (a.machine().site().equals(zone)) {
+                n++;
+            }
+        }
+        return n;
+    }
+
+    /** The zone that a one-zone job is bound to by its live tasks, or null. */
+    public String boundZone() {
+        if (!spec.oneZone() || live.isEmpty()) {
+            return null;
+        }
+        return live.values().iterator().next().machine().site();
+    }
+
+    /**
+     * A job submitted with a mistake fails on every machine; growing pauses keep it from wearing the fleet out
+     * until its user cancels it.
+     */
+    public void noteError(long nowMicros) {
+        errors = Math.min(errors + 1, 16);
+        long pause = errors <= 2 ? 1_000_000L : Math.min(60_000_000L, 1_000_000L << Math.min(errors - 2, 6));
+        notBeforeMicros = Math.max(notBeforeMicros, nowMicros + pause);
+    }
+
+    public void noteSuccess() {
+        errors = 0;
+        notBeforeMicros = 0;
+    }
+
+    /** A task ran this many times as long as its owner's estimate. */
+    public void observe(double ratio) {
+        ratioSum += ratio;
+        ratioCount++;
+    }
+
+    /** Mean of what was observed of its own tasks, mixed with what its class suggests while they are few. */
+    public double ratio(double classRatio) {
+        return (ratioSum + classRatio) / (ratioCount + 1);
+    }
+
+    public int errors() {
+        return errors;
+    }
+
+    public long notBeforeMicros() {
+        return notBeforeMicros;
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -0,0 +1,251 @@
+package plumlever.fleet;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.agrona.collections.Long2ObjectHashMap;
+import plumlever.wire.Flavor;
+import plumlever.wire.WorkerReport;
+
+/** What is known of one machine. */
+public final class Machine {
+    /** Whether the state service lists the machine among those that may hold tasks. */
+    public enum Enrolment { NONE, WRITING, STORED }
+
+    private final String id;
+    private String endpoint;
+    private final String flavor;
+    private final String site;
+    private final boolean spot;
+    private final long knownSinceMicros;
+
+    private Enrolment enrolment = Enrolment.NONE;
+    private long tenure;
+    private long tick;
+    private long lastReportMicros = -1;
+    private long lastAnswerMicros = -1;
+    private boolean accounted;
+    private long reclaimAtMicros = -1;
+    private boolean draining;
+    private boolean returning;
+    private long idleSinceMicros = -1;
+    private long listedMicros = -1;
+    private boolean failed;
+    private double slowness = 1;
+    private int errorStreak;
+    private String lastErrorJob;
+    private int erringJobs;
+
+    private final Long2ObjectHashMap<Attempt> attempts = new Long2ObjectHashMap<>();
+    /** Images it should have cached, the most recently used last, with their sizes. */
+    private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+
+    public Machine(String id, String endpoint, String flavor, String site, boolean spot, long nowMicros) {
+        this.id = id;
+        this.endpoint = endpoint;
+        this.flavor = flavor;
+        this.site = site;
+        this.spot = spot;
+        this.knownSinceMicros = nowMicros;
+    }
+
+    public String id() {
+        return id;
+    }
+
+    /** Null while only the rental is known. */
+    public String endpoint() {
+        return endpoint;
+    }
+
+    public void learnEndpoint(String at) {
+        if (endpoint == null) {
+            endpoint = at;
+        }
+    }
+
+    public String flavor() {
+        return flavor;
+    }
+
+    public String site() {
+        return site;
+    }
+
+    public boolean spot() {
+        return spot;
+    }
+
+    public long knownSinceMicros() {
+        return knownSinceMicros;
+    }
+
+    public Enrolment enrolment() {
+        return enrolment;
+    }
+
+    public void enrolment(Enrolment e) {
+        enrolment = e;
+    }
+
+    public long tenure() {
+        return tenure;
+    }
+
+    public long tick() {
+        return tick;
+    }
+
+    /** True once it has reported in this term. */
+    public boolean heard() {
+        return lastReportMicros >= 0;
+    }
+
+    public long lastReportMicros() {
+        return lastReportMicros;
+    }
+
+    /** When this node last let it renew its lease; -1 for never. */
+    public long lastAnswerMicros() {
+        return lastAnswerMicros;
+    }
+
+    public void answered(long nowMicros) {
+        lastAnswerMicros = nowMicros;
+    }
+
+    /** True when everything an earlier leader may have started on it is known. */
+    public boolean accounted() {
+        return accounted;
+    }
+
+    public void account() {
+        accounted = true;
+    }
+
+    public void heardAt(WorkerReport r, long nowMicros, boolean own) {
+        tenure = r.tenure();
+        tick = r.tick();
+        if (own) {
+            lastReportMicros = nowMicros;
+        }
+        reclaimAtMicros = r.noticed() ? nowMicros + (long) (r.reclaimInS() * 1e6) : -1;
+    }
+
+    /** When the cloud takes it away, or -1. */
+    public long reclaimAtMicros() {
+        return reclaimAtMicros;
+    }
+
+    public boolean draining() {
+        return draining || reclaimAtMicros >= 0;
+    }
+
+    public void drain() {
+        draining = true;
+    }
+
+    public boolean returning() {
+        return returning;
+    }
+
+    public void returning(boolean now) {
+        returning = now;
+    }
+
+    public long idleSinceMicros() {
+        return idleSinceMicros;
+    }
+
+    public void idleSince(long micros) {
+        idleSinceMicros = micros;
+    }
+
+    public long listedMicros() {
+        return listedMicros;
+    }
+
+    public void listed(long nowMicros, boolean asFailed) {
+        listedMicros = nowMicros;
+        failed |= asFailed;
+    }
+
+    public boolean failed() {
+        return failed;
+    }
+
+    public Iterable<Attempt> attempts() {
+        return attempts.values();
+    }
+
+    public Attempt attempt(long attemptId) {
+        return attempts.get(attemptId);
+    }
+
+    void add(Attempt a) {
+        attempts.put(a.id(), a);
+    }
+
+    void remove(Attempt a) {
+        attempts.remove(a.id());
+    }
+
+    public boolean running() {
+        for (Attempt a : attempts.values()) {
+            if (!a.over()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Observed run time over the planned one; 1 for a machine as fast as its type. */
+    public double slowness() {
+        return slowness;
+    }
+
+    public void observe(double ratio) {
+        double bounded = Math.max(0.5, Math.min(6, ratio));
+        slowness = Math.max(0.8, 0.7 * slowness + 0.3 * bounded);
+    }
+
+    /** A machine that fails the tasks of several jobs is faulty; one job failing may be the job's own mistake. */
+    public boolean noteError(String job) {
+        errorStreak++;
+        if (!job.equals(lastErrorJob)) {
+            lastErrorJob = job;
+            erringJobs++;
+        }
+        return erringJobs >= 2 && errorStreak >= 3;
+    }
+
+    public void noteSuccess() {
+        errorStreak = 0;
+        erringJobs = 0;
+        lastErrorJob = null;
+    }
+
+    public boolean suspect() {
+        return errorStreak > 0;
+    }
+
+    public boolean hasImage(String image) {
+        return images.containsKey(image);
+    }
+
+    public void useImage(String image, double gb, Flavor type) {
+        images.put(image, gb);
+        double held = 0;
+        for (double g : images.values()) {
+            held += g;
+        }
+        var it = images.entrySet().iterator();
+        while (held > type.cacheGb() && it.hasNext()) {
+            Map.Entry<String, Double> eldest = it.next();
+            if (eldest.getKey().equals(image)) {
+                break;
+            }
+            held -= eldest.getValue();
+            it.remove();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/http/Front.java
@@ -0,0 +1,106 @@
+package plumlever.http;
+
+import java.nio.charset.StandardCharsets;
+import plumlever.leader.Leader;
+import plumlever.metrics.Metrics;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
+import plumlever.wire.WorkerReport;
+
+/** Routes requests of users, workers and health checks. */
+public final class Front implements Server.Handler {
+    /** What the front has to know of this node. */
+    public interface House {
+        /** The leader here, or null when this node does not lead. */
+        Leader leader();
+
+        /** Label of the live leader, or null. */
+        String leaderLabel();
+
+        boolean canTakeRequests();
+
+        /** A worker reported to a node that does not lead. */
+        void strayReport(String host);
+    }
+
+    private static final String JOBS = "/submissions";
+    private static final String ABORT = "/abort";
+
+    private final UserApi users;
+    private final House house;
+    private final Metrics metrics;
+
+    public Front(UserApi users, House house, Metrics metrics) {
+        this.users = users;
+        this.house = house;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void handle(String method, String pathAndQuery, byte[] body, Responder out) {
+        int q = pathAndQuery.indexOf('?');
+        String path = q < 0 ? pathAndQuery : pathAndQuery.substring(0, q);
+        if (path.equals("/hello")) {
+            if (allowed(method, "POST", out)) {
+                hello(body, out);
+            }
+        } else if (path.equals("/up")) {
+            if (allowed(method, "GET", out)) {
+                up(out);
+            }
+        } else if (path.equals(JOBS)) {
+            if (allowed(method, "POST", out)) {
+                users.submit(body, out);
+            }
+        } else if (path.startsWith(JOBS + "/")) {
+            String rest = path.substring(JOBS.length() + 1);
+            if (rest.endsWith(ABORT)) {
+                if (allowed(method, "POST", out)) {
+                    users.abort(rest.substring(0, rest.length() - ABORT.length()), out);
+                }
+            } else if (rest.indexOf('/') >= 0) {
+                out.error(404, "no such path");
+            } else if (allowed(method, "GET", out)) {
+                users.poll(rest, out);
+            }
+        } else {
+            out.error(404, "no such path");
+        }
+    }
+
+    private static boolean allowed(String method, String want, Responder out) {
+        if (method.equals(want)) {
+            return true;
+        }
+        out.error(405, "only " + want + " is served here");
+        return false;
+    }
+
+    private void up(Responder out) {
+        if (house.canTakeRequests()) {
+            out.send(200, "{}");
+        } else {
+            out.later(503, "can't take requests", 1);
+        }
+    }
+
+    private void hello(byte[] body, Responder out) {
+        WorkerReport r;
+        try {
+            r = WorkerReport.parse(new String(body, StandardCharsets.UTF_8));
+        } catch (InvalidMessage e) {
+            metrics.count("reports_unreadable");
+            out.error(400, e.getMessage());
+            return;
+        }
+        metrics.count("reports");
+        Leader leader = house.leader();
+        if (leader != null) {
+            leader.report(r, out);
+            return;
+        }
+        house.strayReport(r.host());
+        String label = house.leaderLabel();
+        out.send(421, Json.write(label == null ? Json.object() : Json.object().put("foreman", label)));
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/http/Responder.java
@@ -0,0 +1,20 @@
+package plumlever.http;
+
+/** Answers one incoming request, once. */
+public interface Responder {
+    /** @param retryAfterS 0 for none */
+    void send(int status, String json, int retryAfterS);
+
+    default void send(int status, String json) {
+        send(status, json, 0);
+    }
+
+    default void error(int status, String reason) {
+        send(status, plumlever.wire.Json.write(plumlever.wire.Json.object().put("error", reason)), 0);
+    }
+
+    /** For what can't be taken now: tells when to come back. */
+    default void later(int status, String reason, int retryAfterS) {
+        send(status, plumlever.wire.Json.write(plumlever.wire.Json.object().put("error", reason)), retryAfterS);
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/http/Server.java
@@ -0,0 +1,112 @@
+package plumlever.http;
+
+import io.undertow.Undertow;
+import io.undertow.UndertowOptions;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
+import io.undertow.util.Headers;
+import io.undertow.util.SameThreadExecutor;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.xnio.Options;
+import org.xnio.XnioWorker;
+import plumlever.settings.Endpoint;
+
+/** Undertow listeners that hand whole requests to a handler on the loop. */
+public final class Server implements AutoCloseable {
+    /** Takes requests, on the loop. */
+    public interface Handler {
+        void handle(String method, String path, byte[] body, Responder responder);
+    }
+
+    public static final int MAX_BODY = 64 * 1024;
+
+    private static final Logger LOG = LoggerFactory.getLogger(Server.class);
+    /** Workers report every few seconds and users poll as often; a connection silent for longer is gone. */
+    private static final int IDLE_MS = 60_000;
+    private static final int PARSE_MS = 10_000;
+
+    private final Undertow undertow;
+
+    public Server(XnioWorker worker, Endpoint at, int maxConnections, long maxBody, Handler handler) {
+        undertow = Undertow.builder()
+                .setWorker(worker)
+                .setBufferSize(8 * 1024)
+                .setDirectBuffers(false)
+                .addHttpListener(at.port(), at.host())
+                .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBody)
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_MS)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
+                .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_MS)
+                .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
+                .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
+                .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+                .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
+                .setSocketOption(Options.BACKLOG, 256)
+                .setSocketOption(Options.CONNECTION_HIGH_WATER, maxConnections)
+                .setSocketOption(Options.CONNECTION_LOW_WATER, maxConnections)
+                .setHandler(exchange -> receive(exchange, handler))
+                .build();
+    }
+
+    public void start() {
+        undertow.start();
+    }
+
+    /** The port in use, for a listener that was started on port 0. */
+    public int port() {
+        return ((java.net.InetSocketAddress) undertow.getListenerInfo().get(0).getAddress()).getPort();
+    }
+
+    @Override
+    public void close() {
+        undertow.stop();
+    }
+
+    private static void receive(HttpServerExchange exchange, Handler handler) {
+        if (exchange.getRequestContentLength() > exchange.getMaxEntitySize()) {
+            exchange.setPersistent(false);
+            new ExchangeResponder(exchange).error(413, "the body is too long");
+            return;
+        }
+        exchange.getRequestReceiver().receiveFullBytes((ex, body) -> ex.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            Responder responder = new ExchangeResponder(ex);
+            try {
+                String query = ex.getQueryString();
+                handler.handle(ex.getRequestMethod().toString(),
+                        query.isEmpty() ? ex.getRequestPath() : ex.getRequestPath() + "?" + query, body, responder);
+            } catch (RuntimeException e) {
+                LOG.error("{} {} failed", ex.getRequestMethod(), ex.getRequestPath(), e);
+                responder.later(503, "internal error", 1);
+            }
+        }), (ex, e) -> {
+            ex.setPersistent(false);
+            new ExchangeResponder(ex).error(e instanceof RequestTooBigException ? 413 : 400, "the body can't be read");
+        });
+    }
+
+    private static final class ExchangeResponder implements Responder {
+        private final HttpServerExchange exchange;
+        private boolean sent;
+
+        ExchangeResponder(HttpServerExchange exchange) {
+            this.exchange = exchange;
+        }
+
+        @Override
+        public void send(int status, String json, int retryAfterS) {
+            if (sent || exchange.isResponseStarted()) {
+                return;
+            }
+            sent = true;
+            exchange.setStatusCode(status);
+            exchange.getResponseHeaders().put(Headers.CONTENT_TYPE, "application/json");
+            if (retryAfterS > 0) {
+                exchange.getResponseHeaders().put(Headers.RETRY_AFTER, retryAfterS);
+            }
+            exchange.getResponseSender().send(ByteBuffer.wrap(json.getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -0,0 +1,306 @@
+package plumlever.http;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import plumlever.cloud.PriceBook;
+import plumlever.concurrent.Loop;
+import plumlever.metrics.Metrics;
+import plumlever.settings.Platform;
+import plumlever.store.JobStore;
+import plumlever.store.StateClient;
+import plumlever.store.Txn;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.JobSpec;
+import plumlever.wire.JobState;
+import plumlever.wire.Json;
+
+/**
+ * Users' requests. Every answer but a final state rests on a read of the state service begun after the request came
+ * in, so any node can give it; what can't be found out now is refused at once, with the time to come back.
+ */
+public final class UserApi {
+    /** Told of what users changed through this node, and asked for counts to display. */
+    public interface Desk {
+        void aborted(String uid);
+
+        /** Finished and running tasks, or null if not known here. */
+        int[] counts(String uid);
+    }
+
+    private static final int MOST_AT_ONCE = 256;
+    private static final int RETRY_AFTER_S = 1;
+    private static final long AGAIN_MICROS = 150_000;
+    private static final int TRIES = 4;
+
+    private final Loop loop;
+    private final StateClient store;
+    private final JobStore layout;
+    private final PriceBook prices;
+    private final Metrics metrics;
+    private final Desk desk;
+    private final Set<String> teams = new HashSet<>();
+    private final List<Platform.Team> limits;
+    /** Final states never change, so they may be told from memory; evicted ones are read again. */
+    private final Cache<String, JobState> finals = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(20_000).build();
+    private int open;
+
+    public UserApi(Loop loop, StateClient store, JobStore layout, PriceBook prices, Platform platform, Metrics metrics, Desk desk) {
+        this.loop = loop;
+        this.store = store;
+        this.layout = layout;
+        this.prices = prices;
+        this.metrics = metrics;
+        this.desk = desk;
+        this.limits = platform.teams();
+        limits.forEach(t -> teams.add(t.name()));
+    }
+
+    /** Counts a request while it is open; too many at once are turned away. */
+    private Responder admit(String kind, Responder out) {
+        if (open >= MOST_AT_ONCE) {
+            metrics.count("users_turned_away");
+            out.later(503, "too many requests", RETRY_AFTER_S);
+            return null;
+        }
+        open++;
+        long since = loop.nowMicros();
+        return (status, json, retry) -> {
+            open--;
+            metrics.time(kind, loop.nowMicros() - since);
+            if (status >= 500 || status == 429) {
+                metrics.count(kind + "_refused");
+            }
+            out.send(status, json, retry);
+        };
+    }
+
+    private static void unavailable(Responder out) {
+        out.later(503, "the state service can't be reached", RETRY_AFTER_S);
+    }
+
+    public void submit(byte[] body, Responder raw) {
+        ObjectNode o;
+        String uid;
+        try {
+            o = Json.parseObject(new String(body, StandardCharsets.UTF_8));
+            uid = Json.text(o, "uid");
+            if (!JobSpec.validUid(uid)) {
+                throw new InvalidMessage("uid must be job- and digits");
+            }
+        } catch (InvalidMessage e) {
+            raw.error(400, e.getMessage());
+            return;
+        }
+        Responder out = admit("submit", raw);
+        if (out == null) {
+            return;
+        }
+        JobSpec spec;
+        try {
+            spec = JobSpec.parse(o);
+        } catch (InvalidMessage e) {
+            // A known job is told its state whatever is wrong with the repeat.
+            ifUnknown(uid, out, () -> out.error(400, e.getMessage()));
+            return;
+        }
+        if (!teams.contains(spec.owner())) {
+            ifUnknown(uid, out, () -> out.error(422, "owner is unknown"));
+            return;
+        }
+        if (overLimit(spec)) {
+            ifUnknown(uid, out, () -> out.error(422, "a task needs more than its team's limit"));
+            return;
+        }
+        if (!prices.known()) {
+            ifUnknown(uid, out, () -> out.later(503, "the machine types are not known yet", RETRY_AFTER_S));
+            return;
+        }
+        if (!prices.fits(spec)) {
+            ifUnknown(uid, out, () -> out.error(422, "a task fits no allowed machine type"));
+            return;
+        }
+        Txn txn = layout.accept(spec, loop.wallMicros());
+        if (txn == null) {
+            ifUnknown(uid, out, () -> out.error(400, "the submission is too long"));
+            return;
+        }
+        accept(uid, txn, out, TRIES);
+    }
+
+    private boolean overLimit(JobSpec spec) {
+        for (Platform.Team t : limits) {
+            if (t.name().equals(spec.owner())) {
+                return (t.cpusMax() > 0 && spec.cores() > t.cpusMax()) || (t.gpusMax() > 0 && spec.accelerators() > t.gpusMax());
+            }
+        }
+        return false;
+    }
+
+    /** Accepted means stored: 201 only once the transaction that creates the record has been carried out. */
+    private void accept(String uid, Txn txn, Responder out, int tries) {
+        store.txn(txn, StateClient.Class.ORDINARY, outcome -> {
+            switch (outcome) {
+                case APPLIED -> {
+                    metrics.count("jobs_accepted");
+                    out.send(201, state(uid, JobState.PENDING, null));
+                }
+                case CONFLICT -> known(uid, out, 200, TRIES);
+                case REFUSED -> {
+                    if (tries > 1 && recentlyServed()) {
+                        loop.after(AGAIN_MICROS, () -> accept(uid, txn, out, tries - 1));
+                    } else {
+                        unavailable(out);
+                    }
+                }
+                case UNKNOWN -> known(uid, out, 201, 2);
+            }
+        });
+    }
+
+    private boolean recentlyServed() {
+        return loop.nowMicros() - store.lastServedMicros() < 500_000;
+    }
+
+    /** The record decides; if it can't be read or is not there yet, the user asks again. */
+    private void known(String uid, Responder out, int status, int tries) {
+        read(uid, tries, got -> {
+            if (got.found()) {
+                out.send(status, describe(uid, got.item()));
+            } else {
+                unavailable(out);
+            }
+        });
+    }
+
+    private void ifUnknown(String uid, Responder out, Runnable refuse) {
+        JobState f = finals.getIfPresent(uid);
+        if (f != null) {
+            out.send(200, state(uid, f, null));
+            return;
+        }
+        read(uid, TRIES, got -> {
+            if (got.found()) {
+                out.send(200, describe(uid, got.item()));
+            } else if (got.missing()) {
+                refuse.run();
+            } else {
+                unavailable(out);
+            }
+        });
+    }
+
+    /** A read that was refused by a rate limit is tried again shortly; an outage is told at once. */
+    private void read(String uid, int tries, Consumer<StateClient.Got> then) {
+        store.get(JobStore.jobKey(uid), StateClient.Class.ORDINARY, got -> {
+            if (got.status() == 429 && tries > 1) {
+                loop.after(AGAIN_MICROS, () -> read(uid, tries - 1, then));
+            } else {
+                then.accept(got);
+            }
+        });
+    }
+
+    private String describe(String uid, StateClient.Item record) {
+        JobState f = JobStore.finalState(record.data());
+        if (f != null) {
+            finals.put(uid, f);
+            return state(uid, f, null);
+        }
+        int[] counts = desk.counts(uid);
+        return state(uid, counts != null && counts[1] > 0 ? JobState.RUNNING : JobState.PENDING, counts);
+    }
+
+    private static String state(String uid, JobState s, int[] counts) {
+        ObjectNode o = Json.object().put("uid", uid).put("status", s.wireName());
+        if (counts != null) {
+            o.put("done", counts[0]).put("running", counts[1]);
+        }
+        return Json.write(o);
+    }
+
+    public void poll(String uid, Responder raw) {
+        if (!JobSpec.validUid(uid)) {
+            raw.error(404, "no such job");
+            return;
+        }
+        JobState f = finals.getIfPresent(uid);
+        if (f != null) {
+            raw.send(200, state(uid, f, null));
+            return;
+        }
+        Responder out = admit("poll", raw);
+        if (out == null) {
+            return;
+        }
+        read(uid, 3, got -> {
+            if (got.found()) {
+                out.send(200, describe(uid, got.item()));
+            } else if (got.missing()) {
+                out.error(404, "no such job");
+            } else {
+                unavailable(out);
+            }
+        });
+    }
+
+    public void abort(String uid, Responder raw) {
+        if (!JobSpec.validUid(uid)) {
+            raw.error(404, "no such job");
+            return;
+        }
+        JobState f = finals.getIfPresent(uid);
+        if (f != null) {
+            raw.send(200, state(uid, f, null));
+            return;
+        }
+        Responder out = admit("abort", raw);
+        if (out != null) {
+            abort(uid, out, TRIES);
+        }
+    }
+
+    private void abort(String uid, Responder out, int tries) {
+        read(uid, TRIES, got -> {
+            if (got.missing()) {
+                out.error(404, "no such job");
+                return;
+            }
+            if (!got.found()) {
+                unavailable(out);
+                return;
+            }
+            if (JobStore.finalState(got.item().data()) != null) {
+                if (JobStore.finalState(got.item().data()) == JobState.ABORTED) {
+                    desk.aborted(uid);
+                }
+                out.send(200, describe(uid, got.item()));
+                return;
+            }
+            if (tries == 0) {
+                unavailable(out);
+                return;
+            }
+            Txn txn = layout.end(uid, got.item().stamp(), JobState.ABORTED, 0);
+            store.txn(txn, StateClient.Class.URGENT, outcome -> {
+                switch (outcome) {
+                    case APPLIED -> {
+                        finals.put(uid, JobState.ABORTED);
+                        metrics.count("jobs_aborted");
+                        desk.aborted(uid);
+                        out.send(200, state(uid, JobState.ABORTED, null));
+                    }
+                    case REFUSED -> unavailable(out);
+                    // The stored state decides, whatever became of this transaction.
+                    default -> abort(uid, out, tries - 1);
+                }
+            });
+        });
+    }
+
+}
--- /dev/null
+++ b/src/main/java/plumlever/http/XnioLoop.java
@@ -0,0 +1,45 @@
+package plumlever.http;
+
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import plumlever.concurrent.Loop;
+
+/** The loop on an XNIO I/O thread, so that requests, answers and decisions need no hand-over between threads. */
+public final class XnioLoop implements Loop {
+    private final XnioIoThread thread;
+
+    public XnioLoop(XnioIoThread thread) {
+        this.thread = thread;
+    }
+
+    @Override
+    public long nowMicros() {
+        return System.nanoTime() / 1_000;
+    }
+
+    @Override
+    public long wallMicros() {
+        return System.currentTimeMillis() * 1_000;
+    }
+
+    @Override
+    public Timer after(long delayMicros, Runnable action) {
+        if (delayMicros <= 0) {
+            boolean[] off = new boolean[1];
+            thread.execute(() -> {
+                if (!off[0]) {
+                    action.run();
+                }
+            });
+            return () -> off[0] = true;
+        }
+        XnioExecutor.Key key = thread.executeAfter(action, delayMicros, TimeUnit.MICROSECONDS);
+        return key::remove;
+    }
+
+    @Override
+    public void execute(Runnable action) {
+        thread.execute(action);
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -0,0 +1,172 @@
+package plumlever.leader;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import plumlever.fleet.Job;
+import plumlever.store.JobStore;
+import plumlever.store.StateClient;
+import plumlever.wire.InvalidMessage;
+
+/** The jobs that have not ended, kept up with the state service by following it. */
+final class Jobs {
+    private static final Logger LOG = LoggerFactory.getLogger(Jobs.class);
+    private static final long FOLLOW_MICROS = 10_000_000;
+    private static final long RETRY_MICROS = 500_000;
+
+    private final Context context;
+    private final Runnable changed;
+    private final Map<String, Job> active = new LinkedHashMap<>();
+    private long epoch;
+    private boolean closed;
+
+    Jobs(Context context, Runnable changed) {
+        this.context = context;
+        this.changed = changed;
+    }
+
+    Collection<Job> all() {
+        return active.values();
+    }
+
+    Job get(String uid) {
+        return active.get(uid);
+    }
+
+    /** Reads all jobs, inherited from earlier terms, and goes on following; {@code loaded} runs once. */
+    void load(Runnable loaded) {
+        if (closed) {
+            return;
+        }
+        context.store().list(JobStore.ACTIVE, StateClient.Class.URGENT, jobs -> {
+            if (jobs == null) {
+                context.loop().after(RETRY_MICROS, () -> load(loaded));
+                return;
+            }
+            context.store().list(JobStore.PROGRESS, StateClient.Class.URGENT, progress -> {
+                if (progress == null) {
+                    context.loop().after(RETRY_MICROS, () -> load(loaded));
+                    return;
+                }
+                if (closed) {
+                    return;
+                }
+                jobs.items().forEach(i -> put(i.key(), i.data(), i.stamp(), true));
+                progress.items().forEach(this::readProgress);
+                epoch = jobs.epoch();
+                loaded.run();
+                follow();
+            });
+        });
+    }
+
+    private void readProgress(StateClient.Item i) {
+        String rest = i.key().substring(JobStore.PROGRESS.length());
+        int slash = rest.lastIndexOf('/');
+        Job job = slash < 0 ? null : active.get(rest.substring(0, slash));
+        if (job == null) {
+            // Left by a job that ended with more chunks than one transaction drops, or written late.
+            context.metrics().count("progress_strays");
+            return;
+        }
+        try {
+            context.layout().readChunk(i.data(), Integer.parseInt(rest.substring(slash + 1)), job.stored());
+            job.stored().stream().forEach(job::markDone);
+        } catch (InvalidMessage | NumberFormatException e) {
+            LOG.warn("{} can't be read and is taken as no progress", i.key());
+        }
+    }
+
+    private void put(String key, JsonNode data, long stamp, boolean inherited) {
+        String uid = key.substring(JobStore.ACTIVE.length());
+        if (active.containsKey(uid)) {
+            return;
+        }
+        try {
+            long age = context.loop().wallMicros() - JobStore.acceptedWallMicros(data);
+            active.put(uid, new Job(JobStore.spec(data), stamp, context.loop().nowMicros() - Math.max(0, age), inherited));
+        } catch (InvalidMessage e) {
+            LOG.error("{} can't be read: {}", key, e.getMessage());
+        }
+    }
+
+    private void drop(String uid) {
+        Job job = active.remove(uid);
+        if (job != null) {
+            job.end();
+            LOG.debug("{} has ended", uid);
+        }
+    }
+
+    /** The job is known to have ended, before the followed changes say so. */
+    void ended(String uid) {
+        drop(uid);
+        changed.run();
+    }
+
+    private void follow() {
+        if (closed) {
+            return;
+        }
+        context.store().follow(JobStore.ACTIVE, epoch, FOLLOW_MICROS, changes -> {
+            if (closed) {
+                return;
+            }
+            if (changes.status() == 410) {
+                relist();
+                return;
+            }
+            if (changes.status() != 200) {
+                context.loop().after(RETRY_MICROS, this::follow);
+                return;
+            }
+            epoch = Math.max(epoch, changes.epoch());
+            for (StateClient.Change c : changes.log()) {
+                if (c.data() == null) {
+                    drop(c.key().substring(JobStore.ACTIVE.length()));
+                } else {
+                    put(c.key(), c.data(), c.stamp(), false);
+                }
+            }
+            if (!changes.log().isEmpty()) {
+                changed.run();
+            }
+            follow();
+        });
+    }
+
+    /** Changes were missed: what is not listed any more has ended. */
+    private void relist() {
+        context.store().list(JobStore.ACTIVE, StateClient.Class.URGENT, listing -> {
+            if (closed) {
+                return;
+            }
+            if (listing == null) {
+                context.loop().after(RETRY_MICROS, this::relist);
+                return;
+            }
+            Set<String> listed = new HashSet<>();
+            listing.items().forEach(i -> {
+                listed.add(i.key().substring(JobStore.ACTIVE.length()));
+                put(i.key(), i.data(), i.stamp(), false);
+            });
+            List<String> gone = new ArrayList<>(active.keySet());
+            gone.removeAll(listed);
+            gone.forEach(this::drop);
+            epoch = listing.epoch();
+            changed.run();
+            follow();
+        });
+    }
+
+    void close() {
+        closed = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -0,0 +1,388 @@
+package plumlever.leader;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import plumlever.cloud.CloudClient;
+import plumlever.fleet.Attempt;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Machine;
+import plumlever.scaling.RentalPlan;
+import plumlever.store.JobStore;
+import plumlever.store.StateClient;
+import plumlever.store.Txn;
+import plumlever.wire.Flavor;
+import plumlever.wire.HostEntry;
+import plumlever.wire.Json;
+
+/** Rents and returns machines, keeps the record of those that may hold tasks, and finds the ones that are gone. */
+final class Machines {
+    private static final Logger LOG = LoggerFactory.getLogger(Machines.class);
+    private static final long LIST_EVERY_MICROS = 5_000_000;
+    private static final long CATALOG_EVERY_MICROS = 30_000_000;
+    private static final long NO_CAPACITY_PAUSE_MICROS = 12_000_000;
+    private static final long REPEAT_MICROS = 2_000_000;
+    /** Added to a lease before it surely has lapsed: both clocks' drift, an answer on its way, a late timer. */
+    private static final long LAPSE_MARGIN_MICROS = 1_500_000;
+    private static final double DRIFT = 0.002;
+    private static final int MOST_PER_ROUND = 30;
+    /** The cloud charges at least this for a machine. */
+    private static final long LEAST_CHARGE_MICROS = 58_000_000;
+    private static final int REMEMBERED = 4_000;
+
+    private static final class Open {
+        final String name;
+        final RentalPlan.Kind kind;
+        final int count;
+        boolean inFlight;
+        long retryMicros;
+
+        Open(String name, RentalPlan.Kind kind, int count) {
+            this.name = name;
+            this.kind = kind;
+            this.count = count;
+        }
+    }
+
+    private final Context context;
+    private final Fleet fleet;
+    private final Round round;
+    private final Reports reports;
+    private final Takeover takeover;
+    private final RentalPlan plan;
+    private final Runnable changed;
+    private final Map<RentalPlan.Kind, Long> shortUntil = new HashMap<>();
+    private final List<Open> open = new ArrayList<>();
+    private final Set<String> deleted = Collections.newSetFromMap(new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > REMEMBERED;
+        }
+    });
+    private final Set<String> toForget = new HashSet<>();
+    private long rentalCounter;
+    private long listedMicros;
+    private long catalogMicros;
+    private boolean listing;
+    private boolean enrolling;
+    private boolean returningNow;
+    private boolean cataloguing;
+    private boolean closed;
+
+    Machines(Context context, Fleet fleet, Round round, Reports reports, Takeover takeover, Runnable changed) {
+        this.context = context;
+        this.fleet = fleet;
+        this.round = round;
+        this.reports = reports;
+        this.takeover = takeover;
+        this.changed = changed;
+        this.plan = new RentalPlan(context.prices(), context.platform().moneyMatters());
+    }
+
+    boolean isDeleted(String host) {
+        return deleted.contains(host);
+    }
+
+    /** One turn of the duty. */
+    long turn() {
+        if (closed || !context.office().mayAct()) {
+            return 200_000;
+        }
+        long now = context.loop().nowMicros();
+        if (!listing && now - listedMicros >= LIST_EVERY_MICROS) {
+            list();
+        }
+        if (!cataloguing && now - catalogMicros >= CATALOG_EVERY_MICROS) {
+            catalog();
+        }
+        enroll();
+        watch(now);
+        returnAll(now);
+        rent(now);
+        return 500_000;
+    }
+
+    private void catalog() {
+        cataloguing = true;
+        context.cloud().catalog(flavors -> {
+            cataloguing = false;
+            if (flavors != null) {
+                boolean news = !context.prices().known();
+                catalogMicros = context.loop().nowMicros();
+                context.prices().update(flavors);
+                if (news) {
+                    changed.run();
+                }
+            }
+        });
+    }
+
+    private void list() {
+        listing = true;
+        context.cloud().list(hosts -> {
+            listing = false;
+            if (hosts == null || closed) {
+                return;
+            }
+            long now = context.loop().nowMicros();
+            listedMicros = now;
+            for (HostEntry h : hosts) {
+                if (deleted.contains(h.uid())) {
+                    continue;
+                }
+                Machine m = fleet.machine(h.uid());
+                if (m == null) {
+                    m = new Machine(h.uid(), h.endpoint(), h.flavor(), h.site(), h.loaners(),
+                            now - (long) (h.ageS() * 1e6));
+                    fleet.add(m);
+                }
+                m.learnEndpoint(h.endpoint());
+                m.listed(now, h.status().equals("failed"));
+            }
+        });
+    }
+
+    /** Records machines that reported before anything is ordered from them. */
+    private void enroll() {
+        if (enrolling) {
+            return;
+        }
+        List<Machine> add = new ArrayList<>();
+        Txn txn = new Txn();
+        int room = context.platform().stateLimits().txnOps();
+        for (Machine m : fleet.machines()) {
+            if (room > 0 && m.enrolment() == Machine.Enrolment.NONE && m.heard() && !m.returning()) {
+                txn.put(JobStore.fleetKey(m.id()), Json.object().put("endpoint", m.endpoint()).put("flavor", m.flavor())
+                        .put("site", m.site()).put("loaners", m.spot()));
+                add.add(m);
+                room--;
+            }
+        }
+        List<String> drop = new ArrayList<>();
+        for (String host : toForget) {
+            if (room > 0) {
+                txn.drop(JobStore.fleetKey(host));
+                drop.add(host);
+                room--;
+            }
+        }
+        if (txn.changes() == 0) {
+            return;
+        }
+        enrolling = true;
+        add.forEach(m -> m.enrolment(Machine.Enrolment.WRITING));
+        context.store().txn(txn, StateClient.Class.ORDINARY, outcome -> {
+            enrolling = false;
+            boolean stored = outcome == Txn.Outcome.APPLIED;
+            add.forEach(m -> m.enrolment(stored ? Machine.Enrolment.STORED : Machine.Enrolment.NONE));
+            if (stored) {
+                drop.forEach(toForget::remove);
+                if (!add.isEmpty()) {
+                    changed.run();
+                    enroll();
+                }
+            }
+        });
+    }
+
+    /** A machine reported for the first time: it is recorded without waiting for the next turn. */
+    void reported() {
+        enroll();
+    }
+
+    private long lapsesAt(Machine m) {
+        // An answer of this term renewed the lease at the latest; before the first, an earlier leader may have.
+        long renewed = Math.max(takeover.loadedMicros(), m.lastAnswerMicros());
+        return renewed + (long) (context.platform().workers().leaseMicros() * (1 + DRIFT)) + LAPSE_MARGIN_MICROS;
+    }
+
+    private void watch(long now) {
+        Map<String, int[]> zones = new HashMap<>();
+        for (Machine m : fleet.machines()) {
+            if (m.heard() || takeover.open().contains(m)) {
+                int[] z = zones.computeIfAbsent(m.site(), k -> new int[2]);
+                z[0]++;
+                if (silentFor(m, now) > context.tunables().silentMicros()) {
+                    z[1]++;
+                }
+            }
+        }
+        for (Machine m : new ArrayList<>(fleet.machines())) {
+            if (now >= lapsesAt(m) && silentFor(m, now) > context.tunables().silentMicros()) {
+                boolean lost = m.running();
+                reports.endSessionsBefore(m, Long.MAX_VALUE);
+                if (lost) {
+                    LOG.info("{} is silent and its lease has lapsed", m.id());
+                    changed.run();
+                }
+                if (!m.accounted()) {
+                    takeover.accounted(m, "its lease lapsed");
+                    changed.run();
+                }
+            }
+            if (m.returning()) {
+                continue;
+            }
+            if (m.failed()) {
+                giveBack(m, "it failed");
+            } else if (!m.heard() && !takeover.open().contains(m)) {
+                Flavor f = context.prices().flavor(m.flavor());
+                long patience = (long) ((f == null ? 60 : Math.max(f.startupS(), 15)) * 1e6 * context.tunables().bootFactor());
+                if (now - Math.max(m.knownSinceMicros(), takeover.startedMicros() - patience / 2) > patience) {
+                    giveBack(m, "it does not come up");
+                }
+            } else if (silentFor(m, now) > context.tunables().silentMicros()) {
+                int[] z = zones.get(m.site());
+                // Many silent at once in a zone look like a cut, behind which they go on working.
+                boolean cut = z != null && z[1] >= 2 && z[1] * 2 >= z[0];
+                if (!cut || silentFor(m, now) > 2 * context.platform().workers().leaseMicros()) {
+                    giveBack(m, "it is silent");
+                }
+            } else if (m.draining() && !m.running()) {
+                giveBack(m, "it is drained");
+            } else if (idleTooLong(m, now)) {
+                giveBack(m, "it is idle");
+            }
+        }
+    }
+
+    private long silentFor(Machine m, long now) {
+        return now - Math.max(m.lastReportMicros(), takeover.startedMicros());
+    }
+
+    private boolean idleTooLong(Machine m, long now) {
+        if (m.running() || round.hasPlan(m) || !takeover.complete()) {
+            m.idleSince(-1);
+            return false;
+        }
+        if (m.idleSinceMicros() < 0) {
+            m.idleSince(now);
+        }
+        long limit = context.platform().moneyMatters() ? context.tunables().idleMoneyMicros() : context.tunables().idleSpeedMicros();
+        return now - m.idleSinceMicros() > limit && now - m.knownSinceMicros() > LEAST_CHARGE_MICROS;
+    }
+
+    private void giveBack(Machine m, String why) {
+        LOG.info("returning {} ({} in {}{}): {}", m.id(), m.flavor(), m.site(), m.spot() ? ", spot" : "", why);
+        m.returning(true);
+        context.metrics().count("machines_returned");
+    }
+
+    private void returnAll(long now) {
+        if (returningNow) {
+            return;
+        }
+        List<Machine> out = new ArrayList<>();
+        for (Machine m : fleet.machines()) {
+            if (m.returning() && out.size() < CloudClient.MOST_PER_RETURN) {
+                out.add(m);
+            }
+        }
+        if (out.isEmpty()) {
+            return;
+        }
+        returningNow = true;
+        context.cloud().giveBack(out.stream().map(Machine::id).toList(), gone -> {
+            returningNow = false;
+            if (!gone || closed) {
+                return;
+            }
+            for (Machine m : out) {
+                reports.endSessionsBefore(m, Long.MAX_VALUE);
+                deleted.add(m.id());
+                fleet.remove(m);
+                takeover.accounted(m, "it was returned");
+                if (m.enrolment() != Machine.Enrolment.NONE) {
+                    toForget.add(m.id());
+                }
+            }
+            changed.run();
+        });
+    }
+
+    private void rent(long now) {
+        for (Open o : new ArrayList<>(open)) {
+            if (!o.inFlight && now >= o.retryMicros) {
+                send(o);
+            }
+        }
+        if (!context.prices().known() || !takeover.complete()) {
+            return;
+        }
+        List<RentalPlan.Coming> coming = new ArrayList<>();
+        for (Machine m : fleet.machines()) {
+            Flavor f = context.prices().flavor(m.flavor());
+            if (f != null && !m.returning() && !m.failed()
+                    && (!m.heard() || m.enrolment() != Machine.Enrolment.STORED) && !m.draining()) {
+                coming.add(new RentalPlan.Coming(new RentalPlan.Kind(m.flavor(), m.site(), m.spot()), f));
+            }
+        }
+        for (Open o : open) {
+            Flavor f = context.prices().flavor(o.kind.flavor());
+            for (int i = 0; f != null && i < o.count; i++) {
+                coming.add(new RentalPlan.Coming(o.kind, f));
+            }
+        }
+        for (RentalPlan.Rental r : plan.plan(round.demands(), coming,
+                k -> now >= shortUntil.getOrDefault(k, 0L), MOST_PER_ROUND)) {
+            if (open.size() >= 6) {
+                break;
+            }
+            Open o = new Open("r-" + context.office().term() + "-" + ++rentalCounter, r.kind(),
+                    Math.min(r.count(), CloudClient.MOST_PER_RENTAL));
+            open.add(o);
+            send(o);
+        }
+    }
+
+    private void send(Open o) {
+        if (!context.office().mayAct()) {
+            return;
+        }
+        o.inFlight = true;
+        context.cloud().rent(o.name, o.kind.flavor(), o.kind.site(), o.kind.spot(), o.count, (outcome, hosts) -> {
+            o.inFlight = false;
+            long now = context.loop().nowMicros();
+            switch (outcome) {
+                case RENTED -> {
+                    open.remove(o);
+                    if (hosts.size() < o.count) {
+                        shortUntil.put(o.kind, now + NO_CAPACITY_PAUSE_MICROS);
+                    }
+                    LOG.info("rented {} of {} {} in {}{}", hosts.size(), o.count, o.kind.flavor(), o.kind.site(),
+                            o.kind.spot() ? ", spot" : "");
+                    context.metrics().count("machines_rented", hosts.size());
+                    for (String h : hosts) {
+                        if (fleet.machine(h) == null && !deleted.contains(h)) {
+                            fleet.add(new Machine(h, null, o.kind.flavor(), o.kind.site(), o.kind.spot(), now));
+                        }
+                    }
+                }
+                case NO_CAPACITY -> {
+                    open.remove(o);
+                    shortUntil.put(o.kind, now + NO_CAPACITY_PAUSE_MICROS);
+                }
+                case NOT_NOW -> {
+                    // Surely not rented; the need is looked at anew after a pause.
+                    open.remove(o);
+                    shortUntil.put(o.kind, now + REPEAT_MICROS);
+                }
+                // It may have been rented: the same name is asked for until that is known.
+                case UNKNOWN -> o.retryMicros = now + REPEAT_MICROS;
+            }
+        });
+    }
+
+    void close() {
+        closed = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -0,0 +1,296 @@
+package plumlever.leader;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import plumlever.fleet.Attempt;
+import plumlever.fleet.Estimates;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Job;
+import plumlever.fleet.Machine;
+import plumlever.placement.Zones;
+import plumlever.wire.ExitCause;
+import plumlever.wire.Flavor;
+import plumlever.wire.Order;
+import plumlever.wire.TaskStatus;
+import plumlever.wire.WorkerReport;
+
+/** Learns from reports, and writes the orders that answer them. */
+final class Reports {
+    private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
+    private static final double EPSILON = 1e-9;
+
+    private final Context context;
+    private final Fleet fleet;
+    private final Jobs jobs;
+    private final Estimates estimates;
+    private final Takeover takeover;
+    private final Progress progress;
+    private final long term;
+    private boolean changed;
+
+    Reports(Context context, Fleet fleet, Jobs jobs, Estimates estimates, Takeover takeover, Progress progress, long term) {
+        this.context = context;
+        this.fleet = fleet;
+        this.jobs = jobs;
+        this.estimates = estimates;
+        this.takeover = takeover;
+        this.progress = progress;
+        this.term = term;
+    }
+
+    /** True if anything changed that placement cares for, since asked last. */
+    boolean takeChanged() {
+        boolean c = changed;
+        changed = false;
+        return c;
+    }
+
+    /**
+     * Takes what a machine tells of itself, if it is news.
+     *
+     * @param own sent by the worker itself; the body of a direct call proves nothing about an answer on its way
+     */
+    boolean apply(Machine m, WorkerReport r, boolean own) {
+        if (m.heard() || m.tenure() > 0 || m.tick() > 0) {
+            if (!r.newerThan(m.tenure(), m.tick())) {
+                return false;
+            }
+        }
+        long now = context.loop().nowMicros();
+        if (r.tenure() > m.tenure()) {
+            endSessionsBefore(m, r.tenure());
+        }
+        boolean first = !m.heard();
+        boolean noticed = r.noticed() && m.reclaimAtMicros() < 0;
+        m.heardAt(r, now, own);
+        changed |= first && own;
+        if (noticed) {
+            changed = true;
+            context.metrics().count("spot_notices");
+            LOG.info("{} will be taken in {} s", m.id(), r.reclaimInS());
+        }
+        Set<Long> listed = new HashSet<>();
+        boolean current = r.baton() == term;
+        for (WorkerReport.Piece p : r.pieces()) {
+            listed.add(p.attempt());
+            Attempt a = m.attempt(p.attempt());
+            if (a != null && a.task() == p.task().number() && a.job().uid().equals(p.task().job())) {
+                update(a, p, now);
+            } else if (a == null && current) {
+                unknown(m, p, now);
+            }
+        }
+        if (own) {
+            List<Attempt> gone = new ArrayList<>();
+            for (Attempt a : m.attempts()) {
+                // The worker has taken in or dropped the answer that carried the order before it sent this.
+                if (!listed.contains(a.id()) && a.sentTick() < r.tick()) {
+                    gone.add(a);
+                }
+            }
+            for (Attempt a : gone) {
+                if (!a.over()) {
+                    changed = true;
+                    context.metrics().count(a.status() == null ? "runs_lost" : "attempts_vanished");
+                }
+                fleet.forget(a);
+            }
+        }
+        if (current && !m.accounted()) {
+            takeover.accounted(m, own ? "it reported" : "it answered");
+            changed = true;
+        }
+        return true;
+    }
+
+    /** A worker that starts a new session has killed and forgotten everything of the ones before. */
+    void endSessionsBefore(Machine m, long tenure) {
+        List<Attempt> ended = new ArrayList<>();
+        for (Attempt a : m.attempts()) {
+            if (a.tenure() < tenure) {
+                ended.add(a);
+            }
+        }
+        for (Attempt a : ended) {
+            if (!a.over()) {
+                changed = true;
+                context.metrics().count("attempts_lost");
+            }
+            fleet.forget(a);
+        }
+    }
+
+    private void update(Attempt a, WorkerReport.Piece p, long now) {
+        if (a.over()) {
+            return;
+        }
+        a.see(p.status(), now);
+        if (p.status() == TaskStatus.ENDED) {
+            ended(a, p.cause(), now);
+        }
+    }
+
+    private void ended(Attempt a, ExitCause cause, long now) {
+        Job job = a.job();
+        Machine m = a.machine();
+        changed = true;
+        fleet.end(a, cause);
+        switch (cause) {
+            case DONE -> {
+                job.noteSuccess();
+                m.noteSuccess();
+                observe(a, now);
+                done(job, a.task());
+            }
+            case ERROR, NO_SUCH -> {
+                job.noteError(now);
+                context.metrics().count("task_errors");
+                LOG.info("{} ended with {} on {}", a.name().wireName(), cause, m.id());
+                if (cause == ExitCause.ERROR && m.noteError(job.uid())) {
+                    LOG.warn("{} fails the tasks of several jobs and is drained", m.id());
+                    m.drain();
+                }
+            }
+            case HALTED -> context.metrics().count("tasks_halted");
+            default -> {
+                context.metrics().count("tasks_refused");
+                LOG.info("{} was refused by {}: {}", a.name().wireName(), m.id(), cause);
+            }
+        }
+    }
+
+    private void observe(Attempt a, long now) {
+        if (a.runningSinceMicros() < 0 || a.sentTick() < 0) {
+            return;
+        }
+        double took = now - a.runningSinceMicros();
+        double estimate = a.job().spec().expectS() * 1e6;
+        if (estimate <= 0 || took <= 0) {
+            return;
+        }
+        double planned = estimates.runMicros(a.job());
+        a.machine().observe(took / planned);
+        double ratio = took / a.machine().slowness() / estimate;
+        a.job().observe(ratio);
+        estimates.observe(a.job().spec().jobclass(), ratio);
+    }
+
+    private void done(Job job, int task) {
+        if (job.over() || job.done().get(task)) {
+            return;
+        }
+        job.markDone(task);
+        context.metrics().count("tasks_done");
+        progress.taskDone(job, task);
+    }
+
+    /** A task this leader did not start there. */
+    private void unknown(Machine m, WorkerReport.Piece p, long now) {
+        Job job = jobs.get(p.task().job());
+        if (job == null || job.over() || p.task().number() >= job.spec().pieces()) {
+            return;
+        }
+        int task = p.task().number();
+        if (p.status() == TaskStatus.ENDED) {
+            if (p.cause() == ExitCause.DONE) {
+                Attempt other = job.liveAttempt(task);
+                if (other != null) {
+                    other.halt(0, now);
+                }
+                done(job, task);
+                changed = true;
+            }
+            return;
+        }
+        if (fleet.ofEarlierTerm(p.attempt()) && job.inherited() && !job.done().get(task) && job.liveAttempt(task) == null) {
+            Attempt a = fleet.adopt(job, task, p.attempt(), m, now);
+            a.see(p.status(), now);
+            changed = true;
+            context.metrics().count("attempts_adopted");
+        } else if (job.liveAttempt(task) != null) {
+            LOG.error("{} is on {} and on {}", p.task().wireName(), m.id(), job.liveAttempt(task).machine().id());
+        }
+    }
+
+    /** The orders that go without a plan: halts, and what the worker may forget. */
+    List<Order> standing(Machine m, WorkerReport r) {
+        long now = context.loop().nowMicros();
+        List<Order> orders = new ArrayList<>();
+        for (Attempt a : m.attempts()) {
+            if (a.over()) {
+                if (a.cause() != null && (a.cause() != ExitCause.DONE || a.job().over() || a.job().stored().get(a.task()))) {
+                    orders.add(Order.reap(a.name(), a.id()));
+                }
+            } else {
+                if (a.job().over() || a.job().done().get(a.task())) {
+                    a.halt(0, now);
+                }
+                if (a.halting()) {
+                    orders.add(Order.halt(a.name(), a.id(), a.windDownS()));
+                }
+            }
+        }
+        if (r.baton() == term) {
+            for (WorkerReport.Piece p : r.pieces()) {
+                if (m.attempt(p.attempt()) != null) {
+                    continue;
+                }
+                Job job = jobs.get(p.task().job());
+                if (p.status() != TaskStatus.ENDED) {
+                    orders.add(Order.halt(p.task(), p.attempt(), 0));
+                } else if (job == null || p.cause() != ExitCause.DONE || job.stored().get(p.task().number())) {
+                    orders.add(Order.reap(p.task(), p.attempt()));
+                }
+            }
+        }
+        return orders;
+    }
+
+    /** Takes the tasks planned for the machine, each rule checked again as the order is written. */
+    void start(Machine m, Iterable<Round.Planned> planned, List<Order> orders) {
+        Flavor f = context.prices().flavor(m.flavor());
+        if (f == null || m.draining() || m.returning() || m.enrolment() != Machine.Enrolment.STORED || !m.accounted()) {
+            return;
+        }
+        double cores = f.cores();
+        double accelerators = f.accelerators();
+        double memory = f.memoryGb();
+        for (Attempt a : m.attempts()) {
+            if (!a.over()) {
+                cores -= a.job().spec().cores();
+                accelerators -= a.job().spec().accelerators();
+                memory -= a.job().spec().memoryGb();
+            }
+        }
+        long now = context.loop().nowMicros();
+        for (Round.Planned p : planned) {
+            Job job = p.job;
+            if (job.over() || takeover.blocks(job) || !job.spec().allows(m.flavor(), m.site(), m.spot())) {
+                continue;
+            }
+            Zones zones = Round.zones(job);
+            for (int i = 0; i < p.tasks && job.hasFree(); i++) {
+                if (cores + EPSILON < job.spec().cores() || memory + EPSILON < job.spec().memoryGb()
+                        || accelerators + EPSILON < job.spec().accelerators()
+                        || !zones.allows(m.site()) || takeover.quotaRoom(job) < 1) {
+                    break;
+                }
+                int task = job.firstFree();
+                Attempt a = fleet.start(job, task, m, now);
+                zones.add(m.site());
+                cores -= job.spec().cores();
+                accelerators -= job.spec().accelerators();
+                memory -= job.spec().memoryGb();
+                m.useImage(job.spec().bundle(), job.spec().imageGb(), f);
+                orders.add(Order.run(a.name(), a.id()));
+                context.metrics().count("runs_ordered");
+                context.metrics().time("wait", now - job.acceptedMicros());
+                LOG.debug("{} goes to {}", a.name().wireName(), m.id());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/leader/Round.java
@@ -0,0 +1,256 @@
+package plumlever.leader;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import plumlever.fleet.Attempt;
+import plumlever.fleet.Estimates;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Job;
+import plumlever.fleet.Machine;
+import plumlever.placement.Ask;
+import plumlever.placement.Placer;
+import plumlever.placement.Seat;
+import plumlever.placement.Zones;
+import plumlever.scaling.RentalPlan;
+import plumlever.settings.Platform;
+import plumlever.wire.Flavor;
+import plumlever.wire.TaskStatus;
+
+/**
+ * The round of decisions: which free tasks go to which machine. A plan binds nobody: it is made anew as things change,
+ * and a task is only taken when its machine's answer is written. A round that uses up its time goes on with the next
+ * job when it is called again.
+ */
+final class Round {
+    private static final Logger LOG = LoggerFactory.getLogger(Round.class);
+    /** A machine this long without a report gets no new tasks: it may be gone. */
+    private static final long FRESH_MICROS = 6_000_000;
+    /** Tasks of one job looked at in one round beyond those that find room at once. */
+    private static final int MOST_BOOKED = 64;
+
+    /** Some tasks of a job that go to a machine with its next answer. */
+    static final class Planned {
+        final Job job;
+        int tasks;
+
+        Planned(Job job) {
+            this.job = job;
+        }
+    }
+
+    private final Context context;
+    private final Fleet fleet;
+    private final Jobs jobs;
+    private final Estimates estimates;
+    private final Takeover takeover;
+    private final Placer placer;
+    private final Map<String, Map<Job, Planned>> plans = new HashMap<>();
+    private final Map<String, double[]> plannedByTeam = new HashMap<>();
+    private List<Job> order = List.of();
+    private int cursor;
+    private List<RentalPlan.Demand> demands = new ArrayList<>();
+    private List<RentalPlan.Demand> lastDemands = List.of();
+
+    Round(Context context, Fleet fleet, Jobs jobs, Estimates estimates, Takeover takeover) {
+        this.context = context;
+        this.fleet = fleet;
+        this.jobs = jobs;
+        this.estimates = estimates;
+        this.takeover = takeover;
+        this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare(),
+                context.tunables().startTargetMicros());
+    }
+
+    /** What waits for machines, as of the last whole round. */
+    List<RentalPlan.Demand> demands() {
+        return lastDemands;
+    }
+
+    Iterable<Planned> planned(Machine m) {
+        return plans.getOrDefault(m.id(), Map.of()).values();
+    }
+
+    boolean hasPlan(Machine m) {
+        return plans.containsKey(m.id());
+    }
+
+    void dropPlan(Machine m) {
+        plans.remove(m.id());
+    }
+
+    /** Goes through the jobs, most urgent first; true when it came to the end within its time. */
+    boolean run() {
+        long start = context.loop().nowMicros();
+        if (cursor >= order.size()) {
+            plans.clear();
+            plannedByTeam.clear();
+            demands = new ArrayList<>();
+            order = order(start);
+            cursor = 0;
+        }
+        if (order.isEmpty()) {
+            lastDemands = List.of();
+            return true;
+        }
+        List<Seat> seats = seats(start);
+        Map<String, Machine> machines = new HashMap<>();
+        fleet.machines().forEach(m -> machines.put(m.id(), m));
+        while (cursor < order.size()) {
+            place(order.get(cursor++), seats, machines, start);
+            if (context.loop().nowMicros() - start > context.tunables().roundBudgetMicros() && cursor < order.size()) {
+                context.metrics().count("rounds_cut");
+                return false;
+            }
+        }
+        lastDemands = demands;
+        context.metrics().time("round", context.loop().nowMicros() - start);
+        return true;
+    }
+
+    /** Work within a guarantee first, then by urgency, then by deadline, then by age. */
+    private List<Job> order(long now) {
+        Map<String, Double> guaranteed = new HashMap<>();
+        for (Platform.Team t : context.platform().teams()) {
+            guaranteed.put(t.name(), t.cpus());
+        }
+        List<Job> byAge = new ArrayList<>(jobs.all());
+        byAge.sort(Comparator.comparingLong(Job::acceptedMicros));
+        Map<Job, Boolean> within = new HashMap<>();
+        Map<String, Double> used = new HashMap<>();
+        List<Job> waiting = new ArrayList<>();
+        for (Job j : byAge) {
+            if (j.complete() || j.over()) {
+                continue;
+            }
+            double cores = used.merge(j.spec().owner(), (j.spec().pieces() - j.doneCount()) * j.spec().cores(), Double::sum);
+            within.put(j, cores <= guaranteed.getOrDefault(j.spec().owner(), 0.0));
+            if (j.hasFree() && j.notBeforeMicros() <= now && !takeover.blocks(j)) {
+                waiting.add(j);
+            }
+        }
+        waiting.sort(Comparator.<Job>comparingInt(j -> within.get(j) ? 0 : 1)
+                .thenComparing(j -> j.spec().urgency())
+                .thenComparingLong(Job::deadlineMicros)
+                .thenComparingLong(Job::acceptedMicros));
+        return waiting;
+    }
+
+    private boolean usable(Machine m, long now) {
+        return m.enrolment() == Machine.Enrolment.STORED && m.heard() && m.accounted() && !m.draining() && !m.returning()
+                && now - m.lastReportMicros() < FRESH_MICROS;
+    }
+
+    private List<Seat> seats(long now) {
+        List<Seat> seats = new ArrayList<>();
+        for (Machine m : fleet.machines()) {
+            Flavor f = context.prices().flavor(m.flavor());
+            if (f == null || !usable(m, now)) {
+                continue;
+            }
+            Seat s = new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(),
+                    context.prices().hourly(f, m.spot()) / 3600, f.fetchGbPerS(), m.slowness());
+            for (Attempt a : m.attempts()) {
+                if (!a.over()) {
+                    s.occupy(ask(a.job()), endsAt(a, f, now));
+                }
+            }
+            for (Planned p : planned(m)) {
+                Ask ask = ask(p.job);
+                for (int i = 0; i < p.tasks; i++) {
+                    s.occupy(ask, now + ask.runMicros());
+                }
+            }
+            seats.add(s);
+        }
+        return seats;
+    }
+
+    private long endsAt(Attempt a, Flavor f, long now) {
+        if (a.halting()) {
+            return now + (long) (a.job().spec().snapshotS() * 1e6);
+        }
+        long run = (long) (estimates.runMicros(a.job()) * a.machine().slowness() * (1 + context.tunables().paddingShare()));
+        if (a.status() == TaskStatus.RUNNING && a.runningSinceMicros() >= 0) {
+            long end = a.runningSinceMicros() + run;
+            // A task past its estimate may take any time; the longer it has run, the longer it is expected to.
+            return end > now ? end : now + (now - a.runningSinceMicros()) / 5 + 1_000_000;
+        }
+        long fetch = f.fetchGbPerS() > 0 ? (long) (a.job().spec().imageGb() / f.fetchGbPerS() * 1e6) : 0;
+        return Math.max(now, a.sentMicros() + fetch) + run;
+    }
+
+    private Ask ask(Job j) {
+        return new Ask(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), j.spec().bundle(), j.spec().imageGb(),
+                estimates.runMicros(j), j.deadlineMicros(), j.spec().flavors(), j.spec().site(), j.spec().loaners());
+    }
+
+    /** The job's rules about zones, all its tasks counted that may still be on a machine. */
+    static Zones zones(Job j) {
+        Zones z = new Zones(j.spec().oneZone(), j.spec().zoneLimit());
+        for (Attempt a : j.live()) {
+            z.add(a.machine().site());
+        }
+        return z;
+    }
+
+    private void place(Job job, List<Seat> seats, Map<String, Machine> machines, long now) {
+        if (job.over() || !job.hasFree()) {
+            return;
+        }
+        Ask ask = ask(job);
+        Placer.Search search = placer.search(ask, seats, zones(job),
+                (seat, image) -> machines.get(seat.machine()).hasImage(image), now);
+        int want = Math.min(job.freeCount(), quotaRoom(job));
+        int waiting = 0;
+        int booked = 0;
+        for (int i = 0; i < want; i++) {
+            Placer.Choice c = search.next();
+            if (c.seat() < 0) {
+                waiting += want - i;
+                break;
+            }
+            search.commit(c);
+            if (c.startMicros() <= now) {
+                plans.computeIfAbsent(seats.get(c.seat()).machine(), k -> new LinkedHashMap<>())
+                        .computeIfAbsent(job, Planned::new).tasks++;
+                double[] t = plannedByTeam.computeIfAbsent(job.spec().owner(), k -> new double[2]);
+                t[0] += job.spec().cores();
+                t[1] += job.spec().accelerators();
+            } else {
+                if (!c.feasible() || !context.platform().moneyMatters()) {
+                    waiting++;
+                }
+                if (++booked >= MOST_BOOKED) {
+                    waiting += want - i - 1;
+                    break;
+                }
+            }
+        }
+        if (waiting > 0) {
+            demands.add(new RentalPlan.Demand(job.spec(), job.boundZone(), waiting, ask.runMicros()));
+        }
+        if (LOG.isDebugEnabled() && waiting > 0) {
+            LOG.debug("{}: {} of {} free tasks wait for machines, {} booked", job.uid(), waiting, job.freeCount(), booked);
+        }
+    }
+
+    /** How many more tasks the job's team may run, counting whatever may still be running anywhere. */
+    int quotaRoom(Job job) {
+        int room = takeover.quotaRoom(job);
+        double[] planned = plannedByTeam.get(job.spec().owner());
+        if (planned != null && room != Integer.MAX_VALUE) {
+            if (job.spec().cores() > 0) {
+                room -= (int) Math.ceil(planned[0] / job.spec().cores() - 1e-9);
+            } else if (job.spec().accelerators() > 0) {
+                room -= (int) Math.ceil(planned[1] / job.spec().accelerators() - 1e-9);
+            }
+        }
+        return Math.max(0, room);
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -0,0 +1,114 @@
+package plumlever.leader;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Job;
+import plumlever.fleet.Machine;
+import plumlever.settings.Platform;
+import plumlever.wire.Flavor;
+
+/**
+ * What earlier leaders may have left running. Until every machine that could hold one of its tasks is accounted for,
+ * no task of a job that an earlier leader knew is started; and a machine not accounted for counts against every
+ * team's limit with all it could hold.
+ */
+final class Takeover {
+    private static final Logger LOG = LoggerFactory.getLogger(Takeover.class);
+
+    private final Context context;
+    private final Fleet fleet;
+    private final long startedMicros;
+    private final Map<String, Platform.Team> teams = new HashMap<>();
+    private Set<Machine> open = new HashSet<>();
+    private boolean loaded;
+    private long loadedMicros;
+
+    Takeover(Context context, Fleet fleet) {
+        this.context = context;
+        this.fleet = fleet;
+        this.startedMicros = context.loop().nowMicros();
+        context.platform().teams().forEach(t -> teams.put(t.name(), t));
+    }
+
+    long startedMicros() {
+        return startedMicros;
+    }
+
+    /** From here on each answer to a machine is on record; before, an answer may have renewed any lease. */
+    long loadedMicros() {
+        return loadedMicros;
+    }
+
+    /** All machines that may hold tasks are in the fleet now. */
+    void loaded() {
+        loaded = true;
+        loadedMicros = context.loop().nowMicros();
+        for (Machine m : fleet.machines()) {
+            if (m.enrolment() == Machine.Enrolment.STORED && !m.accounted()) {
+                open.add(m);
+            }
+        }
+        if (open.isEmpty()) {
+            LOG.info("takeover complete: no machine may hold a task");
+        }
+    }
+
+    boolean complete() {
+        return loaded && open.isEmpty();
+    }
+
+    Set<Machine> open() {
+        return open;
+    }
+
+    /** Nothing that an earlier leader started on the machine is unknown any more, or it is gone. */
+    void accounted(Machine m, String how) {
+        m.account();
+        if (open.remove(m)) {
+            LOG.debug("{} accounted for: {}", m.id(), how);
+            if (open.isEmpty()) {
+                long took = context.loop().nowMicros() - startedMicros;
+                context.metrics().time("takeover", took);
+                LOG.info("takeover complete after {} ms, the last machine was {}: {}", took / 1_000, m.id(), how);
+            }
+        }
+    }
+
+    /** True while a task of the job could be running on a machine not accounted for. */
+    boolean blocks(Job job) {
+        return !loaded || (job.inherited() && !open.isEmpty());
+    }
+
+    /** How many more tasks of the job its team's limit allows. */
+    int quotaRoom(Job job) {
+        Platform.Team team = teams.get(job.spec().owner());
+        if (team == null) {
+            return 0;
+        }
+        Fleet.Held held = fleet.held(job.spec().owner());
+        double cores = held.cores();
+        double accelerators = held.accelerators();
+        for (Machine m : open) {
+            Flavor f = context.prices().flavor(m.flavor());
+            if (f == null) {
+                return team.cpusMax() > 0 || team.gpusMax() > 0 ? 0 : Integer.MAX_VALUE;
+            }
+            cores += f.cores();
+            accelerators += f.accelerators();
+        }
+        return Math.min(room(team.cpusMax(), cores, job.spec().cores()),
+                room(team.gpusMax(), accelerators, job.spec().accelerators()));
+    }
+
+    private static int room(double limit, double used, double each) {
+        if (limit <= 0 || each <= 0) {
+            return Integer.MAX_VALUE;
+        }
+        return (int) Math.max(0, Math.min(Integer.MAX_VALUE, Math.floor((limit - used) / each + 1e-9)));
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/metrics/Metrics.java
@@ -0,0 +1,45 @@
+package plumlever.metrics;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.HdrHistogram.Histogram;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Counters and histograms, summed up in one log line a minute. */
+public final class Metrics {
+    private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
+    private static final long MOST_MICROS = 3_600_000_000L;
+
+    private final Map<String, Long> counters = new TreeMap<>();
+    private final Map<String, Histogram> times = new TreeMap<>();
+
+    public void count(String name) {
+        counters.merge(name, 1L, Long::sum);
+    }
+
+    public void count(String name, long n) {
+        counters.merge(name, n, Long::sum);
+    }
+
+    public long counted(String name) {
+        return counters.getOrDefault(name, 0L);
+    }
+
+    public void time(String name, long micros) {
+        times.computeIfAbsent(name, k -> new Histogram(1, MOST_MICROS, 2))
+                .recordValue(Math.max(1, Math.min(MOST_MICROS, micros)));
+    }
+
+    public void logSummary() {
+        if (!LOG.isInfoEnabled() || (counters.isEmpty() && times.isEmpty())) {
+            return;
+        }
+        StringBuilder line = new StringBuilder("summary");
+        counters.forEach((k, v) -> line.append(' ').append(k).append('=').append(v));
+        times.forEach((k, h) -> line.append(String.format(" %s_ms[n=%d p50=%.1f p99=%.1f max=%.1f]", k, h.getTotalCount(),
+                h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h.getMaxValue() / 1e3)));
+        LOG.info("{}", line);
+        times.values().forEach(Histogram::reset);
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/peer/PeerStatus.java
@@ -0,0 +1,87 @@
+package plumlever.peer;
+
+import com.esotericsoftware.kryo.Kryo;
+import com.esotericsoftware.kryo.KryoException;
+import com.esotericsoftware.kryo.Serializer;
+import com.esotericsoftware.kryo.io.Input;
+import com.esotericsoftware.kryo.io.Output;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What a controller tells the others of itself. It is advice only: no rule rests on it.
+ *
+ * @param storeSilentMicros how long the state service has not served it
+ * @param workers how many workers reported to it in the last seconds
+ * @param counts finished and running tasks by job, from the leader, for display
+ */
+public record PeerStatus(String label, long term, boolean leading, long storeSilentMicros, int workers,
+        Map<String, int[]> counts) {
+
+    /** Kryo's form of it; written out, so that nothing is looked up by reflection at start. */
+    public static final class Codec {
+        private static final int MOST_BYTES = 256 * 1024;
+        private static final int MOST_COUNTS = 5_000;
+        private final Kryo kryo = new Kryo();
+        private final Output output = new Output(4 * 1024, MOST_BYTES);
+
+        public Codec() {
+            kryo.setRegistrationRequired(true);
+            kryo.register(PeerStatus.class, new Form(), 100);
+        }
+
+        public byte[] write(PeerStatus s) {
+            output.reset();
+            kryo.writeObject(output, s);
+            return output.toBytes();
+        }
+
+        /** Null when it can't be read. */
+        public PeerStatus read(byte[] bytes) {
+            try {
+                return kryo.readObject(new Input(bytes), PeerStatus.class);
+            } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException | NegativeArraySizeException e) {
+                return null;
+            }
+        }
+    }
+
+    private static final class Form extends Serializer<PeerStatus> {
+        @Override
+        public void write(Kryo kryo, Output out, PeerStatus s) {
+            out.writeString(s.label);
+            out.writeVarLong(s.term, true);
+            out.writeBoolean(s.leading);
+            out.writeVarLong(s.storeSilentMicros, true);
+            out.writeVarInt(s.workers, true);
+            out.writeVarInt(Math.min(s.counts.size(), Codec.MOST_COUNTS), true);
+            int n = 0;
+            for (Map.Entry<String, int[]> e : s.counts.entrySet()) {
+                if (n++ >= Codec.MOST_COUNTS) {
+                    break;
+                }
+                out.writeString(e.getKey());
+                out.writeVarInt(e.getValue()[0], true);
+                out.writeVarInt(e.getValue()[1], true);
+            }
+        }
+
+        @Override
+        public PeerStatus read(Kryo kryo, Input in, Class<? extends PeerStatus> type) {
+            String label = in.readString();
+            long term = in.readVarLong(true);
+            boolean leading = in.readBoolean();
+            long silent = in.readVarLong(true);
+            int workers = in.readVarInt(true);
+            int n = in.readVarInt(true);
+            if (n < 0 || n > Codec.MOST_COUNTS || label == null) {
+                throw new KryoException("out of range");
+            }
+            Map<String, int[]> counts = new LinkedHashMap<>();
+            for (int i = 0; i < n; i++) {
+                counts.put(in.readString(), new int[] {in.readVarInt(true), in.readVarInt(true)});
+            }
+            return new PeerStatus(label, term, leading, silent, workers, counts);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -0,0 +1,162 @@
+package plumlever.placement;
+
+import java.util.List;
+import java.util.function.BiPredicate;
+
+/**
+ * The design's ordinary path. Machines that meet the deadline come before any score; of these the least of price per
+ * second, times the task's largest machine share, times run time; scores within the tie band go to machines already
+ * running work, then to the most free memory, then to the most free processors.
+ */
+public final class Placer {
+    /** Where one task goes: {@code seat} is -1 if nowhere now. */
+    public record Choice(int seat, long startMicros, boolean feasible) {
+        static final Choice NONE = new Choice(-1, Long.MAX_VALUE, false);
+    }
+
+    private final double padding;
+    private final double tie;
+    private final long startTargetMicros;
+
+    public Placer(double padding, double tie, long startTargetMicros) {
+        this.padding = padding;
+        this.tie = tie;
+        this.startTargetMicros = startTargetMicros;
+    }
+
+    /** Evaluates tasks of one job, which are all alike, against all seats; the dear part is done once. */
+    public final class Search {
+        private final Ask ask;
+        private final List<Seat> seats;
+        private final Zones zones;
+        private final long nowMicros;
+        private final int[] candidates;
+        private final long[] fetch;
+        private final long[] run;
+        private final double[] score;
+
+        private Search(Ask ask, List<Seat> seats, Zones zones, BiPredicate<Seat, String> cached, long nowMicros) {
+            this.ask = ask;
+            this.seats = seats;
+            this.zones = zones;
+            this.nowMicros = nowMicros;
+            int[] c = new int[seats.size()];
+            int n = 0;
+            fetch = new long[seats.size()];
+            run = new long[seats.size()];
+            score = new double[seats.size()];
+            for (int i = 0; i < seats.size(); i++) {
+                Seat s = seats.get(i);
+                double share = ask.share(s);
+                if (!ask.allows(s) || share > 1 + 1e-9) {
+                    continue;
+                }
+                c[n++] = i;
+                fetch[i] = cached.test(s, ask.image()) || s.fetchGbPerS <= 0 ? 0 : (long) (ask.imageGb() / s.fetchGbPerS * 1e6);
+                run[i] = (long) (ask.runMicros() * s.slowness);
+                score[i] = s.pricePerS * share * (fetch[i] + run[i]);
+            }
+            candidates = java.util.Arrays.copyOf(c, n);
+        }
+
+        /** Where the next task goes, with room now if any has; nothing is changed. */
+        public Choice next() {
+            Choice c = best(padding, true);
+            if (c.seat < 0) {
+                c = best(padding, false);
+            }
+            if (c.seat < 0) {
+                c = best(0, true);
+            }
+            if (c.seat < 0) {
+                c = best(0, false);
+            }
+            return c.seat < 0 ? earliest() : c;
+        }
+
+        /** The task goes there: now, or booked for later. */
+        public void commit(Choice c) {
+            Seat s = seats.get(c.seat);
+            long end = c.startMicros + fetch[c.seat] + (long) (run[c.seat] * (1 + padding));
+            if (c.startMicros <= nowMicros) {
+                s.take(ask);
+                s.release(ask, end);
+            } else {
+                s.book(ask, c.startMicros, end);
+            }
+            zones.add(s.zone);
+        }
+
+        private boolean feasible(int i, long start, double pad) {
+            if (ask.deadlineMicros() == Long.MAX_VALUE) {
+                return start - nowMicros <= startTargetMicros;
+            }
+            return start + fetch[i] + (long) (run[i] * (1 + pad)) <= ask.deadlineMicros();
+        }
+
+        private Choice best(double pad, boolean now) {
+            int best = -1;
+            long bestStart = 0;
+            double least = Double.MAX_VALUE;
+            for (int i : candidates) {
+                Seat s = seats.get(i);
+                if (score[i] < least && zones.allows(s.zone) && (!now || s.fitsNow(ask))) {
+                    long start = s.earliest(ask, nowMicros);
+                    if (start != Long.MAX_VALUE && feasible(i, start, pad)) {
+                        least = score[i];
+                    }
+                }
+            }
+            if (least == Double.MAX_VALUE) {
+                return Choice.NONE;
+            }
+            for (int i : candidates) {
+                Seat s = seats.get(i);
+                if (score[i] > least * (1 + tie) || !zones.allows(s.zone) || (now && !s.fitsNow(ask))) {
+                    continue;
+                }
+                long start = s.earliest(ask, nowMicros);
+                if (start == Long.MAX_VALUE || !feasible(i, start, pad)) {
+                    continue;
+                }
+                if (best < 0 || winsTie(s, seats.get(best))) {
+                    best = i;
+                    bestStart = start;
+                }
+            }
+            return new Choice(best, bestStart, true);
+        }
+
+        private Choice earliest() {
+            int best = -1;
+            long bestStart = Long.MAX_VALUE;
+            for (int i : candidates) {
+                Seat s = seats.get(i);
+                if (!zones.allows(s.zone)) {
+                    continue;
+                }
+                long start = s.earliest(ask, nowMicros);
+                if (start != Long.MAX_VALUE && (best < 0 || start + fetch[i] < bestStart + fetch[best])) {
+                    best = i;
+                    bestStart = start;
+                }
+            }
+            return best < 0 ? Choice.NONE : new Choice(best, bestStart, false);
+        }
+    }
+
+    public Search search(Ask ask, List<Seat> seats, Zones zones, BiPredicate<Seat, String> cached, long nowMicros) {
+        return new Search(ask, seats, zones, cached, nowMicros);
+    }
+
+    private static boolean winsTie(Seat a, Seat b) {
+        if (a.busy != b.busy) {
+            return a.busy;
+        }
+        if (a.memoryGb != b.memoryGb) {
+            return a.memoryGb > b.memoryGb;
+        }
+        return a.cores > b.cores;
+    }
+
+}
--- /dev/null
+++ b/src/main/java/plumlever/placement/Zones.java
@@ -0,0 +1,28 @@
+package plumlever.placement;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** A job's rules about zones, given its tasks that may still be on a machine. */
+public final class Zones {
+    private final boolean oneZone;
+    private final int limit;
+    private final Map<String, Integer> tasks = new HashMap<>();
+
+    /** @param limit the most tasks in one zone */
+    public Zones(boolean oneZone, int limit) {
+        this.oneZone = oneZone;
+        this.limit = limit;
+    }
+
+    public void add(String zone) {
+        tasks.merge(zone, 1, Integer::sum);
+    }
+
+    public boolean allows(String zone) {
+        if (oneZone && !tasks.isEmpty() && !tasks.containsKey(zone)) {
+            return false;
+        }
+        return tasks.getOrDefault(zone, 0) < limit;
+    }
+}
--- /dev/null
+++ b/src/main/java/plumlever/settings/Tunables.java
@@ -0,0 +1,31 @@
+package plumlever.settings;
+
+/**
+ * Everything an operator may turn, with its unit in the name. The defaults hold for any deployment; what
+ * a deployment states itself (leases, rates, lags) is in {@link Platform}.
+ *
+ * @param paddingShare added to run-time estimates when a deadline is checked; the design's default
+ * @param tieShare scores this close to the least are a tie; the design's default
+ * @param startTargetMicros a task with no deadline should start within this; the design's default
+ * @param grantTtlMicros how long a silent leader stays in office: short enough for a quick successor, long
+ *     enough that a node running behind its processor share does not lose office
+ * @param touchMicros pause between renewals of the leader's grant
+ * @param actMarginMicros the leader stops this long before its grant may end, for a round that runs late
+ * @param progressMicros pause between writes of task progress; the design's default
+ * @param roundBudgetMicros the longest a round of decisions may take before it lets requests through
+ * @param silentMicros a machine that has not reported for this long is asked directly, and if alone in its
+ *     silence returned
+ * @param idleMoneyMicros an idle machine is returned after this where money matters
+ * @param idleSpeedMicros the same where only speed matters
+ * @param bootFactor a machine is given up when it boots longer than its nominal time by this factor
+ * @param ownedHourly cost per hour the operator sets for owned machine types, by type name
+ */
+public record Tunables(double paddingShare, double tieShare, long startTargetMicros, long grantTtlMicros,
+        long touchMicros, long actMarginMicros, long progressMicros, long roundBudgetMicros, long silentMicros,
+        long idleMoneyMicros, long idleSpeedMicros, double bootFactor, java.util.Map<String, Double> ownedHourly) {
+
+    public static Tunables defaults() {
+        return new Tunables(0.05, 0.02, 30_000_000, 5_000_000, 1_000_000, 300_000, 5_000_000, 20_000, 9_000_000,
+                20_000_000, 300_000_000, 4.0, java.util.Map.of());
+    }
+}
