--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -135,6 +135,11 @@
         return leader;
     }
 
+    /** True while this node may act for the controllers. */
+    public boolean mayAct() {
+        return office.mayAct();
+    }
+
     /** The machine types from the cloud, or while it is down from what was last stored. */
     private long learnCatalog() {
         if (prices.known()) {
--- a/src/main/java/plumlever/election/Office.java
+++ b/src/main/java/plumlever/election/Office.java
@@ -207,6 +207,11 @@
             return notBeforeMicros - now;
         }
         busy = true;
+        // The guards are what this decision was taken on: followed changes go on arriving while the grant is made, and
+        // a guard on the newest stamp would depose a leader elected in between.
+        long seenLeader = leaderStamp;
+        long seenTerm = termStamp;
+        long newTerm = term + 1;
         store.grant(tunables.grantTtlMicros(), p -> {
             if (p < 0) {
                 busy = false;
@@ -214,9 +219,8 @@
                 return;
             }
             long sentAt = now;
-            long newTerm = term + 1;
             ObjectNode leader = Json.object().put("label", label).put("nonce", nonce).put("term", newTerm);
-            Txn txn = new Txn().guard(LEADER, leaderStamp).guard(TERM, termStamp)
+            Txn txn = new Txn().guard(LEADER, seenLeader).guard(TERM, seenTerm)
                     .put(LEADER, leader, p).put(TERM, Json.object().put("term", newTerm));
             store.txn(txn, StateClient.Class.URGENT, outcome -> {
                 switch (outcome) {
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -89,10 +89,24 @@
             now = e.at;
             e.action.run();
             rules.check();
+            checkOneLeader();
         }
         now = end;
     }
 
+    /** Not a rule of the protocol, but what the proof of the others starts from. */
+    private void checkOneLeader() {
+        int acting = 0;
+        for (Member m : members.values()) {
+            if (m.node != null && m.node.mayAct()) {
+                acting++;
+            }
+        }
+        if (acting > 1) {
+            rules.broken.add("two leaders act at " + now / 1e6);
+        }
+    }
+
     void cut(String a, String b, boolean on) {
         cuts.put(a + ">" + b, on);
         cuts.put(b + ">" + a, on);
