--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -11,6 +11,8 @@
     /** Whether the state service lists the machine among those that may hold tasks. */
     public enum Enrolment { NONE, WRITING, STORED }
 
+    private static final long STALE_FETCH_MICROS = 300_000_000;
+
     private final String id;
     private String endpoint;
     private final String flavor;
@@ -36,8 +38,8 @@
     private int erringJobs;
 
     private final Long2ObjectHashMap<Attempt> attempts = new Long2ObjectHashMap<>();
-    /** Images it should have cached, the most recently used last, with their sizes. */
-    private final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+    /** Images it should have or is fetching, the most recently used last. */
+    private final LinkedHashMap<String, Image> images = new LinkedHashMap<>(8, 0.75f, true);
 
     public Machine(String id, String endpoint, String flavor, String site, boolean spot, long nowMicros) {
         this.id = id;
@@ -228,24 +230,70 @@
         return errorStreak > 0;
     }
 
-    public boolean hasImage(String image) {
-        return images.containsKey(image);
+    /** Tells how long a task that needs the image would wait for it, as far as known. */
+    public long fetchMicros(String image, double gb, Flavor type, long nowMicros) {
+        Image held = images.get(image);
+        if (held != null && held.ready || type.fetchGbPerS() <= 0) {
+            return 0;
+        }
+        int others = 0;
+        for (Map.Entry<String, Image> e : images.entrySet()) {
+            if (!e.getValue().ready && !e.getKey().equals(image) && nowMicros - e.getValue().sinceMicros < STALE_FETCH_MICROS) {
+                others++;
+            }
+        }
+        // Several fetches at a time may share the rate.
+        long whole = (long) (gb / type.fetchGbPerS() * 1e6) * (1 + others);
+        return held == null ? whole : Math.max(whole / 10, whole - (nowMicros - held.sinceMicros));
     }
 
-    public void useImage(String image, double gb, Flavor type) {
-        images.put(image, gb);
-        double held = 0;
-        for (double g : images.values()) {
-            held += g;
+    /** A task that needs the image goes to the machine. */
+    public void useImage(String image, double gb, Flavor type, long nowMicros) {
+        Image held = images.get(image);
+        if (held == null) {
+            images.put(image, new Image(gb, nowMicros));
+        }
+        double sum = 0;
+        for (Image i : images.values()) {
+            sum += i.gb;
         }
         var it = images.entrySet().iterator();
-        while (held > type.cacheGb() && it.hasNext()) {
-            Map.Entry<String, Double> eldest = it.next();
+        while (sum > type.cacheGb() && it.hasNext()) {
+            Map.Entry<String, Image> eldest = it.next();
             if (eldest.getKey().equals(image)) {
                 break;
             }
-            held -= eldest.getValue();
+            sum -= eldest.getValue().gb;
             it.remove();
         }
     }
+
+    /** A task that needs the image runs, so the machine has it. */
+    public void hasImage(String image, double gb) {
+        Image held = images.get(image);
+        if (held == null) {
+            held = new Image(gb, 0);
+            images.put(image, held);
+        }
+        held.ready = true;
+    }
+
+    /** The fetch was given up, since no task waits for it any more. */
+    public void dropFetch(String image) {
+        Image held = images.get(image);
+        if (held != null && !held.ready) {
+            images.remove(image);
+        }
+    }
+
+    private static final class Image {
+        private final double gb;
+        private final long sinceMicros;
+        private boolean ready;
+
+        Image(double gb, long sinceMicros) {
+            this.gb = gb;
+            this.sinceMicros = sinceMicros;
+        }
+    }
 }
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -159,7 +159,7 @@
 
     private long roundTurn() {
         if (due && context.office().mayAct()) {
-            due = !round.run();
+            due = !round.run(null);
         }
         return due ? 5_000 : ROUND_EVERY_MICROS;
     }
@@ -201,7 +201,7 @@
             orders.addAll(reports.standing(m, r));
             if (news && r.baton() == term) {
                 if (reports.takeChanged() || due) {
-                    due = !round.run();
+                    due = !round.run(m);
                     rounds.wakeIn(due ? 5_000 : ROUND_EVERY_MICROS);
                 }
                 if (round.hasPlan(m)) {
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -267,7 +267,10 @@
         if (m.idleSinceMicros() < 0) {
             m.idleSince(now);
         }
-        long limit = context.platform().moneyMatters() ? context.tunables().idleMoneyMicros() : context.tunables().idleSpeedMicros();
+        // Tasks that wait although the cloud has no more may need the place of a machine that does not suit them.
+        boolean crowded = !round.demands().isEmpty() && shortUntil.values().stream().anyMatch(t -> t > now);
+        long limit = context.platform().moneyMatters() || crowded
+                ? context.tunables().idleMoneyMicros() : context.tunables().idleSpeedMicros();
         return now - m.idleSinceMicros() > limit && now - m.knownSinceMicros() > LEAST_CHARGE_MICROS;
     }
 
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -128,7 +128,12 @@
         if (a.over()) {
             return;
         }
+        boolean started = p.status() == TaskStatus.RUNNING && a.status() != TaskStatus.RUNNING;
         a.see(p.status(), now);
+        if (started) {
+            a.machine().hasImage(a.job().spec().bundle(), a.job().spec().imageGb());
+            context.metrics().time("start", now - a.job().acceptedMicros());
+        }
         if (p.status() == TaskStatus.ENDED) {
             ended(a, p.cause(), now);
         }
@@ -209,6 +214,11 @@
         if (fleet.ofEarlierTerm(p.attempt()) && job.inherited() && !job.done().get(task) && job.liveAttempt(task) == null) {
             Attempt a = fleet.adopt(job, task, p.attempt(), m, now);
             a.see(p.status(), now);
+            if (p.status() == TaskStatus.RUNNING) {
+                m.hasImage(job.spec().bundle(), job.spec().imageGb());
+            } else if (context.prices().flavor(m.flavor()) != null) {
+                m.useImage(job.spec().bundle(), job.spec().imageGb(), context.prices().flavor(m.flavor()), now);
+            }
             changed = true;
             context.metrics().count("attempts_adopted");
         } else if (job.liveAttempt(task) != null) {
@@ -286,7 +296,7 @@
                 cores -= job.spec().cores();
                 accelerators -= job.spec().accelerators();
                 memory -= job.spec().memoryGb();
-                m.useImage(job.spec().bundle(), job.spec().imageGb(), f);
+                m.useImage(job.spec().bundle(), job.spec().imageGb(), f, now);
                 orders.add(Order.run(a.name(), a.id()));
                 context.metrics().count("runs_ordered");
                 context.metrics().time("wait", now - job.acceptedMicros());
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -34,6 +34,9 @@
     /** Tasks of one job looked at in one round beyond those that find room at once. */
     private static final int MOST_BOOKED = 64;
 
+    /** The least time until a machine that is not reporting right now takes an order. */
+    private static final long NEXT_ANSWER_MICROS = 200_000;
+
     /** Some tasks of a job that go to a machine with its next answer. */
     static final class Planned {
         final Job job;
@@ -50,10 +53,12 @@
     private final Estimates estimates;
     private final Takeover takeover;
     private final Placer placer;
+    private final Targets targets;
     private final Map<String, Map<Job, Planned>> plans = new HashMap<>();
     private final Map<String, double[]> plannedByTeam = new HashMap<>();
     private List<Job> order = List.of();
     private int cursor;
+    private Machine reporting;
     private List<RentalPlan.Demand> demands = new ArrayList<>();
     private List<RentalPlan.Demand> lastDemands = List.of();
 
@@ -63,8 +68,8 @@
         this.jobs = jobs;
         this.estimates = estimates;
         this.takeover = takeover;
-        this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare(),
-                context.tunables().startTargetMicros());
+        this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare());
+        this.targets = new Targets(context.platform().objectives(), context.tunables().startTargetMicros());
     }
 
     /** What waits for machines, as of the last whole round. */
@@ -84,8 +89,13 @@
         plans.remove(m.id());
     }
 
-    /** Goes through the jobs, most urgent first; true when it came to the end within its time. */
-    boolean run() {
+    /**
+     * Goes through the jobs, most urgent first; true when it came to the end within its time.
+     *
+     * @param answering the machine whose report is being answered, which takes orders at once; or null
+     */
+    boolean run(Machine answering) {
+        reporting = answering;
         long start = context.loop().nowMicros();
         if (cursor >= order.size()) {
             plans.clear();
@@ -154,7 +164,7 @@
                 continue;
             }
             Seat s = new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(),
-                    context.prices().hourly(f, m.spot()) / 3600, f.fetchGbPerS(), m.slowness());
+                    context.prices().hourly(f, m.spot()) / 3600, m.slowness(), untilNextReport(m, now));
             for (Attempt a : m.attempts()) {
                 if (!a.over()) {
                     s.occupy(ask(a.job()), endsAt(a, f, now));
@@ -171,6 +181,13 @@
         return seats;
     }
 
+    private long untilNextReport(Machine m, long now) {
+        if (m == reporting) {
+            return 0;
+        }
+        return Math.max(NEXT_ANSWER_MICROS, m.lastReportMicros() + context.platform().workers().reportMicros() - now);
+    }
+
     private long endsAt(Attempt a, Flavor f, long now) {
         if (a.halting()) {
             return now + (long) (a.job().spec().snapshotS() * 1e6);
@@ -187,7 +204,7 @@
 
     private Ask ask(Job j) {
         return new Ask(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), j.spec().bundle(), j.spec().imageGb(),
-                estimates.runMicros(j), j.deadlineMicros(), j.spec().flavors(), j.spec().site(), j.spec().loaners());
+                estimates.runMicros(j), targets.finishBy(j), targets.startBy(j), j.spec().flavors(), j.spec().site(), j.spec().loaners());
     }
 
     /** The job's rules about zones, all its tasks counted that may still be on a machine. */
@@ -205,7 +222,10 @@
         }
         Ask ask = ask(job);
         Placer.Search search = placer.search(ask, seats, zones(job),
-                (seat, image) -> machines.get(seat.machine()).hasImage(image), now);
+                (machine, image, gb) -> {
+                    Machine m = machines.get(machine);
+                    return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), now);
+                }, now);
         int want = Math.min(job.freeCount(), quotaRoom(job));
         int waiting = 0;
         int booked = 0;
--- a/src/main/java/plumlever/placement/Ask.java
+++ b/src/main/java/plumlever/placement/Ask.java
@@ -6,12 +6,13 @@
  * What one task of a job needs, with the rules of the job.
  *
  * @param runMicros run time to plan with on a machine of nominal speed
- * @param deadlineMicros Long.MAX_VALUE for none
+ * @param deadlineMicros when it should be complete; Long.MAX_VALUE for none
+ * @param startByMicros when it should run; Long.MAX_VALUE for none
  * @param flavors null for any
  * @param site null for any
  */
 public record Ask(double cores, double accelerators, double memoryGb, String image, double imageGb, long runMicros,
-        long deadlineMicros, List<String> flavors, String site, boolean spot) {
+        long deadlineMicros, long startByMicros, List<String> flavors, String site, boolean spot) {
 
     boolean allows(Seat s) {
         return (flavors == null || flavors.contains(s.flavor)) && (site == null || site.equals(s.zone)) && (spot || !s.spot);
--- a/src/main/java/plumlever/placement/Placer.java
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -1,7 +1,6 @@
 package plumlever.placement;
 
 import java.util.List;
-import java.util.function.BiPredicate;
 
 /**
  * The design's ordinary path. Machines that meet the deadline come before any score; of these the least of price per
@@ -14,14 +13,17 @@
         static final Choice NONE = new Choice(-1, Long.MAX_VALUE, false);
     }
 
+    /** How long a machine would fetch an image that a task needs; 0 if it has it. */
+    public interface Fetch {
+        long micros(String machine, String image, double gb);
+    }
+
     private final double padding;
     private final double tie;
-    private final long startTargetMicros;
 
-    public Placer(double padding, double tie, long startTargetMicros) {
+    public Placer(double padding, double tie) {
         this.padding = padding;
         this.tie = tie;
-        this.startTargetMicros = startTargetMicros;
     }
 
     /** Evaluates tasks of one job, which are all alike, against all seats; the dear part is done once. */
@@ -31,11 +33,12 @@
         private final Zones zones;
         private final long nowMicros;
         private final int[] candidates;
+        /** Until it could run once there is room: the order's way and the image. */
         private final long[] fetch;
         private final long[] run;
         private final double[] score;
 
-        private Search(Ask ask, List<Seat> seats, Zones zones, BiPredicate<Seat, String> cached, long nowMicros) {
+        private Search(Ask ask, List<Seat> seats, Zones zones, Fetch fetchTimes, long nowMicros) {
             this.ask = ask;
             this.seats = seats;
             this.zones = zones;
@@ -52,7 +55,7 @@
                     continue;
                 }
                 c[n++] = i;
-                fetch[i] = cached.test(s, ask.image()) || s.fetchGbPerS <= 0 ? 0 : (long) (ask.imageGb() / s.fetchGbPerS * 1e6);
+                fetch[i] = s.delayMicros + fetchTimes.micros(s.machine, ask.image(), ask.imageGb());
                 run[i] = (long) (ask.runMicros() * s.slowness);
                 score[i] = s.pricePerS * share * (fetch[i] + run[i]);
             }
@@ -88,10 +91,9 @@
         }
 
         private boolean feasible(int i, long start, double pad) {
-            if (ask.deadlineMicros() == Long.MAX_VALUE) {
-                return start - nowMicros <= startTargetMicros;
-            }
-            return start + fetch[i] + (long) (run[i] * (1 + pad)) <= ask.deadlineMicros();
+            long runs = start + fetch[i];
+            return runs <= ask.startByMicros()
+                    && (ask.deadlineMicros() == Long.MAX_VALUE || runs + (long) (run[i] * (1 + pad)) <= ask.deadlineMicros());
         }
 
         private Choice best(double pad, boolean now) {
@@ -145,8 +147,8 @@
         }
     }
 
-    public Search search(Ask ask, List<Seat> seats, Zones zones, BiPredicate<Seat, String> cached, long nowMicros) {
-        return new Search(ask, seats, zones, cached, nowMicros);
+    public Search search(Ask ask, List<Seat> seats, Zones zones, Fetch fetchTimes, long nowMicros) {
+        return new Search(ask, seats, zones, fetchTimes, nowMicros);
     }
 
     private static boolean winsTie(Seat a, Seat b) {
--- a/src/main/java/plumlever/placement/Seat.java
+++ b/src/main/java/plumlever/placement/Seat.java
@@ -19,17 +19,18 @@
     final double totalAccelerators;
     final double totalMemoryGb;
     final double pricePerS;
-    final double fetchGbPerS;
     final double slowness;
     double cores;
     double accelerators;
     double memoryGb;
     boolean busy;
+    /** Time until an order reaches the machine: it is only given orders in answers to its reports. */
+    final long delayMicros;
     private final List<Release> releases = new ArrayList<>();
     private boolean sorted = true;
 
     public Seat(String machine, String flavor, String zone, boolean spot, double totalCores, double totalAccelerators,
-            double totalMemoryGb, double pricePerS, double fetchGbPerS, double slowness) {
+            double totalMemoryGb, double pricePerS, double slowness, long delayMicros) {
         this.machine = machine;
         this.flavor = flavor;
         this.zone = zone;
@@ -38,8 +39,8 @@
         this.totalAccelerators = totalAccelerators;
         this.totalMemoryGb = totalMemoryGb;
         this.pricePerS = pricePerS;
-        this.fetchGbPerS = fetchGbPerS;
         this.slowness = slowness;
+        this.delayMicros = delayMicros;
         this.cores = totalCores;
         this.accelerators = totalAccelerators;
         this.memoryGb = totalMemoryGb;
