--- a/src/main/java/plumlever/settings/Tunables.java
+++ b/src/main/java/plumlever/settings/Tunables.java
@@ -25,7 +25,7 @@
         long idleMoneyMicros, long idleSpeedMicros, double bootFactor, java.util.Map<String, Double> ownedHourly) {
 
     public static Tunables defaults() {
-        return new Tunables(0.05, 0.02, 30_000_000, 5_000_000, 1_000_000, 300_000, 5_000_000, 20_000, 9_000_000,
+        return new Tunables(0.05, 0.02, 30_000_000, 2_500_000, 600_000, 250_000, 5_000_000, 20_000, 9_000_000,
                 20_000_000, 300_000_000, 4.0, java.util.Map.of());
     }
 }
