Money: wait for the cheapest machine free in time unless a start aim is shorter than renting

Cause: the platform's file names neither price nor useful on either deployment, so money was never saved. Money now matters wherever every start aim leaves time to rent; the design's least cost over machines free in time then holds.

--- a/src/main/java/plumlever/cli/Check.java
+++ b/src/main/java/plumlever/cli/Check.java
@@ -16,8 +16,8 @@
                 .collect(Collectors.joining(", ", "", ""))).append('\n');
         s.append("state service at ").append(p.state()).append(", cloud at ").append(p.cloud()).append('\n');
         s.append("teams: ").append(p.teams().stream().map(Platform.Team::name).collect(Collectors.joining(", "))).append('\n');
-        s.append(p.moneyMatters() ? "the aims name money: idle machines are returned after " + t.idleMoneyMicros() / 1e6 + " s"
-                : "the aims name speed only: idle machines are returned after " + t.idleSpeedMicros() / 1e6 + " s").append('\n');
+        s.append(p.moneyMatters(t.rentMicros()) ? "money is saved where the aims leave time: idle machines are returned after " + t.idleMoneyMicros() / 1e6 + " s"
+                : "machines stand by, since an aim leaves no time to rent one: idle machines are returned after " + t.idleSpeedMicros() / 1e6 + " s").append('\n');
         s.append("padding ").append(t.paddingShare()).append(", tie band ").append(t.tieShare()).append(", start target ")
                 .append(t.startTargetMicros() / 1e6).append(" s");
         return s.toString();
--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -76,7 +76,8 @@
         back.start();
         front.start();
         loop.execute(node::start);
-        LOG.info("{} serves {} and {}", platform.label(), platform.bind(), platform.back());
+        LOG.info("{} serves {} and {}; aims: {}", platform.label(), platform.bind(), platform.back(),
+                platform.objectives().stream().map(Platform.Objective::kind).distinct().toList());
     }
 
     int port() {
--- a/src/main/java/plumlever/leader/Context.java
+++ b/src/main/java/plumlever/leader/Context.java
@@ -13,4 +13,9 @@
 
 /** What a leader works with. */
 public record Context(Loop loop, Platform platform, Tunables tunables, Office office, StateClient store, JobStore layout,
-        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics) {}
+        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics) {
+
+    boolean moneyMatters() {
+        return platform.moneyMatters(tunables.rentMicros());
+    }
+}
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -85,7 +85,7 @@
         this.reports = reports;
         this.takeover = takeover;
         this.changed = changed;
-        this.plan = new RentalPlan(context.prices(), context.platform().moneyMatters());
+        this.plan = new RentalPlan(context.prices(), context.moneyMatters());
     }
 
     boolean isDeleted(String host) {
@@ -269,7 +269,7 @@
         }
         // Tasks that wait although the cloud has no more may need the place of a machine that does not suit them.
         boolean crowded = !round.demands().isEmpty() && shortUntil.values().stream().anyMatch(t -> t > now);
-        long limit = context.platform().moneyMatters() || crowded
+        long limit = context.moneyMatters() || crowded
                 ? context.tunables().idleMoneyMicros() : context.tunables().idleSpeedMicros();
         return now - m.idleSinceMicros() > limit && now - m.knownSinceMicros() > LEAST_CHARGE_MICROS;
     }
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -34,6 +34,8 @@
     /** Tasks of one job looked at in one round beyond those that find room at once. */
     private static final int MOST_BOOKED = 64;
 
+    private static final long LONG_WAIT_MICROS = 120_000_000;
+
     /** The least time until a machine that is not reporting right now takes an order. */
     private static final long NEXT_ANSWER_MICROS = 200_000;
 
@@ -56,6 +58,7 @@
     private final Targets targets;
     private final Map<String, Map<Job, Planned>> plans = new HashMap<>();
     private final Map<String, double[]> plannedByTeam = new HashMap<>();
+    private final Map<Job, Boolean> within = new HashMap<>();
     private List<Job> order = List.of();
     private int cursor;
     private Machine reporting;
@@ -68,7 +71,8 @@
         this.jobs = jobs;
         this.estimates = estimates;
         this.takeover = takeover;
-        this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare());
+        this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare(),
+                context.moneyMatters(), context.tunables().rentMicros());
         this.targets = new Targets(context.platform().objectives(), context.tunables().startTargetMicros());
     }
 
@@ -131,7 +135,7 @@
         }
         List<Job> byAge = new ArrayList<>(jobs.all());
         byAge.sort(Comparator.comparingLong(Job::acceptedMicros));
-        Map<Job, Boolean> within = new HashMap<>();
+        within.clear();
         Map<String, Double> used = new HashMap<>();
         List<Job> waiting = new ArrayList<>();
         for (Job j : byAge) {
@@ -204,7 +208,7 @@
 
     private Ask ask(Job j) {
         return new Ask(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), j.spec().bundle(), j.spec().imageGb(),
-                estimates.runMicros(j), targets.finishBy(j), targets.startBy(j), j.spec().flavors(), j.spec().site(), j.spec().loaners());
+                estimates.runMicros(j), targets.finishBy(j), targets.startBy(j, within.getOrDefault(j, false)), j.spec().flavors(), j.spec().site(), j.spec().loaners());
     }
 
     /** The job's rules about zones, all its tasks counted that may still be on a machine. */
@@ -243,7 +247,8 @@
                 t[0] += job.spec().cores();
                 t[1] += job.spec().accelerators();
             } else {
-                if (!c.feasible() || !context.platform().moneyMatters()) {
+                if (!context.moneyMatters()
+                        || (!c.feasible() && (rentalHelps(ask, now) || c.startMicros() - now > LONG_WAIT_MICROS))) {
                     waiting++;
                 }
                 if (++booked >= MOST_BOOKED) {
@@ -260,6 +265,13 @@
         }
     }
 
+    /** True if a machine rented now could still serve the task in time. */
+    private boolean rentalHelps(Ask ask, long now) {
+        long up = now + context.tunables().rentMicros();
+        return up <= ask.startByMicros()
+                && (ask.deadlineMicros() == Long.MAX_VALUE || up + ask.runMicros() <= ask.deadlineMicros());
+    }
+
     /** How many more tasks the job's team may run, counting whatever may still be running anywhere. */
     int quotaRoom(Job job) {
         int room = takeover.quotaRoom(job);
--- a/src/main/java/plumlever/leader/Targets.java
+++ b/src/main/java/plumlever/leader/Targets.java
@@ -11,14 +11,18 @@
     private final Map<String, Long> startWithin = new HashMap<>();
     private final Map<String, Long> finishWithin = new HashMap<>();
     private final long startTargetMicros;
+    private long guaranteedWithin = Long.MAX_VALUE;
 
     Targets(List<Platform.Objective> objectives, long startTargetMicros) {
         this.startTargetMicros = startTargetMicros;
         for (Platform.Objective o : objectives) {
+            long within = (long) (o.withinS() * 1e6);
             if (o.jobclass() == null) {
+                if (o.kind().equals("guarantee")) {
+                    guaranteedWithin = within;
+                }
                 continue;
             }
-            long within = (long) (o.withinS() * 1e6);
             switch (o.kind()) {
                 case "wait" -> startWithin.merge(o.jobclass(), within, Math::min);
                 case "finished" -> finishWithin.merge(o.jobclass(), within, Math::min);
@@ -27,13 +31,14 @@
         }
     }
 
-    /** Long.MAX_VALUE for a job that has only a deadline. */
-    long startBy(Job j) {
-        Long within = startWithin.get(j.spec().jobclass());
-        if (within != null) {
-            return j.acceptedMicros() + within;
+    /** Long.MAX_VALUE for a job that has only a deadline; sooner for work within its team's guarantee. */
+    long startBy(Job j, boolean withinGuarantee) {
+        Long aim = startWithin.get(j.spec().jobclass());
+        long within = aim != null ? aim : j.spec().hasDeadline() ? Long.MAX_VALUE : startTargetMicros;
+        if (withinGuarantee) {
+            within = Math.min(within, guaranteedWithin);
         }
-        return j.spec().hasDeadline() ? Long.MAX_VALUE : j.acceptedMicros() + startTargetMicros;
+        return within == Long.MAX_VALUE ? Long.MAX_VALUE : j.acceptedMicros() + within;
     }
 
     long finishBy(Job j) {
--- a/src/main/java/plumlever/placement/Placer.java
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -20,10 +20,19 @@
 
     private final double padding;
     private final double tie;
+    private final boolean patient;
+    private final long hedgeMicros;
 
-    public Placer(double padding, double tie) {
+    /**
+     * @param patient a task waits for the cheapest machine that is free in time, as the design has it; otherwise a machine
+     *     with room now comes first
+     * @param hedgeMicros the time that must be left when a task waits, so that a machine could still be rented for it
+     */
+    public Placer(double padding, double tie, boolean patient, long hedgeMicros) {
         this.padding = padding;
         this.tie = tie;
+        this.patient = patient;
+        this.hedgeMicros = hedgeMicros;
     }
 
     /** Evaluates tasks of one job, which are all alike, against all seats; the dear part is done once. */
@@ -62,19 +71,21 @@
             candidates = java.util.Arrays.copyOf(c, n);
         }
 
-        /** Where the next task goes, with room now if any has; nothing is changed. */
+        /** Where the next task goes; nothing is changed. */
         public Choice next() {
-            Choice c = best(padding, true);
-            if (c.seat < 0) {
-                c = best(padding, false);
+            Choice c = patient ? best(padding, true, true) : best(padding, true, false);
+            if (c.seat < 0 && !patient) {
+                c = best(padding, false, true);
             }
-            if (c.seat < 0) {
-                c = best(0, true);
+            if (c.seat >= 0) {
+                return c;
             }
+            // The design's second look, without padding; from here on a task that has to wait is in danger.
+            c = best(0, true, false);
             if (c.seat < 0) {
-                c = best(0, false);
+                c = best(0, false, true);
             }
-            return c.seat < 0 ? earliest() : c;
+            return c.seat < 0 ? earliest() : new Choice(c.seat, c.startMicros, false);
         }
 
         /** The task goes there: now, or booked for later. */
@@ -90,21 +101,28 @@
             zones.add(s.zone);
         }
 
+        private boolean suits(long start, boolean now, boolean later) {
+            return start <= nowMicros ? now : later && start != Long.MAX_VALUE;
+        }
+
         private boolean feasible(int i, long start, double pad) {
             long runs = start + fetch[i];
+            if (patient && pad > 0 && start > nowMicros) {
+                runs += hedgeMicros;
+            }
             return runs <= ask.startByMicros()
                     && (ask.deadlineMicros() == Long.MAX_VALUE || runs + (long) (run[i] * (1 + pad)) <= ask.deadlineMicros());
         }
 
-        private Choice best(double pad, boolean now) {
+        private Choice best(double pad, boolean now, boolean later) {
             int best = -1;
             long bestStart = 0;
             double least = Double.MAX_VALUE;
             for (int i : candidates) {
                 Seat s = seats.get(i);
-                if (score[i] < least && zones.allows(s.zone) && (!now || s.fitsNow(ask))) {
+                if (score[i] < least && zones.allows(s.zone)) {
                     long start = s.earliest(ask, nowMicros);
-                    if (start != Long.MAX_VALUE && feasible(i, start, pad)) {
+                    if (suits(start, now, later) && feasible(i, start, pad)) {
                         least = score[i];
                     }
                 }
@@ -114,11 +132,11 @@
             }
             for (int i : candidates) {
                 Seat s = seats.get(i);
-                if (score[i] > least * (1 + tie) || !zones.allows(s.zone) || (now && !s.fitsNow(ask))) {
+                if (score[i] > least * (1 + tie) || !zones.allows(s.zone)) {
                     continue;
                 }
                 long start = s.earliest(ask, nowMicros);
-                if (start == Long.MAX_VALUE || !feasible(i, start, pad)) {
+                if (!suits(start, now, later) || !feasible(i, start, pad)) {
                     continue;
                 }
                 if (best < 0 || winsTie(s, seats.get(best))) {
--- a/src/main/java/plumlever/settings/OperatorFile.java
+++ b/src/main/java/plumlever/settings/OperatorFile.java
@@ -54,6 +54,7 @@
                 micros("idle_money_s", d.idleMoneyMicros(), 0, 1e6),
                 micros("idle_speed_s", d.idleSpeedMicros(), 0, 1e6),
                 number("boot_factor", d.bootFactor(), 1, 100),
+                micros("rent_s", d.rentMicros(), 0, 3600),
                 owned());
         if (!left.isEmpty()) {
             throw new SettingsException(file + ": " + left.keySet().iterator().next() + " is unknown");
--- a/src/main/java/plumlever/settings/Platform.java
+++ b/src/main/java/plumlever/settings/Platform.java
@@ -31,9 +31,14 @@
 
     public record CloudLimits(double rps, long listLagMicros) {}
 
-    /** Money matters where the aims name it. */
-    public boolean moneyMatters() {
-        return objectives.stream().anyMatch(o -> o.kind().equals("price") || o.kind().equals("useful"));
+    /**
+     * Whether to save money where the aims leave time for it. True where the aims name money; and, since the platform may
+     * leave such aims out of the file, wherever every aim for a start leaves time to rent a machine on demand. Where one
+     * does not, machines must stand by, and speed is all that counts.
+     */
+    public boolean moneyMatters(long rentMicros) {
+        return objectives.stream().anyMatch(o -> o.kind().equals("price") || o.kind().equals("useful"))
+                || objectives.stream().noneMatch(o -> o.kind().equals("wait") && o.withinS() * 1e6 < rentMicros);
     }
 
     public static Platform load(Path file) throws SettingsException {
