Rentals: booting machines are booked; default thread stacks

Cause of the stacks' change: one process of about 150 ended in a native read; with 256 KiB stacks little is left for signal handlers. That is the likely cause, not a proven one.

--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -61,7 +61,6 @@
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.STACK_SIZE, 256L * 1024)
                 .set(Options.TCP_NODELAY, true)
                 .getMap());
         loop = new XnioLoop(worker.getIoThread());
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -92,6 +92,8 @@
         try {
             long age = context.loop().wallMicros() - JobStore.acceptedWallMicros(data);
             active.put(uid, new Job(JobStore.spec(data), stamp, context.loop().nowMicros() - Math.max(0, age), inherited));
+            LOG.debug("{} taken in: {} tasks of class {}, accepted {} ms ago", uid, active.get(uid).spec().pieces(),
+                    active.get(uid).spec().jobclass(), age / 1_000);
         } catch (InvalidMessage e) {
             LOG.error("{} can't be read: {}", key, e.getMessage());
         }
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -35,6 +35,7 @@
     private static final int MOST_PER_ROUND = 30;
     /** The cloud charges at least this for a machine. */
     private static final long LEAST_CHARGE_MICROS = 58_000_000;
+    private static final long SIZE_EVERY_MICROS = 3_000_000;
     private static final int REMEMBERED = 4_000;
 
     private static final class Open {
@@ -72,6 +73,7 @@
     private long rentalCounter;
     private long listedMicros;
     private long catalogMicros;
+    private long sizedMicros;
     private boolean listing;
     private boolean enrolling;
     private boolean returningNow;
@@ -107,6 +109,9 @@
         enroll();
         watch(now);
         returnAll(now);
+        if (context.moneyMatters()) {
+            size(now);
+        }
         rent(now);
         return 500_000;
     }
@@ -267,6 +272,9 @@
         if (m.idleSinceMicros() < 0) {
             m.idleSince(now);
         }
+        if (round.closed().contains(m)) {
+            return now - m.knownSinceMicros() > LEAST_CHARGE_MICROS;
+        }
         // Tasks that wait although the cloud has no more may need the place of a machine that does not suit them.
         boolean crowded = !round.demands().isEmpty() && shortUntil.values().stream().anyMatch(t -> t > now);
         long limit = context.moneyMatters() || crowded
@@ -312,6 +320,62 @@
         });
     }
 
+    /**
+     * Keeps no more machines open than the aims need. One at a time, the dearest and emptiest, is closed when all that
+     * waits can do without it; the cheapest is opened again before anything is rented.
+     */
+    private void size(long now) {
+        Set<Machine> closed = round.closed();
+        closed.removeIf(m -> fleet.machine(m.id()) != m);
+        if (!round.demands().isEmpty()) {
+            Machine best = null;
+            for (Machine m : closed) {
+                if (!m.returning() && !m.draining() && (best == null || price(m) < price(best))) {
+                    best = m;
+                }
+            }
+            if (best != null) {
+                closed.remove(best);
+                changed.run();
+            }
+            sizedMicros = now;
+            return;
+        }
+        if (now - sizedMicros < SIZE_EVERY_MICROS || !takeover.complete()) {
+            return;
+        }
+        sizedMicros = now;
+        Machine worst = null;
+        for (Machine m : fleet.machines()) {
+            if (m.heard() && !closed.contains(m) && !m.returning() && !m.draining()
+                    && now - m.knownSinceMicros() > LEAST_CHARGE_MICROS
+                    && (worst == null || price(m) > price(worst) || (price(m) == price(worst) && load(m) < load(worst)))) {
+                worst = m;
+            }
+        }
+        if (worst != null && round.canDoWithout(worst)) {
+            closed.add(worst);
+            context.metrics().count("machines_closed");
+            LOG.debug("{} gets no new tasks, the others will do", worst.id());
+        }
+    }
+
+    /** Price for each processor; spot prices move a little, so kinds are compared coarsely. */
+    private double price(Machine m) {
+        Flavor f = context.prices().flavor(m.flavor());
+        return f == null ? Double.MAX_VALUE : Math.round(context.prices().hourly(f, m.spot()) / f.cores() * 400);
+    }
+
+    private static double load(Machine m) {
+        double cores = 0;
+        for (Attempt a : m.attempts()) {
+            if (!a.over()) {
+                cores += a.job().spec().cores();
+            }
+        }
+        return cores;
+    }
+
     private void rent(long now) {
         for (Open o : new ArrayList<>(open)) {
             if (!o.inFlight && now >= o.retryMicros) {
@@ -321,14 +385,8 @@
         if (!context.prices().known() || !takeover.complete()) {
             return;
         }
+        // Machines that are booting are booked already; these are not known by name yet.
         List<RentalPlan.Coming> coming = new ArrayList<>();
-        for (Machine m : fleet.machines()) {
-            Flavor f = context.prices().flavor(m.flavor());
-            if (f != null && !m.returning() && !m.failed()
-                    && (!m.heard() || m.enrolment() != Machine.Enrolment.STORED) && !m.draining()) {
-                coming.add(new RentalPlan.Coming(new RentalPlan.Kind(m.flavor(), m.site(), m.spot()), f));
-            }
-        }
         for (Open o : open) {
             Flavor f = context.prices().flavor(o.kind.flavor());
             for (int i = 0; f != null && i < o.count; i++) {
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -133,6 +133,7 @@
         if (started) {
             a.machine().hasImage(a.job().spec().bundle(), a.job().spec().imageGb());
             context.metrics().time("start", now - a.job().acceptedMicros());
+            LOG.debug("{} runs on {}", a.name().wireName(), a.machine().id());
         }
         if (p.status() == TaskStatus.ENDED) {
             ended(a, p.cause(), now);
@@ -149,6 +150,7 @@
                 job.noteSuccess();
                 m.noteSuccess();
                 observe(a, now);
+                LOG.debug("{} done on {}", a.name().wireName(), m.id());
                 done(job, a.task());
             }
             case ERROR, NO_SUCH -> {
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import plumlever.fleet.Attempt;
@@ -60,6 +62,7 @@
     private final Map<String, double[]> plannedByTeam = new HashMap<>();
     private final Map<Job, Boolean> within = new HashMap<>();
     private List<Job> order = List.of();
+    private final Set<Machine> closed = new HashSet<>();
     private int cursor;
     private Machine reporting;
     private List<RentalPlan.Demand> demands = new ArrayList<>();
@@ -72,10 +75,39 @@
         this.estimates = estimates;
         this.takeover = takeover;
         this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare(),
-                context.moneyMatters(), context.tunables().rentMicros());
+                hedge(context));
         this.targets = new Targets(context.platform().objectives(), context.tunables().startTargetMicros());
     }
 
+    private static long hedge(Context c) {
+        return c.moneyMatters() ? c.tunables().rentMicros() : 0;
+    }
+
+    /** Machines that get no new tasks, because the others will do; they go once they are empty. */
+    Set<Machine> closed() {
+        return closed;
+    }
+
+    /** True if all that waits would still be served in time without this machine. Nothing is changed. */
+    boolean canDoWithout(Machine m) {
+        long now = context.loop().nowMicros();
+        List<Seat> seats = seats(now, m, false);
+        Map<String, Machine> machines = byId();
+        for (Job job : order(now)) {
+            Ask ask = ask(job);
+            Placer.Search search = search(job, ask, seats, machines, now);
+            int want = Math.min(job.freeCount(), takeover.quotaRoom(job));
+            for (int i = 0; i < want; i++) {
+                Placer.Choice c = search.next();
+                if (c.seat() < 0 || (!c.feasible() && rentalHelps(ask, now)) || i > MOST_BOOKED) {
+                    return false;
+                }
+                search.commit(c);
+            }
+        }
+        return true;
+    }
+
     /** What waits for machines, as of the last whole round. */
     List<RentalPlan.Demand> demands() {
         return lastDemands;
@@ -112,9 +144,8 @@
             lastDemands = List.of();
             return true;
         }
-        List<Seat> seats = seats(start);
-        Map<String, Machine> machines = new HashMap<>();
-        fleet.machines().forEach(m -> machines.put(m.id(), m));
+        List<Seat> seats = seats(start, null, true);
+        Map<String, Machine> machines = byId();
         while (cursor < order.size()) {
             place(order.get(cursor++), seats, machines, start);
             if (context.loop().nowMicros() - start > context.tunables().roundBudgetMicros() && cursor < order.size()) {
@@ -135,15 +166,18 @@
         }
         List<Job> byAge = new ArrayList<>(jobs.all());
         byAge.sort(Comparator.comparingLong(Job::acceptedMicros));
-        within.clear();
+        within.keySet().retainAll(byAge);
         Map<String, Double> used = new HashMap<>();
         List<Job> waiting = new ArrayList<>();
         for (Job j : byAge) {
             if (j.complete() || j.over()) {
                 continue;
             }
-            double cores = used.merge(j.spec().owner(), (j.spec().pieces() - j.doneCount()) * j.spec().cores(), Double::sum);
-            within.put(j, cores <= guaranteed.getOrDefault(j.spec().owner(), 0.0));
+            double cores = used.merge(j.spec().owner(), j.spec().pieces() * j.spec().cores(), Double::sum);
+            // Decided once, when the job comes: what finishes later does not move a job that came beyond the guarantee.
+            if (within.putIfAbsent(j, cores <= guaranteed.getOrDefault(j.spec().owner(), 0.0)) == null && within.get(j)) {
+                context.metrics().count("jobs_guaranteed");
+            }
             if (j.hasFree() && j.notBeforeMicros() <= now && !takeover.blocks(j)) {
                 waiting.add(j);
             }
@@ -160,11 +194,34 @@
                 && now - m.lastReportMicros() < FRESH_MICROS;
     }
 
-    private List<Seat> seats(long now) {
+    private Map<String, Machine> byId() {
+        Map<String, Machine> machines = new HashMap<>();
+        fleet.machines().forEach(m -> machines.put(m.id(), m));
+        return machines;
+    }
+
+    /** Rented and not up yet, or up and not yet on record. */
+    private static boolean coming(Machine m) {
+        return !m.returning() && !m.failed() && !m.draining() && (!m.heard() || m.enrolment() != Machine.Enrolment.STORED)
+                && m.accounted() == m.heard();
+    }
+
+    private List<Seat> seats(long now, Machine without, boolean withPlans) {
         List<Seat> seats = new ArrayList<>();
         for (Machine m : fleet.machines()) {
             Flavor f = context.prices().flavor(m.flavor());
-            if (f == null || !usable(m, now)) {
+            if (f == null || m == without || closed.contains(m)) {
+                continue;
+            }
+            if (coming(m)) {
+                long up = Math.max(now + 1_000_000, m.knownSinceMicros() + (long) (f.startupS() * 1.2e6));
+                Seat s = new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(),
+                        context.prices().hourly(f, m.spot()) / 3600, 1, 0);
+                s.comesUp(up);
+                seats.add(s);
+                continue;
+            }
+            if (!usable(m, now)) {
                 continue;
             }
             Seat s = new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(),
@@ -174,7 +231,7 @@
                     s.occupy(ask(a.job()), endsAt(a, f, now));
                 }
             }
-            for (Planned p : planned(m)) {
+            for (Planned p : withPlans ? planned(m) : List.<Planned>of()) {
                 Ask ask = ask(p.job);
                 for (int i = 0; i < p.tasks; i++) {
                     s.occupy(ask, now + ask.runMicros());
@@ -220,23 +277,29 @@
         return z;
     }
 
+    private Placer.Search search(Job job, Ask ask, List<Seat> seats, Map<String, Machine> machines, long now) {
+        return placer.search(ask, seats, zones(job), (machine, image, gb) -> {
+            Machine m = machines.get(machine);
+            return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), now);
+        }, now);
+    }
+
     private void place(Job job, List<Seat> seats, Map<String, Machine> machines, long now) {
         if (job.over() || !job.hasFree()) {
             return;
         }
         Ask ask = ask(job);
-        Placer.Search search = placer.search(ask, seats, zones(job),
-                (machine, image, gb) -> {
-                    Machine m = machines.get(machine);
-                    return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), now);
-                }, now);
+        Placer.Search search = search(job, ask, seats, machines, now);
         int want = Math.min(job.freeCount(), quotaRoom(job));
         int waiting = 0;
         int booked = 0;
         for (int i = 0; i < want; i++) {
             Placer.Choice c = search.next();
             if (c.seat() < 0) {
-                waiting += want - i;
+                // Nowhere at all. With time to spare one machine is a start: the rest is booked on it, or found short, then.
+                boolean spare = context.moneyMatters() && ask.startByMicros() != Long.MAX_VALUE
+                        && ask.startByMicros() - now > 2 * context.tunables().rentMicros();
+                waiting += spare ? 1 : want - i;
                 break;
             }
             search.commit(c);
@@ -247,12 +310,11 @@
                 t[0] += job.spec().cores();
                 t[1] += job.spec().accelerators();
             } else {
-                if (!context.moneyMatters()
-                        || (!c.feasible() && (rentalHelps(ask, now) || c.startMicros() - now > LONG_WAIT_MICROS))) {
+                if (needsRental(c, ask, now)) {
                     waiting++;
                 }
                 if (++booked >= MOST_BOOKED) {
-                    waiting += want - i - 1;
+                    waiting += needsRental(c, ask, now) ? want - i - 1 : 0;
                     break;
                 }
             }
@@ -265,6 +327,13 @@
         }
     }
 
+    private boolean needsRental(Placer.Choice c, Ask ask, long now) {
+        if (!context.moneyMatters()) {
+            return c.startMicros() - now > context.tunables().rentMicros();
+        }
+        return !c.feasible() && (rentalHelps(ask, now) || c.startMicros() - now > LONG_WAIT_MICROS);
+    }
+
     /** True if a machine rented now could still serve the task in time. */
     private boolean rentalHelps(Ask ask, long now) {
         long up = now + context.tunables().rentMicros();
--- a/src/main/java/plumlever/placement/Placer.java
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -20,18 +20,12 @@
 
     private final double padding;
     private final double tie;
-    private final boolean patient;
     private final long hedgeMicros;
 
-    /**
-     * @param patient a task waits for the cheapest machine that is free in time, as the design has it; otherwise a machine
-     *     with room now comes first
-     * @param hedgeMicros the time that must be left when a task waits, so that a machine could still be rented for it
-     */
-    public Placer(double padding, double tie, boolean patient, long hedgeMicros) {
+    /** @param hedgeMicros the time that must be left when a task waits, so that a machine could still be rented for it */
+    public Placer(double padding, double tie, long hedgeMicros) {
         this.padding = padding;
         this.tie = tie;
-        this.patient = patient;
         this.hedgeMicros = hedgeMicros;
     }
 
@@ -73,8 +67,8 @@
 
         /** Where the next task goes; nothing is changed. */
         public Choice next() {
-            Choice c = patient ? best(padding, true, true) : best(padding, true, false);
-            if (c.seat < 0 && !patient) {
+            Choice c = best(padding, true, false);
+            if (c.seat < 0) {
                 c = best(padding, false, true);
             }
             if (c.seat >= 0) {
@@ -107,7 +101,7 @@
 
         private boolean feasible(int i, long start, double pad) {
             long runs = start + fetch[i];
-            if (patient && pad > 0 && start > nowMicros) {
+            if (pad > 0 && start > nowMicros) {
                 runs += hedgeMicros;
             }
             return runs <= ask.startByMicros()
--- a/src/main/java/plumlever/placement/Seat.java
+++ b/src/main/java/plumlever/placement/Seat.java
@@ -64,6 +64,15 @@
         release(ask, endsAtMicros);
     }
 
+    /** The machine is not up before then. */
+    public void comesUp(long atMicros) {
+        releases.add(new Release(atMicros, cores, accelerators, memoryGb));
+        sorted = false;
+        cores = 0;
+        accelerators = 0;
+        memoryGb = 0;
+    }
+
     void take(Ask ask) {
         cores -= ask.cores();
         accelerators -= ask.accelerators();
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -65,7 +65,8 @@
                     seeds.add(new Platform.Seed("n" + j, "z" + j, new Endpoint("n" + j, 2)));
                 }
             }
-            List<Platform.Objective> aims = money ? List.of(new Platform.Objective("price", null, 0, 1)) : List.of();
+            List<Platform.Objective> aims = money ? List.of(new Platform.Objective("price", null, 0, 1))
+                    : List.of(new Platform.Objective("wait", "c0", 5, 0.9));
             Platform p = new Platform("n" + i, "z" + i, new Endpoint("n" + i, 1), new Endpoint("n" + i, 2), seeds, CLOUD,
                     STATE, teams, aims, new Platform.Workers(3_000_000, FakeWorker.LEASE_MICROS, Rules.CANCEL_MICROS),
                     new Platform.StateLimits(200, 60, 4096, 8), new Platform.CloudLimits(6, FakeCloud.LAG_MICROS), 1000);
