--- a/src/main/java/plumlever/fleet/Estimates.java
+++ b/src/main/java/plumlever/fleet/Estimates.java
@@ -14,6 +14,15 @@
         ratios.merge(jobclass, bounded, (old, seen) -> old * (1 - WEIGHT) + seen * WEIGHT);
     }
 
+    /** What an earlier leader found. */
+    public void suggest(String jobclass, double ratio) {
+        ratios.putIfAbsent(jobclass, Math.max(0.2, Math.min(5, ratio)));
+    }
+
+    public Map<String, Double> ratios() {
+        return ratios;
+    }
+
     public double ratio(String jobclass) {
         return ratios.getOrDefault(jobclass, 1.0);
     }
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -278,6 +278,17 @@
         held.ready = true;
     }
 
+    /** Images it has, with their sizes. */
+    public Map<String, Double> readyImages() {
+        Map<String, Double> ready = new LinkedHashMap<>();
+        images.forEach((name, i) -> {
+            if (i.ready) {
+                ready.put(name, i.gb);
+            }
+        });
+        return ready;
+    }
+
     /** The fetch was given up, since no task waits for it any more. */
     public void dropFetch(String image) {
         Image held = images.get(image);
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -40,6 +40,7 @@
     private final Reports reports;
     private final Round round;
     private final Machines machines;
+    private final Hints hints;
     private final Duty rounds;
     private boolean loaded;
     private boolean due = true;
@@ -54,6 +55,7 @@
         this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
         this.round = new Round(context, fleet, jobs, estimates, takeover);
         this.machines = new Machines(context, fleet, round, reports, takeover, this::changed);
+        this.hints = new Hints(context, fleet, estimates);
         this.rounds = new Duty("rounds", context.loop(), this::roundTurn);
     }
 
@@ -80,7 +82,7 @@
                 m.enrolment(Machine.Enrolment.STORED);
                 fleet.add(m);
             }
-            jobs.load(this::loaded);
+            hints.read(() -> jobs.load(this::loaded));
         });
     }
 
@@ -101,6 +103,7 @@
         scope.own(machines::close);
         scope.own(new Duty("progress", context.loop(), progress::write)).start();
         scope.own(new Duty("machines", context.loop(), machines::turn)).start();
+        scope.own(new Duty("hints", context.loop(), hints::write)).start();
         scope.own(new Duty("raise", context.loop(), this::raise)).start();
         scope.own(rounds).start();
     }
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -21,6 +21,7 @@
  *   <li>{@code progress/ID/CHUNK}: bitmap of finished tasks.
  *   <li>{@code fleet/HOST}: a machine that may hold tasks. It is written before anything is ordered from the machine,
  *       so a new leader knows every machine that could run something, however far the cloud's list lags.
+ *   <li>{@code hints}: what a leader learnt of images and estimates, for its successor.
  *   <li>{@code catalog}: the last machine types read, for a node that starts while the cloud is down.
  * </ul>
  */
@@ -29,6 +30,7 @@
     public static final String PROGRESS = "progress/";
     public static final String FLEET = "fleet/";
     public static final String CATALOG = "catalog";
+    public static final String HINTS = "hints";
     private static final String JOBS = "jobs/";
     private static final String STATE = "s";
     private static final String SPEC = "job";
@@ -44,6 +46,10 @@
         this.bitsPerChunk = (valueBytes - 64) / 4 * 3 * 8;
     }
 
+    public int valueBytes() {
+        return valueBytes;
+    }
+
     public static String jobKey(String uid) {
         return JOBS + uid;
     }
