Start: commons-cli instead of picocli, whose old class files can't be archived

Cause: a controller took 0.65 s of processor to start, which is over 3 s at a share of 0.2; 0.25 s of it were picocli's classes, left out of the class-data archive for their age.

--- a/src/main/java/plumlever/cli/Main.java
+++ b/src/main/java/plumlever/cli/Main.java
@@ -1,78 +1,93 @@
 package plumlever.cli;
 
+import java.io.PrintWriter;
 import java.nio.file.Path;
-import java.util.concurrent.Callable;
-import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.IVersionProvider;
-import picocli.CommandLine.Option;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.HelpFormatter;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import plumlever.settings.OperatorFile;
 import plumlever.settings.Platform;
 import plumlever.settings.SettingsException;
 import plumlever.settings.Tunables;
 
 /** The command line. */
-@Command(name = "plumlever", mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
-        description = "A cluster scheduler: places arrays of tasks on rented machines.",
-        exitCodeListHeading = "%nExit codes:%n",
-        exitCodeList = {"0:ended as asked", "1:could not start or go on", "2:wrong arguments or settings"},
-        footer = "%nLOG_LEVEL (error, info, debug) sets how much is logged to standard error.")
-public final class Main implements Callable<Integer> {
+public final class Main {
     private static final int BAD_SETTINGS = 2;
+    private static final String NAME = "plumlever";
+    /** Not in the help: the build uses it to make the class-data archive. */
+    private static final String REHEARSE = "--rehearse-start";
 
-    /** Takes the version from the jar. */
-    static final class Version implements IVersionProvider {
-        @Override
-        public String[] getVersion() {
-            String v = Main.class.getPackage().getImplementationVersion();
-            return new String[] {"plumlever " + (v == null ? "(development)" : v)};
-        }
-    }
-
-    @Option(names = "--config", paramLabel = "FILE", description = "settings handed over by the platform (TOML)")
-    private Path config;
-
-    @Option(names = "--settings", paramLabel = "FILE", description = "operators' own settings (YAML)")
-    private Path settings;
-
-    @Option(names = "--check", description = "check the settings, tell what would run, and end")
-    private boolean check;
-
-    @Option(names = "--rehearse-start", hidden = true, description = "start and end once, for the class-data archive")
-    private boolean rehearseStart;
-
-    @CommandLine.Spec
-    private CommandLine.Model.CommandSpec spec;
+    private Main() {}
 
     public static void main(String[] args) {
         Logging.configure(System.getenv("LOG_LEVEL"));
-        int code = new CommandLine(new Main()).execute(args);
+        int code = args.length == 1 && args[0].equals(REHEARSE) ? StartRehearsal.run() : run(args);
         if (code != Service.RUNNING) {
             System.exit(code);
         }
     }
 
-    @Override
-    public Integer call() {
-        if (rehearseStart) {
-            return StartRehearsal.run();
+    /** The exit code, or {@link Service#RUNNING} once a controller runs. */
+    static int run(String[] args) {
+        Options options = new Options()
+                .addOption(Option.builder().longOpt("config").hasArg().argName("FILE")
+                        .desc("settings handed over by the platform (TOML)").build())
+                .addOption(Option.builder().longOpt("settings").hasArg().argName("FILE")
+                        .desc("operators' own settings (YAML)").build())
+                .addOption(Option.builder().longOpt("check").desc("check the settings, tell what would run, and end").build())
+                .addOption(Option.builder("V").longOpt("version").desc("print the version and end").build())
+                .addOption(Option.builder("h").longOpt("help").desc("print this help and end").build());
+        CommandLine line;
+        try {
+            line = new DefaultParser(false).parse(options, args);
+        } catch (ParseException e) {
+            return wrong(e.getMessage());
         }
-        if (config == null) {
-            throw new CommandLine.ParameterException(spec.commandLine(), "Missing required option: '--config=FILE'");
+        if (line.hasOption("help")) {
+            help(options);
+            return 0;
+        }
+        if (line.hasOption("version")) {
+            String v = Main.class.getPackage().getImplementationVersion();
+            System.out.println(NAME + " " + (v == null ? "(development)" : v));
+            return 0;
+        }
+        if (!line.getArgList().isEmpty()) {
+            return wrong("Unexpected argument: " + line.getArgList().get(0));
+        }
+        if (!line.hasOption("config")) {
+            return wrong("Missing required option: --config FILE");
         }
         Platform platform;
         Tunables tunables;
         try {
-            platform = Platform.load(config);
-            tunables = settings == null ? Tunables.defaults() : OperatorFile.load(settings);
+            platform = Platform.load(Path.of(line.getOptionValue("config")));
+            tunables = line.hasOption("settings") ? OperatorFile.load(Path.of(line.getOptionValue("settings"))) : Tunables.defaults();
         } catch (SettingsException e) {
-            System.err.println("plumlever: " + e.getMessage());
+            System.err.println(NAME + ": " + e.getMessage());
             return BAD_SETTINGS;
         }
-        if (check) {
+        if (line.hasOption("check")) {
             System.out.println(Check.describe(platform, tunables));
             return 0;
         }
         return new Service(platform, tunables).run();
     }
+
+    private static int wrong(String what) {
+        System.err.println(NAME + ": " + what + " (--help tells the options)");
+        return BAD_SETTINGS;
+    }
+
+    private static void help(Options options) {
+        PrintWriter out = new PrintWriter(System.out);
+        new HelpFormatter().printHelp(out, 100, NAME + " --config FILE [--settings FILE] [--check]",
+                "A cluster scheduler: places arrays of tasks on rented machines.", options, 1, 2,
+                "Exit codes: 0 ended as asked, 1 could not start, 2 wrong arguments or settings.\n"
+                        + "LOG_LEVEL (error, info, debug) sets how much is logged to standard error.");
+        out.flush();
+    }
 }
--- a/src/main/java/plumlever/cli/StartRehearsal.java
+++ b/src/main/java/plumlever/cli/StartRehearsal.java
@@ -6,6 +6,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Collections;
+import java.util.jar.JarEntry;
+import java.util.jar.JarFile;
 import plumlever.settings.Platform;
 import plumlever.settings.SettingsException;
 import plumlever.settings.Tunables;
@@ -54,6 +57,8 @@
         try {
             file = Files.createTempFile("plumlever", ".toml");
             Files.writeString(file, SETTINGS);
+            Main.run(new String[] {"--config", file.toString(), "--check"});
+            loadOwnClasses();
             Service service = new Service(Platform.load(file), Tunables.defaults());
             try (service) {
                 service.start();
@@ -80,6 +85,26 @@
         }
     }
 
+    /** A leader's classes too, which nobody needs here: taking office must not wait for them to load. */
+    private static void loadOwnClasses() throws IOException {
+        Path jar = Path.of(StartRehearsal.class.getProtectionDomain().getCodeSource().getLocation().getPath());
+        if (!Files.isRegularFile(jar)) {
+            return;
+        }
+        try (JarFile f = new JarFile(jar.toFile())) {
+            for (JarEntry e : Collections.list(f.entries())) {
+                String name = e.getName();
+                if (name.startsWith("plumlever/") && name.endsWith(".class")) {
+                    try {
+                        Class.forName(name.substring(0, name.length() - 6).replace('/', '.'));
+                    } catch (ClassNotFoundException x) {
+                        throw new IOException(name, x);
+                    }
+                }
+            }
+        }
+    }
+
     private static void ask(String url, String body) throws IOException {
         HttpURLConnection c = (HttpURLConnection) URI.create(url).toURL().openConnection();
         c.setConnectTimeout(3_000);
