--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -1,7 +1,7 @@
 package plumlever.cli;
 
 import io.undertow.server.DefaultByteBufferPool;
-import java.security.SecureRandom;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -65,7 +65,7 @@
                 .getMap());
         loop = new XnioLoop(worker.getIoThread());
         caller = new UndertowCaller(loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 4));
-        node = new Node(loop, caller, platform, tunables, new SecureRandom().nextLong());
+        node = new Node(loop, caller, platform, tunables, new SplittableRandom().nextLong());
         // Peers and the pools of other addresses need sockets too.
         int users = Math.max(32, platform.socketLimit() - 350);
         front = new Server(worker, platform.bind(), users, Server.MAX_BODY,
--- a/src/main/java/plumlever/scaling/RentalPlan.java
+++ b/src/main/java/plumlever/scaling/RentalPlan.java
@@ -15,7 +15,18 @@
     public record Demand(JobSpec job, String zone, int tasks, long runMicros) {}
 
     /** A kind of machine the cloud may have. */
-    public record Kind(String flavor, String site, boolean spot) {}
+    public record Kind(String flavor, String site, boolean spot) {
+        // Written out for the same reason as in Endpoint: a new leader asks for it in its first moments.
+        @Override
+        public boolean equals(Object o) {
+            return o instanceof Kind k && k.spot == spot && k.flavor.equals(flavor) && k.site.equals(site);
+        }
+
+        @Override
+        public int hashCode() {
+            return (flavor.hashCode() * 31 + site.hashCode()) * 2 + (spot ? 1 : 0);
+        }
+    }
 
     public record Rental(Kind kind, int count) {}
 
--- a/src/main/java/plumlever/settings/Endpoint.java
+++ b/src/main/java/plumlever/settings/Endpoint.java
@@ -16,6 +16,17 @@
         }
     }
 
+    // Written out: the generated ones link method handles at their first use, which a cold start can't afford.
+    @Override
+    public boolean equals(Object o) {
+        return o instanceof Endpoint e && e.port == port && e.host.equals(host);
+    }
+
+    @Override
+    public int hashCode() {
+        return host.hashCode() * 31 + port;
+    }
+
     @Override
     public String toString() {
         return host + ":" + port;
