--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -190,8 +190,11 @@
     }
 
     private boolean usable(Machine m, long now) {
-        return m.enrolment() == Machine.Enrolment.STORED && m.heard() && m.accounted() && !m.draining() && !m.returning()
-                && now - m.lastReportMicros() < FRESH_MICROS;
+        // A new leader has the machines' answers to its direct calls before their own reports: without those machines
+        // everything would seem to lack room, and be rented for.
+        long sign = m.heard() ? m.lastReportMicros() : takeover.startedMicros();
+        return m.enrolment() == Machine.Enrolment.STORED && m.accounted() && !m.draining() && !m.returning()
+                && now - sign < FRESH_MICROS;
     }
 
     private Map<String, Machine> byId() {
@@ -246,7 +249,8 @@
         if (m == reporting) {
             return 0;
         }
-        return Math.max(NEXT_ANSWER_MICROS, m.lastReportMicros() + context.platform().workers().reportMicros() - now);
+        long last = m.heard() ? m.lastReportMicros() : now;
+        return Math.max(NEXT_ANSWER_MICROS, last + context.platform().workers().reportMicros() - now);
     }
 
     private long endsAt(Attempt a, Flavor f, long now) {
