--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -18,6 +18,8 @@
     /** Tasks that are neither done nor possibly on a machine. */
     private final BitSet free = new BitSet();
     private final Int2ObjectHashMap<Attempt> live = new Int2ObjectHashMap<>();
+    /** Tasks that ran before: what they take the next time tells nothing of their whole run time. */
+    private final BitSet restarted = new BitSet();
     private int doneCount;
     private boolean over;
     private int errors;
@@ -129,10 +131,17 @@
             live.remove(a.task());
             if (!done.get(a.task())) {
                 free.set(a.task());
+                if (a.runningSinceMicros() >= 0) {
+                    restarted.set(a.task());
+                }
             }
         }
     }
 
+    public boolean restarted(int task) {
+        return restarted.get(task);
+    }
+
     /** How many of its tasks may be in a zone, unreachable machines included. */
     public int inZone(String zone) {
         int n = 0;
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -171,7 +171,7 @@
     }
 
     private void observe(Attempt a, long now) {
-        if (a.runningSinceMicros() < 0 || a.sentTick() < 0) {
+        if (a.runningSinceMicros() < 0 || a.sentTick() < 0 || a.job().restarted(a.task())) {
             return;
         }
         double took = now - a.runningSinceMicros();
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -35,6 +35,7 @@
     private static final long FRESH_MICROS = 6_000_000;
     /** Tasks of one job looked at in one round beyond those that find room at once. */
     private static final int MOST_BOOKED = 64;
+    private static final int MOST_PREEMPTED = 24;
 
     private static final long LONG_WAIT_MICROS = 120_000_000;
 
@@ -57,6 +58,7 @@
     private final Estimates estimates;
     private final Takeover takeover;
     private final Placer placer;
+    private final Preemption preemption;
     private final Targets targets;
     private final Map<String, Map<Job, Planned>> plans = new HashMap<>();
     private final Map<String, double[]> plannedByTeam = new HashMap<>();
@@ -76,6 +78,7 @@
         this.takeover = takeover;
         this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare(),
                 hedge(context));
+        this.preemption = new Preemption(context, fleet, this::usable);
         this.targets = new Targets(context.platform().objectives(), context.tunables().startTargetMicros());
     }
 
@@ -297,8 +300,14 @@
         int want = Math.min(job.freeCount(), quotaRoom(job));
         int waiting = 0;
         int booked = 0;
+        int preempted = 0;
         for (int i = 0; i < want; i++) {
             Placer.Choice c = search.next();
+            if ((c.seat() < 0 || !c.feasible()) && c.startMicros() > now && preempted < MOST_PREEMPTED
+                    && preemption.makeRoom(job, ask, targets.startBy(job, within.getOrDefault(job, false)), now)) {
+                preempted++;
+                continue;
+            }
             if (c.seat() < 0) {
                 // Nowhere at all. With time to spare one machine is a start: the rest is booked on it, or found short, then.
                 boolean spare = context.moneyMatters() && ask.startByMicros() != Long.MAX_VALUE
