Health: silence of the state service is no refusal

Cause: a follower asks the state service little, so /up compared the time of its last answer with its peers' and said 503 while all was well; the load balancer then kept it out for 3 to 60 s. Found by a test written for the opposite case.

--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -199,12 +199,11 @@
 
     /** False when the state service refuses this node alone: users are better off with another. */
     private boolean canTakeRequests() {
-        long silent = loop.nowMicros() - store.lastServedMicros();
-        if (silent < 2_500_000) {
+        if (store.refusedForMicros() < 1_500_000) {
             return true;
         }
         for (PeerStatus p : peers.lately(3_000_000)) {
-            if (p.storeSilentMicros() < 1_000_000) {
+            if (p.storeRefusedMicros() == 0) {
                 return false;
             }
         }
@@ -214,7 +213,7 @@
     private PeerStatus status() {
         long now = loop.nowMicros();
         strays.values().removeIf(at -> now - at > STRAY_MICROS);
-        return new PeerStatus(platform.label(), office.term(), office.leading(), Math.max(0, now - store.lastServedMicros()),
+        return new PeerStatus(platform.label(), office.term(), office.leading(), store.refusedForMicros(),
                 strays.size(), leader == null ? Map.of() : leader.allCounts(new LinkedHashMap<>()));
     }
 
--- a/src/main/java/plumlever/peer/PeerStatus.java
+++ b/src/main/java/plumlever/peer/PeerStatus.java
@@ -11,11 +11,11 @@
 /**
  * What a controller tells the others of itself. It is advice only: no rule rests on it.
  *
- * @param storeSilentMicros how long the state service has not served it
+ * @param storeRefusedMicros how long the state service has refused it; 0 while it is served
  * @param workers how many workers reported to it in the last seconds
  * @param counts finished and running tasks by job, from the leader, for display
  */
-public record PeerStatus(String label, long term, boolean leading, long storeSilentMicros, int workers,
+public record PeerStatus(String label, long term, boolean leading, long storeRefusedMicros, int workers,
         Map<String, int[]> counts) {
 
     /** Kryo's form of it; written out, so that nothing is looked up by reflection at start. */
@@ -52,7 +52,7 @@
             out.writeString(s.label);
             out.writeVarLong(s.term, true);
             out.writeBoolean(s.leading);
-            out.writeVarLong(s.storeSilentMicros, true);
+            out.writeVarLong(s.storeRefusedMicros, true);
             out.writeVarInt(s.workers, true);
             out.writeVarInt(Math.min(s.counts.size(), Codec.MOST_COUNTS), true);
             int n = 0;
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -64,6 +64,7 @@
     private final TokenBucket writes;
     private final Map<String, Long> surprises = new HashMap<>();
     private long lastServedMicros;
+    private long refusedSinceMicros = -1;
 
     public StateClient(Loop loop, Caller caller, Endpoint at, Platform.StateLimits limits) {
         this.loop = loop;
@@ -79,6 +80,14 @@
         return lastServedMicros;
     }
 
+    /**
+     * How long every request has been refused or unanswered; 0 while the service serves this node. A quiet node asks
+     * little, so silence alone is no sign.
+     */
+    public long refusedForMicros() {
+        return refusedSinceMicros < 0 ? 0 : loop.nowMicros() - refusedSinceMicros;
+    }
+
     public void get(String key, Class c, Consumer<Got> then) {
         send(c, 0, "GET", "/keys/" + key, null, TIMEOUT_MICROS, (status, o) -> {
             if (status == 200 && o != null && o.hasNonNull("data") && o.path("stamp").isIntegralNumber()) {
@@ -177,6 +186,9 @@
         caller.call(at, method, path, bytes, timeoutMicros, (status, data) -> {
             if (status != 0 && status != 503) {
                 lastServedMicros = loop.nowMicros();
+                refusedSinceMicros = -1;
+            } else if (refusedSinceMicros < 0) {
+                refusedSinceMicros = loop.nowMicros();
             }
             ObjectNode parsed = null;
             if (status == 200 && data.length > 0) {
--- /dev/null
+++ b/src/test/java/plumlever/placement/PlacerTest.java
@@ -0,0 +1,195 @@
+package plumlever.placement;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** The placement compared with a slow plain model of the design's rules, on random fleets. */
+final class PlacerTest {
+    private static final long NOW = 1_000_000_000L;
+    private static final double PADDING = 0.05;
+    private static final double TIE = 0.02;
+    private static final long HEDGE = 10_000_000L;
+    private static final double EPSILON = 1e-9;
+
+    /** The model's machine: everything in the open, nothing computed ahead. */
+    private static final class Plain {
+        String zone;
+        boolean spot;
+        double total;
+        double totalMemory;
+        double free;
+        double freeMemory;
+        double price;
+        long delay;
+        long fetch;
+        boolean busy;
+        final List<double[]> ends = new ArrayList<>();
+
+        long earliest(Ask a) {
+            double c = free;
+            double m = freeMemory;
+            if (c + EPSILON >= a.cores() && m + EPSILON >= a.memoryGb()) {
+                return NOW;
+            }
+            List<double[]> sorted = new ArrayList<>(ends);
+            sorted.sort((x, y) -> Double.compare(x[0], y[0]));
+            for (double[] e : sorted) {
+                c += e[1];
+                m += e[2];
+                if (c + EPSILON >= a.cores() && m + EPSILON >= a.memoryGb()) {
+                    return Math.max(NOW, (long) e[0]);
+                }
+            }
+            return Long.MAX_VALUE;
+        }
+
+        double score(Ask a) {
+            return price * Math.max(a.cores() / total, a.memoryGb() / totalMemory) * (delay + fetch + a.runMicros());
+        }
+    }
+
+    /** Straight from the design: feasible before score, least score, ties to busy, free memory, free processors. */
+    private static int model(Ask a, List<Plain> all, Zones zones, boolean[] feasible) {
+        for (double pad : new double[] {PADDING, 0}) {
+            for (boolean now : new boolean[] {true, false}) {
+                List<Integer> able = new ArrayList<>();
+                for (int i = 0; i < all.size(); i++) {
+                    Plain p = all.get(i);
+                    long start = allowed(a, p, zones) ? p.earliest(a) : Long.MAX_VALUE;
+                    if (start == Long.MAX_VALUE || (start <= NOW) != now) {
+                        continue;
+                    }
+                    long runs = start + p.delay + p.fetch + (pad > 0 && !now ? HEDGE : 0);
+                    if (runs <= a.startByMicros() && (a.deadlineMicros() == Long.MAX_VALUE
+                            || runs + (long) (a.runMicros() * (1 + pad)) <= a.deadlineMicros())) {
+                        able.add(i);
+                    }
+                }
+                if (!able.isEmpty()) {
+                    feasible[0] = pad > 0;
+                    double least = able.stream().mapToDouble(i -> all.get(i).score(a)).min().orElseThrow();
+                    able.removeIf(i -> all.get(i).score(a) > least * (1 + TIE));
+                    int best = able.get(0);
+                    for (int i : able) {
+                        Plain x = all.get(i);
+                        Plain y = all.get(best);
+                        if (x.busy != y.busy ? x.busy : x.freeMemory != y.freeMemory ? x.freeMemory > y.freeMemory : x.free > y.free) {
+                            best = i;
+                        }
+                    }
+                    return best;
+                }
+            }
+        }
+        feasible[0] = false;
+        int best = -1;
+        long soonest = Long.MAX_VALUE;
+        for (int i = 0; i < all.size(); i++) {
+            Plain p = all.get(i);
+            long start = allowed(a, p, zones) ? p.earliest(a) : Long.MAX_VALUE;
+            if (start != Long.MAX_VALUE && start + p.delay + p.fetch < soonest) {
+                soonest = start + p.delay + p.fetch;
+                best = i;
+            }
+        }
+        return best;
+    }
+
+    private static boolean allowed(Ask a, Plain p, Zones zones) {
+        return (a.site() == null || a.site().equals(p.zone)) && (a.spot() || !p.spot) && zones.allows(p.zone)
+                && a.cores() <= p.total && a.memoryGb() <= p.totalMemory;
+    }
+
+    @Test
+    void agreesWithThePlainModelOnRandomFleets() {
+        SplittableRandom r = new SplittableRandom(7);
+        int placedNow = 0;
+        int later = 0;
+        int infeasible = 0;
+        for (int round = 0; round < 3_000; round++) {
+            List<Plain> plain = new ArrayList<>();
+            List<Seat> seats = new ArrayList<>();
+            for (int i = 0; i < 1 + r.nextInt(8); i++) {
+                Plain p = new Plain();
+                p.zone = r.nextBoolean() ? "a" : "b";
+                p.spot = r.nextBoolean();
+                p.total = r.nextBoolean() ? 4 : 16;
+                p.totalMemory = p.total * 4;
+                p.price = (p.spot ? 1 : 3) * (p.total == 4 ? 1.0 : 4.1);
+                p.delay = r.nextInt(3) * 1_000_000L;
+                p.fetch = r.nextInt(3) * 5_000_000L;
+                Seat s = new Seat("m" + i, "f", p.zone, p.spot, p.total, 0, p.totalMemory, p.price, 1, p.delay);
+                p.free = p.total;
+                p.freeMemory = p.totalMemory;
+                while (p.free > 0 && r.nextInt(4) > 0) {
+                    double c = Math.min(p.free, 1 + r.nextInt(4));
+                    double m = Math.min(p.freeMemory, c * (1 + r.nextInt(4)));
+                    long end = NOW + r.nextInt(90) * 1_000_000L;
+                    Ask on = ask(c, m, 0, Long.MAX_VALUE, Long.MAX_VALUE, null, true);
+                    s.occupy(on, end);
+                    p.free -= c;
+                    p.freeMemory -= m;
+                    p.busy = true;
+                    p.ends.add(new double[] {end, c, m});
+                }
+                plain.add(p);
+                seats.add(s);
+            }
+            Zones zones = new Zones(r.nextInt(4) == 0, 1 + r.nextInt(5));
+            if (r.nextBoolean()) {
+                zones.add("a");
+            }
+            long deadline = r.nextBoolean() ? NOW + r.nextInt(120) * 1_000_000L : Long.MAX_VALUE;
+            Ask a = ask(1 + r.nextInt(4), 1 + r.nextInt(8), (5 + r.nextInt(60)) * 1_000_000L, deadline,
+                    deadline == Long.MAX_VALUE ? NOW + r.nextInt(60) * 1_000_000L : Long.MAX_VALUE,
+                    r.nextInt(4) == 0 ? "b" : null, r.nextInt(3) > 0);
+            boolean[] feasible = new boolean[1];
+            int want = model(a, plain, zones, feasible);
+            Placer.Choice got = new Placer(PADDING, TIE, HEDGE).search(a, seats, zones,
+                    (machine, image, gb) -> plain.get(Integer.parseInt(machine.substring(1))).fetch, NOW).next();
+            assertEquals(want, got.seat(), "round " + round);
+            if (want >= 0) {
+                assertEquals(feasible[0], got.feasible(), "round " + round);
+                assertEquals(plain.get(want).earliest(a), got.startMicros(), "round " + round);
+            }
+            placedNow += want >= 0 && got.startMicros() <= NOW ? 1 : 0;
+            later += want >= 0 && got.startMicros() > NOW ? 1 : 0;
+            infeasible += want >= 0 && !feasible[0] ? 1 : 0;
+        }
+        assertTrue(placedNow > 300 && later > 300 && infeasible > 300, "the fleets cover all cases");
+    }
+
+    private static Ask ask(double cores, double memory, long run, long deadline, long startBy, String site, boolean spot) {
+        return new Ask(cores, 0, memory, "img", 1, run, deadline, startBy, null, site, spot);
+    }
+
+    @Test
+    void bookedRoomIsNotGivenAwayTwice() {
+        Seat s = new Seat("m", "f", "a", false, 4, 0, 16, 1, 1, 0);
+        s.occupy(ask(4, 4, 0, Long.MAX_VALUE, Long.MAX_VALUE, null, true), NOW + 10_000_000);
+        Ask four = ask(4, 4, 20_000_000, Long.MAX_VALUE, Long.MAX_VALUE, null, true);
+        Placer.Search search = new Placer(0, TIE, 0).search(four, List.of(s), new Zones(false, 9), (m, i, g) -> 0, NOW);
+        Placer.Choice first = search.next();
+        assertEquals(NOW + 10_000_000, first.startMicros());
+        search.commit(first);
+        assertEquals(NOW + 30_000_000, search.next().startMicros(), "the second waits for the first to end");
+    }
+
+    @Test
+    void zonesKeepOneZoneAndSpread() {
+        Zones one = new Zones(true, 9);
+        assertTrue(one.allows("b"));
+        one.add("a");
+        assertFalse(one.allows("b"));
+        Zones spread = new Zones(false, 1);
+        spread.add("a");
+        assertFalse(spread.allows("a"));
+        assertTrue(spread.allows("b"));
+    }
+}
--- /dev/null
+++ b/src/test/java/plumlever/wire/WireTest.java
@@ -0,0 +1,60 @@
+package plumlever.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+final class WireTest {
+    static final String GOOD = "{\"uid\":\"job-000412\",\"jobclass\":\"train\",\"owner\":\"vision\",\"shape\":\"sweep\","
+            + "\"urgency\":\"high\",\"pieces\":16,\"cores\":8.0,\"accelerators\":1.0,\"memory_gb\":64.0,\"bundle\":\"img-07\","
+            + "\"image_gb\":6.2,\"flavors\":[\"g8\"],\"site\":null,\"one_zone\":true,\"spread\":false,\"loaners\":true,"
+            + "\"expect_s\":240.0,\"snapshot_every_s\":30.0,\"snapshot_s\":4.0,\"due_s\":900.0,\"new_field\":1}";
+
+    @Test
+    void readsASubmissionAndWritesItBack() throws InvalidMessage {
+        JobSpec j = JobSpec.parse(Json.parseObject(GOOD));
+        assertEquals(16, j.pieces());
+        assertNull(j.site());
+        assertEquals(j, JobSpec.parse(j.toJson()));
+        assertEquals(5, JobSpec.parse(Json.parseObject(GOOD.replace("\"pieces\":16", "\"pieces\":9")
+                .replace("\"spread\":false", "\"spread\":true"))).zoneLimit());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "\"pieces\":16|\"pieces\":0", "\"pieces\":16|\"pieces\":100001", "\"pieces\":16|\"pieces\":1.5", "\"pieces\":16|\"pieces\":\"16\"",
+        "\"cores\":8.0|\"cores\":-1", "\"cores\":8.0|\"cores\":NaN", "\"cores\":8.0|\"cores\":null", "\"uid\":\"job-000412\"|\"uid\":\"412\"",
+        "\"shape\":\"sweep\"|\"shape\":\"circle\"", "\"urgency\":\"high\"|\"urgency\":\"very\"", "\"one_zone\":true|\"one_zone\":1",
+        "\"flavors\":[\"g8\"]|\"flavors\":\"g8\"", "\"flavors\":[\"g8\"]|\"flavors\":[8]", "\"due_s\":900.0|\"due_s\":-3",
+        "\"owner\":\"vision\",|", "\"expect_s\":240.0|\"expect_s\":1e400", "\"site\":null|\"site\":7"})
+    void refusesBadFields(String good, String bad) {
+        String text = GOOD.replace(good, bad == null ? "" : bad);
+        assertTrue(!text.equals(GOOD));
+        assertThrows(InvalidMessage.class, () -> JobSpec.parse(Json.parseObject(text)));
+    }
+
+    @Test
+    void refusesWhatIsNoObject() {
+        for (String s : List.of("", "[]", "7", "{", "{}{}", "null")) {
+            assertThrows(InvalidMessage.class, () -> Json.parseObject(s));
+        }
+    }
+
+    @Test
+    void readsAReportAndWritesOrders() throws InvalidMessage {
+        WorkerReport r = WorkerReport.parse("{\"host\":\"i-1\",\"endpoint\":\"h:1\",\"flavor\":\"g8\",\"site\":\"a\",\"loaners\":true,"
+                + "\"tenure\":1,\"tick\":88,\"baton\":41,\"reclaim_in_s\":null,\"pieces\":[{\"piece\":\"job-1/3\",\"try\":2,"
+                + "\"status\":\"ended\",\"exit_cause\":\"something new\"}]}");
+        assertEquals(ExitCause.OTHER, r.pieces().get(0).cause());
+        assertTrue(!r.noticed() && r.newerThan(1, 87) && !r.newerThan(2, 1) && !r.newerThan(1, 88));
+        assertEquals("{\"baton\":41,\"orders\":[{\"verb\":\"halt\",\"piece\":\"job-1/3\",\"try\":2,\"wind_down_s\":10.0}]}",
+                Order.answer(41, List.of(Order.halt(new TaskName("job-1", 3), 2, 10))));
+        assertThrows(InvalidMessage.class, () -> TaskName.of("job-1/-3"));
+    }
+}
