--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -69,6 +69,8 @@
             return size() > REMEMBERED;
         }
     });
+    /** Zones whose machines seem to be behind a cut: nothing is returned or rented there. */
+    private final Map<String, Long> cutZones = new HashMap<>();
     private final Set<String> toForget = new HashSet<>();
     private long rentalCounter;
     private long listedMicros;
@@ -216,11 +218,22 @@
             if (m.heard() || takeover.open().contains(m)) {
                 int[] z = zones.computeIfAbsent(m.site(), k -> new int[2]);
                 z[0]++;
-                if (silentFor(m, now) > context.tunables().silentMicros()) {
+                // Half the time already: machines behind a cut fall silent one after the other, and by the time the
+                // first is called silent all the others must have missed a report as well.
+                if (silentFor(m, now) > context.tunables().silentMicros() / 2) {
                     z[1]++;
                 }
             }
         }
+        // When a cut ends, its machines find their way back one by one, so it is kept in mind for as long again.
+        cutZones.values().removeIf(until -> until < now);
+        zones.forEach((zone, z) -> {
+            if (z[1] >= 2 && z[1] * 2 >= z[0]) {
+                if (cutZones.put(zone, now + context.tunables().silentMicros()) == null) {
+                    LOG.warn("{} of {} machines in {} are silent, as behind a cut", z[1], z[0], zone);
+                }
+            }
+        });
         for (Machine m : new ArrayList<>(fleet.machines())) {
             if (now >= lapsesAt(m) && silentFor(m, now) > context.tunables().silentMicros()) {
                 boolean lost = m.running();
@@ -246,10 +259,8 @@
                     giveBack(m, "it does not come up");
                 }
             } else if (silentFor(m, now) > context.tunables().silentMicros()) {
-                int[] z = zones.get(m.site());
                 // Many silent at once in a zone look like a cut, behind which they go on working.
-                boolean cut = z != null && z[1] >= 2 && z[1] * 2 >= z[0];
-                if (!cut || silentFor(m, now) > 2 * context.platform().workers().leaseMicros()) {
+                if (!cutZones.containsKey(m.site()) || silentFor(m, now) > 2 * context.platform().workers().leaseMicros()) {
                     giveBack(m, "it is silent");
                 }
             } else if (m.draining() && !m.running()) {
@@ -394,7 +405,7 @@
             }
         }
         for (RentalPlan.Rental r : plan.plan(round.demands(), coming,
-                k -> now >= shortUntil.getOrDefault(k, 0L), MOST_PER_ROUND)) {
+                k -> now >= shortUntil.getOrDefault(k, 0L) && !cutZones.containsKey(k.site()), MOST_PER_ROUND)) {
             if (open.size() >= 6) {
                 break;
             }
--- a/src/test/java/plumlever/sim/SimulationTest.java
+++ b/src/test/java/plumlever/sim/SimulationTest.java
@@ -169,6 +169,24 @@
         assertEquals(List.of(), w.rules.broken);
     }
 
+    /** Machines behind a cut go on working within their leases; the leader must not delete them for their silence. */
+    @Test
+    void aShortCutOfAZoneCostsNoMachine() {
+        World w = world(41);
+        FakeUsers users = new FakeUsers(w);
+        for (int i = 0; i < 8; i++) {
+            users.submit(8, 1, 100, false);
+        }
+        w.play(60);
+        World.Member leader = w.members.values().stream().filter(World.Member::leads).findFirst().orElseThrow();
+        List<String> behind = w.cloud.machines.values().stream().filter(v -> v.site.equals("a") && v.worker != null && !v.worker.tasks.isEmpty()).map(v -> v.id).toList();
+        assertTrue(behind.size() >= 3, "the zone has machines");
+        behind.forEach(h -> hold(w, h + ">" + leader.platform.label(), leader.platform.label() + ">" + h, 16_000_000));
+        w.play(30);
+        assertTrue(w.cloud.machines.keySet().containsAll(behind), "no machine was returned");
+        assertEquals(List.of(), w.rules.broken);
+    }
+
     /** One survivor of three goes on serving. */
     @Test
     void oneNodeSuffices() {
