--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -86,10 +86,21 @@
         return !free.isEmpty();
     }
 
+    /** A task that never ran, if there is one free: aims for starts count the first. */
     public int firstFree() {
+        for (int i = free.nextSetBit(0); i >= 0; i = free.nextSetBit(i + 1)) {
+            if (!restarted.get(i)) {
+                return i;
+            }
+        }
         return free.nextSetBit(0);
     }
 
+    public boolean hasFreshFree() {
+        int i = firstFree();
+        return i >= 0 && !restarted.get(i);
+    }
+
     public Iterable<Attempt> live() {
         return live.values();
     }
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -37,6 +37,7 @@
     private static final int MOST_BOOKED = 64;
     private static final int MOST_PREEMPTED = 24;
 
+    private static final long MISSED_MICROS = 120_000_000;
     private static final long LONG_WAIT_MICROS = 120_000_000;
 
     /** The least time until a machine that is not reporting right now takes an order. */
@@ -161,7 +162,20 @@
         return true;
     }
 
-    /** Work within a guarantee first, then by urgency, then by deadline, then by age. */
+    /** By when its next task has to run; tasks that ran before have met any aim for a start. */
+    private long latestStart(Job j) {
+        long finish = targets.finishBy(j);
+        long run = (long) (estimates.runMicros(j) * (1 + context.tunables().paddingShare()));
+        long byFinish = finish == Long.MAX_VALUE ? Long.MAX_VALUE : finish - run;
+        return j.hasFreshFree() ? Math.min(byFinish, targets.startBy(j, within.getOrDefault(j, false))) : byFinish;
+    }
+
+    /** What missed its aim a moment ago makes way for what can still meet its own, but not for ever. */
+    private static boolean missed(long latestStart, long now) {
+        return latestStart < now && now - latestStart < MISSED_MICROS;
+    }
+
+    /** Work within a guarantee first, then by urgency, then what can still meet its aim, the most pressing first. */
     private List<Job> order(long now) {
         Map<String, Double> guaranteed = new HashMap<>();
         for (Platform.Team t : context.platform().teams()) {
@@ -185,9 +199,12 @@
                 waiting.add(j);
             }
         }
+        Map<Job, Long> latest = new HashMap<>();
+        waiting.forEach(j -> latest.put(j, latestStart(j)));
         waiting.sort(Comparator.<Job>comparingInt(j -> within.get(j) ? 0 : 1)
                 .thenComparing(j -> j.spec().urgency())
-                .thenComparingLong(Job::deadlineMicros)
+                .thenComparingInt(j -> missed(latest.get(j), now) ? 1 : 0)
+                .thenComparingLong(latest::get)
                 .thenComparingLong(Job::acceptedMicros));
         return waiting;
     }
