--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -34,6 +34,7 @@
     private boolean failed;
     private double slowness = 1;
     private int errorStreak;
+    private int foreign;
     private String lastErrorJob;
     private int erringJobs;
 
@@ -191,6 +192,15 @@
         attempts.remove(a.id());
     }
 
+    /** Running tasks it lists that this leader does not keep: of ended jobs, told to stop but not gone yet. */
+    public int foreign() {
+        return foreign;
+    }
+
+    public void foreign(int tasks) {
+        foreign = tasks;
+    }
+
     public boolean running() {
         for (Attempt a : attempts.values()) {
             if (!a.over()) {
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -240,6 +240,11 @@
         }
     }
 
+    /** True once nothing that earlier leaders started is unknown. */
+    public boolean tookOver() {
+        return takeover.complete();
+    }
+
     /** Finished and running tasks of a job for display, or null if it is not known here. */
     public int[] counts(String uid) {
         Job j = loaded ? jobs.get(uid) : null;
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -258,6 +258,8 @@
                 if (now - Math.max(m.knownSinceMicros(), takeover.startedMicros() - patience / 2) > patience) {
                     giveBack(m, "it does not come up");
                 }
+            } else if (holdsUpTakeover(m, now)) {
+                giveBack(m, "it holds up the takeover");
             } else if (silentFor(m, now) > context.tunables().silentMicros()) {
                 // Many silent at once in a zone look like a cut, behind which they go on working.
                 if (!cutZones.containsKey(m.site()) || silentFor(m, now) > 2 * context.platform().workers().leaseMicros()) {
@@ -271,6 +273,27 @@
         }
     }
 
+    /**
+     * True for one of few machines that neither answer nor report to a new leader while the rest of their zone does.
+     * Mostly they were taken just before; every inherited task waits for them, so they are given up sooner.
+     */
+    private boolean holdsUpTakeover(Machine m, long now) {
+        if (!takeover.open().contains(m) || now - takeover.loadedMicros() < context.tunables().silentMicros() / 3) {
+            return false;
+        }
+        int zone = 0;
+        int open = 0;
+        for (Machine o : fleet.machines()) {
+            if (o.site().equals(m.site()) && o.enrolment() == Machine.Enrolment.STORED) {
+                zone++;
+                if (takeover.open().contains(o)) {
+                    open++;
+                }
+            }
+        }
+        return open * 3 <= zone;
+    }
+
     private long silentFor(Machine m, long now) {
         return now - Math.max(m.lastReportMicros(), takeover.startedMicros());
     }
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -75,6 +75,7 @@
         }
         Set<Long> listed = new HashSet<>();
         boolean current = r.baton() == term;
+        int foreign = 0;
         for (WorkerReport.Piece p : r.pieces()) {
             listed.add(p.attempt());
             Attempt a = m.attempt(p.attempt());
@@ -83,7 +84,11 @@
             } else if (a == null && current) {
                 unknown(m, p, now);
             }
+            if (p.status() != TaskStatus.ENDED && m.attempt(p.attempt()) == null) {
+                foreign++;
+            }
         }
+        m.foreign(foreign);
         if (own) {
             List<Attempt> gone = new ArrayList<>();
             for (Attempt a : m.attempts()) {
@@ -109,6 +114,7 @@
 
     /** A worker that starts a new session has killed and forgotten everything of the ones before. */
     void endSessionsBefore(Machine m, long tenure) {
+        m.foreign(0);
         List<Attempt> ended = new ArrayList<>();
         for (Attempt a : m.attempts()) {
             if (a.tenure() < tenure) {
--- a/src/main/java/plumlever/leader/Takeover.java
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -93,7 +93,12 @@
         Fleet.Held held = fleet.held(job.spec().owner());
         double cores = held.cores();
         double accelerators = held.accelerators();
-        for (Machine m : open) {
+        for (Machine m : fleet.machines()) {
+            // A machine may run tasks of a job that ended before this term: whose they are is unknown, and until they
+            // are seen to be gone they count like those of a machine not accounted for.
+            if (!open.contains(m) && m.foreign() == 0) {
+                continue;
+            }
             Flavor f = context.prices().flavor(m.flavor());
             if (f == null) {
                 return team.cpusMax() > 0 || team.gpusMax() > 0 ? 0 : Integer.MAX_VALUE;
--- a/src/test/java/plumlever/sim/SimulationTest.java
+++ b/src/test/java/plumlever/sim/SimulationTest.java
@@ -187,6 +187,25 @@
         assertEquals(List.of(), w.rules.broken);
     }
 
+    /** A machine taken right before the leader's crash must not hold up all that its successor inherits. */
+    @Test
+    void aVanishedMachineHoldsUpATakeoverOnlyShortly() {
+        World w = world(43);
+        FakeUsers users = new FakeUsers(w);
+        for (int i = 0; i < 8; i++) {
+            users.submit(8, 1, 100, false);
+        }
+        w.play(60);
+        String gone = w.cloud.machines.values().stream().filter(v -> v.worker != null && !v.worker.tasks.isEmpty())
+                .map(v -> v.id).findFirst().orElseThrow();
+        w.cloud.delete(gone);
+        w.members.values().stream().filter(World.Member::leads).findFirst().orElseThrow().crash(30);
+        w.play(8);
+        World.Member next = w.members.values().stream().filter(World.Member::leads).findFirst().orElseThrow();
+        assertTrue(next.node().leader().tookOver(), "the takeover is complete");
+        assertEquals(List.of(), w.rules.broken);
+    }
+
     /** One survivor of three goes on serving. */
     @Test
     void oneNodeSuffices() {
