--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -25,6 +25,7 @@
 import plumlever.peer.Peers;
 import plumlever.settings.Platform;
 import plumlever.settings.Tunables;
+import plumlever.store.JobBook;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
 import plumlever.wire.Flavor;
@@ -36,6 +37,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
     private static final long SUMMARY_MICROS = 60_000_000;
     private static final long CATALOG_RETRY_MICROS = 1_500_000;
+    /** Longer than it takes any node to notice a common outage and tell its peers. */
+    private static final long ALONE_MICROS = 3_000_000;
+    private static final long PEER_FRESH_MICROS = 3_500_000;
+    private static final long LISTEN_MICROS = 1_000_000;
     private static final long STRAY_MICROS = 5_000_000;
 
     private final Loop loop;
@@ -76,7 +81,7 @@
         }, seed);
         this.context = new Context(loop, platform, tunables, office, store, layout, cloud, prices, caller, metrics);
         this.peers = new Peers(loop, caller, platform, this::status);
-        UserApi users = new UserApi(loop, store, layout, prices, platform, metrics, new UserApi.Desk() {
+        UserApi users = new UserApi(loop, store, new JobBook(loop, store, metrics, platform.stateLimits().txnOps()), layout, prices, platform, metrics, new UserApi.Desk() {
             @Override
             public void aborted(String uid) {
                 if (leader != null) {
@@ -88,6 +93,11 @@
             public int[] counts(String uid) {
                 return Node.this.counts(uid);
             }
+
+            @Override
+            public boolean alone() {
+                return Node.this.alone();
+            }
         });
         this.front = new Front(users, new Front.House() {
             @Override
@@ -102,7 +112,7 @@
 
             @Override
             public boolean canTakeRequests() {
-                return Node.this.canTakeRequests();
+                return !alone();
             }
 
             @Override
@@ -117,6 +127,7 @@
         office.start();
         scope.own(new Duty("catalog", loop, this::learnCatalog)).start();
         scope.own(peers.duty()).start();
+        scope.own(new Duty("listen", loop, this::listen)).start();
         scope.own(new Duty("summary", loop, () -> {
             metrics.logSummary();
             return SUMMARY_MICROS;
@@ -179,7 +190,7 @@
         store.get(JobStore.CATALOG, StateClient.Class.ORDINARY, got -> {
             if (got.missing()) {
                 store.txn(new plumlever.store.Txn().guard(JobStore.CATALOG, 0).put(JobStore.CATALOG, o),
-                        StateClient.Class.ORDINARY, outcome -> LOG.debug("machine types stored: {}", outcome));
+                        StateClient.Class.ORDINARY, result -> LOG.debug("machine types stored: {}", result.outcome()));
             }
         });
     }
@@ -197,17 +208,31 @@
         return null;
     }
 
-    /** False when the state service refuses this node alone: users are better off with another. */
-    private boolean canTakeRequests() {
-        if (store.refusedForMicros() < 1_500_000) {
-            return true;
+    /**
+     * True when the state service serves others but not this node, by refusals or by silence: users are better off with
+     * another. In a common outage no node is alone, or there would be nobody left to ask. A node that hears of no peer
+     * either is cut off from all of them, and can't tell what they get.
+     */
+    private boolean alone() {
+        if (store.refusedForMicros() < ALONE_MICROS || platform.seeds().isEmpty()) {
+            return false;
         }
-        for (PeerStatus p : peers.lately(3_000_000)) {
+        boolean heard = false;
+        for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
+            heard = true;
             if (p.storeRefusedMicros() == 0) {
-                return false;
+                return true;
             }
         }
-        return true;
+        return !heard;
+    }
+
+    /** Asks the state service something small when nothing else was answered lately, so that its silence is noticed. */
+    private long listen() {
+        if (loop.nowMicros() - store.lastServedMicros() >= LISTEN_MICROS / 2) {
+            store.get(JobStore.CATALOG, StateClient.Class.URGENT, got -> { });
+        }
+        return LISTEN_MICROS;
     }
 
     private PeerStatus status() {
--- a/src/main/java/plumlever/cloud/CloudClient.java
+++ b/src/main/java/plumlever/cloud/CloudClient.java
@@ -138,7 +138,7 @@
             ObjectNode parsed = null;
             if (data.length > 0 && (status == 200 || status == 503)) {
                 try {
-                    parsed = Json.parseObject(new String(data, StandardCharsets.UTF_8));
+                    parsed = Json.parseObject(data);
                 } catch (InvalidMessage e) {
                     surprise(path, e.getMessage());
                 }
--- a/src/main/java/plumlever/election/Office.java
+++ b/src/main/java/plumlever/election/Office.java
@@ -57,6 +57,7 @@
     private boolean leading;
     private boolean busy;
     private long permit;
+    private long ownTermStamp;
     private long rightUntilMicros;
     private long notBeforeMicros;
     private int lost;
@@ -85,6 +86,14 @@
         return term;
     }
 
+    /**
+     * A guard that holds as long as no later term has begun: what a leader writes of its own work carries it, so that a
+     * write carried out late can't spoil a successor's.
+     */
+    public Txn inTerm() {
+        return new Txn().guard(TERM, ownTermStamp);
+    }
+
     /** True while this node may act for the controllers; asked again right before every answer and order. */
     public boolean mayAct() {
         return leading && loop.nowMicros() < rightUntilMicros;
@@ -222,9 +231,9 @@
             ObjectNode leader = Json.object().put("label", label).put("nonce", nonce).put("term", newTerm);
             Txn txn = new Txn().guard(LEADER, seenLeader).guard(TERM, seenTerm)
                     .put(LEADER, leader, p).put(TERM, Json.object().put("term", newTerm));
-            store.txn(txn, StateClient.Class.URGENT, outcome -> {
-                switch (outcome) {
-                    case APPLIED -> take(p, newTerm, sentAt);
+            store.txn(txn, StateClient.Class.URGENT, result -> {
+                switch (result.outcome()) {
+                    case APPLIED -> take(p, newTerm, result.epoch(), sentAt);
                     case UNKNOWN -> settle(p, newTerm, sentAt, 0);
                     default -> giveUp(p);
                 }
@@ -239,7 +248,8 @@
             if (got.found() && label.equals(got.item().data().path("label").asText())
                     && nonce.equals(got.item().data().path("nonce").asText())
                     && got.item().data().path("term").asLong() == newTerm) {
-                take(p, newTerm, sentAt);
+                // Both keys were put in one change and so have the same revision.
+                take(p, newTerm, got.item().stamp(), sentAt);
             } else if (got.found() || got.missing() || tries >= 3) {
                 giveUp(p);
             } else {
@@ -280,7 +290,8 @@
         });
     }
 
-    private void take(long p, long newTerm, long sentAt) {
+    private void take(long p, long newTerm, long stamp, long sentAt) {
+        ownTermStamp = stamp;
         busy = false;
         lost = 0;
         permit = p;
--- a/src/main/java/plumlever/fleet/Attempt.java
+++ b/src/main/java/plumlever/fleet/Attempt.java
@@ -12,6 +12,7 @@
     private final Machine machine;
     private final long tenure;
     private final long sentTick;
+    private final long directToken;
     private final long sentMicros;
     private TaskStatus status;
     private long runningSinceMicros = -1;
@@ -21,14 +22,18 @@
     private double windDownS;
     private long haltedMicros;
 
-    /** @param sentTick number of the report whose answer carried the order, -1 for an adopted attempt */
-    Attempt(Job job, int task, long id, Machine machine, long tenure, long sentTick, long sentMicros) {
+    /**
+     * @param sentTick number of the report whose answer carried the order, -1 for any other attempt
+     * @param directToken token of the direct order that started it, -1 for any other attempt
+     */
+    Attempt(Job job, int task, long id, Machine machine, long tenure, long sentTick, long directToken, long sentMicros) {
         this.job = job;
         this.task = task;
         this.id = id;
         this.machine = machine;
         this.tenure = tenure;
         this.sentTick = sentTick;
+        this.directToken = directToken;
         this.sentMicros = sentMicros;
     }
 
@@ -60,6 +65,15 @@
         return sentTick;
     }
 
+    public long directToken() {
+        return directToken;
+    }
+
+    /** True for an attempt of an earlier term that its machine reported. */
+    public boolean adopted() {
+        return sentTick < 0 && directToken < 0;
+    }
+
     public long sentMicros() {
         return sentMicros;
     }
@@ -76,6 +90,7 @@
     public void see(TaskStatus now, long nowMicros) {
         if (now == TaskStatus.RUNNING && runningSinceMicros < 0) {
             runningSinceMicros = nowMicros;
+            job.begin();
         }
         status = now;
     }
--- a/src/main/java/plumlever/fleet/Fleet.java
+++ b/src/main/java/plumlever/fleet/Fleet.java
@@ -23,6 +23,7 @@
     }
 
     private static final int TERM_SHIFT = 24;
+    private static final int TOKEN_SHIFT = 20;
 
     private final Map<String, Machine> machines = new LinkedHashMap<>();
     private final Map<String, Held> heldByTeam = new HashMap<>();
@@ -42,23 +43,34 @@
     }
 
     public void add(Machine m) {
+        m.token(firstToken(term));
         machines.put(m.id(), m);
     }
 
+    /** The least token of a term: a leader may raise it for each machine as it needs. */
+    public static long firstToken(long term) {
+        return term << TOKEN_SHIFT;
+    }
+
+    public static long termOf(long token) {
+        return token >>> TOKEN_SHIFT;
+    }
+
     /** Replaces what a rental told by what the machine itself or the list tells. */
     public void remove(Machine m) {
         machines.remove(m.id(), m);
     }
 
     /** Attempt numbers are unique over all terms without being stored: the term is in the high bits. */
-    public Attempt start(Job job, int task, Machine m, long nowMicros) {
+    public Attempt start(Job job, int task, Machine m, boolean direct, long nowMicros) {
         long id = (term << TERM_SHIFT) | ++counter;
-        return enter(new Attempt(job, task, id, m, m.tenure(), m.tick(), nowMicros));
+        return enter(direct ? new Attempt(job, task, id, m, m.tenure(), -1, m.token(), nowMicros)
+                : new Attempt(job, task, id, m, m.tenure(), m.ownTick(), -1, nowMicros));
     }
 
     /** An attempt of an earlier term that its machine reports. */
     public Attempt adopt(Job job, int task, long id, Machine m, long nowMicros) {
-        return enter(new Attempt(job, task, id, m, m.tenure(), -1, nowMicros));
+        return enter(new Attempt(job, task, id, m, m.tenure(), -1, -1, nowMicros));
     }
 
     public boolean ofEarlierTerm(long attemptId) {
--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -22,6 +22,7 @@
     private final BitSet restarted = new BitSet();
     private int doneCount;
     private boolean over;
+    private boolean begun;
     private int errors;
     private long notBeforeMicros;
     private double ratioSum;
@@ -130,6 +131,15 @@
         }
     }
 
+    /** True once any of its tasks was seen to run. */
+    public boolean begun() {
+        return begun || doneCount > 0;
+    }
+
+    public void begin() {
+        begun = true;
+    }
+
     /** A task may be on a machine from now on. */
     void occupy(Attempt a) {
         free.clear(a.task());
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -23,6 +23,13 @@
     private Enrolment enrolment = Enrolment.NONE;
     private long tenure;
     private long tick;
+    private long ownTick;
+    private long token;
+    private long answeredToken;
+    private long directToken = -1;
+    private boolean calling;
+    private int unheard;
+    private boolean deaf;
     private long lastReportMicros = -1;
     private long lastAnswerMicros = -1;
     private boolean accounted;
@@ -34,7 +41,6 @@
     private boolean failed;
     private double slowness = 1;
     private int errorStreak;
-    private int foreign;
     private String lastErrorJob;
     private int erringJobs;
 
@@ -98,6 +104,77 @@
         return tick;
     }
 
+    /** Number of the last report that it sent itself; bodies of direct answers may have larger ones. */
+    public long ownTick() {
+        return ownTick;
+    }
+
+    /** The token that answers and orders to it carry now. */
+    public long token() {
+        return token;
+    }
+
+    public void token(long now) {
+        token = Math.max(token, now);
+    }
+
+    /** A direct order carries the present token; until the token is raised a copy of it may be carried out late. */
+    public void direct() {
+        directToken = token;
+    }
+
+    /** From the next answer on, no direct order sent before will be carried out. */
+    public void voidDirect() {
+        token = Math.max(token, directToken + 1);
+    }
+
+    /** True while a late copy of a direct order could still be carried out, as far as this side has seen to it. */
+    public boolean directOpen() {
+        return directToken >= token;
+    }
+
+    /** A direct order is on its way or its answer is. */
+    public boolean calling() {
+        return calling;
+    }
+
+    public void calling(boolean now) {
+        calling = now;
+    }
+
+    /** True while it may have started something that nothing has been heard of: a direct order without an answer. */
+    public boolean unsettled() {
+        if (directToken < 0) {
+            return false;
+        }
+        for (Attempt a : attempts.values()) {
+            if (!a.over() && a.directToken() >= 0 && a.status() == null) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Reports that show nothing of what was sent before them: an order that is lost, a token that is not taken. After
+     * two running, answers and orders seem not to arrive, and the machine gets neither work nor its lease renewed until
+     * it shows the token. Else each answer would push back the time at which its lease has surely lapsed.
+     */
+    public void unheard() {
+        if (++unheard >= 2) {
+            deaf = true;
+        }
+    }
+
+    public void heardAnswer() {
+        unheard = 0;
+        deaf = false;
+    }
+
+    public boolean deaf() {
+        return deaf;
+    }
+
     /** True once it has reported in this term. */
     public boolean heard() {
         return lastReportMicros >= 0;
@@ -114,6 +191,18 @@
 
     public void answered(long nowMicros) {
         lastAnswerMicros = nowMicros;
+        answeredToken = token;
+    }
+
+    /** The token of the last answer that let it renew its lease; 0 before the first. */
+    public long answeredToken() {
+        return answeredToken;
+    }
+
+    /** A report of its own came after the body of a direct call that was sent later. */
+    public void overtaken(long reportTick, long nowMicros) {
+        ownTick = reportTick;
+        lastReportMicros = nowMicros;
     }
 
     /** True when everything an earlier leader may have started on it is known. */
@@ -126,9 +215,13 @@
     }
 
     public void heardAt(WorkerReport r, long nowMicros, boolean own) {
+        if (r.tenure() > tenure) {
+            ownTick = 0;
+        }
         tenure = r.tenure();
         tick = r.tick();
         if (own) {
+            ownTick = r.tick();
             lastReportMicros = nowMicros;
         }
         reclaimAtMicros = r.noticed() ? nowMicros + (long) (r.reclaimInS() * 1e6) : -1;
@@ -192,15 +285,6 @@
         attempts.remove(a.id());
     }
 
-    /** Running tasks it lists that this leader does not keep: of ended jobs, told to stop but not gone yet. */
-    public int foreign() {
-        return foreign;
-    }
-
-    public void foreign(int tasks) {
-        foreign = tasks;
-    }
-
     public boolean running() {
         for (Attempt a : attempts.values()) {
             if (!a.over()) {
--- a/src/main/java/plumlever/http/Front.java
+++ b/src/main/java/plumlever/http/Front.java
@@ -1,6 +1,5 @@
 package plumlever.http;
 
-import java.nio.charset.StandardCharsets;
 import plumlever.leader.Leader;
 import plumlever.metrics.Metrics;
 import plumlever.wire.InvalidMessage;
@@ -87,7 +86,7 @@
     private void hello(byte[] body, Responder out) {
         WorkerReport r;
         try {
-            r = WorkerReport.parse(new String(body, StandardCharsets.UTF_8));
+            r = WorkerReport.parse(body);
         } catch (InvalidMessage e) {
             metrics.count("reports_unreadable");
             out.error(400, e.getMessage());
--- a/src/main/java/plumlever/http/Responder.java
+++ b/src/main/java/plumlever/http/Responder.java
@@ -5,6 +5,10 @@
     /** @param retryAfterS 0 for none */
     void send(int status, String json, int retryAfterS);
 
+    /** The connection ends with the answer, so that its user finds another node. */
+    default void closing() {
+    }
+
     default void send(int status, String json) {
         send(status, json, 0);
     }
--- a/src/main/java/plumlever/http/Server.java
+++ b/src/main/java/plumlever/http/Server.java
@@ -95,6 +95,11 @@
             this.exchange = exchange;
         }
 
+        @Override
+        public void closing() {
+            exchange.setPersistent(false);
+        }
+
         @Override
         public void send(int status, String json, int retryAfterS) {
             if (sent || exchange.isResponseStarted()) {
--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -1,17 +1,14 @@
 package plumlever.http;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.google.common.cache.Cache;
-import com.google.common.cache.CacheBuilder;
-import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
 import plumlever.cloud.PriceBook;
 import plumlever.concurrent.Loop;
 import plumlever.metrics.Metrics;
 import plumlever.settings.Platform;
+import plumlever.store.JobBook;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
@@ -31,6 +28,9 @@
 
         /** Finished and running tasks, or null if not known here. */
         int[] counts(String uid);
+
+        /** True when the state service serves others but not this node. */
+        boolean alone();
     }
 
     private static final int MOST_AT_ONCE = 256;
@@ -46,13 +46,13 @@
     private final Desk desk;
     private final Set<String> teams = new HashSet<>();
     private final List<Platform.Team> limits;
-    /** Final states never change, so they may be told from memory; evicted ones are read again. */
-    private final Cache<String, JobState> finals = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(20_000).build();
+    private final JobBook book;
     private int open;
 
-    public UserApi(Loop loop, StateClient store, JobStore layout, PriceBook prices, Platform platform, Metrics metrics, Desk desk) {
+    public UserApi(Loop loop, StateClient store, JobBook book, JobStore layout, PriceBook prices, Platform platform, Metrics metrics, Desk desk) {
         this.loop = loop;
         this.store = store;
+        this.book = book;
         this.layout = layout;
         this.prices = prices;
         this.metrics = metrics;
@@ -70,17 +70,30 @@
         }
         open++;
         long since = loop.nowMicros();
-        return (status, json, retry) -> {
-            open--;
-            metrics.time(kind, loop.nowMicros() - since);
-            if (status >= 500 || status == 429) {
-                metrics.count(kind + "_refused");
+        return new Responder() {
+            @Override
+            public void send(int status, String json, int retryAfterS) {
+                open--;
+                metrics.time(kind, loop.nowMicros() - since);
+                if (status >= 500 || status == 429) {
+                    metrics.count(kind + "_refused");
+                }
+                out.send(status, json, retryAfterS);
+            }
+
+            @Override
+            public void closing() {
+                out.closing();
             }
-            out.send(status, json, retry);
         };
     }
 
-    private static void unavailable(Responder out) {
+    /** A user's connection stays on its node: one that alone can't answer must not keep its users from those that can. */
+    private void unavailable(Responder out) {
+        if (desk.alone()) {
+            metrics.count("users_sent_away");
+            out.closing();
+        }
         out.later(503, "the state service can't be reached", RETRY_AFTER_S);
     }
 
@@ -88,7 +101,7 @@
         ObjectNode o;
         String uid;
         try {
-            o = Json.parseObject(new String(body, StandardCharsets.UTF_8));
+            o = Json.parseObject(body);
             uid = Json.text(o, "uid");
             if (!JobSpec.validUid(uid)) {
                 throw new InvalidMessage("uid must be job- and digits");
@@ -144,13 +157,14 @@
 
     /** Accepted means stored: 201 only once the transaction that creates the record has been carried out. */
     private void accept(String uid, Txn txn, Responder out, int tries) {
-        store.txn(txn, StateClient.Class.ORDINARY, outcome -> {
-            switch (outcome) {
+        store.txn(txn, StateClient.Class.ORDINARY, result -> {
+            switch (result.outcome()) {
                 case APPLIED -> {
                     metrics.count("jobs_accepted");
+                    book.accepted(uid, result.epoch());
                     out.send(201, state(uid, JobState.PENDING, null));
                 }
-                case CONFLICT -> known(uid, out, 200, TRIES);
+                case CONFLICT -> known(uid, out, 200);
                 case REFUSED -> {
                     if (tries > 1 && recentlyServed()) {
                         loop.after(AGAIN_MICROS, () -> accept(uid, txn, out, tries - 1));
@@ -158,7 +172,7 @@
                         unavailable(out);
                     }
                 }
-                case UNKNOWN -> known(uid, out, 201, 2);
+                case UNKNOWN -> known(uid, out, 201);
             }
         });
     }
@@ -168,10 +182,10 @@
     }
 
     /** The record decides; if it can't be read or is not there yet, the user asks again. */
-    private void known(String uid, Responder out, int status, int tries) {
-        read(uid, tries, got -> {
-            if (got.found()) {
-                out.send(status, describe(uid, got.item()));
+    private void known(String uid, Responder out, int status) {
+        book.look(uid, look -> {
+            if (look.found()) {
+                out.send(status, describe(uid, look));
             } else {
                 unavailable(out);
             }
@@ -179,38 +193,18 @@
     }
 
     private void ifUnknown(String uid, Responder out, Runnable refuse) {
-        JobState f = finals.getIfPresent(uid);
-        if (f != null) {
-            out.send(200, state(uid, f, null));
-            return;
-        }
-        read(uid, TRIES, got -> {
-            if (got.found()) {
-                out.send(200, describe(uid, got.item()));
-            } else if (got.missing()) {
-                refuse.run();
-            } else {
-                unavailable(out);
-            }
-        });
-    }
-
-    /** A read that was refused by a rate limit is tried again shortly; an outage is told at once. */
-    private void read(String uid, int tries, Consumer<StateClient.Got> then) {
-        store.get(JobStore.jobKey(uid), StateClient.Class.ORDINARY, got -> {
-            if (got.status() == 429 && tries > 1) {
-                loop.after(AGAIN_MICROS, () -> read(uid, tries - 1, then));
-            } else {
-                then.accept(got);
+        book.look(uid, look -> {
+            switch (look.standing()) {
+                case ACTIVE, ENDED -> out.send(200, describe(uid, look));
+                case MISSING -> refuse.run();
+                case UNAVAILABLE -> unavailable(out);
             }
         });
     }
 
-    private String describe(String uid, StateClient.Item record) {
-        JobState f = JobStore.finalState(record.data());
-        if (f != null) {
-            finals.put(uid, f);
-            return state(uid, f, null);
+    private String describe(String uid, JobBook.Look look) {
+        if (look.how() != null) {
+            return state(uid, look.how(), null);
         }
         int[] counts = desk.counts(uid);
         return state(uid, counts != null && counts[1] > 0 ? JobState.RUNNING : JobState.PENDING, counts);
@@ -225,82 +219,68 @@
     }
 
     public void poll(String uid, Responder raw) {
-        if (!JobSpec.validUid(uid)) {
-            raw.error(404, "no such job");
-            return;
-        }
-        JobState f = finals.getIfPresent(uid);
-        if (f != null) {
-            raw.send(200, state(uid, f, null));
-            return;
-        }
-        Responder out = admit("poll", raw);
-        if (out == null) {
-            return;
+        Responder out = admitKnown("poll", uid, raw);
+        if (out != null) {
+            ifUnknown(uid, out, () -> out.error(404, "no such job"));
         }
-        read(uid, 3, got -> {
-            if (got.found()) {
-                out.send(200, describe(uid, got.item()));
-            } else if (got.missing()) {
-                out.error(404, "no such job");
-            } else {
-                unavailable(out);
-            }
-        });
     }
 
-    public void abort(String uid, Responder raw) {
+    /** Null when the answer has been given: no such id, an end that is known, or too many requests. */
+    private Responder admitKnown(String kind, String uid, Responder raw) {
         if (!JobSpec.validUid(uid)) {
             raw.error(404, "no such job");
-            return;
+            return null;
         }
-        JobState f = finals.getIfPresent(uid);
-        if (f != null) {
-            raw.send(200, state(uid, f, null));
-            return;
+        JobState how = book.known(uid);
+        if (how != null) {
+            raw.send(200, state(uid, how, null));
+            return null;
         }
-        Responder out = admit("abort", raw);
+        return admit(kind, raw);
+    }
+
+    public void abort(String uid, Responder raw) {
+        Responder out = admitKnown("abort", uid, raw);
         if (out != null) {
             abort(uid, out, TRIES);
         }
     }
 
     private void abort(String uid, Responder out, int tries) {
-        read(uid, TRIES, got -> {
-            if (got.missing()) {
-                out.error(404, "no such job");
-                return;
-            }
-            if (!got.found()) {
-                unavailable(out);
-                return;
-            }
-            if (JobStore.finalState(got.item().data()) != null) {
-                if (JobStore.finalState(got.item().data()) == JobState.ABORTED) {
-                    desk.aborted(uid);
-                }
-                out.send(200, describe(uid, got.item()));
-                return;
-            }
-            if (tries == 0) {
-                unavailable(out);
-                return;
-            }
-            Txn txn = layout.end(uid, got.item().stamp(), JobState.ABORTED, 0);
-            store.txn(txn, StateClient.Class.URGENT, outcome -> {
-                switch (outcome) {
-                    case APPLIED -> {
-                        finals.put(uid, JobState.ABORTED);
-                        metrics.count("jobs_aborted");
+        book.look(uid, look -> {
+            switch (look.standing()) {
+                case MISSING -> out.error(404, "no such job");
+                case UNAVAILABLE -> unavailable(out);
+                case ENDED -> {
+                    if (look.how() == JobState.ABORTED) {
                         desk.aborted(uid);
-                        out.send(200, state(uid, JobState.ABORTED, null));
                     }
-                    case REFUSED -> unavailable(out);
-                    // The stored state decides, whatever became of this transaction.
-                    default -> abort(uid, out, tries - 1);
+                    out.send(200, describe(uid, look));
                 }
-            });
+                case ACTIVE -> {
+                    if (tries == 0) {
+                        unavailable(out);
+                    } else {
+                        end(uid, look.stamp(), out, tries);
+                    }
+                }
+            }
         });
     }
 
+    private void end(String uid, long stamp, Responder out, int tries) {
+        store.txn(layout.end(uid, stamp, JobState.ABORTED, 0), StateClient.Class.URGENT, result -> {
+            switch (result.outcome()) {
+                case APPLIED -> {
+                    book.ended(uid, JobState.ABORTED);
+                    metrics.count("jobs_aborted");
+                    desk.aborted(uid);
+                    out.send(200, state(uid, JobState.ABORTED, null));
+                }
+                case REFUSED -> unavailable(out);
+                // The stored state decides, whatever became of this transaction.
+                default -> abort(uid, out, tries - 1);
+            }
+        });
+    }
 }
--- a/src/main/java/plumlever/leader/Hints.java
+++ b/src/main/java/plumlever/leader/Hints.java
@@ -13,7 +13,6 @@
 import plumlever.fleet.Machine;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
-import plumlever.store.Txn;
 import plumlever.wire.Json;
 
 /**
@@ -91,8 +90,8 @@
         if (text.equals(written) || text.getBytes(StandardCharsets.UTF_8).length > context.layout().valueBytes()) {
             return EVERY_MICROS;
         }
-        context.store().txn(new Txn().put(JobStore.HINTS, out), StateClient.Class.ORDINARY, outcome -> {
-            if (outcome == Txn.Outcome.APPLIED) {
+        context.store().txn(context.office().inTerm().put(JobStore.HINTS, out), StateClient.Class.ORDINARY, result -> {
+            if (result.applied()) {
                 written = text;
             }
         });
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -24,6 +25,8 @@
     private final Context context;
     private final Runnable changed;
     private final Map<String, Job> active = new LinkedHashMap<>();
+    /** Which stored pack each job's progress was found in. */
+    private final Map<Job, Integer> packs = new HashMap<>();
     private long epoch;
     private boolean closed;
 
@@ -36,6 +39,10 @@
         return active.values();
     }
 
+    Map<Job, Integer> packs() {
+        return packs;
+    }
+
     Job get(String uid) {
         return active.get(uid);
     }
@@ -68,6 +75,18 @@
     }
 
     private void readProgress(StateClient.Item i) {
+        int pack = JobStore.packOf(i.key());
+        if (pack >= 0) {
+            JobStore.readPack(i.data()).forEach((uid, done) -> {
+                Job job = active.get(uid);
+                if (job != null) {
+                    job.stored().or(done);
+                    job.stored().stream().forEach(job::markDone);
+                    packs.put(job, pack);
+                }
+            });
+            return;
+        }
         String rest = i.key().substring(JobStore.PROGRESS.length());
         int slash = rest.lastIndexOf('/');
         Job job = slash < 0 ? null : active.get(rest.substring(0, slash));
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -1,6 +1,5 @@
 package plumlever.leader;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import org.slf4j.Logger;
@@ -13,19 +12,19 @@
 import plumlever.fleet.Job;
 import plumlever.fleet.Machine;
 import plumlever.http.Responder;
-import plumlever.settings.Endpoint;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
-import plumlever.wire.InvalidMessage;
-import plumlever.wire.Json;
 import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
 
 /** One term of office: everything the leading node knows and does, from election until it leaves. */
 public final class Leader implements AutoCloseable {
     private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
-    private static final long ROUND_EVERY_MICROS = 250_000;
-    private static final long DIRECT_TIMEOUT_MICROS = 1_500_000;
+    private static final long ROUND_EVERY_MICROS = 150_000;
+    private static final long ROUND_PAUSE_MOST_MICROS = 1_500_000;
+    private static final int ROUND_PAUSE_TIMES = 3;
+    private static final long SLICE_PAUSE_MICROS = 5_000;
+    private static final long RAISE_DEAF_EVERY_MICROS = 4_000_000;
     private static final long RAISE_EVERY_MICROS = 2_000_000;
     private static final long RETRY_MICROS = 500_000;
 
@@ -39,8 +38,10 @@
     private final Progress progress;
     private final Reports reports;
     private final Round round;
+    private final Roster roster;
     private final Machines machines;
     private final Hints hints;
+    private final Direct direct;
     private final Duty rounds;
     private boolean loaded;
     private boolean due = true;
@@ -54,7 +55,9 @@
         this.progress = new Progress(context, jobs);
         this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
         this.round = new Round(context, fleet, jobs, estimates, takeover);
-        this.machines = new Machines(context, fleet, round, reports, takeover, this::changed);
+        this.roster = new Roster(context, this::changed);
+        this.machines = new Machines(context, fleet, roster, round, reports, takeover, this::changed);
+        this.direct = new Direct(context, round, reports, this::changed);
         this.hints = new Hints(context, fleet, estimates);
         this.rounds = new Duty("rounds", context.loop(), this::roundTurn);
     }
@@ -75,13 +78,7 @@
                 context.loop().after(RETRY_MICROS, this::readFleet);
                 return;
             }
-            for (StateClient.Item i : listing.items()) {
-                String host = i.key().substring(JobStore.FLEET.length());
-                Machine m = new Machine(host, i.data().path("endpoint").asText(), i.data().path("flavor").asText(),
-                        i.data().path("site").asText(), i.data().path("loaners").asBoolean(), context.loop().nowMicros());
-                m.enrolment(Machine.Enrolment.STORED);
-                fleet.add(m);
-            }
+            roster.load(listing.items(), fleet);
             hints.read(() -> jobs.load(this::loaded));
         });
     }
@@ -89,6 +86,7 @@
     private void loaded() {
         loaded = true;
         takeover.loaded();
+        progress.loaded();
         int n = 0;
         for (Job j : jobs.all()) {
             if (j.complete()) {
@@ -101,6 +99,9 @@
         scope.own(jobs::close);
         scope.own(progress::close);
         scope.own(machines::close);
+        scope.own(direct::close);
+        scope.own(roster::close);
+        scope.own(new Duty("roster", context.loop(), roster::tidy)).start();
         scope.own(new Duty("progress", context.loop(), progress::write)).start();
         scope.own(new Duty("machines", context.loop(), machines::turn)).start();
         scope.own(new Duty("hints", context.loop(), hints::write)).start();
@@ -108,63 +109,40 @@
         scope.own(rounds).start();
     }
 
-    /** Raises the term on machines not accounted for, without waiting for their reports. */
+    /**
+     * Shows the token to machines not accounted for, without waiting for their reports; and now and then to those that
+     * nothing seems to reach, whose reports are not answered meanwhile.
+     */
     private long raise() {
-        if (!context.office().mayAct()) {
-            return RETRY_MICROS;
-        }
-        if (takeover.complete()) {
-            return -1;
-        }
-        for (Machine m : new ArrayList<>(takeover.open())) {
-            Endpoint at = m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
-            if (at != null) {
-                context.caller().call(at, "GET", "/inspect", null, DIRECT_TIMEOUT_MICROS, (status, body) -> {
-                    WorkerReport r = status == 200 ? read(body) : null;
-                    if (r != null && r.host().equals(m.id())) {
-                        raise(m, at, r.tenure());
-                    }
-                });
-            }
-        }
-        return RAISE_EVERY_MICROS;
-    }
-
-    private void raise(Machine m, Endpoint at, long tenure) {
-        if (scope.closed() || m.accounted() || !context.office().mayAct()) {
-            return;
-        }
-        byte[] body = Json.write(Json.object().put("baton", term).put("tenure", tenure).set("orders", Json.object().arrayNode()))
-                .getBytes(StandardCharsets.UTF_8);
-        context.caller().call(at, "POST", "/orders", body, DIRECT_TIMEOUT_MICROS, (status, data) -> {
-            WorkerReport r = status == 200 || status == 409 ? read(data) : null;
-            if (r == null || scope.closed() || !context.office().mayAct() || !r.host().equals(m.id())) {
-                return;
+        if (context.office().mayAct()) {
+            for (Machine m : new ArrayList<>(takeover.open())) {
+                direct.raise(m);
             }
-            if (reports.apply(m, r, false)) {
-                changed();
+            for (Machine m : fleet.machines()) {
+                if (m.deaf()) {
+                    direct.raise(m);
+                }
             }
-        });
-    }
-
-    private static WorkerReport read(byte[] body) {
-        try {
-            return WorkerReport.parse(new String(body, StandardCharsets.UTF_8));
-        } catch (InvalidMessage e) {
-            LOG.warn("a worker's direct answer can't be read: {}", e.getMessage());
-            return null;
         }
+        return takeover.complete() ? RAISE_DEAF_EVERY_MICROS : RAISE_EVERY_MICROS;
     }
 
     private void changed() {
         due = true;
     }
 
+    /** Rounds are gathered: each pauses for a few times what the last one took, so that requests come first. */
     private long roundTurn() {
-        if (due && context.office().mayAct()) {
-            due = !round.run(null);
+        if (!due || !context.office().mayAct()) {
+            return ROUND_EVERY_MICROS;
+        }
+        boolean finished = round.run();
+        direct.dispatch(fleet);
+        if (!finished) {
+            return SLICE_PAUSE_MICROS;
         }
-        return due ? 5_000 : ROUND_EVERY_MICROS;
+        due = false;
+        return Math.max(ROUND_EVERY_MICROS, Math.min(ROUND_PAUSE_MOST_MICROS, ROUND_PAUSE_TIMES * round.spentMicros()));
     }
 
     /** Answers a worker's report; the caller has checked that this node leads. */
@@ -173,9 +151,9 @@
             out.later(503, "not in office", 1);
             return;
         }
-        if (r.baton() > term) {
+        if (Fleet.termOf(r.baton()) > term) {
             // Somebody holds a later term, so this one is over whatever this node believes.
-            context.office().resign("a worker has seen term " + r.baton(), 1_000_000);
+            context.office().resign("a worker has seen term " + Fleet.termOf(r.baton()), 1_000_000);
             out.later(503, "not in office", 1);
             return;
         }
@@ -183,44 +161,51 @@
             out.later(503, "this machine was returned", 1);
             return;
         }
+        if (!loaded) {
+            // What may run where is not known yet; the lease is renewed, and the term shown.
+            out.send(200, Order.answer(Fleet.firstToken(term), List.of()));
+            return;
+        }
         long now = context.loop().nowMicros();
         Machine m = fleet.machine(r.host());
         if (m == null) {
             m = new Machine(r.host(), r.endpoint(), r.flavor(), r.site(), r.loaners(), now);
-            if (loaded) {
-                fleet.add(m);
-            }
+            fleet.add(m);
         }
         m.learnEndpoint(r.endpoint());
-        List<Order> orders = new ArrayList<>();
-        if (loaded) {
-            boolean news = reports.apply(m, r, true);
-            if (m.enrolment() == Machine.Enrolment.NONE) {
-                machines.reported();
-            }
-            if (news) {
-                notice(m, r, now);
-            }
-            orders.addAll(reports.standing(m, r));
-            if (news && r.baton() == term) {
-                if (reports.takeChanged() || due) {
-                    due = !round.run(m);
-                    rounds.wakeIn(due ? 5_000 : ROUND_EVERY_MICROS);
-                }
-                if (round.hasPlan(m)) {
-                    reports.start(m, round.planned(m), orders);
-                    round.dropPlan(m);
-                    due = true;
-                }
-            }
+        Reports.News news = reports.apply(m, r, true);
+        if (reports.takeChanged()) {
+            due = true;
+        }
+        if (news == Reports.News.COPY) {
+            context.metrics().count("report_copies");
+            out.later(503, "a newer report is known", 1);
+            return;
+        }
+        if (m.deaf()) {
+            // Were it answered, its lease would count as renewed for ever, and nobody else could have its tasks.
+            out.later(503, "answers do not arrive", 1);
+            return;
+        }
+        if (m.enrolment() == Machine.Enrolment.NONE && !m.returning() && (m.accounted() || r.baton() == 0)) {
+            // A report that shows an earlier term may be a late copy of a machine that is gone: nothing is recorded for it.
+            roster.enroll(m);
+        }
+        if (news == Reports.News.NEWS) {
+            notice(m, r, now);
+        }
+        List<Order> orders = reports.standing(m, r);
+        if (news == Reports.News.NEWS && Fleet.termOf(r.baton()) == term && round.hasPlan(m) && !m.unsettled()) {
+            reports.start(m, round.planned(m), false, orders);
+            round.dropPlan(m);
         }
-        // Checked once more: a round that ran late may have outlived the right to act.
+        // Checked once more: a turn that ran late may have outlived the right to act.
         if (!context.office().mayAct()) {
             out.later(503, "not in office", 1);
             return;
         }
         m.answered(context.loop().nowMicros());
-        out.send(200, Order.answer(term, orders));
+        out.send(200, Order.answer(m.token(), orders));
     }
 
     /** A machine about to be taken: tasks that can save are stopped in time, others are left to finish if they can. */
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -2,9 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -15,24 +16,20 @@
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
 import plumlever.scaling.RentalPlan;
-import plumlever.store.JobStore;
-import plumlever.store.StateClient;
-import plumlever.store.Txn;
 import plumlever.wire.Flavor;
 import plumlever.wire.HostEntry;
-import plumlever.wire.Json;
 
 /** Rents and returns machines, keeps the record of those that may hold tasks, and finds the ones that are gone. */
 final class Machines {
     private static final Logger LOG = LoggerFactory.getLogger(Machines.class);
-    private static final long LIST_EVERY_MICROS = 5_000_000;
+    private static final long LIST_EVERY_MICROS = 6_000_000;
     private static final long CATALOG_EVERY_MICROS = 30_000_000;
     private static final long NO_CAPACITY_PAUSE_MICROS = 12_000_000;
     private static final long REPEAT_MICROS = 2_000_000;
     /** Added to a lease before it surely has lapsed: both clocks' drift, an answer on its way, a late timer. */
     private static final long LAPSE_MARGIN_MICROS = 1_500_000;
     private static final double DRIFT = 0.002;
-    private static final int MOST_PER_ROUND = 30;
+    private static final int MOST_PER_ROUND = 300;
     /** The cloud charges at least this for a machine. */
     private static final long LEAST_CHARGE_MICROS = 58_000_000;
     private static final long SIZE_EVERY_MICROS = 3_000_000;
@@ -54,6 +51,7 @@
 
     private final Context context;
     private final Fleet fleet;
+    private final Roster roster;
     private final Round round;
     private final Reports reports;
     private final Takeover takeover;
@@ -71,21 +69,21 @@
     });
     /** Zones whose machines seem to be behind a cut: nothing is returned or rented there. */
     private final Map<String, Long> cutZones = new HashMap<>();
-    private final Set<String> toForget = new HashSet<>();
     private long rentalCounter;
+    private int closeStep = 1;
     private long listedMicros;
     private long catalogMicros;
     private long sizedMicros;
     private long sizeChangedMicros = -1;
     private boolean listing;
-    private boolean enrolling;
     private boolean returningNow;
     private boolean cataloguing;
     private boolean closed;
 
-    Machines(Context context, Fleet fleet, Round round, Reports reports, Takeover takeover, Runnable changed) {
+    Machines(Context context, Fleet fleet, Roster roster, Round round, Reports reports, Takeover takeover, Runnable changed) {
         this.context = context;
         this.fleet = fleet;
+        this.roster = roster;
         this.round = round;
         this.reports = reports;
         this.takeover = takeover;
@@ -109,7 +107,6 @@
         if (!cataloguing && now - catalogMicros >= CATALOG_EVERY_MICROS) {
             catalog();
         }
-        enroll();
         watch(now);
         returnAll(now);
         if (context.moneyMatters()) {
@@ -159,54 +156,6 @@
         });
     }
 
-    /** Records machines that reported before anything is ordered from them. */
-    private void enroll() {
-        if (enrolling) {
-            return;
-        }
-        List<Machine> add = new ArrayList<>();
-        Txn txn = new Txn();
-        int room = context.platform().stateLimits().txnOps();
-        for (Machine m : fleet.machines()) {
-            if (room > 0 && m.enrolment() == Machine.Enrolment.NONE && m.heard() && !m.returning()) {
-                txn.put(JobStore.fleetKey(m.id()), Json.object().put("endpoint", m.endpoint()).put("flavor", m.flavor())
-                        .put("site", m.site()).put("loaners", m.spot()));
-                add.add(m);
-                room--;
-            }
-        }
-        List<String> drop = new ArrayList<>();
-        for (String host : toForget) {
-            if (room > 0) {
-                txn.drop(JobStore.fleetKey(host));
-                drop.add(host);
-                room--;
-            }
-        }
-        if (txn.changes() == 0) {
-            return;
-        }
-        enrolling = true;
-        add.forEach(m -> m.enrolment(Machine.Enrolment.WRITING));
-        context.store().txn(txn, StateClient.Class.ORDINARY, outcome -> {
-            enrolling = false;
-            boolean stored = outcome == Txn.Outcome.APPLIED;
-            add.forEach(m -> m.enrolment(stored ? Machine.Enrolment.STORED : Machine.Enrolment.NONE));
-            if (stored) {
-                drop.forEach(toForget::remove);
-                if (!add.isEmpty()) {
-                    changed.run();
-                    enroll();
-                }
-            }
-        });
-    }
-
-    /** A machine reported for the first time: it is recorded without waiting for the next turn. */
-    void reported() {
-        enroll();
-    }
-
     private long lapsesAt(Machine m) {
         // An answer of this term renewed the lease at the latest; before the first, an earlier leader may have.
         long renewed = Math.max(takeover.loadedMicros(), m.lastAnswerMicros());
@@ -217,11 +166,12 @@
         Map<String, int[]> zones = new HashMap<>();
         for (Machine m : fleet.machines()) {
             if (m.heard() || takeover.open().contains(m)) {
-                int[] z = zones.computeIfAbsent(m.site(), k -> new int[2]);
+                int[] z = zones.computeIfAbsent(m.site(), k -> new int[3]);
                 z[0]++;
-                // Half the time already: machines behind a cut fall silent one after the other, and by the time the
-                // first is called silent all the others must have missed a report as well.
-                if (silentFor(m, now) > context.tunables().silentMicros() / 2) {
+                z[2] += takeover.open().contains(m) ? 1 : 0;
+                // One missed report already: machines behind a cut fall silent one after the other, and by the time the
+                // first is called silent all the others must have missed one as well.
+                if (silentFor(m, now) > context.platform().workers().latestReportMicros()) {
                     z[1]++;
                 }
             }
@@ -230,17 +180,19 @@
         cutZones.values().removeIf(until -> until < now);
         zones.forEach((zone, z) -> {
             if (z[1] >= 2 && z[1] * 2 >= z[0]) {
-                if (cutZones.put(zone, now + context.tunables().silentMicros()) == null) {
+                if (cutZones.put(zone, now + silentMicros()) == null) {
                     LOG.warn("{} of {} machines in {} are silent, as behind a cut", z[1], z[0], zone);
                 }
             }
         });
-        for (Machine m : new ArrayList<>(fleet.machines())) {
-            if (now >= lapsesAt(m) && silentFor(m, now) > context.tunables().silentMicros()) {
+        boolean crowded = !round.demands().isEmpty() && shortUntil.values().stream().anyMatch(t -> t > now);
+        for (Machine m : fleet.machines()) {
+            // Nobody has renewed its lease for that long, whatever it may have reported.
+            if (now >= lapsesAt(m)) {
                 boolean lost = m.running();
                 reports.endSessionsBefore(m, Long.MAX_VALUE);
                 if (lost) {
-                    LOG.info("{} is silent and its lease has lapsed", m.id());
+                    LOG.info("the lease of {} has lapsed", m.id());
                     changed.run();
                 }
                 if (!m.accounted()) {
@@ -259,16 +211,16 @@
                 if (now - Math.max(m.knownSinceMicros(), takeover.startedMicros() - patience / 2) > patience) {
                     giveBack(m, "it does not come up");
                 }
-            } else if (holdsUpTakeover(m, now)) {
+            } else if (holdsUpTakeover(m, now, zones)) {
                 giveBack(m, "it holds up the takeover");
-            } else if (silentFor(m, now) > context.tunables().silentMicros()) {
+            } else if (silentFor(m, now) > silentMicros()) {
                 // Many silent at once in a zone look like a cut, behind which they go on working.
                 if (!cutZones.containsKey(m.site()) || silentFor(m, now) > 2 * context.platform().workers().leaseMicros()) {
                     giveBack(m, "it is silent");
                 }
             } else if (m.draining() && !m.running()) {
                 giveBack(m, "it is drained");
-            } else if (idleTooLong(m, now)) {
+            } else if (idleTooLong(m, crowded, now)) {
                 giveBack(m, "it is idle");
             }
         }
@@ -278,28 +230,25 @@
      * True for one of few machines that neither answer nor report to a new leader while the rest of their zone does.
      * Mostly they were taken just before; every inherited task waits for them, so they are given up sooner.
      */
-    private boolean holdsUpTakeover(Machine m, long now) {
+    private boolean holdsUpTakeover(Machine m, long now, Map<String, int[]> zones) {
         if (!takeover.open().contains(m) || now - takeover.loadedMicros() < context.tunables().silentMicros() / 3) {
             return false;
         }
-        int zone = 0;
-        int open = 0;
-        for (Machine o : fleet.machines()) {
-            if (o.site().equals(m.site()) && o.enrolment() == Machine.Enrolment.STORED) {
-                zone++;
-                if (takeover.open().contains(o)) {
-                    open++;
-                }
-            }
-        }
-        return open * 3 <= zone;
+        int[] z = zones.get(m.site());
+        return z != null && z[2] * 3 <= z[0];
+    }
+
+    /** Reports that are far apart make a machine seem silent later. */
+    private long silentMicros() {
+        return Math.max(context.tunables().silentMicros(), 2 * context.platform().workers().reportMicros()
+                + context.platform().workers().reportMicros() / 2);
     }
 
     private long silentFor(Machine m, long now) {
         return now - Math.max(m.lastReportMicros(), takeover.startedMicros());
     }
 
-    private boolean idleTooLong(Machine m, long now) {
+    private boolean idleTooLong(Machine m, boolean crowded, long now) {
         if (m.running() || round.hasPlan(m) || !takeover.complete()) {
             m.idleSince(-1);
             return false;
@@ -311,7 +260,6 @@
             return now - m.knownSinceMicros() > LEAST_CHARGE_MICROS;
         }
         // Tasks that wait although the cloud has no more may need the place of a machine that does not suit them.
-        boolean crowded = !round.demands().isEmpty() && shortUntil.values().stream().anyMatch(t -> t > now);
         long limit = context.moneyMatters() || crowded
                 ? context.tunables().idleMoneyMicros() : context.tunables().idleSpeedMicros();
         return now - m.idleSinceMicros() > limit && now - m.knownSinceMicros() > LEAST_CHARGE_MICROS;
@@ -347,9 +295,7 @@
                 deleted.add(m.id());
                 fleet.remove(m);
                 takeover.accounted(m, "it was returned");
-                if (m.enrolment() != Machine.Enrolment.NONE) {
-                    toForget.add(m.id());
-                }
+                roster.remove(m);
             }
             changed.run();
         });
@@ -363,17 +309,7 @@
         Set<Machine> closed = round.closed();
         closed.removeIf(m -> fleet.machine(m.id()) != m);
         if (!round.demands().isEmpty()) {
-            Machine best = null;
-            for (Machine m : closed) {
-                if (!m.returning() && !m.draining() && (best == null || price(m) < price(best))) {
-                    best = m;
-                }
-            }
-            if (best != null) {
-                closed.remove(best);
-                sizeChangedMicros = now;
-                changed.run();
-            }
+            reopen(closed, now);
             sizedMicros = now;
             return;
         }
@@ -381,19 +317,59 @@
             return;
         }
         sizedMicros = now;
-        Machine worst = null;
+        List<Machine> able = new ArrayList<>();
         for (Machine m : fleet.machines()) {
             if (m.heard() && !closed.contains(m) && !m.returning() && !m.draining()
-                    && now - m.knownSinceMicros() > LEAST_CHARGE_MICROS
-                    && (worst == null || price(m) > price(worst) || (price(m) == price(worst) && load(m) < load(worst)))) {
-                worst = m;
+                    && now - m.knownSinceMicros() > LEAST_CHARGE_MICROS) {
+                able.add(m);
             }
         }
-        if (worst != null && round.canDoWithout(worst)) {
-            closed.add(worst);
-            context.metrics().count("machines_closed");
-            LOG.debug("{} gets no new tasks, the others will do", worst.id());
+        able.sort(Comparator.comparingDouble(this::price).reversed().thenComparingDouble(Machines::load));
+        int step = Math.min(closeStep, able.size());
+        if (step == 0) {
+            return;
+        }
+        Set<Machine> fewer = new LinkedHashSet<>(closed);
+        fewer.addAll(able.subList(0, step));
+        if (round.canDoWithout(fewer)) {
+            closed.addAll(fewer);
+            context.metrics().count("machines_closed", step);
+            LOG.debug("{} more machines get no new tasks, the others will do", step);
+            // A large fleet is too large by many machines at a time; what goes well is tried twice as far.
+            closeStep = Math.min(Math.max(1, able.size() / 10), closeStep * 2);
+        } else {
+            closeStep = Math.max(1, closeStep / 2);
+        }
+    }
+
+    /** The cheapest closed machines, as many as hold what waits, are opened again. */
+    private void reopen(Set<Machine> closed, long now) {
+        double cores = 0;
+        for (RentalPlan.Demand d : round.demands()) {
+            cores += d.tasks() * d.job().cores();
+        }
+        List<Machine> able = new ArrayList<>();
+        for (Machine m : closed) {
+            if (!m.returning() && !m.draining()) {
+                able.add(m);
+            }
+        }
+        able.sort(Comparator.comparingDouble(this::price));
+        boolean any = false;
+        for (Machine m : able) {
+            if (any && cores <= 0) {
+                break;
+            }
+            Flavor f = context.prices().flavor(m.flavor());
+            cores -= f == null ? 0 : f.cores() - load(m);
+            closed.remove(m);
+            any = true;
+        }
+        if (any) {
+            sizeChangedMicros = now;
+            changed.run();
         }
+        closeStep = 1;
     }
 
     /** Price for each processor; spot prices move a little, so kinds are compared coarsely. */
--- a/src/main/java/plumlever/leader/Progress.java
+++ b/src/main/java/plumlever/leader/Progress.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -17,17 +18,33 @@
 
 /**
  * Writes finished tasks in batches, and the end of a job at once: its user expects to read it within seconds of the
- * last task. Losing stored progress is safe, since a completed task that is started again ends at once.
+ * last task. Small jobs share records, since changes are what the state service has least of. Losing stored progress is
+ * safe: a completed task that is started again ends at once.
  */
 final class Progress {
     private static final Logger LOG = LoggerFactory.getLogger(Progress.class);
     private static final long RETRY_MICROS = 300_000;
+    private static final long MOST_BYTES = 48 * 1024;
+
+    /** A record that small jobs share. */
+    private static final class Pack {
+        final int number;
+        final Set<Job> jobs = new LinkedHashSet<>();
+        int bytes;
+        boolean dirty;
+
+        Pack(int number) {
+            this.number = number;
+        }
+    }
 
     private final Context context;
     private final Jobs jobs;
+    private final Map<Integer, Pack> packs = new LinkedHashMap<>();
+    private final Map<Job, Pack> packOf = new HashMap<>();
+    /** Chunks of large jobs that have not been written since a task of theirs finished. */
     private final Map<Job, BitSet> dirty = new LinkedHashMap<>();
     private final Set<Job> ending = new LinkedHashSet<>();
-    private final Set<Job> alone = new LinkedHashSet<>();
     private boolean writing;
     private boolean closed;
 
@@ -36,15 +53,51 @@
         this.jobs = jobs;
     }
 
+    /** The packs as earlier leaders left them: a record is only written whole, with all its jobs. */
+    void loaded() {
+        jobs.packs().forEach((job, number) -> enter(packs.computeIfAbsent(number, Pack::new), job));
+    }
+
+    private void enter(Pack p, Job job) {
+        p.jobs.add(job);
+        p.bytes += context.layout().packedBytes(job.spec());
+        packOf.put(job, p);
+    }
+
     void taskDone(Job job, int task) {
         if (job.complete()) {
             dirty.remove(job);
             if (ending.add(job)) {
                 end(job);
             }
-        } else {
+            return;
+        }
+        int bytes = context.layout().packedBytes(job.spec());
+        if (bytes < 0) {
             dirty.computeIfAbsent(job, j -> new BitSet()).set(context.layout().chunkOf(task));
+            return;
+        }
+        Pack p = packOf.get(job);
+        if (p == null) {
+            p = packWithRoom(bytes);
+            enter(p, job);
         }
+        p.dirty = true;
+    }
+
+    private Pack packWithRoom(int bytes) {
+        for (Pack p : packs.values()) {
+            if (p.bytes + bytes <= context.layout().packBytes()) {
+                return p;
+            }
+        }
+        int number = 0;
+        while (packs.containsKey(number)) {
+            number++;
+        }
+        Pack p = new Pack(number);
+        packs.put(number, p);
+        return p;
     }
 
     private void end(Job job) {
@@ -52,10 +105,11 @@
             ending.remove(job);
             return;
         }
-        int chunks = Math.min(context.layout().chunks(job.spec().pieces()), context.platform().stateLimits().txnOps() - 2);
+        int chunks = context.layout().packedBytes(job.spec()) >= 0 ? 0
+                : Math.min(context.layout().chunks(job.spec().pieces()), context.platform().stateLimits().txnOps() - 2);
         Txn txn = context.layout().end(job.uid(), job.stamp(), JobState.DONE, chunks);
-        context.store().txn(txn, StateClient.Class.URGENT, outcome -> {
-            switch (outcome) {
+        context.store().txn(txn, StateClient.Class.URGENT, result -> {
+            switch (result.outcome()) {
                 case APPLIED -> {
                     context.metrics().count("jobs_done");
                     LOG.debug("{} done", job.uid());
@@ -69,7 +123,7 @@
 
     /** Somebody else ended it, or an earlier write of this node's own was carried out unheard. */
     private void settle(Job job) {
-        context.store().get(JobStore.jobKey(job.uid()), StateClient.Class.URGENT, got -> {
+        context.store().get(JobStore.endedKey(job.uid()), StateClient.Class.URGENT, got -> {
             if (got.found() && JobStore.finalState(got.item().data()) != null) {
                 ended(job);
             } else {
@@ -83,74 +137,85 @@
         jobs.ended(job.uid());
     }
 
-    /** One turn of the duty: as many jobs as one transaction takes. */
+    /** One turn of the duty: as much as one transaction takes, the oldest first. */
     long write() {
         long pause = context.tunables().progressMicros();
-        dirty.keySet().removeIf(Job::over);
-        alone.removeIf(Job::over);
-        if (writing || dirty.isEmpty()) {
+        forgetEnded();
+        if (writing || closed) {
             return pause;
         }
-        Txn txn = new Txn();
+        // Nothing but the term guards it: progress of a job that has ended meanwhile is a stray that the next write drops.
+        Txn txn = context.office().inTerm();
         Map<Job, BitSet> snapshots = new LinkedHashMap<>();
-        Map<Job, BitSet> sent = new LinkedHashMap<>();
-        List<Job> order = new ArrayList<>(dirty.keySet());
+        List<Pack> sentPacks = new ArrayList<>();
+        Map<Job, BitSet> sentChunks = new LinkedHashMap<>();
         int room = context.platform().stateLimits().txnOps();
         long bytes = 0;
-        int valueBytes = context.platform().stateLimits().valueBytes();
-        for (Job job : order) {
-            if (alone.contains(job) && !snapshots.isEmpty()) {
+        for (Pack p : packs.values()) {
+            if (!p.dirty || room == 0 || bytes + p.bytes > MOST_BYTES) {
                 continue;
             }
-            BitSet chunks = dirty.get(job);
-            int n = Math.min(chunks.cardinality(), room);
-            if (n == 0 || bytes + (long) n * Math.min(valueBytes, job.spec().pieces() / 6 + 100) > 48 * 1024) {
-                break;
+            room--;
+            bytes += p.bytes;
+            p.dirty = false;
+            sentPacks.add(p);
+            Map<String, BitSet> done = new LinkedHashMap<>();
+            for (Job j : p.jobs) {
+                done.put(j.uid(), j.done());
+                snapshots.put(j, (BitSet) j.done().clone());
             }
-            BitSet snapshot = new BitSet();
+            txn.put(JobStore.packKey(p.number), context.layout().pack(done));
+        }
+        for (Map.Entry<Job, BitSet> e : dirty.entrySet()) {
+            Job job = e.getKey();
+            int each = Math.min(context.layout().valueBytes(), job.spec().pieces() / 6 + 100);
             BitSet written = new BitSet();
-            int c = -1;
-            txn.guard(JobStore.activeKey(job.uid()), job.stamp());
-            for (int i = 0; i < n; i++) {
-                c = chunks.nextSetBit(c + 1);
+            for (int c = e.getValue().nextSetBit(0); c >= 0 && room > 0 && bytes + each <= MOST_BYTES;
+                    c = e.getValue().nextSetBit(c + 1)) {
+                room--;
+                bytes += each;
+                written.set(c);
                 txn.put(JobStore.progressKey(job.uid(), c), context.layout().chunk(job.done(), c));
-                bytes += Math.min(valueBytes, job.spec().pieces() / 6 + 100);
                 int chunk = c;
-                written.set(c);
+                BitSet snapshot = snapshots.computeIfAbsent(job, j -> new BitSet());
                 job.done().stream().filter(t -> context.layout().chunkOf(t) == chunk).forEach(snapshot::set);
-                room--;
             }
-            snapshots.put(job, snapshot);
-            sent.put(job, written);
-            if (alone.contains(job)) {
-                break;
+            if (!written.isEmpty()) {
+                sentChunks.put(job, written);
             }
         }
-        if (snapshots.isEmpty()) {
+        if (txn.changes() == 0) {
             return pause;
         }
-        sent.forEach((job, written) -> dirty.get(job).andNot(written));
+        sentChunks.forEach((job, written) -> dirty.get(job).andNot(written));
         dirty.values().removeIf(BitSet::isEmpty);
-        boolean more = !dirty.isEmpty();
         writing = true;
-        context.store().txn(txn, StateClient.Class.ORDINARY, outcome -> {
+        context.store().txn(txn, StateClient.Class.ORDINARY, result -> {
             writing = false;
-            if (outcome == Txn.Outcome.APPLIED) {
-                snapshots.forEach((job, bits) -> {
-                    job.stored().or(bits);
-                    alone.remove(job);
-                });
+            if (result.applied()) {
+                snapshots.forEach((job, bits) -> job.stored().or(bits));
             } else {
-                if (outcome == Txn.Outcome.CONFLICT) {
-                    // One of them has ended; each goes by itself until that is heard.
-                    alone.addAll(snapshots.keySet());
-                }
-                sent.forEach((job, chunks) -> dirty.computeIfAbsent(job, j -> new BitSet()).or(chunks));
+                sentPacks.forEach(p -> p.dirty = true);
+                sentChunks.forEach((job, chunks) -> dirty.computeIfAbsent(job, j -> new BitSet()).or(chunks));
             }
         });
+        boolean more = !dirty.isEmpty() || packs.values().stream().anyMatch(p -> p.dirty);
         return more ? pause / 8 : pause;
     }
 
+    private void forgetEnded() {
+        dirty.keySet().removeIf(Job::over);
+        for (Pack p : packs.values()) {
+            p.jobs.removeIf(j -> {
+                if (j.over()) {
+                    p.bytes -= context.layout().packedBytes(j.spec());
+                    packOf.remove(j);
+                }
+                return j.over();
+            });
+        }
+    }
+
     void close() {
         closed = true;
     }
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -1,9 +1,8 @@
 package plumlever.leader;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
+import org.agrona.collections.LongHashSet;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import plumlever.fleet.Attempt;
@@ -49,18 +48,32 @@
         return c;
     }
 
+    /** What a report is worth. */
+    enum News {
+        /** The newest of its machine. */
+        NEWS,
+        /** The worker waits for its answer, but the body of a direct call that came first was newer. */
+        OVERTAKEN,
+        /** Late or sent twice: the worker does not wait for its answer, and its tasks are as old as it is. */
+        COPY
+    }
+
     /**
      * Takes what a machine tells of itself, if it is news.
      *
      * @param own sent by the worker itself; the body of a direct call proves nothing about an answer on its way
      */
-    boolean apply(Machine m, WorkerReport r, boolean own) {
-        if (m.heard() || m.tenure() > 0 || m.tick() > 0) {
-            if (!r.newerThan(m.tenure(), m.tick())) {
-                return false;
+    News apply(Machine m, WorkerReport r, boolean own) {
+        long now = context.loop().nowMicros();
+        if ((m.tenure() > 0 || m.tick() > 0) && !r.newerThan(m.tenure(), m.tick())) {
+            if (own && r.tenure() == m.tenure() && r.tick() > m.ownTick()) {
+                m.overtaken(r.tick(), now);
+                return News.OVERTAKEN;
             }
+            // Copies come seconds to minutes late. They must neither bring back what is gone nor count as a sign of life.
+            return News.COPY;
         }
-        long now = context.loop().nowMicros();
+        boolean relapsed = m.tenure() > 0 && r.tenure() > m.tenure();
         if (r.tenure() > m.tenure()) {
             endSessionsBefore(m, r.tenure());
         }
@@ -73,8 +86,9 @@
             context.metrics().count("spot_notices");
             LOG.info("{} will be taken in {} s", m.id(), r.reclaimInS());
         }
-        Set<Long> listed = new HashSet<>();
-        boolean current = r.baton() == term;
+        LongHashSet listed = new LongHashSet();
+        boolean current = Fleet.termOf(r.baton()) == term;
+        m.token(current ? r.baton() : 0);
         int foreign = 0;
         for (WorkerReport.Piece p : r.pieces()) {
             listed.add(p.attempt());
@@ -88,33 +102,79 @@
                 foreign++;
             }
         }
-        m.foreign(foreign);
+        takeover.foreign(m, foreign);
+        boolean lost = forgetGone(m, r, own, listed);
         if (own) {
-            List<Attempt> gone = new ArrayList<>();
-            for (Attempt a : m.attempts()) {
-                // The worker has taken in or dropped the answer that carried the order before it sent this.
-                if (!listed.contains(a.id()) && a.sentTick() < r.tick()) {
-                    gone.add(a);
-                }
+            hears(m, r, lost || relapsed);
+        }
+        if (current && !m.accounted()) {
+            takeover.accounted(m, own ? "it reported" : "it answered");
+            changed = true;
+        }
+        return News.NEWS;
+    }
+
+    /** Ends the attempts that the report proves the machine does not have; true if an order was lost. */
+    private boolean forgetGone(Machine m, WorkerReport r, boolean own, LongHashSet listed) {
+        List<Attempt> gone = null;
+        for (Attempt a : m.attempts()) {
+            if (listed.contains(a.id())) {
+                continue;
             }
-            for (Attempt a : gone) {
-                if (!a.over()) {
-                    changed = true;
-                    context.metrics().count(a.status() == null ? "runs_lost" : "attempts_vanished");
+            // An order in an answer: the worker has taken it in or dropped it before it sent this. A direct order: it may
+            // be carried out late, until the worker has seen a higher token.
+            if (a.directToken() >= 0 ? r.baton() > a.directToken() || a.status() != null : own && a.sentTick() < r.tick()) {
+                if (gone == null) {
+                    gone = new ArrayList<>();
                 }
-                fleet.forget(a);
+                gone.add(a);
             }
         }
-        if (current && !m.accounted()) {
-            takeover.accounted(m, own ? "it reported" : "it answered");
+        boolean lost = false;
+        for (Attempt a : gone == null ? List.<Attempt>of() : gone) {
+            if (!a.over()) {
+                changed = true;
+                lost |= a.status() == null;
+                context.metrics().count(a.status() == null ? "runs_lost" : "attempts_vanished");
+            }
+            fleet.forget(a);
+        }
+        return lost;
+    }
+
+    /** Looks whether what was sent before arrives: a machine's reports may come through although nothing reaches it. */
+    private void hears(Machine m, WorkerReport r, boolean lost) {
+        boolean wasDeaf = m.deaf();
+        if (m.answeredToken() > r.baton()) {
+            m.unheard();
+        } else if (lost) {
+            m.unheard();
+            // The next report tells by its token whether the next answer arrives.
+            m.token(m.token() + 1);
+        } else {
+            m.heardAnswer();
+        }
+        if (m.deaf() != wasDeaf) {
             changed = true;
+            context.metrics().count(wasDeaf ? "machines_hear_again" : "machines_deaf");
+            LOG.info("{} {}", m.id(), wasDeaf ? "takes answers again" : "reports, but nothing seems to reach it");
+        }
+    }
+
+    /** The worker answered that it carried nothing of this out, and it never will: its token or session has moved on. */
+    void refused(Iterable<Attempt> sent) {
+        for (Attempt a : sent) {
+            if (!a.over() && a.status() == null) {
+                changed = true;
+                context.metrics().count("runs_refused");
+                fleet.forget(a);
+            }
         }
-        return true;
     }
 
     /** A worker that starts a new session has killed and forgotten everything of the ones before. */
     void endSessionsBefore(Machine m, long tenure) {
-        m.foreign(0);
+        takeover.foreign(m, 0);
         List<Attempt> ended = new ArrayList<>();
         for (Attempt a : m.attempts()) {
             if (a.tenure() < tenure) {
@@ -139,7 +199,9 @@
         if (started) {
             a.machine().hasImage(a.job().spec().bundle(), a.job().spec().imageGb());
             context.metrics().time("start", now - a.job().acceptedMicros());
-            LOG.debug("{} runs on {}", a.name().wireName(), a.machine().id());
+            if (LOG.isDebugEnabled()) {
+                LOG.debug("{} runs on {}", a.name().wireName(), a.machine().id());
+            }
         }
         if (p.status() == TaskStatus.ENDED) {
             ended(a, p.cause(), now);
@@ -156,7 +218,9 @@
                 job.noteSuccess();
                 m.noteSuccess();
                 observe(a, now);
-                LOG.debug("{} done on {}", a.name().wireName(), m.id());
+                if (LOG.isDebugEnabled()) {
+                    LOG.debug("{} done on {}", a.name().wireName(), m.id());
+                }
                 done(job, a.task());
             }
             case ERROR, NO_SUCH -> {
@@ -191,7 +255,7 @@
     }
 
     private void observe(Attempt a, long now) {
-        if (a.runningSinceMicros() < 0 || a.sentTick() < 0 || a.job().restarted(a.task())) {
+        if (a.runningSinceMicros() < 0 || a.adopted() || a.job().restarted(a.task())) {
             return;
         }
         double took = now - a.runningSinceMicros();
@@ -255,9 +319,15 @@
     List<Order> standing(Machine m, WorkerReport r) {
         long now = context.loop().nowMicros();
         List<Order> orders = new ArrayList<>();
+        // A worker that has forgotten an attempt would start it again from a late copy of a direct order. So nothing is
+        // reaped until the answer that says so also makes such copies void, which has to wait for one still under way.
+        if (m.directOpen() && !m.calling()) {
+            m.voidDirect();
+        }
+        boolean mayReap = !m.directOpen();
         for (Attempt a : m.attempts()) {
             if (a.over()) {
-                if (a.cause() != null && (a.cause() != ExitCause.DONE || a.job().over() || a.job().stored().get(a.task()))) {
+                if (mayReap && a.cause() != null && (a.cause() != ExitCause.DONE || a.job().over() || a.job().stored().get(a.task()))) {
                     orders.add(Order.reap(a.name(), a.id()));
                 }
             } else {
@@ -269,7 +339,7 @@
                 }
             }
         }
-        if (r.baton() == term) {
+        if (Fleet.termOf(r.baton()) == term) {
             for (WorkerReport.Piece p : r.pieces()) {
                 if (m.attempt(p.attempt()) != null) {
                     continue;
@@ -277,7 +347,7 @@
                 Job job = jobs.get(p.task().job());
                 if (p.status() != TaskStatus.ENDED) {
                     orders.add(Order.halt(p.task(), p.attempt(), 0));
-                } else if (job == null || p.cause() != ExitCause.DONE || job.stored().get(p.task().number())) {
+                } else if (mayReap && (job == null || p.cause() != ExitCause.DONE || job.stored().get(p.task().number()))) {
                     orders.add(Order.reap(p.task(), p.attempt()));
                 }
             }
@@ -286,11 +356,13 @@
     }
 
     /** Takes the tasks planned for the machine, each rule checked again as the order is written. */
-    void start(Machine m, Iterable<Round.Planned> planned, List<Order> orders) {
+    List<Attempt> start(Machine m, Iterable<Round.Planned> planned, boolean direct, List<Order> orders) {
         Flavor f = context.prices().flavor(m.flavor());
-        if (f == null || m.draining() || m.returning() || m.enrolment() != Machine.Enrolment.STORED || !m.accounted()) {
-            return;
+        if (f == null || m.draining() || m.returning() || m.enrolment() != Machine.Enrolment.STORED || !m.accounted()
+                || m.deaf()) {
+            return List.of();
         }
+        List<Attempt> started = new ArrayList<>();
         double cores = f.cores();
         double accelerators = f.accelerators();
         double memory = f.memoryGb();
@@ -315,7 +387,8 @@
                     break;
                 }
                 int task = job.firstFree();
-                Attempt a = fleet.start(job, task, m, now);
+                Attempt a = fleet.start(job, task, m, direct, now);
+                started.add(a);
                 zones.add(m.site());
                 cores -= job.spec().cores();
                 accelerators -= job.spec().accelerators();
@@ -324,8 +397,11 @@
                 orders.add(Order.run(a.name(), a.id()));
                 context.metrics().count("runs_ordered");
                 context.metrics().time("wait", now - job.acceptedMicros());
-                LOG.debug("{} goes to {}", a.name().wireName(), m.id());
+                if (LOG.isDebugEnabled()) {
+                    LOG.debug("{} goes to {}", a.name().wireName(), m.id());
+                }
             }
         }
+        return started;
     }
 }
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -20,8 +21,10 @@
 import plumlever.placement.Seat;
 import plumlever.placement.Zones;
 import plumlever.scaling.RentalPlan;
+import plumlever.scaling.Standby;
 import plumlever.settings.Platform;
 import plumlever.wire.Flavor;
+import plumlever.wire.JobSpec;
 import plumlever.wire.TaskStatus;
 
 /**
@@ -31,17 +34,16 @@
  */
 final class Round {
     private static final Logger LOG = LoggerFactory.getLogger(Round.class);
-    /** A machine this long without a report gets no new tasks: it may be gone. */
-    private static final long FRESH_MICROS = 6_000_000;
     /** Tasks of one job looked at in one round beyond those that find room at once. */
     private static final int MOST_BOOKED = 64;
     private static final int MOST_PREEMPTED = 24;
 
+    private static final long STANDBY_WINDOW_MICROS = 120_000_000;
     private static final long MISSED_MICROS = 120_000_000;
     private static final long LONG_WAIT_MICROS = 120_000_000;
 
-    /** The least time until a machine that is not reporting right now takes an order. */
-    private static final long NEXT_ANSWER_MICROS = 200_000;
+    /** About what an order takes that is sent to a machine. */
+    private static final long ORDER_MICROS = 50_000;
 
     /** Some tasks of a job that go to a machine with its next answer. */
     static final class Planned {
@@ -64,11 +66,14 @@
     private final Map<String, Map<Job, Planned>> plans = new HashMap<>();
     private final Map<String, double[]> plannedByTeam = new HashMap<>();
     private final Map<Job, Boolean> within = new HashMap<>();
+    private final Set<Job> seen = new HashSet<>();
+    private final Standby standby;
     private List<Job> order = List.of();
     private final Set<Machine> closed = new LinkedHashSet<>();
     private int cursor;
     private long finishedMicros;
-    private Machine reporting;
+    private long spentMicros;
+    private Picture picture;
     private List<RentalPlan.Demand> demands = new ArrayList<>();
     private List<RentalPlan.Demand> lastDemands = List.of();
 
@@ -81,6 +86,7 @@
         this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare(),
                 hedge(context));
         this.preemption = new Preemption(context, fleet, this::usable);
+        this.standby = new Standby(STANDBY_WINDOW_MICROS, context.tunables().rentMicros(), context.tunables().standbySpreads());
         this.targets = new Targets(context.platform().objectives(), context.tunables().startTargetMicros());
     }
 
@@ -98,24 +104,23 @@
         return closed;
     }
 
-    /** True if all that waits would still be served in time without this machine. Nothing is changed. */
-    boolean canDoWithout(Machine m) {
+    /** True if all that waits would still be served in time without these machines. Nothing is changed. */
+    boolean canDoWithout(Set<Machine> without) {
         long now = context.loop().nowMicros();
-        List<Seat> seats = seats(now, m, false);
-        Map<String, Machine> machines = byId();
+        Picture picture = new Picture(now, without, false);
         for (Job job : order(now)) {
-            Ask ask = ask(job);
-            Placer.Search search = search(job, ask, seats, machines, now);
+            Ask ask = ask(job, now);
+            Placer.Search search = search(job, ask, picture);
             int want = Math.min(job.freeCount(), takeover.quotaRoom(job));
             for (int i = 0; i < want; i++) {
                 Placer.Choice c = search.next();
-                if (c.seat() < 0 || (!c.feasible() && rentalHelps(ask, now)) || i > MOST_BOOKED) {
+                if (c.seat() < 0 || (!c.feasible() && rentalHelps(job, ask, now)) || i > MOST_BOOKED) {
                     return false;
                 }
                 search.commit(c);
             }
         }
-        return true;
+        return picture.spareCores() >= standby.cores(now);
     }
 
     /** What waits for machines, as of the last whole round. */
@@ -135,13 +140,8 @@
         plans.remove(m.id());
     }
 
-    /**
-     * Goes through the jobs, most urgent first; true when it came to the end within its time.
-     *
-     * @param answering the machine whose report is being answered, which takes orders at once; or null
-     */
-    boolean run(Machine answering) {
-        reporting = answering;
+    /** Goes through the jobs, most urgent first; true when it came to the end within its time. */
+    boolean run() {
         long start = context.loop().nowMicros();
         if (cursor >= order.size()) {
             plans.clear();
@@ -149,33 +149,51 @@
             demands = new ArrayList<>();
             order = order(start);
             cursor = 0;
+            spentMicros = 0;
+            picture = order.isEmpty() ? null : new Picture(start, closed, true);
         }
-        if (order.isEmpty()) {
-            lastDemands = List.of();
-            finishedMicros = start;
-            return true;
-        }
-        List<Seat> seats = seats(start, null, true);
-        Map<String, Machine> machines = byId();
         while (cursor < order.size()) {
-            place(order.get(cursor++), seats, machines, start);
+            place(order.get(cursor++));
             if (context.loop().nowMicros() - start > context.tunables().roundBudgetMicros() && cursor < order.size()) {
+                spentMicros += context.loop().nowMicros() - start;
                 context.metrics().count("rounds_cut");
                 return false;
             }
         }
+        standBy(picture == null ? new Picture(start, closed, true) : picture);
+        picture = null;
         lastDemands = demands;
         finishedMicros = context.loop().nowMicros();
-        context.metrics().time("round", context.loop().nowMicros() - start);
+        spentMicros += finishedMicros - start;
+        context.metrics().time("round", spentMicros);
         return true;
     }
 
+    /** Asks for room that is missing for work that has not come yet but must start at once when it does. */
+    private void standBy(Picture p) {
+        double missing = standby.cores(p.now) - p.spareCores();
+        JobSpec like = standby.typical();
+        if (missing > 0 && like != null && like.cores() > 0) {
+            demands.add(new RentalPlan.Demand(like, null, (int) Math.ceil(missing / like.cores()), (long) (like.expectS() * 1e6)));
+        }
+    }
+
+    /** What the last whole round took, without the pauses in it. */
+    long spentMicros() {
+        return spentMicros;
+    }
+
+    /** Machines that have a plan, by name. */
+    List<String> plannedMachines() {
+        return new ArrayList<>(plans.keySet());
+    }
+
     /** By when its next task has to run; tasks that ran before have met any aim for a start. */
-    private long latestStart(Job j) {
-        long finish = targets.finishBy(j);
+    private long latestStart(Job j, long now) {
+        long finish = targets.finishBy(j, now);
         long run = (long) (estimates.runMicros(j) * (1 + context.tunables().paddingShare()));
         long byFinish = finish == Long.MAX_VALUE ? Long.MAX_VALUE : finish - run;
-        return j.hasFreshFree() ? Math.min(byFinish, targets.startBy(j, within.getOrDefault(j, false))) : byFinish;
+        return j.hasFreshFree() ? Math.min(byFinish, targets.startBy(j, guaranteed(j), now)) : byFinish;
     }
 
     /** What missed its aim a moment ago makes way for what can still meet its own, but not for ever. */
@@ -183,6 +201,11 @@
         return latestStart < now && now - latestStart < MISSED_MICROS;
     }
 
+    /** Of lasting work that is more urgent or guaranteed there may be no end, so what has waited long to begin goes first. */
+    private boolean mustBegin(Job j, long now) {
+        return !j.begun() && now - j.acceptedMicros() > context.tunables().beginMicros();
+    }
+
     /** Work within a guarantee first, then by urgency, then what can still meet its aim, the most pressing first. */
     private List<Job> order(long now) {
         Map<String, Double> guaranteed = new HashMap<>();
@@ -192,6 +215,7 @@
         List<Job> byAge = new ArrayList<>(jobs.all());
         byAge.sort(Comparator.comparingLong(Job::acceptedMicros));
         within.keySet().retainAll(byAge);
+        seen.retainAll(within.keySet());
         Map<String, Double> used = new HashMap<>();
         List<Job> waiting = new ArrayList<>();
         for (Job j : byAge) {
@@ -203,13 +227,18 @@
             if (within.putIfAbsent(j, cores <= guaranteed.getOrDefault(j.spec().owner(), 0.0)) == null && within.get(j)) {
                 context.metrics().count("jobs_guaranteed");
             }
+            if (seen.add(j) && now - j.acceptedMicros() < STANDBY_WINDOW_MICROS
+                    && targets.startBy(j, guaranteed(j), j.acceptedMicros()) - j.acceptedMicros() < context.tunables().rentMicros()) {
+                standby.arrived(now, j.spec());
+            }
             if (j.hasFree() && j.notBeforeMicros() <= now && !takeover.blocks(j)) {
                 waiting.add(j);
             }
         }
         Map<Job, Long> latest = new HashMap<>();
-        waiting.forEach(j -> latest.put(j, latestStart(j)));
-        waiting.sort(Comparator.<Job>comparingInt(j -> within.get(j) ? 0 : 1)
+        waiting.forEach(j -> latest.put(j, latestStart(j, now)));
+        waiting.sort(Comparator.<Job>comparingInt(j -> mustBegin(j, now) ? 0 : 1)
+                .thenComparingInt(j -> within.get(j) ? 0 : 1)
                 .thenComparing(j -> j.spec().urgency())
                 .thenComparingInt(j -> missed(latest.get(j), now) ? 1 : 0)
                 .thenComparingLong(latest::get)
@@ -221,14 +250,9 @@
         // A new leader has the machines' answers to its direct calls before their own reports: without those machines
         // everything would seem to lack room, and be rented for.
         long sign = m.heard() ? m.lastReportMicros() : takeover.startedMicros();
-        return m.enrolment() == Machine.Enrolment.STORED && m.accounted() && !m.draining() && !m.returning()
-                && now - sign < FRESH_MICROS;
-    }
-
-    private Map<String, Machine> byId() {
-        Map<String, Machine> machines = new HashMap<>();
-        fleet.machines().forEach(m -> machines.put(m.id(), m));
-        return machines;
+        // A machine that missed a report may be gone, and one with an unheard direct order may have taken it.
+        return m.enrolment() == Machine.Enrolment.STORED && m.accounted() && !m.draining() && !m.returning() && !m.deaf()
+                && !m.unsettled() && now - sign < context.platform().workers().latestReportMicros();
     }
 
     /** Rented and not up yet, or up and not yet on record. */
@@ -237,48 +261,64 @@
                 && m.accounted() == m.heard();
     }
 
-    private List<Seat> seats(long now, Machine without, boolean withPlans) {
-        List<Seat> seats = new ArrayList<>();
-        for (Machine m : fleet.machines()) {
-            Flavor f = context.prices().flavor(m.flavor());
-            if (f == null || m == without || closed.contains(m)) {
-                continue;
-            }
-            if (coming(m)) {
-                long up = Math.max(now + 1_000_000, m.knownSinceMicros() + (long) (f.startupS() * 1.2e6));
-                Seat s = new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(),
-                        context.prices().hourly(f, m.spot()) / 3600, 1, 0);
-                s.comesUp(up);
-                seats.add(s);
-                continue;
-            }
-            if (!usable(m, now)) {
-                continue;
-            }
-            Seat s = new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(),
-                    context.prices().hourly(f, m.spot()) / 3600, m.slowness(), untilNextReport(m, now));
-            for (Attempt a : m.attempts()) {
-                if (!a.over()) {
-                    s.occupy(ask(a.job()), endsAt(a, f, now));
+    /** The machines as one round sees them, with what it gives away as it goes. */
+    private final class Picture {
+        private final long now;
+        private final List<Seat> seats = new ArrayList<>();
+        private final List<Machine> machines = new ArrayList<>();
+
+        Picture(long now, Set<Machine> without, boolean withPlans) {
+            this.now = now;
+            for (Machine m : fleet.machines()) {
+                Flavor f = context.prices().flavor(m.flavor());
+                if (f == null || without.contains(m)) {
+                    continue;
                 }
-            }
-            for (Planned p : withPlans ? planned(m) : List.<Planned>of()) {
-                Ask ask = ask(p.job);
-                for (int i = 0; i < p.tasks; i++) {
-                    s.occupy(ask, now + ask.runMicros());
+                if (coming(m)) {
+                    long up = Math.max(now + 1_000_000, m.knownSinceMicros() + (long) (f.startupS() * 1.2e6));
+                    Seat s = seat(m, f, 1, 0);
+                    s.comesUp(up);
+                    add(m, s);
+                } else if (usable(m, now)) {
+                    Seat s = seat(m, f, m.slowness(), ORDER_MICROS);
+                    for (Attempt a : m.attempts()) {
+                        if (!a.over()) {
+                            occupy(s, a.job(), endsAt(a, f, now));
+                        }
+                    }
+                    if (withPlans) {
+                        for (Planned p : planned(m)) {
+                            for (int i = 0; i < p.tasks; i++) {
+                                occupy(s, p.job, now + estimates.runMicros(p.job));
+                            }
+                        }
+                    }
+                    add(m, s);
                 }
             }
+        }
+
+        private Seat seat(Machine m, Flavor f, double slowness, long delay) {
+            return new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(),
+                    context.prices().hourly(f, m.spot()) / 3600, slowness, delay);
+        }
+
+        private void add(Machine m, Seat s) {
+            machines.add(m);
             seats.add(s);
         }
-        return seats;
-    }
 
-    private long untilNextReport(Machine m, long now) {
-        if (m == reporting) {
-            return 0;
+        double spareCores() {
+            double spare = 0;
+            for (Seat s : seats) {
+                spare += s.spareCores();
+            }
+            return spare;
+        }
+
+        private static void occupy(Seat s, Job j, long until) {
+            s.occupy(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), until);
         }
-        long last = m.heard() ? m.lastReportMicros() : now;
-        return Math.max(NEXT_ANSWER_MICROS, last + context.platform().workers().reportMicros() - now);
     }
 
     private long endsAt(Attempt a, Flavor f, long now) {
@@ -295,13 +335,21 @@
         return Math.max(now, a.sentMicros() + fetch) + run;
     }
 
-    private Ask ask(Job j) {
+    private Ask ask(Job j, long now) {
         return new Ask(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), j.spec().bundle(), j.spec().imageGb(),
-                estimates.runMicros(j), targets.finishBy(j), targets.startBy(j, within.getOrDefault(j, false)), j.spec().flavors(), j.spec().site(), j.spec().loaners());
+                estimates.runMicros(j), targets.finishBy(j, now), targets.startBy(j, guaranteed(j), now), j.spec().flavors(),
+                j.spec().site(), j.spec().loaners());
+    }
+
+    private boolean guaranteed(Job j) {
+        return within.getOrDefault(j, false);
     }
 
     /** The job's rules about zones, all its tasks counted that may still be on a machine. */
     static Zones zones(Job j) {
+        if (!j.spec().oneZone() && !j.spec().spread()) {
+            return new Zones(false, Integer.MAX_VALUE);
+        }
         Zones z = new Zones(j.spec().oneZone(), j.spec().zoneLimit());
         for (Attempt a : j.live()) {
             z.add(a.machine().site());
@@ -309,29 +357,34 @@
         return z;
     }
 
-    private Placer.Search search(Job job, Ask ask, List<Seat> seats, Map<String, Machine> machines, long now) {
-        return placer.search(ask, seats, zones(job), (machine, image, gb) -> {
-            Machine m = machines.get(machine);
-            return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), now);
-        }, now);
+    private Placer.Search search(Job job, Ask ask, Picture p) {
+        return placer.search(ask, p.seats, zones(job), (seat, machine, image, gb) -> {
+            Machine m = p.machines.get(seat);
+            return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), p.now);
+        }, p.now);
     }
 
-    private void place(Job job, List<Seat> seats, Map<String, Machine> machines, long now) {
+    private void place(Job job) {
         if (job.over() || !job.hasFree()) {
             return;
         }
-        Ask ask = ask(job);
-        Placer.Search search = search(job, ask, seats, machines, now);
+        long now = picture.now;
+        Ask ask = ask(job, now);
+        Placer.Search search = search(job, ask, picture);
         int want = Math.min(job.freeCount(), quotaRoom(job));
         int waiting = 0;
         int booked = 0;
         int preempted = 0;
+        boolean mayPreempt = true;
         for (int i = 0; i < want; i++) {
             Placer.Choice c = search.next();
-            if ((c.seat() < 0 || !c.feasible()) && c.startMicros() > now && preempted < MOST_PREEMPTED
-                    && preemption.makeRoom(job, ask, targets.startBy(job, within.getOrDefault(job, false)), now)) {
-                preempted++;
-                continue;
+            if ((c.seat() < 0 || !c.feasible()) && c.startMicros() > now && mayPreempt && preempted < MOST_PREEMPTED) {
+                if (preemption.makeRoom(job, ask, targets.startBy(job, guaranteed(job), now), now)) {
+                    preempted++;
+                    continue;
+                }
+                // Nothing changes before the next round, and each look goes through the whole fleet.
+                mayPreempt = false;
             }
             if (c.seat() < 0) {
                 // Nowhere at all. With time to spare one machine is a start: the rest is booked on it, or found short, then.
@@ -342,17 +395,18 @@
             }
             search.commit(c);
             if (c.startMicros() <= now) {
-                plans.computeIfAbsent(seats.get(c.seat()).machine(), k -> new LinkedHashMap<>())
+                plans.computeIfAbsent(picture.seats.get(c.seat()).machine(), k -> new LinkedHashMap<>())
                         .computeIfAbsent(job, Planned::new).tasks++;
                 double[] t = plannedByTeam.computeIfAbsent(job.spec().owner(), k -> new double[2]);
                 t[0] += job.spec().cores();
                 t[1] += job.spec().accelerators();
             } else {
-                if (needsRental(c, ask, now)) {
+                boolean rent = needsRental(job, c, ask, now);
+                if (rent) {
                     waiting++;
                 }
                 if (++booked >= MOST_BOOKED) {
-                    waiting += needsRental(c, ask, now) ? want - i - 1 : 0;
+                    waiting += rent ? want - i - 1 : 0;
                     break;
                 }
             }
@@ -360,22 +414,22 @@
         if (waiting > 0) {
             demands.add(new RentalPlan.Demand(job.spec(), job.boundZone(), waiting, ask.runMicros()));
         }
-        if (LOG.isDebugEnabled() && waiting > 0) {
+        if (waiting > 0 && LOG.isDebugEnabled()) {
             LOG.debug("{}: {} of {} free tasks wait for machines, {} booked", job.uid(), waiting, job.freeCount(), booked);
         }
     }
 
-    private boolean needsRental(Placer.Choice c, Ask ask, long now) {
+    private boolean needsRental(Job job, Placer.Choice c, Ask ask, long now) {
         if (!context.moneyMatters()) {
             return c.startMicros() - now > context.tunables().rentMicros();
         }
-        return !c.feasible() && (rentalHelps(ask, now) || c.startMicros() - now > LONG_WAIT_MICROS);
+        return !c.feasible() && (rentalHelps(job, ask, now) || c.startMicros() - now > LONG_WAIT_MICROS);
     }
 
     /** True if a machine rented now could still serve the task in time. */
-    private boolean rentalHelps(Ask ask, long now) {
+    private boolean rentalHelps(Job job, Ask ask, long now) {
         long up = now + context.tunables().rentMicros();
-        return up <= ask.startByMicros()
+        return up <= targets.startBy(job, guaranteed(job), up)
                 && (ask.deadlineMicros() == Long.MAX_VALUE || up + ask.runMicros() <= ask.deadlineMicros());
     }
 
--- a/src/main/java/plumlever/leader/Takeover.java
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -1,6 +1,7 @@
 package plumlever.leader;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
@@ -25,7 +26,12 @@
     private final long startedMicros;
     private final Map<String, Platform.Team> teams = new HashMap<>();
     private final Set<Machine> open = new LinkedHashSet<>();
+    /** Machines that run tasks of jobs this leader does not know. */
+    private final Set<Machine> foreign = new LinkedHashSet<>();
     private boolean loaded;
+    private boolean unsureKnown;
+    private double unsureCores;
+    private double unsureAccelerators;
     private long loadedMicros;
 
     Takeover(Context context, Fleet fleet) {
@@ -47,6 +53,7 @@
     /** All machines that may hold tasks are in the fleet now. */
     void loaded() {
         loaded = true;
+        unsureKnown = false;
         loadedMicros = context.loop().nowMicros();
         for (Machine m : fleet.machines()) {
             if (m.enrolment() == Machine.Enrolment.STORED && !m.accounted()) {
@@ -70,6 +77,7 @@
     void accounted(Machine m, String how) {
         m.account();
         if (open.remove(m)) {
+            unsureKnown = false;
             LOG.debug("{} accounted for: {}", m.id(), how);
             if (open.isEmpty()) {
                 long took = context.loop().nowMicros() - startedMicros;
@@ -79,6 +87,13 @@
         }
     }
 
+    /** The machine lists so many running tasks that this leader does not keep. */
+    void foreign(Machine m, int tasks) {
+        if (tasks > 0 ? foreign.add(m) : foreign.remove(m)) {
+            unsureKnown = false;
+        }
+    }
+
     /** True while a task of the job could be running on a machine not accounted for. */
     boolean blocks(Job job) {
         return !loaded || (job.inherited() && !open.isEmpty());
@@ -93,21 +108,42 @@
         Fleet.Held held = fleet.held(job.spec().owner());
         double cores = held.cores();
         double accelerators = held.accelerators();
-        for (Machine m : fleet.machines()) {
-            // A machine may run tasks of a job that ended before this term: whose they are is unknown, and until they
-            // are seen to be gone they count like those of a machine not accounted for.
-            if (!open.contains(m) && m.foreign() == 0) {
-                continue;
-            }
+        if (team.cpusMax() <= 0 && team.gpusMax() <= 0) {
+            return Integer.MAX_VALUE;
+        }
+        if (!countUnsure()) {
+            return 0;
+        }
+        cores += unsureCores;
+        accelerators += unsureAccelerators;
+        return Math.min(room(team.cpusMax(), cores, job.spec().cores()),
+                room(team.gpusMax(), accelerators, job.spec().accelerators()));
+    }
+
+    /**
+     * Adds up the machines that could run anybody's tasks. A machine may run tasks of a job that ended before this term:
+     * whose they are is unknown, and until they are seen to be gone they count like those of a machine not accounted for.
+     *
+     * @return false when the size of one of them is not known
+     */
+    private boolean countUnsure() {
+        if (unsureKnown) {
+            return true;
+        }
+        Set<Machine> unsure = new HashSet<>(open);
+        unsure.addAll(foreign);
+        unsureCores = 0;
+        unsureAccelerators = 0;
+        for (Machine m : unsure) {
             Flavor f = context.prices().flavor(m.flavor());
             if (f == null) {
-                return team.cpusMax() > 0 || team.gpusMax() > 0 ? 0 : Integer.MAX_VALUE;
+                return false;
             }
-            cores += f.cores();
-            accelerators += f.accelerators();
+            unsureCores += f.cores();
+            unsureAccelerators += f.accelerators();
         }
-        return Math.min(room(team.cpusMax(), cores, job.spec().cores()),
-                room(team.gpusMax(), accelerators, job.spec().accelerators()));
+        unsureKnown = true;
+        return true;
     }
 
     private static int room(double limit, double used, double each) {
--- a/src/main/java/plumlever/leader/Targets.java
+++ b/src/main/java/plumlever/leader/Targets.java
@@ -1,5 +1,6 @@
 package plumlever.leader;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -8,8 +9,9 @@
 
 /** By when a job's tasks should run and be complete: its own deadline, what the aims say of its class, or the default. */
 final class Targets {
-    private final Map<String, Long> startWithin = new HashMap<>();
-    private final Map<String, Long> finishWithin = new HashMap<>();
+    private final Map<String, long[]> startWithin = new HashMap<>();
+    private final Map<String, long[]> finishWithin = new HashMap<>();
+    private final Map<String, double[]> deadlineTimes = new HashMap<>();
     private final long startTargetMicros;
     private long guaranteedWithin = Long.MAX_VALUE;
 
@@ -19,30 +21,77 @@
             long within = (long) (o.withinS() * 1e6);
             if (o.jobclass() == null) {
                 if (o.kind().equals("guarantee")) {
-                    guaranteedWithin = within;
+                    guaranteedWithin = Math.min(guaranteedWithin, within);
                 }
                 continue;
             }
             switch (o.kind()) {
-                case "wait" -> startWithin.merge(o.jobclass(), within, Math::min);
-                case "finished" -> finishWithin.merge(o.jobclass(), within, Math::min);
+                case "wait" -> startWithin.merge(o.jobclass(), new long[] {within}, Targets::both);
+                case "finished" -> finishWithin.merge(o.jobclass(), new long[] {within}, Targets::both);
+                case "deadline" -> deadlineTimes.merge(o.jobclass(), new double[] {o.times()}, (a, b) -> {
+                    double[] all = Arrays.copyOf(a, a.length + 1);
+                    all[a.length] = b[0];
+                    Arrays.sort(all);
+                    return all;
+                });
                 default -> { }
             }
         }
     }
 
-    /** Long.MAX_VALUE for a job that has only a deadline; sooner for work within its team's guarantee. */
-    long startBy(Job j, boolean withinGuarantee) {
-        Long aim = startWithin.get(j.spec().jobclass());
-        long within = aim != null ? aim : j.spec().hasDeadline() ? Long.MAX_VALUE : startTargetMicros;
-        if (withinGuarantee) {
-            within = Math.min(within, guaranteedWithin);
+    private static long[] both(long[] a, long[] b) {
+        long[] all = Arrays.copyOf(a, a.length + 1);
+        all[a.length] = b[0];
+        Arrays.sort(all);
+        return all;
+    }
+
+    /** The soonest aim that is still ahead; when all are behind, the last of them. */
+    private static long nextOf(long[] withins, long from, long now) {
+        for (long w : withins) {
+            if (from + w >= now) {
+                return from + w;
+            }
+        }
+        return from + withins[withins.length - 1];
+    }
+
+    /**
+     * By when it should start: of the aims for its start the soonest that is not missed yet. Long.MAX_VALUE for a job that
+     * has only a deadline.
+     */
+    long startBy(Job j, boolean withinGuarantee, long now) {
+        long[] aims = startWithin.get(j.spec().jobclass());
+        long by = aims != null ? nextOf(aims, j.acceptedMicros(), now)
+                : j.spec().hasDeadline() ? Long.MAX_VALUE : j.acceptedMicros() + startTargetMicros;
+        if (withinGuarantee && guaranteedWithin != Long.MAX_VALUE) {
+            long guaranteed = j.acceptedMicros() + guaranteedWithin;
+            // Once it is missed, the aims of the class are what is left to meet.
+            if (guaranteed >= now || (by == Long.MAX_VALUE && !j.spec().hasDeadline())) {
+                by = Math.min(by, guaranteed);
+            }
+        }
+        return by;
+    }
+
+    /** By when it should be complete: its deadline, as many times over as the aims still allow, and the aims of its class. */
+    long finishBy(Job j, long now) {
+        long by = Long.MAX_VALUE;
+        if (j.spec().hasDeadline()) {
+            by = j.deadlineMicros();
+            for (double times : deadlineTimes.getOrDefault(j.spec().jobclass(), new double[0])) {
+                if (by >= now) {
+                    break;
+                }
+                by = j.acceptedMicros() + (long) (j.spec().dueS() * 1e6 * Math.max(1, times));
+            }
         }
-        return within == Long.MAX_VALUE ? Long.MAX_VALUE : j.acceptedMicros() + within;
+        long[] aims = finishWithin.get(j.spec().jobclass());
+        return aims == null ? by : Math.min(by, nextOf(aims, j.acceptedMicros(), now));
     }
 
-    long finishBy(Job j) {
-        Long within = finishWithin.get(j.spec().jobclass());
-        return within == null ? j.deadlineMicros() : Math.min(j.deadlineMicros(), j.acceptedMicros() + within);
+    /** True if some start is asked for sooner than this: machines must stand by for it. */
+    boolean startsSoonerThan(long micros) {
+        return guaranteedWithin < micros || startWithin.values().stream().anyMatch(w -> w[0] < micros);
     }
 }
--- a/src/main/java/plumlever/placement/Placer.java
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -1,6 +1,8 @@
 package plumlever.placement;
 
+import java.util.Arrays;
 import java.util.List;
+import java.util.PriorityQueue;
 
 /**
  * The design's ordinary path. Machines that meet the deadline come before any score; of these the least of price per
@@ -15,9 +17,13 @@
 
     /** How long a machine would fetch an image that a task needs; 0 if it has it. */
     public interface Fetch {
-        long micros(String machine, String image, double gb);
+        long micros(int seat, String machine, String image, double gb);
     }
 
+    /** Kinds of choice, the better ones first: padded now, padded later, then the design's second look without padding. */
+    private static final int KINDS = 4;
+    private static final int UNPADDED = 2;
+
     private final double padding;
     private final double tie;
     private final long hedgeMicros;
@@ -29,57 +35,72 @@
         this.hedgeMicros = hedgeMicros;
     }
 
-    /** Evaluates tasks of one job, which are all alike, against all seats; the dear part is done once. */
+    /**
+     * Tasks of one job, which are all alike, against all seats. Every seat is evaluated once and kept in the order of
+     * its score; the tie band slides over that order as seats fill up. Within a search room only shrinks, so a seat that
+     * is no choice for one kind of choice never becomes one again, and a kind that has run out stays so.
+     */
     public final class Search {
         private final Ask ask;
         private final List<Seat> seats;
         private final Zones zones;
         private final long nowMicros;
-        private final int[] candidates;
         /** Until it could run once there is room: the order's way and the image. */
         private final long[] fetch;
         private final long[] run;
         private final double[] score;
+        /** Seats that could ever take the task, the least score first. */
+        private final int[] byScore;
+        private final Band band = new Band();
+        private final Soonest soonest = new Soonest();
+        private int kind;
 
         private Search(Ask ask, List<Seat> seats, Zones zones, Fetch fetchTimes, long nowMicros) {
             this.ask = ask;
             this.seats = seats;
             this.zones = zones;
             this.nowMicros = nowMicros;
-            int[] c = new int[seats.size()];
+            int size = seats.size();
+            fetch = new long[size];
+            run = new long[size];
+            score = new double[size];
+            long[] keys = new long[size];
             int n = 0;
-            fetch = new long[seats.size()];
-            run = new long[seats.size()];
-            score = new double[seats.size()];
-            for (int i = 0; i < seats.size(); i++) {
+            for (int i = 0; i < size; i++) {
                 Seat s = seats.get(i);
                 double share = ask.share(s);
-                if (!ask.allows(s) || share > 1 + 1e-9) {
+                if (share > 1 + 1e-9 || !ask.allows(s)) {
                     continue;
                 }
-                c[n++] = i;
-                fetch[i] = s.delayMicros + fetchTimes.micros(s.machine, ask.image(), ask.imageGb());
+                fetch[i] = s.delayMicros + fetchTimes.micros(i, s.machine, ask.image(), ask.imageGb());
                 run[i] = (long) (ask.runMicros() * s.slowness);
                 score[i] = s.pricePerS * share * (fetch[i] + run[i]);
+                // Scores are never negative, so their bits are in their order; the seat's number is in the low half.
+                keys[n++] = (long) Float.floatToIntBits((float) score[i]) << 32 | i;
+            }
+            Arrays.sort(keys, 0, n);
+            byScore = new int[n];
+            for (int i = 0; i < n; i++) {
+                byScore[i] = (int) keys[i];
             }
-            candidates = java.util.Arrays.copyOf(c, n);
+            band.begin(kind);
         }
 
         /** Where the next task goes; nothing is changed. */
         public Choice next() {
-            Choice c = best(padding, true, false);
-            if (c.seat < 0) {
-                c = best(padding, false, true);
-            }
-            if (c.seat >= 0) {
-                return c;
-            }
-            // The design's second look, without padding; from here on a task that has to wait is in danger.
-            c = best(0, true, false);
-            if (c.seat < 0) {
-                c = best(0, false, true);
+            while (kind < KINDS) {
+                int seat = band.best();
+                if (seat >= 0) {
+                    return new Choice(seat, seats.get(seat).earliest(ask, nowMicros), kind < UNPADDED);
+                }
+                kind++;
+                if (kind < KINDS) {
+                    band.begin(kind);
+                } else {
+                    soonest.begin();
+                }
             }
-            return c.seat < 0 ? earliest() : new Choice(c.seat, c.startMicros, false);
+            return soonest.best();
         }
 
         /** The task goes there: now, or booked for later. */
@@ -93,69 +114,146 @@
                 s.book(ask, c.startMicros, end);
             }
             zones.add(s.zone);
+            if (kind < KINDS) {
+                band.changed();
+            }
         }
 
-        private boolean suits(long start, boolean now, boolean later) {
-            return start <= nowMicros ? now : later && start != Long.MAX_VALUE;
-        }
-
-        private boolean feasible(int i, long start, double pad) {
-            long runs = start + fetch[i];
-            if (pad > 0 && start > nowMicros) {
+        private boolean suits(int seat, int asKind) {
+            Seat s = seats.get(seat);
+            if (!zones.allows(s.zone)) {
+                return false;
+            }
+            boolean later = (asKind & 1) == 1;
+            if (s.fitsNow(ask) == later) {
+                return false;
+            }
+            long start = s.earliest(ask, nowMicros);
+            if (start == Long.MAX_VALUE || (start > nowMicros) != later) {
+                return false;
+            }
+            double pad = asKind < UNPADDED ? padding : 0;
+            long runs = start + fetch[seat];
+            if (pad > 0 && later) {
                 runs += hedgeMicros;
             }
-            return runs <= ask.startByMicros()
-                    && (ask.deadlineMicros() == Long.MAX_VALUE || runs + (long) (run[i] * (1 + pad)) <= ask.deadlineMicros());
+            return runs <= ask.startByMicros() && (ask.deadlineMicros() == Long.MAX_VALUE
+                    || runs + (long) (run[seat] * (1 + pad)) <= ask.deadlineMicros());
         }
 
-        private Choice best(double pad, boolean now, boolean later) {
-            int best = -1;
-            long bestStart = 0;
-            double least = Double.MAX_VALUE;
-            for (int i : candidates) {
-                Seat s = seats.get(i);
-                if (score[i] < least && zones.allows(s.zone)) {
-                    long start = s.earliest(ask, nowMicros);
-                    if (suits(start, now, later) && feasible(i, start, pad)) {
-                        least = score[i];
+        /** The seats within the tie band of the least score, the winner of the tie on top. */
+        private final class Band {
+            private int[] heap = new int[16];
+            private int size;
+            private int anchor;
+            private int end;
+            private int asKind;
+
+            void begin(int newKind) {
+                asKind = newKind;
+                size = 0;
+                anchor = 0;
+                end = 0;
+            }
+
+            /** The seat that takes the next task, or -1 when this kind of choice has run out. */
+            int best() {
+                while (anchor < byScore.length && !suits(byScore[anchor], asKind)) {
+                    anchor++;
+                }
+                if (anchor == byScore.length) {
+                    return -1;
+                }
+                double most = score[byScore[anchor]] * (1 + tie);
+                end = Math.max(end, anchor);
+                while (end < byScore.length && score[byScore[end]] <= most) {
+                    if (suits(byScore[end], asKind)) {
+                        push(byScore[end]);
                     }
+                    end++;
+                }
+                while (!suits(heap[0], asKind)) {
+                    heap[0] = heap[--size];
+                    sink();
                 }
+                return heap[0];
             }
-            if (least == Double.MAX_VALUE) {
-                return Choice.NONE;
+
+            /** The seat on top has less room than before. */
+            void changed() {
+                sink();
             }
-            for (int i : candidates) {
-                Seat s = seats.get(i);
-                if (score[i] > least * (1 + tie) || !zones.allows(s.zone)) {
-                    continue;
+
+            private void push(int seat) {
+                if (size == heap.length) {
+                    heap = Arrays.copyOf(heap, size * 2);
                 }
-                long start = s.earliest(ask, nowMicros);
-                if (!suits(start, now, later) || !feasible(i, start, pad)) {
-                    continue;
+                int i = size++;
+                while (i > 0 && before(seat, heap[(i - 1) / 2])) {
+                    heap[i] = heap[(i - 1) / 2];
+                    i = (i - 1) / 2;
                 }
-                if (best < 0 || winsTie(s, seats.get(best))) {
-                    best = i;
-                    bestStart = start;
+                heap[i] = seat;
+            }
+
+            private void sink() {
+                if (size == 0) {
+                    return;
                 }
+                int seat = heap[0];
+                int i = 0;
+                while (2 * i + 1 < size) {
+                    int child = 2 * i + 1;
+                    if (child + 1 < size && before(heap[child + 1], heap[child])) {
+                        child++;
+                    }
+                    if (!before(heap[child], seat)) {
+                        break;
+                    }
+                    heap[i] = heap[child];
+                    i = child;
+                }
+                heap[i] = seat;
+            }
+
+            private boolean before(int a, int b) {
+                Seat x = seats.get(a);
+                Seat y = seats.get(b);
+                return winsTie(x, y) || (!winsTie(y, x) && a < b);
             }
-            return new Choice(best, bestStart, true);
         }
 
-        private Choice earliest() {
-            int best = -1;
-            long bestStart = Long.MAX_VALUE;
-            for (int i : candidates) {
-                Seat s = seats.get(i);
-                if (!zones.allows(s.zone)) {
-                    continue;
+        /** For a task that no machine can serve in time: the seat where it would run soonest. */
+        private final class Soonest {
+            private PriorityQueue<long[]> heap;
+
+            void begin() {
+                heap = new PriorityQueue<>(16, (a, b) -> a[0] != b[0] ? Long.compare(a[0], b[0]) : Long.compare(a[1], b[1]));
+                for (int i : byScore) {
+                    add(i);
+                }
+            }
+
+            private void add(int seat) {
+                long start = zones.allows(seats.get(seat).zone) ? seats.get(seat).earliest(ask, nowMicros) : Long.MAX_VALUE;
+                if (start != Long.MAX_VALUE) {
+                    heap.add(new long[] {start + fetch[seat], seat});
                 }
-                long start = s.earliest(ask, nowMicros);
-                if (start != Long.MAX_VALUE && (best < 0 || start + fetch[i] < bestStart + fetch[best])) {
-                    best = i;
-                    bestStart = start;
+            }
+
+            Choice best() {
+                while (!heap.isEmpty()) {
+                    long[] top = heap.peek();
+                    int seat = (int) top[1];
+                    long start = zones.allows(seats.get(seat).zone) ? seats.get(seat).earliest(ask, nowMicros) : Long.MAX_VALUE;
+                    if (start != Long.MAX_VALUE && start + fetch[seat] == top[0]) {
+                        return new Choice(seat, start, false);
+                    }
+                    heap.poll();
+                    add(seat);
                 }
+                return Choice.NONE;
             }
-            return best < 0 ? Choice.NONE : new Choice(best, bestStart, false);
         }
     }
 
--- a/src/main/java/plumlever/placement/Seat.java
+++ b/src/main/java/plumlever/placement/Seat.java
@@ -24,6 +24,7 @@
     double accelerators;
     double memoryGb;
     boolean busy;
+    private long upMicros = Long.MIN_VALUE;
     /** Time until an order reaches the machine: it is only given orders in answers to its reports. */
     final long delayMicros;
     private final List<Release> releases = new ArrayList<>();
@@ -51,13 +52,18 @@
     }
 
     /** A task that is on the machine already. */
-    public void occupy(Ask ask, long endsAtMicros) {
-        take(ask);
-        release(ask, endsAtMicros);
+    public void occupy(double taskCores, double taskAccelerators, double taskMemoryGb, long endsAtMicros) {
+        cores -= taskCores;
+        accelerators -= taskAccelerators;
+        memoryGb -= taskMemoryGb;
+        busy = true;
+        releases.add(new Release(endsAtMicros, taskCores, taskAccelerators, taskMemoryGb));
+        sorted = false;
     }
 
     /** The machine is not up before then. */
     public void comesUp(long atMicros) {
+        upMicros = atMicros;
         releases.add(new Release(atMicros, cores, accelerators, memoryGb));
         sorted = false;
         cores = 0;
@@ -65,6 +71,17 @@
         memoryGb = 0;
     }
 
+    /** Room now, or for a machine that is not up yet when it comes up, that nothing is booked for. */
+    public double spareCores() {
+        double spare = cores;
+        for (Release r : releases) {
+            if (r.atMicros <= upMicros) {
+                spare += r.cores;
+            }
+        }
+        return spare;
+    }
+
     void take(Ask ask) {
         cores -= ask.cores();
         accelerators -= ask.accelerators();
@@ -96,7 +113,8 @@
             a += r.accelerators;
             m += r.memoryGb;
             if (c + EPSILON >= ask.cores() && m + EPSILON >= ask.memoryGb() && a + EPSILON >= ask.accelerators()) {
-                return Math.max(nowMicros, r.atMicros);
+                // Room that is due but has not been reported free is not room now.
+                return Math.max(nowMicros + 1, r.atMicros);
             }
         }
         return Long.MAX_VALUE;
--- a/src/main/java/plumlever/placement/Zones.java
+++ b/src/main/java/plumlever/placement/Zones.java
@@ -20,6 +20,9 @@
     }
 
     public boolean allows(String zone) {
+        if (!oneZone && limit == Integer.MAX_VALUE) {
+            return true;
+        }
         if (oneZone && !tasks.isEmpty() && !(tasks.size() == 1 && tasks.containsKey(zone))) {
             return false;
         }
--- a/src/main/java/plumlever/scaling/RentalPlan.java
+++ b/src/main/java/plumlever/scaling/RentalPlan.java
@@ -62,6 +62,10 @@
         }
     }
 
+    /** How much dearer a kind may seem for what is rented of it at the same time, and how many machines make half of that. */
+    private static final double SPREAD = 0.3;
+    private static final int SPREAD_HALF = 30;
+
     private final PriceBook prices;
     private final boolean moneyMatters;
 
@@ -132,7 +136,7 @@
                         cost *= 1 + f.startupS() / 300;
                     }
                     // Spreads requests over zones, so that one zone's trouble or shortage takes less at once.
-                    cost *= 1 + 0.01 * planned.getOrDefault(k, 0);
+                    cost *= 1 + SPREAD * planned.getOrDefault(k, 0) / (SPREAD_HALF + planned.getOrDefault(k, 0));
                     if (cost < least) {
                         least = cost;
                         best = k;
--- a/src/main/java/plumlever/settings/OperatorFile.java
+++ b/src/main/java/plumlever/settings/OperatorFile.java
@@ -55,6 +55,8 @@
                 micros("idle_speed_s", d.idleSpeedMicros(), 0, 1e6),
                 number("boot_factor", d.bootFactor(), 1, 100),
                 micros("rent_s", d.rentMicros(), 0, 3600),
+                micros("begin_s", d.beginMicros(), 1, 1e6),
+                number("standby_spreads", d.standbySpreads(), 0, 100),
                 owned());
         if (!left.isEmpty()) {
             throw new SettingsException(file + ": " + left.keySet().iterator().next() + " is unknown");
--- a/src/main/java/plumlever/settings/Platform.java
+++ b/src/main/java/plumlever/settings/Platform.java
@@ -23,9 +23,14 @@
     public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {}
 
     /** An aim of the users: {@code jobclass} is null where it stands for all work. */
-    public record Objective(String kind, String jobclass, double withinS, double share) {}
+    public record Objective(String kind, String jobclass, double withinS, double times, double share) {}
 
-    public record Workers(long reportMicros, long leaseMicros, long cancelMicros) {}
+    public record Workers(long reportMicros, long leaseMicros, long cancelMicros) {
+        /** Reports come every so often, plus or minus a quarter; one that takes longer than this has been missed. */
+        public long latestReportMicros() {
+            return reportMicros + reportMicros / 4 + 2_000_000;
+        }
+    }
 
     public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {}
 
@@ -97,6 +102,7 @@
                 String at = "deployment.objectives[" + i++ + "].";
                 objectives.add(new Objective(text(o, at, "kind"), o.hasNonNull("class") ? text(o, at, "class") : null,
                         o.hasNonNull("within_s") ? amount(o, at, "within_s", 0, 1e9) : 0,
+                        o.hasNonNull("times") ? amount(o, at, "times", 0, 1e6) : 1,
                         o.hasNonNull("share") ? amount(o, at, "share", 0, 1) : 1));
             }
             JsonNode w = table(dep, "deployment.", "workers");
--- a/src/main/java/plumlever/settings/Tunables.java
+++ b/src/main/java/plumlever/settings/Tunables.java
@@ -19,14 +19,19 @@
  * @param idleSpeedMicros the same where only speed matters
  * @param bootFactor a machine is given up when it boots longer than its nominal time by this factor
  * @param rentMicros about what it takes to rent a machine and have it up: what a waiting task must have left
+ * @param beginMicros a job of which nothing has run after this goes before all others, whatever its urgency: age must win
+ *     in the end
+ * @param standbySpreads room that stands by for work that must start sooner than a machine can be rented, in standard
+ *     deviations of what comes in meanwhile; 0 for none
  * @param ownedHourly cost per hour the operator sets for owned machine types, by type name
  */
 public record Tunables(double paddingShare, double tieShare, long startTargetMicros, long grantTtlMicros,
         long touchMicros, long actMarginMicros, long progressMicros, long roundBudgetMicros, long silentMicros,
-        long idleMoneyMicros, long idleSpeedMicros, double bootFactor, long rentMicros, java.util.Map<String, Double> ownedHourly) {
+        long idleMoneyMicros, long idleSpeedMicros, double bootFactor, long rentMicros,
+        long beginMicros, double standbySpreads, java.util.Map<String, Double> ownedHourly) {
 
     public static Tunables defaults() {
         return new Tunables(0.05, 0.02, 30_000_000, 2_500_000, 600_000, 250_000, 5_000_000, 20_000, 9_000_000,
-                20_000_000, 300_000_000, 4.0, 35_000_000, java.util.Map.of());
+                20_000_000, 300_000_000, 4.0, 35_000_000, 120_000_000, 1.0, java.util.Map.of());
     }
 }
--- /dev/null
+++ b/src/main/java/plumlever/store/JobBook.java
@@ -0,0 +1,179 @@
+package plumlever.store;
+
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+import plumlever.concurrent.Loop;
+import plumlever.metrics.Metrics;
+import plumlever.wire.JobState;
+
+/**
+ * What the state service says of jobs. Every answer but a final state rests on a read begun after it was asked for. Most
+ * questions are about jobs that have not ended, whose record is known: these are put together, and one transaction of
+ * guards only finds out for all of them whether anything has changed.
+ */
+public final class JobBook {
+    /** What is known of a job. */
+    public enum Standing { ACTIVE, ENDED, MISSING, UNAVAILABLE }
+
+    /** @param stamp of the record of an active job, else 0; {@code how} is null unless it has ended */
+    public record Look(Standing standing, long stamp, JobState how) {
+        static final Look MISSING = new Look(Standing.MISSING, 0, null);
+        static final Look UNAVAILABLE = new Look(Standing.UNAVAILABLE, 0, null);
+
+        public boolean found() {
+            return standing == Standing.ACTIVE || standing == Standing.ENDED;
+        }
+    }
+
+    private record Question(String uid, long stamp, int tries, Consumer<Look> then) {}
+
+    private static final long GATHER_MICROS = 25_000;
+    private static final long AGAIN_MICROS = 150_000;
+    private static final int TRIES = 4;
+
+    private final Loop loop;
+    private final StateClient store;
+    private final Metrics metrics;
+    private final int mostAtOnce;
+    /** Final states never change, so they may be told from memory; evicted ones are read again. */
+    private final Cache<String, JobState> ended = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(20_000).build();
+    private final Cache<String, Long> stamps = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(5_000).build();
+    private List<Question> gathered = new ArrayList<>();
+
+    /** @param txnOps changes in one transaction; it takes four times as many guards */
+    public JobBook(Loop loop, StateClient store, Metrics metrics, int txnOps) {
+        this.loop = loop;
+        this.store = store;
+        this.metrics = metrics;
+        this.mostAtOnce = 4 * txnOps;
+    }
+
+    /** The job has been accepted with this stamp. */
+    public void accepted(String uid, long stamp) {
+        if (stamp > 0) {
+            stamps.put(uid, stamp);
+        }
+    }
+
+    /** The job's end is stored. */
+    public void ended(String uid, JobState how) {
+        stamps.invalidate(uid);
+        ended.put(uid, how);
+    }
+
+    /** How it ended, or null if that is not known without asking. */
+    public JobState known(String uid) {
+        return ended.getIfPresent(uid);
+    }
+
+    /** Finds out; the answer comes later, on the loop. */
+    public void look(String uid, Consumer<Look> then) {
+        look(uid, TRIES, then);
+    }
+
+    private void look(String uid, int tries, Consumer<Look> then) {
+        JobState how = ended.getIfPresent(uid);
+        if (how != null) {
+            then.accept(new Look(Standing.ENDED, 0, how));
+            return;
+        }
+        Long stamp = stamps.getIfPresent(uid);
+        if (stamp == null) {
+            read(uid, tries, then);
+            return;
+        }
+        gathered.add(new Question(uid, stamp, tries, then));
+        if (gathered.size() == 1) {
+            loop.after(GATHER_MICROS, this::compare);
+        } else if (gathered.size() >= mostAtOnce) {
+            compare();
+        }
+    }
+
+    private void compare() {
+        if (gathered.isEmpty()) {
+            return;
+        }
+        List<Question> asked = gathered;
+        gathered = new ArrayList<>();
+        Txn txn = new Txn();
+        Set<String> keys = new HashSet<>();
+        for (Question q : asked) {
+            if (keys.add(q.uid)) {
+                txn.guard(JobStore.activeKey(q.uid), q.stamp);
+            }
+        }
+        metrics.count("looks_shared", asked.size());
+        store.txn(txn, StateClient.Class.ORDINARY, result -> {
+            switch (result.outcome()) {
+                case APPLIED -> asked.forEach(q -> q.then.accept(new Look(Standing.ACTIVE, q.stamp, null)));
+                case CONFLICT -> {
+                    Set<String> failed = new HashSet<>(result.failed());
+                    for (Question q : asked) {
+                        // Whether all that failed are named is not promised: the others are compared once more.
+                        if (failed.isEmpty() || failed.contains(JobStore.activeKey(q.uid)) || q.tries <= 1) {
+                            stamps.invalidate(q.uid);
+                            read(q.uid, TRIES, q.then);
+                        } else {
+                            look(q.uid, q.tries - 1, q.then);
+                        }
+                    }
+                }
+                default -> {
+                    for (Question q : asked) {
+                        if (result.status() == 429 && q.tries > 1) {
+                            loop.after(AGAIN_MICROS, () -> look(q.uid, q.tries - 1, q.then));
+                        } else {
+                            q.then.accept(Look.UNAVAILABLE);
+                        }
+                    }
+                }
+            }
+        });
+    }
+
+    /**
+     * An active job first, then an ended one: the end moves it in one change, so a job that is found under neither key had
+     * not been accepted when the first read began.
+     */
+    private void read(String uid, int tries, Consumer<Look> then) {
+        store.get(JobStore.activeKey(uid), StateClient.Class.ORDINARY, got -> {
+            if (got.found()) {
+                stamps.put(uid, got.item().stamp());
+                then.accept(new Look(Standing.ACTIVE, got.item().stamp(), null));
+            } else if (got.missing()) {
+                readEnded(uid, tries, then);
+            } else {
+                again(got.status(), tries, then, () -> read(uid, tries - 1, then));
+            }
+        });
+    }
+
+    private void readEnded(String uid, int tries, Consumer<Look> then) {
+        store.get(JobStore.endedKey(uid), StateClient.Class.ORDINARY, got -> {
+            JobState how = got.found() ? JobStore.finalState(got.item().data()) : null;
+            if (how != null) {
+                ended(uid, how);
+                then.accept(new Look(Standing.ENDED, 0, how));
+            } else if (got.missing()) {
+                then.accept(Look.MISSING);
+            } else {
+                again(got.status(), tries, then, () -> readEnded(uid, tries - 1, then));
+            }
+        });
+    }
+
+    /** A read that was refused by a rate limit is tried again shortly; an outage is told at once. */
+    private void again(int status, int tries, Consumer<Look> then, Runnable retry) {
+        if (status == 429 && tries > 1) {
+            loop.after(AGAIN_MICROS, retry);
+        } else {
+            then.accept(Look.UNAVAILABLE);
+        }
+    }
+}
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -125,13 +125,20 @@
         });
     }
 
-    public void txn(Txn txn, Class c, Consumer<Txn.Outcome> then) {
-        send(c, txn.changes(), "POST", "/txn", txn.body(), TIMEOUT_MICROS, (status, o) -> then.accept(switch (status) {
-            case 200 -> Txn.Outcome.APPLIED;
-            case 409 -> Txn.Outcome.CONFLICT;
-            case 400, 413, 429, 503 -> Txn.Outcome.REFUSED;
-            default -> Txn.Outcome.UNKNOWN;
-        }));
+    public void txn(Txn txn, Class c, Consumer<Txn.Result> then) {
+        send(c, txn.changes(), "POST", "/txn", txn.body(), TIMEOUT_MICROS, (status, o) -> {
+            Txn.Outcome outcome = switch (status) {
+                case 200 -> Txn.Outcome.APPLIED;
+                case 409 -> Txn.Outcome.CONFLICT;
+                case 400, 413, 429, 503 -> Txn.Outcome.REFUSED;
+                default -> Txn.Outcome.UNKNOWN;
+            };
+            List<String> failed = new ArrayList<>();
+            if (o != null) {
+                o.path("failed").forEach(k -> failed.add(k.asText()));
+            }
+            then.accept(new Txn.Result(outcome, status, o == null ? -1 : o.path("epoch").asLong(-1), failed));
+        });
     }
 
     /** @param then takes the permit, or -1 */
@@ -191,12 +198,12 @@
                 refusedSinceMicros = loop.nowMicros();
             }
             ObjectNode parsed = null;
-            if (status == 200 && data.length > 0) {
+            if ((status == 200 || status == 409) && data.length > 0) {
                 try {
-                    parsed = Json.parseObject(new String(data, StandardCharsets.UTF_8));
+                    parsed = Json.parseObject(data);
                 } catch (InvalidMessage e) {
                     surprise(method + " " + kind(path), e.getMessage());
-                    then.take(0, null);
+                    then.take(status == 200 ? 0 : status, null);
                     return;
                 }
             } else if (status == 400) {
--- a/src/main/java/plumlever/store/Txn.java
+++ b/src/main/java/plumlever/store/Txn.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
 import plumlever.wire.Json;
 
 /** A guarded transaction under construction. */
@@ -19,6 +20,19 @@
         UNKNOWN
     }
 
+    /**
+     * What became of it.
+     *
+     * @param status of the answer; 0 without one
+     * @param epoch the revision of its changes when applied, else -1
+     * @param failed keys of guards that did not hold, as far as told
+     */
+    public record Result(Outcome outcome, int status, long epoch, List<String> failed) {
+        public boolean applied() {
+            return outcome == Outcome.APPLIED;
+        }
+    }
+
     private final ObjectNode body = Json.object();
     private final ArrayNode guards = body.putArray("guards");
     private final ArrayNode then = body.putArray("then");
--- a/src/main/java/plumlever/wire/Json.java
+++ b/src/main/java/plumlever/wire/Json.java
@@ -9,6 +9,8 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 
 /**
  * Reading and writing of JSON, and strict access to the fields of a message. Only the tree model is
@@ -28,10 +30,15 @@
     }
 
     public static ObjectNode parseObject(String text) throws InvalidMessage {
+        return parseObject(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** @param text UTF-8 */
+    public static ObjectNode parseObject(byte[] text) throws InvalidMessage {
         JsonNode node;
         try {
             node = MAPPER.readTree(text);
-        } catch (JsonProcessingException e) {
+        } catch (IOException e) {
             throw new InvalidMessage("not JSON");
         }
         if (!(node instanceof ObjectNode object)) {
--- a/src/main/java/plumlever/wire/Order.java
+++ b/src/main/java/plumlever/wire/Order.java
@@ -30,9 +30,21 @@
     }
 
     /** The body of an answer to a report. */
-    public static String answer(long term, List<Order> orders) {
+    public static String answer(long token, List<Order> orders) {
+        return body(token, 0, orders);
+    }
+
+    /** The body of a direct call, for one session of the worker. */
+    public static String direct(long token, long tenure, List<Order> orders) {
+        return body(token, tenure, orders);
+    }
+
+    private static String body(long token, long tenure, List<Order> orders) {
         ObjectNode body = Json.object();
-        body.put("baton", term);
+        body.put("baton", token);
+        if (tenure > 0) {
+            body.put("tenure", tenure);
+        }
         ArrayNode array = body.putArray("orders");
         for (Order o : orders) {
             ObjectNode n = array.addObject();
--- a/src/main/java/plumlever/wire/WorkerReport.java
+++ b/src/main/java/plumlever/wire/WorkerReport.java
@@ -23,8 +23,8 @@
         return tenure > otherTenure || (tenure == otherTenure && tick > otherTick);
     }
 
-    public static WorkerReport parse(String text) throws InvalidMessage {
-        ObjectNode o = Json.parseObject(text);
+    public static WorkerReport parse(byte[] body) throws InvalidMessage {
+        ObjectNode o = Json.parseObject(body);
         List<Piece> pieces = new ArrayList<>();
         JsonNode array = o.get("pieces");
         if (array != null && !array.isNull()) {
--- a/src/test/java/plumlever/placement/PlacerTest.java
+++ b/src/test/java/plumlever/placement/PlacerTest.java
@@ -43,7 +43,7 @@
                 c += e[1];
                 m += e[2];
                 if (c + EPSILON >= a.cores() && m + EPSILON >= a.memoryGb()) {
-                    return Math.max(NOW, (long) e[0]);
+                    return Math.max(NOW + 1, (long) e[0]);
                 }
             }
             return Long.MAX_VALUE;
@@ -132,7 +132,7 @@
                     double m = Math.min(p.freeMemory, c * (1 + r.nextInt(4)));
                     long end = NOW + r.nextInt(90) * 1_000_000L;
                     Ask on = ask(c, m, 0, Long.MAX_VALUE, Long.MAX_VALUE, null, true);
-                    s.occupy(on, end);
+                    s.occupy(c, 0, m, end);
                     p.free -= c;
                     p.freeMemory -= m;
                     p.busy = true;
@@ -152,7 +152,7 @@
             boolean[] feasible = new boolean[1];
             int want = model(a, plain, zones, feasible);
             Placer.Choice got = new Placer(PADDING, TIE, HEDGE).search(a, seats, zones,
-                    (machine, image, gb) -> plain.get(Integer.parseInt(machine.substring(1))).fetch, NOW).next();
+                    (seat, machine, image, gb) -> plain.get(Integer.parseInt(machine.substring(1))).fetch, NOW).next();
             assertEquals(want, got.seat(), "round " + round);
             if (want >= 0) {
                 assertEquals(feasible[0], got.feasible(), "round " + round);
@@ -165,6 +165,43 @@
         assertTrue(placedNow > 300 && later > 300 && infeasible > 300, "the fleets cover all cases");
     }
 
+    /** A search goes on from task to task; each time it must choose as one begun anew would. */
+    @Test
+    void aSearchThatGoesOnChoosesAsAFreshOne() {
+        SplittableRandom r = new SplittableRandom(11);
+        Placer placer = new Placer(PADDING, TIE, HEDGE);
+        int[] kinds = new int[3];
+        for (int round = 0; round < 400; round++) {
+            List<Seat> seats = new ArrayList<>();
+            for (int i = 0; i < 1 + r.nextInt(12); i++) {
+                double total = r.nextBoolean() ? 4 : 16;
+                Seat s = new Seat("m" + i, "f", r.nextBoolean() ? "a" : "b", r.nextBoolean(), total, 0, total * 4,
+                        total * (1 + r.nextInt(3) * 0.015), 1, 0);
+                for (double free = total; free > 0 && r.nextInt(3) > 0; free--) {
+                    s.occupy(1, 0, 4, NOW + 1 + r.nextInt(60) * 1_000_000L);
+                }
+                seats.add(s);
+            }
+            Zones zones = new Zones(r.nextInt(5) == 0, r.nextInt(3) == 0 ? 5 : Integer.MAX_VALUE);
+            Ask a = ask(1 + r.nextInt(2), 1 + r.nextInt(6), (5 + r.nextInt(40)) * 1_000_000L,
+                    r.nextBoolean() ? NOW + r.nextInt(120) * 1_000_000L : Long.MAX_VALUE,
+                    r.nextBoolean() ? NOW + r.nextInt(60) * 1_000_000L : Long.MAX_VALUE, null, r.nextInt(3) > 0);
+            Placer.Fetch fetch = (n, m, i, g) -> n % 3 * 4_000_000L;
+            Placer.Search going = placer.search(a, seats, zones, fetch, NOW);
+            for (int task = 0; task < 25; task++) {
+                Placer.Choice fresh = placer.search(a, seats, zones, fetch, NOW).next();
+                Placer.Choice next = going.next();
+                assertEquals(fresh, next, "round " + round + " task " + task);
+                if (next.seat() < 0) {
+                    break;
+                }
+                kinds[next.startMicros() <= NOW ? 0 : next.feasible() ? 1 : 2]++;
+                going.commit(next);
+            }
+        }
+        assertTrue(kinds[0] > 1_000 && kinds[1] > 200 && kinds[2] > 1_000, "all kinds of choice: " + kinds[0] + " " + kinds[1] + " " + kinds[2]);
+    }
+
     private static Ask ask(double cores, double memory, long run, long deadline, long startBy, String site, boolean spot) {
         return new Ask(cores, 0, memory, "img", 1, run, deadline, startBy, null, site, spot);
     }
@@ -172,9 +209,9 @@
     @Test
     void bookedRoomIsNotGivenAwayTwice() {
         Seat s = new Seat("m", "f", "a", false, 4, 0, 16, 1, 1, 0);
-        s.occupy(ask(4, 4, 0, Long.MAX_VALUE, Long.MAX_VALUE, null, true), NOW + 10_000_000);
+        s.occupy(4, 0, 4, NOW + 10_000_000);
         Ask four = ask(4, 4, 20_000_000, Long.MAX_VALUE, Long.MAX_VALUE, null, true);
-        Placer.Search search = new Placer(0, TIE, 0).search(four, List.of(s), new Zones(false, 9), (m, i, g) -> 0, NOW);
+        Placer.Search search = new Placer(0, TIE, 0).search(four, List.of(s), new Zones(false, 9), (n, m, i, g) -> 0, NOW);
         Placer.Choice first = search.next();
         assertEquals(NOW + 10_000_000, first.startMicros());
         search.commit(first);
--- a/src/test/java/plumlever/sim/Rules.java
+++ b/src/test/java/plumlever/sim/Rules.java
@@ -12,10 +12,15 @@
 /** The protocol's rules, checked on what really happens on the simulated machines and is told to users. */
 final class Rules {
     static final long CANCEL_MICROS = 40_000_000;
+    static final long FORGOTTEN_MICROS = 75_000_000;
+    static final long BEGIN_MICROS = 240_000_000;
 
     private final World world;
     private final Map<String, Platform.Team> teams = new HashMap<>();
     final Map<String, JobSpec> submitted = new HashMap<>();
+    final Map<String, Long> submittedAt = new HashMap<>();
+    private final Map<String, Long> answeredAt = new HashMap<>();
+    private final Map<String, Long> beganAt = new HashMap<>();
     final Map<String, Long> abortedAt = new HashMap<>();
     final Map<String, String> lastTold = new HashMap<>();
     private final Map<String, Set<FakeWorker>> on = new HashMap<>();
@@ -51,6 +56,7 @@
     void started(String task, FakeWorker w) {
         starts++;
         JobSpec j = submitted.get(job(task));
+        beganAt.putIfAbsent(j.uid(), world.now());
         Set<FakeWorker> at = on.computeIfAbsent(task, k -> new HashSet<>());
         if (!at.isEmpty()) {
             broke("ran_twice", task + " on " + w.vm.id + " and " + at.iterator().next().vm.id);
@@ -105,6 +111,54 @@
         }
     }
 
+    /** A question about a job was answered. */
+    void answered(String uid) {
+        answeredAt.put(uid, world.now());
+    }
+
+    /** Once all troubles are over, no accepted job's questions may go unanswered for long. */
+    void checkForgotten() {
+        if (world.calmSince == Long.MAX_VALUE) {
+            return;
+        }
+        answeredAt.forEach((uid, at) -> {
+            if (world.now() - Math.max(at, world.calmSince) > FORGOTTEN_MICROS) {
+                broke("forgotten", uid + " got no answer since " + at / 1e6);
+            }
+        });
+    }
+
+    /** Of each class, each team and the largest jobs of each class, at least half must be served; the largest begin in time. */
+    void checkServed() {
+        Map<String, List<JobSpec>> groups = new HashMap<>();
+        for (JobSpec j : submitted.values()) {
+            if (answeredAt.containsKey(j.uid()) && !abortedAt.containsKey(j.uid())) {
+                groups.computeIfAbsent("class " + j.jobclass(), k -> new ArrayList<>()).add(j);
+                groups.computeIfAbsent("team " + j.owner(), k -> new ArrayList<>()).add(j);
+            }
+        }
+        Map<String, List<JobSpec>> largest = new HashMap<>();
+        groups.forEach((name, all) -> {
+            if (name.startsWith("class ")) {
+                int most = all.stream().mapToInt(JobSpec::pieces).max().orElse(0);
+                largest.put("largest of " + name, all.stream().filter(j -> j.pieces() * 4 >= most * 3).toList());
+            }
+        });
+        largest.forEach((name, all) -> all.forEach(j -> {
+            long began = beganAt.getOrDefault(j.uid(), Long.MAX_VALUE / 2);
+            if (began - submittedAt.get(j.uid()) > BEGIN_MICROS && world.now() - submittedAt.get(j.uid()) > BEGIN_MICROS) {
+                broke("half", j.uid() + ", one of the " + name + ", began late");
+            }
+        }));
+        groups.putAll(largest);
+        groups.forEach((name, all) -> {
+            long served = all.stream().filter(j -> "done".equals(lastTold.get(j.uid()))).count();
+            if (served * 2 < all.size()) {
+                broke("half", "of " + name + " only " + served + " of " + all.size() + " are served");
+            }
+        });
+    }
+
     /** A user was told something of a job. */
     void told(String uid, String status, boolean userCancelled) {
         String before = lastTold.get(uid);
--- a/src/test/java/plumlever/sim/SimulationTest.java
+++ b/src/test/java/plumlever/sim/SimulationTest.java
@@ -28,6 +28,7 @@
     }
 
     private static void assertAllServed(World w, FakeUsers users, int jobs) {
+        w.rules.checkServed();
         assertEquals(List.of(), w.rules.broken);
         assertEquals(jobs, users.accepted().size(), "every job is accepted in the end");
         List<String> open = new ArrayList<>();
@@ -68,6 +69,7 @@
         w.loseAnswer = 0.01;
         w.executeLate = 0.005;
         w.repeat = 0.02;
+        w.copyReports = 0.02;
         for (int i = 0; i < 16; i++) {
             w.at(20_000_000L + w.random.nextLong(240_000_000L), () -> trouble(w));
         }
@@ -82,7 +84,7 @@
         World.Member one = all.get(w.random.nextInt(all.size()));
         World.Member leader = all.stream().filter(World.Member::leads).findFirst().orElse(one);
         long time = 5_000_000L + w.random.nextLong(40_000_000L);
-        switch (w.random.nextInt(11)) {
+        switch (w.random.nextInt(15)) {
             case 0 -> leader.crash(0.2 + w.random.nextInt(8));
             case 1 -> all.forEach(m -> m.crash(0.3 + w.random.nextDouble() * 6));
             case 2 -> {
@@ -110,11 +112,32 @@
                         v.worker.notice(8);
                         w.at(8_000_000, () -> w.cloud.delete(v.id));
                     });
+            case 10 -> w.cloud.machines.values().stream().filter(v -> v.worker != null).limit(2)
+                    .forEach(v -> deafen(w, v.id, 2 * time));
+            case 11 -> loseAllButWorkers(w, leader, time);
+            case 12 -> loseAllButWorkers(w, one, time);
+            case 13 -> {
+                // Back at once, and once more in the middle of the election that follows.
+                leader.crash(0.1 + w.random.nextDouble() / 10);
+                w.at(500_000 + w.random.nextLong(3_000_000), () -> all.get(w.random.nextInt(all.size())).crash(0.15));
+            }
             default -> w.cloud.machines.values().stream().filter(v -> v.site.equals("a"))
                     .forEach(v -> hold(w, v.id + ">" + leader.platform.label(), leader.platform.label() + ">" + v.id, time));
         }
     }
 
+    /** Its reports arrive; answers and commands to it don't, and come late if at all. */
+    private static void deafen(World w, String host, long time) {
+        w.cuts.put("*>" + host, true);
+        w.at(time, () -> w.cuts.remove("*>" + host));
+    }
+
+    private static void loseAllButWorkers(World w, World.Member m, long time) {
+        String label = m.platform.label();
+        hold(w, label + ">state", "state>" + label, time);
+        w.members.keySet().stream().filter(o -> !o.equals(label)).forEach(o -> hold(w, label + ">" + o, o + ">" + label, time));
+    }
+
     private static void hold(World w, String there, String back, long time) {
         w.cuts.put(there, true);
         w.cuts.put(back, true);
@@ -128,6 +151,8 @@
         w.loseAnswer = 0;
         w.executeLate = 0;
         w.repeat = 0;
+        w.copyReports = 0;
+        w.calmSince = w.now();
         w.cuts.clear();
         w.store.refused.clear();
         w.cloud.outage = false;
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -12,6 +12,7 @@
 import plumlever.Node;
 import plumlever.concurrent.Loop;
 import plumlever.http.Caller;
+import plumlever.http.Responder;
 import plumlever.settings.Endpoint;
 import plumlever.settings.Platform;
 import plumlever.settings.Tunables;
@@ -21,6 +22,11 @@
     /** Answers a request, now or later. */
     public interface Reply {
         void send(int status, String body);
+
+        /** The connection ends with the answer. */
+        default void sendClosing(int status, String body) {
+            send(status, body);
+        }
     }
 
     /** A stand-in that takes requests. */
@@ -46,6 +52,12 @@
     double loseAnswer;
     double executeLate;
     double repeat;
+    /** Share of reports of which a copy comes late, at any node. */
+    double copyReports;
+    /** Longest time a copy of a report comes late: well over a lease. */
+    static final long COPY_MICROS = 3 * FakeWorker.LEASE_MICROS;
+    /** Troubles are over since then; no question about a job may go unanswered for too long after it. */
+    long calmSince = Long.MAX_VALUE;
     private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
             a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.seq, b.seq));
     private long seq;
@@ -65,8 +77,8 @@
                     seeds.add(new Platform.Seed("n" + j, "z" + j, new Endpoint("n" + j, 2)));
                 }
             }
-            List<Platform.Objective> aims = money ? List.of(new Platform.Objective("price", null, 0, 1))
-                    : List.of(new Platform.Objective("wait", "c0", 5, 0.9));
+            List<Platform.Objective> aims = money ? List.of(new Platform.Objective("price", null, 0, 1, 1))
+                    : List.of(new Platform.Objective("wait", "c0", 5, 1, 0.9));
             Platform p = new Platform("n" + i, "z" + i, new Endpoint("n" + i, 1), new Endpoint("n" + i, 2), seeds, CLOUD,
                     STATE, teams, aims, new Platform.Workers(3_000_000, FakeWorker.LEASE_MICROS, Rules.CANCEL_MICROS),
                     new Platform.StateLimits(200, 60, 4096, 8), new Platform.CloudLimits(6, FakeCloud.LAG_MICROS), 1000);
@@ -90,6 +102,9 @@
             now = e.at;
             e.action.run();
             rules.check();
+            if (e.seq % 64 == 0) {
+                rules.checkForgotten();
+            }
             checkOneLeader();
         }
         now = end;
@@ -132,12 +147,30 @@
         if (random.nextDouble() < executeLate) {
             delay += 1_000_000L + random.nextLong(60_000_000L);
         }
-        Reply reply = (status, text) -> at(LATENCY_MICROS, () -> {
-            if (!answered[0] && !lose && !isCut(to.host(), from)) {
-                answered[0] = true;
-                answer.accept(new Object[] {status, text});
+        Reply reply = new Reply() {
+            @Override
+            public void send(int status, String text) {
+                back(status, text, false);
             }
-        });
+
+            @Override
+            public void sendClosing(int status, String text) {
+                back(status, text, true);
+            }
+
+            private void back(int status, String text, boolean closing) {
+                at(LATENCY_MICROS, () -> {
+                    if (!answered[0] && !lose && !isCut(to.host(), from)) {
+                        answered[0] = true;
+                        answer.accept(new Object[] {status, text, closing});
+                    }
+                });
+            }
+        };
+        if (path.equals("/hello") && random.nextDouble() < copyReports) {
+            Endpoint any = new Endpoint("n" + random.nextInt(members.size()), 1);
+            deliver(from, random.nextBoolean() ? to : any, method, path, body, (s, t) -> { }, 1_000_000L + random.nextLong(COPY_MICROS));
+        }
         deliver(from, to, method, path, body, reply, delay);
         if (random.nextDouble() < repeat) {
             deliver(from, to, method, path, body, (s, t) -> { }, delay + 500_000L + random.nextLong(20_000_000L));
@@ -215,9 +248,21 @@
             Node current = node;
             services.put(platform.bind(), (from, method, path, body, reply) -> {
                 if (life == mine) {
-                    current.front().handle(method, path, bytes(body), (status, json, retry) -> {
-                        if (life == mine) {
-                            reply.send(status, json);
+                    current.front().handle(method, path, bytes(body), new Responder() {
+                        private boolean closing;
+
+                        @Override
+                        public void closing() {
+                            closing = true;
+                        }
+
+                        @Override
+                        public void send(int status, String json, int retry) {
+                            if (life == mine && closing) {
+                                reply.sendClosing(status, json);
+                            } else if (life == mine) {
+                                reply.send(status, json);
+                            }
                         }
                     });
                 }
--- a/src/test/java/plumlever/wire/WireTest.java
+++ b/src/test/java/plumlever/wire/WireTest.java
@@ -48,9 +48,9 @@
 
     @Test
     void readsAReportAndWritesOrders() throws InvalidMessage {
-        WorkerReport r = WorkerReport.parse("{\"host\":\"i-1\",\"endpoint\":\"h:1\",\"flavor\":\"g8\",\"site\":\"a\",\"loaners\":true,"
+        WorkerReport r = WorkerReport.parse(("{\"host\":\"i-1\",\"endpoint\":\"h:1\",\"flavor\":\"g8\",\"site\":\"a\",\"loaners\":true,"
                 + "\"tenure\":1,\"tick\":88,\"baton\":41,\"reclaim_in_s\":null,\"pieces\":[{\"piece\":\"job-1/3\",\"try\":2,"
-                + "\"status\":\"ended\",\"exit_cause\":\"something new\"}]}");
+                + "\"status\":\"ended\",\"exit_cause\":\"something new\"}]}").getBytes(java.nio.charset.StandardCharsets.UTF_8));
         assertEquals(ExitCause.OTHER, r.pieces().get(0).cause());
         assertTrue(!r.noticed() && r.newerThan(1, 87) && !r.newerThan(2, 1) && !r.newerThan(1, 88));
         assertEquals("{\"baton\":41,\"orders\":[{\"verb\":\"halt\",\"piece\":\"job-1/3\",\"try\":2,\"wind_down_s\":10.0}]}",
