Takeover: every machine is called in turn before any is given up; kept connections are bounded

Connections kept to machines used up all 2,000 sockets, and users were refused. The office was lost in the first seconds of a cold start with 300 workers: one pass over all of them takes over 2 s, so the grant is 3.5 s.

--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -28,9 +28,11 @@
     private long answeredToken;
     private long directToken = -1;
     private boolean calling;
+    private int failedCalls;
     private int unheard;
     private boolean deaf;
     private long lastReportMicros = -1;
+    private long lastSeenMicros = -1;
     private long lastAnswerMicros = -1;
     private boolean accounted;
     private long reclaimAtMicros = -1;
@@ -142,6 +144,16 @@
         calling = now;
     }
 
+    /** A direct call came to its end. */
+    public void called(boolean answered) {
+        failedCalls = answered ? 0 : failedCalls + 1;
+    }
+
+    /** Direct calls running that got no answer. */
+    public int failedCalls() {
+        return failedCalls;
+    }
+
     /** True while it may have started something that nothing has been heard of: a direct order without an answer. */
     public boolean unsettled() {
         if (directToken < 0) {
@@ -184,6 +196,11 @@
         return lastReportMicros;
     }
 
+    /** When it last told anything, by a report or by the answer to a direct call; -1 for never in this term. */
+    public long lastSeenMicros() {
+        return lastSeenMicros;
+    }
+
     /** When this node last let it renew its lease; -1 for never. */
     public long lastAnswerMicros() {
         return lastAnswerMicros;
@@ -203,6 +220,7 @@
     public void overtaken(long reportTick, long nowMicros) {
         ownTick = reportTick;
         lastReportMicros = nowMicros;
+        lastSeenMicros = nowMicros;
     }
 
     /** True when everything an earlier leader may have started on it is known. */
@@ -220,6 +238,7 @@
         }
         tenure = r.tenure();
         tick = r.tick();
+        lastSeenMicros = nowMicros;
         if (own) {
             ownTick = r.tick();
             lastReportMicros = nowMicros;
--- a/src/main/java/plumlever/http/UndertowCaller.java
+++ b/src/main/java/plumlever/http/UndertowCaller.java
@@ -15,6 +15,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -35,6 +36,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(UndertowCaller.class);
     private static final int MAX_CONNECTIONS_EACH = 12;
     private static final int MAX_WAITING_EACH = 64;
+    /** Connections kept for later, to all addresses: with a thousand machines to call they would use up all sockets. */
+    private static final int MAX_IDLE = 96;
     private static final int MAX_BODY = 8 << 20;
     private static final byte[] NO_BODY = new byte[0];
 
@@ -43,6 +46,8 @@
     private final ByteBufferPool buffers;
     private final HttpClientProvider provider = new HttpClientProvider();
     private final Map<Endpoint, Pool> pools = new HashMap<>();
+    /** Kept connections with the pool of each, the one kept longest first. */
+    private final LinkedHashMap<ClientConnection, Pool> idle = new LinkedHashMap<>();
 
     public UndertowCaller(Loop loop, XnioIoThread thread, ByteBufferPool buffers) {
         this.loop = loop;
@@ -60,12 +65,12 @@
 
     @Override
     public void close() {
-        pools.values().forEach(p -> p.idle.forEach(IoUtils::safeClose));
+        idle.keySet().forEach(IoUtils::safeClose);
     }
 
     private final class Pool {
         private final Endpoint to;
-        private final ArrayDeque<ClientConnection> idle = new ArrayDeque<>();
+        private final ArrayDeque<ClientConnection> kept = new ArrayDeque<>();
         private final ArrayDeque<Call> waiting = new ArrayDeque<>();
         private int inUse;
 
@@ -88,7 +93,15 @@
         void release(ClientConnection connection) {
             inUse--;
             if (connection != null && connection.isOpen()) {
-                idle.push(connection);
+                kept.push(connection);
+                idle.put(connection, this);
+                if (idle.size() > MAX_IDLE) {
+                    Map.Entry<ClientConnection, Pool> eldest = idle.entrySet().iterator().next();
+                    idle.remove(eldest.getKey());
+                    eldest.getValue().kept.remove(eldest.getKey());
+                    IoUtils.safeClose(eldest.getKey());
+                    eldest.getValue().dropIfUnused();
+                }
             }
             while (!waiting.isEmpty() && inUse < MAX_CONNECTIONS_EACH) {
                 Call next = waiting.poll();
@@ -97,11 +110,20 @@
                     next.begin();
                 }
             }
+            dropIfUnused();
+        }
+
+        /** Machines come and go; what was kept for their addresses goes as well. */
+        private void dropIfUnused() {
+            if (inUse == 0 && kept.isEmpty() && waiting.isEmpty()) {
+                pools.remove(to, this);
+            }
         }
 
         ClientConnection take() {
             ClientConnection c;
-            while ((c = idle.poll()) != null) {
+            while ((c = kept.poll()) != null) {
+                idle.remove(c);
                 if (c.isOpen()) {
                     return c;
                 }
--- a/src/main/java/plumlever/leader/Direct.java
+++ b/src/main/java/plumlever/leader/Direct.java
@@ -24,7 +24,7 @@
     private static final long TIMEOUT_MICROS = 1_500_000;
     /** Calls under way at a time, so that a wave of starts leaves sockets and time for everybody else. */
     private static final int MOST_STARTS = 48;
-    private static final int MOST_RAISES = 96;
+    private static final int MOST_RAISES = 64;
 
     private final Context context;
     private final Round round;
@@ -88,7 +88,10 @@
         });
     }
 
-    /** Shows the machine the present token; what it answers tells all that earlier leaders started on it. */
+    /**
+     * Shows the machine the present token; what it answers tells all that earlier leaders started on it. Asked often, it
+     * calls no machine again before the last call came to its end, and only so many at a time.
+     */
     void raise(Machine m) {
         Endpoint at = m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
         if (at == null || m.calling() || raises >= MOST_RAISES || !context.office().mayAct()) {
@@ -99,7 +102,11 @@
         call(m, at, List.of(), (status, r) -> {
             raises--;
             m.calling(false);
-            if (closed || r == null || !context.office().mayAct()) {
+            if (closed || !context.office().mayAct()) {
+                return;
+            }
+            m.called(r != null);
+            if (r == null) {
                 return;
             }
             boolean otherSession = status == 409 && r.tenure() != m.tenure();
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -25,7 +25,8 @@
     private static final int ROUND_PAUSE_TIMES = 3;
     private static final long SLICE_PAUSE_MICROS = 5_000;
     private static final long RAISE_DEAF_EVERY_MICROS = 4_000_000;
-    private static final long RAISE_EVERY_MICROS = 2_000_000;
+    private static final long RAISE_EVERY_MICROS = 100_000;
+    private static final long ANSWER_SHOWS_MICROS = 2_000_000;
     private static final long RETRY_MICROS = 500_000;
 
     private final Context context;
@@ -115,14 +116,20 @@
      */
     private long raise() {
         if (context.office().mayAct()) {
+            long now = context.loop().nowMicros();
             for (Machine m : new ArrayList<>(takeover.open())) {
-                direct.raise(m);
-            }
-            for (Machine m : fleet.machines()) {
-                if (m.deaf()) {
+                // One whose report was just answered shows the token with its next.
+                if (m.lastAnswerMicros() < 0 || now - m.lastAnswerMicros() > ANSWER_SHOWS_MICROS) {
                     direct.raise(m);
                 }
             }
+            if (takeover.complete()) {
+                for (Machine m : fleet.machines()) {
+                    if (m.deaf()) {
+                        direct.raise(m);
+                    }
+                }
+            }
         }
         return takeover.complete() ? RAISE_DEAF_EVERY_MICROS : RAISE_EVERY_MICROS;
     }
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -227,11 +227,13 @@
     }
 
     /**
-     * True for one of few machines that neither answer nor report to a new leader while the rest of their zone does.
-     * Mostly they were taken just before; every inherited task waits for them, so they are given up sooner.
+     * True for one of few machines that neither answer calls nor report to a new leader while the rest of their zone does.
+     * Mostly they were taken just before; every inherited task waits for them, so they are given up sooner. One that has
+     * not been called twice in vain may just not have had its turn: a large fleet takes seconds to come over.
      */
     private boolean holdsUpTakeover(Machine m, long now, Map<String, int[]> zones) {
-        if (!takeover.open().contains(m) || now - takeover.loadedMicros() < context.tunables().silentMicros() / 3) {
+        if (!takeover.open().contains(m) || m.failedCalls() < 2
+                || now - takeover.loadedMicros() < context.tunables().silentMicros() / 3) {
             return false;
         }
         int[] z = zones.get(m.site());
@@ -245,7 +247,7 @@
     }
 
     private long silentFor(Machine m, long now) {
-        return now - Math.max(m.lastReportMicros(), takeover.startedMicros());
+        return now - Math.max(m.lastSeenMicros(), takeover.startedMicros());
     }
 
     private boolean idleTooLong(Machine m, boolean crowded, long now) {
--- a/src/main/java/plumlever/settings/Tunables.java
+++ b/src/main/java/plumlever/settings/Tunables.java
@@ -31,7 +31,7 @@
         long beginMicros, double standbySpreads, java.util.Map<String, Double> ownedHourly) {
 
     public static Tunables defaults() {
-        return new Tunables(0.05, 0.02, 30_000_000, 2_500_000, 600_000, 250_000, 5_000_000, 20_000, 9_000_000,
+        return new Tunables(0.05, 0.02, 30_000_000, 3_500_000, 700_000, 300_000, 5_000_000, 20_000, 9_000_000,
                 20_000_000, 300_000_000, 4.0, 35_000_000, 120_000_000, 1.0, java.util.Map.of());
     }
 }
