Speed only: a machine's price is its size, so images decide; shorter wait for vanished machines

Cause: where only speed matters, spot prices a third of the ordinary ones drew tasks to machines without their image, at up to 20 s of fetching for 40 s of work.

--- a/src/main/java/plumlever/leader/Direct.java
+++ b/src/main/java/plumlever/leader/Direct.java
@@ -21,7 +21,8 @@
  */
 final class Direct {
     private static final Logger LOG = LoggerFactory.getLogger(Direct.class);
-    private static final long TIMEOUT_MICROS = 1_500_000;
+    private static final long START_TIMEOUT_MICROS = 1_500_000;
+    private static final long RAISE_TIMEOUT_MICROS = 1_000_000;
     /** Calls under way at a time, so that a wave of starts leaves sockets and time for everybody else. */
     private static final int MOST_STARTS = 48;
     private static final int MOST_RAISES = 64;
@@ -66,7 +67,7 @@
         m.calling(true);
         starts++;
         long since = context.loop().nowMicros();
-        call(m, at, orders, (status, r) -> {
+        call(m, at, orders, START_TIMEOUT_MICROS, (status, r) -> {
             starts--;
             m.calling(false);
             if (closed) {
@@ -99,7 +100,7 @@
         }
         raises++;
         m.calling(true);
-        call(m, at, List.of(), (status, r) -> {
+        call(m, at, List.of(), RAISE_TIMEOUT_MICROS, (status, r) -> {
             raises--;
             m.calling(false);
             if (closed || !context.office().mayAct()) {
@@ -125,9 +126,9 @@
         void take(int status, WorkerReport report);
     }
 
-    private void call(Machine m, Endpoint at, List<Order> orders, Answer then) {
+    private void call(Machine m, Endpoint at, List<Order> orders, long timeoutMicros, Answer then) {
         byte[] body = Order.direct(m.token(), Math.max(1, m.tenure()), orders).getBytes(StandardCharsets.UTF_8);
-        context.caller().call(at, "POST", "/orders", body, TIMEOUT_MICROS, (status, data) -> {
+        context.caller().call(at, "POST", "/orders", body, timeoutMicros, (status, data) -> {
             WorkerReport r = null;
             if (status == 200 || status == 409) {
                 try {
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -33,6 +33,7 @@
     /** The cloud charges at least this for a machine. */
     private static final long LEAST_CHARGE_MICROS = 58_000_000;
     private static final long SIZE_EVERY_MICROS = 3_000_000;
+    private static final long HOLD_UP_MICROS = 2_000_000;
     private static final int REMEMBERED = 4_000;
 
     private static final class Open {
@@ -233,7 +234,7 @@
      */
     private boolean holdsUpTakeover(Machine m, long now, Map<String, int[]> zones) {
         if (!takeover.open().contains(m) || m.failedCalls() < 2
-                || now - takeover.loadedMicros() < context.tunables().silentMicros() / 3) {
+                || now - takeover.loadedMicros() < HOLD_UP_MICROS) {
             return false;
         }
         int[] z = zones.get(m.site());
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -199,6 +199,10 @@
         if (started) {
             a.machine().hasImage(a.job().spec().bundle(), a.job().spec().imageGb());
             context.metrics().time("start", now - a.job().acceptedMicros());
+            if (!a.adopted()) {
+                // What images cost: room that is held while a task waits for its own.
+                context.metrics().count("core_ms_fetching", (long) (a.job().spec().cores() * (now - a.sentMicros()) / 1_000));
+            }
             if (LOG.isDebugEnabled()) {
                 LOG.debug("{} runs on {}", a.name().wireName(), a.machine().id());
             }
@@ -217,6 +221,9 @@
             case DONE -> {
                 job.noteSuccess();
                 m.noteSuccess();
+                if (a.runningSinceMicros() >= 0) {
+                    context.metrics().count("core_ms_running", (long) (job.spec().cores() * (now - a.runningSinceMicros()) / 1_000));
+                }
                 observe(a, now);
                 if (LOG.isDebugEnabled()) {
                     LOG.debug("{} done on {}", a.name().wireName(), m.id());
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -38,6 +38,7 @@
     private static final int MOST_BOOKED = 64;
     private static final int MOST_PREEMPTED = 24;
 
+    private static final double SPEED_GB_FOR_CORE = 4;
     private static final long STANDBY_WINDOW_MICROS = 120_000_000;
     private static final long MISSED_MICROS = 120_000_000;
     private static final long LONG_WAIT_MICROS = 120_000_000;
@@ -299,8 +300,11 @@
         }
 
         private Seat seat(Machine m, Flavor f, double slowness, long delay) {
-            return new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(),
-                    context.prices().hourly(f, m.spot()) / 3600, slowness, delay);
+            // Where only speed matters no machine is dearer than another for its size: what is left of the score is the time
+            // that a task holds its share, with the image if it has to be fetched.
+            double price = context.moneyMatters() ? context.prices().hourly(f, m.spot()) / 3600
+                    : Math.max(f.cores(), f.memoryGb() / SPEED_GB_FOR_CORE);
+            return new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(), price, slowness, delay);
         }
 
         private void add(Machine m, Seat s) {
