--- a/src/test/java/plumlever/sim/Rules.java
+++ b/src/test/java/plumlever/sim/Rules.java
@@ -111,6 +111,10 @@
         }
     }
 
+    boolean began(String uid) {
+        return beganAt.containsKey(uid);
+    }
+
     /** A question about a job was answered. */
     void answered(String uid) {
         answeredAt.put(uid, world.now());
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -52,6 +52,10 @@
     double loseAnswer;
     double executeLate;
     double repeat;
+    /** Share of direct orders that come once more, late. */
+    double copyOrders;
+    /** Share of direct orders whose answer is lost. */
+    double loseOrderAnswers;
     /** Share of reports of which a copy comes late, at any node. */
     double copyReports;
     /** Longest time a copy of a report comes late: well over a lease. */
@@ -123,6 +127,10 @@
         }
     }
 
+    Member leader() {
+        return members.values().stream().filter(Member::leads).findFirst().orElseThrow();
+    }
+
     void cut(String a, String b, boolean on) {
         cuts.put(a + ">" + b, on);
         cuts.put(b + ">" + a, on);
@@ -142,7 +150,7 @@
                 answer.accept(new Object[] {0, ""});
             }
         });
-        boolean lose = random.nextDouble() < loseAnswer;
+        boolean lose = random.nextDouble() < loseAnswer || (path.equals("/orders") && random.nextDouble() < loseOrderAnswers);
         long delay = LATENCY_MICROS + random.nextInt(2_000);
         if (random.nextDouble() < executeLate) {
             delay += 1_000_000L + random.nextLong(60_000_000L);
@@ -167,9 +175,12 @@
                 });
             }
         };
+        if (path.equals("/orders") && random.nextDouble() < copyOrders) {
+            deliver(from, to, method, path, body, (st, t) -> { }, 500_000L + random.nextLong(COPY_MICROS));
+        }
         if (path.equals("/hello") && random.nextDouble() < copyReports) {
             Endpoint any = new Endpoint("n" + random.nextInt(members.size()), 1);
-            deliver(from, random.nextBoolean() ? to : any, method, path, body, (s, t) -> { }, 1_000_000L + random.nextLong(COPY_MICROS));
+            deliver(from, random.nextBoolean() ? to : any, method, path, body, (st, t) -> { }, 1_000_000L + random.nextLong(COPY_MICROS));
         }
         deliver(from, to, method, path, body, reply, delay);
         if (random.nextDouble() < repeat) {
