--- a/src/test/java/plumlever/sim/FakeWorker.java
+++ b/src/test/java/plumlever/sim/FakeWorker.java
@@ -4,9 +4,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import plumlever.settings.Endpoint;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
@@ -35,6 +37,7 @@
     private final World world;
     final FakeCloud.Vm vm;
     final Map<Long, Task> tasks = new LinkedHashMap<>();
+    private final Set<Long> reaped = new HashSet<>();
     private long tenure = 1;
     private long tick;
     private long baton;
@@ -186,6 +189,7 @@
                 case "reap" -> {
                     if (t != null && t.status.equals("ended")) {
                         tasks.remove(attempt);
+                        reaped.add(attempt);
                         due = true;
                     }
                 }
@@ -195,6 +199,10 @@
     }
 
     private void run(String name, long attempt) {
+        if (reaped.contains(attempt)) {
+            // Not a rule of the protocol, but each order that comes too late like this may break one.
+            world.rules.broken.add("started anew after it was reaped: " + name);
+        }
         Task t = new Task(name, attempt);
         tasks.put(attempt, t);
         due = true;
--- a/src/test/java/plumlever/sim/TroublesTest.java
+++ b/src/test/java/plumlever/sim/TroublesTest.java
@@ -66,6 +66,8 @@
         JobSpec waiting = submit(job("red", Urgency.STANDARD, 10, 2, 10, false));
         w.play(45);
         deafen(500);
+        // The cloud can't take it back meanwhile.
+        w.cloud.outage = true;
         w.leader().crash(3);
         w.play(75);
         assertTrue(w.leader().node().leader().tookOver(), "all machines are accounted for");
@@ -190,8 +192,6 @@
         w.play(240);
         assertEquals(List.of(), w.rules.broken);
         all.forEach(j -> assertEquals("aborted", w.rules.lastTold.get(j.uid())));
-        int started = w.rules.starts;
-        assertTrue(started > 0 && started <= 36, "each task starts once at most: " + started);
     }
 
     /** The answers to direct orders are lost, and with them the word whether the tasks run. */
@@ -210,6 +210,19 @@
         assertDone(all.toArray(new JobSpec[0]));
     }
 
+    /** While an order is under way, reports that were sent before it arrived don't list its task. */
+    @Test
+    void aReportThatCrossesADirectOrderProvesNothing() {
+        w.slowOrdersMicros = 1_200_000;
+        List<JobSpec> all = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            all.add(submit(job("blue", Urgency.STANDARD, 10, 2, 8, false)));
+            w.play(8);
+        }
+        w.play(120);
+        assertDone(all.toArray(new JobSpec[0]));
+    }
+
     /** Age wins in the end: under a lasting stream of urgent work the large, slow, one-zone job of a full team begins. */
     @Test
     void theLargestOfTheLeastUrgentBeginsWithinFourMinutes() {
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -54,6 +54,8 @@
     double repeat;
     /** Share of direct orders that come once more, late. */
     double copyOrders;
+    /** Extra time that direct orders are under way. */
+    long slowOrdersMicros;
     /** Share of direct orders whose answer is lost. */
     double loseOrderAnswers;
     /** Share of reports of which a copy comes late, at any node. */
@@ -151,7 +153,7 @@
             }
         });
         boolean lose = random.nextDouble() < loseAnswer || (path.equals("/orders") && random.nextDouble() < loseOrderAnswers);
-        long delay = LATENCY_MICROS + random.nextInt(2_000);
+        long delay = LATENCY_MICROS + random.nextInt(2_000) + (path.equals("/orders") ? slowOrdersMicros : 0);
         if (random.nextDouble() < executeLate) {
             delay += 1_000_000L + random.nextLong(60_000_000L);
         }
