--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -146,6 +146,10 @@
         return leader;
     }
 
+    public Metrics metrics() {
+        return metrics;
+    }
+
     /** True while this node may act for the controllers. */
     public boolean mayAct() {
         return office.mayAct();
--- a/src/test/java/plumlever/sim/TroublesTest.java
+++ b/src/test/java/plumlever/sim/TroublesTest.java
@@ -221,6 +221,23 @@
         }
         w.play(120);
         assertDone(all.toArray(new JobSpec[0]));
+        assertEquals(0, w.leader().node().metrics().counted("runs_lost"), "no order was taken for lost");
+        assertTrue(w.leader().node().metrics().counted("runs_ordered") >= 100);
+    }
+
+    /** Nor may it while another order to the same machine is still under way, with the same token. */
+    @Test
+    void nothingIsReapedWhileALateCopyCouldStartItAnew() {
+        w.slowOrdersMicros = 1_200_000;
+        w.copyOrders = 1;
+        w.cloud.most = 4;
+        List<JobSpec> all = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            all.add(submit(job("blue", Urgency.STANDARD, 3 + i % 4, 1, 3 + i % 5, false)));
+            w.play(3);
+        }
+        w.play(120);
+        assertDone(all.toArray(new JobSpec[0]));
     }
 
     /** Age wins in the end: under a lasting stream of urgent work the large, slow, one-zone job of a full team begins. */
