--- a/src/test/java/plumlever/sim/TroublesTest.java
+++ b/src/test/java/plumlever/sim/TroublesTest.java
@@ -230,7 +230,7 @@
     void nothingIsReapedWhileALateCopyCouldStartItAnew() {
         w.slowOrdersMicros = 1_200_000;
         w.copyOrders = 1;
-        w.cloud.most = 4;
+        w.cloud.most = 2;
         List<JobSpec> all = new ArrayList<>();
         for (int i = 0; i < 30; i++) {
             all.add(submit(job("blue", Urgency.STANDARD, 3 + i % 4, 1, 3 + i % 5, false)));
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -178,7 +178,7 @@
             }
         };
         if (path.equals("/orders") && random.nextDouble() < copyOrders) {
-            deliver(from, to, method, path, body, (st, t) -> { }, 300_000L + random.nextLong(4_000_000L));
+            deliver(from, to, method, path, body, (st, t) -> { }, 4_000_000L + random.nextLong(16_000_000L));
             deliver(from, to, method, path, body, (st, t) -> { }, 500_000L + random.nextLong(COPY_MICROS));
         }
         if (path.equals("/hello") && random.nextDouble() < copyReports) {
