--- a/src/main/java/plumlever/leader/Preemption.java
+++ b/src/main/java/plumlever/leader/Preemption.java
@@ -24,6 +24,11 @@
         boolean test(Machine m, long nowMicros);
     }
 
+    /** Tells whether stopping an attempt now would cost its job an aim. */
+    interface Harm {
+        boolean test(Attempt a, long nowMicros);
+    }
+
     private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
     /** A task stopped sooner after its start was hardly worth starting. */
     private static final long SETTLED_MICROS = 35_000_000;
@@ -34,11 +39,13 @@
     private final Context context;
     private final Fleet fleet;
     private final Usable usable;
+    private final Harm harm;
 
-    Preemption(Context context, Fleet fleet, Usable usable) {
+    Preemption(Context context, Fleet fleet, Usable usable, Harm harm) {
         this.context = context;
         this.fleet = fleet;
         this.usable = usable;
+        this.harm = harm;
     }
 
     /** True if tasks were told to stop so that one task of the job will fit. */
@@ -46,6 +53,7 @@
         Machine best = null;
         List<Attempt> victims = List.of();
         long bestReady = Long.MAX_VALUE;
+        int bestHarm = Integer.MAX_VALUE;
         Zones zones = Round.zones(job);
         for (Machine m : fleet.machines()) {
             Flavor f = context.prices().flavor(m.flavor());
@@ -61,9 +69,15 @@
             for (Attempt a : stop) {
                 ready = Math.max(ready, now + ORDER_MICROS + (long) (a.job().spec().snapshotS() * 1e6));
             }
-            boolean fewer = best == null || stop.size() < victims.size();
-            if (fewer || (stop.size() == victims.size() && ready < bestReady)) {
+            int harmed = 0;
+            for (Attempt a : stop) {
+                harmed += harm.test(a, now) ? 1 : 0;
+            }
+            int worse = harmed != bestHarm ? Integer.compare(harmed, bestHarm)
+                    : stop.size() != victims.size() ? Integer.compare(stop.size(), victims.size()) : Long.compare(ready, bestReady);
+            if (best == null || worse < 0) {
                 best = m;
+                bestHarm = harmed;
                 victims = stop;
                 bestReady = ready;
             }
@@ -86,7 +100,7 @@
     }
 
     /** The fewest tasks on the machine that have to stop; empty if it would not be enough or nothing has to. */
-    private static List<Attempt> victims(Machine m, Flavor f, Job job, long now) {
+    private List<Attempt> victims(Machine m, Flavor f, Job job, long now) {
         double cores = f.cores();
         double memory = f.memoryGb();
         double accelerators = f.accelerators();
@@ -108,7 +122,8 @@
                 candidates.add(a);
             }
         }
-        candidates.sort(Comparator.comparingLong(Attempt::runningSinceMicros).reversed());
+        candidates.sort(Comparator.<Attempt>comparingInt(a -> harm.test(a, now) ? 1 : 0)
+                .thenComparing(Comparator.comparingLong(Attempt::runningSinceMicros).reversed()));
         List<Attempt> stop = new ArrayList<>();
         for (Attempt a : candidates) {
             if (fits(job, cores, memory, accelerators)) {
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -38,6 +38,8 @@
     private static final int MOST_BOOKED = 64;
     private static final int MOST_PREEMPTED = 24;
 
+    /** About what a task that is stopped loses until it runs again: saving, waiting for room, its image. */
+    private static final long RESTART_MICROS = 60_000_000;
     private static final double SPEED_GB_FOR_CORE = 4;
     private static final long STANDBY_WINDOW_MICROS = 120_000_000;
     private static final long MISSED_MICROS = 120_000_000;
@@ -85,8 +87,8 @@
         this.estimates = estimates;
         this.takeover = takeover;
         this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare(),
-                hedge(context));
-        this.preemption = new Preemption(context, fleet, this::usable);
+                hedge(context), context.moneyMatters() ? 0 : context.tunables().spotRisk());
+        this.preemption = new Preemption(context, fleet, this::usable, this::harmed);
         this.standby = new Standby(STANDBY_WINDOW_MICROS, context.tunables().rentMicros(), context.tunables().standbySpreads());
         this.targets = new Targets(context.platform().objectives(), context.tunables().startTargetMicros());
     }
@@ -342,7 +344,7 @@
     private Ask ask(Job j, long now) {
         return new Ask(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), j.spec().bundle(), j.spec().imageGb(),
                 estimates.runMicros(j), targets.finishBy(j, now), targets.startBy(j, guaranteed(j), now), j.spec().flavors(),
-                j.spec().site(), j.spec().loaners());
+                j.spec().site(), j.spec().loaners(), j.spec().checkpoints());
     }
 
     private boolean guaranteed(Job j) {
@@ -361,6 +363,17 @@
         return z;
     }
 
+    /** True if stopping the attempt now would make its job miss an aim for its end that it can still meet. */
+    private boolean harmed(Attempt a, long now) {
+        long finish = targets.finishBy(a.job(), now);
+        if (finish == Long.MAX_VALUE || a.runningSinceMicros() < 0) {
+            return false;
+        }
+        long run = estimates.runMicros(a.job());
+        long left = Math.max(run / 10, run - (now - a.runningSinceMicros()));
+        return now + left <= finish && now + left + RESTART_MICROS > finish;
+    }
+
     private Placer.Search search(Job job, Ask ask, Picture p) {
         return placer.search(ask, p.seats, zones(job), (seat, machine, image, gb) -> {
             Machine m = p.machines.get(seat);
--- a/src/main/java/plumlever/placement/Ask.java
+++ b/src/main/java/plumlever/placement/Ask.java
@@ -10,9 +10,11 @@
  * @param startByMicros when it should run; Long.MAX_VALUE for none
  * @param flavors null for any
  * @param site null for any
+ * @param spot whether spot machines are allowed
+ * @param saves whether a task that is stopped loses little
  */
 public record Ask(double cores, double accelerators, double memoryGb, String image, double imageGb, long runMicros,
-        long deadlineMicros, long startByMicros, List<String> flavors, String site, boolean spot) {
+        long deadlineMicros, long startByMicros, List<String> flavors, String site, boolean spot, boolean saves) {
 
     boolean allows(Seat s) {
         return (flavors == null || flavors.contains(s.flavor)) && (site == null || site.equals(s.zone)) && (spot || !s.spot);
--- a/src/main/java/plumlever/placement/Placer.java
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -27,12 +27,17 @@
     private final double padding;
     private final double tie;
     private final long hedgeMicros;
+    private final double spotRisk;
 
-    /** @param hedgeMicros the time that must be left when a task waits, so that a machine could still be rented for it */
-    public Placer(double padding, double tie, long hedgeMicros) {
+    /**
+     * @param hedgeMicros the time that must be left when a task waits, so that a machine could still be rented for it
+     * @param spotRisk share by which a spot machine seems dearer to a task that would lose its work with it
+     */
+    public Placer(double padding, double tie, long hedgeMicros, double spotRisk) {
         this.padding = padding;
         this.tie = tie;
         this.hedgeMicros = hedgeMicros;
+        this.spotRisk = spotRisk;
     }
 
     /**
@@ -74,7 +79,8 @@
                 }
                 fetch[i] = s.delayMicros + fetchTimes.micros(i, s.machine, ask.image(), ask.imageGb());
                 run[i] = (long) (ask.runMicros() * s.slowness);
-                score[i] = s.pricePerS * share * (fetch[i] + run[i]);
+                double risk = s.spot && !ask.saves() ? 1 + spotRisk : 1;
+                score[i] = s.pricePerS * share * risk * (fetch[i] + run[i]);
                 // Scores are never negative, so their bits are in their order; the seat's number is in the low half.
                 keys[n++] = (long) Float.floatToIntBits((float) score[i]) << 32 | i;
             }
--- a/src/main/java/plumlever/settings/OperatorFile.java
+++ b/src/main/java/plumlever/settings/OperatorFile.java
@@ -57,6 +57,7 @@
                 micros("rent_s", d.rentMicros(), 0, 3600),
                 micros("begin_s", d.beginMicros(), 1, 1e6),
                 number("standby_spreads", d.standbySpreads(), 0, 100),
+                number("spot_risk", d.spotRisk(), 0, 100),
                 owned());
         if (!left.isEmpty()) {
             throw new SettingsException(file + ": " + left.keySet().iterator().next() + " is unknown");
--- a/src/main/java/plumlever/settings/Tunables.java
+++ b/src/main/java/plumlever/settings/Tunables.java
@@ -23,15 +23,17 @@
  *     in the end
  * @param standbySpreads room that stands by for work that must start sooner than a machine can be rented, in standard
  *     deviations of what comes in meanwhile; 0 for none
+ * @param spotRisk where only speed matters, share by which a spot machine seems dearer to a task that can't save its work:
+ *     one task that is lost makes its whole job late
  * @param ownedHourly cost per hour the operator sets for owned machine types, by type name
  */
 public record Tunables(double paddingShare, double tieShare, long startTargetMicros, long grantTtlMicros,
         long touchMicros, long actMarginMicros, long progressMicros, long roundBudgetMicros, long silentMicros,
         long idleMoneyMicros, long idleSpeedMicros, double bootFactor, long rentMicros,
-        long beginMicros, double standbySpreads, java.util.Map<String, Double> ownedHourly) {
+        long beginMicros, double standbySpreads, double spotRisk, java.util.Map<String, Double> ownedHourly) {
 
     public static Tunables defaults() {
         return new Tunables(0.05, 0.02, 30_000_000, 3_500_000, 700_000, 300_000, 5_000_000, 20_000, 9_000_000,
-                20_000_000, 300_000_000, 4.0, 35_000_000, 120_000_000, 1.0, java.util.Map.of());
+                20_000_000, 300_000_000, 4.0, 35_000_000, 120_000_000, 1.0, 0.3, java.util.Map.of());
     }
 }
--- a/src/test/java/plumlever/placement/PlacerTest.java
+++ b/src/test/java/plumlever/placement/PlacerTest.java
@@ -15,6 +15,7 @@
     private static final double PADDING = 0.05;
     private static final double TIE = 0.02;
     private static final long HEDGE = 10_000_000L;
+    private static final double RISK = 0.3;
     private static final double EPSILON = 1e-9;
 
     /** The model's machine: everything in the open, nothing computed ahead. */
@@ -50,7 +51,7 @@
         }
 
         double score(Ask a) {
-            return price * Math.max(a.cores() / total, a.memoryGb() / totalMemory) * (delay + fetch + a.runMicros());
+            return price * (spot && !a.saves() ? 1 + RISK : 1) * Math.max(a.cores() / total, a.memoryGb() / totalMemory) * (delay + fetch + a.runMicros());
         }
     }
 
@@ -146,12 +147,12 @@
                 zones.add("a");
             }
             long deadline = r.nextBoolean() ? NOW + r.nextInt(120) * 1_000_000L : Long.MAX_VALUE;
-            Ask a = ask(1 + r.nextInt(4), 1 + r.nextInt(8), (5 + r.nextInt(60)) * 1_000_000L, deadline,
+            Ask a = ask(1 + r.nextInt(4), 1 + r.nextInt(8), (5 + r.nextInt(60)) * 1_000_000L + r.nextInt(2), deadline,
                     deadline == Long.MAX_VALUE ? NOW + r.nextInt(60) * 1_000_000L : Long.MAX_VALUE,
                     r.nextInt(4) == 0 ? "b" : null, r.nextInt(3) > 0);
             boolean[] feasible = new boolean[1];
             int want = model(a, plain, zones, feasible);
-            Placer.Choice got = new Placer(PADDING, TIE, HEDGE).search(a, seats, zones,
+            Placer.Choice got = new Placer(PADDING, TIE, HEDGE, RISK).search(a, seats, zones,
                     (seat, machine, image, gb) -> plain.get(Integer.parseInt(machine.substring(1))).fetch, NOW).next();
             assertEquals(want, got.seat(), "round " + round);
             if (want >= 0) {
@@ -169,7 +170,7 @@
     @Test
     void aSearchThatGoesOnChoosesAsAFreshOne() {
         SplittableRandom r = new SplittableRandom(11);
-        Placer placer = new Placer(PADDING, TIE, HEDGE);
+        Placer placer = new Placer(PADDING, TIE, HEDGE, RISK);
         int[] kinds = new int[3];
         for (int round = 0; round < 400; round++) {
             List<Seat> seats = new ArrayList<>();
@@ -183,7 +184,7 @@
                 seats.add(s);
             }
             Zones zones = new Zones(r.nextInt(5) == 0, r.nextInt(3) == 0 ? 5 : Integer.MAX_VALUE);
-            Ask a = ask(1 + r.nextInt(2), 1 + r.nextInt(6), (5 + r.nextInt(40)) * 1_000_000L,
+            Ask a = ask(1 + r.nextInt(2), 1 + r.nextInt(6), (5 + r.nextInt(40)) * 1_000_000L + r.nextInt(2),
                     r.nextBoolean() ? NOW + r.nextInt(120) * 1_000_000L : Long.MAX_VALUE,
                     r.nextBoolean() ? NOW + r.nextInt(60) * 1_000_000L : Long.MAX_VALUE, null, r.nextInt(3) > 0);
             Placer.Fetch fetch = (n, m, i, g) -> n % 3 * 4_000_000L;
@@ -203,7 +204,7 @@
     }
 
     private static Ask ask(double cores, double memory, long run, long deadline, long startBy, String site, boolean spot) {
-        return new Ask(cores, 0, memory, "img", 1, run, deadline, startBy, null, site, spot);
+        return new Ask(cores, 0, memory, "img", 1, run, deadline, startBy, null, site, spot, run % 2 == 0);
     }
 
     @Test
@@ -211,7 +212,7 @@
         Seat s = new Seat("m", "f", "a", false, 4, 0, 16, 1, 1, 0);
         s.occupy(4, 0, 4, NOW + 10_000_000);
         Ask four = ask(4, 4, 20_000_000, Long.MAX_VALUE, Long.MAX_VALUE, null, true);
-        Placer.Search search = new Placer(0, TIE, 0).search(four, List.of(s), new Zones(false, 9), (n, m, i, g) -> 0, NOW);
+        Placer.Search search = new Placer(0, TIE, 0, 0).search(four, List.of(s), new Zones(false, 9), (n, m, i, g) -> 0, NOW);
         Placer.Choice first = search.next();
         assertEquals(NOW + 10_000_000, first.startMicros());
         search.commit(first);
--- a/src/test/java/plumlever/sim/FakeCloud.java
+++ b/src/test/java/plumlever/sim/FakeCloud.java
@@ -98,7 +98,7 @@
         String name = o.path("rental").asText();
         if (!rentals.containsKey(name)) {
             List<String> got = new ArrayList<>();
-            for (int i = 0; i < o.path("count").asInt() && machines.size() < most; i++) {
+            for (int i = 0; i < o.path("count").asInt() && has(o); i++) {
                 Vm v = new Vm(String.format("i-%06d", ++counter), o.path("flavor").asText(), o.path("site").asText(),
                         o.path("loaners").asBoolean(), world.now());
                 machines.put(v.id, v);
@@ -123,6 +123,13 @@
         reply.send(200, Json.write(out));
     }
 
+    /** What there is of a kind does not depend on how much of the others is rented. */
+    private boolean has(ObjectNode o) {
+        long rented = machines.values().stream().filter(v -> v.flavor.equals(o.path("flavor").asText())
+                && v.site.equals(o.path("site").asText()) && v.spot == o.path("loaners").asBoolean()).count();
+        return rented < Math.max(1, Math.round(most / 8.0));
+    }
+
     /** Gone with all that is on it. */
     void delete(String id) {
         Vm v = machines.remove(id);
--- a/src/test/java/plumlever/sim/Rules.java
+++ b/src/test/java/plumlever/sim/Rules.java
@@ -151,7 +151,7 @@
         largest.forEach((name, all) -> all.forEach(j -> {
             long began = beganAt.getOrDefault(j.uid(), Long.MAX_VALUE / 2);
             if (began - submittedAt.get(j.uid()) > BEGIN_MICROS && world.now() - submittedAt.get(j.uid()) > BEGIN_MICROS) {
-                broke("half", j.uid() + ", one of the " + name + ", began late");
+                broke("half", j.uid() + ", one of the " + name + ", began after " + (began - submittedAt.get(j.uid())) / 1e6 + " s");
             }
         }));
         groups.putAll(largest);
