--- a/src/main/java/plumlever/leader/Preemption.java
+++ b/src/main/java/plumlever/leader/Preemption.java
@@ -48,12 +48,52 @@
         this.harm = harm;
     }
 
-    /** True if tasks were told to stop so that one task of the job will fit. */
-    boolean makeRoom(Job job, Ask ask, long startByMicros, long now) {
-        Machine best = null;
-        List<Attempt> victims = List.of();
-        long bestReady = Long.MAX_VALUE;
-        int bestHarm = Integer.MAX_VALUE;
+    /** Room that could be made for one task of a job. */
+    private record Offer(Machine machine, List<Attempt> victims, int harmed, long readyMicros) {}
+
+    /** Makes room for the tasks of one job, one after the other; the whole fleet is looked through once. */
+    final class Search {
+        private final Job job;
+        private final Ask ask;
+        private final long startByMicros;
+        private final long now;
+        private List<Offer> offers;
+        private int next;
+
+        private Search(Job job, Ask ask, long startByMicros, long now) {
+            this.job = job;
+            this.ask = ask;
+            this.startByMicros = startByMicros;
+            this.now = now;
+        }
+
+        /** True if tasks were told to stop so that one more task of the job will fit. */
+        boolean makeRoom() {
+            if (offers == null) {
+                offers = offers(job, ask, startByMicros, now);
+            }
+            if (next == offers.size()) {
+                return false;
+            }
+            Offer o = offers.get(next++);
+            for (Attempt a : o.victims) {
+                a.halt(a.job().spec().snapshotS() + 2, now);
+                context.metrics().count("preempted");
+                if (LOG.isDebugEnabled()) {
+                    LOG.debug("{} on {} is stopped to make room for {}", a.name().wireName(), o.machine.id(), job.uid());
+                }
+            }
+            return true;
+        }
+    }
+
+    Search search(Job job, Ask ask, long startByMicros, long now) {
+        return new Search(job, ask, startByMicros, now);
+    }
+
+    /** The least harm first, then the fewest tasks stopped, then the soonest room; a machine is offered once. */
+    private List<Offer> offers(Job job, Ask ask, long startByMicros, long now) {
+        List<Offer> out = new ArrayList<>();
         Zones zones = Round.zones(job);
         for (Machine m : fleet.machines()) {
             Flavor f = context.prices().flavor(m.flavor());
@@ -66,31 +106,19 @@
                 continue;
             }
             long ready = now + ORDER_MICROS + m.fetchMicros(job.spec().bundle(), job.spec().imageGb(), f, now);
-            for (Attempt a : stop) {
-                ready = Math.max(ready, now + ORDER_MICROS + (long) (a.job().spec().snapshotS() * 1e6));
-            }
             int harmed = 0;
             for (Attempt a : stop) {
+                ready = Math.max(ready, now + ORDER_MICROS + (long) (a.job().spec().snapshotS() * 1e6));
                 harmed += harm.test(a, now) ? 1 : 0;
             }
-            int worse = harmed != bestHarm ? Integer.compare(harmed, bestHarm)
-                    : stop.size() != victims.size() ? Integer.compare(stop.size(), victims.size()) : Long.compare(ready, bestReady);
-            if (best == null || worse < 0) {
-                best = m;
-                bestHarm = harmed;
-                victims = stop;
-                bestReady = ready;
+            if (helps(ask, startByMicros, ready)) {
+                out.add(new Offer(m, stop, harmed, ready));
             }
         }
-        if (best == null || !helps(ask, startByMicros, bestReady)) {
-            return false;
-        }
-        for (Attempt a : victims) {
-            a.halt(a.job().spec().snapshotS() + 2, now);
-            context.metrics().count("preempted");
-            LOG.debug("{} on {} is stopped to make room for {}", a.name().wireName(), best.id(), job.uid());
-        }
-        return true;
+        out.sort(Comparator.comparingInt(Offer::harmed).thenComparingInt(o -> o.victims.size())
+                .thenComparingLong(Offer::readyMicros));
+        // Zones are checked for one more task; a job with such a rule makes room for one a round.
+        return job.spec().oneZone() || job.spec().spread() ? out.subList(0, Math.min(1, out.size())) : out;
     }
 
     private static boolean helps(Ask ask, long startByMicros, long ready) {
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -36,7 +36,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Round.class);
     /** Tasks of one job looked at in one round beyond those that find room at once. */
     private static final int MOST_BOOKED = 64;
-    private static final int MOST_PREEMPTED = 24;
+    private static final int MOST_PREEMPTED = 48;
 
     /** About what a task that is stopped loses until it runs again: saving, waiting for room, its image. */
     private static final long RESTART_MICROS = 60_000_000;
@@ -392,15 +392,15 @@
         int waiting = 0;
         int booked = 0;
         int preempted = 0;
+        Preemption.Search room = preemption.search(job, ask, targets.startBy(job, guaranteed(job), now), now);
         boolean mayPreempt = true;
         for (int i = 0; i < want; i++) {
             Placer.Choice c = search.next();
             if ((c.seat() < 0 || !c.feasible()) && c.startMicros() > now && mayPreempt && preempted < MOST_PREEMPTED) {
-                if (preemption.makeRoom(job, ask, targets.startBy(job, guaranteed(job), now), now)) {
+                if (room.makeRoom()) {
                     preempted++;
                     continue;
                 }
-                // Nothing changes before the next round, and each look goes through the whole fleet.
                 mayPreempt = false;
             }
             if (c.seat() < 0) {
