--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -79,7 +79,7 @@
                 }
             }
         }, seed);
-        this.context = new Context(loop, platform, tunables, office, store, layout, cloud, prices, caller, metrics);
+        this.context = new Context(loop, platform, tunables, office, store, layout, cloud, prices, caller, metrics, this::workersElsewhere);
         this.peers = new Peers(loop, caller, platform, this::status);
         UserApi users = new UserApi(loop, store, new JobBook(loop, store, metrics, platform.stateLimits().txnOps()), layout, prices, platform, metrics, new UserApi.Desk() {
             @Override
@@ -239,6 +239,15 @@
         return LISTEN_MICROS;
     }
 
+    /** The most that another controller lately told of. */
+    private int workersElsewhere() {
+        int most = 0;
+        for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
+            most = Math.max(most, p.workers());
+        }
+        return most;
+    }
+
     private PeerStatus status() {
         long now = loop.nowMicros();
         strays.values().removeIf(at -> now - at > STRAY_MICROS);
--- a/src/main/java/plumlever/leader/Context.java
+++ b/src/main/java/plumlever/leader/Context.java
@@ -1,5 +1,6 @@
 package plumlever.leader;
 
+import java.util.function.IntSupplier;
 import plumlever.cloud.CloudClient;
 import plumlever.cloud.PriceBook;
 import plumlever.concurrent.Loop;
@@ -11,9 +12,13 @@
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
 
-/** What a leader works with. */
+/**
+ * What a leader works with.
+ *
+ * @param workersElsewhere how many workers report to another controller, by what the others tell
+ */
 public record Context(Loop loop, Platform platform, Tunables tunables, Office office, StateClient store, JobStore layout,
-        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics) {
+        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics, IntSupplier workersElsewhere) {
 
     boolean moneyMatters() {
         return platform.moneyMatters(tunables.rentMicros());
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -34,6 +34,8 @@
     private static final long LEAST_CHARGE_MICROS = 58_000_000;
     private static final long SIZE_EVERY_MICROS = 3_000_000;
     private static final long HOLD_UP_MICROS = 2_000_000;
+    /** How long a leader that steps aside leaves the office to others. */
+    private static final long AWAY_MICROS = 10_000_000;
     private static final int REMEMBERED = 4_000;
 
     private static final class Open {
@@ -109,6 +111,9 @@
             catalog();
         }
         watch(now);
+        if (closed) {
+            return 200_000;
+        }
         returnAll(now);
         if (context.moneyMatters()) {
             size(now);
@@ -177,6 +182,10 @@
                 }
             }
         }
+        if (lostItsWorkers(zones)) {
+            context.office().resign("its workers report to other controllers", AWAY_MICROS);
+            return;
+        }
         // When a cut ends, its machines find their way back one by one, so it is kept in mind for as long again.
         cutZones.values().removeIf(until -> until < now);
         zones.forEach((zone, z) -> {
@@ -227,6 +236,20 @@
         }
     }
 
+    /**
+     * True when most machines are silent here while many report elsewhere: this node has lost its workers, not the workers
+     * their controllers. It could keep the office for ever, and no machine would get an answer or an order.
+     */
+    private boolean lostItsWorkers(Map<String, int[]> zones) {
+        int all = 0;
+        int silent = 0;
+        for (int[] z : zones.values()) {
+            all += z[0];
+            silent += z[1];
+        }
+        return all > 0 && silent * 10 >= all * 7 && context.workersElsewhere().getAsInt() * 10 >= all * 4;
+    }
+
     /**
      * True for one of few machines that neither answer calls nor report to a new leader while the rest of their zone does.
      * Mostly they were taken just before; every inherited task waits for them, so they are given up sooner. One that has
--- a/src/test/java/plumlever/sim/SimulationTest.java
+++ b/src/test/java/plumlever/sim/SimulationTest.java
@@ -84,7 +84,7 @@
         World.Member one = all.get(w.random.nextInt(all.size()));
         World.Member leader = all.stream().filter(World.Member::leads).findFirst().orElse(one);
         long time = 5_000_000L + w.random.nextLong(40_000_000L);
-        switch (w.random.nextInt(15)) {
+        switch (w.random.nextInt(16)) {
             case 0 -> leader.crash(0.2 + w.random.nextInt(8));
             case 1 -> all.forEach(m -> m.crash(0.3 + w.random.nextDouble() * 6));
             case 2 -> {
@@ -116,6 +116,8 @@
                     .forEach(v -> deafen(w, v.id, 2 * time));
             case 11 -> loseAllButWorkers(w, leader, time);
             case 12 -> loseAllButWorkers(w, one, time);
+            case 14 -> w.cloud.machines.keySet()
+                    .forEach(h -> hold(w, h + ">" + leader.platform.label(), leader.platform.label() + ">" + h, time));
             case 13 -> {
                 // Back at once, and once more in the middle of the election that follows.
                 leader.crash(0.1 + w.random.nextDouble() / 10);
--- a/src/test/java/plumlever/sim/TroublesTest.java
+++ b/src/test/java/plumlever/sim/TroublesTest.java
@@ -142,6 +142,22 @@
         assertDone(all.toArray(new JobSpec[0]));
     }
 
+    /** It reaches the state service and the other controllers, but none of its workers: one that does must lead. */
+    @Test
+    void aLeaderThatLostItsWorkersMakesWay() {
+        List<JobSpec> all = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            all.add(submit(job("blue", Urgency.STANDARD, 6, 2, 60, false)));
+        }
+        w.play(50);
+        String alone = w.leader().platform.label();
+        w.cloud.machines.keySet().forEach(h -> w.cut(alone, h, true));
+        w.play(22);
+        assertNotEquals(alone, w.leader().platform.label(), "another leads");
+        w.play(250);
+        assertDone(all.toArray(new JobSpec[0]));
+    }
+
     /** A common outage, by refusals or by silence, leaves every node healthy. */
     @Test
     void aCommonOutageMakesNoNodeUnhealthy() {
