--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -375,6 +375,7 @@
     }
 
     private Placer.Search search(Job job, Ask ask, Picture p) {
+        context.metrics().count("seats_evaluated", p.seats.size());
         return placer.search(ask, p.seats, zones(job), (seat, machine, image, gb) -> {
             Machine m = p.machines.get(seat);
             return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), p.now);
--- a/src/test/java/plumlever/sim/FakeCloud.java
+++ b/src/test/java/plumlever/sim/FakeCloud.java
@@ -59,6 +59,7 @@
                     .put("age_s", (world.now() - v.bornMicros) / 1e6);
         }
         history.add(new Object[] {world.now(), list});
+        history.removeIf(h -> (Long) h[0] < world.now() - 3 * LAG_MICROS);
         world.at(500_000, this::snapshot);
     }
 
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -81,8 +81,32 @@
         w.forEach(r -> world.at(0, r));
     }
 
+    /** Requests, and puts and drops, in the busiest second so far. */
+    int mostRequests;
+    int mostChanges;
+    private long second;
+    private int requests;
+    private int changes;
+
+    private void tally(int puts) {
+        if (world.now() / 1_000_000 != second) {
+            second = world.now() / 1_000_000;
+            requests = 0;
+            changes = 0;
+        }
+        requests += puts == 0 ? 1 : 0;
+        changes += puts;
+        mostRequests = Math.max(mostRequests, requests);
+        mostChanges = Math.max(mostChanges, changes);
+    }
+
+    int count(String prefix) {
+        return (int) keys.keySet().stream().filter(k -> k.startsWith(prefix)).count();
+    }
+
     @Override
     public void handle(String from, String method, String path, String body, World.Reply reply) {
+        tally(0);
         if (outage || refused.contains(from)) {
             reply.send(503, "{\"error\":\"trouble\"}");
             return;
@@ -209,6 +233,9 @@
                 return;
             }
         }
+        if (!t.path("then").isEmpty()) {
+            tally(t.path("then").size());
+        }
         if (t.path("then").size() > 8) {
             reply.send(400, "{\"error\":\"too many\"}");
             return;
