--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -2,10 +2,14 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import plumlever.cloud.CloudClient;
@@ -14,6 +18,7 @@
 import plumlever.concurrent.Loop;
 import plumlever.concurrent.Scope;
 import plumlever.election.Office;
+import plumlever.election.StandIn;
 import plumlever.http.Caller;
 import plumlever.http.Front;
 import plumlever.http.Responder;
@@ -31,6 +36,9 @@
 import plumlever.wire.Flavor;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
+import plumlever.wire.Order;
+import plumlever.wire.TaskStatus;
+import plumlever.wire.WorkerReport;
 
 /** One controller, without its sockets: everything lives on the loop it is given. */
 public final class Node implements AutoCloseable {
@@ -54,6 +62,8 @@
     private final Peers peers;
     private final Front front;
     private final Context context;
+    private final JobBook book;
+    private final StandIn standIn;
     private final Map<String, Long> strays = new HashMap<>();
     private Leader leader;
 
@@ -81,7 +91,9 @@
         }, seed);
         this.context = new Context(loop, platform, tunables, office, store, layout, cloud, prices, caller, metrics, this::workersElsewhere);
         this.peers = new Peers(loop, caller, platform, this::status);
-        UserApi users = new UserApi(loop, store, new JobBook(loop, store, metrics, platform.stateLimits().txnOps()), layout, prices, platform, metrics, new UserApi.Desk() {
+        this.book = new JobBook(loop, store, metrics, platform.stateLimits().txnOps());
+        this.standIn = new StandIn(loop, store, office);
+        UserApi users = new UserApi(loop, store, book, layout, prices, platform, metrics, new UserApi.Desk() {
             @Override
             public void aborted(String uid) {
                 if (leader != null) {
@@ -119,6 +131,16 @@
             public void strayReport(String host) {
                 strays.put(host, loop.nowMicros());
             }
+
+            @Override
+            public boolean mayRenew(String site, long token) {
+                return standIn.mayRenew(site, token);
+            }
+
+            @Override
+            public void endedPieces(WorkerReport r, Consumer<List<Order>> then) {
+                Node.this.endedPieces(r, then);
+            }
         }, metrics);
     }
 
@@ -127,6 +149,7 @@
         office.start();
         scope.own(new Duty("catalog", loop, this::learnCatalog)).start();
         scope.own(peers.duty()).start();
+        scope.own(standIn.duty()).start();
         scope.own(new Duty("listen", loop, this::listen)).start();
         scope.own(new Duty("summary", loop, () -> {
             metrics.logSummary();
@@ -239,6 +262,28 @@
         return LISTEN_MICROS;
     }
 
+    private void endedPieces(WorkerReport r, Consumer<List<Order>> then) {
+        Set<String> uids = new HashSet<>();
+        r.pieces().forEach(p -> {
+            if (p.status() != TaskStatus.ENDED) {
+                uids.add(p.task().job());
+            }
+        });
+        book.endedOf(uids, ended -> {
+            if (ended == null) {
+                then.accept(null);
+                return;
+            }
+            List<Order> halts = new ArrayList<>();
+            r.pieces().forEach(p -> {
+                if (p.status() != TaskStatus.ENDED && ended.contains(p.task().job())) {
+                    halts.add(Order.halt(p.task(), p.attempt(), 0));
+                }
+            });
+            then.accept(halts);
+        });
+    }
+
     /** The most that another controller lately told of. */
     private int workersElsewhere() {
         int most = 0;
--- a/src/main/java/plumlever/election/Office.java
+++ b/src/main/java/plumlever/election/Office.java
@@ -27,6 +27,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Office.class);
     private static final String PREFIX = "office/";
+    /** Allows the other controllers to renew leases for the leader, see {@link StandIn}. */
+    public static final String MANDATE = PREFIX + "mandate";
     private static final String LEADER = PREFIX + "leader";
     private static final String TERM = PREFIX + "term";
     private static final long FOLLOW_MICROS = 5_000_000;
@@ -56,6 +58,7 @@
 
     private boolean leading;
     private boolean busy;
+    private boolean mandateSeen;
     private long permit;
     private long ownTermStamp;
     private long rightUntilMicros;
@@ -94,6 +97,16 @@
         return new Txn().guard(TERM, ownTermStamp);
     }
 
+    /** The grant that the office hangs on. */
+    public long permit() {
+        return permit;
+    }
+
+    /** True if a mandate was there when the office was last heard of: advice to look. */
+    public boolean mandateSeen() {
+        return mandateSeen;
+    }
+
     /** True while this node may act for the controllers; asked again right before every answer and order. */
     public boolean mayAct() {
         return leading && loop.nowMicros() < rightUntilMicros;
@@ -127,6 +140,7 @@
             leaderStamp = 0;
             leaderLabel = null;
             termStamp = 0;
+            mandateSeen = listing.items().stream().anyMatch(i -> i.key().equals(MANDATE));
             long newTerm = 0;
             for (StateClient.Item i : listing.items()) {
                 if (i.key().equals(LEADER)) {
@@ -176,6 +190,8 @@
                     } else if (c.data() != null && c.stamp() > leaderStamp) {
                         seeLeader(c.data(), c.stamp());
                     }
+                } else if (c.key().equals(MANDATE)) {
+                    mandateSeen = c.data() != null;
                 } else if (c.key().equals(TERM) && c.data() != null && c.stamp() > termStamp) {
                     termStamp = c.stamp();
                     if (!leading) {
@@ -230,7 +246,7 @@
             long sentAt = now;
             ObjectNode leader = Json.object().put("label", label).put("nonce", nonce).put("term", newTerm);
             Txn txn = new Txn().guard(LEADER, seenLeader).guard(TERM, seenTerm)
-                    .put(LEADER, leader, p).put(TERM, Json.object().put("term", newTerm));
+                    .put(LEADER, leader, p).put(TERM, Json.object().put("term", newTerm)).drop(MANDATE);
             store.txn(txn, StateClient.Class.URGENT, result -> {
                 switch (result.outcome()) {
                     case APPLIED -> take(p, newTerm, result.epoch(), sentAt);
--- /dev/null
+++ b/src/main/java/plumlever/election/StandIn.java
@@ -0,0 +1,72 @@
+package plumlever.election;
+
+import java.util.Set;
+import java.util.HashSet;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import plumlever.concurrent.Duty;
+import plumlever.concurrent.Loop;
+import plumlever.fleet.Fleet;
+import plumlever.store.StateClient;
+
+/**
+ * A follower's right to renew leases for a leader that can't reach the workers of some zones, although both reach the state
+ * service. The leader's mandate is a key on its grant, dropped by whoever takes the office next. It counts here for a short
+ * time from when a read that showed it was <em>sent</em>; the leader waits that long, and a lease, before it takes a machine
+ * of these zones for lapsed (see {@code Machines.lapsesAt}). Nothing but halts of ended jobs is ordered by a stand-in.
+ */
+public final class StandIn {
+    /** How long a read of the mandate is good for. */
+    public static final long VALID_MICROS = 2_000_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(StandIn.class);
+    private static final long READ_MICROS = 600_000;
+
+    private final Loop loop;
+    private final StateClient store;
+    private final Office office;
+    private long readSentMicros = Long.MIN_VALUE / 2;
+    private long term = -1;
+    private Set<String> sites = Set.of();
+
+    public StandIn(Loop loop, StateClient store, Office office) {
+        this.loop = loop;
+        this.store = store;
+        this.office = office;
+    }
+
+    public Duty duty() {
+        return new Duty("stand-in", loop, this::read);
+    }
+
+    private long read() {
+        if (!office.mandateSeen() || office.leading()) {
+            return READ_MICROS;
+        }
+        long sent = loop.nowMicros();
+        store.get(Office.MANDATE, StateClient.Class.URGENT, got -> {
+            if (!got.found()) {
+                // Only an answer that says so ends it before its time.
+                if (got.missing()) {
+                    sites = Set.of();
+                }
+                return;
+            }
+            Set<String> now = new HashSet<>();
+            got.item().data().path("sites").forEach(s -> now.add(s.asText()));
+            if (!now.equals(sites)) {
+                LOG.info("standing in for the leader, leases are renewed in {}", now);
+            }
+            sites = now;
+            term = got.item().data().path("term").asLong(-1);
+            readSentMicros = Math.max(readSentMicros, sent);
+        });
+        return READ_MICROS;
+    }
+
+    /** Asked again right before each answer. */
+    public boolean mayRenew(String site, long token) {
+        return loop.nowMicros() - readSentMicros < VALID_MICROS && sites.contains(site) && Fleet.termOf(token) == term
+                && !office.leading();
+    }
+}
--- a/src/main/java/plumlever/http/Front.java
+++ b/src/main/java/plumlever/http/Front.java
@@ -1,9 +1,12 @@
 package plumlever.http;
 
+import java.util.List;
+import java.util.function.Consumer;
 import plumlever.leader.Leader;
 import plumlever.metrics.Metrics;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
+import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
 
 /** Routes requests of users, workers and health checks. */
@@ -20,6 +23,12 @@
 
         /** A worker reported to a node that does not lead. */
         void strayReport(String host);
+
+        /** True while this node may renew the lease of a worker in the zone that has seen the token, for the leader. */
+        boolean mayRenew(String site, long token);
+
+        /** The halts that a stand-in gives with its answer; null when it can't be found out which jobs have ended. */
+        void endedPieces(WorkerReport r, Consumer<List<Order>> then);
     }
 
     private static final String JOBS = "/submissions";
@@ -99,6 +108,18 @@
             return;
         }
         house.strayReport(r.host());
+        if (house.mayRenew(r.site(), r.baton())) {
+            house.endedPieces(r, halts -> {
+                // Asked again: finding out took its time. A lease is not renewed for tasks whose halt can't be given.
+                if (halts != null && house.mayRenew(r.site(), r.baton())) {
+                    metrics.count("leases_renewed_for_leader");
+                    out.send(200, Order.answer(r.baton(), halts));
+                } else {
+                    out.later(503, "can't stand in", 1);
+                }
+            });
+            return;
+        }
         String label = house.leaderLabel();
         out.send(421, Json.write(label == null ? Json.object() : Json.object().put("foreman", label)));
     }
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -56,9 +56,9 @@
         this.progress = new Progress(context, jobs);
         this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
         this.round = new Round(context, fleet, jobs, estimates, takeover);
-        this.roster = new Roster(context, this::changed);
-        this.machines = new Machines(context, fleet, roster, round, reports, takeover, this::changed);
         this.direct = new Direct(context, round, reports, this::changed);
+        this.roster = new Roster(context, this::changed);
+        this.machines = new Machines(context, fleet, roster, round, reports, direct, takeover, this::changed);
         this.hints = new Hints(context, fleet, estimates);
         this.rounds = new Duty("rounds", context.loop(), this::roundTurn);
     }
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import plumlever.cloud.CloudClient;
+import plumlever.election.StandIn;
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
@@ -36,6 +38,9 @@
     private static final long HOLD_UP_MICROS = 2_000_000;
     /** How long a leader that steps aside leaves the office to others. */
     private static final long AWAY_MICROS = 10_000_000;
+    /** A machine heard of this lately can be reached. */
+    private static final long REACHED_MICROS = 1_500_000;
+    private static final int PROBES = 3;
     private static final int REMEMBERED = 4_000;
 
     private static final class Open {
@@ -57,6 +62,8 @@
     private final Roster roster;
     private final Round round;
     private final Reports reports;
+    private final Direct direct;
+    private final Mandate mandate;
     private final Takeover takeover;
     private final RentalPlan plan;
     private final Runnable changed;
@@ -83,12 +90,15 @@
     private boolean cataloguing;
     private boolean closed;
 
-    Machines(Context context, Fleet fleet, Roster roster, Round round, Reports reports, Takeover takeover, Runnable changed) {
+    Machines(Context context, Fleet fleet, Roster roster, Round round, Reports reports, Direct direct, Takeover takeover,
+            Runnable changed) {
         this.context = context;
         this.fleet = fleet;
         this.roster = roster;
         this.round = round;
         this.reports = reports;
+        this.direct = direct;
+        this.mandate = new Mandate(context);
         this.takeover = takeover;
         this.changed = changed;
         this.plan = new RentalPlan(context.prices(), context.moneyMatters());
@@ -163,8 +173,13 @@
     }
 
     private long lapsesAt(Machine m) {
-        // An answer of this term renewed the lease at the latest; before the first, an earlier leader may have.
-        long renewed = Math.max(takeover.loadedMicros(), m.lastAnswerMicros());
+        if (mandate.covers(m.site())) {
+            return Long.MAX_VALUE;
+        }
+        // An answer of this term renewed the lease at the latest; before the first, an earlier leader may have, or a
+        // stand-in of its, whose last read of the mandate is good for a while longer.
+        long stoodIn = Math.max(takeover.loadedMicros(), mandate.endedMicros(m.site())) + StandIn.VALID_MICROS;
+        long renewed = Math.max(stoodIn, m.lastAnswerMicros());
         return renewed + (long) (context.platform().workers().leaseMicros() * (1 + DRIFT)) + LAPSE_MARGIN_MICROS;
     }
 
@@ -195,6 +210,7 @@
                 }
             }
         });
+        reachOut(now);
         boolean crowded = !round.demands().isEmpty() && shortUntil.values().stream().anyMatch(t -> t > now);
         for (Machine m : fleet.machines()) {
             // Nobody has renewed its lease for that long, whatever it may have reported.
@@ -225,7 +241,8 @@
                 giveBack(m, "it holds up the takeover");
             } else if (silentFor(m, now) > silentMicros()) {
                 // Many silent at once in a zone look like a cut, behind which they go on working.
-                if (!cutZones.containsKey(m.site()) || silentFor(m, now) > 2 * context.platform().workers().leaseMicros()) {
+                int leases = mandate.covers(m.site()) ? 6 : 2;
+                if (!cutZones.containsKey(m.site()) || silentFor(m, now) > leases * context.platform().workers().leaseMicros()) {
                     giveBack(m, "it is silent");
                 }
             } else if (m.draining() && !m.running()) {
@@ -236,6 +253,29 @@
         }
     }
 
+    /**
+     * Where a zone is cut off from here but not from another controller, that one may renew the leases. Some machines of the
+     * zone are called all the time: the first that answers ends it, for the workers stay where they are answered.
+     */
+    private void reachOut(long now) {
+        Set<String> unreached = new HashSet<>();
+        if (takeover.complete()) {
+            unreached.addAll(cutZones.keySet());
+        }
+        Map<String, Integer> calls = new HashMap<>();
+        for (Machine m : fleet.machines()) {
+            if (!m.heard() || !cutZones.containsKey(m.site())) {
+                continue;
+            }
+            if (now - m.lastSeenMicros() < REACHED_MICROS) {
+                unreached.remove(m.site());
+            } else if (calls.merge(m.site(), 1, Integer::sum) <= PROBES) {
+                direct.raise(m);
+            }
+        }
+        mandate.want(unreached);
+    }
+
     /**
      * True when most machines are silent here while many report elsewhere: this node has lost its workers, not the workers
      * their controllers. It could keep the office for ever, and no machine would get an answer or an order.
--- a/src/main/java/plumlever/store/JobBook.java
+++ b/src/main/java/plumlever/store/JobBook.java
@@ -3,8 +3,11 @@
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import plumlever.concurrent.Loop;
@@ -35,6 +38,7 @@
     private static final long GATHER_MICROS = 25_000;
     private static final long AGAIN_MICROS = 150_000;
     private static final int TRIES = 4;
+    private static final long LATELY_MICROS = 3_000_000;
 
     private final Loop loop;
     private final StateClient store;
@@ -43,6 +47,8 @@
     /** Final states never change, so they may be told from memory; evicted ones are read again. */
     private final Cache<String, JobState> ended = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(20_000).build();
     private final Cache<String, Long> stamps = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(5_000).build();
+    /** Jobs that were active, by when that was asked. */
+    private final Map<String, Long> activeAsked = new HashMap<>();
     private List<Question> gathered = new ArrayList<>();
 
     /** @param txnOps changes in one transaction; it takes four times as many guards */
@@ -71,6 +77,39 @@
         return ended.getIfPresent(uid);
     }
 
+    /**
+     * Which of these jobs have ended, as of a few seconds ago at most; null when that can't be found out.
+     */
+    public void endedOf(Collection<String> uids, Consumer<Set<String>> then) {
+        long now = loop.nowMicros();
+        activeAsked.values().removeIf(asked -> now - asked > LATELY_MICROS);
+        Set<String> over = new HashSet<>();
+        int[] open = {1};
+        boolean[] failed = new boolean[1];
+        Runnable settled = () -> {
+            if (--open[0] == 0) {
+                then.accept(failed[0] ? null : over);
+            }
+        };
+        for (String uid : uids) {
+            if (activeAsked.containsKey(uid)) {
+                continue;
+            }
+            open[0]++;
+            look(uid, look -> {
+                if (look.standing() == Standing.ACTIVE) {
+                    activeAsked.put(uid, now);
+                } else if (look.standing() == Standing.UNAVAILABLE) {
+                    failed[0] = true;
+                } else {
+                    over.add(uid);
+                }
+                settled.run();
+            });
+        }
+        settled.run();
+    }
+
     /** Finds out; the answer comes later, on the loop. */
     public void look(String uid, Consumer<Look> then) {
         look(uid, TRIES, then);
--- a/src/test/java/plumlever/sim/FakeUsers.java
+++ b/src/test/java/plumlever/sim/FakeUsers.java
@@ -124,7 +124,7 @@
         });
     }
 
-    private void cancel(String uid) {
+    void cancel(String uid) {
         cancelled.add(uid);
         world.send("user", nodeOf(uid), "POST", "/submissions/" + uid + "/abort", "", 5_000_000, a -> {
             heard(uid, a);
--- a/src/test/java/plumlever/sim/TroublesTest.java
+++ b/src/test/java/plumlever/sim/TroublesTest.java
@@ -158,6 +158,58 @@
         assertDone(all.toArray(new JobSpec[0]));
     }
 
+    /**
+     * A zone is cut off from the leader for twice a lease, but not from the others nor from the state service: they renew its
+     * leases meanwhile. A job cancelled in that time must be gone from there all the same.
+     */
+    @Test
+    void leasesBehindAPartitionAreRenewedByOthers() {
+        List<JobSpec> all = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            all.add(submit(job("blue", Urgency.STANDARD, 8, 2, 90, false)));
+        }
+        JobSpec cancelled = job("blue", Urgency.STANDARD, 12, 2, 200, false);
+        users.submit(cancelled, false);
+        w.play(45);
+        String leader = w.leader().platform.label();
+        List<String> behind = w.cloud.machines.values().stream().filter(v -> v.site.equals("a") && v.worker != null).map(v -> v.id).toList();
+        assertTrue(behind.size() >= 4, "the zone has machines");
+        behind.forEach(h -> w.cut(leader, h, true));
+        w.at(5_000_000, () -> users.cancel(cancelled.uid()));
+        w.at(45_000_000, () -> behind.forEach(h -> w.cut(leader, h, false)));
+        w.play(60);
+        long renewed = w.members.values().stream().mapToLong(m -> m.node().metrics().counted("leases_renewed_for_leader")).sum();
+        assertTrue(renewed > 20, "leases were renewed: " + renewed);
+        assertEquals(0, w.leader().node().metrics().counted("attempts_lost"), "no task was lost");
+        assertEquals(leader, w.leader().platform.label());
+        w.play(150);
+        assertDone(all.toArray(new JobSpec[0]));
+        assertEquals("aborted", w.rules.lastTold.get(cancelled.uid()));
+    }
+
+    /** The leader dies while others stand in for it: its successor must not take their machines for lapsed too soon. */
+    @Test
+    void aSuccessorWaitsForStandIns() {
+        List<JobSpec> all = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            all.add(submit(job("blue", Urgency.STANDARD, 8, 2, 60, i % 2 == 0)));
+        }
+        w.play(45);
+        String leader = w.leader().platform.label();
+        List<String> behind = w.cloud.machines.values().stream().filter(v -> v.site.equals("a") && v.worker != null).map(v -> v.id).toList();
+        behind.forEach(h -> w.cut(leader, h, true));
+        w.cloud.outage = true;
+        w.play(20);
+        // Now the others lose the zone as well.
+        behind.forEach(h -> w.members.keySet().forEach(n -> w.cut(n, h, true)));
+        w.leader().crash(1);
+        w.at(60_000_000, () -> behind.forEach(h -> w.members.keySet().forEach(n -> w.cut(n, h, false))));
+        w.play(90);
+        w.cloud.outage = false;
+        w.play(200);
+        assertDone(all.toArray(new JobSpec[0]));
+    }
+
     /** A common outage, by refusals or by silence, leaves every node healthy. */
     @Test
     void aCommonOutageMakesNoNodeUnhealthy() {
