--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -137,6 +137,11 @@
                 return standIn.mayRenew(site, token);
             }
 
+            @Override
+            public void renewed() {
+                standIn.renewed();
+            }
+
             @Override
             public void endedPieces(WorkerReport r, Consumer<List<Order>> then) {
                 Node.this.endedPieces(r, then);
--- a/src/main/java/plumlever/election/Office.java
+++ b/src/main/java/plumlever/election/Office.java
@@ -27,6 +27,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Office.class);
     private static final String PREFIX = "office/";
+    /** A stand-in's word that it renews leases under a mandate. */
+    static final String STAND_IN = PREFIX + "stand-in";
     /** Allows the other controllers to renew leases for the leader, see {@link StandIn}. */
     public static final String MANDATE = PREFIX + "mandate";
     private static final String LEADER = PREFIX + "leader";
@@ -59,6 +61,7 @@
     private boolean leading;
     private boolean busy;
     private boolean mandateSeen;
+    private long standInFor = -1;
     private long permit;
     private long ownTermStamp;
     private long rightUntilMicros;
@@ -102,6 +105,11 @@
         return permit;
     }
 
+    /** Revision of the mandate under which another controller has said that it renews leases; advice. */
+    public long standInFor() {
+        return standInFor;
+    }
+
     /** True if a mandate was there when the office was last heard of: advice to look. */
     public boolean mandateSeen() {
         return mandateSeen;
@@ -190,6 +198,8 @@
                     } else if (c.data() != null && c.stamp() > leaderStamp) {
                         seeLeader(c.data(), c.stamp());
                     }
+                } else if (c.key().equals(STAND_IN) && c.data() != null) {
+                    standInFor = c.data().path("mandate").asLong(-1);
                 } else if (c.key().equals(MANDATE)) {
                     mandateSeen = c.data() != null;
                 } else if (c.key().equals(TERM) && c.data() != null && c.stamp() > termStamp) {
--- a/src/main/java/plumlever/election/StandIn.java
+++ b/src/main/java/plumlever/election/StandIn.java
@@ -1,13 +1,15 @@
 package plumlever.election;
 
-import java.util.Set;
 import java.util.HashSet;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import plumlever.concurrent.Duty;
 import plumlever.concurrent.Loop;
 import plumlever.fleet.Fleet;
 import plumlever.store.StateClient;
+import plumlever.store.Txn;
+import plumlever.wire.Json;
 
 /**
  * A follower's right to renew leases for a leader that can't reach the workers of some zones, although both reach the state
@@ -27,6 +29,8 @@
     private final Office office;
     private long readSentMicros = Long.MIN_VALUE / 2;
     private long term = -1;
+    private long stamp = -1;
+    private long announced = -1;
     private Set<String> sites = Set.of();
 
     public StandIn(Loop loop, StateClient store, Office office) {
@@ -58,12 +62,27 @@
                 LOG.info("standing in for the leader, leases are renewed in {}", now);
             }
             sites = now;
+            stamp = got.item().stamp();
             term = got.item().data().path("term").asLong(-1);
             readSentMicros = Math.max(readSentMicros, sent);
         });
         return READ_MICROS;
     }
 
+    /** A lease was renewed: the leader is told once that somebody can reach its workers, or it would give the mandate up. */
+    public void renewed() {
+        if (announced == stamp) {
+            return;
+        }
+        long now = stamp;
+        announced = now;
+        store.txn(new Txn().put(Office.STAND_IN, Json.object().put("mandate", now)), StateClient.Class.URGENT, result -> {
+            if (!result.applied() && announced == now) {
+                announced = -1;
+            }
+        });
+    }
+
     /** Asked again right before each answer. */
     public boolean mayRenew(String site, long token) {
         return loop.nowMicros() - readSentMicros < VALID_MICROS && sites.contains(site) && Fleet.termOf(token) == term
--- a/src/main/java/plumlever/http/Front.java
+++ b/src/main/java/plumlever/http/Front.java
@@ -27,6 +27,9 @@
         /** True while this node may renew the lease of a worker in the zone that has seen the token, for the leader. */
         boolean mayRenew(String site, long token);
 
+        /** A lease was renewed for the leader. */
+        void renewed();
+
         /** The halts that a stand-in gives with its answer; null when it can't be found out which jobs have ended. */
         void endedPieces(WorkerReport r, Consumer<List<Order>> then);
     }
@@ -113,6 +116,7 @@
                 // Asked again: finding out took its time. A lease is not renewed for tasks whose halt can't be given.
                 if (halts != null && house.mayRenew(r.site(), r.baton())) {
                     metrics.count("leases_renewed_for_leader");
+                    house.renewed();
                     out.send(200, Order.answer(r.baton(), halts));
                 } else {
                     out.later(503, "can't stand in", 1);
--- a/src/main/java/plumlever/leader/Mandate.java
+++ b/src/main/java/plumlever/leader/Mandate.java
@@ -21,12 +21,18 @@
 final class Mandate {
     private static final Logger LOG = LoggerFactory.getLogger(Mandate.class);
 
+    /** Workers try one controller after the other; by then some have come to one that reaches them. */
+    private static final long PATIENCE_MICROS = 9_000_000;
+    private static final long BARRED_MICROS = 90_000_000;
+
     private final Context context;
     /** Zones others may be renewing leases in. */
     private final Set<String> given = new HashSet<>();
     private final Map<String, Long> endedMicros = new HashMap<>();
     /** Revision of the record, 0 if there is none as after an election, -1 when that is not known. */
     private long stamp;
+    private final Map<String, Long> barredUntil = new HashMap<>();
+    private long givenMicros;
     private boolean writing;
 
     Mandate(Context context) {
@@ -43,7 +49,16 @@
     }
 
     /** One look: these zones can't be reached now. */
-    void want(Set<String> sites) {
+    void want(Set<String> unreached) {
+        long now = context.loop().nowMicros();
+        Set<String> sites = new HashSet<>(unreached);
+        barredUntil.values().removeIf(until -> until < now);
+        sites.removeAll(barredUntil.keySet());
+        if (!given.isEmpty() && !writing && now - givenMicros > PATIENCE_MICROS && context.office().standInFor() != stamp) {
+            // Nobody else reaches these workers either: their leases lapse, and it must be seen when they have.
+            given.forEach(s -> barredUntil.put(s, now + BARRED_MICROS));
+            sites.clear();
+        }
         if (writing || sites.equals(given) || context.platform().seeds().isEmpty()) {
             return;
         }
@@ -57,6 +72,7 @@
 
     private void give(Set<String> sites) {
         Set<String> before = new HashSet<>(given);
+        givenMicros = context.loop().nowMicros();
         given.addAll(sites);
         LOG.info("leases in {} may be renewed by the other controllers", given);
         write(context.office().inTerm().guard(Office.MANDATE, stamp), given, result -> {
--- a/src/test/java/plumlever/sim/TroublesTest.java
+++ b/src/test/java/plumlever/sim/TroublesTest.java
@@ -187,6 +187,22 @@
         assertEquals("aborted", w.rules.lastTold.get(cancelled.uid()));
     }
 
+    /** Where nobody reaches a zone, its tasks are given to others about as soon as without stand-ins. */
+    @Test
+    void aZoneThatNobodyReachesIsNotWaitedFor() {
+        List<JobSpec> all = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            all.add(submit(job("blue", Urgency.STANDARD, 8, 2, 60, false)));
+        }
+        w.play(45);
+        w.cloud.machines.values().stream().filter(v -> v.site.equals("a") && v.worker != null)
+                .forEach(v -> w.cuts.put(v.id + ">*", true));
+        w.play(48);
+        assertTrue(w.leader().node().metrics().counted("attempts_lost") > 0, "the tasks there are free again");
+        w.play(200);
+        assertDone(all.toArray(new JobSpec[0]));
+    }
+
     /** The leader dies while others stand in for it: its successor must not take their machines for lapsed too soon. */
     @Test
     void aSuccessorWaitsForStandIns() {
