Takeover: jobs that no leader began need not wait for it; sockets by need; calls in turn

A job is now on record (begun/) before its first order; what a new leader does not find there starts at once. A takeover that is overdue no longer holds up renting, nor counts what is behind the cut as coming. Idle connections end after four reports, workers get a connection for each report when they are short, and machines that do not answer are called after the others.

--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -25,6 +25,13 @@
     private static final Logger LOG = LoggerFactory.getLogger(Service.class);
     private static final int BUFFER_BYTES = 8 * 1024;
     private static final int PEER_CONNECTIONS = 32;
+    /**
+     * Sockets kept from users and workers: calls to machines (112) and kept connections (48), up to 12 each to the state
+     * service, the cloud and two peers, the peers' own, and what the process has open besides.
+     */
+    private static final int RESERVED = 280;
+    private static final long LEAST_IDLE_MICROS = 20_000_000;
+    private static final int IDLE_REPORTS = 4;
     private static final long PEER_BODY = 512 * 1024;
     private static final int STOP_S = 3;
 
@@ -66,11 +73,11 @@
         loop = new XnioLoop(worker.getIoThread());
         caller = new UndertowCaller(loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 4));
         node = new Node(loop, caller, platform, tunables, new SplittableRandom().nextLong());
-        // Peers and the pools of other addresses need sockets too.
-        int users = Math.max(32, platform.socketLimit() - 350);
-        front = new Server(worker, platform.bind(), users, Server.MAX_BODY,
+        int users = Math.max(32, platform.socketLimit() - RESERVED);
+        long idleMicros = Math.max(LEAST_IDLE_MICROS, IDLE_REPORTS * platform.workers().reportMicros());
+        front = new Server(worker, platform.bind(), users, idleMicros, Server.MAX_BODY,
                 (method, path, body, out) -> node.front().handle(method, path, body, out));
-        back = new Server(worker, platform.back(), PEER_CONNECTIONS, PEER_BODY,
+        back = new Server(worker, platform.back(), PEER_CONNECTIONS, idleMicros, PEER_BODY,
                 (method, path, body, out) -> node.peer(method, path, body, out));
         back.start();
         front.start();
--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -9,7 +9,7 @@
     private final JobSpec spec;
     private final long stamp;
     private final long acceptedMicros;
-    /** Known before this term: an old leader may have started its tasks on machines not yet accounted for. */
+    /** An earlier leader may have started its tasks on machines not yet accounted for. */
     private final boolean inherited;
     /** Tasks that completed. */
     private final BitSet done = new BitSet();
@@ -20,6 +20,7 @@
     private final Int2ObjectHashMap<Attempt> live = new Int2ObjectHashMap<>();
     /** Tasks that ran before: what they take the next time tells nothing of their whole run time. */
     private final BitSet restarted = new BitSet();
+    private Enrolment enrolment = Enrolment.NONE;
     private int doneCount;
     private boolean over;
     private boolean begun;
@@ -63,6 +64,15 @@
         return inherited;
     }
 
+    /** Until it is stored none of its tasks is ordered, so that a successor knows which jobs may be on a machine. */
+    public Enrolment enrolment() {
+        return enrolment;
+    }
+
+    public void enrolment(Enrolment e) {
+        enrolment = e;
+    }
+
     public BitSet done() {
         return done;
     }
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -8,9 +8,6 @@
 
 /** What is known of one machine. */
 public final class Machine {
-    /** Whether the state service lists the machine among those that may hold tasks. */
-    public enum Enrolment { NONE, WRITING, STORED }
-
     private static final long STALE_FETCH_MICROS = 300_000_000;
 
     private final String id;
--- a/src/main/java/plumlever/http/Front.java
+++ b/src/main/java/plumlever/http/Front.java
@@ -105,6 +105,11 @@
             return;
         }
         metrics.count("reports");
+        if (out.crowded()) {
+            // Users come first: a worker can do with a connection for each report.
+            metrics.count("reports_closed_crowded");
+            out.closing();
+        }
         Leader leader = house.leader();
         if (leader != null) {
             leader.report(r, out);
--- a/src/main/java/plumlever/http/Responder.java
+++ b/src/main/java/plumlever/http/Responder.java
@@ -9,6 +9,11 @@
     default void closing() {
     }
 
+    /** True when connections are short: one that can be done without is better closed. */
+    default boolean crowded() {
+        return false;
+    }
+
     default void send(int status, String json) {
         send(status, json, 0);
     }
--- a/src/main/java/plumlever/http/Server.java
+++ b/src/main/java/plumlever/http/Server.java
@@ -2,6 +2,7 @@
 
 import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
+import io.undertow.server.ConnectorStatistics;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
 import io.undertow.util.Headers;
@@ -24,27 +25,34 @@
     public static final int MAX_BODY = 64 * 1024;
 
     private static final Logger LOG = LoggerFactory.getLogger(Server.class);
-    /** Workers report every few seconds and users poll as often; a connection silent for longer is gone. */
-    private static final int IDLE_MS = 60_000;
+    /** All workers of a controller that ends come over within a second or two. */
+    private static final int BACKLOG = 1024;
+    /** From this part of the connections on they are short. */
+    private static final double CROWDED = 0.9;
     private static final int PARSE_MS = 10_000;
 
     private final Undertow undertow;
+    private final int crowded;
+    private ConnectorStatistics statistics;
 
-    public Server(XnioWorker worker, Endpoint at, int maxConnections, long maxBody, Handler handler) {
+    /** @param idleMicros a connection silent for longer is taken for dead: machines that are taken away close none */
+    public Server(XnioWorker worker, Endpoint at, int maxConnections, long idleMicros, long maxBody, Handler handler) {
+        int idleMs = (int) (idleMicros / 1_000);
+        crowded = (int) (maxConnections * CROWDED);
         undertow = Undertow.builder()
                 .setWorker(worker)
                 .setBufferSize(8 * 1024)
                 .setDirectBuffers(false)
                 .addHttpListener(at.port(), at.host())
                 .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBody)
-                .setServerOption(UndertowOptions.IDLE_TIMEOUT, IDLE_MS)
-                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, IDLE_MS)
+                .setServerOption(UndertowOptions.IDLE_TIMEOUT, idleMs)
+                .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMs)
                 .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_MS)
                 .setServerOption(UndertowOptions.MAX_HEADER_SIZE, 16 * 1024)
-                .setServerOption(UndertowOptions.ENABLE_STATISTICS, false)
+                .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
                 .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
                 .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-                .setSocketOption(Options.BACKLOG, 256)
+                .setSocketOption(Options.BACKLOG, BACKLOG)
                 .setSocketOption(Options.CONNECTION_HIGH_WATER, maxConnections)
                 .setSocketOption(Options.CONNECTION_LOW_WATER, maxConnections)
                 .setHandler(exchange -> receive(exchange, handler))
@@ -53,6 +61,12 @@
 
     public void start() {
         undertow.start();
+        statistics = undertow.getListenerInfo().get(0).getConnectorStatistics();
+    }
+
+    /** Connections that are open now. */
+    public long connections() {
+        return statistics.getActiveConnections();
     }
 
     /** The port in use, for a listener that was started on port 0. */
@@ -65,7 +79,7 @@
         undertow.stop();
     }
 
-    private static void receive(HttpServerExchange exchange, Handler handler) {
+    private void receive(HttpServerExchange exchange, Handler handler) {
         if (exchange.getRequestContentLength() > exchange.getMaxEntitySize()) {
             exchange.setPersistent(false);
             new ExchangeResponder(exchange).error(413, "the body is too long");
@@ -87,7 +101,7 @@
         });
     }
 
-    private static final class ExchangeResponder implements Responder {
+    private final class ExchangeResponder implements Responder {
         private final HttpServerExchange exchange;
         private boolean sent;
 
@@ -95,6 +109,11 @@
             this.exchange = exchange;
         }
 
+        @Override
+        public boolean crowded() {
+            return statistics != null && connections() > crowded;
+        }
+
         @Override
         public void closing() {
             exchange.setPersistent(false);
--- a/src/main/java/plumlever/http/UndertowCaller.java
+++ b/src/main/java/plumlever/http/UndertowCaller.java
@@ -37,7 +37,7 @@
     private static final int MAX_CONNECTIONS_EACH = 12;
     private static final int MAX_WAITING_EACH = 64;
     /** Connections kept for later, to all addresses: with a thousand machines to call they would use up all sockets. */
-    private static final int MAX_IDLE = 96;
+    private static final int MAX_IDLE = 48;
     private static final int MAX_BODY = 8 << 20;
     private static final byte[] NO_BODY = new byte[0];
 
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -23,6 +23,7 @@
     private static final long RETRY_MICROS = 500_000;
 
     private final Context context;
+    private final Begun begun;
     private final Runnable changed;
     private final Map<String, Job> active = new LinkedHashMap<>();
     /** Which stored pack each job's progress was found in. */
@@ -30,8 +31,9 @@
     private long epoch;
     private boolean closed;
 
-    Jobs(Context context, Runnable changed) {
+    Jobs(Context context, Begun begun, Runnable changed) {
         this.context = context;
+        this.begun = begun;
         this.changed = changed;
     }
 
@@ -47,11 +49,22 @@
         return active.get(uid);
     }
 
-    /** Reads all jobs, inherited from earlier terms, and goes on following; {@code loaded} runs once. */
+    /** Reads all jobs and which of them earlier leaders may have begun, and goes on following; {@code loaded} runs once. */
     void load(Runnable loaded) {
         if (closed) {
             return;
         }
+        context.store().list(JobStore.BEGUN, StateClient.Class.URGENT, records -> {
+            if (records == null) {
+                context.loop().after(RETRY_MICROS, () -> load(loaded));
+                return;
+            }
+            begun.read(records.items());
+            loadActive(loaded);
+        });
+    }
+
+    private void loadActive(Runnable loaded) {
         context.store().list(JobStore.ACTIVE, StateClient.Class.URGENT, jobs -> {
             if (jobs == null) {
                 context.loop().after(RETRY_MICROS, () -> load(loaded));
@@ -67,6 +80,7 @@
                 }
                 jobs.items().forEach(i -> put(i.key(), i.data(), i.stamp(), true));
                 progress.items().forEach(this::readProgress);
+                begun.loaded(this);
                 epoch = jobs.epoch();
                 loaded.run();
                 follow();
@@ -103,16 +117,22 @@
         }
     }
 
-    private void put(String key, JsonNode data, long stamp, boolean inherited) {
+    /** @param known the job was there when the term began */
+    private void put(String key, JsonNode data, long stamp, boolean known) {
         String uid = key.substring(JobStore.ACTIVE.length());
         if (active.containsKey(uid)) {
             return;
         }
         try {
             long age = context.loop().wallMicros() - JobStore.acceptedWallMicros(data);
-            active.put(uid, new Job(JobStore.spec(data), stamp, context.loop().nowMicros() - Math.max(0, age), inherited));
-            LOG.debug("{} taken in: {} tasks of class {}, accepted {} ms ago", uid, active.get(uid).spec().pieces(),
-                    active.get(uid).spec().jobclass(), age / 1_000);
+            Job job = new Job(JobStore.spec(data), stamp, context.loop().nowMicros() - Math.max(0, age),
+                    known && begun.mayHaveBegun(uid));
+            active.put(uid, job);
+            if (!known) {
+                begun.enroll(job);
+            }
+            LOG.debug("{} taken in: {} tasks of class {}, accepted {} ms ago", uid, job.spec().pieces(), job.spec().jobclass(),
+                    age / 1_000);
         } catch (InvalidMessage e) {
             LOG.error("{} can't be read: {}", key, e.getMessage());
         }
@@ -122,6 +142,7 @@
         Job job = active.remove(uid);
         if (job != null) {
             job.end();
+            begun.remove(job);
             LOG.debug("{} has ended", uid);
         }
     }
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -1,12 +1,14 @@
 package plumlever.leader;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import plumlever.concurrent.Duty;
 import plumlever.concurrent.Scope;
 import plumlever.fleet.Attempt;
+import plumlever.fleet.Enrolment;
 import plumlever.fleet.Estimates;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
@@ -33,6 +35,7 @@
     private final long term;
     private final Scope scope = new Scope();
     private final Fleet fleet;
+    private final Begun begun;
     private final Jobs jobs;
     private final Estimates estimates = new Estimates();
     private final Takeover takeover;
@@ -51,7 +54,8 @@
         this.context = context;
         this.term = term;
         this.fleet = new Fleet(term);
-        this.jobs = new Jobs(context, this::changed);
+        this.begun = new Begun(context, this::changed);
+        this.jobs = new Jobs(context, begun, this::changed);
         this.takeover = new Takeover(context, fleet);
         this.progress = new Progress(context, jobs);
         this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
@@ -98,11 +102,13 @@
         LOG.info("term {} begins with {} jobs and {} machines to account for, {} ms after election", term, n,
                 takeover.open().size(), (context.loop().nowMicros() - takeover.startedMicros()) / 1_000);
         scope.own(jobs::close);
+        scope.own(begun::close);
         scope.own(progress::close);
         scope.own(machines::close);
         scope.own(direct::close);
         scope.own(roster::close);
         scope.own(new Duty("roster", context.loop(), roster::tidy)).start();
+        scope.own(new Duty("begun", context.loop(), begun::tidy)).start();
         scope.own(new Duty("progress", context.loop(), progress::write)).start();
         scope.own(new Duty("machines", context.loop(), machines::turn)).start();
         scope.own(new Duty("hints", context.loop(), hints::write)).start();
@@ -117,7 +123,10 @@
     private long raise() {
         if (context.office().mayAct()) {
             long now = context.loop().nowMicros();
-            for (Machine m : new ArrayList<>(takeover.open())) {
+            // Those that did not answer come last: dozens behind a cut would else be called again and again, and nobody else.
+            List<Machine> open = new ArrayList<>(takeover.open());
+            open.sort(Comparator.comparingInt(Machine::failedCalls));
+            for (Machine m : open) {
                 // One whose report was just answered shows the token with its next.
                 if (m.lastAnswerMicros() < 0 || now - m.lastAnswerMicros() > ANSWER_SHOWS_MICROS) {
                     direct.raise(m);
@@ -194,7 +203,7 @@
             out.later(503, "answers do not arrive", 1);
             return;
         }
-        if (m.enrolment() == Machine.Enrolment.NONE && !m.returning() && (m.accounted() || r.baton() == 0)) {
+        if (m.enrolment() == Enrolment.NONE && !m.returning() && (m.accounted() || r.baton() == 0)) {
             // A report that shows an earlier term may be a late copy of a machine that is gone: nothing is recorded for it.
             roster.enroll(m);
         }
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -461,7 +461,7 @@
             }
         }
         // Demands found before the last machine came or was opened again may be served by it: they are not rented for twice.
-        if (!context.prices().known() || !takeover.complete() || round.finishedMicros() <= sizeChangedMicros) {
+        if (!context.prices().known() || !(takeover.complete() || takeover.overdue(now)) || round.finishedMicros() <= sizeChangedMicros) {
             return;
         }
         // Machines that are booting are booked already; these are not known by name yet.
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -6,6 +6,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import plumlever.fleet.Attempt;
+import plumlever.fleet.Enrolment;
 import plumlever.fleet.Estimates;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
@@ -365,7 +366,7 @@
     /** Takes the tasks planned for the machine, each rule checked again as the order is written. */
     List<Attempt> start(Machine m, Iterable<Round.Planned> planned, boolean direct, List<Order> orders) {
         Flavor f = context.prices().flavor(m.flavor());
-        if (f == null || m.draining() || m.returning() || m.enrolment() != Machine.Enrolment.STORED || !m.accounted()
+        if (f == null || m.draining() || m.returning() || m.enrolment() != Enrolment.STORED || !m.accounted()
                 || m.deaf()) {
             return List.of();
         }
@@ -383,7 +384,7 @@
         long now = context.loop().nowMicros();
         for (Round.Planned p : planned) {
             Job job = p.job;
-            if (job.over() || takeover.blocks(job) || !job.spec().allows(m.flavor(), m.site(), m.spot())) {
+            if (job.over() || job.enrolment() != Enrolment.STORED || takeover.blocks(job) || !job.spec().allows(m.flavor(), m.site(), m.spot())) {
                 continue;
             }
             Zones zones = Round.zones(job);
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -12,6 +12,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import plumlever.fleet.Attempt;
+import plumlever.fleet.Enrolment;
 import plumlever.fleet.Estimates;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
@@ -254,13 +255,16 @@
         // everything would seem to lack room, and be rented for.
         long sign = m.heard() ? m.lastReportMicros() : takeover.startedMicros();
         // A machine that missed a report may be gone, and one with an unheard direct order may have taken it.
-        return m.enrolment() == Machine.Enrolment.STORED && m.accounted() && !m.draining() && !m.returning() && !m.deaf()
+        return m.enrolment() == Enrolment.STORED && m.accounted() && !m.draining() && !m.returning() && !m.deaf()
                 && !m.unsettled() && now - sign < context.platform().workers().latestReportMicros();
     }
 
     /** Rented and not up yet, or up and not yet on record. */
-    private static boolean coming(Machine m) {
-        return !m.returning() && !m.failed() && !m.draining() && (!m.heard() || m.enrolment() != Machine.Enrolment.STORED)
+    private boolean coming(Machine m, long now) {
+        if (takeover.overdue(now) && takeover.open().contains(m)) {
+            return false;
+        }
+        return !m.returning() && !m.failed() && !m.draining() && (!m.heard() || m.enrolment() != Enrolment.STORED)
                 && m.accounted() == m.heard();
     }
 
@@ -277,7 +281,7 @@
                 if (f == null || without.contains(m)) {
                     continue;
                 }
-                if (coming(m)) {
+                if (coming(m, now)) {
                     long up = Math.max(now + 1_000_000, m.knownSinceMicros() + (long) (f.startupS() * 1.2e6));
                     Seat s = seat(m, f, 1, 0);
                     s.comesUp(up);
--- /dev/null
+++ b/src/main/java/plumlever/leader/SharedRecords.java
@@ -0,0 +1,197 @@
+package plumlever.leader;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import plumlever.store.StateClient;
+import plumlever.store.Txn;
+
+/**
+ * Entries of which many share one stored value, since changes are what the state service has least of. Each write is guarded
+ * by the term and by the record's own revision: one that is carried out late can't undo another, nor a successor's. An entry
+ * is told to be stored only after the answer that says so.
+ */
+final class SharedRecords<E> {
+    private static final long TIDY_MICROS = 5_000_000;
+    private static final long RETRY_MICROS = 300_000;
+
+    /** How entries are written. */
+    interface Layout<E> {
+        String key(int number);
+
+        /** Room that the entry takes of a value. */
+        int bytes(E entry);
+
+        /** Room that every value takes besides. */
+        int baseBytes();
+
+        ObjectNode value(List<E> entries);
+    }
+
+    /** One stored value. */
+    private static final class Chunk<E> {
+        final int number;
+        final Set<E> entries = new LinkedHashSet<>();
+        long stamp;
+        int bytes;
+        boolean writing;
+        /** Something must be written before it can be used, or can be dropped when there is time. */
+        boolean due;
+        boolean untidy;
+        long writtenMicros;
+
+        Chunk(int number, int bytes) {
+            this.number = number;
+            this.bytes = bytes;
+        }
+    }
+
+    private final Context context;
+    private final Layout<E> layout;
+    /** What comes together within this time is written together. */
+    private final long pauseMicros;
+    private final Consumer<List<E>> stored;
+    private final Map<Integer, Chunk<E>> chunks = new LinkedHashMap<>();
+    private final Map<E, Chunk<E>> chunkOf = new HashMap<>();
+    private boolean closed;
+
+    /** @param stored told which entries a write that was carried out holds */
+    SharedRecords(Context context, Layout<E> layout, long pauseMicros, Consumer<List<E>> stored) {
+        this.context = context;
+        this.layout = layout;
+        this.pauseMicros = pauseMicros;
+        this.stored = stored;
+    }
+
+    /** Takes over a value as an earlier leader stored it; entries that are no use any more may be missing. */
+    void load(int number, long stamp, List<E> entries) {
+        Chunk<E> c = new Chunk<>(number, layout.baseBytes());
+        c.stamp = stamp;
+        c.writtenMicros = context.loop().nowMicros();
+        chunks.put(number, c);
+        entries.forEach(e -> enter(c, e));
+    }
+
+    private void enter(Chunk<E> c, E entry) {
+        c.entries.add(entry);
+        c.bytes += layout.bytes(entry);
+        chunkOf.put(entry, c);
+    }
+
+    void add(E entry) {
+        Chunk<E> into = null;
+        for (Chunk<E> c : chunks.values()) {
+            if (c.bytes + layout.bytes(entry) <= context.layout().valueBytes()) {
+                into = c;
+                break;
+            }
+        }
+        if (into == null) {
+            int number = 0;
+            while (chunks.containsKey(number)) {
+                number++;
+            }
+            into = new Chunk<>(number, layout.baseBytes());
+            chunks.put(number, into);
+        }
+        enter(into, entry);
+        into.due = true;
+        write(into);
+    }
+
+    /** The entry is of no use any more; it goes with the next write, or when there is time for one. */
+    void remove(E entry) {
+        Chunk<E> c = chunkOf.remove(entry);
+        if (c != null) {
+            c.entries.remove(entry);
+            c.bytes -= layout.bytes(entry);
+            c.untidy = true;
+        }
+    }
+
+    /** One turn of the duty. */
+    long tidy() {
+        long now = context.loop().nowMicros();
+        for (Chunk<E> c : chunks.values()) {
+            if (c.untidy && now - c.writtenMicros > TIDY_MICROS) {
+                write(c);
+            }
+        }
+        return TIDY_MICROS / 4;
+    }
+
+    private void write(Chunk<E> c) {
+        if (closed || c.writing || !(c.due || c.untidy)) {
+            return;
+        }
+        c.writing = true;
+        long wait = Math.max(0, c.writtenMicros + pauseMicros - context.loop().nowMicros());
+        context.loop().after(c.writtenMicros == 0 ? 0 : wait, () -> send(c));
+    }
+
+    private void send(Chunk<E> c) {
+        if (closed || !context.office().mayAct()) {
+            c.writing = false;
+            if (!closed) {
+                context.loop().after(RETRY_MICROS, () -> write(c));
+            }
+            return;
+        }
+        c.due = false;
+        c.untidy = false;
+        c.writtenMicros = context.loop().nowMicros();
+        List<E> written = new ArrayList<>(c.entries);
+        String key = layout.key(c.number);
+        Txn txn = context.office().inTerm().guard(key, c.stamp);
+        if (written.isEmpty()) {
+            txn.drop(key);
+        } else {
+            txn.put(key, layout.value(written));
+        }
+        context.store().txn(txn, StateClient.Class.ORDINARY, result -> {
+            if (closed) {
+                return;
+            }
+            switch (result.outcome()) {
+                case APPLIED -> {
+                    c.stamp = written.isEmpty() ? 0 : result.epoch();
+                    c.writing = false;
+                    stored.accept(written);
+                    write(c);
+                }
+                case REFUSED -> again(c);
+                default -> settle(c);
+            }
+        });
+    }
+
+    private void again(Chunk<E> c) {
+        c.due = true;
+        context.loop().after(RETRY_MICROS, () -> {
+            c.writing = false;
+            write(c);
+        });
+    }
+
+    /** It may have been written, or may be yet: the next write is guarded by what is there now. */
+    private void settle(Chunk<E> c) {
+        context.store().get(layout.key(c.number), StateClient.Class.ORDINARY, got -> {
+            if (got.found()) {
+                c.stamp = got.item().stamp();
+            } else if (got.missing()) {
+                c.stamp = 0;
+            }
+            again(c);
+        });
+    }
+
+    void close() {
+        closed = true;
+    }
+}
--- a/src/main/java/plumlever/leader/Takeover.java
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import plumlever.fleet.Enrolment;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
 import plumlever.fleet.Machine;
@@ -20,6 +21,8 @@
  */
 final class Takeover {
     private static final Logger LOG = LoggerFactory.getLogger(Takeover.class);
+    /** Nearly all machines that can be reached have come over by then, also those of a large fleet. */
+    private static final long OVERDUE_MICROS = 7_000_000;
 
     private final Context context;
     private final Fleet fleet;
@@ -56,7 +59,7 @@
         unsureKnown = false;
         loadedMicros = context.loop().nowMicros();
         for (Machine m : fleet.machines()) {
-            if (m.enrolment() == Machine.Enrolment.STORED && !m.accounted()) {
+            if (m.enrolment() == Enrolment.STORED && !m.accounted()) {
                 open.add(m);
             }
         }
@@ -69,6 +72,11 @@
         return loaded && open.isEmpty();
     }
 
+    /** True when what is still open will not come over soon: it is gone or behind a cut, and nothing can be planned with it. */
+    boolean overdue(long now) {
+        return loaded && !open.isEmpty() && now - loadedMicros > OVERDUE_MICROS;
+    }
+
     Set<Machine> open() {
         return open;
     }
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -25,6 +25,8 @@
  *   <li>{@code fleet/N}: machines that may hold tasks, as many as fit one value. A machine is in one of them before
  *       anything is ordered from it, so a new leader knows every machine that could run something, however far the
  *       cloud's list lags.
+ *   <li>{@code begun/N}: jobs that a leader may have ordered something of, as many as fit one value. A job is in one of
+ *       them before its first order, so what a new leader does not find there is on no machine.
  *   <li>{@code hints}: what a leader learnt of images and estimates, for its successor.
  *   <li>{@code catalog}: the last machine types read, for a node that starts while the cloud is down.
  * </ul>
@@ -33,6 +35,7 @@
     public static final String ACTIVE = "active/";
     public static final String PROGRESS = "progress/";
     public static final String FLEET = "fleet/";
+    public static final String BEGUN = "begun/";
     public static final String CATALOG = "catalog";
     public static final String HINTS = "hints";
     private static final String ENDED = "ended/";
@@ -68,6 +71,19 @@
         return FLEET + chunk;
     }
 
+    public static String begunKey(int chunk) {
+        return BEGUN + chunk;
+    }
+
+    /** Number of a record that entries share, or -1. */
+    public static int numberOf(String key) {
+        try {
+            return Integer.parseInt(key.substring(key.indexOf('/') + 1));
+        } catch (NumberFormatException e) {
+            return -1;
+        }
+    }
+
     public static String progressKey(String uid, int chunk) {
         return PROGRESS + uid + "/" + chunk;
     }
--- a/src/test/java/plumlever/http/ServerTest.java
+++ b/src/test/java/plumlever/http/ServerTest.java
@@ -28,7 +28,7 @@
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1).getMap());
         loop = new XnioLoop(worker.getIoThread());
         caller = new UndertowCaller(loop, worker.getIoThread(), new DefaultByteBufferPool(false, 8192, 16, 4));
-        server = new Server(worker, new Endpoint("127.0.0.1", 0), 50, Server.MAX_BODY, (method, path, body, out) -> {
+        server = new Server(worker, new Endpoint("127.0.0.1", 0), 50, 20_000_000, Server.MAX_BODY, (method, path, body, out) -> {
             if (path.equals("/never")) {
                 return;
             }
