Placement: only room that others leave is hedged; hints in as many values as the fleet takes

An aim for the start that no rental can meet makes way for the next. Hints held one value, a fraction of the machines, so every takeover cost a fetch for most tasks that followed.

--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -114,7 +114,7 @@
         Picture picture = new Picture(now, without, false);
         for (Job job : order(now)) {
             Ask ask = ask(job, now);
-            Placer.Search search = search(job, ask, picture);
+            Placer.Search search = search(ask, zones(job), picture);
             int want = Math.min(job.freeCount(), takeover.quotaRoom(job));
             for (int i = 0; i < want; i++) {
                 Placer.Choice c = search.next();
@@ -346,8 +346,12 @@
     }
 
     private Ask ask(Job j, long now) {
+        return ask(j, now, targets.startBy(j, guaranteed(j), now));
+    }
+
+    private Ask ask(Job j, long now, long startBy) {
         return new Ask(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), j.spec().bundle(), j.spec().imageGb(),
-                estimates.runMicros(j), targets.finishBy(j, now), targets.startBy(j, guaranteed(j), now), j.spec().flavors(),
+                estimates.runMicros(j), targets.finishBy(j, now), startBy, j.spec().flavors(),
                 j.spec().site(), j.spec().loaners(), j.spec().checkpoints());
     }
 
@@ -378,9 +382,9 @@
         return now + left <= finish && now + left + RESTART_MICROS > finish;
     }
 
-    private Placer.Search search(Job job, Ask ask, Picture p) {
+    private Placer.Search search(Ask ask, Zones zones, Picture p) {
         context.metrics().count("seats_evaluated", p.seats.size());
-        return placer.search(ask, p.seats, zones(job), (seat, machine, image, gb) -> {
+        return placer.search(ask, p.seats, zones, (seat, machine, image, gb) -> {
             Machine m = p.machines.get(seat);
             return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), p.now);
         }, p.now);
@@ -392,13 +396,15 @@
         }
         long now = picture.now;
         Ask ask = ask(job, now);
-        Placer.Search search = search(job, ask, picture);
+        Zones zones = zones(job);
+        Placer.Search search = search(ask, zones, picture);
         int want = Math.min(job.freeCount(), quotaRoom(job));
         int waiting = 0;
         int booked = 0;
         int preempted = 0;
         Preemption.Search room = preemption.search(job, ask, targets.startBy(job, guaranteed(job), now), now);
         boolean mayPreempt = true;
+        boolean relaxed = false;
         for (int i = 0; i < want; i++) {
             Placer.Choice c = search.next();
             if ((c.seat() < 0 || !c.feasible()) && c.startMicros() > now && mayPreempt && preempted < MOST_PREEMPTED) {
@@ -408,6 +414,17 @@
                 }
                 mayPreempt = false;
             }
+            if (!relaxed && !c.feasible() && c.startMicros() > now && context.moneyMatters()) {
+                // No machine that is rented now would be up for this aim; what is booked or rented is for the next one.
+                relaxed = true;
+                long later = targets.startBy(job, guaranteed(job), now + context.tunables().rentMicros());
+                if (later > ask.startByMicros()) {
+                    ask = ask(job, now, later);
+                    search = search(ask, zones, picture);
+                    i--;
+                    continue;
+                }
+            }
             if (c.seat() < 0) {
                 // Nowhere at all. With time to spare one machine is a start: the rest is booked on it, or found short, then.
                 boolean spare = context.moneyMatters() && ask.startByMicros() != Long.MAX_VALUE
--- a/src/main/java/plumlever/placement/Placer.java
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -30,7 +30,8 @@
     private final double spotRisk;
 
     /**
-     * @param hedgeMicros the time that must be left when a task waits, so that a machine could still be rented for it
+     * @param hedgeMicros the time that must be left when a task waits for others to end, so that a machine could still be
+     *     rented for it
      * @param spotRisk share by which a spot machine seems dearer to a task that would lose its work with it
      */
     public Placer(double padding, double tie, long hedgeMicros, double spotRisk) {
@@ -140,7 +141,8 @@
             }
             double pad = asKind < UNPADDED ? padding : 0;
             long runs = start + fetch[seat];
-            if (pad > 0 && later) {
+            // Room that others leave may come later than estimated; room on a machine that is booting does not hang on that.
+            if (pad > 0 && later && start > s.upMicros()) {
                 runs += hedgeMicros;
             }
             return runs <= ask.startByMicros() && (ask.deadlineMicros() == Long.MAX_VALUE
--- a/src/main/java/plumlever/placement/Seat.java
+++ b/src/main/java/plumlever/placement/Seat.java
@@ -71,6 +71,11 @@
         memoryGb = 0;
     }
 
+    /** When the machine comes up; long ago for one that is. */
+    long upMicros() {
+        return upMicros;
+    }
+
     /** Room now, or for a machine that is not up yet when it comes up, that nothing is booked for. */
     public double spareCores() {
         double spare = cores;
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -27,7 +27,7 @@
  *       cloud's list lags.
  *   <li>{@code begun/N}: jobs that a leader may have ordered something of, as many as fit one value. A job is in one of
  *       them before its first order, so what a new leader does not find there is on no machine.
- *   <li>{@code hints}: what a leader learnt of images and estimates, for its successor.
+ *   <li>{@code hints/N}: what a leader learnt of images and estimates, for its successor.
  *   <li>{@code catalog}: the last machine types read, for a node that starts while the cloud is down.
  * </ul>
  */
@@ -37,7 +37,7 @@
     public static final String FLEET = "fleet/";
     public static final String BEGUN = "begun/";
     public static final String CATALOG = "catalog";
-    public static final String HINTS = "hints";
+    public static final String HINTS = "hints/";
     private static final String ENDED = "ended/";
     private static final String PACK = PROGRESS + "pack/";
     private static final String PACKED = "p";
@@ -75,6 +75,10 @@
         return BEGUN + chunk;
     }
 
+    public static String hintsKey(int part) {
+        return HINTS + part;
+    }
+
     /** Number of a record that entries share, or -1. */
     public static int numberOf(String key) {
         try {
