--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -50,6 +50,7 @@
     private static final long PEER_FRESH_MICROS = 3_500_000;
     private static final long LISTEN_MICROS = 1_000_000;
     private static final long STRAY_MICROS = 5_000_000;
+    private static final long PULSE_MICROS = 500_000;
 
     private final Loop loop;
     private final Platform platform;
@@ -66,12 +67,13 @@
     private final StandIn standIn;
     private final Map<String, Long> strays = new HashMap<>();
     private Leader leader;
+    private long pulseDueMicros;
 
     public Node(Loop loop, Caller caller, Platform platform, Tunables tunables, long seed) {
         this.loop = loop;
         this.platform = platform;
-        this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits());
-        this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits());
+        this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics);
+        this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
         this.prices = new PriceBook(tunables);
         JobStore layout = new JobStore(platform.stateLimits().valueBytes());
         this.office = new Office(platform.label(), loop, store, tunables, new Office.Holder() {
@@ -156,6 +158,7 @@
         scope.own(peers.duty()).start();
         scope.own(standIn.duty()).start();
         scope.own(new Duty("listen", loop, this::listen)).start();
+        scope.own(new Duty("pulse", loop, this::pulse)).start();
         scope.own(new Duty("summary", loop, () -> {
             metrics.logSummary();
             return SUMMARY_MICROS;
@@ -267,6 +270,16 @@
         return LISTEN_MICROS;
     }
 
+    /** How late this comes tells whether the processor's share is enough. */
+    private long pulse() {
+        long now = loop.nowMicros();
+        if (pulseDueMicros > 0) {
+            metrics.time("late", now - pulseDueMicros);
+        }
+        pulseDueMicros = now + PULSE_MICROS;
+        return PULSE_MICROS;
+    }
+
     private void endedPieces(WorkerReport r, Consumer<List<Order>> then) {
         Set<String> uids = new HashSet<>();
         r.pieces().forEach(p -> {
--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -81,6 +81,9 @@
                 (method, path, body, out) -> node.peer(method, path, body, out));
         back.start();
         front.start();
+        node.metrics().gauge("connections", front::connections);
+        node.metrics().gauge("connections_most", () -> users);
+        node.metrics().gauge("heap_mb", () -> (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
         loop.execute(node::start);
         LOG.info("{} serves {} and {}; aims: {}", platform.label(), platform.bind(), platform.back(),
                 platform.objectives().stream().map(Platform.Objective::kind).distinct().toList());
--- a/src/main/java/plumlever/cloud/CloudClient.java
+++ b/src/main/java/plumlever/cloud/CloudClient.java
@@ -13,6 +13,7 @@
 import org.slf4j.LoggerFactory;
 import plumlever.concurrent.Loop;
 import plumlever.http.Caller;
+import plumlever.metrics.Metrics;
 import plumlever.settings.Endpoint;
 import plumlever.settings.Platform;
 import plumlever.store.TokenBucket;
@@ -42,10 +43,12 @@
     private final Loop loop;
     private final Caller caller;
     private final Endpoint at;
+    private final Metrics metrics;
     private final TokenBucket requests;
     private final Map<String, Long> surprises = new HashMap<>();
 
-    public CloudClient(Loop loop, Caller caller, Endpoint at, Platform.CloudLimits limits) {
+    public CloudClient(Loop loop, Caller caller, Endpoint at, Platform.CloudLimits limits, Metrics metrics) {
+        this.metrics = metrics;
         this.loop = loop;
         this.caller = caller;
         this.at = at;
@@ -130,11 +133,13 @@
 
     private void send(String method, String path, JsonNode body, Parsed then) {
         if (!requests.take(1, loop.nowMicros())) {
+            metrics.outside("cloud", 429);
             loop.after(0, () -> then.take(429, null));
             return;
         }
         byte[] bytes = body == null ? null : Json.write(body).getBytes(StandardCharsets.UTF_8);
         caller.call(at, method, path, bytes, TIMEOUT_MICROS, (status, data) -> {
+            metrics.outside("cloud", status);
             ObjectNode parsed = null;
             if (data.length > 0 && (status == 200 || status == 503)) {
                 try {
--- a/src/main/java/plumlever/metrics/Metrics.java
+++ b/src/main/java/plumlever/metrics/Metrics.java
@@ -2,6 +2,7 @@
 
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,6 +14,7 @@
 
     private final Map<String, Long> counters = new TreeMap<>();
     private final Map<String, Histogram> times = new TreeMap<>();
+    private final Map<String, LongSupplier> gauges = new TreeMap<>();
 
     public void count(String name) {
         counters.merge(name, 1L, Long::sum);
@@ -31,11 +33,28 @@
                 .recordValue(Math.max(1, Math.min(MOST_MICROS, micros)));
     }
 
+    /** A level that is looked up for each summary. */
+    public void gauge(String name, LongSupplier level) {
+        gauges.put(name, level);
+    }
+
+    /** Counts the answers of an outside service that show it to be short, down or out of reach. */
+    public void outside(String service, int status) {
+        if (status == 0) {
+            count(service + "_silent");
+        } else if (status == 429) {
+            count(service + "_over_rate");
+        } else if (status == 503) {
+            count(service + "_refused");
+        }
+    }
+
     public void logSummary() {
         if (!LOG.isInfoEnabled() || (counters.isEmpty() && times.isEmpty())) {
             return;
         }
         StringBuilder line = new StringBuilder("summary");
+        gauges.forEach((k, level) -> line.append(' ').append(k).append('=').append(level.getAsLong()));
         counters.forEach((k, v) -> line.append(' ').append(k).append('=').append(v));
         times.forEach((k, h) -> line.append(String.format(" %s_ms[n=%d p50=%.1f p99=%.1f max=%.1f]", k, h.getTotalCount(),
                 h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h.getMaxValue() / 1e3)));
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -12,6 +12,7 @@
 import org.slf4j.LoggerFactory;
 import plumlever.concurrent.Loop;
 import plumlever.http.Caller;
+import plumlever.metrics.Metrics;
 import plumlever.settings.Endpoint;
 import plumlever.settings.Platform;
 import plumlever.wire.InvalidMessage;
@@ -60,13 +61,15 @@
     private final Loop loop;
     private final Caller caller;
     private final Endpoint at;
+    private final Metrics metrics;
     private final TokenBucket requests;
     private final TokenBucket writes;
     private final Map<String, Long> surprises = new HashMap<>();
     private long lastServedMicros;
     private long refusedSinceMicros = -1;
 
-    public StateClient(Loop loop, Caller caller, Endpoint at, Platform.StateLimits limits) {
+    public StateClient(Loop loop, Caller caller, Endpoint at, Platform.StateLimits limits, Metrics metrics) {
+        this.metrics = metrics;
         this.loop = loop;
         this.caller = caller;
         this.at = at;
@@ -186,11 +189,13 @@
             requests.force(1, now);
             writes.force(changes, now);
         } else if (!requests.take(1, now) || (changes > 0 && !writes.take(changes, now))) {
+            metrics.outside("state", 429);
             loop.after(0, () -> then.take(429, null));
             return;
         }
         byte[] bytes = body == null ? null : Json.write(body).getBytes(StandardCharsets.UTF_8);
         caller.call(at, method, path, bytes, timeoutMicros, (status, data) -> {
+            metrics.outside("state", status);
             if (status != 0 && status != 503) {
                 lastServedMicros = loop.nowMicros();
                 refusedSinceMicros = -1;
