--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -106,6 +106,15 @@
         keys.replaceAll((k, e) -> k.startsWith(prefix) ? new Entry(data, e.stamp, e.permit) : e);
     }
 
+    /** When the last leader was elected. */
+    long termSince;
+
+    /** The term of the last leader elected. */
+    long term() {
+        Entry e = keys.get("office/term");
+        return e == null ? 0 : e.data.path("term").asLong();
+    }
+
     int count(String prefix) {
         return (int) keys.keySet().stream().filter(k -> k.startsWith(prefix)).count();
     }
@@ -250,6 +259,7 @@
         for (JsonNode c : t.path("then")) {
             if (c.hasNonNull("put")) {
                 largestValue = Math.max(largestValue, Json.write(c.path("data")).length());
+                termSince = c.get("put").asText().equals("office/term") ? world.now() : termSince;
                 keys.put(c.get("put").asText(), new Entry(c.path("data"), epoch, c.path("permit").asLong(0)));
                 log.add(new Change(epoch, c.get("put").asText(), c.path("data")));
             } else if (keys.remove(c.path("drop").asText()) != null) {
--- a/src/test/java/plumlever/sim/TroublesTest.java
+++ b/src/test/java/plumlever/sim/TroublesTest.java
@@ -59,6 +59,22 @@
         assertDone(next);
     }
 
+    /**
+     * A leader stands still for longer than its grant lasts, and wakes to reports that came meanwhile: it must see by the clock
+     * that it is none any more before it answers the first of them.
+     */
+    @Test
+    void aLeaderThatStoodStillAnswersNobody() {
+        JobSpec j = submit(job("blue", Urgency.STANDARD, 40, 2, 40, false));
+        w.play(40);
+        World.Member stands = w.leader();
+        stands.freeze(12);
+        w.play(11.9);
+        assertTrue(w.members.values().stream().anyMatch(m -> m != stands && m.leads()), "another leads by then");
+        w.play(120);
+        assertDone(j);
+    }
+
     /** Its reports go on; answered, they would keep it from ever being accounted for, and all that is inherited waits. */
     @Test
     void aMachineThatNothingReachesHoldsUpNoTakeoverForLong() {
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -11,11 +11,15 @@
 import java.util.function.Consumer;
 import plumlever.Node;
 import plumlever.concurrent.Loop;
+import plumlever.election.StandIn;
+import plumlever.fleet.Fleet;
 import plumlever.http.Caller;
 import plumlever.http.Responder;
 import plumlever.settings.Endpoint;
 import plumlever.settings.Platform;
 import plumlever.settings.Tunables;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
 
 /** A simulated deployment: the service's nodes as they are, with stand-ins for all that is round them, on one clock. */
 public final class World {
@@ -131,6 +135,21 @@
         }
     }
 
+    /**
+     * Nor is this a rule of the protocol: a lease is renewed only in the name of the latest leader, but for what a stand-in
+     * has read a moment ago.
+     */
+    private void checkInOffice(String answer, boolean asLeader) {
+        try {
+            long term = Fleet.termOf(Json.parseObject(answer).path("baton").asLong());
+            if (term < store.term() && (asLeader || now - store.termSince > StandIn.VALID_MICROS)) {
+                rules.broken.add("a lease was renewed in term " + term + " at " + now / 1e6 + ", after term " + store.term() + " began");
+            }
+        } catch (InvalidMessage e) {
+            throw new AssertionError("a node's answer can't be read: " + answer, e);
+        }
+    }
+
     Member leader() {
         return members.values().stream().filter(Member::leads).findFirst().orElseThrow();
     }
@@ -281,6 +300,9 @@
 
                         @Override
                         public void send(int status, String json, int retry) {
+                            if (status == 200 && path.equals("/hello")) {
+                                checkInOffice(json, current.leader() != null);
+                            }
                             if (life == mine && closing) {
                                 reply.sendClosing(status, json);
                             } else if (life == mine) {
