--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -79,12 +79,14 @@
         this.office = new Office(platform.label(), loop, store, tunables, new Office.Holder() {
             @Override
             public void elected(long term) {
+                store.leads(true);
                 leader = new Leader(context, term);
                 leader.start();
             }
 
             @Override
             public void left(String why) {
+                store.leads(false);
                 if (leader != null) {
                     leader.close();
                     leader = null;
--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -30,8 +30,8 @@
      * service, the cloud and two peers, the peers' own, and what the process has open besides.
      */
     private static final int RESERVED = 280;
-    private static final long LEAST_IDLE_MICROS = 20_000_000;
-    private static final int IDLE_REPORTS = 4;
+    private static final long LEAST_IDLE_MICROS = 12_000_000;
+    private static final int IDLE_REPORTS = 3;
     private static final long PEER_BODY = 512 * 1024;
     private static final int STOP_S = 3;
 
--- a/src/main/java/plumlever/leader/Begun.java
+++ b/src/main/java/plumlever/leader/Begun.java
@@ -31,13 +31,14 @@
 
     private record Found(int number, long stamp, List<String> uids) {}
 
-    private final Runnable changed;
+    private final Runnable recorded;
     private final SharedRecords<Job> records;
     private final List<Found> found = new ArrayList<>();
     private final Set<String> foundUids = new HashSet<>();
 
-    Begun(Context context, Runnable changed) {
-        this.changed = changed;
+    /** @param recorded runs when jobs have come to be on record */
+    Begun(Context context, Runnable recorded) {
+        this.recorded = recorded;
         this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, this::stored);
     }
 
@@ -65,7 +66,7 @@
         return found.isEmpty() || foundUids.contains(uid);
     }
 
-    /** The jobs are known by now: those that have ended go from the records, those that are missing are added. */
+    /** The jobs are known by now: those that have ended go from the records. */
     void loaded(Jobs jobs) {
         Map<String, Job> kept = new HashMap<>();
         for (Found f : found) {
@@ -79,10 +80,12 @@
             }
             records.load(f.number, f.stamp, entries);
         }
-        jobs.all().forEach(this::enroll);
     }
 
-    /** The job is to be recorded; until that is stored none of its tasks is ordered. */
+    /**
+     * The job is to be recorded, since there is room for one of its tasks; until that is stored none is ordered. Not sooner:
+     * in a full fleet jobs wait for long, and through a takeover only those that were begun must.
+     */
     void enroll(Job j) {
         if (j.enrolment() == Enrolment.NONE) {
             j.enrolment(Enrolment.WRITING);
@@ -99,7 +102,7 @@
             }
         }
         if (news) {
-            changed.run();
+            recorded.run();
         }
     }
 
--- a/src/main/java/plumlever/leader/Direct.java
+++ b/src/main/java/plumlever/leader/Direct.java
@@ -50,7 +50,7 @@
             }
             Machine m = fleet.machine(host);
             Endpoint at = m == null || m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
-            if (at == null || m.calling() || m.unsettled() || m.tenure() == 0) {
+            if (at == null || m.calling() || m.unsettled() || m.tenure() == 0 || !round.recorded(m)) {
                 continue;
             }
             List<Order> orders = new ArrayList<>();
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -128,9 +128,6 @@
             Job job = new Job(JobStore.spec(data), stamp, context.loop().nowMicros() - Math.max(0, age),
                     known && begun.mayHaveBegun(uid));
             active.put(uid, job);
-            if (!known) {
-                begun.enroll(job);
-            }
             LOG.debug("{} taken in: {} tasks of class {}, accepted {} ms ago", uid, job.spec().pieces(), job.spec().jobclass(),
                     age / 1_000);
         } catch (InvalidMessage e) {
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -54,12 +54,12 @@
         this.context = context;
         this.term = term;
         this.fleet = new Fleet(term);
-        this.begun = new Begun(context, this::changed);
+        this.begun = new Begun(context, this::recorded);
         this.jobs = new Jobs(context, begun, this::changed);
         this.takeover = new Takeover(context, fleet);
         this.progress = new Progress(context, jobs);
         this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
-        this.round = new Round(context, fleet, jobs, estimates, takeover);
+        this.round = new Round(context, fleet, jobs, begun, estimates, takeover);
         this.direct = new Direct(context, round, reports, this::changed);
         this.roster = new Roster(context, this::changed);
         this.machines = new Machines(context, fleet, roster, round, reports, direct, takeover, this::changed);
@@ -143,6 +143,12 @@
         return takeover.complete() ? RAISE_DEAF_EVERY_MICROS : RAISE_EVERY_MICROS;
     }
 
+    /** What was planned for jobs that had to be recorded first can go out now. */
+    private void recorded() {
+        due = true;
+        direct.dispatch(fleet);
+    }
+
     private void changed() {
         due = true;
     }
@@ -211,7 +217,7 @@
             notice(m, r, now);
         }
         List<Order> orders = reports.standing(m, r);
-        if (news == Reports.News.NEWS && Fleet.termOf(r.baton()) == term && round.hasPlan(m) && !m.unsettled()) {
+        if (news == Reports.News.NEWS && Fleet.termOf(r.baton()) == term && round.hasPlan(m) && round.recorded(m) && !m.unsettled()) {
             reports.start(m, round.planned(m), false, orders);
             round.dropPlan(m);
         }
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -196,6 +196,9 @@
             return;
         }
         boolean started = p.status() == TaskStatus.RUNNING && a.status() != TaskStatus.RUNNING;
+        if (started && !a.job().begun()) {
+            context.metrics().time("begin", now - a.job().acceptedMicros());
+        }
         a.see(p.status(), now);
         if (started) {
             a.machine().hasImage(a.job().spec().bundle(), a.job().spec().imageGb());
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -62,6 +62,7 @@
     private final Context context;
     private final Fleet fleet;
     private final Jobs jobs;
+    private final Begun begun;
     private final Estimates estimates;
     private final Takeover takeover;
     private final Placer placer;
@@ -81,10 +82,11 @@
     private List<RentalPlan.Demand> demands = new ArrayList<>();
     private List<RentalPlan.Demand> lastDemands = List.of();
 
-    Round(Context context, Fleet fleet, Jobs jobs, Estimates estimates, Takeover takeover) {
+    Round(Context context, Fleet fleet, Jobs jobs, Begun begun, Estimates estimates, Takeover takeover) {
         this.context = context;
         this.fleet = fleet;
         this.jobs = jobs;
+        this.begun = begun;
         this.estimates = estimates;
         this.takeover = takeover;
         this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare(),
@@ -140,6 +142,16 @@
         return plans.containsKey(m.id());
     }
 
+    /** True if something of the plan can be ordered: its job is on record. */
+    boolean recorded(Machine m) {
+        for (Planned p : planned(m)) {
+            if (p.job.enrolment() == Enrolment.STORED) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void dropPlan(Machine m) {
         plans.remove(m.id());
     }
@@ -210,7 +222,7 @@
         return !j.begun() && now - j.acceptedMicros() > context.tunables().beginMicros();
     }
 
-    /** Work within a guarantee first, then by urgency, then what can still meet its aim, the most pressing first. */
+    /** What must begin first, the oldest first; then work within a guarantee, then by urgency, then what can still meet its aim, the most pressing first. */
     private List<Job> order(long now) {
         Map<String, Double> guaranteed = new HashMap<>();
         for (Platform.Team t : context.platform().teams()) {
@@ -241,7 +253,7 @@
         }
         Map<Job, Long> latest = new HashMap<>();
         waiting.forEach(j -> latest.put(j, latestStart(j, now)));
-        waiting.sort(Comparator.<Job>comparingInt(j -> mustBegin(j, now) ? 0 : 1)
+        waiting.sort(Comparator.<Job>comparingLong(j -> mustBegin(j, now) ? j.acceptedMicros() : Long.MAX_VALUE)
                 .thenComparingInt(j -> within.get(j) ? 0 : 1)
                 .thenComparing(j -> j.spec().urgency())
                 .thenComparingInt(j -> missed(latest.get(j), now) ? 1 : 0)
@@ -398,7 +410,12 @@
         Ask ask = ask(job, now);
         Zones zones = zones(job);
         Placer.Search search = search(ask, zones, picture);
-        int want = Math.min(job.freeCount(), quotaRoom(job));
+        int quota = quotaRoom(job);
+        if (quota < 1 && mustBegin(job, now)) {
+            // What its team's smaller tasks leave of the limit would go to the next of them, again and again.
+            planned(job);
+        }
+        int want = Math.min(job.freeCount(), quota);
         int waiting = 0;
         int booked = 0;
         int preempted = 0;
@@ -434,11 +451,10 @@
             }
             search.commit(c);
             if (c.startMicros() <= now) {
+                begun.enroll(job);
                 plans.computeIfAbsent(picture.seats.get(c.seat()).machine(), k -> new LinkedHashMap<>())
                         .computeIfAbsent(job, Planned::new).tasks++;
-                double[] t = plannedByTeam.computeIfAbsent(job.spec().owner(), k -> new double[2]);
-                t[0] += job.spec().cores();
-                t[1] += job.spec().accelerators();
+                planned(job);
             } else {
                 boolean rent = needsRental(job, c, ask, now);
                 if (rent) {
@@ -458,6 +474,13 @@
         }
     }
 
+    /** What one task of the job takes of its team's limit is given away in this round. */
+    private void planned(Job job) {
+        double[] t = plannedByTeam.computeIfAbsent(job.spec().owner(), k -> new double[2]);
+        t[0] += job.spec().cores();
+        t[1] += job.spec().accelerators();
+    }
+
     private boolean needsRental(Job job, Placer.Choice c, Ask ask, long now) {
         if (!context.moneyMatters()) {
             return c.startMicros() - now > context.tunables().rentMicros();
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -54,8 +54,10 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
     private static final long TIMEOUT_MICROS = 1_800_000;
-    /** The limits are shared by all nodes; the leader needs most, so each takes up to this part. */
+    /** The limits are shared by all nodes, so each takes up to this part. */
     private static final double PART = 0.5;
+    /** Of the changes the leader needs most: ends of jobs, records of jobs and machines, progress. */
+    private static final double LEADER_PART = 0.7;
     private static final int PAGE = 500;
 
     private final Loop loop;
@@ -64,6 +66,7 @@
     private final Metrics metrics;
     private final TokenBucket requests;
     private final TokenBucket writes;
+    private final double writesPerS;
     private final Map<String, Long> surprises = new HashMap<>();
     private long lastServedMicros;
     private long refusedSinceMicros = -1;
@@ -74,10 +77,16 @@
         this.caller = caller;
         this.at = at;
         this.requests = new TokenBucket(limits.rps() * PART, loop.nowMicros());
-        this.writes = new TokenBucket(limits.writeRps() * PART, loop.nowMicros());
+        this.writesPerS = limits.writeRps();
+        this.writes = new TokenBucket(writesPerS * PART, loop.nowMicros());
         this.lastServedMicros = loop.nowMicros();
     }
 
+    /** This node leads now, or does no more. */
+    public void leads(boolean now) {
+        writes.rate(writesPerS * (now ? LEADER_PART : PART), loop.nowMicros());
+    }
+
     /** When the service last did anything but refuse this node. */
     public long lastServedMicros() {
         return lastServedMicros;
--- a/src/main/java/plumlever/store/TokenBucket.java
+++ b/src/main/java/plumlever/store/TokenBucket.java
@@ -2,8 +2,8 @@
 
 /** Keeps requests within a rate, with bursts of one second's worth. */
 public final class TokenBucket {
-    private final double perMicro;
-    private final double burst;
+    private double perMicro;
+    private double burst;
     private double tokens;
     private long lastMicros;
 
@@ -14,6 +14,14 @@
         this.lastMicros = nowMicros;
     }
 
+    /** From now on this many a second. */
+    public void rate(double perSecond, long nowMicros) {
+        refill(nowMicros);
+        perMicro = perSecond / 1e6;
+        burst = Math.max(1, perSecond);
+        tokens = Math.min(tokens, burst);
+    }
+
     public boolean take(double n, long nowMicros) {
         refill(nowMicros);
         if (tokens < n) {
--- a/src/test/java/plumlever/store/JobStoreTest.java
+++ b/src/test/java/plumlever/store/JobStoreTest.java
@@ -38,6 +38,12 @@
             taken += b.take(1, i * 10_000L) ? 1 : 0;
         }
         assertTrue(taken >= 18 && taken <= 20, "a burst of ten and ten in the second: " + taken);
+        b.rate(20, 1_000_000);
+        int more = 0;
+        for (int i = 100; i < 200; i++) {
+            more += b.take(1, i * 10_000L) ? 1 : 0;
+        }
+        assertTrue(more >= 19 && more <= 21, "twice as many in the next: " + more);
         b.force(5, 1_000_000);
         assertFalse(b.take(1, 1_100_000), "what was borrowed is paid back first");
     }
