--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -5,7 +5,7 @@
 import plumlever.wire.JobSpec;
 
 /** An accepted job that has not ended, and what is known of its tasks. */
-public final class Job {
+public final class Job implements Enrolled {
     private final JobSpec spec;
     private final long stamp;
     private final long acceptedMicros;
@@ -65,10 +65,12 @@
     }
 
     /** Until it is stored none of its tasks is ordered, so that a successor knows which jobs may be on a machine. */
+    @Override
     public Enrolment enrolment() {
         return enrolment;
     }
 
+    @Override
     public void enrolment(Enrolment e) {
         enrolment = e;
     }
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -7,7 +7,7 @@
 import plumlever.wire.WorkerReport;
 
 /** What is known of one machine. */
-public final class Machine {
+public final class Machine implements Enrolled {
     private static final long STALE_FETCH_MICROS = 300_000_000;
 
     private final String id;
@@ -90,10 +90,12 @@
         return knownSinceMicros;
     }
 
+    @Override
     public Enrolment enrolment() {
         return enrolment;
     }
 
+    @Override
     public void enrolment(Enrolment e) {
         enrolment = e;
     }
--- a/src/main/java/plumlever/leader/Begun.java
+++ b/src/main/java/plumlever/leader/Begun.java
@@ -11,7 +11,6 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import plumlever.fleet.Enrolment;
 import plumlever.fleet.Job;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
@@ -31,15 +30,13 @@
 
     private record Found(int number, long stamp, List<String> uids) {}
 
-    private final Runnable recorded;
     private final SharedRecords<Job> records;
     private final List<Found> found = new ArrayList<>();
     private final Set<String> foundUids = new HashSet<>();
 
     /** @param recorded runs when jobs have come to be on record */
     Begun(Context context, Runnable recorded) {
-        this.recorded = recorded;
-        this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, this::stored);
+        this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, recorded);
     }
 
     /** Takes in what earlier leaders stored; read after this node took its term, so nobody else can add to it. */
@@ -74,7 +71,6 @@
             for (String uid : f.uids) {
                 Job j = jobs.get(uid);
                 if (j != null && kept.putIfAbsent(uid, j) == null) {
-                    j.enrolment(Enrolment.STORED);
                     entries.add(j);
                 }
             }
@@ -87,23 +83,7 @@
      * in a full fleet jobs wait for long, and through a takeover only those that were begun must.
      */
     void enroll(Job j) {
-        if (j.enrolment() == Enrolment.NONE) {
-            j.enrolment(Enrolment.WRITING);
-            records.add(j);
-        }
-    }
-
-    private void stored(List<Job> written) {
-        boolean news = false;
-        for (Job j : written) {
-            if (j.enrolment() == Enrolment.WRITING) {
-                j.enrolment(Enrolment.STORED);
-                news = true;
-            }
-        }
-        if (news) {
-            recorded.run();
-        }
+        records.enroll(j);
     }
 
     /** The job has ended. */
--- a/src/main/java/plumlever/leader/Roster.java
+++ b/src/main/java/plumlever/leader/Roster.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import plumlever.fleet.Enrolment;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
 import plumlever.store.JobStore;
@@ -25,13 +24,11 @@
     private static final int KINDS_BYTES = 500;
 
     private final Context context;
-    private final Runnable changed;
     private final SharedRecords<Machine> records;
 
     Roster(Context context, Runnable changed) {
         this.context = context;
-        this.changed = changed;
-        this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, this::stored);
+        this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, changed);
     }
 
     /** Takes over what earlier leaders stored. */
@@ -50,7 +47,6 @@
                 Machine known = fleet.machine(id);
                 Machine m = known != null ? known : new Machine(id, h.path(1).asText(), kind.path(0).asText(),
                         kind.path(1).asText(), kind.path(2).asBoolean(), context.loop().nowMicros());
-                m.enrolment(Enrolment.STORED);
                 if (known == null) {
                     fleet.add(m);
                     entries.add(m);
@@ -62,22 +58,8 @@
 
     /** The machine is to be recorded; until its enrolment is stored it takes no orders. */
     void enroll(Machine m) {
-        if (m.enrolment() == Enrolment.NONE && m.endpoint() != null) {
-            m.enrolment(Enrolment.WRITING);
-            records.add(m);
-        }
-    }
-
-    private void stored(List<Machine> written) {
-        boolean news = false;
-        for (Machine m : written) {
-            if (m.enrolment() == Enrolment.WRITING) {
-                m.enrolment(Enrolment.STORED);
-                news = true;
-            }
-        }
-        if (news) {
-            changed.run();
+        if (m.endpoint() != null) {
+            records.enroll(m);
         }
     }
 
--- a/src/main/java/plumlever/leader/SharedRecords.java
+++ b/src/main/java/plumlever/leader/SharedRecords.java
@@ -8,16 +8,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
+import plumlever.fleet.Enrolled;
+import plumlever.fleet.Enrolment;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
 
 /**
  * Entries of which many share one stored value, since changes are what the state service has least of. Each write is guarded
  * by the term and by the record's own revision: one that is carried out late can't undo another, nor a successor's. An entry
- * is told to be stored only after the answer that says so.
+ * counts as stored only after the answer that says so.
  */
-final class SharedRecords<E> {
+final class SharedRecords<E extends Enrolled> {
     private static final long TIDY_MICROS = 5_000_000;
     private static final long RETRY_MICROS = 300_000;
 
@@ -56,13 +57,13 @@
     private final Layout<E> layout;
     /** What comes together within this time is written together. */
     private final long pauseMicros;
-    private final Consumer<List<E>> stored;
+    private final Runnable stored;
     private final Map<Integer, Chunk<E>> chunks = new LinkedHashMap<>();
     private final Map<E, Chunk<E>> chunkOf = new HashMap<>();
     private boolean closed;
 
-    /** @param stored told which entries a write that was carried out holds */
-    SharedRecords(Context context, Layout<E> layout, long pauseMicros, Consumer<List<E>> stored) {
+    /** @param stored runs when entries have come to be on record */
+    SharedRecords(Context context, Layout<E> layout, long pauseMicros, Runnable stored) {
         this.context = context;
         this.layout = layout;
         this.pauseMicros = pauseMicros;
@@ -75,7 +76,10 @@
         c.stamp = stamp;
         c.writtenMicros = context.loop().nowMicros();
         chunks.put(number, c);
-        entries.forEach(e -> enter(c, e));
+        for (E e : entries) {
+            e.enrolment(Enrolment.STORED);
+            enter(c, e);
+        }
     }
 
     private void enter(Chunk<E> c, E entry) {
@@ -84,7 +88,12 @@
         chunkOf.put(entry, c);
     }
 
-    void add(E entry) {
+    /** The entry is to be recorded, if it is not yet. */
+    void enroll(E entry) {
+        if (entry.enrolment() != Enrolment.NONE) {
+            return;
+        }
+        entry.enrolment(Enrolment.WRITING);
         Chunk<E> into = null;
         for (Chunk<E> c : chunks.values()) {
             if (c.bytes + layout.bytes(entry) <= context.layout().valueBytes()) {
@@ -162,7 +171,7 @@
                 case APPLIED -> {
                     c.stamp = written.isEmpty() ? 0 : result.epoch();
                     c.writing = false;
-                    stored.accept(written);
+                    stored(written);
                     write(c);
                 }
                 case REFUSED -> again(c);
@@ -171,6 +180,19 @@
         });
     }
 
+    private void stored(List<E> written) {
+        boolean news = false;
+        for (E e : written) {
+            if (e.enrolment() == Enrolment.WRITING) {
+                e.enrolment(Enrolment.STORED);
+                news = true;
+            }
+        }
+        if (news) {
+            stored.run();
+        }
+    }
+
     private void again(Chunk<E> c) {
         c.due = true;
         context.loop().after(RETRY_MICROS, () -> {
