--- a/src/main/java/plumlever/leader/Hints.java
+++ b/src/main/java/plumlever/leader/Hints.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.databind.node.TextNode;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -91,7 +93,7 @@
         boolean add(Machine m, Map<String, Double> held, int limit) {
             int more = m.id().length() + MACHINE_BYTES + INDEX_BYTES * held.size();
             for (String name : held.keySet()) {
-                more += indexes.containsKey(name) ? 0 : name.length() + IMAGE_BYTES;
+                more += indexes.containsKey(name) ? 0 : bytes(name) + IMAGE_BYTES;
             }
             if (bytes + more > limit) {
                 return false;
@@ -106,6 +108,11 @@
         }
     }
 
+    /** Users name images; what they put into a name may take several times its length. */
+    private static int bytes(String name) {
+        return Json.write(TextNode.valueOf(name)).getBytes(StandardCharsets.UTF_8).length;
+    }
+
     private List<ObjectNode> parts() {
         List<Part> parts = new ArrayList<>();
         Part part = new Part();
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -115,6 +115,10 @@
         return e == null ? 0 : e.data.path("term").asLong();
     }
 
+    List<JsonNode> values(String prefix) {
+        return keys.entrySet().stream().filter(e -> e.getKey().startsWith(prefix)).map(e -> e.getValue().data).toList();
+    }
+
     int count(String prefix) {
         return (int) keys.keySet().stream().filter(k -> k.startsWith(prefix)).count();
     }
--- a/src/test/java/plumlever/sim/LargeDeploymentTest.java
+++ b/src/test/java/plumlever/sim/LargeDeploymentTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import plumlever.settings.Platform;
 import plumlever.wire.JobSpec;
@@ -36,6 +38,11 @@
         int machines = w.cloud.machines.size();
         assertTrue(machines > 450, "a large fleet is rented: " + machines);
         assertTrue(w.store.count("fleet/") <= 14, "machines share records: " + w.store.count("fleet/"));
+        // A successor is told of the images on nearly all of them, however many values that takes.
+        Set<String> hinted = new HashSet<>();
+        w.store.values("hints/").forEach(v -> v.path("machines").fieldNames().forEachRemaining(hinted::add));
+        long working = w.cloud.machines.values().stream().filter(v -> v.worker != null && !v.worker.tasks.isEmpty()).count();
+        assertTrue(working > 300 && hinted.size() > 0.7 * working, hinted.size() + " machines with hints, " + working + " at work");
         w.leader().crash(5);
         w.play(12);
         assertTrue(w.leader().node().leader().tookOver(), "a large fleet is taken over in seconds");
@@ -52,7 +59,8 @@
         assertEquals(JOBS, all.size());
         all.forEach(j -> assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid()));
         assertTrue(w.rules.starts >= JOBS * TASKS, "thousands of tasks: " + w.rules.starts);
-        // Limits of the simulated state service: 200 requests and 60 changes a second, with a second's burst.
+        assertTrue(w.store.largestValue <= 4_096, "largest value: " + w.store.largestValue);
+        // Limits of the simulated state service: 200 requests and 25 changes a second, with a second's burst.
         assertTrue(w.store.mostRequests <= 250, "requests in the busiest second: " + w.store.mostRequests);
         assertTrue(w.store.mostChanges <= 60, "changes in the busiest second: " + w.store.mostChanges);
         long seats = w.members.values().stream().mapToLong(m -> m.node().metrics().counted("seats_evaluated")).sum();
