--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import plumlever.cloud.CloudClient;
@@ -19,12 +20,14 @@
 import plumlever.concurrent.Scope;
 import plumlever.election.Office;
 import plumlever.election.StandIn;
+import plumlever.election.Term;
 import plumlever.http.Caller;
 import plumlever.http.Front;
 import plumlever.http.Responder;
 import plumlever.http.UserApi;
 import plumlever.leader.Context;
 import plumlever.leader.Leader;
+import plumlever.metrics.Logs;
 import plumlever.metrics.Metrics;
 import plumlever.peer.PeerStatus;
 import plumlever.peer.Peers;
@@ -54,7 +57,7 @@
 
     private final Loop loop;
     private final Platform platform;
-    private final Metrics metrics = new Metrics();
+    private final Metrics metrics;
     private final Scope scope = new Scope();
     private final StateClient store;
     private final CloudClient cloud;
@@ -62,41 +65,49 @@
     private final Office office;
     private final Peers peers;
     private final Front front;
-    private final Context context;
+    private final Function<Term, Context> contexts;
     private final JobBook book;
     private final StandIn standIn;
     private final Map<String, Long> strays = new HashMap<>();
     private Leader leader;
     private long pulseDueMicros;
 
+    /** A node that does everything on one loop. */
     public Node(Loop loop, Caller caller, Platform platform, Tunables tunables, long seed) {
+        this(loop, caller, loop, caller, platform, tunables, seed, Logs.SERVICE);
+    }
+
+    /** @param officeLoop what the office runs on, with its own way out, so that nothing here delays it */
+    public Node(Loop loop, Caller caller, Loop officeLoop, Caller officeCaller, Platform platform, Tunables tunables, long seed, Logs logs) {
         this.loop = loop;
         this.platform = platform;
+        this.metrics = new Metrics(logs);
         this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics);
         this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
         this.prices = new PriceBook(tunables);
         JobStore layout = new JobStore(platform.stateLimits().valueBytes());
-        this.office = new Office(platform.label(), loop, store, tunables, new Office.Holder() {
+        StateClient officeStore = new StateClient(officeLoop, officeCaller, platform.state(), platform.stateLimits(), metrics);
+        this.office = new Office(platform.label(), officeLoop, officeStore, tunables, new Office.Holder() {
             @Override
-            public void elected(long term) {
-                store.leads(true);
-                leader = new Leader(context, term);
-                leader.start();
+            public void elected(Term term) {
+                loop.execute(() -> lead(term));
             }
 
             @Override
-            public void left(String why) {
-                store.leads(false);
-                if (leader != null) {
-                    leader.close();
-                    leader = null;
-                }
+            public void left(Term term) {
+                loop.execute(Node.this::stopLeading);
+            }
+
+            @Override
+            public void whenTurning(Runnable action) {
+                loop.execute(action);
             }
-        }, seed);
-        this.context = new Context(loop, platform, tunables, office, store, layout, cloud, prices, caller, metrics, this::workersElsewhere);
+        }, seed, logs);
+        this.contexts = term -> new Context(loop, platform, tunables, office, term, store, layout, cloud, prices, caller,
+                metrics, this::workersElsewhere, logs);
         this.peers = new Peers(loop, caller, platform, this::status);
         this.book = new JobBook(loop, store, metrics, platform.stateLimits().txnOps());
-        this.standIn = new StandIn(loop, store, office);
+        this.standIn = new StandIn(loop, store, office, logs);
         UserApi users = new UserApi(loop, store, book, layout, prices, platform, metrics, new UserApi.Desk() {
             @Override
             public void aborted(String uid) {
@@ -118,7 +129,7 @@
         this.front = new Front(users, new Front.House() {
             @Override
             public Leader leader() {
-                return office.mayAct() ? leader : null;
+                return leader != null && leader.mayAct() ? leader : null;
             }
 
             @Override
@@ -167,6 +178,24 @@
         })).start();
     }
 
+    /** A term that has ended by the time this thread gets to it is not begun: another may be under way elsewhere. */
+    private void lead(Term term) {
+        stopLeading();
+        if (term.mayAct()) {
+            store.leads(true);
+            leader = new Leader(contexts.apply(term));
+            leader.start();
+        }
+    }
+
+    private void stopLeading() {
+        if (leader != null) {
+            store.leads(false);
+            leader.close();
+            leader = null;
+        }
+    }
+
     public Front front() {
         return front;
     }
--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -14,10 +14,11 @@
 import plumlever.http.Server;
 import plumlever.http.UndertowCaller;
 import plumlever.http.XnioLoop;
+import plumlever.metrics.Logs;
 import plumlever.settings.Platform;
 import plumlever.settings.Tunables;
 
-/** A controller with its sockets: one XNIO I/O thread that is the loop, and the two listeners. */
+/** A controller with its sockets: one XNIO I/O thread that is the loop, one for the office, and the two listeners. */
 final class Service implements AutoCloseable {
     /** Stands for "goes on until killed" where an exit code is expected. */
     static final int RUNNING = -1;
@@ -38,6 +39,7 @@
     private final Platform platform;
     private final Tunables tunables;
     private XnioWorker worker;
+    private XnioWorker officeWorker;
     private XnioLoop loop;
     private Node node;
     private UndertowCaller caller;
@@ -63,16 +65,14 @@
     }
 
     void start() throws java.io.IOException {
-        worker = Xnio.getInstance().createWorker(OptionMap.builder()
-                .set(Options.WORKER_NAME, "plumlever")
-                .set(Options.WORKER_IO_THREADS, 1)
-                .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                .set(Options.TCP_NODELAY, true)
-                .getMap());
+        worker = worker("plumlever");
+        officeWorker = worker("office");
         loop = new XnioLoop(worker.getIoThread());
         caller = new UndertowCaller(loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 4));
-        node = new Node(loop, caller, platform, tunables, new SplittableRandom().nextLong());
+        XnioLoop officeLoop = new XnioLoop(officeWorker.getIoThread());
+        UndertowCaller officeCaller = new UndertowCaller(officeLoop, officeWorker.getIoThread(),
+                new DefaultByteBufferPool(false, BUFFER_BYTES, 8, 1));
+        node = new Node(loop, caller, officeLoop, officeCaller, platform, tunables, new SplittableRandom().nextLong(), Logs.SERVICE);
         int users = Math.max(32, platform.socketLimit() - RESERVED);
         long idleMicros = Math.max(LEAST_IDLE_MICROS, IDLE_REPORTS * platform.workers().reportMicros());
         front = new Server(worker, platform.bind(), users, idleMicros, Server.MAX_BODY,
@@ -89,6 +89,16 @@
                 platform.objectives().stream().map(Platform.Objective::kind).distinct().toList());
     }
 
+    private static XnioWorker worker(String name) throws java.io.IOException {
+        return Xnio.getInstance().createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, name)
+                .set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.TCP_NODELAY, true)
+                .getMap());
+    }
+
     int port() {
         return front.port();
     }
@@ -120,5 +130,8 @@
         if (worker != null) {
             worker.shutdownNow();
         }
+        if (officeWorker != null) {
+            officeWorker.shutdownNow();
+        }
     }
 }
--- a/src/main/java/plumlever/election/Office.java
+++ b/src/main/java/plumlever/election/Office.java
@@ -3,10 +3,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.SplittableRandom;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.concurrent.Duty;
 import plumlever.concurrent.Loop;
 import plumlever.concurrent.Scope;
+import plumlever.metrics.Logs;
 import plumlever.settings.Tunables;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
@@ -16,28 +16,36 @@
  * Who leads. The leader holds a key that hangs on a grant of the state service; taking it raises the term in the
  * same transaction. How long this node may act is counted from when its last successful renewal was <em>sent</em>,
  * so it ends before the state service lets anyone else in.
+ *
+ * <p>It runs on a loop of its own, so that no round, no crowd of reports and no first use of code delays a renewal or an
+ * election; one that has lost the thread that decides gives the office up. Everything public may be asked on any thread.
  */
 public final class Office implements AutoCloseable {
-    /** Told on the loop. */
+    /** Told on the office's own loop. */
     public interface Holder {
-        void elected(long term);
+        void elected(Term term);
 
-        void left(String why);
+        void left(Term term);
+
+        /** Runs on the thread that decides, to see whether it still turns. */
+        void whenTurning(Runnable action);
     }
 
-    private static final Logger LOG = LoggerFactory.getLogger(Office.class);
     private static final String PREFIX = "office/";
     /** A stand-in's word that it renews leases under a mandate. */
     static final String STAND_IN = PREFIX + "stand-in";
     /** Allows the other controllers to renew leases for the leader, see {@link StandIn}. */
     public static final String MANDATE = PREFIX + "mandate";
     private static final String LEADER = PREFIX + "leader";
-    private static final String TERM = PREFIX + "term";
+    static final String TERM = PREFIX + "term";
     private static final long FOLLOW_MICROS = 5_000_000;
     private static final long RETRY_MICROS = 400_000;
+    /** A leader whose decisions have stood still for this long serves nobody: far longer than any lateness it may survive. */
+    private static final long STANDSTILL_MICROS = 10_000_000;
     /** Both clocks may be off by 0.05%; this allows for twice the sum. */
     private static final double DRIFT = 0.002;
 
+    private final Logger log;
     private final String label;
     private final Loop loop;
     private final StateClient store;
@@ -52,23 +60,23 @@
     private boolean known;
     private long epoch = -1;
     private long leaderStamp;
-    private String leaderLabel;
+    private volatile String leaderLabel;
     private String leaderNonce;
-    private long leaderSeenMicros;
+    private volatile long leaderSeenMicros;
     private long termStamp;
-    private long term;
+    private volatile long term;
 
-    private boolean leading;
+    /** The term in which this node leads, or null. */
+    private volatile Term current;
     private boolean busy;
-    private boolean mandateSeen;
-    private long standInFor = -1;
-    private long permit;
-    private long ownTermStamp;
-    private long rightUntilMicros;
+    private volatile boolean mandateSeen;
+    private volatile long standInFor = -1;
     private long notBeforeMicros;
+    private volatile long turnedMicros;
     private int lost;
 
-    public Office(String label, Loop loop, StateClient store, Tunables tunables, Holder holder, long seed) {
+    public Office(String label, Loop loop, StateClient store, Tunables tunables, Holder holder, long seed, Logs logs) {
+        this.log = logs.of(Office.class);
         this.label = label;
         this.loop = loop;
         this.store = store;
@@ -81,30 +89,17 @@
     }
 
     public void start() {
-        read();
+        loop.execute(this::read);
     }
 
     public boolean leading() {
-        return leading;
+        return current != null;
     }
 
     public long term() {
         return term;
     }
 
-    /**
-     * A guard that holds as long as no later term has begun: what a leader writes of its own work carries it, so that a
-     * write carried out late can't spoil a successor's.
-     */
-    public Txn inTerm() {
-        return new Txn().guard(TERM, ownTermStamp);
-    }
-
-    /** The grant that the office hangs on. */
-    public long permit() {
-        return permit;
-    }
-
     /** Revision of the mandate under which another controller has said that it renews leases; advice. */
     public long standInFor() {
         return standInFor;
@@ -115,24 +110,30 @@
         return mandateSeen;
     }
 
-    /** True while this node may act for the controllers; asked again right before every answer and order. */
+    /** True while this node may act for the controllers, in whatever term. */
     public boolean mayAct() {
-        return leading && loop.nowMicros() < rightUntilMicros;
+        Term t = current;
+        return t != null && t.mayAct();
     }
 
     /** The live leader's label, or null if none is known lately. */
     public String leaderLabel() {
         boolean fresh = loop.nowMicros() - leaderSeenMicros < FOLLOW_MICROS + 2 * tunables.grantTtlMicros();
-        return leaderLabel != null && fresh && !(leaderLabel.equals(label) && !leading) ? leaderLabel : null;
+        String who = leaderLabel;
+        return who != null && fresh && !(who.equals(label) && current == null) ? who : null;
     }
 
-    /** Gives the office up, and does not stand for a while so that another node gets it. */
-    public void resign(String why, long pauseMicros) {
+    /** Gives the office up, at once, and does not stand for a while so that another node gets it. */
+    public void resign(Term of, String why, long pauseMicros) {
+        of.end();
+        loop.execute(() -> giveUp(of, why, pauseMicros));
+    }
+
+    private void giveUp(Term of, String why, long pauseMicros) {
         notBeforeMicros = loop.nowMicros() + pauseMicros;
-        if (leading) {
-            long p = permit;
+        if (current == of && of != null) {
             leave(why);
-            store.endGrant(p);
+            store.endGrant(of.permit());
         }
     }
 
@@ -158,7 +159,7 @@
                     newTerm = i.data().path("term").asLong();
                 }
             }
-            if (!leading) {
+            if (current == null) {
                 term = newTerm;
             }
             epoch = listing.epoch();
@@ -204,7 +205,7 @@
                     mandateSeen = c.data() != null;
                 } else if (c.key().equals(TERM) && c.data() != null && c.stamp() > termStamp) {
                     termStamp = c.stamp();
-                    if (!leading) {
+                    if (current == null) {
                         term = c.data().path("term").asLong();
                     }
                 }
@@ -222,7 +223,7 @@
     }
 
     private void changed() {
-        if (leading) {
+        if (current != null) {
             if (!busy && leaderStamp != 0 && !mine()) {
                 leave("another node holds the office");
             }
@@ -234,7 +235,7 @@
     }
 
     private long stand() {
-        if (leading || busy || !known || !(leaderStamp == 0 || label.equals(leaderLabel))) {
+        if (current != null || busy || !known || !(leaderStamp == 0 || label.equals(leaderLabel))) {
             return -1;
         }
         long now = loop.nowMicros();
@@ -294,7 +295,7 @@
 
     private void reread() {
         store.list(PREFIX, StateClient.Class.URGENT, listing -> {
-            if (listing != null && !leading && !busy) {
+            if (listing != null && current == null && !busy) {
                 boolean leaderFound = false;
                 for (StateClient.Item i : listing.items()) {
                     if (i.key().equals(LEADER)) {
@@ -317,58 +318,63 @@
     }
 
     private void take(long p, long newTerm, long stamp, long sentAt) {
-        ownTermStamp = stamp;
+        Term t = new Term(loop, newTerm, stamp, p);
         busy = false;
         lost = 0;
-        permit = p;
         term = newTerm;
-        leading = true;
         leaderLabel = label;
         leaderNonce = nonce;
         leaderSeenMicros = loop.nowMicros();
-        extend(sentAt);
-        if (!mayAct()) {
+        turnedMicros = loop.nowMicros();
+        extend(t, sentAt);
+        current = t;
+        if (!t.mayAct()) {
             leave("the grant ran out while the office was taken");
             return;
         }
-        LOG.info("leading, term {}", newTerm);
+        log.info("leading, term {}", newTerm);
         touching.wakeIn(tunables.touchMicros());
-        holder.elected(newTerm);
+        holder.elected(t);
     }
 
-    private void extend(long sentAt) {
-        long until = sentAt + (long) (tunables.grantTtlMicros() * (1 - DRIFT)) - tunables.actMarginMicros();
-        rightUntilMicros = Math.max(rightUntilMicros, until);
+    private void extend(Term t, long sentAt) {
+        t.extend(sentAt + (long) (tunables.grantTtlMicros() * (1 - DRIFT)) - tunables.actMarginMicros());
     }
 
     private long touch() {
-        if (!leading) {
+        Term t = current;
+        if (t == null) {
             return -1;
         }
         long now = loop.nowMicros();
-        if (now >= rightUntilMicros) {
+        if (!t.mayAct()) {
             leave("the grant could not be renewed");
             return -1;
         }
-        long p = permit;
-        store.touch(p, result -> {
-            if (!leading || permit != p) {
+        if (now - turnedMicros > STANDSTILL_MICROS) {
+            giveUp(t, "its decisions stand still", STANDSTILL_MICROS);
+            return -1;
+        }
+        holder.whenTurning(() -> turnedMicros = loop.nowMicros());
+        store.touch(t.permit(), result -> {
+            if (current != t) {
                 return;
             }
             switch (result) {
-                case RENEWED -> extend(now);
+                case RENEWED -> extend(t, now);
                 case ENDED -> leave("the grant has ended");
-                case UNKNOWN -> touching.wakeIn(Math.min(RETRY_MICROS, Math.max(1, rightUntilMicros - loop.nowMicros())));
+                case UNKNOWN -> touching.wakeIn(Math.min(RETRY_MICROS, Math.max(1, t.rightUntilMicros() - loop.nowMicros())));
             }
         });
-        return Math.min(tunables.touchMicros(), Math.max(1, rightUntilMicros - now));
+        return Math.min(tunables.touchMicros(), Math.max(1, t.rightUntilMicros() - now));
     }
 
     private void leave(String why) {
-        leading = false;
-        rightUntilMicros = 0;
-        LOG.info("no longer leading term {}: {}", term, why);
-        holder.left(why);
+        Term t = current;
+        t.end();
+        current = null;
+        log.info("no longer leading term {}: {}", t.number(), why);
+        holder.left(t);
         if (mine()) {
             // Until the key is seen to go, or somebody else's comes, nothing is known of who leads.
             leaderLabel = null;
@@ -379,9 +385,9 @@
 
     @Override
     public void close() {
-        if (leading) {
-            resign("shutting down", 3_600_000_000L);
-        }
-        scope.close();
+        loop.execute(() -> {
+            giveUp(current, "shutting down", 3_600_000_000L);
+            scope.close();
+        });
     }
 }
--- a/src/main/java/plumlever/election/StandIn.java
+++ b/src/main/java/plumlever/election/StandIn.java
@@ -3,10 +3,10 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.concurrent.Duty;
 import plumlever.concurrent.Loop;
 import plumlever.fleet.Fleet;
+import plumlever.metrics.Logs;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
 import plumlever.wire.Json;
@@ -21,9 +21,9 @@
     /** How long a read of the mandate is good for. */
     public static final long VALID_MICROS = 2_000_000;
 
-    private static final Logger LOG = LoggerFactory.getLogger(StandIn.class);
     private static final long READ_MICROS = 600_000;
 
+    private final Logger log;
     private final Loop loop;
     private final StateClient store;
     private final Office office;
@@ -33,7 +33,8 @@
     private long announced = -1;
     private Set<String> sites = Set.of();
 
-    public StandIn(Loop loop, StateClient store, Office office) {
+    public StandIn(Loop loop, StateClient store, Office office, Logs logs) {
+        this.log = logs.of(StandIn.class);
         this.loop = loop;
         this.store = store;
         this.office = office;
@@ -59,7 +60,7 @@
             Set<String> now = new HashSet<>();
             got.item().data().path("sites").forEach(s -> now.add(s.asText()));
             if (!now.equals(sites)) {
-                LOG.info("standing in for the leader, leases are renewed in {}", now);
+                log.info("standing in for the leader, leases are renewed in {}", now);
             }
             sites = now;
             stamp = got.item().stamp();
--- a/src/main/java/plumlever/leader/Context.java
+++ b/src/main/java/plumlever/leader/Context.java
@@ -5,7 +5,9 @@
 import plumlever.cloud.PriceBook;
 import plumlever.concurrent.Loop;
 import plumlever.election.Office;
+import plumlever.election.Term;
 import plumlever.http.Caller;
+import plumlever.metrics.Logs;
 import plumlever.metrics.Metrics;
 import plumlever.settings.Platform;
 import plumlever.settings.Tunables;
@@ -13,12 +15,13 @@
 import plumlever.store.StateClient;
 
 /**
- * What a leader works with.
+ * What a leader works with, in one term.
  *
+ * @param term the term of office that it is for
  * @param workersElsewhere how many workers report to another controller, by what the others tell
  */
-public record Context(Loop loop, Platform platform, Tunables tunables, Office office, StateClient store, JobStore layout,
-        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics, IntSupplier workersElsewhere) {
+public record Context(Loop loop, Platform platform, Tunables tunables, Office office, Term term, StateClient store, JobStore layout,
+        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics, IntSupplier workersElsewhere, Logs logs) {
 
     boolean moneyMatters() {
         return platform.moneyMatters(tunables.rentMicros());
--- a/src/main/java/plumlever/leader/Direct.java
+++ b/src/main/java/plumlever/leader/Direct.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
@@ -20,13 +19,13 @@
  * nothing started this way is reaped with the token that started it (see {@link Machine#voidDirect}).
  */
 final class Direct {
-    private static final Logger LOG = LoggerFactory.getLogger(Direct.class);
     private static final long START_TIMEOUT_MICROS = 1_500_000;
     private static final long RAISE_TIMEOUT_MICROS = 1_000_000;
     /** Calls under way at a time, so that a wave of starts leaves sockets and time for everybody else. */
     private static final int MOST_STARTS = 48;
     private static final int MOST_RAISES = 64;
 
+    private final Logger log;
     private final Context context;
     private final Round round;
     private final Reports reports;
@@ -37,6 +36,7 @@
 
     Direct(Context context, Round round, Reports reports, Runnable changed) {
         this.context = context;
+        this.log = context.logs().of(Direct.class);
         this.round = round;
         this.reports = reports;
         this.changed = changed;
@@ -45,7 +45,7 @@
     /** Sends what the round planned; what can't go now goes with the machine's next report, or is planned anew. */
     void dispatch(Fleet fleet) {
         for (String host : round.plannedMachines()) {
-            if (starts >= MOST_STARTS || !context.office().mayAct()) {
+            if (starts >= MOST_STARTS || !context.term().mayAct()) {
                 return;
             }
             Machine m = fleet.machine(host);
@@ -95,7 +95,7 @@
      */
     void raise(Machine m) {
         Endpoint at = m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
-        if (at == null || m.calling() || raises >= MOST_RAISES || !context.office().mayAct()) {
+        if (at == null || m.calling() || raises >= MOST_RAISES || !context.term().mayAct()) {
             return;
         }
         raises++;
@@ -103,7 +103,7 @@
         call(m, at, List.of(), RAISE_TIMEOUT_MICROS, (status, r) -> {
             raises--;
             m.calling(false);
-            if (closed || !context.office().mayAct()) {
+            if (closed || !context.term().mayAct()) {
                 return;
             }
             m.called(r != null);
@@ -134,7 +134,7 @@
                 try {
                     r = WorkerReport.parse(data);
                 } catch (InvalidMessage e) {
-                    LOG.warn("the direct answer of {} can't be read: {}", m.id(), e.getMessage());
+                    log.warn("the direct answer of {} can't be read: {}", m.id(), e.getMessage());
                 }
             }
             then.take(status, r != null && r.host().equals(m.id()) ? r : null);
--- a/src/main/java/plumlever/leader/Hints.java
+++ b/src/main/java/plumlever/leader/Hints.java
@@ -139,7 +139,7 @@
         }
         List<ObjectNode> now = parts();
         int all = Math.max(now.size(), written.size());
-        Txn txn = context.office().inTerm();
+        Txn txn = context.term().guard();
         Map<Integer, ObjectNode> sent = new HashMap<>();
         for (int n = 0; n < all && sent.size() < MOST_AT_ONCE; n++) {
             int i = cursor++ % all;
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.fleet.Job;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
@@ -18,10 +17,10 @@
 
 /** The jobs that have not ended, kept up with the state service by following it. */
 final class Jobs {
-    private static final Logger LOG = LoggerFactory.getLogger(Jobs.class);
     private static final long FOLLOW_MICROS = 10_000_000;
     private static final long RETRY_MICROS = 500_000;
 
+    private final Logger log;
     private final Context context;
     private final Begun begun;
     private final Runnable changed;
@@ -33,6 +32,7 @@
 
     Jobs(Context context, Begun begun, Runnable changed) {
         this.context = context;
+        this.log = context.logs().of(Jobs.class);
         this.begun = begun;
         this.changed = changed;
     }
@@ -113,7 +113,7 @@
             context.layout().readChunk(i.data(), Integer.parseInt(rest.substring(slash + 1)), job.stored());
             job.stored().stream().forEach(job::markDone);
         } catch (InvalidMessage | NumberFormatException e) {
-            LOG.warn("{} can't be read and is taken as no progress", i.key());
+            log.warn("{} can't be read and is taken as no progress", i.key());
         }
     }
 
@@ -128,10 +128,10 @@
             Job job = new Job(JobStore.spec(data), stamp, context.loop().nowMicros() - Math.max(0, age),
                     known && begun.mayHaveBegun(uid));
             active.put(uid, job);
-            LOG.debug("{} taken in: {} tasks of class {}, accepted {} ms ago", uid, job.spec().pieces(), job.spec().jobclass(),
+            log.debug("{} taken in: {} tasks of class {}, accepted {} ms ago", uid, job.spec().pieces(), job.spec().jobclass(),
                     age / 1_000);
         } catch (InvalidMessage e) {
-            LOG.error("{} can't be read: {}", key, e.getMessage());
+            log.error("{} can't be read: {}", key, e.getMessage());
         }
     }
 
@@ -140,7 +140,7 @@
         if (job != null) {
             job.end();
             begun.remove(job);
-            LOG.debug("{} has ended", uid);
+            log.debug("{} has ended", uid);
         }
     }
 
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.concurrent.Duty;
 import plumlever.concurrent.Scope;
 import plumlever.fleet.Attempt;
@@ -21,7 +20,6 @@
 
 /** One term of office: everything the leading node knows and does, from election until it leaves. */
 public final class Leader implements AutoCloseable {
-    private static final Logger LOG = LoggerFactory.getLogger(Leader.class);
     private static final long ROUND_EVERY_MICROS = 150_000;
     private static final long ROUND_PAUSE_MOST_MICROS = 1_500_000;
     private static final int ROUND_PAUSE_TIMES = 3;
@@ -31,6 +29,7 @@
     private static final long ANSWER_SHOWS_MICROS = 2_000_000;
     private static final long RETRY_MICROS = 500_000;
 
+    private final Logger log;
     private final Context context;
     private final long term;
     private final Scope scope = new Scope();
@@ -50,9 +49,10 @@
     private boolean loaded;
     private boolean due = true;
 
-    public Leader(Context context, long term) {
+    public Leader(Context context) {
         this.context = context;
-        this.term = term;
+        this.log = context.logs().of(Leader.class);
+        this.term = context.term().number();
         this.fleet = new Fleet(term);
         this.begun = new Begun(context, this::recorded);
         this.jobs = new Jobs(context, begun, this::changed);
@@ -67,6 +67,11 @@
         this.rounds = new Duty("rounds", context.loop(), this::roundTurn);
     }
 
+    /** True while this leader's own term lasts. */
+    public boolean mayAct() {
+        return context.term().mayAct();
+    }
+
     public void start() {
         readFleet();
     }
@@ -99,7 +104,7 @@
             }
             n++;
         }
-        LOG.info("term {} begins with {} jobs and {} machines to account for, {} ms after election", term, n,
+        log.info("term {} begins with {} jobs and {} machines to account for, {} ms after election", term, n,
                 takeover.open().size(), (context.loop().nowMicros() - takeover.startedMicros()) / 1_000);
         scope.own(jobs::close);
         scope.own(begun::close);
@@ -121,7 +126,7 @@
      * nothing seems to reach, whose reports are not answered meanwhile.
      */
     private long raise() {
-        if (context.office().mayAct()) {
+        if (context.term().mayAct()) {
             long now = context.loop().nowMicros();
             // Those that did not answer come last: dozens behind a cut would else be called again and again, and nobody else.
             List<Machine> open = new ArrayList<>(takeover.open());
@@ -155,7 +160,7 @@
 
     /** Rounds are gathered: each pauses for a few times what the last one took, so that requests come first. */
     private long roundTurn() {
-        if (!due || !context.office().mayAct()) {
+        if (!due || !context.term().mayAct()) {
             return ROUND_EVERY_MICROS;
         }
         boolean finished = round.run();
@@ -169,13 +174,13 @@
 
     /** Answers a worker's report; the caller has checked that this node leads. */
     public void report(WorkerReport r, Responder out) {
-        if (!context.office().mayAct()) {
+        if (!context.term().mayAct()) {
             out.later(503, "not in office", 1);
             return;
         }
         if (Fleet.termOf(r.baton()) > term) {
             // Somebody holds a later term, so this one is over whatever this node believes.
-            context.office().resign("a worker has seen term " + Fleet.termOf(r.baton()), 1_000_000);
+            context.office().resign(context.term(), "a worker has seen term " + Fleet.termOf(r.baton()), 1_000_000);
             out.later(503, "not in office", 1);
             return;
         }
@@ -222,7 +227,7 @@
             round.dropPlan(m);
         }
         // Checked once more: a turn that ran late may have outlived the right to act.
-        if (!context.office().mayAct()) {
+        if (!context.term().mayAct()) {
             out.later(503, "not in office", 1);
             return;
         }
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -11,7 +11,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.cloud.CloudClient;
 import plumlever.election.StandIn;
 import plumlever.fleet.Attempt;
@@ -23,7 +22,6 @@
 
 /** Rents and returns machines, keeps the record of those that may hold tasks, and finds the ones that are gone. */
 final class Machines {
-    private static final Logger LOG = LoggerFactory.getLogger(Machines.class);
     private static final long LIST_EVERY_MICROS = 6_000_000;
     private static final long CATALOG_EVERY_MICROS = 30_000_000;
     private static final long NO_CAPACITY_PAUSE_MICROS = 12_000_000;
@@ -57,6 +55,7 @@
         }
     }
 
+    private final Logger log;
     private final Context context;
     private final Fleet fleet;
     private final Roster roster;
@@ -93,6 +92,7 @@
     Machines(Context context, Fleet fleet, Roster roster, Round round, Reports reports, Direct direct, Takeover takeover,
             Runnable changed) {
         this.context = context;
+        this.log = context.logs().of(Machines.class);
         this.fleet = fleet;
         this.roster = roster;
         this.round = round;
@@ -110,7 +110,7 @@
 
     /** One turn of the duty. */
     long turn() {
-        if (closed || !context.office().mayAct()) {
+        if (closed || !context.term().mayAct()) {
             return 200_000;
         }
         long now = context.loop().nowMicros();
@@ -198,7 +198,7 @@
             }
         }
         if (lostItsWorkers(zones)) {
-            context.office().resign("its workers report to other controllers", AWAY_MICROS);
+            context.office().resign(context.term(), "its workers report to other controllers", AWAY_MICROS);
             return;
         }
         // When a cut ends, its machines find their way back one by one, so it is kept in mind for as long again.
@@ -206,7 +206,7 @@
         zones.forEach((zone, z) -> {
             if (z[1] >= 2 && z[1] * 2 >= z[0]) {
                 if (cutZones.put(zone, now + silentMicros()) == null) {
-                    LOG.warn("{} of {} machines in {} are silent, as behind a cut", z[1], z[0], zone);
+                    log.warn("{} of {} machines in {} are silent, as behind a cut", z[1], z[0], zone);
                 }
             }
         });
@@ -218,7 +218,7 @@
                 boolean lost = m.running();
                 reports.endSessionsBefore(m, Long.MAX_VALUE);
                 if (lost) {
-                    LOG.info("the lease of {} has lapsed", m.id());
+                    log.info("the lease of {} has lapsed", m.id());
                     changed.run();
                 }
                 if (!m.accounted()) {
@@ -332,7 +332,7 @@
     }
 
     private void giveBack(Machine m, String why) {
-        LOG.info("returning {} ({} in {}{}): {}", m.id(), m.flavor(), m.site(), m.spot() ? ", spot" : "", why);
+        log.info("returning {} ({} in {}{}): {}", m.id(), m.flavor(), m.site(), m.spot() ? ", spot" : "", why);
         m.returning(true);
         context.metrics().count("machines_returned");
     }
@@ -400,7 +400,7 @@
         if (round.canDoWithout(fewer)) {
             closed.addAll(fewer);
             context.metrics().count("machines_closed", step);
-            LOG.debug("{} more machines get no new tasks, the others will do", step);
+            log.debug("{} more machines get no new tasks, the others will do", step);
             // A large fleet is too large by many machines at a time; what goes well is tried twice as far.
             closeStep = Math.min(Math.max(1, able.size() / 10), closeStep * 2);
         } else {
@@ -477,7 +477,7 @@
             if (open.size() >= 6) {
                 break;
             }
-            Open o = new Open("r-" + context.office().term() + "-" + ++rentalCounter, r.kind(),
+            Open o = new Open("r-" + context.term().number() + "-" + ++rentalCounter, r.kind(),
                     Math.min(r.count(), CloudClient.MOST_PER_RENTAL));
             open.add(o);
             send(o);
@@ -485,7 +485,7 @@
     }
 
     private void send(Open o) {
-        if (!context.office().mayAct()) {
+        if (!context.term().mayAct()) {
             return;
         }
         o.inFlight = true;
@@ -498,7 +498,7 @@
                     if (hosts.size() < o.count) {
                         shortUntil.put(o.kind, now + NO_CAPACITY_PAUSE_MICROS);
                     }
-                    LOG.info("rented {} of {} {} in {}{}", hosts.size(), o.count, o.kind.flavor(), o.kind.site(),
+                    log.info("rented {} of {} {} in {}{}", hosts.size(), o.count, o.kind.flavor(), o.kind.site(),
                             o.kind.spot() ? ", spot" : "");
                     context.metrics().count("machines_rented", hosts.size());
                     sizeChangedMicros = now;
--- a/src/main/java/plumlever/leader/Mandate.java
+++ b/src/main/java/plumlever/leader/Mandate.java
@@ -8,7 +8,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.election.Office;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
@@ -19,12 +18,12 @@
  * mandate is sent until it has surely been dropped and the last read of it has run out, no lease there lapses by time.
  */
 final class Mandate {
-    private static final Logger LOG = LoggerFactory.getLogger(Mandate.class);
 
     /** Workers try one controller after the other; by then some have come to one that reaches them. */
     private static final long PATIENCE_MICROS = 9_000_000;
     private static final long BARRED_MICROS = 90_000_000;
 
+    private final Logger log;
     private final Context context;
     /** Zones others may be renewing leases in. */
     private final Set<String> given = new HashSet<>();
@@ -37,6 +36,7 @@
 
     Mandate(Context context) {
         this.context = context;
+        this.log = context.logs().of(Mandate.class);
     }
 
     boolean covers(String site) {
@@ -74,8 +74,8 @@
         Set<String> before = new HashSet<>(given);
         givenMicros = context.loop().nowMicros();
         given.addAll(sites);
-        LOG.info("leases in {} may be renewed by the other controllers", given);
-        write(context.office().inTerm().guard(Office.MANDATE, stamp), given, result -> {
+        log.info("leases in {} may be renewed by the other controllers", given);
+        write(context.term().guard().guard(Office.MANDATE, stamp), given, result -> {
             switch (result.outcome()) {
                 case APPLIED -> stamp = result.epoch();
                 // Surely not given, nor later, since what it was guarded by has moved on.
@@ -94,13 +94,13 @@
      * heard can't be carried out any more.
      */
     private void end() {
-        write(context.office().inTerm(), Set.of(), result -> {
+        write(context.term().guard(), Set.of(), result -> {
             if (result.applied()) {
                 stamp = result.epoch();
                 long now = context.loop().nowMicros();
                 given.forEach(s -> endedMicros.put(s, now));
                 if (!given.isEmpty()) {
-                    LOG.info("leases in {} are renewed here again", given);
+                    log.info("leases in {} are renewed here again", given);
                 }
                 given.clear();
             }
@@ -109,10 +109,10 @@
 
     private void write(Txn txn, Set<String> sites, Consumer<Txn.Result> then) {
         writing = true;
-        ObjectNode o = Json.object().put("term", context.office().term());
+        ObjectNode o = Json.object().put("term", context.term().number());
         ArrayNode a = o.putArray("sites");
         sites.forEach(a::add);
-        context.store().txn(txn.put(Office.MANDATE, o, context.office().permit()), StateClient.Class.URGENT, result -> {
+        context.store().txn(txn.put(Office.MANDATE, o, context.term().permit()), StateClient.Class.URGENT, result -> {
             writing = false;
             then.accept(result);
         });
--- a/src/main/java/plumlever/leader/Preemption.java
+++ b/src/main/java/plumlever/leader/Preemption.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
@@ -30,13 +29,13 @@
         boolean test(Attempt a, long nowMicros);
     }
 
-    private static final Logger LOG = LoggerFactory.getLogger(Preemption.class);
     /** A task stopped sooner after its start was hardly worth starting. */
     private static final long SETTLED_MICROS = 35_000_000;
     /** A halt goes out with the next answer, and the room is seen with the report after it. */
     private static final long ORDER_MICROS = 3_000_000;
     private static final double EPSILON = 1e-9;
 
+    private final Logger log;
     private final Context context;
     private final Fleet fleet;
     private final Usable usable;
@@ -44,6 +43,7 @@
 
     Preemption(Context context, Fleet fleet, Usable usable, Harm harm) {
         this.context = context;
+        this.log = context.logs().of(Preemption.class);
         this.fleet = fleet;
         this.usable = usable;
         this.harm = harm;
@@ -80,8 +80,8 @@
             for (Attempt a : o.victims) {
                 a.halt(a.job().spec().snapshotS() + 2, now);
                 context.metrics().count("preempted");
-                if (LOG.isDebugEnabled()) {
-                    LOG.debug("{} on {} is stopped to make room for {}", a.name().wireName(), o.machine.id(), job.uid());
+                if (log.isDebugEnabled()) {
+                    log.debug("{} on {} is stopped to make room for {}", a.name().wireName(), o.machine.id(), job.uid());
                 }
             }
             return true;
--- a/src/main/java/plumlever/leader/Progress.java
+++ b/src/main/java/plumlever/leader/Progress.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.fleet.Job;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
@@ -22,7 +21,6 @@
  * safe: a completed task that is started again ends at once.
  */
 final class Progress {
-    private static final Logger LOG = LoggerFactory.getLogger(Progress.class);
     private static final long RETRY_MICROS = 300_000;
     private static final long MOST_BYTES = 48 * 1024;
 
@@ -38,6 +36,7 @@
         }
     }
 
+    private final Logger log;
     private final Context context;
     private final Jobs jobs;
     private final Map<Integer, Pack> packs = new LinkedHashMap<>();
@@ -50,6 +49,7 @@
 
     Progress(Context context, Jobs jobs) {
         this.context = context;
+        this.log = context.logs().of(Progress.class);
         this.jobs = jobs;
     }
 
@@ -112,7 +112,7 @@
             switch (result.outcome()) {
                 case APPLIED -> {
                     context.metrics().count("jobs_done");
-                    LOG.debug("{} done", job.uid());
+                    log.debug("{} done", job.uid());
                     ended(job);
                 }
                 case CONFLICT -> settle(job);
@@ -145,7 +145,7 @@
             return pause;
         }
         // Nothing but the term guards it: progress of a job that has ended meanwhile is a stray that the next write drops.
-        Txn txn = context.office().inTerm();
+        Txn txn = context.term().guard();
         Map<Job, BitSet> snapshots = new LinkedHashMap<>();
         List<Pack> sentPacks = new ArrayList<>();
         Map<Job, BitSet> sentChunks = new LinkedHashMap<>();
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import org.agrona.collections.LongHashSet;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Enrolment;
 import plumlever.fleet.Estimates;
@@ -20,9 +19,9 @@
 
 /** Learns from reports, and writes the orders that answer them. */
 final class Reports {
-    private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
     private static final double EPSILON = 1e-9;
 
+    private final Logger log;
     private final Context context;
     private final Fleet fleet;
     private final Jobs jobs;
@@ -34,6 +33,7 @@
 
     Reports(Context context, Fleet fleet, Jobs jobs, Estimates estimates, Takeover takeover, Progress progress, long term) {
         this.context = context;
+        this.log = context.logs().of(Reports.class);
         this.fleet = fleet;
         this.jobs = jobs;
         this.estimates = estimates;
@@ -85,7 +85,7 @@
         if (noticed) {
             changed = true;
             context.metrics().count("spot_notices");
-            LOG.info("{} will be taken in {} s", m.id(), r.reclaimInS());
+            log.info("{} will be taken in {} s", m.id(), r.reclaimInS());
         }
         LongHashSet listed = new LongHashSet();
         boolean current = Fleet.termOf(r.baton()) == term;
@@ -158,7 +158,7 @@
         if (m.deaf() != wasDeaf) {
             changed = true;
             context.metrics().count(wasDeaf ? "machines_hear_again" : "machines_deaf");
-            LOG.info("{} {}", m.id(), wasDeaf ? "takes answers again" : "reports, but nothing seems to reach it");
+            log.info("{} {}", m.id(), wasDeaf ? "takes answers again" : "reports, but nothing seems to reach it");
         }
     }
 
@@ -207,8 +207,8 @@
                 // What images cost: room that is held while a task waits for its own.
                 context.metrics().count("core_ms_fetching", (long) (a.job().spec().cores() * (now - a.sentMicros()) / 1_000));
             }
-            if (LOG.isDebugEnabled()) {
-                LOG.debug("{} runs on {}", a.name().wireName(), a.machine().id());
+            if (log.isDebugEnabled()) {
+                log.debug("{} runs on {}", a.name().wireName(), a.machine().id());
             }
         }
         if (p.status() == TaskStatus.ENDED) {
@@ -229,17 +229,17 @@
                     context.metrics().count("core_ms_running", (long) (job.spec().cores() * (now - a.runningSinceMicros()) / 1_000));
                 }
                 observe(a, now);
-                if (LOG.isDebugEnabled()) {
-                    LOG.debug("{} done on {}", a.name().wireName(), m.id());
+                if (log.isDebugEnabled()) {
+                    log.debug("{} done on {}", a.name().wireName(), m.id());
                 }
                 done(job, a.task());
             }
             case ERROR, NO_SUCH -> {
                 job.noteError(now);
                 context.metrics().count("task_errors");
-                LOG.info("{} ended with {} on {}", a.name().wireName(), cause, m.id());
+                log.info("{} ended with {} on {}", a.name().wireName(), cause, m.id());
                 if (cause == ExitCause.ERROR && m.noteError(job.uid())) {
-                    LOG.warn("{} fails the tasks of several jobs and is drained", m.id());
+                    log.warn("{} fails the tasks of several jobs and is drained", m.id());
                     m.drain();
                 }
             }
@@ -251,7 +251,7 @@
             }
             default -> {
                 context.metrics().count("tasks_refused");
-                LOG.info("{} was refused by {}: {}", a.name().wireName(), m.id(), cause);
+                log.info("{} was refused by {}: {}", a.name().wireName(), m.id(), cause);
             }
         }
     }
@@ -322,7 +322,7 @@
             context.metrics().count("attempts_adopted");
         } else if (job.liveAttempt(task) != null) {
             // Mostly a report that was held back in the network; if not, the halt that answers it comes in time.
-            LOG.info("{} is reported by {} and runs on {}", p.task().wireName(), m.id(), job.liveAttempt(task).machine().id());
+            log.info("{} is reported by {} and runs on {}", p.task().wireName(), m.id(), job.liveAttempt(task).machine().id());
         }
     }
 
@@ -408,8 +408,8 @@
                 orders.add(Order.run(a.name(), a.id()));
                 context.metrics().count("runs_ordered");
                 context.metrics().time("wait", now - job.acceptedMicros());
-                if (LOG.isDebugEnabled()) {
-                    LOG.debug("{} goes to {}", a.name().wireName(), m.id());
+                if (log.isDebugEnabled()) {
+                    log.debug("{} goes to {}", a.name().wireName(), m.id());
                 }
             }
         }
--- a/src/main/java/plumlever/leader/Roster.java
+++ b/src/main/java/plumlever/leader/Roster.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
 import plumlever.store.JobStore;
@@ -17,17 +16,18 @@
 
 /** The stored record of the machines that may hold tasks: a machine is in it before anything is ordered from it. */
 final class Roster {
-    private static final Logger LOG = LoggerFactory.getLogger(Roster.class);
     private static final long PAUSE_MICROS = 250_000;
     private static final String HOSTS = "hosts";
     private static final String KINDS = "kinds";
     private static final int KINDS_BYTES = 500;
 
+    private final Logger log;
     private final Context context;
     private final SharedRecords<Machine> records;
 
     Roster(Context context, Runnable changed) {
         this.context = context;
+        this.log = context.logs().of(Roster.class);
         this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, changed);
     }
 
@@ -36,7 +36,7 @@
         for (StateClient.Item i : items) {
             int number = JobStore.numberOf(i.key());
             if (number < 0) {
-                LOG.error("{} is no record of machines", i.key());
+                log.error("{} is no record of machines", i.key());
                 continue;
             }
             List<Machine> entries = new ArrayList<>();
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Enrolment;
 import plumlever.fleet.Estimates;
@@ -34,7 +33,6 @@
  * job when it is called again.
  */
 final class Round {
-    private static final Logger LOG = LoggerFactory.getLogger(Round.class);
     /** Tasks of one job looked at in one round beyond those that find room at once. */
     private static final int MOST_BOOKED = 64;
     private static final int MOST_PREEMPTED = 48;
@@ -59,6 +57,7 @@
         }
     }
 
+    private final Logger log;
     private final Context context;
     private final Fleet fleet;
     private final Jobs jobs;
@@ -84,6 +83,7 @@
 
     Round(Context context, Fleet fleet, Jobs jobs, Begun begun, Estimates estimates, Takeover takeover) {
         this.context = context;
+        this.log = context.logs().of(Round.class);
         this.fleet = fleet;
         this.jobs = jobs;
         this.begun = begun;
@@ -469,8 +469,8 @@
         if (waiting > 0) {
             demands.add(new RentalPlan.Demand(job.spec(), job.boundZone(), waiting, ask.runMicros()));
         }
-        if (waiting > 0 && LOG.isDebugEnabled()) {
-            LOG.debug("{}: {} of {} free tasks wait for machines, {} booked", job.uid(), waiting, job.freeCount(), booked);
+        if (waiting > 0 && log.isDebugEnabled()) {
+            log.debug("{}: {} of {} free tasks wait for machines, {} booked", job.uid(), waiting, job.freeCount(), booked);
         }
     }
 
--- a/src/main/java/plumlever/leader/SharedRecords.java
+++ b/src/main/java/plumlever/leader/SharedRecords.java
@@ -145,7 +145,7 @@
     }
 
     private void send(Chunk<E> c) {
-        if (closed || !context.office().mayAct()) {
+        if (closed || !context.term().mayAct()) {
             c.writing = false;
             if (!closed) {
                 context.loop().after(RETRY_MICROS, () -> write(c));
@@ -157,7 +157,7 @@
         c.writtenMicros = context.loop().nowMicros();
         List<E> written = new ArrayList<>(c.entries);
         String key = layout.key(c.number);
-        Txn txn = context.office().inTerm().guard(key, c.stamp);
+        Txn txn = context.term().guard().guard(key, c.stamp);
         if (written.isEmpty()) {
             txn.drop(key);
         } else {
--- a/src/main/java/plumlever/leader/Takeover.java
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.fleet.Enrolment;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
@@ -20,10 +19,10 @@
  * team's limit with all it could hold.
  */
 final class Takeover {
-    private static final Logger LOG = LoggerFactory.getLogger(Takeover.class);
     /** Nearly all machines that can be reached have come over by then, also those of a large fleet. */
     private static final long OVERDUE_MICROS = 7_000_000;
 
+    private final Logger log;
     private final Context context;
     private final Fleet fleet;
     private final long startedMicros;
@@ -39,6 +38,7 @@
 
     Takeover(Context context, Fleet fleet) {
         this.context = context;
+        this.log = context.logs().of(Takeover.class);
         this.fleet = fleet;
         this.startedMicros = context.loop().nowMicros();
         context.platform().teams().forEach(t -> teams.put(t.name(), t));
@@ -64,7 +64,7 @@
             }
         }
         if (open.isEmpty()) {
-            LOG.info("takeover complete: no machine may hold a task");
+            log.info("takeover complete: no machine may hold a task");
         }
     }
 
@@ -86,11 +86,11 @@
         m.account();
         if (open.remove(m)) {
             unsureKnown = false;
-            LOG.debug("{} accounted for: {}", m.id(), how);
+            log.debug("{} accounted for: {}", m.id(), how);
             if (open.isEmpty()) {
                 long took = context.loop().nowMicros() - startedMicros;
                 context.metrics().time("takeover", took);
-                LOG.info("takeover complete after {} ms, the last machine was {}: {}", took / 1_000, m.id(), how);
+                log.info("takeover complete after {} ms, the last machine was {}: {}", took / 1_000, m.id(), how);
             }
         }
     }
--- a/src/main/java/plumlever/metrics/Metrics.java
+++ b/src/main/java/plumlever/metrics/Metrics.java
@@ -5,41 +5,44 @@
 import java.util.function.LongSupplier;
 import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
-/** Counters and histograms, summed up in one log line a minute. */
+/** Counters and histograms, summed up in one log line a minute. Two threads count: the one that decides, and the office's. */
 public final class Metrics {
-    private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
     private static final long MOST_MICROS = 3_600_000_000L;
 
+    private final Logger log;
     private final Map<String, Long> counters = new TreeMap<>();
     private final Map<String, Histogram> times = new TreeMap<>();
     private final Map<String, LongSupplier> gauges = new TreeMap<>();
 
-    public void count(String name) {
+    public Metrics(Logs logs) {
+        this.log = logs.of(Metrics.class);
+    }
+
+    public synchronized void count(String name) {
         counters.merge(name, 1L, Long::sum);
     }
 
-    public void count(String name, long n) {
+    public synchronized void count(String name, long n) {
         counters.merge(name, n, Long::sum);
     }
 
-    public long counted(String name) {
+    public synchronized long counted(String name) {
         return counters.getOrDefault(name, 0L);
     }
 
-    public void time(String name, long micros) {
+    public synchronized void time(String name, long micros) {
         times.computeIfAbsent(name, k -> new Histogram(1, MOST_MICROS, 2))
                 .recordValue(Math.max(1, Math.min(MOST_MICROS, micros)));
     }
 
     /** A level that is looked up for each summary. */
-    public void gauge(String name, LongSupplier level) {
+    public synchronized void gauge(String name, LongSupplier level) {
         gauges.put(name, level);
     }
 
     /** Counts the answers of an outside service that show it to be short, down or out of reach. */
-    public void outside(String service, int status) {
+    public synchronized void outside(String service, int status) {
         if (status == 0) {
             count(service + "_silent");
         } else if (status == 429) {
@@ -49,8 +52,8 @@
         }
     }
 
-    public void logSummary() {
-        if (!LOG.isInfoEnabled() || (counters.isEmpty() && times.isEmpty())) {
+    public synchronized void logSummary() {
+        if (!log.isInfoEnabled() || (counters.isEmpty() && times.isEmpty())) {
             return;
         }
         StringBuilder line = new StringBuilder("summary");
@@ -58,7 +61,7 @@
         counters.forEach((k, v) -> line.append(' ').append(k).append('=').append(v));
         times.forEach((k, h) -> line.append(String.format(" %s_ms[n=%d p50=%.1f p99=%.1f max=%.1f]", k, h.getTotalCount(),
                 h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h.getMaxValue() / 1e3)));
-        LOG.info("{}", line);
+        log.info("{}", line);
         times.values().forEach(Histogram::reset);
     }
 }
--- a/src/test/java/plumlever/sim/FakeCloud.java
+++ b/src/test/java/plumlever/sim/FakeCloud.java
@@ -54,7 +54,7 @@
     private void snapshot() {
         ArrayNode list = Json.object().putArray("hosts");
         for (Vm v : machines.values()) {
-            list.addObject().put("uid", v.id).put("endpoint", v.id + ":9").put("flavor", v.flavor).put("site", v.site)
+            list.addObject().put("uid", v.id).put("endpoint", world.workerAt.apply(v.id).toString()).put("flavor", v.flavor).put("site", v.site)
                     .put("loaners", v.spot).put("status", v.worker == null ? "booting" : "running")
                     .put("age_s", (world.now() - v.bornMicros) / 1e6);
         }
--- a/src/test/java/plumlever/sim/FakeWorker.java
+++ b/src/test/java/plumlever/sim/FakeWorker.java
@@ -56,7 +56,7 @@
         this.vm = vm;
         this.leaseFrom = world.now();
         this.at = "n" + world.random.nextInt(world.members.size());
-        world.services.put(new Endpoint(vm.id, 9), this);
+        world.services.put(world.workerAt.apply(vm.id), this);
         world.at(0, this::report);
         world.at(200_000, this::lease);
     }
@@ -65,7 +65,7 @@
         dead = true;
         tasks.values().forEach(t -> world.rules.left(t.name, this));
         tasks.clear();
-        world.services.remove(new Endpoint(vm.id, 9));
+        world.services.remove(world.workerAt.apply(vm.id));
     }
 
     boolean reportsTo(String node) {
@@ -256,7 +256,7 @@
     }
 
     private ObjectNode status() {
-        ObjectNode o = Json.object().put("host", vm.id).put("endpoint", vm.id + ":9").put("flavor", vm.flavor)
+        ObjectNode o = Json.object().put("host", vm.id).put("endpoint", world.workerAt.apply(vm.id).toString()).put("flavor", vm.flavor)
                 .put("site", vm.site).put("loaners", vm.spot).put("tenure", tenure).put("tick", ++tick).put("baton", baton);
         if (notice >= 0) {
             o.put("reclaim_in_s", notice);
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -68,6 +68,8 @@
     static final long COPY_MICROS = 3 * FakeWorker.LEASE_MICROS;
     /** The most sockets that any node had in use: workers that report to it, and its direct calls under way. */
     int mostSockets;
+    /** Where a machine's worker takes direct calls. */
+    java.util.function.Function<String, Endpoint> workerAt = id -> new Endpoint(id, 9);
     /** Troubles are over since then; no question about a job may go unanswered for too long after it. */
     long calmSince = Long.MAX_VALUE;
     private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
@@ -122,6 +124,25 @@
         now = end;
     }
 
+    /** A world round controllers that run elsewhere, as processes of their own: whoever builds it turns its clock. */
+    World(long seed, List<Platform.Team> teams, List<String> nodes) {
+        random = new SplittableRandom(seed);
+        rules = new Rules(this, teams);
+        store = new FakeStore(this);
+        cloud = new FakeCloud(this);
+        nodes.forEach(n -> members.put(n, null));
+    }
+
+    /** Plays all that is due by then, without the checks of every step. */
+    void turnTo(long micros) {
+        while (!events.isEmpty() && events.peek().at <= micros) {
+            Event e = events.poll();
+            now = Math.max(now, e.at);
+            e.action.run();
+        }
+        now = Math.max(now, micros);
+    }
+
     /** Not a rule of the protocol, but what the proof of the others starts from. */
     private void checkOneLeader() {
         int acting = 0;
