--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -71,6 +71,7 @@
     private final Map<String, Long> strays = new HashMap<>();
     private Leader leader;
     private long pulseDueMicros;
+    private long lateMicros;
 
     /** A node that does everything on one loop. */
     public Node(Loop loop, Caller caller, Platform platform, Tunables tunables, long seed) {
@@ -305,12 +306,18 @@
     private long pulse() {
         long now = loop.nowMicros();
         if (pulseDueMicros > 0) {
-            metrics.time("late", now - pulseDueMicros);
+            lateMicros = now - pulseDueMicros;
+            metrics.time("late", lateMicros);
         }
         pulseDueMicros = now + PULSE_MICROS;
         return PULSE_MICROS;
     }
 
+    /** How late the thread that decides was lately. */
+    public long latenessMicros() {
+        return pulseDueMicros == 0 ? 0 : Math.max(lateMicros, loop.nowMicros() - pulseDueMicros);
+    }
+
     private void endedPieces(WorkerReport r, Consumer<List<Order>> then) {
         Set<String> uids = new HashSet<>();
         r.pieces().forEach(p -> {
--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -11,12 +11,14 @@
 import org.xnio.Xnio;
 import org.xnio.XnioWorker;
 import plumlever.Node;
+import plumlever.concurrent.Duty;
 import plumlever.http.Server;
 import plumlever.http.UndertowCaller;
 import plumlever.http.XnioLoop;
 import plumlever.metrics.Logs;
 import plumlever.settings.Platform;
 import plumlever.settings.Tunables;
+import plumlever.warmup.WarmUp;
 
 /** A controller with its sockets: one XNIO I/O thread that is the loop, one for the office, and the two listeners. */
 final class Service implements AutoCloseable {
@@ -84,12 +86,16 @@
         node.metrics().gauge("connections", front::connections);
         node.metrics().gauge("connections_most", () -> users);
         node.metrics().gauge("heap_mb", () -> (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
-        loop.execute(node::start);
+        WarmUp warmUp = new WarmUp(loop, platform, tunables, node::latenessMicros, () -> node.leader() != null);
+        loop.execute(() -> {
+            node.start();
+            new Duty("warm-up", loop, warmUp::turn).start();
+        });
         LOG.info("{} serves {} and {}; aims: {}", platform.label(), platform.bind(), platform.back(),
                 platform.objectives().stream().map(Platform.Objective::kind).distinct().toList());
     }
 
-    private static XnioWorker worker(String name) throws java.io.IOException {
+    static XnioWorker worker(String name) throws java.io.IOException {
         return Xnio.getInstance().createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, name)
                 .set(Options.WORKER_IO_THREADS, 1)
--- a/src/main/java/plumlever/cli/StartRehearsal.java
+++ b/src/main/java/plumlever/cli/StartRehearsal.java
@@ -1,5 +1,6 @@
 package plumlever.cli;
 
+import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.HttpURLConnection;
 import java.net.URI;
@@ -9,13 +10,22 @@
 import java.util.Collections;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
+import org.xnio.XnioWorker;
+import plumlever.http.Responder;
+import plumlever.http.Server;
+import plumlever.http.UndertowCaller;
+import plumlever.http.XnioLoop;
+import plumlever.settings.Endpoint;
 import plumlever.settings.Platform;
 import plumlever.settings.SettingsException;
 import plumlever.settings.Tunables;
+import plumlever.warmup.PracticeOutside;
+import plumlever.warmup.WarmUp;
 
 /**
- * Starts a controller on loopback with nobody round it and puts a few requests to it, so that the build can archive
- * the classes a start needs. Nothing it does reaches beyond this process.
+ * Starts a controller on loopback with stand-ins round it and lets it lead for a few seconds, so that the build can archive
+ * the classes that a start and a term need: what is not in the archive is loaded, linked and checked when it is needed,
+ * which on little processor takes seconds. Nothing it does reaches beyond this process.
  */
 final class StartRehearsal {
     private static final String SETTINGS = """
@@ -24,14 +34,14 @@
             bind = "127.0.0.1:0"
             back = "127.0.0.1:0"
             [outside]
-            cloud = "127.0.0.1:9"
-            state = "127.0.0.1:9"
+            cloud = "127.0.0.1:%1$d"
+            state = "127.0.0.1:%1$d"
             [deployment]
             count = 1
             [[deployment.teams]]
             name = "team"
             cpus = 1.0
-            cpus_max = 1.0
+            cpus_max = 100.0
             gpus = 0.0
             gpus_max = 0.0
             [deployment.workers]
@@ -50,27 +60,39 @@
             fd_limit = 256
             """;
 
+    private static final String JOB = """
+            {"uid":"job-2","jobclass":"c","owner":"team","shape":"sweep","urgency":"high","pieces":6,"cores":1.0,
+            "accelerators":0.0,"memory_gb":1.0,"bundle":"img","image_gb":1.0,"flavors":null,"site":null,"one_zone":false,
+            "spread":false,"loaners":true,"expect_s":2.0,"snapshot_every_s":0.0,"snapshot_s":0.0,"due_s":60.0}
+            """;
+    private static final int TERM_MS = 7_000;
+
     private StartRehearsal() {}
 
     static int run() {
         Path file = null;
         try {
+            StandIns around = new StandIns();
             file = Files.createTempFile("plumlever", ".toml");
-            Files.writeString(file, SETTINGS);
+            Files.writeString(file, String.format(SETTINGS, around.port()));
             Main.run(new String[] {"--config", file.toString(), "--check"});
             loadOwnClasses();
-            Service service = new Service(Platform.load(file), Tunables.defaults());
+            Platform platform = Platform.load(file);
+            Service service = new Service(platform, Tunables.defaults());
             try (service) {
                 service.start();
                 String base = "http://127.0.0.1:" + service.port();
                 ask(base + "/up", null);
                 ask(base + "/submissions/job-1", null);
-                ask(base + "/hello", "{\"host\":\"i-1\",\"endpoint\":\"127.0.0.1:9\",\"flavor\":\"f\",\"site\":\"s\",\"loaners\":true,"
-                        + "\"tenure\":1,\"tick\":1,\"baton\":0,\"pieces\":[]}");
                 ask(base + "/submissions", "{\"uid\":\"job-1\"}");
-                Thread.sleep(300);
+                ask(base + "/submissions", JOB);
+                around.reportTo(new Endpoint("127.0.0.1", service.port()));
+                Thread.sleep(TERM_MS);
+                ask(base + "/submissions/job-2", null);
+                ask(base + "/submissions/job-2/abort", "");
             }
-            new plumlever.peer.PeerStatus.Codec();
+            around.close();
+            WarmUp.playAll(platform, Tunables.defaults());
             return 0;
         } catch (IOException | SettingsException e) {
             System.err.println("plumlever: the start could not be rehearsed: " + e);
@@ -85,6 +107,52 @@
         }
     }
 
+    /** The state service, the cloud and one machine, served on loopback. */
+    private static final class StandIns implements AutoCloseable {
+        private final XnioWorker worker = Service.worker("stand-ins");
+        private final XnioLoop loop = new XnioLoop(worker.getIoThread());
+        private final UndertowCaller caller = new UndertowCaller(loop, worker.getIoThread(), new DefaultByteBufferPool(false, 8 * 1024, 8, 1));
+        private final Server server;
+        private final PracticeOutside outside;
+        private final String machine;
+
+        StandIns() throws IOException {
+            server = new Server(worker, new Endpoint("127.0.0.1", 0), 64, 60_000_000, 1 << 20, this::handle);
+            server.start();
+            outside = new PracticeOutside(loop, 1, "127.0.0.1:" + server.port());
+            machine = outside.machines().get(0);
+        }
+
+        int port() {
+            return server.port();
+        }
+
+        private void handle(String method, String path, byte[] body, Responder out) {
+            if (path.equals("/orders")) {
+                outside.order(machine, new String(body, StandardCharsets.UTF_8));
+                out.send(200, new String(outside.report(machine), StandardCharsets.UTF_8));
+            } else {
+                outside.handle(method, path, body, out::send);
+            }
+        }
+
+        /** The machine reports there from now on. */
+        void reportTo(Endpoint node) {
+            loop.execute(() -> caller.call(node, "POST", "/hello", outside.report(machine), 2_000_000, (status, data) -> {
+                if (status == 200) {
+                    outside.order(machine, new String(data, StandardCharsets.UTF_8));
+                }
+                loop.after(200_000, () -> reportTo(node));
+            }));
+        }
+
+        @Override
+        public void close() {
+            server.close();
+            worker.shutdownNow();
+        }
+    }
+
     /** A leader's classes too, which nobody needs here: taking office must not wait for them to load. */
     private static void loadOwnClasses() throws IOException {
         Path jar = Path.of(StartRehearsal.class.getProtectionDomain().getCodeSource().getLocation().getPath());
--- a/src/main/java/plumlever/http/XnioLoop.java
+++ b/src/main/java/plumlever/http/XnioLoop.java
@@ -1,12 +1,17 @@
 package plumlever.http;
 
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import plumlever.concurrent.Loop;
 
 /** The loop on an XNIO I/O thread, so that requests, answers and decisions need no hand-over between threads. */
 public final class XnioLoop implements Loop {
+    private static final Logger LOG = LoggerFactory.getLogger(XnioLoop.class);
+
     private final XnioIoThread thread;
 
     public XnioLoop(XnioIoThread thread) {
@@ -27,19 +32,33 @@
     public Timer after(long delayMicros, Runnable action) {
         if (delayMicros <= 0) {
             boolean[] off = new boolean[1];
-            thread.execute(() -> {
+            execute(() -> {
                 if (!off[0]) {
                     action.run();
                 }
             });
             return () -> off[0] = true;
         }
-        XnioExecutor.Key key = thread.executeAfter(action, delayMicros, TimeUnit.MICROSECONDS);
-        return key::remove;
+        try {
+            XnioExecutor.Key key = thread.executeAfter(action, delayMicros, TimeUnit.MICROSECONDS);
+            return key::remove;
+        } catch (RejectedExecutionException e) {
+            return ending(e);
+        }
     }
 
     @Override
     public void execute(Runnable action) {
-        thread.execute(action);
+        try {
+            thread.execute(action);
+        } catch (RejectedExecutionException e) {
+            ending(e);
+        }
+    }
+
+    /** Calls that break as the process stops have nobody left to tell. */
+    private static Timer ending(RejectedExecutionException e) {
+        LOG.debug("dropped, the thread is ending: {}", e.toString());
+        return () -> { };
     }
 }
