--- a/src/main/java/plumlever/leader/Context.java
+++ b/src/main/java/plumlever/leader/Context.java
@@ -18,12 +18,10 @@
  * What a leader works with, in one term.
  *
  * @param term the term of office that it is for
+ * @param moneyMatters whether to save money where the aims leave time; asked for each machine of each round
  * @param workersElsewhere how many workers report to another controller, by what the others tell
  */
 public record Context(Loop loop, Platform platform, Tunables tunables, Office office, Term term, StateClient store, JobStore layout,
-        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics, IntSupplier workersElsewhere, Logs logs) {
-
-    boolean moneyMatters() {
-        return platform.moneyMatters(tunables.rentMicros());
-    }
+        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics, IntSupplier workersElsewhere, Logs logs,
+        boolean moneyMatters) {
 }
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -41,6 +41,7 @@
     private static final long RESTART_MICROS = 60_000_000;
     private static final double SPEED_GB_FOR_CORE = 4;
     private static final long STANDBY_WINDOW_MICROS = 120_000_000;
+    private static final long STAND_BY_EVERY_MICROS = 1_000_000;
     private static final long MISSED_MICROS = 120_000_000;
     private static final long LONG_WAIT_MICROS = 120_000_000;
 
@@ -76,6 +77,7 @@
     private final Set<Machine> closed = new LinkedHashSet<>();
     private int cursor;
     private long finishedMicros;
+    private long stoodByMicros = Long.MIN_VALUE / 2;
     private long spentMicros;
     private Picture picture;
     private List<RentalPlan.Demand> demands = new ArrayList<>();
@@ -176,7 +178,11 @@
                 return false;
             }
         }
-        standBy(picture == null ? new Picture(start, closed, true) : picture);
+        // Where nothing waits, a look at every machine only to see whether enough room stands by is not needed each time.
+        if (picture != null || !lastDemands.isEmpty() || start - stoodByMicros >= STAND_BY_EVERY_MICROS) {
+            stoodByMicros = start;
+            standBy(picture == null ? new Picture(start, closed, true) : picture);
+        }
         picture = null;
         lastDemands = demands;
         finishedMicros = context.loop().nowMicros();
--- a/src/main/java/plumlever/wire/Json.java
+++ b/src/main/java/plumlever/wire/Json.java
@@ -3,6 +3,8 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -10,11 +12,12 @@
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.io.Writer;
 import java.nio.charset.StandardCharsets;
 
 /**
- * Reading and writing of JSON, and strict access to the fields of a message. Only the tree model is
- * used: binding by reflection would cost more start-up time than the processor share allows.
+ * Reading and writing of JSON, and strict access to the fields of a message. Trees are used, and field by field for what comes
+ * by the hundred; binding by reflection would cost more start-up time than the processor share allows.
  */
 public final class Json {
     private static final ObjectMapper MAPPER = new ObjectMapper(JsonFactory.builder()
@@ -23,6 +26,8 @@
             .build())
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
+    static final int MOST_TEXT = 200;
+
     private Json() {}
 
     public static ObjectNode object() {
@@ -47,6 +52,15 @@
         return object;
     }
 
+    /** For messages that come or go by the hundred: read or written field by field, without a tree. */
+    static JsonParser parser(byte[] text) throws IOException {
+        return MAPPER.getFactory().createParser(text);
+    }
+
+    static JsonGenerator generator(Writer to) throws IOException {
+        return MAPPER.getFactory().createGenerator(to);
+    }
+
     public static String write(JsonNode node) {
         try {
             return MAPPER.writeValueAsString(node);
@@ -62,8 +76,8 @@
 
     public static String text(JsonNode object, String field) throws InvalidMessage {
         JsonNode v = object.get(field);
-        if (v == null || !v.isTextual() || v.textValue().isEmpty() || v.textValue().length() > 200) {
-            throw new InvalidMessage(field + " must be a text of 1 to 200 characters");
+        if (v == null || !v.isTextual() || v.textValue().isEmpty() || v.textValue().length() > MOST_TEXT) {
+            throw new InvalidMessage(field + " must be a text of 1 to " + MOST_TEXT + " characters");
         }
         return v.textValue();
     }
@@ -87,12 +101,16 @@
             throw new InvalidMessage(field + " must be a number");
         }
         double d = v.doubleValue();
-        if (!Double.isFinite(d) || d < min || d > 1e9) {
+        if (!inRange(d, min)) {
             throw new InvalidMessage(field + " is out of range");
         }
         return d;
     }
 
+    static boolean inRange(double d, double min) {
+        return Double.isFinite(d) && d >= min && d <= 1e9;
+    }
+
     public static long whole(JsonNode object, String field, long min, long max) throws InvalidMessage {
         JsonNode v = object.get(field);
         if (v == null || !v.isIntegralNumber() || !v.canConvertToLong() || v.longValue() < min || v.longValue() > max) {
--- a/src/main/java/plumlever/wire/Order.java
+++ b/src/main/java/plumlever/wire/Order.java
@@ -1,7 +1,8 @@
 package plumlever.wire;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.IOException;
+import java.io.StringWriter;
 import java.util.List;
 
 /** A command to a worker. */
@@ -40,21 +41,29 @@
     }
 
     private static String body(long token, long tenure, List<Order> orders) {
-        ObjectNode body = Json.object();
-        body.put("baton", token);
-        if (tenure > 0) {
-            body.put("tenure", tenure);
-        }
-        ArrayNode array = body.putArray("orders");
-        for (Order o : orders) {
-            ObjectNode n = array.addObject();
-            n.put("verb", o.verb.wireName);
-            n.put("piece", o.task.wireName());
-            n.put("try", o.attempt);
-            if (o.verb == Verb.HALT) {
-                n.put("wind_down_s", o.windDownS);
+        StringWriter out = new StringWriter(64);
+        try (JsonGenerator g = Json.generator(out)) {
+            g.writeStartObject();
+            g.writeNumberField("baton", token);
+            if (tenure > 0) {
+                g.writeNumberField("tenure", tenure);
+            }
+            g.writeArrayFieldStart("orders");
+            for (Order o : orders) {
+                g.writeStartObject();
+                g.writeStringField("verb", o.verb.wireName);
+                g.writeStringField("piece", o.task.wireName());
+                g.writeNumberField("try", o.attempt);
+                if (o.verb == Verb.HALT) {
+                    g.writeNumberField("wind_down_s", o.windDownS);
+                }
+                g.writeEndObject();
             }
+            g.writeEndArray();
+            g.writeEndObject();
+        } catch (IOException e) {
+            throw new IllegalStateException("plain values could not be written to memory", e);
         }
-        return Json.write(body);
+        return out.toString();
     }
 }
--- a/src/test/java/plumlever/wire/WireTest.java
+++ b/src/test/java/plumlever/wire/WireTest.java
@@ -57,4 +57,44 @@
                 Order.answer(41, List.of(Order.halt(new TaskName("job-1", 3), 2, 10))));
         assertThrows(InvalidMessage.class, () -> TaskName.of("job-1/-3"));
     }
+
+    private static final String REPORT = "{\"host\":\"i-1\",\"endpoint\":\"h:1\",\"flavor\":\"g8\",\"site\":\"a\",\"loaners\":true,"
+            + "\"tenure\":1,\"new\":{\"x\":[1,{\"host\":2}]},\"tick\":88,\"baton\":41,\"reclaim_in_s\":null,\"pieces\":[{\"piece\":\"job-1/3\","
+            + "\"try\":2,\"status\":\"running\",\"more\":[[]]},{\"piece\":\"job-1/4\",\"try\":3,\"status\":\"ended\","
+            + "\"exit_cause\":\"halted\",\"saved\":true}]}";
+
+    private static WorkerReport report(String text) throws InvalidMessage {
+        return WorkerReport.parse(text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    }
+
+    /** Reports are read field by field: what they say must not hang on fields this version does not know, nor on their order. */
+    @Test
+    void readsAReportWhateverElseIsInIt() throws InvalidMessage {
+        WorkerReport r = report(REPORT);
+        assertEquals(new WorkerReport("i-1", "h:1", "g8", "a", true, 1, 88, 41, WorkerReport.NO_NOTICE, List.of(
+                new WorkerReport.Piece(new TaskName("job-1", 3), 2, TaskStatus.RUNNING, null, false),
+                new WorkerReport.Piece(new TaskName("job-1", 4), 3, TaskStatus.ENDED, ExitCause.HALTED, true))), r);
+        assertEquals(3.5, report(REPORT.replace("\"reclaim_in_s\":null", "\"reclaim_in_s\":3.5")).reclaimInS());
+        assertEquals(List.of(), report(REPORT.replaceAll(",\"pieces\".*", "}")).pieces());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
+        "\"tick\":88|\"tick\":-1", "\"tick\":88|\"tick\":8.5", "\"tick\":88|\"tick\":\"88\"", "\"tick\":88|\"tick\":18446744073709551616",
+        "\"tick\":88,|", "\"host\":\"i-1\",|", "\"host\":\"i-1\"|\"host\":\"\"", "\"host\":\"i-1\"|\"host\":null", "\"loaners\":true|\"loaners\":1",
+        "\"reclaim_in_s\":null|\"reclaim_in_s\":-2", "\"reclaim_in_s\":null|\"reclaim_in_s\":true", "\"tenure\":1|\"tenure\":1,\"tenure\":2",
+        "\"status\":\"running\"|\"status\":\"asleep\"", "\"status\":\"running\",|", "\"try\":2|\"try\":null", "\"saved\":true|\"saved\":7",
+        "\"pieces\":[|\"pieces\":[7,", "\"piece\":\"job-1/3\"|\"piece\":\"job-1\""})
+    void refusesABadReport(String good, String bad) {
+        String text = REPORT.replace(good, bad == null ? "" : bad);
+        assertTrue(!text.equals(REPORT));
+        assertThrows(InvalidMessage.class, () -> report(text));
+    }
+
+    @Test
+    void refusesWhatIsNoReport() {
+        for (String s : List.of("", "[]", "7", "{", REPORT + "{}", REPORT + "x", REPORT.substring(0, REPORT.length() - 2), "null", "{}")) {
+            assertThrows(InvalidMessage.class, () -> report(s), s);
+        }
+    }
 }
