--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -79,10 +79,11 @@
     }
 
     /** @param officeLoop what the office runs on, with its own way out, so that nothing here delays it */
-    public Node(Loop loop, Caller caller, Loop officeLoop, Caller officeCaller, Platform platform, Tunables tunables, long seed, Logs logs) {
+    public Node(Loop loop, Caller bare, Loop officeLoop, Caller officeCaller, Platform platform, Tunables tunables, long seed, Logs logs) {
         this.loop = loop;
         this.platform = platform;
         this.metrics = new Metrics(logs);
+        Caller caller = metered(bare);
         this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics);
         this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
         this.prices = new PriceBook(tunables);
@@ -128,7 +129,7 @@
                 return Node.this.alone();
             }
         });
-        this.front = new Front(users, new Front.House() {
+        this.front = new Front(loop, users, new Front.House() {
             @Override
             public Leader leader() {
                 return leader != null && leader.mayAct() ? leader : null;
@@ -166,6 +167,19 @@
         }, metrics);
     }
 
+    /** Notes what the answers to this node's own calls take. */
+    private Caller metered(Caller bare) {
+        return (to, method, path, body, timeout, answer) -> {
+            String work = to.equals(platform.state()) ? "state" : to.equals(platform.cloud()) ? "cloud"
+                    : path.equals("/orders") ? "orders" : "peers";
+            bare.call(to, method, path, body, timeout, (status, data) -> {
+                long since = loop.nowMicros();
+                answer.take(status, data);
+                metrics.spent(work, loop.nowMicros() - since);
+            });
+        };
+    }
+
     public void start() {
         scope.own(office);
         office.start();
--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -1,6 +1,7 @@
 package plumlever.cli;
 
 import io.undertow.server.DefaultByteBufferPool;
+import java.time.Duration;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -87,6 +88,7 @@
         node.metrics().gauge("connections_most", () -> users);
         node.metrics().gauge("heap_mb", () -> (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
         WarmUp warmUp = new WarmUp(loop, platform, tunables, node::latenessMicros, () -> node.leader() != null);
+        node.metrics().gauge("cpu_ms", () -> ProcessHandle.current().info().totalCpuDuration().map(Duration::toMillis).orElse(-1L));
         loop.execute(() -> {
             node.start();
             new Duty("warm-up", loop, warmUp::turn).start();
--- a/src/main/java/plumlever/http/Front.java
+++ b/src/main/java/plumlever/http/Front.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Consumer;
+import plumlever.concurrent.Loop;
 import plumlever.leader.Leader;
 import plumlever.metrics.Metrics;
 import plumlever.wire.InvalidMessage;
@@ -37,11 +38,13 @@
     private static final String JOBS = "/submissions";
     private static final String ABORT = "/abort";
 
+    private final Loop clock;
     private final UserApi users;
     private final House house;
     private final Metrics metrics;
 
-    public Front(UserApi users, House house, Metrics metrics) {
+    public Front(Loop clock, UserApi users, House house, Metrics metrics) {
+        this.clock = clock;
         this.users = users;
         this.house = house;
         this.metrics = metrics;
@@ -49,6 +52,12 @@
 
     @Override
     public void handle(String method, String pathAndQuery, byte[] body, Responder out) {
+        long since = clock.nowMicros();
+        route(method, pathAndQuery, body, out);
+        metrics.spent(pathAndQuery.equals("/hello") ? "reports" : "users", clock.nowMicros() - since);
+    }
+
+    private void route(String method, String pathAndQuery, byte[] body, Responder out) {
         int q = pathAndQuery.indexOf('?');
         String path = q < 0 ? pathAndQuery : pathAndQuery.substring(0, q);
         if (path.equals("/hello")) {
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -126,6 +126,13 @@
      * nothing seems to reach, whose reports are not answered meanwhile.
      */
     private long raise() {
+        long since = context.loop().nowMicros();
+        raiseOpen();
+        context.metrics().spent("raise", context.loop().nowMicros() - since);
+        return takeover.complete() ? RAISE_DEAF_EVERY_MICROS : RAISE_EVERY_MICROS;
+    }
+
+    private void raiseOpen() {
         if (context.term().mayAct()) {
             long now = context.loop().nowMicros();
             // Those that did not answer come last: dozens behind a cut would else be called again and again, and nobody else.
@@ -145,7 +152,6 @@
                 }
             }
         }
-        return takeover.complete() ? RAISE_DEAF_EVERY_MICROS : RAISE_EVERY_MICROS;
     }
 
     /** What was planned for jobs that had to be recorded first can go out now. */
@@ -163,8 +169,12 @@
         if (!due || !context.term().mayAct()) {
             return ROUND_EVERY_MICROS;
         }
+        long since = context.loop().nowMicros();
         boolean finished = round.run();
+        long placed = context.loop().nowMicros();
         direct.dispatch(fleet);
+        context.metrics().spent("rounds", placed - since);
+        context.metrics().spent("dispatch", context.loop().nowMicros() - placed);
         if (!finished) {
             return SLICE_PAUSE_MICROS;
         }
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -113,7 +113,13 @@
         if (closed || !context.term().mayAct()) {
             return 200_000;
         }
-        long now = context.loop().nowMicros();
+        long since = context.loop().nowMicros();
+        look(since);
+        context.metrics().spent("machines", context.loop().nowMicros() - since);
+        return 500_000;
+    }
+
+    private void look(long now) {
         if (!listing && now - listedMicros >= LIST_EVERY_MICROS) {
             list();
         }
@@ -122,14 +128,13 @@
         }
         watch(now);
         if (closed) {
-            return 200_000;
+            return;
         }
         returnAll(now);
         if (context.moneyMatters()) {
             size(now);
         }
         rent(now);
-        return 500_000;
     }
 
     private void catalog() {
--- a/src/main/java/plumlever/metrics/Metrics.java
+++ b/src/main/java/plumlever/metrics/Metrics.java
@@ -13,6 +13,7 @@
     private final Logger log;
     private final Map<String, Long> counters = new TreeMap<>();
     private final Map<String, Histogram> times = new TreeMap<>();
+    private final Map<String, long[]> spent = new TreeMap<>();
     private final Map<String, LongSupplier> gauges = new TreeMap<>();
 
     public Metrics(Logs logs) {
@@ -36,6 +37,12 @@
                 .recordValue(Math.max(1, Math.min(MOST_MICROS, micros)));
     }
 
+    /** Adds to what a kind of work has taken, by the clock: on little processor that is what others wait. */
+    public synchronized void spent(String work, long micros) {
+        spent.computeIfAbsent(work, k -> new long[2])[0] += micros;
+        spent.get(work)[1]++;
+    }
+
     /** A level that is looked up for each summary. */
     public synchronized void gauge(String name, LongSupplier level) {
         gauges.put(name, level);
@@ -61,6 +68,12 @@
         counters.forEach((k, v) -> line.append(' ').append(k).append('=').append(v));
         times.forEach((k, h) -> line.append(String.format(" %s_ms[n=%d p50=%.1f p99=%.1f max=%.1f]", k, h.getTotalCount(),
                 h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h.getMaxValue() / 1e3)));
+        if (!spent.isEmpty()) {
+            line.append(" spent_ms[");
+            spent.forEach((k, v) -> line.append(String.format("%s=%.0f/%d ", k, v[0] / 1e3, v[1])));
+            line.setCharAt(line.length() - 1, ']');
+            spent.clear();
+        }
         log.info("{}", line);
         times.values().forEach(Histogram::reset);
     }
