--- a/src/main/java/plumlever/leader/Context.java
+++ b/src/main/java/plumlever/leader/Context.java
@@ -1,6 +1,7 @@
 package plumlever.leader;
 
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import plumlever.cloud.CloudClient;
 import plumlever.cloud.PriceBook;
 import plumlever.concurrent.Loop;
@@ -18,10 +19,11 @@
  * What a leader works with, in one term.
  *
  * @param term the term of office that it is for
+ * @param latenessMicros how late this thread was lately: what can wait makes way
  * @param moneyMatters whether to save money where the aims leave time; asked for each machine of each round
  * @param workersElsewhere how many workers report to another controller, by what the others tell
  */
 public record Context(Loop loop, Platform platform, Tunables tunables, Office office, Term term, StateClient store, JobStore layout,
-        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics, IntSupplier workersElsewhere, Logs logs,
+        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics, IntSupplier workersElsewhere, LongSupplier latenessMicros, Logs logs,
         boolean moneyMatters) {
 }
--- a/src/main/java/plumlever/leader/Direct.java
+++ b/src/main/java/plumlever/leader/Direct.java
@@ -121,6 +121,11 @@
         });
     }
 
+    /** How many machines are being called to raise the token. */
+    int raises() {
+        return raises;
+    }
+
     private interface Answer {
         /** @param report null unless the machine answered with one of its own */
         void take(int status, WorkerReport report);
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -28,6 +28,9 @@
     private static final long RAISE_EVERY_MICROS = 100_000;
     private static final long ANSWER_SHOWS_MICROS = 2_000_000;
     private static final long RETRY_MICROS = 500_000;
+    private static final long LATE_MICROS = 50_000;
+    /** Calls under way at a time while late: enough to find out those that are gone. */
+    private static final int MOST_RAISES_LATE = 6;
 
     private final Logger log;
     private final Context context;
@@ -138,7 +141,13 @@
             // Those that did not answer come last: dozens behind a cut would else be called again and again, and nobody else.
             List<Machine> open = new ArrayList<>(takeover.open());
             open.sort(Comparator.comparingInt(Machine::failedCalls));
+            // Where time is short, calls make way for the reports that come anyhow: both tell the same, and all machines that
+            // still work report within seconds.
+            int most = context.latenessMicros().getAsLong() > LATE_MICROS ? MOST_RAISES_LATE : Integer.MAX_VALUE;
             for (Machine m : open) {
+                if (direct.raises() >= most) {
+                    break;
+                }
                 // One whose report was just answered shows the token with its next.
                 if (m.lastAnswerMicros() < 0 || now - m.lastAnswerMicros() > ANSWER_SHOWS_MICROS) {
                     direct.raise(m);
@@ -179,7 +188,9 @@
             return SLICE_PAUSE_MICROS;
         }
         due = false;
-        return Math.max(ROUND_EVERY_MICROS, Math.min(ROUND_PAUSE_MOST_MICROS, ROUND_PAUSE_TIMES * round.spentMicros()));
+        // A thread that runs late has reports and requests before it that come first.
+        long pause = ROUND_PAUSE_TIMES * Math.max(round.spentMicros(), context.latenessMicros().getAsLong());
+        return Math.max(ROUND_EVERY_MICROS, Math.min(ROUND_PAUSE_MOST_MICROS, pause));
     }
 
     /** Answers a worker's report; the caller has checked that this node leads. */
