--- a/src/main/java/plumlever/leader/Hints.java
+++ b/src/main/java/plumlever/leader/Hints.java
@@ -51,17 +51,12 @@
         this.estimates = estimates;
     }
 
-    /** Takes what the last leader left; {@code then} runs whatever came of it. */
-    void read(Runnable then) {
-        context.store().list(JobStore.HINTS, StateClient.Class.URGENT, listing -> {
-            if (listing != null) {
-                for (StateClient.Item i : listing.items()) {
-                    apply(i.data());
-                    known(JobStore.numberOf(i.key()));
-                }
-            }
-            then.run();
-        });
+    /** Takes what the last leader left. */
+    void load(List<StateClient.Item> items) {
+        for (StateClient.Item i : items) {
+            apply(i.data());
+            known(JobStore.numberOf(i.key()));
+        }
     }
 
     private void apply(JsonNode data) {
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -49,43 +49,15 @@
         return active.get(uid);
     }
 
-    /** Reads all jobs and which of them earlier leaders may have begun, and goes on following; {@code loaded} runs once. */
-    void load(Runnable loaded) {
-        if (closed) {
-            return;
-        }
-        context.store().list(JobStore.BEGUN, StateClient.Class.URGENT, records -> {
-            if (records == null) {
-                context.loop().after(RETRY_MICROS, () -> load(loaded));
-                return;
-            }
-            begun.read(records.items());
-            loadActive(loaded);
-        });
-    }
-
-    private void loadActive(Runnable loaded) {
-        context.store().list(JobStore.ACTIVE, StateClient.Class.URGENT, jobs -> {
-            if (jobs == null) {
-                context.loop().after(RETRY_MICROS, () -> load(loaded));
-                return;
-            }
-            context.store().list(JobStore.PROGRESS, StateClient.Class.URGENT, progress -> {
-                if (progress == null) {
-                    context.loop().after(RETRY_MICROS, () -> load(loaded));
-                    return;
-                }
-                if (closed) {
-                    return;
-                }
-                jobs.items().forEach(i -> put(i.key(), i.data(), i.stamp(), true));
-                progress.items().forEach(this::readProgress);
-                begun.loaded(this);
-                epoch = jobs.epoch();
-                loaded.run();
-                follow();
-            });
-        });
+    /** Takes in all jobs and which of them earlier leaders may have begun, and goes on following. */
+    void load(Records found) {
+        StateClient.Listing jobs = found.under(JobStore.ACTIVE);
+        begun.read(found.under(JobStore.BEGUN).items());
+        jobs.items().forEach(i -> put(i.key(), i.data(), i.stamp(), true));
+        found.under(JobStore.PROGRESS).items().forEach(this::readProgress);
+        begun.loaded(this);
+        epoch = jobs.epoch();
+        follow();
     }
 
     private void readProgress(StateClient.Item i) {
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -14,7 +14,6 @@
 import plumlever.fleet.Machine;
 import plumlever.http.Responder;
 import plumlever.store.JobStore;
-import plumlever.store.StateClient;
 import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
 
@@ -27,7 +26,6 @@
     private static final long RAISE_DEAF_EVERY_MICROS = 4_000_000;
     private static final long RAISE_EVERY_MICROS = 100_000;
     private static final long ANSWER_SHOWS_MICROS = 2_000_000;
-    private static final long RETRY_MICROS = 500_000;
     private static final long LATE_MICROS = 50_000;
     /** Calls under way at a time while late: enough to find out those that are gone. */
     private static final int MOST_RAISES_LATE = 6;
@@ -40,6 +38,7 @@
     private final Begun begun;
     private final Jobs jobs;
     private final Estimates estimates = new Estimates();
+    private final Records records;
     private final Takeover takeover;
     private final Progress progress;
     private final Reports reports;
@@ -59,6 +58,7 @@
         this.fleet = new Fleet(term);
         this.begun = new Begun(context, this::recorded);
         this.jobs = new Jobs(context, begun, this::changed);
+        this.records = new Records(context);
         this.takeover = new Takeover(context, fleet);
         this.progress = new Progress(context, jobs);
         this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
@@ -76,27 +76,13 @@
     }
 
     public void start() {
-        readFleet();
+        records.read(this::loaded);
     }
 
-    private void readFleet() {
-        if (scope.closed()) {
-            return;
-        }
-        context.store().list(JobStore.FLEET, StateClient.Class.URGENT, listing -> {
-            if (scope.closed()) {
-                return;
-            }
-            if (listing == null) {
-                context.loop().after(RETRY_MICROS, this::readFleet);
-                return;
-            }
-            roster.load(listing.items(), fleet);
-            hints.read(() -> jobs.load(this::loaded));
-        });
-    }
-
-    private void loaded() {
+    private void loaded(Records found) {
+        roster.load(found.under(JobStore.FLEET).items(), fleet);
+        hints.load(found.under(JobStore.HINTS).items());
+        jobs.load(found);
         loaded = true;
         takeover.loaded();
         progress.loaded();
@@ -300,6 +286,7 @@
 
     @Override
     public void close() {
+        records.close();
         scope.close();
         jobs.close();
     }
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -38,6 +38,8 @@
     private static final long AWAY_MICROS = 10_000_000;
     /** A machine heard of this lately can be reached. */
     private static final long REACHED_MICROS = 1_500_000;
+    /** A thread as late as this has read too little to judge who is silent. */
+    private static final long LATE_MICROS = 1_000_000;
     private static final int PROBES = 3;
     private static final int REMEMBERED = 4_000;
 
@@ -78,6 +80,7 @@
     });
     /** Zones whose machines seem to be behind a cut: nothing is returned or rented there. */
     private final Map<String, Long> cutZones = new HashMap<>();
+    private long punctualSinceMicros;
     private long rentalCounter;
     private int closeStep = 1;
     private long listedMicros;
@@ -120,6 +123,9 @@
     }
 
     private void look(long now) {
+        if (context.latenessMicros().getAsLong() > LATE_MICROS) {
+            punctualSinceMicros = now;
+        }
         if (!listing && now - listedMicros >= LIST_EVERY_MICROS) {
             list();
         }
@@ -316,7 +322,8 @@
     }
 
     private long silentFor(Machine m, long now) {
-        return now - Math.max(m.lastSeenMicros(), takeover.startedMicros());
+        // What a thread that runs late has not read yet is no silence.
+        return now - Math.max(m.lastSeenMicros(), Math.max(takeover.loadedMicros(), punctualSinceMicros));
     }
 
     private boolean idleTooLong(Machine m, boolean crowded, long now) {
--- /dev/null
+++ b/src/main/java/plumlever/leader/Records.java
@@ -0,0 +1,60 @@
+package plumlever.leader;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import plumlever.store.JobStore;
+import plumlever.store.StateClient;
+
+/**
+ * What earlier leaders left in the state service, read by a new one. All of it is asked for at once: their writes are guarded
+ * by their terms, so nothing of it changes any more but the jobs that come and end, and a thread that runs late would wait
+ * for one answer after the other, each behind a crowd of reports.
+ */
+final class Records {
+    private static final long RETRY_MICROS = 500_000;
+    private static final List<String> PREFIXES = List.of(JobStore.FLEET, JobStore.HINTS, JobStore.BEGUN, JobStore.ACTIVE,
+            JobStore.PROGRESS);
+
+    private final Context context;
+    private final Map<String, StateClient.Listing> read = new HashMap<>();
+    private Consumer<Records> then;
+
+    Records(Context context) {
+        this.context = context;
+    }
+
+    /** @param whenRead runs once, when everything has been read */
+    void read(Consumer<Records> whenRead) {
+        then = whenRead;
+        PREFIXES.forEach(this::read);
+    }
+
+    private void read(String prefix) {
+        context.store().list(prefix, StateClient.Class.URGENT, listing -> {
+            if (then == null) {
+                return;
+            }
+            if (listing == null) {
+                context.loop().after(RETRY_MICROS, () -> read(prefix));
+                return;
+            }
+            read.put(prefix, listing);
+            if (read.size() == PREFIXES.size()) {
+                Consumer<Records> whole = then;
+                then = null;
+                whole.accept(this);
+            }
+        });
+    }
+
+    /** The keys under the prefix, as they were after the term had been taken. */
+    StateClient.Listing under(String prefix) {
+        return read.get(prefix);
+    }
+
+    void close() {
+        then = null;
+    }
+}
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -15,6 +15,7 @@
 import plumlever.fleet.Fleet;
 import plumlever.http.Caller;
 import plumlever.http.Responder;
+import plumlever.metrics.Logs;
 import plumlever.settings.Endpoint;
 import plumlever.settings.Platform;
 import plumlever.settings.Tunables;
@@ -68,6 +69,8 @@
     static final long COPY_MICROS = 3 * FakeWorker.LEASE_MICROS;
     /** The most sockets that any node had in use: workers that report to it, and its direct calls under way. */
     int mostSockets;
+    /** What work costs the controllers' processors; null where it costs nothing. */
+    Processor.Costs costs;
     /** Where a machine's worker takes direct calls. */
     java.util.function.Function<String, Endpoint> workerAt = id -> new Endpoint(id, 9);
     /** Troubles are over since then; no question about a job may go unanswered for too long after it. */
@@ -252,7 +255,13 @@
         private Node node;
         private int life;
         private long frozenUntil;
+        private long stalledUntil;
         private int calls;
+        /** The thread that decides, and the office's. */
+        private Processor decisions;
+        private Processor office;
+        /** False: the office has no thread of its own, as if nothing had been learnt. */
+        boolean officeApart = true;
 
         Member(Platform platform) {
             this.platform = platform;
@@ -269,7 +278,48 @@
 
         void start() {
             int mine = ++life;
-            Loop loop = new Loop() {
+            // The office's thread gets on whatever the other has to do, but on the same processor, so at half the speed.
+            decisions = new Processor(World.this, costs, 1, () -> node == null ? 0 : node.metrics().counted("seats_evaluated"));
+            office = officeApart ? new Processor(World.this, costs, 2, () -> 0L) : decisions;
+            Loop loop = loop(mine, decisions);
+            Loop officeLoop = loop(mine, office);
+            node = new Node(loop, caller(mine, decisions), officeLoop, caller(mine, office), platform, Tunables.defaults(),
+                    random.nextLong(), Logs.SERVICE);
+            Node current = node;
+            services.put(platform.bind(), (from, method, path, body, reply) ->
+                    awake(mine, decisions, path.equals("/hello") ? Processor.Work.REPORT : Processor.Work.REQUEST,
+                            () -> current.front().handle(method, path, bytes(body), new Responder() {
+                        private boolean closing;
+
+                        @Override
+                        public void closing() {
+                            closing = true;
+                        }
+
+                        @Override
+                        public void send(int status, String json, int retry) {
+                            if (status == 200 && path.equals("/hello")) {
+                                checkInOffice(json, current.leader() != null);
+                            }
+                            if (life == mine && closing) {
+                                reply.sendClosing(status, json);
+                            } else if (life == mine) {
+                                reply.send(status, json);
+                            }
+                        }
+                    })));
+            services.put(platform.back(), (from, method, path, body, reply) -> {
+                awake(mine, decisions, Processor.Work.ANSWER, () -> current.peer(method, path, bytes(body), (status, json, retry) -> reply.send(status, json)));
+            });
+            at(0, () -> {
+                if (life == mine) {
+                    current.start();
+                }
+            });
+        }
+
+        private Loop loop(int mine, Processor thread) {
+            return new Loop() {
                 @Override
                 public long nowMicros() {
                     return now;
@@ -283,7 +333,7 @@
                 @Override
                 public Timer after(long delay, Runnable action) {
                     boolean[] off = new boolean[1];
-                    at(delay, () -> awake(mine, () -> {
+                    at(delay, () -> awake(mine, thread, Processor.Work.TIMER, () -> {
                         if (!off[0]) {
                             action.run();
                         }
@@ -296,63 +346,50 @@
                     after(0, action);
                 }
             };
-            Caller caller = (to, method, path, body, timeout, answer) -> {
+        }
+
+        private Caller caller(int mine, Processor thread) {
+            return (to, method, path, body, timeout, answer) -> {
                 boolean direct = path.equals("/orders");
                 if (direct) {
                     calls++;
                     mostSockets = Math.max(mostSockets, calls + cloud.reportingTo(platform.label()));
                 }
                 send(platform.label(), to, method, path, body == null ? null : new String(body, StandardCharsets.ISO_8859_1),
-                        timeout, a -> awake(mine, () -> {
+                        timeout, a -> awake(mine, thread, Processor.Work.ANSWER, () -> {
                             calls -= direct ? 1 : 0;
                             answer.take((Integer) a[0], ((String) a[1]).getBytes(StandardCharsets.ISO_8859_1));
                         }));
             };
-            node = new Node(loop, caller, platform, Tunables.defaults(), random.nextLong());
-            Node current = node;
-            services.put(platform.bind(), (from, method, path, body, reply) ->
-                    awake(mine, () -> current.front().handle(method, path, bytes(body), new Responder() {
-                        private boolean closing;
-
-                        @Override
-                        public void closing() {
-                            closing = true;
-                        }
-
-                        @Override
-                        public void send(int status, String json, int retry) {
-                            if (status == 200 && path.equals("/hello")) {
-                                checkInOffice(json, current.leader() != null);
-                            }
-                            if (life == mine && closing) {
-                                reply.sendClosing(status, json);
-                            } else if (life == mine) {
-                                reply.send(status, json);
-                            }
-                        }
-                    })));
-            services.put(platform.back(), (from, method, path, body, reply) -> {
-                awake(mine, () -> current.peer(method, path, bytes(body), (status, json, retry) -> reply.send(status, json)));
-            });
-            at(0, () -> {
-                if (life == mine) {
-                    current.start();
-                }
-            });
         }
 
-        /** Runs it in this life; a process that stands still gets to what has arrived when it wakes. */
-        private void awake(int ofLife, Runnable action) {
+        /** Runs it in this life, in its turn; a process that stands still gets to what has arrived when it wakes. */
+        private void awake(int ofLife, Processor thread, Processor.Work work, Runnable action) {
             if (life != ofLife) {
                 return;
             }
-            if (now < frozenUntil) {
-                at(frozenUntil - now, () -> awake(ofLife, action));
+            long held = thread == decisions ? Math.max(frozenUntil, stalledUntil) : frozenUntil;
+            if (now < held) {
+                at(held - now, () -> awake(ofLife, thread, work, action));
             } else {
-                action.run();
+                thread.take(work, () -> {
+                    if (life == ofLife) {
+                        action.run();
+                    }
+                });
             }
         }
 
+        /** What the thread that decides does takes this many times as long. */
+        void slowDown(double times) {
+            decisions.slower(times);
+        }
+
+        /** The thread that decides stands still; the office's goes on. */
+        void stall(double seconds) {
+            stalledUntil = now + (long) (seconds * 1e6);
+        }
+
         /** It stands still while its clocks run on. */
         void freeze(double seconds) {
             frozenUntil = now + (long) (seconds * 1e6);
@@ -361,6 +398,7 @@
         void kill() {
             life++;
             frozenUntil = 0;
+            stalledUntil = 0;
             calls = 0;
             node = null;
             services.remove(platform.bind());
