--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -71,6 +71,7 @@
     private final Map<String, Long> strays = new HashMap<>();
     private Leader leader;
     private long pulseDueMicros;
+    private long lateMicros;
 
     /** A node that does everything on one loop. */
     public Node(Loop loop, Caller caller, Platform platform, Tunables tunables, long seed) {
@@ -78,10 +79,11 @@
     }
 
     /** @param officeLoop what the office runs on, with its own way out, so that nothing here delays it */
-    public Node(Loop loop, Caller caller, Loop officeLoop, Caller officeCaller, Platform platform, Tunables tunables, long seed, Logs logs) {
+    public Node(Loop loop, Caller bare, Loop officeLoop, Caller officeCaller, Platform platform, Tunables tunables, long seed, Logs logs) {
         this.loop = loop;
         this.platform = platform;
         this.metrics = new Metrics(logs);
+        Caller caller = metered(bare);
         this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics);
         this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
         this.prices = new PriceBook(tunables);
@@ -103,8 +105,9 @@
                 loop.execute(action);
             }
         }, seed, logs);
+        boolean moneyMatters = platform.moneyMatters(tunables.rentMicros());
         this.contexts = term -> new Context(loop, platform, tunables, office, term, store, layout, cloud, prices, caller,
-                metrics, this::workersElsewhere, logs);
+                metrics, this::workersElsewhere, this::latenessMicros, logs, moneyMatters);
         this.peers = new Peers(loop, caller, platform, this::status);
         this.book = new JobBook(loop, store, metrics, platform.stateLimits().txnOps());
         this.standIn = new StandIn(loop, store, office, logs);
@@ -126,7 +129,7 @@
                 return Node.this.alone();
             }
         });
-        this.front = new Front(users, new Front.House() {
+        this.front = new Front(loop, users, new Front.House() {
             @Override
             public Leader leader() {
                 return leader != null && leader.mayAct() ? leader : null;
@@ -164,6 +167,19 @@
         }, metrics);
     }
 
+    /** Notes what the answers to this node's own calls take. */
+    private Caller metered(Caller bare) {
+        return (to, method, path, body, timeout, answer) -> {
+            String work = to.equals(platform.state()) ? "state" : to.equals(platform.cloud()) ? "cloud"
+                    : path.equals("/orders") ? "orders" : "peers";
+            bare.call(to, method, path, body, timeout, (status, data) -> {
+                long since = loop.nowMicros();
+                answer.take(status, data);
+                metrics.spent(work, loop.nowMicros() - since);
+            });
+        };
+    }
+
     public void start() {
         scope.own(office);
         office.start();
@@ -305,12 +321,18 @@
     private long pulse() {
         long now = loop.nowMicros();
         if (pulseDueMicros > 0) {
-            metrics.time("late", now - pulseDueMicros);
+            lateMicros = now - pulseDueMicros;
+            metrics.time("late", lateMicros);
         }
         pulseDueMicros = now + PULSE_MICROS;
         return PULSE_MICROS;
     }
 
+    /** How late the thread that decides was lately. */
+    public long latenessMicros() {
+        return pulseDueMicros == 0 ? 0 : Math.max(lateMicros, loop.nowMicros() - pulseDueMicros);
+    }
+
     private void endedPieces(WorkerReport r, Consumer<List<Order>> then) {
         Set<String> uids = new HashSet<>();
         r.pieces().forEach(p -> {
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -14,7 +14,6 @@
 import plumlever.fleet.Machine;
 import plumlever.http.Responder;
 import plumlever.store.JobStore;
-import plumlever.store.StateClient;
 import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
 
@@ -27,7 +26,9 @@
     private static final long RAISE_DEAF_EVERY_MICROS = 4_000_000;
     private static final long RAISE_EVERY_MICROS = 100_000;
     private static final long ANSWER_SHOWS_MICROS = 2_000_000;
-    private static final long RETRY_MICROS = 500_000;
+    private static final long LATE_MICROS = 50_000;
+    /** Calls under way at a time while late: enough to find out those that are gone. */
+    private static final int MOST_RAISES_LATE = 6;
 
     private final Logger log;
     private final Context context;
@@ -37,6 +38,7 @@
     private final Begun begun;
     private final Jobs jobs;
     private final Estimates estimates = new Estimates();
+    private final Records records;
     private final Takeover takeover;
     private final Progress progress;
     private final Reports reports;
@@ -56,6 +58,7 @@
         this.fleet = new Fleet(term);
         this.begun = new Begun(context, this::recorded);
         this.jobs = new Jobs(context, begun, this::changed);
+        this.records = new Records(context);
         this.takeover = new Takeover(context, fleet);
         this.progress = new Progress(context, jobs);
         this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
@@ -73,27 +76,13 @@
     }
 
     public void start() {
-        readFleet();
+        records.read(this::loaded);
     }
 
-    private void readFleet() {
-        if (scope.closed()) {
-            return;
-        }
-        context.store().list(JobStore.FLEET, StateClient.Class.URGENT, listing -> {
-            if (scope.closed()) {
-                return;
-            }
-            if (listing == null) {
-                context.loop().after(RETRY_MICROS, this::readFleet);
-                return;
-            }
-            roster.load(listing.items(), fleet);
-            hints.read(() -> jobs.load(this::loaded));
-        });
-    }
-
-    private void loaded() {
+    private void loaded(Records found) {
+        roster.load(found.under(JobStore.FLEET).items(), fleet);
+        hints.load(found.under(JobStore.HINTS).items());
+        jobs.load(found);
         loaded = true;
         takeover.loaded();
         progress.loaded();
@@ -126,12 +115,25 @@
      * nothing seems to reach, whose reports are not answered meanwhile.
      */
     private long raise() {
+        long since = context.loop().nowMicros();
+        raiseOpen();
+        context.metrics().spent("raise", context.loop().nowMicros() - since);
+        return takeover.complete() ? RAISE_DEAF_EVERY_MICROS : RAISE_EVERY_MICROS;
+    }
+
+    private void raiseOpen() {
         if (context.term().mayAct()) {
             long now = context.loop().nowMicros();
             // Those that did not answer come last: dozens behind a cut would else be called again and again, and nobody else.
             List<Machine> open = new ArrayList<>(takeover.open());
             open.sort(Comparator.comparingInt(Machine::failedCalls));
+            // Where time is short, calls make way for the reports that come anyhow: both tell the same, and all machines that
+            // still work report within seconds.
+            int most = context.latenessMicros().getAsLong() > LATE_MICROS ? MOST_RAISES_LATE : Integer.MAX_VALUE;
             for (Machine m : open) {
+                if (direct.raises() >= most) {
+                    break;
+                }
                 // One whose report was just answered shows the token with its next.
                 if (m.lastAnswerMicros() < 0 || now - m.lastAnswerMicros() > ANSWER_SHOWS_MICROS) {
                     direct.raise(m);
@@ -145,7 +147,6 @@
                 }
             }
         }
-        return takeover.complete() ? RAISE_DEAF_EVERY_MICROS : RAISE_EVERY_MICROS;
     }
 
     /** What was planned for jobs that had to be recorded first can go out now. */
@@ -163,13 +164,19 @@
         if (!due || !context.term().mayAct()) {
             return ROUND_EVERY_MICROS;
         }
+        long since = context.loop().nowMicros();
         boolean finished = round.run();
+        long placed = context.loop().nowMicros();
         direct.dispatch(fleet);
+        context.metrics().spent("rounds", placed - since);
+        context.metrics().spent("dispatch", context.loop().nowMicros() - placed);
         if (!finished) {
             return SLICE_PAUSE_MICROS;
         }
         due = false;
-        return Math.max(ROUND_EVERY_MICROS, Math.min(ROUND_PAUSE_MOST_MICROS, ROUND_PAUSE_TIMES * round.spentMicros()));
+        // A thread that runs late has reports and requests before it that come first.
+        long pause = ROUND_PAUSE_TIMES * Math.max(round.spentMicros(), context.latenessMicros().getAsLong());
+        return Math.max(ROUND_EVERY_MICROS, Math.min(ROUND_PAUSE_MOST_MICROS, pause));
     }
 
     /** Answers a worker's report; the caller has checked that this node leads. */
@@ -279,6 +286,7 @@
 
     @Override
     public void close() {
+        records.close();
         scope.close();
         jobs.close();
     }
