--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -107,7 +107,10 @@
         }, seed, logs);
         boolean moneyMatters = platform.moneyMatters(tunables.rentMicros());
         this.contexts = term -> new Context(loop, platform, tunables, office, term, store, layout, cloud, prices, caller,
-                metrics, this::workersElsewhere, this::latenessMicros, logs, moneyMatters);
+                metrics, this::workersElsewhere,
+                (prefix, then) -> officeLoop.execute(() -> officeStore.list(prefix, StateClient.Class.URGENT,
+                        listing -> loop.execute(() -> then.accept(listing)))),
+                this::latenessMicros, logs, moneyMatters);
         this.peers = new Peers(loop, caller, platform, this::status);
         this.book = new JobBook(loop, store, metrics, platform.stateLimits().txnOps());
         this.standIn = new StandIn(loop, store, office, logs);
--- a/src/main/java/plumlever/leader/Records.java
+++ b/src/main/java/plumlever/leader/Records.java
@@ -9,8 +9,8 @@
 
 /**
  * What earlier leaders left in the state service, read by a new one. All of it is asked for at once: their writes are guarded
- * by their terms, so nothing of it changes any more but the jobs that come and end, and a thread that runs late would wait
- * for one answer after the other, each behind a crowd of reports.
+ * by their terms, so nothing of it changes any more but the jobs that come and end. It is read on the office's thread: on the
+ * one that decides each answer would wait behind the crowd of workers that come to a new leader.
  */
 final class Records {
     private static final long RETRY_MICROS = 500_000;
@@ -32,7 +32,7 @@
     }
 
     private void read(String prefix) {
-        context.store().list(prefix, StateClient.Class.URGENT, listing -> {
+        context.reader().list(prefix, listing -> {
             if (then == null) {
                 return;
             }
