--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -51,6 +51,8 @@
     /** Longer than it takes any node to notice a common outage and tell its peers. */
     private static final long ALONE_MICROS = 3_000_000;
     private static final long PEER_FRESH_MICROS = 3_500_000;
+    private static final long LATE_MICROS = 500_000;
+    private static final long ON_TIME_MICROS = 200_000;
     private static final long LISTEN_MICROS = 1_000_000;
     private static final long STRAY_MICROS = 5_000_000;
     private static final long PULSE_MICROS = 500_000;
@@ -145,7 +147,7 @@
 
             @Override
             public boolean canTakeRequests() {
-                return !alone();
+                return !alone() && !othersAreSooner();
             }
 
             @Override
@@ -312,6 +314,22 @@
         return !heard;
     }
 
+    /**
+     * True when this node runs so late that users wait for seconds, as a leader does whom hundreds of workers come to, while
+     * another is on time. Where nobody is, all go on taking what they can.
+     */
+    private boolean othersAreSooner() {
+        if (latenessMicros() < LATE_MICROS) {
+            return false;
+        }
+        for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
+            if (p.storeRefusedMicros() == 0 && p.lateMicros() < ON_TIME_MICROS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** Asks the state service something small when nothing else was answered lately, so that its silence is noticed. */
     private long listen() {
         if (loop.nowMicros() - store.lastServedMicros() >= LISTEN_MICROS / 2) {
@@ -370,7 +388,7 @@
     private PeerStatus status() {
         long now = loop.nowMicros();
         strays.values().removeIf(at -> now - at > STRAY_MICROS);
-        return new PeerStatus(platform.label(), office.term(), office.leading(), store.refusedForMicros(),
+        return new PeerStatus(platform.label(), office.term(), office.leading(), store.refusedForMicros(), Math.max(0, latenessMicros()),
                 strays.size(), leader == null ? Map.of() : leader.allCounts(new LinkedHashMap<>()));
     }
 
--- a/src/main/java/plumlever/peer/PeerStatus.java
+++ b/src/main/java/plumlever/peer/PeerStatus.java
@@ -12,10 +12,11 @@
  * What a controller tells the others of itself. It is advice only: no rule rests on it.
  *
  * @param storeRefusedMicros how long the state service has refused it; 0 while it is served
+ * @param lateMicros how late its deciding thread was lately
  * @param workers how many workers reported to it in the last seconds
  * @param counts finished and running tasks by job, from the leader, for display
  */
-public record PeerStatus(String label, long term, boolean leading, long storeRefusedMicros, int workers,
+public record PeerStatus(String label, long term, boolean leading, long storeRefusedMicros, long lateMicros, int workers,
         Map<String, int[]> counts) {
 
     /** Kryo's form of it; written out, so that nothing is looked up by reflection at start. */
@@ -53,6 +54,7 @@
             out.writeVarLong(s.term, true);
             out.writeBoolean(s.leading);
             out.writeVarLong(s.storeRefusedMicros, true);
+            out.writeVarLong(s.lateMicros, true);
             out.writeVarInt(s.workers, true);
             out.writeVarInt(Math.min(s.counts.size(), Codec.MOST_COUNTS), true);
             int n = 0;
@@ -72,6 +74,7 @@
             long term = in.readVarLong(true);
             boolean leading = in.readBoolean();
             long silent = in.readVarLong(true);
+            long late = in.readVarLong(true);
             int workers = in.readVarInt(true);
             int n = in.readVarInt(true);
             if (n < 0 || n > Codec.MOST_COUNTS || label == null) {
@@ -81,7 +84,7 @@
             for (int i = 0; i < n; i++) {
                 counts.put(in.readString(), new int[] {in.readVarInt(true), in.readVarInt(true)});
             }
-            return new PeerStatus(label, term, leading, silent, workers, counts);
+            return new PeerStatus(label, term, leading, silent, late, workers, counts);
         }
     }
 }
--- a/src/test/java/plumlever/sim/LittleProcessorTest.java
+++ b/src/test/java/plumlever/sim/LittleProcessorTest.java
@@ -3,10 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import plumlever.settings.Endpoint;
 import plumlever.settings.Platform;
 
 /** The deployment on processors so small that everything takes its time, and far longer in a process that has just started. */
@@ -14,7 +16,7 @@
     private static final List<Platform.Team> TEAMS = List.of(new Platform.Team("red", 0, 0, 0, 0),
             new Platform.Team("blue", 0, 0, 0, 0));
     private static final int MACHINES = 600;
-    private static final double REPORT_SLOW = 3;
+    private static final double SLOW = 3;
 
     private static World world(long seed, boolean officeApart) {
         World w = new World(seed, 3, TEAMS, false);
@@ -106,7 +108,7 @@
         long term = w.store.term();
         first.stall(7);
         // What has come in meanwhile is worked off slowly, the peers' words among the first.
-        first.slowDown(REPORT_SLOW);
+        first.slowDown(SLOW);
         w.play(25);
         assertEquals(term, w.store.term(), "nobody else was elected");
         first.slowDown(1);
@@ -116,6 +118,49 @@
         assertEquals(List.of(), w.rules.broken);
     }
 
+    /** Asks each controller whether it can take requests, and waits for what it says. */
+    private static List<Integer> up(World w) {
+        List<Integer> out = new ArrayList<>();
+        for (String node : w.members.keySet()) {
+            w.send("balancer", new Endpoint(node, 1), "GET", "/up", null, 6_000_000, a -> out.add((Integer) a[0]));
+            w.play(6.1);
+        }
+        return out;
+    }
+
+    /** A leader that is seconds late sends its users to those that are on time; where nobody is, all go on taking them. */
+    @Test
+    void whoIsSecondsLateLeavesUsersToOthers() {
+        World w = world(2, true);
+        busy(w, 60, 2);
+        w.play(60);
+        int leads = List.copyOf(w.members.values()).indexOf(w.leader());
+        assertEquals(List.of(200, 200, 200), up(w));
+        w.leader().slowDown(SLOW);
+        w.play(8);
+        List<Integer> seen = up(w);
+        assertEquals(503, seen.get(leads), "the late one: " + seen);
+        assertEquals(2, seen.stream().filter(s -> s == 200).count(), "the others: " + seen);
+        w.members.values().forEach(m -> m.slowDown(1));
+        w.play(12);
+        assertEquals(List.of(200, 200, 200), up(w), "and back");
+    }
+
+    @Test
+    void aLateControllerThatIsAloneGoesOnTakingUsers() {
+        World w = world(2, true);
+        busy(w, 60, 2);
+        w.play(60);
+        World.Member leader = w.leader();
+        w.members.values().stream().filter(m -> m != leader).forEach(World.Member::kill);
+        leader.slowDown(3);
+        w.play(8);
+        boolean[] took = new boolean[1];
+        w.send("balancer", leader.platform.bind(), "GET", "/up", null, 30_000_000, a -> took[0] = (Integer) a[0] == 200);
+        w.play(31);
+        assertTrue(took[0]);
+    }
+
     /** Decisions that stand still for much longer cost the office, and never act in a later term of the same node. */
     @Test
     void anOfficeWhoseDecisionsStandStillIsGivenUp() {
