--- a/src/main/java/plumlever/warmup/WarmUp.java
+++ b/src/main/java/plumlever/warmup/WarmUp.java
@@ -27,7 +27,10 @@
     private final LongSupplier latenessMicros;
     private final BooleanSupplier leads;
     private final long beganMicros;
+    private final Platform platform;
+    private final Tunables tunables;
     private Practice practice;
+    private boolean over;
 
     /** @param latenessMicros how late the loop was lately */
     public WarmUp(Loop loop, Platform platform, Tunables tunables, LongSupplier latenessMicros, BooleanSupplier leads) {
@@ -35,7 +38,8 @@
         this.latenessMicros = latenessMicros;
         this.leads = leads;
         this.beganMicros = loop.nowMicros();
-        this.practice = new Practice(platform, tunables, loop.wallMicros());
+        this.platform = platform;
+        this.tunables = tunables;
     }
 
     /** All of it at once. */
@@ -50,24 +54,29 @@
     /** One turn of the duty. */
     public long turn() {
         long start = loop.nowMicros();
-        if (leads.getAsBoolean()) {
-            practice = null;
-        }
-        if (practice == null) {
-            return -1;
+        if (over || leads.getAsBoolean()) {
+            return end();
         }
         if (start - beganMicros < AFTER_MICROS || latenessMicros.getAsLong() > LATE_MICROS) {
             return BUSY_PAUSE_MICROS;
         }
+        if (practice == null) {
+            practice = new Practice(platform, tunables, loop.wallMicros());
+        }
         boolean more = true;
         while (more && loop.nowMicros() - start < PIECE_MICROS) {
             more = practice.step();
         }
         if (!more) {
-            practice = null;
             LOG.info("warm after {} ms", (loop.nowMicros() - beganMicros) / 1_000);
-            return -1;
+            return end();
         }
         return Math.max(PAUSE_MICROS, loop.nowMicros() - start);
     }
+
+    private long end() {
+        over = true;
+        practice = null;
+        return -1;
+    }
 }
