--- a/src/test/java/plumlever/sim/LargeDeploymentTest.java
+++ b/src/test/java/plumlever/sim/LargeDeploymentTest.java
@@ -67,6 +67,24 @@
         assertTrue(seats > 0 && seats < 3_000_000, "seats evaluated: " + seats);
     }
 
+    /** A full fleet with hundreds of jobs behind it: a round must not look for each of them at every machine. */
+    @Test
+    void roundsStayShortWhereHundredsOfJobsWait() {
+        World w = new World(78, 3, List.of(new Platform.Team("red", 0, 0, 0, 0), new Platform.Team("blue", 0, 0, 0, 0)), false);
+        w.cloud.most = 80;
+        FakeUsers users = new FakeUsers(w);
+        for (int i = 0; i < 300; i++) {
+            w.at(i * 50_000L, () -> users.submit(40, 2, 60, false));
+        }
+        w.play(60);
+        long before = w.leader().node().metrics().counted("seats_evaluated");
+        w.play(10);
+        long seats = w.leader().node().metrics().counted("seats_evaluated") - before;
+        long rounds = 10_000_000 / 150_000;
+        assertTrue(seats > 0 && seats < rounds * w.cloud.machines.size() * 30, "seats evaluated: " + seats + " for "
+                + w.cloud.machines.size() + " machines");
+    }
+
     /**
      * Half as many machines again as the users have, with all that may befall so many: controllers restarted one after the
      * other and all at once, dozens of machines dead, dozens hanging past their lease and going on, a leader standing still
