Leases are renewed only while no cancellation unheard of could be outlived by them

A new leader keeps reports of machines with tasks until it has read its jobs, and answers none of them before.

--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -19,6 +19,7 @@
 import plumlever.concurrent.Loop;
 import plumlever.concurrent.Scope;
 import plumlever.election.Office;
+import plumlever.election.RenewalLimit;
 import plumlever.election.StandIn;
 import plumlever.election.Term;
 import plumlever.http.Caller;
@@ -166,10 +167,10 @@
             }
 
             @Override
-            public void endedPieces(WorkerReport r, Consumer<List<Order>> then) {
+            public void endedPieces(WorkerReport r, Consumer<Front.StandInHalts> then) {
                 Node.this.endedPieces(r, then);
             }
-        }, metrics);
+        }, new RenewalLimit(platform.workers()), metrics);
     }
 
     /** Notes what the answers to this node's own calls take. */
@@ -354,7 +355,7 @@
         return pulseDueMicros == 0 ? 0 : Math.max(lateMicros, loop.nowMicros() - pulseDueMicros);
     }
 
-    private void endedPieces(WorkerReport r, Consumer<List<Order>> then) {
+    private void endedPieces(WorkerReport r, Consumer<Front.StandInHalts> then) {
         Set<String> uids = new HashSet<>();
         r.pieces().forEach(p -> {
             if (p.status() != TaskStatus.ENDED) {
@@ -368,11 +369,11 @@
             }
             List<Order> halts = new ArrayList<>();
             r.pieces().forEach(p -> {
-                if (p.status() != TaskStatus.ENDED && ended.contains(p.task().job())) {
+                if (p.status() != TaskStatus.ENDED && ended.uids().contains(p.task().job())) {
                     halts.add(Order.halt(p.task(), p.attempt(), 0));
                 }
             });
-            then.accept(halts);
+            then.accept(new Front.StandInHalts(halts, ended.askedMicros()));
         });
     }
 
--- a/src/main/java/plumlever/http/Front.java
+++ b/src/main/java/plumlever/http/Front.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import plumlever.concurrent.Loop;
+import plumlever.election.RenewalLimit;
 import plumlever.leader.Leader;
 import plumlever.metrics.Metrics;
 import plumlever.wire.InvalidMessage;
@@ -32,9 +33,16 @@
         void renewed();
 
         /** The halts that a stand-in gives with its answer; null when it can't be found out which jobs have ended. */
-        void endedPieces(WorkerReport r, Consumer<List<Order>> then);
+        void endedPieces(WorkerReport r, Consumer<StandInHalts> then);
     }
 
+    /**
+     * What a stand-in orders.
+     *
+     * @param knownMicros when the oldest read that it rests on had been sent
+     */
+    public record StandInHalts(List<Order> halts, long knownMicros) {}
+
     private static final String JOBS = "/submissions";
     private static final String ABORT = "/abort";
 
@@ -42,8 +50,10 @@
     private final UserApi users;
     private final House house;
     private final Metrics metrics;
+    private final RenewalLimit limit;
 
-    public Front(Loop clock, UserApi users, House house, Metrics metrics) {
+    public Front(Loop clock, UserApi users, House house, RenewalLimit limit, Metrics metrics) {
+        this.limit = limit;
         this.clock = clock;
         this.users = users;
         this.house = house;
@@ -126,12 +136,12 @@
         }
         house.strayReport(r.host());
         if (house.mayRenew(r.site(), r.baton())) {
-            house.endedPieces(r, halts -> {
+            house.endedPieces(r, found -> {
                 // Asked again: finding out took its time. A lease is not renewed for tasks whose halt can't be given.
-                if (halts != null && house.mayRenew(r.site(), r.baton())) {
+                if (found != null && house.mayRenew(r.site(), r.baton()) && limit.mayRenew(clock.nowMicros(), found.knownMicros())) {
                     metrics.count("leases_renewed_for_leader");
                     house.renewed();
-                    out.send(200, Order.answer(r.baton(), halts));
+                    out.send(200, Order.answer(r.baton(), found.halts()));
                 } else {
                     out.later(503, "can't stand in", 1);
                 }
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
+import plumlever.election.RenewalLimit;
 import plumlever.fleet.Job;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
@@ -17,7 +18,6 @@
 
 /** The jobs that have not ended, kept up with the state service by following it. */
 final class Jobs {
-    private static final long FOLLOW_MICROS = 10_000_000;
     private static final long RETRY_MICROS = 500_000;
 
     private final Logger log;
@@ -27,7 +27,10 @@
     private final Map<String, Job> active = new LinkedHashMap<>();
     /** Which stored pack each job's progress was found in. */
     private final Map<Job, Integer> packs = new HashMap<>();
+    private final RenewalLimit limit;
     private long epoch;
+    /** When the last read that tells which jobs have ended had been sent. */
+    private long knownMicros = Long.MIN_VALUE / 2;
     private boolean closed;
 
     Jobs(Context context, Begun begun, Runnable changed) {
@@ -35,6 +38,7 @@
         this.log = context.logs().of(Jobs.class);
         this.begun = begun;
         this.changed = changed;
+        this.limit = new RenewalLimit(context.platform().workers());
     }
 
     Collection<Job> all() {
@@ -49,8 +53,17 @@
         return active.get(uid);
     }
 
+    /**
+     * True while a lease may be renewed on a machine with tasks, and a task ordered on one: later, a cancellation that this
+     * leader has not heard of might come to its end of time before the lease does.
+     */
+    boolean mayRenew() {
+        return limit.mayRenew(context.loop().nowMicros(), knownMicros);
+    }
+
     /** Takes in all jobs and which of them earlier leaders may have begun, and goes on following. */
     void load(Records found) {
+        knownMicros = found.askedMicros();
         StateClient.Listing jobs = found.under(JobStore.ACTIVE);
         begun.read(found.under(JobStore.BEGUN).items());
         jobs.items().forEach(i -> put(i.key(), i.data(), i.stamp(), true));
@@ -126,7 +139,8 @@
         if (closed) {
             return;
         }
-        context.store().follow(JobStore.ACTIVE, epoch, FOLLOW_MICROS, changes -> {
+        long sent = context.loop().nowMicros();
+        context.store().follow(JobStore.ACTIVE, epoch, limit.watchMicros(), changes -> {
             if (closed) {
                 return;
             }
@@ -139,6 +153,7 @@
                 return;
             }
             epoch = Math.max(epoch, changes.epoch());
+            knownMicros = sent;
             for (StateClient.Change c : changes.log()) {
                 if (c.data() == null) {
                     drop(c.key().substring(JobStore.ACTIVE.length()));
@@ -155,6 +170,7 @@
 
     /** Changes were missed: what is not listed any more has ended. */
     private void relist() {
+        long sent = context.loop().nowMicros();
         context.store().list(JobStore.ACTIVE, StateClient.Class.URGENT, listing -> {
             if (closed) {
                 return;
@@ -172,6 +188,7 @@
             gone.removeAll(listed);
             gone.forEach(this::drop);
             epoch = listing.epoch();
+            knownMicros = sent;
             changed.run();
             follow();
         });
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -48,6 +48,7 @@
     private final Hints hints;
     private final Direct direct;
     private final Duty rounds;
+    private final EarlyReports early;
     private boolean loaded;
     private boolean due = true;
 
@@ -67,6 +68,7 @@
         this.roster = new Roster(context, this::changed);
         this.machines = new Machines(context, fleet, roster, round, reports, direct, takeover, this::changed);
         this.hints = new Hints(context, fleet, estimates);
+        this.early = new EarlyReports(context.loop());
         this.rounds = new Duty("rounds", context.loop(), this::roundTurn);
     }
 
@@ -95,6 +97,7 @@
         }
         log.info("term {} begins with {} jobs and {} machines to account for, {} ms after election", term, n,
                 takeover.open().size(), (context.loop().nowMicros() - takeover.startedMicros()) / 1_000);
+        early.release(this::report);
         scope.own(jobs::close);
         scope.own(begun::close);
         scope.own(progress::close);
@@ -195,8 +198,12 @@
             out.later(503, "this machine was returned", 1);
             return;
         }
+        if (!loaded && r.holdsTasks()) {
+            early.keep(r, out);
+            return;
+        }
         if (!loaded) {
-            // What may run where is not known yet; the lease is renewed, and the term shown.
+            // Nothing runs there that could have been cancelled; the lease is renewed, and the term shown.
             out.send(200, Order.answer(Fleet.firstToken(term), List.of()));
             return;
         }
@@ -228,6 +235,12 @@
         if (news == Reports.News.NEWS) {
             notice(m, r, now);
         }
+        if (!jobs.mayRenew() && reports.holdsOpenTasks(r)) {
+            // A cancellation confirmed by another controller may not be known here, and would be outlived by the lease.
+            context.metrics().count("renewals_refused");
+            out.later(503, "which jobs have ended is not known", 1);
+            return;
+        }
         List<Order> orders = reports.standing(m, r);
         if (news == Reports.News.NEWS && Fleet.termOf(r.baton()) == term && round.hasPlan(m) && round.recorded(m) && !m.unsettled()) {
             reports.start(m, round.planned(m), false, orders);
@@ -287,6 +300,7 @@
     @Override
     public void close() {
         records.close();
+        early.close();
         scope.close();
         jobs.close();
     }
--- a/src/main/java/plumlever/leader/Records.java
+++ b/src/main/java/plumlever/leader/Records.java
@@ -20,6 +20,7 @@
     private final Context context;
     private final Map<String, StateClient.Listing> read = new HashMap<>();
     private Consumer<Records> then;
+    private long askedMicros;
 
     Records(Context context) {
         this.context = context;
@@ -32,6 +33,9 @@
     }
 
     private void read(String prefix) {
+        if (prefix.equals(JobStore.ACTIVE)) {
+            askedMicros = context.loop().nowMicros();
+        }
         context.reader().list(prefix, listing -> {
             if (then == null) {
                 return;
@@ -54,6 +58,11 @@
         return read.get(prefix);
     }
 
+    /** When the read of the active jobs had been sent: whatever ended before it is known. */
+    long askedMicros() {
+        return askedMicros;
+    }
+
     void close() {
         then = null;
     }
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -326,6 +326,16 @@
         }
     }
 
+    /** True if the machine has tasks of jobs that are not known here to have ended; halts of the others go with any answer. */
+    boolean holdsOpenTasks(WorkerReport r) {
+        for (WorkerReport.Piece p : r.pieces()) {
+            if (p.status() != TaskStatus.ENDED && jobs.get(p.task().job()) != null) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The orders that go without a plan: halts, and what the worker may forget. */
     List<Order> standing(Machine m, WorkerReport r) {
         long now = context.loop().nowMicros();
@@ -369,7 +379,7 @@
     /** Takes the tasks planned for the machine, each rule checked again as the order is written. */
     List<Attempt> start(Machine m, Iterable<Round.Planned> planned, boolean direct, List<Order> orders) {
         Flavor f = context.prices().flavor(m.flavor());
-        if (f == null || m.draining() || m.returning() || m.enrolment() != Enrolment.STORED || !m.accounted()
+        if (f == null || !jobs.mayRenew() || m.draining() || m.returning() || m.enrolment() != Enrolment.STORED || !m.accounted()
                 || m.deaf()) {
             return List.of();
         }
--- a/src/main/java/plumlever/store/JobBook.java
+++ b/src/main/java/plumlever/store/JobBook.java
@@ -78,21 +78,29 @@
     }
 
     /**
-     * Which of these jobs have ended, as of a few seconds ago at most; null when that can't be found out.
+     * Jobs that have ended.
+     *
+     * @param askedMicros when the oldest of the reads that showed the others as active had been sent
      */
-    public void endedOf(Collection<String> uids, Consumer<Set<String>> then) {
+    public record Ends(Set<String> uids, long askedMicros) {}
+
+    /** Which of these jobs have ended, as of a few seconds ago at most; null when that can't be found out. */
+    public void endedOf(Collection<String> uids, Consumer<Ends> then) {
         long now = loop.nowMicros();
         activeAsked.values().removeIf(asked -> now - asked > LATELY_MICROS);
         Set<String> over = new HashSet<>();
         int[] open = {1};
         boolean[] failed = new boolean[1];
+        long[] asked = {now};
         Runnable settled = () -> {
             if (--open[0] == 0) {
-                then.accept(failed[0] ? null : over);
+                then.accept(failed[0] ? null : new Ends(over, asked[0]));
             }
         };
         for (String uid : uids) {
-            if (activeAsked.containsKey(uid)) {
+            Long before = activeAsked.get(uid);
+            if (before != null) {
+                asked[0] = Math.min(asked[0], before);
                 continue;
             }
             open[0]++;
--- a/src/main/java/plumlever/wire/WorkerReport.java
+++ b/src/main/java/plumlever/wire/WorkerReport.java
@@ -16,6 +16,16 @@
     /** Stands in {@code reclaimInS} for a machine that nobody takes away. */
     public static final double NO_NOTICE = -1;
 
+    /** True if any task is on the machine, in whatever state before its end. */
+    public boolean holdsTasks() {
+        for (Piece p : pieces) {
+            if (p.status() != TaskStatus.ENDED) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     public boolean noticed() {
         return reclaimInS >= 0;
     }
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -29,6 +29,12 @@
     private long permits;
     boolean outage;
     final Set<String> refused = new HashSet<>();
+    /** Nodes whose watches are never answered, while everything else is. */
+    final Set<String> unwatched = new HashSet<>();
+    /** Listings under this prefix are not answered. */
+    String slowPrefix;
+    /** How often each node was answered 503. */
+    final Map<String, Integer> refusals = new HashMap<>();
     /** For tests of the checks: transactions whose guards are not looked at. */
     boolean ignoreGuards;
     /** For tests of the checks: a prefix under which listings find nothing. */
@@ -126,7 +132,14 @@
     @Override
     public void handle(String from, String method, String path, String body, World.Reply reply) {
         tally(0);
+        if (unwatched.contains(from) && path.startsWith("/follow?")) {
+            return;
+        }
+        if (slowPrefix != null && path.startsWith("/keys?under=" + slowPrefix)) {
+            return;
+        }
         if (outage || refused.contains(from)) {
+            refusals.merge(from, 1, Integer::sum);
             reply.send(503, "{\"error\":\"trouble\"}");
             return;
         }
--- a/src/test/java/plumlever/sim/FakeUsers.java
+++ b/src/test/java/plumlever/sim/FakeUsers.java
@@ -139,6 +139,17 @@
         });
     }
 
+    /** Once, at this controller. */
+    void cancelAt(Endpoint at, String uid, java.util.function.Consumer<Integer> status) {
+        cancelled.add(uid);
+        world.send("user", at, "POST", "/submissions/" + uid + "/abort", "", 5_000_000, a -> {
+            if ((Integer) a[0] == 200) {
+                tell(uid, (String) a[1]);
+            }
+            status.accept((Integer) a[0]);
+        });
+    }
+
     private void poll(String uid) {
         world.send("user", nodeOf(uid), "GET", "/submissions/" + uid, null, 2_000_000, a -> {
             heard(uid, a);
--- a/src/test/java/plumlever/sim/FakeWorker.java
+++ b/src/test/java/plumlever/sim/FakeWorker.java
@@ -271,6 +271,11 @@
         return o;
     }
 
+    /** A report as it would send it now. */
+    byte[] statusBytes() {
+        return Json.write(status()).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    }
+
     @Override
     public void handle(String from, String method, String path, String body, World.Reply reply) {
         if (dead) {
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -81,6 +81,11 @@
     private long now = 1_000_000_000L;
 
     public World(long seed, int nodes, List<Platform.Team> teams, boolean money) {
+        this(seed, nodes, teams, money, Rules.CANCEL_MICROS);
+    }
+
+    /** @param cancelMicros what the controllers believe to have for a cancellation: for tests of the checks */
+    World(long seed, int nodes, List<Platform.Team> teams, boolean money, long cancelMicros) {
         random = new SplittableRandom(seed);
         rules = new Rules(this, teams);
         store = new FakeStore(this);
@@ -97,7 +102,7 @@
             List<Platform.Objective> aims = money ? List.of(new Platform.Objective("price", null, 0, 1, 1))
                     : List.of(new Platform.Objective("wait", "c0", 5, 1, 0.9));
             Platform p = new Platform("n" + i, "z" + i, new Endpoint("n" + i, 1), new Endpoint("n" + i, 2), seeds, CLOUD,
-                    STATE, teams, aims, new Platform.Workers(3_000_000, FakeWorker.LEASE_MICROS, Rules.CANCEL_MICROS),
+                    STATE, teams, aims, new Platform.Workers(3_000_000, FakeWorker.LEASE_MICROS, cancelMicros),
                     new Platform.StateLimits(200, 25, 4096, 8), new Platform.CloudLimits(6, FakeCloud.LAG_MICROS), 1000);
             members.put(p.label(), new Member(p));
         }
