--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -164,7 +164,8 @@
                     book.accepted(uid, result.epoch());
                     out.send(201, state(uid, JobState.PENDING, null));
                 }
-                case CONFLICT -> known(uid, out, 200);
+                // Without an answer it is not known either whether this request or an earlier one made the record.
+                case CONFLICT, UNKNOWN -> known(uid, out);
                 case REFUSED -> {
                     if (tries > 1 && recentlyServed()) {
                         loop.after(AGAIN_MICROS, () -> accept(uid, txn, out, tries - 1));
@@ -172,7 +173,6 @@
                         unavailable(out);
                     }
                 }
-                case UNKNOWN -> known(uid, out, 201);
             }
         });
     }
@@ -182,10 +182,10 @@
     }
 
     /** The record decides; if it can't be read or is not there yet, the user asks again. */
-    private void known(String uid, Responder out, int status) {
+    private void known(String uid, Responder out) {
         book.look(uid, look -> {
             if (look.found()) {
-                out.send(status, describe(uid, look));
+                out.send(200, describe(uid, look));
             } else {
                 unavailable(out);
             }
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -360,17 +360,20 @@
                 }
             }
         }
-        if (Fleet.termOf(r.baton()) == term) {
-            for (WorkerReport.Piece p : r.pieces()) {
-                if (m.attempt(p.attempt()) != null) {
-                    continue;
-                }
-                Job job = jobs.get(p.task().job());
-                if (p.status() != TaskStatus.ENDED) {
+        boolean current = Fleet.termOf(r.baton()) == term;
+        for (WorkerReport.Piece p : r.pieces()) {
+            if (m.attempt(p.attempt()) != null) {
+                continue;
+            }
+            Job job = jobs.get(p.task().job());
+            if (p.status() != TaskStatus.ENDED) {
+                // A report that shows an earlier term does not account for its machine, but tasks of jobs that have ended are
+                // halted by the first answer: it renews their lease, and the machine may not hear another one.
+                if (current || job == null) {
                     orders.add(Order.halt(p.task(), p.attempt(), 0));
-                } else if (mayReap && (job == null || p.cause() != ExitCause.DONE || job.stored().get(p.task().number()))) {
-                    orders.add(Order.reap(p.task(), p.attempt()));
                 }
+            } else if (current && mayReap && (job == null || p.cause() != ExitCause.DONE || job.stored().get(p.task().number()))) {
+                orders.add(Order.reap(p.task(), p.attempt()));
             }
         }
         return orders;
--- a/src/test/java/plumlever/sim/FakeCloud.java
+++ b/src/test/java/plumlever/sim/FakeCloud.java
@@ -19,6 +19,10 @@
             {"sku":"large","cores":16,"accelerators":0,"memory_gb":64,"cache_gb":40,"fetch_gb_per_s":0.5,"hourly":0.9,"low_price":0.3,"startup_s":8,"sites":["a","b"]}]}
             """;
 
+    static double coresOf(String flavor) {
+        return flavor.equals("small") ? 4 : 16;
+    }
+
     /** A rented machine. */
     static final class Vm {
         final String id;
@@ -44,6 +48,8 @@
     private final List<Object[]> history = new ArrayList<>();
     private int counter;
     boolean outage;
+    /** Machines are up within two seconds. */
+    boolean bootsAtOnce;
     int most = 14;
 
     FakeCloud(World world) {
@@ -105,7 +111,7 @@
                 machines.put(v.id, v);
                 got.add(v.id);
                 if (world.random.nextInt(25) > 0) {
-                    world.at(5_000_000 + world.random.nextLong(15_000_000), () -> {
+                    world.at(bootsAtOnce ? world.random.nextLong(2_000_000) : 5_000_000 + world.random.nextLong(15_000_000), () -> {
                         if (machines.get(v.id) == v) {
                             v.worker = new FakeWorker(world, v);
                         }
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -31,6 +31,16 @@
     final Set<String> refused = new HashSet<>();
     /** Nodes whose watches are never answered, while everything else is. */
     final Set<String> unwatched = new HashSet<>();
+    /** Shares of transactions with changes that get no answer: carried out seconds later, or at once. */
+    double lateWrites;
+    double unheardWrites;
+    /** How many were carried out after a newer one of the same node, and how many at once without an answer. */
+    int carriedOutAfterNewer;
+    int carriedOutUnheard;
+    /** Time that each answer takes longer. */
+    long slowMicros;
+    private final Map<String, Long> newestOf = new HashMap<>();
+    private long sent;
     /** Listings under this prefix are not answered. */
     String slowPrefix;
     /** How often each node was answered 503. */
@@ -143,9 +153,11 @@
             reply.send(503, "{\"error\":\"trouble\"}");
             return;
         }
+        World.Reply prompt = reply;
+        reply = slowMicros == 0 ? prompt : (status, text) -> world.at(slowMicros, () -> prompt.send(status, text));
         try {
             if (path.equals("/txn")) {
-                txn(Json.parseObject(body), reply);
+                write(from, Json.parseObject(body), reply);
             } else if (path.equals("/grants")) {
                 long ttl = Json.parseObject(body).path("ttl_ms").asLong() * 1_000;
                 grantEnds.put(++permits, world.now() + ttl);
@@ -251,6 +263,28 @@
         world.at(since + wait - world.now(), again);
     }
 
+    /** A transaction may go unanswered, and be carried out at once or after newer ones. */
+    private void write(String from, ObjectNode t, World.Reply reply) {
+        long number = ++sent;
+        boolean changes = !t.path("then").isEmpty();
+        if (changes && world.random.nextDouble() < unheardWrites) {
+            carriedOutUnheard++;
+            txn(t, (status, text) -> { });
+        } else if (changes && world.random.nextDouble() < lateWrites) {
+            world.at(2_000_000 + world.random.nextLong(10_000_000), () -> {
+                if (!outage && newestOf.getOrDefault(from, 0L) > number) {
+                    carriedOutAfterNewer++;
+                    txn(t, (status, text) -> { });
+                }
+            });
+        } else {
+            if (changes) {
+                newestOf.put(from, number);
+            }
+            txn(t, reply);
+        }
+    }
+
     private void txn(ObjectNode t, World.Reply reply) {
         for (JsonNode g : t.path("guards")) {
             Entry e = keys.get(g.path("k").asText());
@@ -276,7 +310,10 @@
         for (JsonNode c : t.path("then")) {
             if (c.hasNonNull("put")) {
                 largestValue = Math.max(largestValue, Json.write(c.path("data")).length());
-                termSince = c.get("put").asText().equals("office/term") ? world.now() : termSince;
+                if (c.get("put").asText().equals("office/term")) {
+                    termSince = world.now();
+                    world.newTerm();
+                }
                 keys.put(c.get("put").asText(), new Entry(c.path("data"), epoch, c.path("permit").asLong(0)));
                 log.add(new Change(epoch, c.get("put").asText(), c.path("data")));
             } else if (keys.remove(c.path("drop").asText()) != null) {
--- a/src/test/java/plumlever/sim/FakeUsers.java
+++ b/src/test/java/plumlever/sim/FakeUsers.java
@@ -20,6 +20,12 @@
     private final Map<String, Endpoint> connected = new HashMap<>();
     private final Map<String, Long> sickSince = new HashMap<>();
     private int next;
+    /** Users ask at all nodes within milliseconds, and repeat the submission, after each answer that brings news. */
+    boolean closeLooks;
+    /** Close looks that came to an answer. */
+    int looks;
+    private final Map<String, JobSpec> specs = new HashMap<>();
+    private final Set<String> lookedAt = new HashSet<>();
 
     FakeUsers(World world) {
         this.world = world;
@@ -106,12 +112,14 @@
     }
 
     private void trySubmit(JobSpec j, boolean cancel) {
+        specs.put(j.uid(), j);
+        long asked = world.now();
         world.send("user", nodeOf(j.uid()), "POST", "/submissions", Json.write(j.toJson()), 5_000_000, a -> {
             heard(j.uid(), a);
             int code = (Integer) a[0];
             if (code == 201 || code == 200) {
                 accepted.add(j.uid());
-                tell(j.uid(), (String) a[1]);
+                tell(j.uid(), (String) a[1], asked);
                 poll(j.uid());
                 if (cancel) {
                     world.at(5_000_000 + world.random.nextLong(30_000_000), () -> cancel(j.uid()));
@@ -124,12 +132,105 @@
         });
     }
 
+    /** Cancels jobs at once that run and have long to go; some of their machines hang for as long. */
+    List<String> cancelNow(int count, double hangS, int machines) {
+        List<String> out = new ArrayList<>();
+        for (String uid : accepted) {
+            if (out.size() < count && !cancelled.contains(uid) && world.rules.began(uid) && !world.rules.allDone(uid)) {
+                out.add(uid);
+            }
+        }
+        if (hangS > 0) {
+            world.cloud.machines.values().stream().filter(v -> v.worker != null && v.worker.tasks.values().stream()
+                    .anyMatch(t -> out.contains(t.name.substring(0, t.name.indexOf('/'))))).limit(machines).toList().forEach(v -> {
+                        v.worker.hung = true;
+                        world.at((long) (hangS * 1e6), () -> v.worker.hung = false);
+                    });
+        }
+        out.forEach(uid -> world.at(world.random.nextLong(200_000), () -> cancel(uid)));
+        return out;
+    }
+
+    /** A share of the jobs is called off, asked about and repeated at the moment of the end. */
+    void meetEnds(double share) {
+        world.rules.whenComplete = uid -> {
+            if (world.random.nextDouble() < share && specs.containsKey(uid)) {
+                long offset = world.random.nextLong(1_500_000);
+                world.at(offset, () -> cancel(uid));
+                world.at(offset + world.random.nextLong(30_000), () -> lookClosely(uid));
+            }
+        };
+    }
+
+    /** What users send by mistake: each has one right answer. */
+    int oddRequests() {
+        int sent = 0;
+        for (String uid : new ArrayList<>(accepted)) {
+            String last = world.rules.lastTold.get(uid);
+            JobSpec j = specs.get(uid);
+            if ("done".equals(last)) {
+                expect("POST", "/submissions/" + uid + "/abort", "", 200, "\"done\"");
+            } else if (last != null) {
+                expect("POST", "/submissions", Json.write(j.toJson().put("pieces", 0)), 200, uid);
+                expect("POST", "/submissions", Json.write(j.toJson().put("owner", "nobody")), 200, uid);
+            }
+            sent++;
+        }
+        JobSpec like = specs.values().iterator().next();
+        expect("POST", "/submissions", Json.write(like.toJson().put("uid", "job-880001").put("cores", 99.0)), 422, "");
+        expect("POST", "/submissions", Json.write(like.toJson().put("uid", "job-880002").without("cores")), 400, "");
+        expect("GET", "/submissions/job-880003", "", 404, "");
+        expect("POST", "/submissions/job-880003/abort", "", 404, "");
+        return sent;
+    }
+
+    /** While the state service is out nothing but a refusal for now may take the place of the right answer. */
+    private void expect(String method, String path, String body, int status, String part) {
+        world.send("odd", anyNode(), method, path, body, 5_000_000, a -> {
+            int s = (Integer) a[0];
+            if (s != 0 && s != 503 && s != 429 && (s != status || !((String) a[1]).contains(part))) {
+                world.rules.broken.add("odd request: " + method + " " + path + " got " + s + " " + a[1]);
+            }
+        });
+    }
+
+    private void lookClosely(String uid) {
+        for (String n : world.members.keySet()) {
+            for (int i = 0; i < 2; i++) {
+                world.at(1_000L + world.random.nextLong(20_000), () -> {
+                    long asked = world.now();
+                    boolean repeat = world.random.nextInt(3) == 0;
+                    world.send("close", new Endpoint(n, 1), repeat ? "POST" : "GET", repeat ? "/submissions" : "/submissions/" + uid,
+                            repeat ? Json.write(specs.get(uid).toJson()) : null, 2_000_000, a -> {
+                                if ((Integer) a[0] == 200) {
+                                    looks++;
+                                    toldAnywhere(uid, (String) a[1], asked);
+                                } else if ((Integer) a[0] == 404) {
+                                    world.rules.toldAnywhere(uid, null, asked);
+                                } else if ((Integer) a[0] == 400 || (Integer) a[0] == 422 || (Integer) a[0] == 201) {
+                                    world.rules.broken.add("a repeat of " + uid + " got " + a[0]);
+                                }
+                            });
+                });
+            }
+        }
+    }
+
+    private void toldAnywhere(String uid, String body, long asked) {
+        try {
+            world.rules.toldAnywhere(uid, Json.parseObject(body).path("status").asText(), asked);
+        } catch (InvalidMessage e) {
+            world.rules.broken.add("unreadable: " + body);
+        }
+    }
+
     void cancel(String uid) {
         cancelled.add(uid);
+        long asked = world.now();
         world.send("user", nodeOf(uid), "POST", "/submissions/" + uid + "/abort", "", 5_000_000, a -> {
             heard(uid, a);
             if ((Integer) a[0] == 200) {
-                tell(uid, (String) a[1]);
+                tell(uid, (String) a[1], asked);
             } else {
                 if ((Integer) a[0] == 404) {
                     world.rules.broken.add("forgotten: " + uid);
@@ -142,19 +243,21 @@
     /** Once, at this controller. */
     void cancelAt(Endpoint at, String uid, java.util.function.Consumer<Integer> status) {
         cancelled.add(uid);
+        long asked = world.now();
         world.send("user", at, "POST", "/submissions/" + uid + "/abort", "", 5_000_000, a -> {
             if ((Integer) a[0] == 200) {
-                tell(uid, (String) a[1]);
+                tell(uid, (String) a[1], asked);
             }
             status.accept((Integer) a[0]);
         });
     }
 
     private void poll(String uid) {
+        long asked = world.now();
         world.send("user", nodeOf(uid), "GET", "/submissions/" + uid, null, 2_000_000, a -> {
             heard(uid, a);
             if ((Integer) a[0] == 200) {
-                tell(uid, (String) a[1]);
+                tell(uid, (String) a[1], asked);
             } else if ((Integer) a[0] == 404) {
                 world.rules.broken.add("forgotten: " + uid);
             }
@@ -162,7 +265,11 @@
         });
     }
 
-    private void tell(String uid, String body) {
+    private void tell(String uid, String body, long asked) {
+        toldAnywhere(uid, body, asked);
+        if (closeLooks && lookedAt.add(uid + body.contains("\"status\":\"done\"") + body.contains("\"aborted\""))) {
+            lookClosely(uid);
+        }
         try {
             world.rules.answered(uid);
             world.rules.told(uid, Json.parseObject(body).path("status").asText(), cancelled.contains(uid));
--- a/src/test/java/plumlever/sim/Rules.java
+++ b/src/test/java/plumlever/sim/Rules.java
@@ -29,6 +29,17 @@
     private final Set<String> completed = new HashSet<>();
     final List<String> broken = new ArrayList<>();
     int starts;
+    /** Starts after the cancellation was confirmed; each is gone again within the time for cancellations. */
+    int startsAfterCancel;
+    /** Told the moment a job's last task completes. */
+    java.util.function.Consumer<String> whenComplete = uid -> { };
+    /** Final states by when a user was told them, at whatever node. */
+    private final Map<String, Long> finalAt = new HashMap<>();
+    private final Map<String, String> finalState = new HashMap<>();
+    private final Set<String> acceptedSeen = new HashSet<>();
+    /** Since when a job has waited although a machine that fits has room. */
+    private final Map<String, Long> waitsSince = new HashMap<>();
+    static final long WAITING_MICROS = 90_000_000;
 
     Rules(World world, List<Platform.Team> teams) {
         this.world = world;
@@ -53,10 +64,16 @@
 
     void complete(String task) {
         completed.add(task);
+        if (allDone(job(task))) {
+            whenComplete.accept(job(task));
+        }
     }
 
     void started(String task, FakeWorker w) {
         starts++;
+        if (abortedAt.containsKey(job(task))) {
+            startsAfterCancel++;
+        }
         JobSpec j = submitted.get(job(task));
         beganAt.putIfAbsent(j.uid(), world.now());
         Set<FakeWorker> at = on.computeIfAbsent(task, k -> new HashSet<>());
@@ -113,6 +130,10 @@
         }
     }
 
+    double coresOf(String team) {
+        return held.getOrDefault(team, 0.0);
+    }
+
     boolean began(String uid) {
         return beganAt.containsKey(uid);
     }
@@ -165,6 +186,77 @@
         });
     }
 
+    /**
+     * An answer that a user got from any node, also to questions asked at once at all of them: one to a question that was
+     * asked after some user had been told an end, or that the job is accepted, must not be older than that.
+     *
+     * @param status null for a 404
+     */
+    void toldAnywhere(String uid, String status, long askedMicros) {
+        String end = finalState.get(uid);
+        if (end != null && askedMicros >= finalAt.get(uid) && !end.equals(status)) {
+            broke("went_back", uid + " was told " + end + " and then " + status);
+        }
+        if (status == null) {
+            if (acceptedSeen.contains(uid)) {
+                broke("forgotten", uid + " is unknown after it was accepted");
+            }
+            return;
+        }
+        acceptedSeen.add(uid);
+        if ((status.equals("done") || status.equals("aborted")) && end == null) {
+            finalState.put(uid, status);
+            finalAt.put(uid, world.now());
+        }
+    }
+
+    /** Once all troubles are over no job may wait for long while a machine that fits has room and its team may use it. */
+    void checkWaiting() {
+        if (world.calmSince == Long.MAX_VALUE) {
+            return;
+        }
+        for (JobSpec j : submitted.values()) {
+            boolean waits = j != null && acceptedSeen.contains(j.uid()) && !finalState.containsKey(j.uid()) && !abortedAt.containsKey(j.uid())
+                    && !allDone(j.uid()) && nothingOn(j) && teamHasRoom(j) && machineHasRoom(j);
+            if (!waits) {
+                waitsSince.remove(j == null ? "" : j.uid());
+            } else if (world.now() - waitsSince.computeIfAbsent(j.uid(), k -> world.now()) > WAITING_MICROS) {
+                broke("waiting", j.uid() + " waits although there is room");
+                waitsSince.remove(j.uid());
+            }
+        }
+    }
+
+    private boolean nothingOn(JobSpec j) {
+        for (int i = 0; i < j.pieces(); i++) {
+            if (on.containsKey(j.uid() + "/" + i)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean teamHasRoom(JobSpec j) {
+        double limit = teams.get(j.owner()).cpusMax();
+        return limit <= 0 || held.getOrDefault(j.owner(), 0.0) + j.cores() <= limit + 1e-6;
+    }
+
+    private boolean machineHasRoom(JobSpec j) {
+        for (FakeCloud.Vm v : world.cloud.machines.values()) {
+            if (v.worker == null || !j.allows(v.flavor, v.site, v.spot)) {
+                continue;
+            }
+            double cores = FakeCloud.coresOf(v.flavor);
+            for (FakeWorker.Task t : v.worker.tasks.values()) {
+                cores -= t.status.equals("ended") ? 0 : submitted.get(job(t.name)).cores();
+            }
+            if (cores + 1e-6 >= j.cores()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** A user was told something of a job. */
     void told(String uid, String status, boolean userCancelled) {
         String before = lastTold.get(uid);
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -65,6 +65,13 @@
     double loseOrderAnswers;
     /** Share of reports of which a copy comes late, at any node. */
     double copyReports;
+    /** Share of reports of which a copy is kept, and comes to every node when a new leader begins. */
+    double copyReportsForNext;
+    private final List<String> keptReports = new ArrayList<>();
+    /** How many copies a new leader was sent. */
+    int copiesAtNext;
+    /** Machines whose reports reach no node, while direct commands reach them. */
+    final java.util.Set<String> mute = new java.util.HashSet<>();
     /** Longest time a copy of a report comes late: well over a lease. */
     static final long COPY_MICROS = 3 * FakeWorker.LEASE_MICROS;
     /** The most sockets that any node had in use: workers that report to it, and its direct calls under way. */
@@ -126,6 +133,7 @@
             rules.check();
             if (e.seq % 64 == 0) {
                 rules.checkForgotten();
+                rules.checkWaiting();
             }
             checkOneLeader();
         }
@@ -179,6 +187,18 @@
         }
     }
 
+    /** A term has begun. */
+    void newTerm() {
+        List<String> copies = new ArrayList<>(keptReports);
+        keptReports.clear();
+        for (String body : copies) {
+            for (String n : members.keySet()) {
+                copiesAtNext++;
+                deliver("copy", new Endpoint(n, 1), "POST", "/hello", body, (st, t) -> { }, random.nextLong(1_500_000L));
+            }
+        }
+    }
+
     Member leader() {
         return members.values().stream().filter(Member::leads).findFirst().orElseThrow();
     }
@@ -231,6 +251,12 @@
             deliver(from, to, method, path, body, (st, t) -> { }, 4_000_000L + random.nextLong(16_000_000L));
             deliver(from, to, method, path, body, (st, t) -> { }, 500_000L + random.nextLong(COPY_MICROS));
         }
+        if (path.equals("/hello") && mute.contains(from)) {
+            return;
+        }
+        if (path.equals("/hello") && random.nextDouble() < copyReportsForNext) {
+            keptReports.add(body);
+        }
         if (path.equals("/hello") && random.nextDouble() < copyReports) {
             Endpoint any = new Endpoint("n" + random.nextInt(members.size()), 1);
             deliver(from, random.nextBoolean() ? to : any, method, path, body, (st, t) -> { }, 1_000_000L + random.nextLong(COPY_MICROS));
