--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -55,6 +55,8 @@
     private static final long LATE_MICROS = 500_000;
     private static final long ON_TIME_MICROS = 200_000;
     private static final long LISTEN_MICROS = 1_000_000;
+    /** For as long as peers are told: the state service may have refused one of them all that time. */
+    private static final long CALLED_OFF_MICROS = 20_000_000;
     private static final long STRAY_MICROS = 5_000_000;
     private static final long PULSE_MICROS = 500_000;
 
@@ -72,6 +74,8 @@
     private final JobBook book;
     private final StandIn standIn;
     private final Map<String, Long> strays = new HashMap<>();
+    /** Jobs whose users were told through this node that they are cancelled, by when. */
+    private final Map<String, Long> calledOff = new LinkedHashMap<>();
     private Leader leader;
     private long pulseDueMicros;
     private long lateMicros;
@@ -90,7 +94,7 @@
         this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics);
         this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
         this.prices = new PriceBook(tunables);
-        JobStore layout = new JobStore(platform.stateLimits().valueBytes());
+        JobStore layout = new JobStore(store.limits());
         StateClient officeStore = new StateClient(officeLoop, officeCaller, platform.state(), platform.stateLimits(), metrics);
         this.office = new Office(platform.label(), officeLoop, officeStore, tunables, new Office.Holder() {
             @Override
@@ -114,12 +118,17 @@
                 (prefix, then) -> officeLoop.execute(() -> officeStore.list(prefix, StateClient.Class.URGENT,
                         listing -> loop.execute(() -> then.accept(listing)))),
                 this::latenessMicros, logs, moneyMatters);
-        this.peers = new Peers(loop, caller, platform, this::status);
-        this.book = new JobBook(loop, store, metrics, platform.stateLimits().txnOps());
+        this.peers = new Peers(loop, caller, platform, this::status, s -> {
+            if (leader != null) {
+                leader.calledOff(s.calledOff());
+            }
+        });
+        this.book = new JobBook(loop, store, layout, metrics);
         this.standIn = new StandIn(loop, store, office, logs);
         UserApi users = new UserApi(loop, store, book, layout, prices, platform, metrics, new UserApi.Desk() {
             @Override
             public void aborted(String uid) {
+                calledOff.put(uid, loop.nowMicros());
                 if (leader != null) {
                     leader.aborted(uid);
                 }
@@ -389,8 +398,9 @@
     private PeerStatus status() {
         long now = loop.nowMicros();
         strays.values().removeIf(at -> now - at > STRAY_MICROS);
+        calledOff.values().removeIf(at -> now - at > CALLED_OFF_MICROS);
         return new PeerStatus(platform.label(), office.term(), office.leading(), store.refusedForMicros(), Math.max(0, latenessMicros()),
-                strays.size(), leader == null ? Map.of() : leader.allCounts(new LinkedHashMap<>()));
+                strays.size(), leader == null ? Map.of() : leader.allCounts(new LinkedHashMap<>()), List.copyOf(calledOff.keySet()));
     }
 
     @Override
--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -3,12 +3,18 @@
 import java.util.BitSet;
 import org.agrona.collections.Int2ObjectHashMap;
 import plumlever.wire.JobSpec;
+import plumlever.wire.Urgency;
 
 /** An accepted job that has not ended, and what is known of its tasks. */
 public final class Job implements Enrolled {
     private final JobSpec spec;
     private final long stamp;
     private final long acceptedMicros;
+    /** When the last job that it waits on ended; what counts waiting work counts from here. */
+    private long releasedMicros;
+    private boolean waiting;
+    private boolean calledOff;
+    private Chains.Aim aim;
     /** An earlier leader may have started its tasks on machines not yet accounted for. */
     private final boolean inherited;
     /** Tasks that completed. */
@@ -34,6 +40,9 @@
         this.spec = spec;
         this.stamp = stamp;
         this.acceptedMicros = acceptedMicros;
+        this.releasedMicros = acceptedMicros;
+        this.aim = new Chains.Aim(acceptedMicros, spec.hasDeadline() ? (long) (spec.dueS() * 1e6) : Long.MAX_VALUE, spec.jobclass(), 0,
+                spec.urgency());
         this.inherited = inherited;
         free.set(0, spec.pieces());
     }
@@ -55,9 +64,56 @@
         return acceptedMicros;
     }
 
-    /** Long.MAX_VALUE for none. */
+    /** It waits for other jobs: none of its tasks may start, and it counts for nothing yet. */
+    public boolean waiting() {
+        return waiting;
+    }
+
+    public void hold() {
+        waiting = true;
+    }
+
+    /** Another controller says that it is cancelled: true before it is known here from the records, and for ever. */
+    public boolean calledOff() {
+        return calledOff;
+    }
+
+    public void callOff() {
+        calledOff = true;
+    }
+
+    /** All that it waits on is done. */
+    public void release(long sinceMicros) {
+        waiting = false;
+        releasedMicros = Math.max(acceptedMicros, sinceMicros);
+    }
+
+    /** From when its waiting counts: when it was accepted, or released where it waits on others. */
+    public long releasedMicros() {
+        return releasedMicros;
+    }
+
+    /** What it is worth: its own deadline and urgency, or what jobs that need it leave it. */
+    public Chains.Aim aim() {
+        return aim;
+    }
+
+    public void aim(Chains.Aim now) {
+        aim = now;
+    }
+
+    /** Its own, or of a more urgent job that needs it. */
+    public Urgency urgency() {
+        return aim.urgency();
+    }
+
+    public boolean hasDeadline() {
+        return aim.dueMicros() != Long.MAX_VALUE;
+    }
+
+    /** By when it has to be done, its own deadline or what that of a job that needs it leaves; Long.MAX_VALUE for any time. */
     public long deadlineMicros() {
-        return spec.hasDeadline() ? acceptedMicros + (long) (spec.dueS() * 1e6) : Long.MAX_VALUE;
+        return aim.byMicros();
     }
 
     public boolean inherited() {
--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -1,9 +1,12 @@
 package plumlever.http;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import plumlever.cloud.PriceBook;
 import plumlever.concurrent.Loop;
 import plumlever.metrics.Metrics;
@@ -37,6 +40,10 @@
     private static final int RETRY_AFTER_S = 1;
     private static final long AGAIN_MICROS = 150_000;
     private static final int TRIES = 4;
+    /** Of a transaction's 64 KiB. */
+    private static final int MOST_TXN_BYTES = 48 * 1024;
+    /** A user waits 5 s for an answer, and goes on with the next try where this one stopped. */
+    private static final long PARTS_MICROS = 4_000_000;
 
     private final Loop loop;
     private final StateClient store;
@@ -138,12 +145,93 @@
             ifUnknown(uid, out, () -> out.error(422, "a task fits no allowed machine type"));
             return;
         }
-        Txn txn = layout.accept(spec, loop.wallMicros());
-        if (txn == null) {
+        JobStore.Acceptance acceptance = layout.accept(spec, loop.wallMicros());
+        if (acceptance == null) {
             ifUnknown(uid, out, () -> out.error(400, "the submission is too long"));
             return;
         }
-        accept(uid, txn, out, TRIES);
+        if (spec.waits()) {
+            afterOthers(spec, acceptance, out);
+        } else {
+            accept(spec, acceptance.txn(), out, TRIES);
+        }
+    }
+
+    /**
+     * Waits only for what was accepted. That a job was accepted stays true, so nothing need be guarded for it; and whether one
+     * of them is cancelled meanwhile is found out after this one is stored, from the records of all that it waits on.
+     */
+    private void afterOthers(JobSpec spec, JobStore.Acceptance acceptance, Responder out) {
+        if (spec.waitsOn().contains(spec.uid())) {
+            ifUnknown(spec.uid(), out, () -> out.error(422, "waits_on names the job itself"));
+            return;
+        }
+        book.unknownOf(spec.waitsOn(), unknown -> {
+            if (unknown == null) {
+                unavailable(out);
+            } else if (!unknown.isEmpty()) {
+                ifUnknown(spec.uid(), out, () -> out.error(422, "waits_on names a job that was never accepted: " + unknown.iterator().next()));
+            } else {
+                storeParts(new ArrayList<>(acceptance.parts().entrySet()), loop.nowMicros(), stored -> {
+                    if (stored) {
+                        accept(spec, acceptance.txn(), out, TRIES);
+                    } else {
+                        unavailable(out);
+                    }
+                });
+            }
+        });
+    }
+
+    /**
+     * Stores what must be there before the job is. The values are named by what they hold, so whatever is there already is
+     * right, and a submission that is repeated goes on where the last one stopped.
+     */
+    private void storeParts(List<Map.Entry<String, ObjectNode>> parts, long sinceMicros, Consumer<Boolean> then) {
+        if (parts.isEmpty()) {
+            then.accept(true);
+            return;
+        }
+        String first = parts.get(0).getKey();
+        store.list(first.substring(0, first.lastIndexOf('/') + 1), StateClient.Class.ORDINARY, listing -> {
+            if (listing == null) {
+                then.accept(false);
+                return;
+            }
+            Set<String> there = new HashSet<>();
+            listing.items().forEach(i -> there.add(i.key()));
+            parts.removeIf(p -> there.contains(p.getKey()));
+            storeNext(parts, sinceMicros, then);
+        });
+    }
+
+    private void storeNext(List<Map.Entry<String, ObjectNode>> parts, long sinceMicros, Consumer<Boolean> then) {
+        if (parts.isEmpty()) {
+            then.accept(true);
+            return;
+        }
+        Txn txn = new Txn();
+        int bytes = 0;
+        int count = 0;
+        for (Map.Entry<String, ObjectNode> p : parts) {
+            bytes += layout.valueBytes();
+            if (count == layout.limits().txnOps() || (count > 0 && bytes > MOST_TXN_BYTES)) {
+                break;
+            }
+            txn.guard(p.getKey(), 0).put(p.getKey(), p.getValue());
+            count++;
+        }
+        int sent = count;
+        store.txn(txn, StateClient.Class.ORDINARY, result -> {
+            if (result.applied()) {
+                parts.subList(0, sent).clear();
+                storeNext(parts, sinceMicros, then);
+            } else if (loop.nowMicros() - sinceMicros > PARTS_MICROS || (result.outcome() == Txn.Outcome.REFUSED && result.status() != 429)) {
+                then.accept(false);
+            } else {
+                loop.after(AGAIN_MICROS, () -> storeParts(parts, sinceMicros, then));
+            }
+        });
     }
 
     private boolean overLimit(JobSpec spec) {
@@ -156,11 +244,22 @@
     }
 
     /** Accepted means stored: 201 only once the transaction that creates the record has been carried out. */
-    private void accept(String uid, Txn txn, Responder out, int tries) {
+    private void accept(JobSpec spec, Txn txn, Responder out, int tries) {
+        String uid = spec.uid();
         store.txn(txn, StateClient.Class.ORDINARY, result -> {
             switch (result.outcome()) {
                 case APPLIED -> {
                     metrics.count("jobs_accepted");
+                    if (spec.waits()) {
+                        book.acceptedWaiting(uid, result.epoch(), spec.waitsOn(), look -> {
+                            if (look.found()) {
+                                out.send(201, describe(uid, look));
+                            } else {
+                                unavailable(out);
+                            }
+                        });
+                        return;
+                    }
                     book.accepted(uid, result.epoch());
                     out.send(201, state(uid, JobState.PENDING, null));
                 }
@@ -168,7 +267,7 @@
                 case CONFLICT, UNKNOWN -> known(uid, out);
                 case REFUSED -> {
                     if (tries > 1 && recentlyServed()) {
-                        loop.after(AGAIN_MICROS, () -> accept(uid, txn, out, tries - 1));
+                        loop.after(AGAIN_MICROS, () -> accept(spec, txn, out, tries - 1));
                     } else {
                         unavailable(out);
                     }
@@ -269,7 +368,7 @@
     }
 
     private void end(String uid, long stamp, Responder out, int tries) {
-        store.txn(layout.end(uid, stamp, JobState.ABORTED, 0), StateClient.Class.URGENT, result -> {
+        store.txn(layout.end(uid, stamp, JobState.ABORTED, loop.wallMicros(), List.of()), StateClient.Class.URGENT, result -> {
             switch (result.outcome()) {
                 case APPLIED -> {
                     book.ended(uid, JobState.ABORTED);
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -6,15 +6,21 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.ToLongFunction;
 import org.slf4j.Logger;
 import plumlever.election.RenewalLimit;
+import plumlever.fleet.Chains;
 import plumlever.fleet.Job;
+import plumlever.store.JobFinder;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
+import plumlever.store.Txn;
 import plumlever.wire.InvalidMessage;
+import plumlever.wire.JobState;
 
 /** The jobs that have not ended, kept up with the state service by following it. */
 final class Jobs {
@@ -25,8 +31,22 @@
     private final Begun begun;
     private final Runnable changed;
     private final Map<String, Job> active = new LinkedHashMap<>();
+    private final Chains chains = new Chains();
+    /** Jobs aborted through another, whose end is to be stored. */
+    private final Map<String, Job> doomed = new LinkedHashMap<>();
+    /** What a task of the job takes, its image included, to plan with. */
+    private ToLongFunction<Job> cost = j -> 0;
+    private final Set<String> unread = new LinkedHashSet<>();
+    private final JobFinder finder;
+    private boolean readingEnds;
+    private boolean ending;
+    /** What is put off until all jobs are there: the listing is in no order that the chains would know. */
+    private List<Runnable> atLoad = new ArrayList<>();
     /** Which stored pack each job's progress was found in. */
     private final Map<Job, Integer> packs = new HashMap<>();
+    private final Map<String, Long> packStamps = new HashMap<>();
+    private final Map<Job, Map<String, Long>> chunks = new HashMap<>();
+    private final List<String> strays = new ArrayList<>();
     private final RenewalLimit limit;
     private long epoch;
     /** When the last read that tells which jobs have ended had been sent. */
@@ -38,6 +58,7 @@
         this.log = context.logs().of(Jobs.class);
         this.begun = begun;
         this.changed = changed;
+        this.finder = new JobFinder(context.loop(), context.store());
         this.limit = new RenewalLimit(context.platform().workers());
     }
 
@@ -45,6 +66,19 @@
         return active.values();
     }
 
+    Map<String, Long> packStamps() {
+        return packStamps;
+    }
+
+    /** Keys of stored progress by job, and those of jobs that have ended. */
+    Map<Job, Map<String, Long>> chunks() {
+        return chunks;
+    }
+
+    List<String> strays() {
+        return strays;
+    }
+
     Map<Job, Integer> packs() {
         return packs;
     }
@@ -69,6 +103,10 @@
         jobs.items().forEach(i -> put(i.key(), i.data(), i.stamp(), true));
         found.under(JobStore.PROGRESS).items().forEach(this::readProgress);
         begun.loaded(this);
+        List<Runnable> put = atLoad;
+        atLoad = null;
+        put.forEach(Runnable::run);
+        settleChains();
         epoch = jobs.epoch();
         follow();
     }
@@ -76,6 +114,7 @@
     private void readProgress(StateClient.Item i) {
         int pack = JobStore.packOf(i.key());
         if (pack >= 0) {
+            packStamps.put(i.key(), i.stamp());
             JobStore.readPack(i.data()).forEach((uid, done) -> {
                 Job job = active.get(uid);
                 if (job != null) {
@@ -92,12 +131,14 @@
         if (job == null) {
             // Left by a job that ended with more chunks than one transaction drops, or written late.
             context.metrics().count("progress_strays");
+            strays.add(i.key());
             return;
         }
+        chunks.computeIfAbsent(job, j -> new LinkedHashMap<>()).put(i.key(), i.stamp());
         try {
-            context.layout().readChunk(i.data(), Integer.parseInt(rest.substring(slash + 1)), job.stored());
+            context.layout().readChunk(i.data(), rest.substring(slash + 1), job.stored());
             job.stored().stream().forEach(job::markDone);
-        } catch (InvalidMessage | NumberFormatException e) {
+        } catch (InvalidMessage e) {
             log.warn("{} can't be read and is taken as no progress", i.key());
         }
     }
@@ -115,26 +156,240 @@
             active.put(uid, job);
             log.debug("{} taken in: {} tasks of class {}, accepted {} ms ago", uid, job.spec().pieces(), job.spec().jobclass(),
                     age / 1_000);
+            List<String> parts = JobStore.waitsKeys(uid, data);
+            if (!parts.isEmpty()) {
+                job.hold();
+                whenLoaded(() -> readWaits(job, parts, 0, new ArrayList<>()));
+            } else if (job.spec().waits()) {
+                job.hold();
+                whenLoaded(() -> chain(job, job.spec().waitsOn()));
+            } else if (chains.standing(uid) == Chains.Standing.UNKNOWN && chains.needed(uid)) {
+                chain(job, List.of());
+            }
         } catch (InvalidMessage e) {
             log.error("{} can't be read: {}", key, e.getMessage());
         }
     }
 
-    private void drop(String uid) {
+    private void whenLoaded(Runnable action) {
+        if (atLoad == null) {
+            action.run();
+        } else {
+            atLoad.add(action);
+        }
+    }
+
+    /** The names that did not fit the job's own record, part by part; it waits until they are known. */
+    private void readWaits(Job job, List<String> parts, int next, List<String> names) {
+        if (closed || job.over()) {
+            return;
+        }
+        if (next == parts.size()) {
+            chain(job, names);
+            settleChains();
+            return;
+        }
+        context.store().get(parts.get(next), StateClient.Class.ORDINARY, got -> {
+            if (got.found()) {
+                names.addAll(JobStore.names(got.item().data()));
+                readWaits(job, parts, next + 1, names);
+            } else {
+                // The parts are stored before the job and dropped after its end, so this one is only not to be had now.
+                context.loop().after(RETRY_MICROS, () -> readWaits(job, parts, next, names));
+            }
+        });
+    }
+
+    /** The job and what it waits on are known: those of which nothing was told yet are looked up. */
+    private void chain(Job job, List<String> waitsOn) {
+        List<String> unknown = chains.accepted(job.uid(), job.stamp(), waitsOn);
+        chains.aim(job.uid(), job.aim(), cost.applyAsLong(job));
+        for (String name : unknown) {
+            Job before = active.get(name);
+            if (before == null) {
+                readEnd(name);
+            } else if (!before.waiting()) {
+                chain(before, List.of());
+            }
+            // One that waits itself is told by its own turn.
+        }
+        if (!waitsOn.isEmpty() && job.waiting() && log.isDebugEnabled()) {
+            log.debug("{} waits on {}", job.uid(), chains.waitsFor(job.uid()));
+        }
+    }
+
+    /** How jobs ended that others wait on: only their records tell. */
+    private void readEnd(String uid) {
+        unread.add(uid);
+        if (!readingEnds) {
+            readingEnds = true;
+            // What comes in the same turn is read together.
+            context.loop().after(0, this::readEnds);
+        }
+    }
+
+    private void readEnds() {
+        unread.removeIf(uid -> active.containsKey(uid) || !chains.needed(uid));
+        if (closed || unread.isEmpty()) {
+            readingEnds = false;
+            return;
+        }
+        finder.find(new ArrayList<>(unread), found -> {
+            if (closed) {
+                return;
+            }
+            if (found != null) {
+                found.forEach((uid, f) -> {
+                    if (f.how() != null) {
+                        unread.remove(uid);
+                        chains.ended(uid, f.how(), f.endedWallMicros());
+                    }
+                });
+                settleChains();
+            }
+            // What is neither active here nor ended was accepted a moment ago: it comes with the followed changes.
+            context.loop().after(found == null || !unread.isEmpty() ? RETRY_MICROS : 0, this::readEnds);
+        });
+    }
+
+    /** Carries out what follows from what is known of the chains now. */
+    private void settleChains() {
+        long wall = context.loop().wallMicros();
+        for (String uid : chains.takeReleased()) {
+            Job job = active.get(uid);
+            if (job != null && job.waiting()) {
+                long ended = chains.releasedMicros(uid);
+                long age = ended > 0 ? Math.max(0, wall - ended) : 0;
+                job.release(context.loop().nowMicros() - age);
+                context.metrics().count("jobs_released");
+                log.debug("{} is released, the last job that it waits on ended {} ms ago", uid, age / 1_000);
+                changed.run();
+            }
+        }
+        for (String uid : chains.takeAborted()) {
+            Job job = active.get(uid);
+            if (job != null && job.waiting() && doomed.put(uid, job) == null) {
+                log.info("{} is aborted through {}", uid, chains.through(uid));
+            }
+        }
+        endDoomed();
+    }
+
+    /** One after the other: each is final for whoever asks already, so this is in no hurry. */
+    private void endDoomed() {
+        if (ending || closed || doomed.isEmpty()) {
+            return;
+        }
+        Job job = doomed.values().iterator().next();
+        if (job.over()) {
+            doomed.remove(job.uid());
+            endDoomed();
+            return;
+        }
+        ending = true;
+        context.store().txn(context.layout().end(job.uid(), job.stamp(), JobState.ABORTED, context.loop().wallMicros(), List.of()),
+                StateClient.Class.ORDINARY, result -> {
+                    ending = false;
+                    if (result.applied()) {
+                        context.metrics().count("jobs_aborted_through");
+                        ended(job.uid(), JobState.ABORTED);
+                        endDoomed();
+                    } else if (result.outcome() == Txn.Outcome.CONFLICT) {
+                        // Stored by whoever was asked about it: the followed changes will say so.
+                        doomed.remove(job.uid());
+                        context.loop().after(RETRY_MICROS, this::endDoomed);
+                    } else {
+                        context.loop().after(RETRY_MICROS, this::endDoomed);
+                    }
+                });
+    }
+
+    /** What a task takes, with which the deadlines along a chain are worked out. */
+    void costs(ToLongFunction<Job> ofTask) {
+        cost = ofTask;
+    }
+
+    /** Brings deadlines and urgency along the chains up to date; cheap where nothing changed. */
+    void settleAims(boolean costsToo) {
+        if (chains.size() == 0) {
+            return;
+        }
+        if (costsToo) {
+            chains.costs(uid -> {
+                Job j = active.get(uid);
+                return j == null ? 0 : cost.applyAsLong(j);
+            });
+        }
+        chains.settleAims(uid -> {
+            Job j = active.get(uid);
+            if (j != null) {
+                j.aim(chains.aim(uid));
+            }
+        });
+    }
+
+    /** The jobs that wait for others. */
+    List<Job> waiting() {
+        if (chains.size() == 0) {
+            return List.of();
+        }
+        return active.values().stream().filter(j -> j.waiting() && !doomed.containsKey(j.uid())).toList();
+    }
+
+    /** The active jobs that this one still waits on; null when some of them are not known here. */
+    List<Job> waitsFor(Job job) {
+        List<Job> out = new ArrayList<>();
+        for (String name : chains.waitsFor(job.uid())) {
+            Job before = active.get(name);
+            if (before == null) {
+                return null;
+            }
+            out.add(before);
+        }
+        return out;
+    }
+
+    /** @param how null when that is not known */
+    private void drop(String uid, JobState how) {
         Job job = active.remove(uid);
         if (job != null) {
             job.end();
             begun.remove(job);
             log.debug("{} has ended", uid);
         }
+        doomed.remove(uid);
+        if (chains.standing(uid) == Chains.Standing.UNKNOWN) {
+            return;
+        }
+        if (how == null && !chains.needed(uid)) {
+            // Nobody waits to be told how.
+            how = JobState.ABORTED;
+        }
+        if (how != null) {
+            chains.ended(uid, how, context.loop().wallMicros());
+            settleChains();
+        } else {
+            readEnd(uid);
+        }
     }
 
-    /** The job is known to have ended, before the followed changes say so. */
-    void ended(String uid) {
-        drop(uid);
+    /** The job's end is stored, known before the followed changes say so. */
+    void ended(String uid, JobState how) {
+        drop(uid, how);
         changed.run();
     }
 
+    /** Another controller's word that these are cancelled: nothing more of them is started, and their tasks are halted. */
+    void calledOff(Collection<String> uids) {
+        for (String uid : uids) {
+            Job job = active.get(uid);
+            if (job != null && !job.over()) {
+                job.callOff();
+                changed.run();
+            }
+        }
+    }
+
     private void follow() {
         if (closed) {
             return;
@@ -156,12 +411,13 @@
             knownMicros = sent;
             for (StateClient.Change c : changes.log()) {
                 if (c.data() == null) {
-                    drop(c.key().substring(JobStore.ACTIVE.length()));
+                    drop(c.key().substring(JobStore.ACTIVE.length()), null);
                 } else {
                     put(c.key(), c.data(), c.stamp(), false);
                 }
             }
             if (!changes.log().isEmpty()) {
+                settleChains();
                 changed.run();
             }
             follow();
@@ -186,7 +442,8 @@
             });
             List<String> gone = new ArrayList<>(active.keySet());
             gone.removeAll(listed);
-            gone.forEach(this::drop);
+            gone.forEach(uid -> drop(uid, null));
+            settleChains();
             epoch = listing.epoch();
             knownMicros = sent;
             changed.run();
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -1,6 +1,7 @@
 package plumlever.leader;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import org.slf4j.Logger;
@@ -14,6 +15,7 @@
 import plumlever.fleet.Machine;
 import plumlever.http.Responder;
 import plumlever.store.JobStore;
+import plumlever.wire.JobState;
 import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
 
@@ -64,6 +66,7 @@
         this.progress = new Progress(context, jobs);
         this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
         this.round = new Round(context, fleet, jobs, begun, estimates, takeover);
+        jobs.costs(round::costMicros);
         this.direct = new Direct(context, round, reports, this::changed);
         this.roster = new Roster(context, this::changed);
         this.machines = new Machines(context, fleet, roster, round, reports, direct, takeover, this::changed);
@@ -293,7 +296,14 @@
     /** The job's end is stored; its tasks are stopped without waiting for the followed changes. */
     public void aborted(String uid) {
         if (loaded) {
-            jobs.ended(uid);
+            jobs.ended(uid, JobState.ABORTED);
+        }
+    }
+
+    /** Advice of another controller, which may only halt more. */
+    public void calledOff(Collection<String> uids) {
+        if (loaded) {
+            jobs.calledOff(uids);
         }
     }
 
--- a/src/main/java/plumlever/leader/Preemption.java
+++ b/src/main/java/plumlever/leader/Preemption.java
@@ -95,7 +95,7 @@
     /** The least harm first, then the fewest tasks stopped, then the soonest room; a machine is offered once. */
     private List<Offer> offers(Job job, Ask ask, long startByMicros, long now) {
         List<Offer> out = new ArrayList<>();
-        if (job.spec().urgency() == Urgency.IDLE) {
+        if (job.urgency() == Urgency.IDLE) {
             // Nothing is less urgent, and in a full fleet most of what waits is like this.
             return out;
         }
@@ -150,7 +150,7 @@
             memory -= a.job().spec().memoryGb();
             accelerators -= a.job().spec().accelerators();
             if (a.status() == TaskStatus.RUNNING && a.job().spec().checkpoints()
-                    && a.job().spec().urgency().compareTo(job.spec().urgency()) > 0
+                    && a.job().urgency().compareTo(job.urgency()) > 0
                     && now - a.runningSinceMicros() > SETTLED_MICROS) {
                 candidates.add(a);
             }
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -352,7 +352,7 @@
                     orders.add(Order.reap(a.name(), a.id()));
                 }
             } else {
-                if (a.job().over() || a.job().done().get(a.task())) {
+                if (a.job().over() || a.job().calledOff() || a.job().done().get(a.task())) {
                     a.halt(0, now);
                 }
                 if (a.halting()) {
@@ -400,7 +400,7 @@
         long now = context.loop().nowMicros();
         for (Round.Planned p : planned) {
             Job job = p.job;
-            if (job.over() || job.enrolment() != Enrolment.STORED || takeover.blocks(job) || !job.spec().allows(m.flavor(), m.site(), m.spot())) {
+            if (job.over() || job.calledOff() || job.waiting() || job.enrolment() != Enrolment.STORED || takeover.blocks(job) || !job.spec().allows(m.flavor(), m.site(), m.spot())) {
                 continue;
             }
             Zones zones = Round.zones(job);
@@ -420,7 +420,7 @@
                 m.useImage(job.spec().bundle(), job.spec().imageGb(), f, now);
                 orders.add(Order.run(a.name(), a.id()));
                 context.metrics().count("runs_ordered");
-                context.metrics().time("wait", now - job.acceptedMicros());
+                context.metrics().time("wait", now - job.releasedMicros());
                 if (log.isDebugEnabled()) {
                     log.debug("{} goes to {}", a.name().wireName(), m.id());
                 }
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -49,6 +49,9 @@
 
     /** About what an order takes that is sent to a machine. */
     private static final long ORDER_MICROS = 50_000;
+    /** From the end of a job's last task to the start of the next one's in its chain: a report, the record, a round, an order. */
+    private static final long HAND_OVER_MICROS = 1_500_000;
+    private static final long COSTS_EVERY_MICROS = 10_000_000;
 
     /** Some tasks of a job that go to a machine with its next answer. */
     static final class Planned {
@@ -82,6 +85,7 @@
     private long finishedMicros;
     private long stoodByMicros = Long.MIN_VALUE / 2;
     private long spentMicros;
+    private long costedMicros;
     private Picture picture;
     private List<RentalPlan.Demand> demands = new ArrayList<>();
     private List<RentalPlan.Demand> lastDemands = List.of();
@@ -110,6 +114,20 @@
         return c.moneyMatters() ? c.tunables().rentMicros() : 0;
     }
 
+    /** What a task of the job takes from its release on, padded, its image included: what it leaves those before it in a chain. */
+    long costMicros(Job job) {
+        double fetch = 0;
+        int types = 0;
+        for (Flavor f : context.prices().flavors()) {
+            if (f.fetchGbPerS() > 0 && (job.spec().flavors() == null || job.spec().flavors().contains(f.sku()))) {
+                fetch += job.spec().imageGb() / f.fetchGbPerS() * 1e6;
+                types++;
+            }
+        }
+        long run = (long) (estimates.runMicros(job) * (1 + context.tunables().paddingShare()));
+        return run + (types == 0 ? 0 : (long) (fetch / types)) + HAND_OVER_MICROS;
+    }
+
     /** Machines that get no new tasks, because the others will do; they go once they are empty. */
     Set<Machine> closed() {
         return closed;
@@ -168,6 +186,8 @@
             plans.clear();
             plannedByTeam.clear();
             demands = new ArrayList<>();
+            jobs.settleAims(start - costedMicros > COSTS_EVERY_MICROS);
+            costedMicros = start - costedMicros > COSTS_EVERY_MICROS ? start : costedMicros;
             order = order(start);
             cursor = 0;
             roomless = 0;
@@ -229,7 +249,7 @@
 
     /** Of lasting work that is more urgent or guaranteed there may be no end, so what has waited long to begin goes first. */
     private boolean mustBegin(Job j, long now) {
-        return !j.begun() && now - j.acceptedMicros() > context.tunables().beginMicros();
+        return !j.begun() && now - j.releasedMicros() > context.tunables().beginMicros();
     }
 
     /** What must begin first, the oldest first; then work within a guarantee, then by urgency, then what can still meet its aim, the most pressing first. */
@@ -239,13 +259,13 @@
             guaranteed.put(t.name(), t.cpus());
         }
         List<Job> byAge = new ArrayList<>(jobs.all());
-        byAge.sort(Comparator.comparingLong(Job::acceptedMicros));
+        byAge.sort(Comparator.comparingLong(Job::releasedMicros));
         within.keySet().retainAll(byAge);
         seen.retainAll(within.keySet());
         Map<String, Double> used = new HashMap<>();
         List<Job> waiting = new ArrayList<>();
         for (Job j : byAge) {
-            if (j.complete() || j.over()) {
+            if (j.complete() || j.over() || j.calledOff() || j.waiting()) {
                 continue;
             }
             double cores = used.merge(j.spec().owner(), j.spec().pieces() * j.spec().cores(), Double::sum);
@@ -253,8 +273,8 @@
             if (within.putIfAbsent(j, cores <= guaranteed.getOrDefault(j.spec().owner(), 0.0)) == null && within.get(j)) {
                 context.metrics().count("jobs_guaranteed");
             }
-            if (seen.add(j) && now - j.acceptedMicros() < STANDBY_WINDOW_MICROS
-                    && targets.startBy(j, guaranteed(j), j.acceptedMicros()) - j.acceptedMicros() < context.tunables().rentMicros()) {
+            if (seen.add(j) && now - j.releasedMicros() < STANDBY_WINDOW_MICROS
+                    && targets.startBy(j, guaranteed(j), j.releasedMicros()) - j.releasedMicros() < context.tunables().rentMicros()) {
                 standby.arrived(now, j.spec());
             }
             if (j.hasFree() && j.notBeforeMicros() <= now && !takeover.blocks(j)) {
@@ -263,12 +283,12 @@
         }
         Map<Job, Long> latest = new HashMap<>();
         waiting.forEach(j -> latest.put(j, latestStart(j, now)));
-        waiting.sort(Comparator.<Job>comparingLong(j -> mustBegin(j, now) ? j.acceptedMicros() : Long.MAX_VALUE)
+        waiting.sort(Comparator.<Job>comparingLong(j -> mustBegin(j, now) ? j.releasedMicros() : Long.MAX_VALUE)
                 .thenComparingInt(j -> within.get(j) ? 0 : 1)
-                .thenComparing(j -> j.spec().urgency())
+                .thenComparing(j -> j.urgency())
                 .thenComparingInt(j -> missed(latest.get(j), now) ? 1 : 0)
                 .thenComparingLong(latest::get)
-                .thenComparingLong(Job::acceptedMicros));
+                .thenComparingLong(Job::releasedMicros));
         return waiting;
     }
 
@@ -413,7 +433,7 @@
     }
 
     private void place(Job job) {
-        if (job.over() || !job.hasFree()) {
+        if (job.over() || job.calledOff() || job.waiting() || !job.hasFree()) {
             return;
         }
         long now = picture.now;
--- a/src/main/java/plumlever/leader/SharedRecords.java
+++ b/src/main/java/plumlever/leader/SharedRecords.java
@@ -17,6 +17,10 @@
  * Entries of which many share one stored value, since changes are what the state service has least of. Each write is guarded
  * by the term and by the record's own revision: one that is carried out late can't undo another, nor a successor's. An entry
  * counts as stored only after the answer that says so.
+ *
+ * <p>A value that an earlier limit allowed may be larger than one may be now. It is not written as it is: what does not fit is
+ * first written to other values, and only when that is known to be stored does it leave the large one. Broken off at any point
+ * an entry is in one value or in two, never in none.
  */
 final class SharedRecords<E extends Enrolled> {
     private static final long TIDY_MICROS = 5_000_000;
@@ -41,6 +45,8 @@
         final Set<E> entries = new LinkedHashSet<>();
         long stamp;
         int bytes;
+        /** Of these, bytes of entries on their way to other values. */
+        int leaving;
         boolean writing;
         /** Something must be written before it can be used, or can be dropped when there is time. */
         boolean due;
@@ -60,6 +66,8 @@
     private final Runnable stored;
     private final Map<Integer, Chunk<E>> chunks = new LinkedHashMap<>();
     private final Map<E, Chunk<E>> chunkOf = new HashMap<>();
+    /** Where entries go that leave a value that is too large. */
+    private final Map<E, Chunk<E>> movingTo = new HashMap<>();
     private boolean closed;
 
     /** @param stored runs when entries have come to be on record */
@@ -94,30 +102,72 @@
             return;
         }
         entry.enrolment(Enrolment.WRITING);
-        Chunk<E> into = null;
+        Chunk<E> into = withRoom(layout.bytes(entry));
+        enter(into, entry);
+        into.due = true;
+        write(into);
+    }
+
+    private Chunk<E> withRoom(int bytes) {
         for (Chunk<E> c : chunks.values()) {
-            if (c.bytes + layout.bytes(entry) <= context.layout().valueBytes()) {
-                into = c;
-                break;
+            if (c.bytes + bytes <= context.layout().valueBytes()) {
+                return c;
             }
         }
-        if (into == null) {
-            int number = 0;
-            while (chunks.containsKey(number)) {
-                number++;
+        int number = 0;
+        while (chunks.containsKey(number)) {
+            number++;
+        }
+        Chunk<E> c = new Chunk<>(number, layout.baseBytes());
+        chunks.put(number, c);
+        return c;
+    }
+
+    /** Has what does not fit the value written to others; it stays in this one until that is stored. */
+    private void shed(Chunk<E> c) {
+        Set<Chunk<E>> touched = new LinkedHashSet<>();
+        for (E e : List.copyOf(c.entries)) {
+            if (c.bytes - c.leaving <= context.layout().valueBytes()) {
+                break;
+            }
+            if (movingTo.containsKey(e)) {
+                continue;
             }
-            into = new Chunk<>(number, layout.baseBytes());
-            chunks.put(number, into);
+            Chunk<E> to = withRoom(layout.bytes(e));
+            to.entries.add(e);
+            to.bytes += layout.bytes(e);
+            to.due = true;
+            touched.add(to);
+            movingTo.put(e, to);
+            c.leaving += layout.bytes(e);
+        }
+        touched.forEach(this::write);
+    }
+
+    /** An entry that was on its way is stored in its new value, and leaves the old one. */
+    private void moved(E e, Chunk<E> to) {
+        if (movingTo.get(e) != to) {
+            return;
+        }
+        movingTo.remove(e);
+        Chunk<E> from = chunkOf.put(e, to);
+        if (from != null && from.entries.remove(e)) {
+            from.bytes -= layout.bytes(e);
+            from.leaving -= layout.bytes(e);
+            from.untidy = true;
         }
-        enter(into, entry);
-        into.due = true;
-        write(into);
     }
 
     /** The entry is of no use any more; it goes with the next write, or when there is time for one. */
     void remove(E entry) {
+        Chunk<E> to = movingTo.remove(entry);
+        if (to != null && to.entries.remove(entry)) {
+            to.bytes -= layout.bytes(entry);
+            to.untidy = true;
+        }
         Chunk<E> c = chunkOf.remove(entry);
         if (c != null) {
+            c.leaving -= to == null ? 0 : layout.bytes(entry);
             c.entries.remove(entry);
             c.bytes -= layout.bytes(entry);
             c.untidy = true;
@@ -127,8 +177,10 @@
     /** One turn of the duty. */
     long tidy() {
         long now = context.loop().nowMicros();
-        for (Chunk<E> c : chunks.values()) {
-            if (c.untidy && now - c.writtenMicros > TIDY_MICROS) {
+        for (Chunk<E> c : List.copyOf(chunks.values())) {
+            if (c.bytes > context.layout().valueBytes()) {
+                shed(c);
+            } else if (c.untidy && now - c.writtenMicros > TIDY_MICROS) {
                 write(c);
             }
         }
@@ -139,6 +191,10 @@
         if (closed || c.writing || !(c.due || c.untidy)) {
             return;
         }
+        if (c.bytes > context.layout().valueBytes()) {
+            shed(c);
+            return;
+        }
         c.writing = true;
         long wait = Math.max(0, c.writtenMicros + pauseMicros - context.loop().nowMicros());
         context.loop().after(c.writtenMicros == 0 ? 0 : wait, () -> send(c));
@@ -152,6 +208,12 @@
             }
             return;
         }
+        if (c.bytes > context.layout().valueBytes()) {
+            // The limit has fallen since this was put off.
+            c.writing = false;
+            shed(c);
+            return;
+        }
         c.due = false;
         c.untidy = false;
         c.writtenMicros = context.loop().nowMicros();
@@ -172,6 +234,15 @@
                     c.stamp = written.isEmpty() ? 0 : result.epoch();
                     c.writing = false;
                     stored(written);
+                    Set<Chunk<E>> left = new LinkedHashSet<>();
+                    for (E e : written) {
+                        Chunk<E> from = chunkOf.get(e);
+                        if (movingTo.get(e) == c) {
+                            moved(e, c);
+                            left.add(from);
+                        }
+                    }
+                    left.forEach(this::write);
                     write(c);
                 }
                 case REFUSED -> again(c);
--- a/src/main/java/plumlever/leader/Targets.java
+++ b/src/main/java/plumlever/leader/Targets.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import plumlever.fleet.Chains;
 import plumlever.fleet.Job;
 import plumlever.settings.Platform;
 
@@ -62,32 +63,33 @@
      */
     long startBy(Job j, boolean withinGuarantee, long now) {
         long[] aims = startWithin.get(j.spec().jobclass());
-        long by = aims != null ? nextOf(aims, j.acceptedMicros(), now)
-                : j.spec().hasDeadline() ? Long.MAX_VALUE : j.acceptedMicros() + startTargetMicros;
+        long by = aims != null ? nextOf(aims, j.releasedMicros(), now)
+                : j.hasDeadline() ? Long.MAX_VALUE : j.releasedMicros() + startTargetMicros;
         if (withinGuarantee && guaranteedWithin != Long.MAX_VALUE) {
-            long guaranteed = j.acceptedMicros() + guaranteedWithin;
+            long guaranteed = j.releasedMicros() + guaranteedWithin;
             // Once it is missed, the aims of the class are what is left to meet.
-            if (guaranteed >= now || (by == Long.MAX_VALUE && !j.spec().hasDeadline())) {
+            if (guaranteed >= now || (by == Long.MAX_VALUE && !j.hasDeadline())) {
                 by = Math.min(by, guaranteed);
             }
         }
         return by;
     }
 
-    /** By when it should be complete: its deadline, as many times over as the aims still allow, and the aims of its class. */
+    /** By when it should be complete: its deadline or what that of a later job leaves it, as many times over as the aims still allow, and the aims of its class. */
     long finishBy(Job j, long now) {
         long by = Long.MAX_VALUE;
-        if (j.spec().hasDeadline()) {
+        if (j.hasDeadline()) {
             by = j.deadlineMicros();
-            for (double times : deadlineTimes.getOrDefault(j.spec().jobclass(), new double[0])) {
+            Chains.Aim aim = j.aim();
+            for (double times : deadlineTimes.getOrDefault(aim.jobclass(), new double[0])) {
                 if (by >= now) {
                     break;
                 }
-                by = j.acceptedMicros() + (long) (j.spec().dueS() * 1e6 * Math.max(1, times));
+                by = aim.submittedMicros() + (long) (aim.dueMicros() * Math.max(1, times)) - aim.tailMicros();
             }
         }
         long[] aims = finishWithin.get(j.spec().jobclass());
-        return aims == null ? by : Math.min(by, nextOf(aims, j.acceptedMicros(), now));
+        return aims == null ? by : Math.min(by, nextOf(aims, j.releasedMicros(), now));
     }
 
     /** True if some start is asked for sooner than this: machines must stand by for it. */
--- a/src/main/java/plumlever/peer/PeerStatus.java
+++ b/src/main/java/plumlever/peer/PeerStatus.java
@@ -5,7 +5,9 @@
 import com.esotericsoftware.kryo.Serializer;
 import com.esotericsoftware.kryo.io.Input;
 import com.esotericsoftware.kryo.io.Output;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -15,14 +17,17 @@
  * @param lateMicros how late its deciding thread was lately
  * @param workers how many workers reported to it in the last seconds
  * @param counts finished and running tasks by job, from the leader, for display
+ * @param calledOff jobs whose users were lately told through this controller that they are cancelled: who leads halts their
+ *     tasks even if the state service refuses to tell it
  */
 public record PeerStatus(String label, long term, boolean leading, long storeRefusedMicros, long lateMicros, int workers,
-        Map<String, int[]> counts) {
+        Map<String, int[]> counts, List<String> calledOff) {
 
     /** Kryo's form of it; written out, so that nothing is looked up by reflection at start. */
     public static final class Codec {
         private static final int MOST_BYTES = 256 * 1024;
         private static final int MOST_COUNTS = 5_000;
+        private static final int MOST_CALLED_OFF = 500;
         private final Kryo kryo = new Kryo();
         private final Output output = new Output(4 * 1024, MOST_BYTES);
 
@@ -66,6 +71,10 @@
                 out.writeVarInt(e.getValue()[0], true);
                 out.writeVarInt(e.getValue()[1], true);
             }
+            // Earlier versions read as far as here and leave the rest.
+            int m = Math.min(s.calledOff.size(), Codec.MOST_CALLED_OFF);
+            out.writeVarInt(m, true);
+            s.calledOff.stream().limit(m).forEach(out::writeString);
         }
 
         @Override
@@ -84,7 +93,17 @@
             for (int i = 0; i < n; i++) {
                 counts.put(in.readString(), new int[] {in.readVarInt(true), in.readVarInt(true)});
             }
-            return new PeerStatus(label, term, leading, silent, late, workers, counts);
+            List<String> calledOff = new ArrayList<>();
+            if (in.position() < in.limit()) {
+                int m = in.readVarInt(true);
+                if (m < 0 || m > Codec.MOST_CALLED_OFF) {
+                    throw new KryoException("out of range");
+                }
+                for (int i = 0; i < m; i++) {
+                    calledOff.add(in.readString());
+                }
+            }
+            return new PeerStatus(label, term, leading, silent, late, workers, counts, calledOff);
         }
     }
 }
--- a/src/main/java/plumlever/peer/Peers.java
+++ b/src/main/java/plumlever/peer/Peers.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import plumlever.concurrent.Duty;
 import plumlever.concurrent.Loop;
@@ -22,10 +23,12 @@
     private final Caller caller;
     private final Platform platform;
     private final Supplier<PeerStatus> own;
+    private final Consumer<PeerStatus> news;
     private final PeerStatus.Codec codec = new PeerStatus.Codec();
     private final Map<String, Heard> heard = new HashMap<>();
 
-    public Peers(Loop loop, Caller caller, Platform platform, Supplier<PeerStatus> own) {
+    public Peers(Loop loop, Caller caller, Platform platform, Supplier<PeerStatus> own, Consumer<PeerStatus> news) {
+        this.news = news;
         this.loop = loop;
         this.caller = caller;
         this.platform = platform;
@@ -56,6 +59,7 @@
             return;
         }
         heard.put(s.label(), new Heard(s, loop.nowMicros()));
+        news.accept(s);
         out.send(200, "{}");
     }
 
--- a/src/main/java/plumlever/settings/Platform.java
+++ b/src/main/java/plumlever/settings/Platform.java
@@ -32,7 +32,21 @@
         }
     }
 
-    public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {}
+    /**
+     * What the state service takes: the smaller of what holds now and what is announced for later, which comes without notice.
+     *
+     * @param formerValueBytes the largest value now: versions that knew of no later limit laid records out by it
+     */
+    public record StateLimits(double rps, double writeRps, int valueBytes, int txnOps, int formerValueBytes) {
+        public StateLimits(double rps, double writeRps, int valueBytes, int txnOps) {
+            this(rps, writeRps, valueBytes, txnOps, valueBytes);
+        }
+
+        StateLimits within(StateLimits next) {
+            return new StateLimits(Math.min(rps, next.rps), Math.min(writeRps, next.writeRps), Math.min(valueBytes, next.valueBytes),
+                    Math.min(txnOps, next.txnOps), formerValueBytes);
+        }
+    }
 
     public record CloudLimits(double rps, long listLagMicros) {}
 
@@ -114,15 +128,28 @@
                     endpoint(outside, "outside.", "state"), List.copyOf(teams), List.copyOf(objectives),
                     new Workers(micros(w, "deployment.workers.", "report_s"), micros(w, "deployment.workers.", "lease_s"),
                             micros(w, "deployment.workers.", "cancel_s")),
-                    new StateLimits(amount(s, "deployment.state.", "rps", 1, 1e9),
-                            amount(s, "deployment.state.", "write_rps", 1, 1e9),
-                            (int) (amount(s, "deployment.state.", "value_kb", 1, 1e6) * 1024),
-                            (int) amount(s, "deployment.state.", "txn_ops", 3, 1e6)),
+                    stateLimits(s),
                     new CloudLimits(amount(c, "deployment.cloud.", "rps", 0.1, 1e9),
                             micros(c, "deployment.cloud.", "list_lag_s")),
                     (int) amount(q, "deployment.quota.", "fd_limit", 64, 1e7));
         }
 
+        /** What is announced for later may name some limits only; the others stay. */
+        private StateLimits stateLimits(JsonNode s) throws SettingsException {
+            StateLimits now = limits(s, "deployment.state.", null);
+            return s.has("next") ? now.within(limits(table(s, "deployment.state.", "next"), "deployment.state.next.", now)) : now;
+        }
+
+        private StateLimits limits(JsonNode s, String at, StateLimits otherwise) throws SettingsException {
+            boolean all = otherwise == null;
+            double rps = all || s.has("rps") ? amount(s, at, "rps", 1, 1e9) : otherwise.rps();
+            double writeRps = all || s.has("write_rps") ? amount(s, at, "write_rps", 1, 1e9) : otherwise.writeRps();
+            // Less than this would hold neither a job's record nor an election.
+            int valueBytes = all || s.has("value_kb") ? (int) (amount(s, at, "value_kb", 1, 1e6) * 1024) : otherwise.valueBytes();
+            int txnOps = all || s.has("txn_ops") ? (int) amount(s, at, "txn_ops", 3, 1e6) : otherwise.txnOps();
+            return new StateLimits(rps, writeRps, valueBytes, txnOps);
+        }
+
         private SettingsException bad(String key, String why) {
             return new SettingsException(file + ": " + key + " " + why);
         }
--- a/src/main/java/plumlever/store/JobBook.java
+++ b/src/main/java/plumlever/store/JobBook.java
@@ -10,6 +10,8 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import plumlever.concurrent.Loop;
 import plumlever.metrics.Metrics;
 import plumlever.wire.JobState;
@@ -40,10 +42,14 @@
     private static final int TRIES = 4;
     private static final long LATELY_MICROS = 3_000_000;
 
+    private static final Logger LOG = LoggerFactory.getLogger(JobBook.class);
+
     private final Loop loop;
     private final StateClient store;
     private final Metrics metrics;
-    private final int mostAtOnce;
+    private final JobStore layout;
+    private final JobFinder finder;
+    private final ChainBook chains;
     /** Final states never change, so they may be told from memory; evicted ones are read again. */
     private final Cache<String, JobState> ended = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(20_000).build();
     private final Cache<String, Long> stamps = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(5_000).build();
@@ -51,12 +57,24 @@
     private final Map<String, Long> activeAsked = new HashMap<>();
     private List<Question> gathered = new ArrayList<>();
 
-    /** @param txnOps changes in one transaction; it takes four times as many guards */
-    public JobBook(Loop loop, StateClient store, Metrics metrics, int txnOps) {
+    public JobBook(Loop loop, StateClient store, JobStore layout, Metrics metrics) {
         this.loop = loop;
         this.store = store;
         this.metrics = metrics;
-        this.mostAtOnce = 4 * txnOps;
+        this.layout = layout;
+        this.finder = new JobFinder(loop, store);
+        this.chains = new ChainBook(loop, store, finder, new ChainBook.Ends() {
+            @Override
+            public void ended(String uid, JobState how) {
+                stamps.invalidate(uid);
+                ended.put(uid, how);
+            }
+
+            @Override
+            public JobState known(String uid) {
+                return ended.getIfPresent(uid);
+            }
+        });
     }
 
     /** The job has been accepted with this stamp. */
@@ -66,10 +84,50 @@
         }
     }
 
+    /** A job that waits for others has been accepted with this stamp: what follows from how those end. */
+    public void acceptedWaiting(String uid, long stamp, List<String> waitsOn, Consumer<Look> then) {
+        chains.accepted(uid, stamp, waitsOn);
+        chain(uid, stamp, then);
+    }
+
     /** The job's end is stored. */
     public void ended(String uid, JobState how) {
         stamps.invalidate(uid);
         ended.put(uid, how);
+        chains.ended(uid, how);
+    }
+
+    /**
+     * Which of these were never accepted, by reads begun now where that is not known of them.
+     *
+     * @param then takes null when that can't be found out
+     */
+    public void unknownOf(Collection<String> uids, Consumer<Set<String>> then) {
+        Set<String> open = new HashSet<>();
+        for (String uid : uids) {
+            if (stamps.getIfPresent(uid) == null && ended.getIfPresent(uid) == null) {
+                open.add(uid);
+            }
+        }
+        if (open.isEmpty()) {
+            then.accept(Set.of());
+            return;
+        }
+        finder.find(open, found -> {
+            if (found == null) {
+                then.accept(null);
+                return;
+            }
+            Set<String> unknown = new HashSet<>();
+            found.forEach((uid, f) -> {
+                if (!f.accepted()) {
+                    unknown.add(uid);
+                } else if (f.how() != null) {
+                    ended(uid, f.how());
+                }
+            });
+            then.accept(unknown);
+        });
     }
 
     /** How it ended, or null if that is not known without asking. */
@@ -137,7 +195,7 @@
         gathered.add(new Question(uid, stamp, tries, then));
         if (gathered.size() == 1) {
             loop.after(GATHER_MICROS, this::compare);
-        } else if (gathered.size() >= mostAtOnce) {
+        } else if (gathered.size() >= 4 * layout.limits().txnOps()) {
             compare();
         }
     }
@@ -190,7 +248,9 @@
      */
     private void read(String uid, int tries, Consumer<Look> then) {
         store.get(JobStore.activeKey(uid), StateClient.Class.ORDINARY, got -> {
-            if (got.found()) {
+            if (got.found() && JobStore.waits(got.item().data())) {
+                chain(uid, got.item().stamp(), then);
+            } else if (got.found()) {
                 stamps.put(uid, got.item().stamp());
                 then.accept(new Look(Standing.ACTIVE, got.item().stamp(), null));
             } else if (got.missing()) {
@@ -201,7 +261,48 @@
         });
     }
 
+    /** A job that waits for others, or did: whether it is aborted through one of them follows from how those ended. */
+    private void chain(String uid, long stamp, Consumer<Look> then) {
+        chains.ask(uid, answer -> {
+            switch (answer) {
+                case WAITING -> then.accept(new Look(Standing.ACTIVE, stamp, null));
+                case RELEASED -> {
+                    // Nothing before it can be aborted any more: from now on it is a job like others.
+                    stamps.put(uid, stamp);
+                    then.accept(new Look(Standing.ACTIVE, stamp, null));
+                }
+                case ABORTED -> abortThrough(uid, stamp, then);
+                case ENDED -> readEnded(uid, TRIES, then);
+                case UNAVAILABLE -> then.accept(Look.UNAVAILABLE);
+            }
+        });
+    }
+
+    /** Stored before it is told, like every end. */
+    private void abortThrough(String uid, long stamp, Consumer<Look> then) {
+        String through = chains.through(uid);
+        Txn txn = layout.end(uid, stamp, JobState.ABORTED, loop.wallMicros(), List.of());
+        store.txn(txn, StateClient.Class.URGENT, result -> {
+            switch (result.outcome()) {
+                case APPLIED -> {
+                    LOG.info("{} is aborted through {}", uid, through);
+                    metrics.count("jobs_aborted_through");
+                    ended(uid, JobState.ABORTED);
+                    then.accept(new Look(Standing.ENDED, 0, JobState.ABORTED));
+                }
+                case REFUSED -> then.accept(Look.UNAVAILABLE);
+                // Somebody else stored it, or this was carried out unheard: the record tells.
+                default -> readEnded(uid, TRIES, look -> then.accept(look.standing() == Standing.ENDED ? look : Look.UNAVAILABLE));
+            }
+        });
+    }
+
     private void readEnded(String uid, int tries, Consumer<Look> then) {
+        JobState known = ended.getIfPresent(uid);
+        if (known != null) {
+            then.accept(new Look(Standing.ENDED, 0, known));
+            return;
+        }
         store.get(JobStore.endedKey(uid), StateClient.Class.ORDINARY, got -> {
             JobState how = got.found() ? JobStore.finalState(got.item().data()) : null;
             if (how != null) {
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -59,6 +59,8 @@
     /** Of the changes the leader needs most: ends of jobs, records of jobs and machines, progress. */
     private static final double LEADER_PART = 0.7;
     private static final int PAGE = 500;
+    /** A prefix of no key. */
+    private static final String NOTHING = "nothing/";
 
     private final Loop loop;
     private final Caller caller;
@@ -67,11 +69,13 @@
     private final TokenBucket requests;
     private final TokenBucket writes;
     private final double writesPerS;
+    private final WriteLimits limits;
     private final Map<String, Long> surprises = new HashMap<>();
     private long lastServedMicros;
     private long refusedSinceMicros = -1;
 
     public StateClient(Loop loop, Caller caller, Endpoint at, Platform.StateLimits limits, Metrics metrics) {
+        this.limits = new WriteLimits(limits);
         this.metrics = metrics;
         this.loop = loop;
         this.caller = caller;
@@ -82,6 +86,11 @@
         this.lastServedMicros = loop.nowMicros();
     }
 
+    /** How much one write may hold. */
+    public WriteLimits limits() {
+        return limits;
+    }
+
     /** This node leads now, or does no more. */
     public void leads(boolean now) {
         writes.rate(writesPerS * (now ? LEADER_PART : PART), loop.nowMicros());
@@ -137,8 +146,17 @@
         });
     }
 
+    /** The revision now; -1 when that can't be found out. */
+    public void epoch(Consumer<Long> then) {
+        send(Class.ORDINARY, 0, "GET", "/keys?under=" + NOTHING + "&page=1", null, TIMEOUT_MICROS, (status, o) ->
+                then.accept(status == 200 && o != null && o.path("epoch").isIntegralNumber() ? o.get("epoch").longValue() : -1L));
+    }
+
     public void txn(Txn txn, Class c, Consumer<Txn.Result> then) {
         send(c, txn.changes(), "POST", "/txn", txn.body(), TIMEOUT_MICROS, (status, o) -> {
+            if (status == 413 || (status == 400 && !txn.hangsOnGrant())) {
+                limits.refused(txn);
+            }
             Txn.Outcome outcome = switch (status) {
                 case 200 -> Txn.Outcome.APPLIED;
                 case 409 -> Txn.Outcome.CONFLICT;
--- a/src/main/java/plumlever/store/Txn.java
+++ b/src/main/java/plumlever/store/Txn.java
@@ -36,6 +36,7 @@
     private final ObjectNode body = Json.object();
     private final ArrayNode guards = body.putArray("guards");
     private final ArrayNode then = body.putArray("then");
+    private boolean grant;
 
     /** @param stamp 0: the key must not exist */
     public Txn guard(String key, long stamp) {
@@ -49,11 +50,17 @@
     }
 
     public Txn put(String key, JsonNode data, long permit) {
+        grant = true;
         ObjectNode n = then.addObject().put("put", key).put("permit", permit);
         n.set("data", data);
         return this;
     }
 
+    /** True if it puts a key on a grant: such a transaction is malformed once the grant has ended. */
+    boolean hangsOnGrant() {
+        return grant;
+    }
+
     public Txn drop(String key) {
         then.addObject().put("drop", key);
         return this;
--- a/src/main/java/plumlever/wire/JobSpec.java
+++ b/src/main/java/plumlever/wire/JobSpec.java
@@ -3,19 +3,30 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /** A job as its user submits it. */
 public record JobSpec(String uid, String jobclass, String owner, Urgency urgency, int pieces, double cores,
         double accelerators, double memoryGb, String bundle, double imageGb, List<String> flavors, String site,
         boolean oneZone, boolean spread, boolean loaners, double expectS, double snapshotEveryS, double snapshotS,
-        double dueS) {
+        double dueS, List<String> waitsOn) {
+
+    /** A job that waits for no other. */
+    public JobSpec(String uid, String jobclass, String owner, Urgency urgency, int pieces, double cores, double accelerators,
+            double memoryGb, String bundle, double imageGb, List<String> flavors, String site, boolean oneZone, boolean spread,
+            boolean loaners, double expectS, double snapshotEveryS, double snapshotS, double dueS) {
+        this(uid, jobclass, owner, urgency, pieces, cores, accelerators, memoryGb, bundle, imageGb, flavors, site, oneZone, spread,
+                loaners, expectS, snapshotEveryS, snapshotS, dueS, List.of());
+    }
 
     public static final int MAX_PIECES = 100_000;
     /** Stands in {@code dueS} for a job with no deadline. */
     public static final double NO_DEADLINE = -1;
 
+    private static final String WAITS_ON = "waits_on";
     private static final Pattern UID = Pattern.compile("job-[0-9]{1,18}");
 
     public static boolean validUid(String uid) {
@@ -61,7 +72,36 @@
                 Json.text(o, "bundle"), Json.amount(o, "image_gb", 0), flavors == null ? null : List.copyOf(flavors),
                 Json.textOrNull(o, "site"), Json.flag(o, "one_zone"), Json.flag(o, "spread"), Json.flag(o, "loaners"),
                 Json.amount(o, "expect_s", 0), Json.amount(o, "snapshot_every_s", 0), Json.amount(o, "snapshot_s", 0),
-                Json.absent(o, "due_s") ? NO_DEADLINE : Json.amount(o, "due_s", 0));
+                Json.absent(o, "due_s") ? NO_DEADLINE : Json.amount(o, "due_s", 0), waitsOn(o));
+    }
+
+    /** The jobs that have to be done before this one starts, each once; a body holds a few thousand at most. */
+    private static List<String> waitsOn(ObjectNode o) throws InvalidMessage {
+        JsonNode list = o.get(WAITS_ON);
+        if (list == null || list.isNull()) {
+            return List.of();
+        }
+        if (!list.isArray()) {
+            throw new InvalidMessage("waits_on must be a list of job ids");
+        }
+        Set<String> names = new LinkedHashSet<>();
+        for (JsonNode x : list) {
+            if (!x.isTextual() || !validUid(x.textValue())) {
+                throw new InvalidMessage("waits_on must hold job ids");
+            }
+            names.add(x.textValue());
+        }
+        return List.copyOf(names);
+    }
+
+    /** The same job with another list of those that it waits on. */
+    public JobSpec waitingOn(List<String> others) {
+        return new JobSpec(uid, jobclass, owner, urgency, pieces, cores, accelerators, memoryGb, bundle, imageGb, flavors, site, oneZone,
+                spread, loaners, expectS, snapshotEveryS, snapshotS, dueS, List.copyOf(others));
+    }
+
+    public boolean waits() {
+        return !waitsOn.isEmpty();
     }
 
     /** The same fields again, for the state service. */
@@ -82,6 +122,10 @@
             var a = o.putArray("flavors");
             flavors.forEach(a::add);
         }
+        if (waits()) {
+            var a = o.putArray(WAITS_ON);
+            waitsOn.forEach(a::add);
+        }
         return o;
     }
 
