--- a/src/test/java/plumlever/sim/FakeUsers.java
+++ b/src/test/java/plumlever/sim/FakeUsers.java
@@ -240,6 +240,15 @@
         });
     }
 
+    /** Users cancel only what was accepted: at once if it is, else as soon as it is. */
+    void cancelOnceAccepted(String uid) {
+        if (accepted.contains(uid)) {
+            cancel(uid);
+        } else {
+            world.at(20_000, () -> cancelOnceAccepted(uid));
+        }
+    }
+
     /** Once, at this controller. */
     void cancelAt(Endpoint at, String uid, java.util.function.Consumer<Integer> status) {
         cancelled.add(uid);
--- a/src/test/java/plumlever/sim/MeetingsTest.java
+++ b/src/test/java/plumlever/sim/MeetingsTest.java
@@ -72,7 +72,7 @@
                 d.w.at(i * 250_000L, () -> {
                     JobSpec j = d.submit("blue", 1, 1, 6, false);
                     if (cancel) {
-                        d.w.at(100_000 + d.w.random.nextLong(3_000_000), () -> d.users.cancel(j.uid()));
+                        d.w.at(100_000 + d.w.random.nextLong(3_000_000), () -> d.users.cancelOnceAccepted(j.uid()));
                     }
                 });
             }
@@ -230,7 +230,7 @@
                 d.w.at(i * 1_500_000L, () -> {
                     JobSpec j = d.submit("blue", 2, 1, 4, false);
                     if (cancel) {
-                        d.w.at(30_000, () -> d.users.cancel(j.uid()));
+                        d.w.at(30_000, () -> d.users.cancelOnceAccepted(j.uid()));
                     }
                 });
             }
