--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -280,6 +280,11 @@
         return takeover.complete();
     }
 
+    /** The job as this leader knows it, or null. */
+    public Job job(String uid) {
+        return loaded ? jobs.get(uid) : null;
+    }
+
     /** Finished and running tasks of a job for display, or null if it is not known here. */
     public int[] counts(String uid) {
         Job j = loaded ? jobs.get(uid) : null;
--- a/src/main/java/plumlever/store/JobFinder.java
+++ b/src/main/java/plumlever/store/JobFinder.java
@@ -110,7 +110,7 @@
         }
 
         void start() {
-            if (open.isEmpty()) {
+            if (open.isEmpty() && underWay == 0) {
                 finish(found);
                 return;
             }
@@ -147,11 +147,7 @@
         private void take(String uid, Found f) {
             underWay--;
             found.put(uid, f);
-            if (open.isEmpty() && underWay == 0) {
-                finish(found);
-            } else {
-                start();
-            }
+            start();
         }
 
         private void again(int status, int tries, Runnable retry) {
