--- a/src/test/java/plumlever/sim/GapTest.java
+++ b/src/test/java/plumlever/sim/GapTest.java
@@ -112,6 +112,25 @@
         assertTrue(w.rules.broken.stream().anyMatch(b -> b.startsWith("ran_cancelled")), "the checks must see the missing bound");
     }
 
+    /** Sooner is better: the controller that confirmed a cancellation tells the leader, which halts the tasks. */
+    @Test
+    void peersTellWhatTheStateServiceDoesNot() {
+        deployment(77, Rules.CANCEL_MICROS);
+        World.Member leader = w.leader();
+        w.store.unwatched.add(leader.platform.label());
+        w.play(2);
+        List<Integer> told = new ArrayList<>();
+        jobs.subList(0, 4).forEach(j -> cancelAt(other(leader), j, told::add));
+        w.play(8);
+        assertEquals(List.of(200, 200, 200, 200), told);
+        assertTrue(leader.leads());
+        long on = w.cloud.machines.values().stream().filter(v -> v.worker != null).flatMap(v -> v.worker.tasks.values().stream())
+                .filter(t -> t.on() && jobs.subList(0, 4).stream().anyMatch(j -> t.name.startsWith(j.uid() + "/"))).count();
+        assertEquals(0, on, "halted long before any lease would have ended");
+        assertTrue(tasksOn() > 0, "the others run on");
+        assertEquals(List.of(), w.rules.broken);
+    }
+
     /** A new leader renews no lease of a machine with tasks before it has read which jobs have ended. */
     @Test
     void aLeaderThatHasNotReadItsJobsRenewsNothing() {
