--- a/src/main/java/plumlever/fleet/Chains.java
+++ b/src/main/java/plumlever/fleet/Chains.java
@@ -189,6 +189,12 @@
         return n == null ? Standing.UNKNOWN : n.standing;
     }
 
+    /** The revision of its record; 0 where nothing is known of it. */
+    public long stamp(String uid) {
+        Node n = nodes.get(uid);
+        return n == null ? 0 : n.stamp;
+    }
+
     /** The job whose abort aborted this one. */
     public String through(String uid) {
         Node n = nodes.get(uid);
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -150,7 +150,7 @@
                 search.commit(c);
             }
         }
-        return picture.spareCores() >= standby.cores(now) + soon(now).cores();
+        return picture.spareCores() >= Math.max(standby.cores(now), soon(now).cores());
     }
 
     /** What waits for machines, as of the last whole round. */
@@ -218,14 +218,16 @@
 
     /** Asks for room that is missing for work that has not come yet but must start at once when it does. */
     private void standBy(Picture p) {
-        double spare = p.spareCores() - standby.cores(p.now);
+        double spare = p.spareCores();
         Releases.Need soon = soon(p.now);
-        if (soon.cores() > Math.max(0, spare)) {
+        // The room that stands by for what may come is theirs too: they are of what comes.
+        if (soon.cores() > spare) {
             JobSpec like = soon.like().spec();
-            demands.add(new RentalPlan.Demand(like, null, (int) Math.ceil((soon.cores() - Math.max(0, spare)) / Math.max(0.01, like.cores())),
+            demands.add(new RentalPlan.Demand(like, null, (int) Math.ceil((soon.cores() - spare) / Math.max(0.01, like.cores())),
                     estimates.runMicros(soon.like())));
+            spare = soon.cores();
         }
-        double missing = -spare;
+        double missing = standby.cores(p.now) - spare;
         JobSpec like = standby.typical();
         if (missing > 0 && like != null && like.cores() > 0) {
             demands.add(new RentalPlan.Demand(like, null, (int) Math.ceil(missing / like.cores()), (long) (like.expectS() * 1e6)));
@@ -239,7 +241,8 @@
             return new Releases.Need(0, null);
         }
         waiting.sort(Comparator.comparingLong(Job::stamp));
-        return Releases.soon(waiting, jobs::waitsFor, j -> completeAt(j, now), this::costMicros, now + context.tunables().rentMicros());
+        return Releases.soon(waiting, jobs::waitsFor, j -> completeAt(j, now), this::costMicros, now,
+                context.tunables().rentMicros());
     }
 
     private long completeAt(Job j, long now) {
--- a/src/main/java/plumlever/scaling/Releases.java
+++ b/src/main/java/plumlever/scaling/Releases.java
@@ -26,10 +26,12 @@
      * @param before the jobs that one still waits on; null when some are not known
      * @param endsAt when a job that is released should be complete
      * @param costMicros what a job takes from its release on
-     * @param horizonMicros by when a release must be foreseen
+     * @param nowMicros from when on a machine would be rented
+     * @param rentMicros what that takes: releases within this time are foreseen, of jobs that could not be done by their deadline
+     *     if machines were rented only when they are released
      */
     public static Need soon(Collection<Job> waiting, Function<Job, List<Job>> before, ToLongFunction<Job> endsAt,
-            ToLongFunction<Job> costMicros, long horizonMicros) {
+            ToLongFunction<Job> costMicros, long nowMicros, long rentMicros) {
         Map<Job, Long> ends = new HashMap<>();
         Set<Job> leaving = new HashSet<>();
         double need = 0;
@@ -41,8 +43,13 @@
                 long end = ends.computeIfAbsent(b, k -> k.waiting() ? Long.MAX_VALUE : endsAt.applyAsLong(k));
                 release = Math.max(release, end);
             }
-            ends.put(j, release == Long.MAX_VALUE ? release : release + costMicros.applyAsLong(j));
-            if (release <= horizonMicros) {
+            if (release == Long.MAX_VALUE) {
+                ends.put(j, release);
+                continue;
+            }
+            long end = release + costMicros.applyAsLong(j);
+            ends.put(j, end);
+            if (release <= nowMicros + rentMicros && end + rentMicros > j.deadlineMicros()) {
                 need += j.spec().pieces() * j.spec().cores();
                 leaving.addAll(all);
                 like = like == null || j.spec().pieces() > like.spec().pieces() ? j : like;
--- a/src/main/java/plumlever/store/ChainBook.java
+++ b/src/main/java/plumlever/store/ChainBook.java
@@ -63,6 +63,11 @@
         return chains.through(uid);
     }
 
+    /** The revision of a job's record that is in the book with all that it waits on; 0 for any other. */
+    long stamp(String uid) {
+        return whole.contains(uid) ? chains.stamp(uid) : 0;
+    }
+
     /** An end that this node knows of. */
     void ended(String uid, JobState how) {
         chains.ended(uid, how, 0);
--- a/src/main/java/plumlever/store/JobBook.java
+++ b/src/main/java/plumlever/store/JobBook.java
@@ -189,7 +189,13 @@
         }
         Long stamp = stamps.getIfPresent(uid);
         if (stamp == null) {
-            read(uid, tries, then);
+            // One that waits and is in the book need not be read again: what has ended is asked for all of them.
+            long waiting = chains.stamp(uid);
+            if (waiting > 0) {
+                chain(uid, waiting, then);
+            } else {
+                read(uid, tries, then);
+            }
             return;
         }
         gathered.add(new Question(uid, stamp, tries, then));
