--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -328,27 +328,6 @@
         });
     }
 
-    /** The jobs that wait for others. */
-    List<Job> waiting() {
-        if (chains.size() == 0) {
-            return List.of();
-        }
-        return active.values().stream().filter(j -> j.waiting() && !doomed.containsKey(j.uid())).toList();
-    }
-
-    /** The active jobs that this one still waits on; null when some of them are not known here. */
-    List<Job> waitsFor(Job job) {
-        List<Job> out = new ArrayList<>();
-        for (String name : chains.waitsFor(job.uid())) {
-            Job before = active.get(name);
-            if (before == null) {
-                return null;
-            }
-            out.add(before);
-        }
-        return out;
-    }
-
     /** @param how null when that is not known */
     private void drop(String uid, JobState how) {
         Job job = active.remove(uid);
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -20,7 +20,6 @@
 import plumlever.placement.Placer;
 import plumlever.placement.Seat;
 import plumlever.placement.Zones;
-import plumlever.scaling.Releases;
 import plumlever.scaling.RentalPlan;
 import plumlever.scaling.Standby;
 import plumlever.settings.Platform;
@@ -150,7 +149,7 @@
                 search.commit(c);
             }
         }
-        return picture.spareCores() >= Math.max(standby.cores(now), soon(now).cores());
+        return picture.spareCores() >= standby.cores(now);
     }
 
     /** What waits for machines, as of the last whole round. */
@@ -218,44 +217,13 @@
 
     /** Asks for room that is missing for work that has not come yet but must start at once when it does. */
     private void standBy(Picture p) {
-        double spare = p.spareCores();
-        Releases.Need soon = soon(p.now);
-        // The room that stands by for what may come is theirs too: they are of what comes.
-        if (soon.cores() > spare) {
-            JobSpec like = soon.like().spec();
-            demands.add(new RentalPlan.Demand(like, null, (int) Math.ceil((soon.cores() - spare) / Math.max(0.01, like.cores())),
-                    estimates.runMicros(soon.like())));
-            spare = soon.cores();
-        }
-        double missing = standby.cores(p.now) - spare;
+        double missing = standby.cores(p.now) - p.spareCores();
         JobSpec like = standby.typical();
         if (missing > 0 && like != null && like.cores() > 0) {
             demands.add(new RentalPlan.Demand(like, null, (int) Math.ceil(missing / like.cores()), (long) (like.expectS() * 1e6)));
         }
     }
 
-    /** Room for jobs whose predecessors should be done before a machine rented now is up. */
-    private Releases.Need soon(long now) {
-        List<Job> waiting = new ArrayList<>(jobs.waiting());
-        if (waiting.isEmpty()) {
-            return new Releases.Need(0, null);
-        }
-        waiting.sort(Comparator.comparingLong(Job::stamp));
-        return Releases.soon(waiting, jobs::waitsFor, j -> completeAt(j, now), this::costMicros, now,
-                context.tunables().rentMicros());
-    }
-
-    private long completeAt(Job j, long now) {
-        long end = j.hasFree() ? now + costMicros(j) : now;
-        for (Attempt a : j.live()) {
-            Flavor f = context.prices().flavor(a.machine().flavor());
-            if (f != null) {
-                end = Math.max(end, endsAt(a, f, now));
-            }
-        }
-        return end;
-    }
-
     /** What the last whole round took, without the pauses in it. */
     long spentMicros() {
         return spentMicros;
