--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -1,6 +1,7 @@
 package plumlever.leader;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import org.slf4j.Logger;
@@ -14,6 +15,7 @@
 import plumlever.fleet.Machine;
 import plumlever.http.Responder;
 import plumlever.store.JobStore;
+import plumlever.wire.JobState;
 import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
 
@@ -48,6 +50,7 @@
     private final Hints hints;
     private final Direct direct;
     private final Duty rounds;
+    private final EarlyReports early;
     private boolean loaded;
     private boolean due = true;
 
@@ -63,10 +66,12 @@
         this.progress = new Progress(context, jobs);
         this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
         this.round = new Round(context, fleet, jobs, begun, estimates, takeover);
+        jobs.costs(round::costMicros);
         this.direct = new Direct(context, round, reports, this::changed);
         this.roster = new Roster(context, this::changed);
         this.machines = new Machines(context, fleet, roster, round, reports, direct, takeover, this::changed);
         this.hints = new Hints(context, fleet, estimates);
+        this.early = new EarlyReports(context.loop());
         this.rounds = new Duty("rounds", context.loop(), this::roundTurn);
     }
 
@@ -95,6 +100,7 @@
         }
         log.info("term {} begins with {} jobs and {} machines to account for, {} ms after election", term, n,
                 takeover.open().size(), (context.loop().nowMicros() - takeover.startedMicros()) / 1_000);
+        early.release(this::report);
         scope.own(jobs::close);
         scope.own(begun::close);
         scope.own(progress::close);
@@ -195,8 +201,12 @@
             out.later(503, "this machine was returned", 1);
             return;
         }
+        if (!loaded && r.holdsTasks()) {
+            early.keep(r, out);
+            return;
+        }
         if (!loaded) {
-            // What may run where is not known yet; the lease is renewed, and the term shown.
+            // Nothing runs there that could have been cancelled; the lease is renewed, and the term shown.
             out.send(200, Order.answer(Fleet.firstToken(term), List.of()));
             return;
         }
@@ -228,6 +238,12 @@
         if (news == Reports.News.NEWS) {
             notice(m, r, now);
         }
+        if (!jobs.mayRenew() && reports.holdsOpenTasks(r)) {
+            // A cancellation confirmed by another controller may not be known here, and would be outlived by the lease.
+            context.metrics().count("renewals_refused");
+            out.later(503, "which jobs have ended is not known", 1);
+            return;
+        }
         List<Order> orders = reports.standing(m, r);
         if (news == Reports.News.NEWS && Fleet.termOf(r.baton()) == term && round.hasPlan(m) && round.recorded(m) && !m.unsettled()) {
             reports.start(m, round.planned(m), false, orders);
@@ -280,13 +296,21 @@
     /** The job's end is stored; its tasks are stopped without waiting for the followed changes. */
     public void aborted(String uid) {
         if (loaded) {
-            jobs.ended(uid);
+            jobs.ended(uid, JobState.ABORTED);
+        }
+    }
+
+    /** Advice of another controller, which may only halt more. */
+    public void calledOff(Collection<String> uids) {
+        if (loaded) {
+            jobs.calledOff(uids);
         }
     }
 
     @Override
     public void close() {
         records.close();
+        early.close();
         scope.close();
         jobs.close();
     }
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -326,6 +326,16 @@
         }
     }
 
+    /** True if the machine has tasks of jobs that are not known here to have ended; halts of the others go with any answer. */
+    boolean holdsOpenTasks(WorkerReport r) {
+        for (WorkerReport.Piece p : r.pieces()) {
+            if (p.status() != TaskStatus.ENDED && jobs.get(p.task().job()) != null) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The orders that go without a plan: halts, and what the worker may forget. */
     List<Order> standing(Machine m, WorkerReport r) {
         long now = context.loop().nowMicros();
@@ -342,7 +352,7 @@
                     orders.add(Order.reap(a.name(), a.id()));
                 }
             } else {
-                if (a.job().over() || a.job().done().get(a.task())) {
+                if (a.job().over() || a.job().calledOff() || a.job().done().get(a.task())) {
                     a.halt(0, now);
                 }
                 if (a.halting()) {
@@ -350,17 +360,20 @@
                 }
             }
         }
-        if (Fleet.termOf(r.baton()) == term) {
-            for (WorkerReport.Piece p : r.pieces()) {
-                if (m.attempt(p.attempt()) != null) {
-                    continue;
-                }
-                Job job = jobs.get(p.task().job());
-                if (p.status() != TaskStatus.ENDED) {
+        boolean current = Fleet.termOf(r.baton()) == term;
+        for (WorkerReport.Piece p : r.pieces()) {
+            if (m.attempt(p.attempt()) != null) {
+                continue;
+            }
+            Job job = jobs.get(p.task().job());
+            if (p.status() != TaskStatus.ENDED) {
+                // A report that shows an earlier term does not account for its machine, but tasks of jobs that have ended are
+                // halted by the first answer: it renews their lease, and the machine may not hear another one.
+                if (current || job == null) {
                     orders.add(Order.halt(p.task(), p.attempt(), 0));
-                } else if (mayReap && (job == null || p.cause() != ExitCause.DONE || job.stored().get(p.task().number()))) {
-                    orders.add(Order.reap(p.task(), p.attempt()));
                 }
+            } else if (current && mayReap && (job == null || p.cause() != ExitCause.DONE || job.stored().get(p.task().number()))) {
+                orders.add(Order.reap(p.task(), p.attempt()));
             }
         }
         return orders;
@@ -369,7 +382,7 @@
     /** Takes the tasks planned for the machine, each rule checked again as the order is written. */
     List<Attempt> start(Machine m, Iterable<Round.Planned> planned, boolean direct, List<Order> orders) {
         Flavor f = context.prices().flavor(m.flavor());
-        if (f == null || m.draining() || m.returning() || m.enrolment() != Enrolment.STORED || !m.accounted()
+        if (f == null || !jobs.mayRenew() || m.draining() || m.returning() || m.enrolment() != Enrolment.STORED || !m.accounted()
                 || m.deaf()) {
             return List.of();
         }
@@ -387,7 +400,7 @@
         long now = context.loop().nowMicros();
         for (Round.Planned p : planned) {
             Job job = p.job;
-            if (job.over() || job.enrolment() != Enrolment.STORED || takeover.blocks(job) || !job.spec().allows(m.flavor(), m.site(), m.spot())) {
+            if (job.over() || job.calledOff() || job.waiting() || job.enrolment() != Enrolment.STORED || takeover.blocks(job) || !job.spec().allows(m.flavor(), m.site(), m.spot())) {
                 continue;
             }
             Zones zones = Round.zones(job);
@@ -407,7 +420,7 @@
                 m.useImage(job.spec().bundle(), job.spec().imageGb(), f, now);
                 orders.add(Order.run(a.name(), a.id()));
                 context.metrics().count("runs_ordered");
-                context.metrics().time("wait", now - job.acceptedMicros());
+                context.metrics().time("wait", now - job.releasedMicros());
                 if (log.isDebugEnabled()) {
                     log.debug("{} goes to {}", a.name().wireName(), m.id());
                 }
