--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -46,366 +46,485 @@
 
 /** One controller, without its sockets: everything lives on the loop it is given. */
 public final class Node implements AutoCloseable {
-    private static final Logger LOG = LoggerFactory.getLogger(Node.class);
-    private static final long SUMMARY_MICROS = 60_000_000;
-    private static final long CATALOG_RETRY_MICROS = 1_500_000;
-    /** Longer than it takes any node to notice a common outage and tell its peers. */
-    private static final long ALONE_MICROS = 3_000_000;
-    private static final long PEER_FRESH_MICROS = 3_500_000;
-    private static final long LATE_MICROS = 500_000;
-    private static final long ON_TIME_MICROS = 200_000;
-    private static final long LISTEN_MICROS = 1_000_000;
-    /** For as long as peers are told: the state service may have refused one of them all that time. */
-    private static final long CALLED_OFF_MICROS = 20_000_000;
-    private static final long STRAY_MICROS = 5_000_000;
-    private static final long PULSE_MICROS = 500_000;
-
-    private final Loop loop;
-    private final Platform platform;
-    private final Metrics metrics;
-    private final Scope scope = new Scope();
-    private final StateClient store;
-    private final CloudClient cloud;
-    private final PriceBook prices;
-    private final Office office;
-    private final Peers peers;
-    private final Front front;
-    private final Function<Term, Context> contexts;
-    private final JobBook book;
-    private final StandIn standIn;
-    private final Map<String, Long> strays = new HashMap<>();
-    /** Jobs whose users were told through this node that they are cancelled, by when. */
-    private final Map<String, Long> calledOff = new LinkedHashMap<>();
-    private Leader leader;
-    private long pulseDueMicros;
-    private long lateMicros;
-
-    /** A node that does everything on one loop. */
-    public Node(Loop loop, Caller caller, Platform platform, Tunables tunables, long seed) {
-        this(loop, caller, loop, caller, platform, tunables, seed, Logs.SERVICE);
-    }
-
-    /** @param officeLoop what the office runs on, with its own way out, so that nothing here delays it */
-    public Node(Loop loop, Caller bare, Loop officeLoop, Caller officeCaller, Platform platform, Tunables tunables, long seed, Logs logs) {
-        this.loop = loop;
-        this.platform = platform;
-        this.metrics = new Metrics(logs);
-        Caller caller = metered(bare);
-        this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics);
-        this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
-        this.prices = new PriceBook(tunables);
-        JobStore layout = new JobStore(store.limits());
-        StateClient officeStore = new StateClient(officeLoop, officeCaller, platform.state(), platform.stateLimits(), metrics);
-        this.office = new Office(platform.label(), officeLoop, officeStore, tunables, new Office.Holder() {
-            @Override
-            public void elected(Term term) {
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+  private static final long SUMMARY_MICROS = 60_000_000;
+  private static final long CATALOG_RETRY_MICROS = 1_500_000;
+
+  /** Longer than it takes any node to notice a common outage and tell its peers. */
+  private static final long ALONE_MICROS = 3_000_000;
+
+  private static final long PEER_FRESH_MICROS = 3_500_000;
+  private static final long LATE_MICROS = 500_000;
+  private static final long ON_TIME_MICROS = 200_000;
+  private static final long LISTEN_MICROS = 1_000_000;
+
+  /**
+   * For as long as peers are told: the state service may have refused one of them all that time.
+   */
+  private static final long CALLED_OFF_MICROS = 20_000_000;
+
+  private static final long STRAY_MICROS = 5_000_000;
+  private static final long PULSE_MICROS = 500_000;
+
+  private final Loop loop;
+  private final Platform platform;
+  private final Metrics metrics;
+  private final Scope scope = new Scope();
+  private final StateClient store;
+  private final CloudClient cloud;
+  private final PriceBook prices;
+  private final Office office;
+  private final Peers peers;
+  private final Front front;
+  private final Function<Term, Context> contexts;
+  private final JobBook book;
+  private final StandIn standIn;
+  private final Map<String, Long> strays = new HashMap<>();
+
+  /** Jobs whose users were told through this node that they are cancelled, by when. */
+  private final Map<String, Long> calledOff = new LinkedHashMap<>();
+
+  private Leader leader;
+  private long pulseDueMicros;
+  private long lateMicros;
+
+  /** A node that does everything on one loop. */
+  public Node(Loop loop, Caller caller, Platform platform, Tunables tunables, long seed) {
+    this(loop, caller, loop, caller, platform, tunables, seed, Logs.SERVICE);
+  }
+
+  /**
+   * @param officeLoop what the office runs on, with its own way out, so that nothing here delays it
+   */
+  public Node(
+      Loop loop,
+      Caller bare,
+      Loop officeLoop,
+      Caller officeCaller,
+      Platform platform,
+      Tunables tunables,
+      long seed,
+      Logs logs) {
+    this.loop = loop;
+    this.platform = platform;
+    this.metrics = new Metrics(logs);
+    Caller caller = metered(bare);
+    this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics);
+    this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
+    this.prices = new PriceBook(tunables);
+    JobStore layout = new JobStore(store.limits());
+    StateClient officeStore =
+        new StateClient(
+            officeLoop, officeCaller, platform.state(), platform.stateLimits(), metrics);
+    this.office =
+        new Office(
+            platform.label(),
+            officeLoop,
+            officeStore,
+            tunables,
+            new Office.Holder() {
+              @Override
+              public void elected(Term term) {
                 loop.execute(() -> lead(term));
-            }
+              }
 
-            @Override
-            public void left(Term term) {
+              @Override
+              public void left(Term term) {
                 loop.execute(Node.this::stopLeading);
-            }
+              }
 
-            @Override
-            public void whenTurning(Runnable action) {
+              @Override
+              public void whenTurning(Runnable action) {
                 loop.execute(action);
-            }
-        }, seed, logs);
-        boolean moneyMatters = platform.moneyMatters(tunables.rentMicros());
-        this.contexts = term -> new Context(loop, platform, tunables, office, term, store, layout, cloud, prices, caller,
-                metrics, this::workersElsewhere,
-                (prefix, then) -> officeLoop.execute(() -> officeStore.list(prefix, StateClient.Class.URGENT,
-                        listing -> loop.execute(() -> then.accept(listing)))),
-                this::latenessMicros, logs, moneyMatters);
-        this.peers = new Peers(loop, caller, platform, this::status, s -> {
-            if (leader != null) {
+              }
+            },
+            seed,
+            logs);
+    boolean moneyMatters = platform.moneyMatters(tunables.rentMicros());
+    this.contexts =
+        term ->
+            new Context(
+                loop,
+                platform,
+                tunables,
+                office,
+                term,
+                store,
+                layout,
+                cloud,
+                prices,
+                caller,
+                metrics,
+                this::workersElsewhere,
+                (prefix, then) ->
+                    officeLoop.execute(
+                        () ->
+                            officeStore.list(
+                                prefix,
+                                StateClient.Class.URGENT,
+                                listing -> loop.execute(() -> then.accept(listing)))),
+                this::latenessMicros,
+                logs,
+                moneyMatters);
+    this.peers =
+        new Peers(
+            loop,
+            caller,
+            platform,
+            this::status,
+            s -> {
+              if (leader != null) {
                 leader.calledOff(s.calledOff());
-            }
-        });
-        this.book = new JobBook(loop, store, layout, metrics);
-        this.standIn = new StandIn(loop, store, office, logs);
-        UserApi users = new UserApi(loop, store, book, layout, prices, platform, metrics, new UserApi.Desk() {
-            @Override
-            public void aborted(String uid) {
+              }
+            });
+    this.book = new JobBook(loop, store, layout, metrics);
+    this.standIn = new StandIn(loop, store, office, logs);
+    UserApi users =
+        new UserApi(
+            loop,
+            store,
+            book,
+            layout,
+            prices,
+            platform,
+            metrics,
+            new UserApi.Desk() {
+              @Override
+              public void aborted(String uid) {
                 calledOff.put(uid, loop.nowMicros());
                 if (leader != null) {
-                    leader.aborted(uid);
+                  leader.aborted(uid);
                 }
-            }
+              }
 
-            @Override
-            public int[] counts(String uid) {
+              @Override
+              public int[] counts(String uid) {
                 return Node.this.counts(uid);
-            }
+              }
 
-            @Override
-            public boolean alone() {
+              @Override
+              public boolean alone() {
                 return Node.this.alone();
-            }
-        });
-        this.front = new Front(loop, users, new Front.House() {
-            @Override
-            public Leader leader() {
+              }
+            });
+    this.front =
+        new Front(
+            loop,
+            users,
+            new Front.House() {
+              @Override
+              public Leader leader() {
                 return leader != null && leader.mayAct() ? leader : null;
-            }
+              }
 
-            @Override
-            public String leaderLabel() {
+              @Override
+              public String leaderLabel() {
                 return office.leaderLabel();
-            }
+              }
 
-            @Override
-            public boolean canTakeRequests() {
+              @Override
+              public boolean canTakeRequests() {
                 return !alone() && !othersAreSooner();
-            }
+              }
 
-            @Override
-            public void strayReport(String host) {
+              @Override
+              public void strayReport(String host) {
                 strays.put(host, loop.nowMicros());
-            }
+              }
 
-            @Override
-            public boolean mayRenew(String site, long token) {
+              @Override
+              public boolean mayRenew(String site, long token) {
                 return standIn.mayRenew(site, token);
-            }
+              }
 
-            @Override
-            public void renewed() {
+              @Override
+              public void renewed() {
                 standIn.renewed();
-            }
+              }
 
-            @Override
-            public void endedPieces(WorkerReport r, Consumer<Front.StandInHalts> then) {
+              @Override
+              public void endedPieces(WorkerReport r, Consumer<Front.StandInHalts> then) {
                 Node.this.endedPieces(r, then);
-            }
-        }, new RenewalLimit(platform.workers()), metrics);
-    }
-
-    /** Notes what the answers to this node's own calls take. */
-    private Caller metered(Caller bare) {
-        return (to, method, path, body, timeout, answer) -> {
-            String work = to.equals(platform.state()) ? "state" : to.equals(platform.cloud()) ? "cloud"
-                    : path.equals("/orders") ? "orders" : "peers";
-            bare.call(to, method, path, body, timeout, (status, data) -> {
-                long since = loop.nowMicros();
-                answer.take(status, data);
-                metrics.spent(work, loop.nowMicros() - since);
-            });
-        };
+              }
+            },
+            new RenewalLimit(platform.workers()),
+            metrics);
+  }
+
+  /** Notes what the answers to this node's own calls take. */
+  private Caller metered(Caller bare) {
+    return (to, method, path, body, timeout, answer) -> {
+      String work =
+          to.equals(platform.state())
+              ? "state"
+              : to.equals(platform.cloud()) ? "cloud" : path.equals("/orders") ? "orders" : "peers";
+      bare.call(
+          to,
+          method,
+          path,
+          body,
+          timeout,
+          (status, data) -> {
+            long since = loop.nowMicros();
+            answer.take(status, data);
+            metrics.spent(work, loop.nowMicros() - since);
+          });
+    };
+  }
+
+  public void start() {
+    scope.own(office);
+    office.start();
+    scope.own(new Duty("catalog", loop, this::learnCatalog)).start();
+    scope.own(peers.duty()).start();
+    scope.own(standIn.duty()).start();
+    scope.own(new Duty("listen", loop, this::listen)).start();
+    scope.own(new Duty("pulse", loop, this::pulse)).start();
+    scope
+        .own(
+            new Duty(
+                "summary",
+                loop,
+                () -> {
+                  metrics.logSummary();
+                  return SUMMARY_MICROS;
+                }))
+        .start();
+  }
+
+  /**
+   * A term that has ended by the time this thread gets to it is not begun: another may be under way
+   * elsewhere.
+   */
+  private void lead(Term term) {
+    stopLeading();
+    if (term.mayAct()) {
+      store.leads(true);
+      leader = new Leader(contexts.apply(term));
+      leader.start();
     }
+  }
 
-    public void start() {
-        scope.own(office);
-        office.start();
-        scope.own(new Duty("catalog", loop, this::learnCatalog)).start();
-        scope.own(peers.duty()).start();
-        scope.own(standIn.duty()).start();
-        scope.own(new Duty("listen", loop, this::listen)).start();
-        scope.own(new Duty("pulse", loop, this::pulse)).start();
-        scope.own(new Duty("summary", loop, () -> {
-            metrics.logSummary();
-            return SUMMARY_MICROS;
-        })).start();
+  private void stopLeading() {
+    if (leader != null) {
+      store.leads(false);
+      leader.close();
+      leader = null;
     }
+  }
 
-    /** A term that has ended by the time this thread gets to it is not begun: another may be under way elsewhere. */
-    private void lead(Term term) {
-        stopLeading();
-        if (term.mayAct()) {
-            store.leads(true);
-            leader = new Leader(contexts.apply(term));
-            leader.start();
-        }
-    }
+  public Front front() {
+    return front;
+  }
 
-    private void stopLeading() {
-        if (leader != null) {
-            store.leads(false);
-            leader.close();
-            leader = null;
-        }
-    }
+  public void peer(String method, String path, byte[] body, Responder out) {
+    peers.handle(method, path, body, out);
+  }
 
-    public Front front() {
-        return front;
-    }
+  public Leader leader() {
+    return leader;
+  }
 
-    public void peer(String method, String path, byte[] body, Responder out) {
-        peers.handle(method, path, body, out);
-    }
+  public Metrics metrics() {
+    return metrics;
+  }
 
-    public Leader leader() {
-        return leader;
-    }
+  /** True while this node may act for the controllers. */
+  public boolean mayAct() {
+    return office.mayAct();
+  }
 
-    public Metrics metrics() {
-        return metrics;
+  /** The machine types from the cloud, or while it is down from what was last stored. */
+  private long learnCatalog() {
+    if (prices.known()) {
+      return -1;
     }
-
-    /** True while this node may act for the controllers. */
-    public boolean mayAct() {
-        return office.mayAct();
-    }
-
-    /** The machine types from the cloud, or while it is down from what was last stored. */
-    private long learnCatalog() {
-        if (prices.known()) {
-            return -1;
-        }
-        cloud.catalog(flavors -> {
-            if (flavors != null) {
-                prices.update(flavors);
-                storeCatalog(flavors);
-            } else {
-                store.get(JobStore.CATALOG, StateClient.Class.ORDINARY, got -> {
-                    if (got.found() && !prices.known() && got.item().data() instanceof ObjectNode o) {
-                        try {
-                            prices.update(Flavor.parseCatalog(o));
-                            LOG.info("machine types taken from the state service, the cloud does not answer");
-                        } catch (InvalidMessage e) {
-                            LOG.warn("the stored machine types can't be read: {}", e.getMessage());
-                        }
+    cloud.catalog(
+        flavors -> {
+          if (flavors != null) {
+            prices.update(flavors);
+            storeCatalog(flavors);
+          } else {
+            store.get(
+                JobStore.CATALOG,
+                StateClient.Class.ORDINARY,
+                got -> {
+                  if (got.found() && !prices.known() && got.item().data() instanceof ObjectNode o) {
+                    try {
+                      prices.update(Flavor.parseCatalog(o));
+                      LOG.info(
+                          "machine types taken from the state service, the cloud does not answer");
+                    } catch (InvalidMessage e) {
+                      LOG.warn("the stored machine types can't be read: {}", e.getMessage());
                     }
+                  }
                 });
-            }
+          }
         });
-        return CATALOG_RETRY_MICROS;
+    return CATALOG_RETRY_MICROS;
+  }
+
+  private void storeCatalog(List<Flavor> flavors) {
+    ObjectNode o = Json.object();
+    ArrayNode a = o.putArray("flavors");
+    for (Flavor f : flavors) {
+      ObjectNode n = a.addObject();
+      n.put("sku", f.sku())
+          .put("cores", f.cores())
+          .put("accelerators", f.accelerators())
+          .put("memory_gb", f.memoryGb())
+          .put("cache_gb", f.cacheGb())
+          .put("fetch_gb_per_s", f.fetchGbPerS())
+          .put("hourly", f.hourly())
+          .put("low_price", f.lowPrice())
+          .put("startup_s", f.startupS());
+      ArrayNode sites = n.putArray("sites");
+      f.sites().forEach(sites::add);
     }
-
-    private void storeCatalog(List<Flavor> flavors) {
-        ObjectNode o = Json.object();
-        ArrayNode a = o.putArray("flavors");
-        for (Flavor f : flavors) {
-            ObjectNode n = a.addObject();
-            n.put("sku", f.sku()).put("cores", f.cores()).put("accelerators", f.accelerators()).put("memory_gb", f.memoryGb())
-                    .put("cache_gb", f.cacheGb()).put("fetch_gb_per_s", f.fetchGbPerS()).put("hourly", f.hourly())
-                    .put("low_price", f.lowPrice()).put("startup_s", f.startupS());
-            ArrayNode sites = n.putArray("sites");
-            f.sites().forEach(sites::add);
-        }
-        store.get(JobStore.CATALOG, StateClient.Class.ORDINARY, got -> {
-            if (got.missing()) {
-                store.txn(new plumlever.store.Txn().guard(JobStore.CATALOG, 0).put(JobStore.CATALOG, o),
-                        StateClient.Class.ORDINARY, result -> LOG.debug("machine types stored: {}", result.outcome()));
-            }
+    store.get(
+        JobStore.CATALOG,
+        StateClient.Class.ORDINARY,
+        got -> {
+          if (got.missing()) {
+            store.txn(
+                new plumlever.store.Txn().guard(JobStore.CATALOG, 0).put(JobStore.CATALOG, o),
+                StateClient.Class.ORDINARY,
+                result -> LOG.debug("machine types stored: {}", result.outcome()));
+          }
         });
-    }
+  }
 
-    private int[] counts(String uid) {
-        if (leader != null) {
-            return leader.counts(uid);
-        }
-        for (PeerStatus p : peers.lately(5_000_000)) {
-            int[] c = p.leading() ? p.counts().get(uid) : null;
-            if (c != null) {
-                return c;
-            }
-        }
-        return null;
+  private int[] counts(String uid) {
+    if (leader != null) {
+      return leader.counts(uid);
     }
-
-    /**
-     * True when the state service serves others but not this node, by refusals or by silence: users are better off with
-     * another. In a common outage no node is alone, or there would be nobody left to ask. A node that hears of no peer
-     * either is cut off from all of them, and can't tell what they get.
-     */
-    private boolean alone() {
-        if (store.refusedForMicros() < ALONE_MICROS || platform.seeds().isEmpty()) {
-            return false;
-        }
-        boolean heard = false;
-        for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
-            heard = true;
-            if (p.storeRefusedMicros() == 0) {
-                return true;
-            }
-        }
-        return !heard;
+    for (PeerStatus p : peers.lately(5_000_000)) {
+      int[] c = p.leading() ? p.counts().get(uid) : null;
+      if (c != null) {
+        return c;
+      }
     }
-
-    /**
-     * True when this node runs so late that users wait for seconds, as a leader does whom hundreds of workers come to, while
-     * another is on time. Where nobody is, all go on taking what they can.
-     */
-    private boolean othersAreSooner() {
-        if (latenessMicros() < LATE_MICROS) {
-            return false;
-        }
-        for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
-            if (p.storeRefusedMicros() == 0 && p.lateMicros() < ON_TIME_MICROS) {
-                return true;
-            }
-        }
-        return false;
+    return null;
+  }
+
+  /**
+   * True when the state service serves others but not this node, by refusals or by silence: users
+   * are better off with another. In a common outage no node is alone, or there would be nobody left
+   * to ask. A node that hears of no peer either is cut off from all of them, and can't tell what
+   * they get.
+   */
+  private boolean alone() {
+    if (store.refusedForMicros() < ALONE_MICROS || platform.seeds().isEmpty()) {
+      return false;
     }
-
-    /** Asks the state service something small when nothing else was answered lately, so that its silence is noticed. */
-    private long listen() {
-        if (loop.nowMicros() - store.lastServedMicros() >= LISTEN_MICROS / 2) {
-            store.get(JobStore.CATALOG, StateClient.Class.URGENT, got -> { });
-        }
-        return LISTEN_MICROS;
+    boolean heard = false;
+    for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
+      heard = true;
+      if (p.storeRefusedMicros() == 0) {
+        return true;
+      }
     }
-
-    /** How late this comes tells whether the processor's share is enough. */
-    private long pulse() {
-        long now = loop.nowMicros();
-        if (pulseDueMicros > 0) {
-            lateMicros = now - pulseDueMicros;
-            metrics.time("late", lateMicros);
-        }
-        pulseDueMicros = now + PULSE_MICROS;
-        return PULSE_MICROS;
+    return !heard;
+  }
+
+  /**
+   * True when this node runs so late that users wait for seconds, as a leader does whom hundreds of
+   * workers come to, while another is on time. Where nobody is, all go on taking what they can.
+   */
+  private boolean othersAreSooner() {
+    if (latenessMicros() < LATE_MICROS) {
+      return false;
     }
-
-    /** How late the thread that decides was lately. */
-    public long latenessMicros() {
-        return pulseDueMicros == 0 ? 0 : Math.max(lateMicros, loop.nowMicros() - pulseDueMicros);
+    for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
+      if (p.storeRefusedMicros() == 0 && p.lateMicros() < ON_TIME_MICROS) {
+        return true;
+      }
     }
-
-    private void endedPieces(WorkerReport r, Consumer<Front.StandInHalts> then) {
-        Set<String> uids = new HashSet<>();
-        r.pieces().forEach(p -> {
-            if (p.status() != TaskStatus.ENDED) {
+    return false;
+  }
+
+  /**
+   * Asks the state service something small when nothing else was answered lately, so that its
+   * silence is noticed.
+   */
+  private long listen() {
+    if (loop.nowMicros() - store.lastServedMicros() >= LISTEN_MICROS / 2) {
+      store.get(JobStore.CATALOG, StateClient.Class.URGENT, got -> {});
+    }
+    return LISTEN_MICROS;
+  }
+
+  /** How late this comes tells whether the processor's share is enough. */
+  private long pulse() {
+    long now = loop.nowMicros();
+    if (pulseDueMicros > 0) {
+      lateMicros = now - pulseDueMicros;
+      metrics.time("late", lateMicros);
+    }
+    pulseDueMicros = now + PULSE_MICROS;
+    return PULSE_MICROS;
+  }
+
+  /** How late the thread that decides was lately. */
+  public long latenessMicros() {
+    return pulseDueMicros == 0 ? 0 : Math.max(lateMicros, loop.nowMicros() - pulseDueMicros);
+  }
+
+  private void endedPieces(WorkerReport r, Consumer<Front.StandInHalts> then) {
+    Set<String> uids = new HashSet<>();
+    r.pieces()
+        .forEach(
+            p -> {
+              if (p.status() != TaskStatus.ENDED) {
                 uids.add(p.task().job());
-            }
-        });
-        book.endedOf(uids, ended -> {
-            if (ended == null) {
-                then.accept(null);
-                return;
-            }
-            List<Order> halts = new ArrayList<>();
-            r.pieces().forEach(p -> {
-                if (p.status() != TaskStatus.ENDED && ended.uids().contains(p.task().job())) {
-                    halts.add(Order.halt(p.task(), p.attempt(), 0));
-                }
+              }
             });
-            then.accept(new Front.StandInHalts(halts, ended.askedMicros()));
+    book.endedOf(
+        uids,
+        ended -> {
+          if (ended == null) {
+            then.accept(null);
+            return;
+          }
+          List<Order> halts = new ArrayList<>();
+          r.pieces()
+              .forEach(
+                  p -> {
+                    if (p.status() != TaskStatus.ENDED && ended.uids().contains(p.task().job())) {
+                      halts.add(Order.halt(p.task(), p.attempt(), 0));
+                    }
+                  });
+          then.accept(new Front.StandInHalts(halts, ended.askedMicros()));
         });
-    }
-
-    /** The most that another controller lately told of. */
-    private int workersElsewhere() {
-        int most = 0;
-        for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
-            most = Math.max(most, p.workers());
-        }
-        return most;
-    }
-
-    private PeerStatus status() {
-        long now = loop.nowMicros();
-        strays.values().removeIf(at -> now - at > STRAY_MICROS);
-        calledOff.values().removeIf(at -> now - at > CALLED_OFF_MICROS);
-        return new PeerStatus(platform.label(), office.term(), office.leading(), store.refusedForMicros(), Math.max(0, latenessMicros()),
-                strays.size(), leader == null ? Map.of() : leader.allCounts(new LinkedHashMap<>()), List.copyOf(calledOff.keySet()));
-    }
+  }
 
-    @Override
-    public void close() {
-        scope.close();
-        metrics.logSummary();
+  /** The most that another controller lately told of. */
+  private int workersElsewhere() {
+    int most = 0;
+    for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
+      most = Math.max(most, p.workers());
     }
+    return most;
+  }
+
+  private PeerStatus status() {
+    long now = loop.nowMicros();
+    strays.values().removeIf(at -> now - at > STRAY_MICROS);
+    calledOff.values().removeIf(at -> now - at > CALLED_OFF_MICROS);
+    return new PeerStatus(
+        platform.label(),
+        office.term(),
+        office.leading(),
+        store.refusedForMicros(),
+        Math.max(0, latenessMicros()),
+        strays.size(),
+        leader == null ? Map.of() : leader.allCounts(new LinkedHashMap<>()),
+        List.copyOf(calledOff.keySet()));
+  }
+
+  @Override
+  public void close() {
+    scope.close();
+    metrics.logSummary();
+  }
 }
--- a/src/main/java/plumlever/cli/Main.java
+++ b/src/main/java/plumlever/cli/Main.java
@@ -15,79 +15,106 @@
 
 /** The command line. */
 public final class Main {
-    private static final int BAD_SETTINGS = 2;
-    private static final String NAME = "plumlever";
-    /** Not in the help: the build uses it to make the class-data archive. */
-    private static final String REHEARSE = "--rehearse-start";
+  private static final int BAD_SETTINGS = 2;
+  private static final String NAME = "plumlever";
 
-    private Main() {}
+  /** Not in the help: the build uses it to make the class-data archive. */
+  private static final String REHEARSE = "--rehearse-start";
 
-    public static void main(String[] args) {
-        Logging.configure(System.getenv("LOG_LEVEL"));
-        int code = args.length == 1 && args[0].equals(REHEARSE) ? StartRehearsal.run() : run(args);
-        if (code != Service.RUNNING) {
-            System.exit(code);
-        }
-    }
+  private Main() {}
 
-    /** The exit code, or {@link Service#RUNNING} once a controller runs. */
-    static int run(String[] args) {
-        Options options = new Options()
-                .addOption(Option.builder().longOpt("config").hasArg().argName("FILE")
-                        .desc("settings handed over by the platform (TOML)").build())
-                .addOption(Option.builder().longOpt("settings").hasArg().argName("FILE")
-                        .desc("operators' own settings (YAML)").build())
-                .addOption(Option.builder().longOpt("check").desc("check the settings, tell what would run, and end").build())
-                .addOption(Option.builder("V").longOpt("version").desc("print the version and end").build())
-                .addOption(Option.builder("h").longOpt("help").desc("print this help and end").build());
-        CommandLine line;
-        try {
-            line = new DefaultParser(false).parse(options, args);
-        } catch (ParseException e) {
-            return wrong(e.getMessage());
-        }
-        if (line.hasOption("help")) {
-            help(options);
-            return 0;
-        }
-        if (line.hasOption("version")) {
-            String v = Main.class.getPackage().getImplementationVersion();
-            System.out.println(NAME + " " + (v == null ? "(development)" : v));
-            return 0;
-        }
-        if (!line.getArgList().isEmpty()) {
-            return wrong("Unexpected argument: " + line.getArgList().get(0));
-        }
-        if (!line.hasOption("config")) {
-            return wrong("Missing required option: --config FILE");
-        }
-        Platform platform;
-        Tunables tunables;
-        try {
-            platform = Platform.load(Path.of(line.getOptionValue("config")));
-            tunables = line.hasOption("settings") ? OperatorFile.load(Path.of(line.getOptionValue("settings"))) : Tunables.defaults();
-        } catch (SettingsException e) {
-            System.err.println(NAME + ": " + e.getMessage());
-            return BAD_SETTINGS;
-        }
-        if (line.hasOption("check")) {
-            System.out.println(Check.describe(platform, tunables));
-            return 0;
-        }
-        return new Service(platform, tunables).run();
+  public static void main(String[] args) {
+    Logging.configure(System.getenv("LOG_LEVEL"));
+    int code = args.length == 1 && args[0].equals(REHEARSE) ? StartRehearsal.run() : run(args);
+    if (code != Service.RUNNING) {
+      System.exit(code);
     }
+  }
 
-    private static int wrong(String what) {
-        System.err.println(NAME + ": " + what + " (--help tells the options)");
-        return BAD_SETTINGS;
+  /** The exit code, or {@link Service#RUNNING} once a controller runs. */
+  static int run(String[] args) {
+    Options options =
+        new Options()
+            .addOption(
+                Option.builder()
+                    .longOpt("config")
+                    .hasArg()
+                    .argName("FILE")
+                    .desc("settings handed over by the platform (TOML)")
+                    .build())
+            .addOption(
+                Option.builder()
+                    .longOpt("settings")
+                    .hasArg()
+                    .argName("FILE")
+                    .desc("operators' own settings (YAML)")
+                    .build())
+            .addOption(
+                Option.builder()
+                    .longOpt("check")
+                    .desc("check the settings, tell what would run, and end")
+                    .build())
+            .addOption(
+                Option.builder("V").longOpt("version").desc("print the version and end").build())
+            .addOption(Option.builder("h").longOpt("help").desc("print this help and end").build());
+    CommandLine line;
+    try {
+      line = new DefaultParser(false).parse(options, args);
+    } catch (ParseException e) {
+      return wrong(e.getMessage());
     }
-
-    private static void help(Options options) {
-        PrintWriter out = new PrintWriter(System.out);
-        new HelpFormatter().printHelp(out, 100, NAME + " --config FILE [--settings FILE] [--check]",
-                "A cluster scheduler: places arrays of tasks on rented machines.", options, 1, 2,
-                "Exit codes: 0 ended as asked, 1 could not start, 2 wrong arguments or settings.\n"
-                        + "LOG_LEVEL (error, info, debug) sets how much is logged to standard error.");
-        out.flush();
+    if (line.hasOption("help")) {
+      help(options);
+      return 0;
+    }
+    if (line.hasOption("version")) {
+      String v = Main.class.getPackage().getImplementationVersion();
+      System.out.println(NAME + " " + (v == null ? "(development)" : v));
+      return 0;
+    }
+    if (!line.getArgList().isEmpty()) {
+      return wrong("Unexpected argument: " + line.getArgList().get(0));
+    }
+    if (!line.hasOption("config")) {
+      return wrong("Missing required option: --config FILE");
     }
+    Platform platform;
+    Tunables tunables;
+    try {
+      platform = Platform.load(Path.of(line.getOptionValue("config")));
+      tunables =
+          line.hasOption("settings")
+              ? OperatorFile.load(Path.of(line.getOptionValue("settings")))
+              : Tunables.defaults();
+    } catch (SettingsException e) {
+      System.err.println(NAME + ": " + e.getMessage());
+      return BAD_SETTINGS;
+    }
+    if (line.hasOption("check")) {
+      System.out.println(Check.describe(platform, tunables));
+      return 0;
+    }
+    return new Service(platform, tunables).run();
+  }
+
+  private static int wrong(String what) {
+    System.err.println(NAME + ": " + what + " (--help tells the options)");
+    return BAD_SETTINGS;
+  }
+
+  private static void help(Options options) {
+    PrintWriter out = new PrintWriter(System.out);
+    new HelpFormatter()
+        .printHelp(
+            out,
+            100,
+            NAME + " --config FILE [--settings FILE] [--check]",
+            "A cluster scheduler: places arrays of tasks on rented machines.",
+            options,
+            1,
+            2,
+            "Exit codes: 0 ended as asked, 1 could not start, 2 wrong arguments or settings.\n"
+                + "LOG_LEVEL (error, info, debug) sets how much is logged to standard error.");
+    out.flush();
+  }
 }
--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -21,125 +21,180 @@
 import plumlever.settings.Tunables;
 import plumlever.warmup.WarmUp;
 
-/** A controller with its sockets: one XNIO I/O thread that is the loop, one for the office, and the two listeners. */
+/**
+ * A controller with its sockets: one XNIO I/O thread that is the loop, one for the office, and the
+ * two listeners.
+ */
 final class Service implements AutoCloseable {
-    /** Stands for "goes on until killed" where an exit code is expected. */
-    static final int RUNNING = -1;
+  /** Stands for "goes on until killed" where an exit code is expected. */
+  static final int RUNNING = -1;
 
-    private static final Logger LOG = LoggerFactory.getLogger(Service.class);
-    private static final int BUFFER_BYTES = 8 * 1024;
-    private static final int PEER_CONNECTIONS = 32;
-    /**
-     * Sockets kept from users and workers: calls to machines (112) and kept connections (48), up to 12 each to the state
-     * service, the cloud and two peers, the peers' own, and what the process has open besides.
-     */
-    private static final int RESERVED = 280;
-    private static final long LEAST_IDLE_MICROS = 12_000_000;
-    private static final int IDLE_REPORTS = 3;
-    private static final long PEER_BODY = 512 * 1024;
-    private static final int STOP_S = 3;
+  private static final Logger LOG = LoggerFactory.getLogger(Service.class);
+  private static final int BUFFER_BYTES = 8 * 1024;
+  private static final int PEER_CONNECTIONS = 32;
 
-    private final Platform platform;
-    private final Tunables tunables;
-    private XnioWorker worker;
-    private XnioWorker officeWorker;
-    private XnioLoop loop;
-    private Node node;
-    private UndertowCaller caller;
-    private Server front;
-    private Server back;
+  /**
+   * Sockets kept from users and workers: calls to machines (112) and kept connections (48), up to
+   * 12 each to the state service, the cloud and two peers, the peers' own, and what the process has
+   * open besides.
+   */
+  private static final int RESERVED = 280;
 
-    Service(Platform platform, Tunables tunables) {
-        this.platform = platform;
-        this.tunables = tunables;
-    }
+  private static final long LEAST_IDLE_MICROS = 12_000_000;
+  private static final int IDLE_REPORTS = 3;
+  private static final long PEER_BODY = 512 * 1024;
+  private static final int STOP_S = 3;
 
-    int run() {
-        try {
-            start();
-        } catch (RuntimeException | java.io.IOException e) {
-            LOG.error("could not start: {}", e.toString());
-            LOG.debug("could not start", e);
-            close();
-            return 1;
-        }
-        Runtime.getRuntime().addShutdownHook(new Thread(this::close, "stop"));
-        return RUNNING;
+  private final Platform platform;
+  private final Tunables tunables;
+  private XnioWorker worker;
+  private XnioWorker officeWorker;
+  private XnioLoop loop;
+  private Node node;
+  private UndertowCaller caller;
+  private Server front;
+  private Server back;
+
+  Service(Platform platform, Tunables tunables) {
+    this.platform = platform;
+    this.tunables = tunables;
+  }
+
+  int run() {
+    try {
+      start();
+    } catch (RuntimeException | java.io.IOException e) {
+      LOG.error("could not start: {}", e.toString());
+      LOG.debug("could not start", e);
+      close();
+      return 1;
     }
+    Runtime.getRuntime().addShutdownHook(new Thread(this::close, "stop"));
+    return RUNNING;
+  }
 
-    void start() throws java.io.IOException {
-        worker = worker("plumlever");
-        officeWorker = worker("office");
-        loop = new XnioLoop(worker.getIoThread());
-        caller = new UndertowCaller(loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 4));
-        XnioLoop officeLoop = new XnioLoop(officeWorker.getIoThread());
-        UndertowCaller officeCaller = new UndertowCaller(officeLoop, officeWorker.getIoThread(),
-                new DefaultByteBufferPool(false, BUFFER_BYTES, 8, 1));
-        node = new Node(loop, caller, officeLoop, officeCaller, platform, tunables, new SplittableRandom().nextLong(), Logs.SERVICE);
-        int users = Math.max(32, platform.socketLimit() - RESERVED);
-        long idleMicros = Math.max(LEAST_IDLE_MICROS, IDLE_REPORTS * platform.workers().reportMicros());
-        front = new Server(worker, platform.bind(), users, idleMicros, Server.MAX_BODY,
-                (method, path, body, out) -> node.front().handle(method, path, body, out));
-        back = new Server(worker, platform.back(), PEER_CONNECTIONS, idleMicros, PEER_BODY,
-                (method, path, body, out) -> node.peer(method, path, body, out));
-        back.start();
-        front.start();
-        node.metrics().gauge("connections", front::connections);
-        node.metrics().gauge("connections_most", () -> users);
-        node.metrics().gauge("heap_mb", () -> (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
-        WarmUp warmUp = new WarmUp(loop, platform, tunables, node::latenessMicros, () -> node.leader() != null);
-        node.metrics().gauge("cpu_ms", () -> ProcessHandle.current().info().totalCpuDuration().map(Duration::toMillis).orElse(-1L));
-        loop.execute(() -> {
-            node.start();
-            new Duty("warm-up", loop, warmUp::turn).start();
+  void start() throws java.io.IOException {
+    worker = worker("plumlever");
+    officeWorker = worker("office");
+    loop = new XnioLoop(worker.getIoThread());
+    caller =
+        new UndertowCaller(
+            loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 4));
+    XnioLoop officeLoop = new XnioLoop(officeWorker.getIoThread());
+    UndertowCaller officeCaller =
+        new UndertowCaller(
+            officeLoop,
+            officeWorker.getIoThread(),
+            new DefaultByteBufferPool(false, BUFFER_BYTES, 8, 1));
+    node =
+        new Node(
+            loop,
+            caller,
+            officeLoop,
+            officeCaller,
+            platform,
+            tunables,
+            new SplittableRandom().nextLong(),
+            Logs.SERVICE);
+    int users = Math.max(32, platform.socketLimit() - RESERVED);
+    long idleMicros = Math.max(LEAST_IDLE_MICROS, IDLE_REPORTS * platform.workers().reportMicros());
+    front =
+        new Server(
+            worker,
+            platform.bind(),
+            users,
+            idleMicros,
+            Server.MAX_BODY,
+            (method, path, body, out) -> node.front().handle(method, path, body, out));
+    back =
+        new Server(
+            worker,
+            platform.back(),
+            PEER_CONNECTIONS,
+            idleMicros,
+            PEER_BODY,
+            (method, path, body, out) -> node.peer(method, path, body, out));
+    back.start();
+    front.start();
+    node.metrics().gauge("connections", front::connections);
+    node.metrics().gauge("connections_most", () -> users);
+    node.metrics()
+        .gauge(
+            "heap_mb",
+            () -> (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
+    WarmUp warmUp =
+        new WarmUp(loop, platform, tunables, node::latenessMicros, () -> node.leader() != null);
+    node.metrics()
+        .gauge(
+            "cpu_ms",
+            () ->
+                ProcessHandle.current()
+                    .info()
+                    .totalCpuDuration()
+                    .map(Duration::toMillis)
+                    .orElse(-1L));
+    loop.execute(
+        () -> {
+          node.start();
+          new Duty("warm-up", loop, warmUp::turn).start();
         });
-        LOG.info("{} serves {} and {}; aims: {}", platform.label(), platform.bind(), platform.back(),
-                platform.objectives().stream().map(Platform.Objective::kind).distinct().toList());
-    }
+    LOG.info(
+        "{} serves {} and {}; aims: {}",
+        platform.label(),
+        platform.bind(),
+        platform.back(),
+        platform.objectives().stream().map(Platform.Objective::kind).distinct().toList());
+  }
 
-    static XnioWorker worker(String name) throws java.io.IOException {
-        return Xnio.getInstance().createWorker(OptionMap.builder()
+  static XnioWorker worker(String name) throws java.io.IOException {
+    return Xnio.getInstance()
+        .createWorker(
+            OptionMap.builder()
                 .set(Options.WORKER_NAME, name)
                 .set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1)
                 .set(Options.WORKER_TASK_MAX_THREADS, 1)
                 .set(Options.TCP_NODELAY, true)
                 .getMap());
-    }
+  }
 
-    int port() {
-        return front.port();
-    }
+  int port() {
+    return front.port();
+  }
 
-    /** Orderly: no new requests, the office given up so that a successor need not wait, then the sockets. */
-    @Override
-    public void close() {
-        if (node != null) {
-            CountDownLatch stopped = new CountDownLatch(1);
-            loop.execute(() -> {
-                node.close();
-                // The last request, which ends the grant, gets a moment to go out.
-                loop.after(100_000, stopped::countDown);
-            });
-            try {
-                if (!stopped.await(STOP_S, TimeUnit.SECONDS)) {
-                    LOG.warn("stopped without the orderly end");
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-        if (front != null) {
-            front.close();
-        }
-        if (back != null) {
-            back.close();
-        }
-        if (worker != null) {
-            worker.shutdownNow();
-        }
-        if (officeWorker != null) {
-            officeWorker.shutdownNow();
+  /**
+   * Orderly: no new requests, the office given up so that a successor need not wait, then the
+   * sockets.
+   */
+  @Override
+  public void close() {
+    if (node != null) {
+      CountDownLatch stopped = new CountDownLatch(1);
+      loop.execute(
+          () -> {
+            node.close();
+            // The last request, which ends the grant, gets a moment to go out.
+            loop.after(100_000, stopped::countDown);
+          });
+      try {
+        if (!stopped.await(STOP_S, TimeUnit.SECONDS)) {
+          LOG.warn("stopped without the orderly end");
         }
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+    if (front != null) {
+      front.close();
+    }
+    if (back != null) {
+      back.close();
+    }
+    if (worker != null) {
+      worker.shutdownNow();
+    }
+    if (officeWorker != null) {
+      officeWorker.shutdownNow();
     }
+  }
 }
--- a/src/main/java/plumlever/cloud/CloudClient.java
+++ b/src/main/java/plumlever/cloud/CloudClient.java
@@ -24,140 +24,176 @@
 
 /** The cloud's client. Answers that can't be understood count as no answer. */
 public final class CloudClient {
-    /** What became of a rental request. */
-    public enum Rent { RENTED, NO_CAPACITY, NOT_NOW, UNKNOWN }
+  /** What became of a rental request. */
+  public enum Rent {
+    RENTED,
+    NO_CAPACITY,
+    NOT_NOW,
+    UNKNOWN
+  }
 
-    /** Takes the answer to a rental request; {@code hosts} is empty unless it was filled. */
-    public interface RentAnswer {
-        void take(Rent outcome, List<String> hosts);
-    }
+  /** Takes the answer to a rental request; {@code hosts} is empty unless it was filled. */
+  public interface RentAnswer {
+    void take(Rent outcome, List<String> hosts);
+  }
 
-    public static final int MOST_PER_RENTAL = 50;
-    public static final int MOST_PER_RETURN = 100;
+  public static final int MOST_PER_RENTAL = 50;
+  public static final int MOST_PER_RETURN = 100;
 
-    private static final Logger LOG = LoggerFactory.getLogger(CloudClient.class);
-    private static final long TIMEOUT_MICROS = 4_000_000;
-    private static final int PAGE = 500;
-    private static final double PART = 0.8;
+  private static final Logger LOG = LoggerFactory.getLogger(CloudClient.class);
+  private static final long TIMEOUT_MICROS = 4_000_000;
+  private static final int PAGE = 500;
+  private static final double PART = 0.8;
 
-    private final Loop loop;
-    private final Caller caller;
-    private final Endpoint at;
-    private final Metrics metrics;
-    private final TokenBucket requests;
-    private final Map<String, Long> surprises = new HashMap<>();
+  private final Loop loop;
+  private final Caller caller;
+  private final Endpoint at;
+  private final Metrics metrics;
+  private final TokenBucket requests;
+  private final Map<String, Long> surprises = new HashMap<>();
 
-    public CloudClient(Loop loop, Caller caller, Endpoint at, Platform.CloudLimits limits, Metrics metrics) {
-        this.metrics = metrics;
-        this.loop = loop;
-        this.caller = caller;
-        this.at = at;
-        this.requests = new TokenBucket(limits.rps() * PART, loop.nowMicros());
-    }
+  public CloudClient(
+      Loop loop, Caller caller, Endpoint at, Platform.CloudLimits limits, Metrics metrics) {
+    this.metrics = metrics;
+    this.loop = loop;
+    this.caller = caller;
+    this.at = at;
+    this.requests = new TokenBucket(limits.rps() * PART, loop.nowMicros());
+  }
 
-    /** @param then takes null when the catalogue can't be had now */
-    public void catalog(Consumer<List<Flavor>> then) {
-        send("GET", "/catalog", null, (status, o) -> {
-            List<Flavor> flavors = null;
-            if (status == 200 && o != null) {
-                try {
-                    flavors = Flavor.parseCatalog(o);
-                } catch (InvalidMessage e) {
-                    surprise("catalog", e.getMessage());
-                }
+  /**
+   * @param then takes null when the catalogue can't be had now
+   */
+  public void catalog(Consumer<List<Flavor>> then) {
+    send(
+        "GET",
+        "/catalog",
+        null,
+        (status, o) -> {
+          List<Flavor> flavors = null;
+          if (status == 200 && o != null) {
+            try {
+              flavors = Flavor.parseCatalog(o);
+            } catch (InvalidMessage e) {
+              surprise("catalog", e.getMessage());
             }
-            then.accept(flavors);
+          }
+          then.accept(flavors);
         });
-    }
+  }
 
-    /** @param then takes null when the list can't be had whole */
-    public void list(Consumer<List<HostEntry>> then) {
-        page(null, new ArrayList<>(), then);
-    }
+  /**
+   * @param then takes null when the list can't be had whole
+   */
+  public void list(Consumer<List<HostEntry>> then) {
+    page(null, new ArrayList<>(), then);
+  }
 
-    private void page(String since, List<HostEntry> into, Consumer<List<HostEntry>> then) {
-        send("GET", "/hosts?page=" + PAGE + (since == null ? "" : "&since=" + since), null, (status, o) -> {
-            if (status != 200 || o == null || !o.path("hosts").isArray()) {
-                then.accept(null);
-                return;
-            }
-            String last = null;
-            try {
-                for (JsonNode n : o.get("hosts")) {
-                    HostEntry e = HostEntry.parse(n);
-                    last = e.uid();
-                    into.add(e);
-                }
-            } catch (InvalidMessage e) {
-                surprise("hosts", e.getMessage());
-                then.accept(null);
-                return;
-            }
-            if (o.path("more").asBoolean(false) && last != null) {
-                page(last, into, then);
-            } else {
-                then.accept(into);
+  private void page(String since, List<HostEntry> into, Consumer<List<HostEntry>> then) {
+    send(
+        "GET",
+        "/hosts?page=" + PAGE + (since == null ? "" : "&since=" + since),
+        null,
+        (status, o) -> {
+          if (status != 200 || o == null || !o.path("hosts").isArray()) {
+            then.accept(null);
+            return;
+          }
+          String last = null;
+          try {
+            for (JsonNode n : o.get("hosts")) {
+              HostEntry e = HostEntry.parse(n);
+              last = e.uid();
+              into.add(e);
             }
+          } catch (InvalidMessage e) {
+            surprise("hosts", e.getMessage());
+            then.accept(null);
+            return;
+          }
+          if (o.path("more").asBoolean(false) && last != null) {
+            page(last, into, then);
+          } else {
+            then.accept(into);
+          }
         });
-    }
+  }
 
-    public void rent(String name, String flavor, String site, boolean spot, int count, RentAnswer then) {
-        ObjectNode body = Json.object().put("rental", name).put("flavor", flavor).put("site", site)
-                .put("loaners", spot).put("count", count);
-        send("POST", "/hosts", body, (status, o) -> {
-            List<String> hosts = new ArrayList<>();
-            if (status == 200 && o != null && o.path("hosts").isArray()) {
-                o.get("hosts").forEach(h -> hosts.add(h.asText()));
-                then.take(Rent.RENTED, hosts);
-            } else if (status == 503 && o != null && o.path("error").asText().contains("capacity")) {
-                then.take(Rent.NO_CAPACITY, hosts);
-            } else if (status == 503 || status == 429 || status == 400) {
-                then.take(Rent.NOT_NOW, hosts);
-            } else {
-                then.take(Rent.UNKNOWN, hosts);
-            }
+  public void rent(
+      String name, String flavor, String site, boolean spot, int count, RentAnswer then) {
+    ObjectNode body =
+        Json.object()
+            .put("rental", name)
+            .put("flavor", flavor)
+            .put("site", site)
+            .put("loaners", spot)
+            .put("count", count);
+    send(
+        "POST",
+        "/hosts",
+        body,
+        (status, o) -> {
+          List<String> hosts = new ArrayList<>();
+          if (status == 200 && o != null && o.path("hosts").isArray()) {
+            o.get("hosts").forEach(h -> hosts.add(h.asText()));
+            then.take(Rent.RENTED, hosts);
+          } else if (status == 503 && o != null && o.path("error").asText().contains("capacity")) {
+            then.take(Rent.NO_CAPACITY, hosts);
+          } else if (status == 503 || status == 429 || status == 400) {
+            then.take(Rent.NOT_NOW, hosts);
+          } else {
+            then.take(Rent.UNKNOWN, hosts);
+          }
         });
-    }
+  }
 
-    /** @param then takes true when the machines are surely gone */
-    public void giveBack(List<String> hosts, Consumer<Boolean> then) {
-        ObjectNode body = Json.object();
-        ArrayNode names = body.putArray("hosts");
-        hosts.forEach(names::add);
-        send("POST", "/hosts/return", body, (status, o) -> then.accept(status == 200));
-    }
+  /**
+   * @param then takes true when the machines are surely gone
+   */
+  public void giveBack(List<String> hosts, Consumer<Boolean> then) {
+    ObjectNode body = Json.object();
+    ArrayNode names = body.putArray("hosts");
+    hosts.forEach(names::add);
+    send("POST", "/hosts/return", body, (status, o) -> then.accept(status == 200));
+  }
 
-    private interface Parsed {
-        void take(int status, ObjectNode body);
-    }
+  private interface Parsed {
+    void take(int status, ObjectNode body);
+  }
 
-    private void send(String method, String path, JsonNode body, Parsed then) {
-        if (!requests.take(1, loop.nowMicros())) {
-            metrics.outside("cloud", 429);
-            loop.after(0, () -> then.take(429, null));
-            return;
-        }
-        byte[] bytes = body == null ? null : Json.write(body).getBytes(StandardCharsets.UTF_8);
-        caller.call(at, method, path, bytes, TIMEOUT_MICROS, (status, data) -> {
-            metrics.outside("cloud", status);
-            ObjectNode parsed = null;
-            if (data.length > 0 && (status == 200 || status == 503)) {
-                try {
-                    parsed = Json.parseObject(data);
-                } catch (InvalidMessage e) {
-                    surprise(path, e.getMessage());
-                }
-            }
-            if (status == 400) {
-                surprise(path, new String(data, StandardCharsets.UTF_8));
+  private void send(String method, String path, JsonNode body, Parsed then) {
+    if (!requests.take(1, loop.nowMicros())) {
+      metrics.outside("cloud", 429);
+      loop.after(0, () -> then.take(429, null));
+      return;
+    }
+    byte[] bytes = body == null ? null : Json.write(body).getBytes(StandardCharsets.UTF_8);
+    caller.call(
+        at,
+        method,
+        path,
+        bytes,
+        TIMEOUT_MICROS,
+        (status, data) -> {
+          metrics.outside("cloud", status);
+          ObjectNode parsed = null;
+          if (data.length > 0 && (status == 200 || status == 503)) {
+            try {
+              parsed = Json.parseObject(data);
+            } catch (InvalidMessage e) {
+              surprise(path, e.getMessage());
             }
-            then.take(status, parsed);
+          }
+          if (status == 400) {
+            surprise(path, new String(data, StandardCharsets.UTF_8));
+          }
+          then.take(status, parsed);
         });
-    }
+  }
 
-    private void surprise(String kind, String what) {
-        if (surprises.merge(kind, 1L, Long::sum) == 1) {
-            LOG.warn("cloud gave a surprising answer to {}: {}", kind, what);
-        }
+  private void surprise(String kind, String what) {
+    if (surprises.merge(kind, 1L, Long::sum) == 1) {
+      LOG.warn("cloud gave a surprising answer to {}: {}", kind, what);
     }
+  }
 }
--- a/src/main/java/plumlever/cloud/PriceBook.java
+++ b/src/main/java/plumlever/cloud/PriceBook.java
@@ -10,42 +10,46 @@
 
 /** The machine types and their current prices; empty until the catalogue has been read. */
 public final class PriceBook {
-    private final Map<String, Flavor> flavors = new LinkedHashMap<>();
-    private final Map<String, Double> ownedHourly;
-
-    public PriceBook(Tunables tunables) {
-        this.ownedHourly = tunables.ownedHourly();
-    }
-
-    public void update(List<Flavor> catalog) {
-        for (Flavor f : catalog) {
-            if (f.cores() > 0 && f.memoryGb() > 0) {
-                flavors.put(f.sku(), f);
-            }
-        }
-    }
-
-    public boolean known() {
-        return !flavors.isEmpty();
-    }
-
-    public Flavor flavor(String sku) {
-        return flavors.get(sku);
-    }
-
-    public Collection<Flavor> flavors() {
-        return flavors.values();
-    }
-
-    /** What an hour costs; owned types carry what the operator set. */
-    public double hourly(Flavor f, boolean spot) {
-        Double owned = ownedHourly.get(f.sku());
-        return owned != null ? owned : f.hourly(spot);
-    }
-
-    /** True if some machine type that the job allows can hold one of its tasks. */
-    public boolean fits(JobSpec job) {
-        return flavors.values().stream().anyMatch(f -> (job.flavors() == null || job.flavors().contains(f.sku()))
-                && (job.site() == null || f.sites().isEmpty() || f.sites().contains(job.site())) && f.share(job) <= 1);
+  private final Map<String, Flavor> flavors = new LinkedHashMap<>();
+  private final Map<String, Double> ownedHourly;
+
+  public PriceBook(Tunables tunables) {
+    this.ownedHourly = tunables.ownedHourly();
+  }
+
+  public void update(List<Flavor> catalog) {
+    for (Flavor f : catalog) {
+      if (f.cores() > 0 && f.memoryGb() > 0) {
+        flavors.put(f.sku(), f);
+      }
     }
+  }
+
+  public boolean known() {
+    return !flavors.isEmpty();
+  }
+
+  public Flavor flavor(String sku) {
+    return flavors.get(sku);
+  }
+
+  public Collection<Flavor> flavors() {
+    return flavors.values();
+  }
+
+  /** What an hour costs; owned types carry what the operator set. */
+  public double hourly(Flavor f, boolean spot) {
+    Double owned = ownedHourly.get(f.sku());
+    return owned != null ? owned : f.hourly(spot);
+  }
+
+  /** True if some machine type that the job allows can hold one of its tasks. */
+  public boolean fits(JobSpec job) {
+    return flavors.values().stream()
+        .anyMatch(
+            f ->
+                (job.flavors() == null || job.flavors().contains(f.sku()))
+                    && (job.site() == null || f.sites().isEmpty() || f.sites().contains(job.site()))
+                    && f.share(job) <= 1);
+  }
 }
--- a/src/main/java/plumlever/concurrent/Duty.java
+++ b/src/main/java/plumlever/concurrent/Duty.java
@@ -5,70 +5,73 @@
 
 /** A long-lived activity that comes round on the loop, until cancelled. */
 public final class Duty implements AutoCloseable {
-    /** One turn; the answer is the pause until the next in microseconds, negative when the duty waits to be woken. */
-    public interface Turn {
-        long run();
-    }
+  /**
+   * One turn; the answer is the pause until the next in microseconds, negative when the duty waits
+   * to be woken.
+   */
+  public interface Turn {
+    long run();
+  }
 
-    private static final Logger LOG = LoggerFactory.getLogger(Duty.class);
-    private static final long AFTER_FAILURE_MICROS = 1_000_000;
+  private static final Logger LOG = LoggerFactory.getLogger(Duty.class);
+  private static final long AFTER_FAILURE_MICROS = 1_000_000;
 
-    private final String name;
-    private final Loop loop;
-    private final Turn turn;
-    private Loop.Timer timer;
-    private boolean cancelled;
-    private boolean running;
+  private final String name;
+  private final Loop loop;
+  private final Turn turn;
+  private Loop.Timer timer;
+  private boolean cancelled;
+  private boolean running;
 
-    public Duty(String name, Loop loop, Turn turn) {
-        this.name = name;
-        this.loop = loop;
-        this.turn = turn;
-    }
+  public Duty(String name, Loop loop, Turn turn) {
+    this.name = name;
+    this.loop = loop;
+    this.turn = turn;
+  }
 
-    public Duty start() {
-        wakeIn(0);
-        return this;
-    }
+  public Duty start() {
+    wakeIn(0);
+    return this;
+  }
 
-    /** The next turn comes after this pause, whatever was planned. */
-    public void wakeIn(long micros) {
-        if (cancelled) {
-            return;
-        }
-        if (timer != null) {
-            timer.cancel();
-        }
-        timer = loop.after(micros, this::turn);
+  /** The next turn comes after this pause, whatever was planned. */
+  public void wakeIn(long micros) {
+    if (cancelled) {
+      return;
     }
+    if (timer != null) {
+      timer.cancel();
+    }
+    timer = loop.after(micros, this::turn);
+  }
 
-    private void turn() {
-        timer = null;
-        if (cancelled || running) {
-            return;
-        }
-        running = true;
-        long pause;
-        try {
-            pause = turn.run();
-        } catch (RuntimeException e) {
-            // A duty that died in silence would leave the node half alive; it is tried again instead.
-            LOG.error("duty {} failed, tried again in a second", name, e);
-            pause = AFTER_FAILURE_MICROS;
-        } finally {
-            running = false;
-        }
-        if (pause >= 0 && timer == null) {
-            wakeIn(pause);
-        }
+  private void turn() {
+    timer = null;
+    if (cancelled || running) {
+      return;
+    }
+    running = true;
+    long pause;
+    try {
+      pause = turn.run();
+    } catch (RuntimeException e) {
+      // A duty that died in silence would leave the node half alive; it is tried again instead.
+      LOG.error("duty {} failed, tried again in a second", name, e);
+      pause = AFTER_FAILURE_MICROS;
+    } finally {
+      running = false;
+    }
+    if (pause >= 0 && timer == null) {
+      wakeIn(pause);
     }
+  }
 
-    @Override
-    public void close() {
-        cancelled = true;
-        if (timer != null) {
-            timer.cancel();
-            timer = null;
-        }
+  @Override
+  public void close() {
+    cancelled = true;
+    if (timer != null) {
+      timer.cancel();
+      timer = null;
     }
+  }
 }
--- a/src/main/java/plumlever/concurrent/Scope.java
+++ b/src/main/java/plumlever/concurrent/Scope.java
@@ -7,37 +7,37 @@
 
 /** Owns children and cancels them in the reverse order of their start. */
 public final class Scope implements AutoCloseable {
-    private static final Logger LOG = LoggerFactory.getLogger(Scope.class);
+  private static final Logger LOG = LoggerFactory.getLogger(Scope.class);
 
-    private final Deque<AutoCloseable> children = new ArrayDeque<>();
-    private boolean closed;
+  private final Deque<AutoCloseable> children = new ArrayDeque<>();
+  private boolean closed;
 
-    public <T extends AutoCloseable> T own(T child) {
-        if (closed) {
-            closeOne(child);
-        } else {
-            children.push(child);
-        }
-        return child;
+  public <T extends AutoCloseable> T own(T child) {
+    if (closed) {
+      closeOne(child);
+    } else {
+      children.push(child);
     }
+    return child;
+  }
 
-    public boolean closed() {
-        return closed;
-    }
+  public boolean closed() {
+    return closed;
+  }
 
-    @Override
-    public void close() {
-        closed = true;
-        while (!children.isEmpty()) {
-            closeOne(children.pop());
-        }
+  @Override
+  public void close() {
+    closed = true;
+    while (!children.isEmpty()) {
+      closeOne(children.pop());
     }
+  }
 
-    private static void closeOne(AutoCloseable child) {
-        try {
-            child.close();
-        } catch (Exception e) {
-            LOG.warn("a child could not be closed", e);
-        }
+  private static void closeOne(AutoCloseable child) {
+    try {
+      child.close();
+    } catch (Exception e) {
+      LOG.warn("a child could not be closed", e);
     }
+  }
 }
--- a/src/main/java/plumlever/election/Office.java
+++ b/src/main/java/plumlever/election/Office.java
@@ -13,381 +13,435 @@
 import plumlever.wire.Json;
 
 /**
- * Who leads. The leader holds a key that hangs on a grant of the state service; taking it raises the term in the
- * same transaction. How long this node may act is counted from when its last successful renewal was <em>sent</em>,
- * so it ends before the state service lets anyone else in.
+ * Who leads. The leader holds a key that hangs on a grant of the state service; taking it raises
+ * the term in the same transaction. How long this node may act is counted from when its last
+ * successful renewal was <em>sent</em>, so it ends before the state service lets anyone else in.
  *
- * <p>It runs on a loop of its own, so that no round, no crowd of reports and no first use of code delays a renewal or an
- * election; one that has lost the thread that decides gives the office up. Everything public may be asked on any thread.
+ * <p>It runs on a loop of its own, so that no round, no crowd of reports and no first use of code
+ * delays a renewal or an election; one that has lost the thread that decides gives the office up.
+ * Everything public may be asked on any thread.
  */
 public final class Office implements AutoCloseable {
-    /** Told on the office's own loop. */
-    public interface Holder {
-        void elected(Term term);
-
-        void left(Term term);
-
-        /** Runs on the thread that decides, to see whether it still turns. */
-        void whenTurning(Runnable action);
-    }
-
-    private static final String PREFIX = "office/";
-    /** A stand-in's word that it renews leases under a mandate. */
-    static final String STAND_IN = PREFIX + "stand-in";
-    /** Allows the other controllers to renew leases for the leader, see {@link StandIn}. */
-    public static final String MANDATE = PREFIX + "mandate";
-    private static final String LEADER = PREFIX + "leader";
-    static final String TERM = PREFIX + "term";
-    private static final long FOLLOW_MICROS = 5_000_000;
-    private static final long RETRY_MICROS = 400_000;
-    /** A leader whose decisions have stood still for this long serves nobody: far longer than any lateness it may survive. */
-    private static final long STANDSTILL_MICROS = 10_000_000;
-    /** Both clocks may be off by 0.05%; this allows for twice the sum. */
-    private static final double DRIFT = 0.002;
-
-    private final Logger log;
-    private final String label;
-    private final Loop loop;
-    private final StateClient store;
-    private final Tunables tunables;
-    private final Holder holder;
-    private final SplittableRandom random;
-    private final Scope scope = new Scope();
-    private final Duty touching;
-    private final Duty standing;
-    private final String nonce;
-
-    private boolean known;
-    private long epoch = -1;
-    private long leaderStamp;
-    private volatile String leaderLabel;
-    private String leaderNonce;
-    private volatile long leaderSeenMicros;
-    private long termStamp;
-    private volatile long term;
-
-    /** The term in which this node leads, or null. */
-    private volatile Term current;
-    private boolean busy;
-    private volatile boolean mandateSeen;
-    private volatile long standInFor = -1;
-    private long notBeforeMicros;
-    private volatile long turnedMicros;
-    private int lost;
-
-    public Office(String label, Loop loop, StateClient store, Tunables tunables, Holder holder, long seed, Logs logs) {
-        this.log = logs.of(Office.class);
-        this.label = label;
-        this.loop = loop;
-        this.store = store;
-        this.tunables = tunables;
-        this.holder = holder;
-        this.random = new SplittableRandom(seed);
-        this.nonce = Long.toHexString(random.nextLong());
-        this.touching = scope.own(new Duty("touch", loop, this::touch));
-        this.standing = scope.own(new Duty("stand", loop, this::stand));
-    }
-
-    public void start() {
-        loop.execute(this::read);
-    }
-
-    public boolean leading() {
-        return current != null;
-    }
-
-    public long term() {
-        return term;
-    }
-
-    /** Revision of the mandate under which another controller has said that it renews leases; advice. */
-    public long standInFor() {
-        return standInFor;
-    }
-
-    /** True if a mandate was there when the office was last heard of: advice to look. */
-    public boolean mandateSeen() {
-        return mandateSeen;
-    }
-
-    /** True while this node may act for the controllers, in whatever term. */
-    public boolean mayAct() {
-        Term t = current;
-        return t != null && t.mayAct();
+  /** Told on the office's own loop. */
+  public interface Holder {
+    void elected(Term term);
+
+    void left(Term term);
+
+    /** Runs on the thread that decides, to see whether it still turns. */
+    void whenTurning(Runnable action);
+  }
+
+  private static final String PREFIX = "office/";
+
+  /** A stand-in's word that it renews leases under a mandate. */
+  static final String STAND_IN = PREFIX + "stand-in";
+
+  /** Allows the other controllers to renew leases for the leader, see {@link StandIn}. */
+  public static final String MANDATE = PREFIX + "mandate";
+
+  private static final String LEADER = PREFIX + "leader";
+  static final String TERM = PREFIX + "term";
+  private static final long FOLLOW_MICROS = 5_000_000;
+  private static final long RETRY_MICROS = 400_000;
+
+  /**
+   * A leader whose decisions have stood still for this long serves nobody: far longer than any
+   * lateness it may survive.
+   */
+  private static final long STANDSTILL_MICROS = 10_000_000;
+
+  /** Both clocks may be off by 0.05%; this allows for twice the sum. */
+  private static final double DRIFT = 0.002;
+
+  private final Logger log;
+  private final String label;
+  private final Loop loop;
+  private final StateClient store;
+  private final Tunables tunables;
+  private final Holder holder;
+  private final SplittableRandom random;
+  private final Scope scope = new Scope();
+  private final Duty touching;
+  private final Duty standing;
+  private final String nonce;
+
+  private boolean known;
+  private long epoch = -1;
+  private long leaderStamp;
+  private volatile String leaderLabel;
+  private String leaderNonce;
+  private volatile long leaderSeenMicros;
+  private long termStamp;
+  private volatile long term;
+
+  /** The term in which this node leads, or null. */
+  private volatile Term current;
+
+  private boolean busy;
+  private volatile boolean mandateSeen;
+  private volatile long standInFor = -1;
+  private long notBeforeMicros;
+  private volatile long turnedMicros;
+  private int lost;
+
+  public Office(
+      String label,
+      Loop loop,
+      StateClient store,
+      Tunables tunables,
+      Holder holder,
+      long seed,
+      Logs logs) {
+    this.log = logs.of(Office.class);
+    this.label = label;
+    this.loop = loop;
+    this.store = store;
+    this.tunables = tunables;
+    this.holder = holder;
+    this.random = new SplittableRandom(seed);
+    this.nonce = Long.toHexString(random.nextLong());
+    this.touching = scope.own(new Duty("touch", loop, this::touch));
+    this.standing = scope.own(new Duty("stand", loop, this::stand));
+  }
+
+  public void start() {
+    loop.execute(this::read);
+  }
+
+  public boolean leading() {
+    return current != null;
+  }
+
+  public long term() {
+    return term;
+  }
+
+  /**
+   * Revision of the mandate under which another controller has said that it renews leases; advice.
+   */
+  public long standInFor() {
+    return standInFor;
+  }
+
+  /** True if a mandate was there when the office was last heard of: advice to look. */
+  public boolean mandateSeen() {
+    return mandateSeen;
+  }
+
+  /** True while this node may act for the controllers, in whatever term. */
+  public boolean mayAct() {
+    Term t = current;
+    return t != null && t.mayAct();
+  }
+
+  /** The live leader's label, or null if none is known lately. */
+  public String leaderLabel() {
+    boolean fresh =
+        loop.nowMicros() - leaderSeenMicros < FOLLOW_MICROS + 2 * tunables.grantTtlMicros();
+    String who = leaderLabel;
+    return who != null && fresh && !(who.equals(label) && current == null) ? who : null;
+  }
+
+  /** Gives the office up, at once, and does not stand for a while so that another node gets it. */
+  public void resign(Term of, String why, long pauseMicros) {
+    of.end();
+    loop.execute(() -> giveUp(of, why, pauseMicros));
+  }
+
+  private void giveUp(Term of, String why, long pauseMicros) {
+    notBeforeMicros = loop.nowMicros() + pauseMicros;
+    if (current == of && of != null) {
+      leave(why);
+      store.endGrant(of.permit());
     }
+  }
 
-    /** The live leader's label, or null if none is known lately. */
-    public String leaderLabel() {
-        boolean fresh = loop.nowMicros() - leaderSeenMicros < FOLLOW_MICROS + 2 * tunables.grantTtlMicros();
-        String who = leaderLabel;
-        return who != null && fresh && !(who.equals(label) && current == null) ? who : null;
+  private void read() {
+    if (scope.closed()) {
+      return;
     }
-
-    /** Gives the office up, at once, and does not stand for a while so that another node gets it. */
-    public void resign(Term of, String why, long pauseMicros) {
-        of.end();
-        loop.execute(() -> giveUp(of, why, pauseMicros));
-    }
-
-    private void giveUp(Term of, String why, long pauseMicros) {
-        notBeforeMicros = loop.nowMicros() + pauseMicros;
-        if (current == of && of != null) {
-            leave(why);
-            store.endGrant(of.permit());
-        }
-    }
-
-    private void read() {
-        if (scope.closed()) {
+    store.list(
+        PREFIX,
+        StateClient.Class.URGENT,
+        listing -> {
+          if (listing == null) {
+            loop.after(RETRY_MICROS + random.nextInt(200_000), this::read);
             return;
-        }
-        store.list(PREFIX, StateClient.Class.URGENT, listing -> {
-            if (listing == null) {
-                loop.after(RETRY_MICROS + random.nextInt(200_000), this::read);
-                return;
-            }
-            leaderStamp = 0;
-            leaderLabel = null;
-            termStamp = 0;
-            mandateSeen = listing.items().stream().anyMatch(i -> i.key().equals(MANDATE));
-            long newTerm = 0;
-            for (StateClient.Item i : listing.items()) {
-                if (i.key().equals(LEADER)) {
-                    seeLeader(i.data(), i.stamp());
-                } else if (i.key().equals(TERM)) {
-                    termStamp = i.stamp();
-                    newTerm = i.data().path("term").asLong();
-                }
+          }
+          leaderStamp = 0;
+          leaderLabel = null;
+          termStamp = 0;
+          mandateSeen = listing.items().stream().anyMatch(i -> i.key().equals(MANDATE));
+          long newTerm = 0;
+          for (StateClient.Item i : listing.items()) {
+            if (i.key().equals(LEADER)) {
+              seeLeader(i.data(), i.stamp());
+            } else if (i.key().equals(TERM)) {
+              termStamp = i.stamp();
+              newTerm = i.data().path("term").asLong();
             }
-            if (current == null) {
-                term = newTerm;
-            }
-            epoch = listing.epoch();
-            known = true;
-            changed();
-            follow();
+          }
+          if (current == null) {
+            term = newTerm;
+          }
+          epoch = listing.epoch();
+          known = true;
+          changed();
+          follow();
         });
+  }
+
+  private void seeLeader(com.fasterxml.jackson.databind.JsonNode data, long stamp) {
+    leaderStamp = stamp;
+    leaderLabel = data.path("label").asText();
+    leaderNonce = data.path("nonce").asText();
+    leaderSeenMicros = loop.nowMicros();
+  }
+
+  private void follow() {
+    if (scope.closed()) {
+      return;
     }
-
-    private void seeLeader(com.fasterxml.jackson.databind.JsonNode data, long stamp) {
-        leaderStamp = stamp;
-        leaderLabel = data.path("label").asText();
-        leaderNonce = data.path("nonce").asText();
-        leaderSeenMicros = loop.nowMicros();
-    }
-
-    private void follow() {
-        if (scope.closed()) {
+    store.follow(
+        PREFIX,
+        epoch,
+        FOLLOW_MICROS,
+        changes -> {
+          if (changes.status() == 410) {
+            read();
             return;
-        }
-        store.follow(PREFIX, epoch, FOLLOW_MICROS, changes -> {
-            if (changes.status() == 410) {
-                read();
-                return;
-            }
-            if (changes.status() != 200) {
-                // Refused or cut off: what is known grows old, so it is read anew before anything is built on it.
-                loop.after(RETRY_MICROS + random.nextInt(200_000), this::read);
-                return;
-            }
-            epoch = Math.max(epoch, changes.epoch());
-            for (StateClient.Change c : changes.log()) {
-                if (c.key().equals(LEADER)) {
-                    if (c.data() == null && c.stamp() > leaderStamp) {
-                        leaderStamp = 0;
-                        leaderLabel = null;
-                    } else if (c.data() != null && c.stamp() > leaderStamp) {
-                        seeLeader(c.data(), c.stamp());
-                    }
-                } else if (c.key().equals(STAND_IN) && c.data() != null) {
-                    standInFor = c.data().path("mandate").asLong(-1);
-                } else if (c.key().equals(MANDATE)) {
-                    mandateSeen = c.data() != null;
-                } else if (c.key().equals(TERM) && c.data() != null && c.stamp() > termStamp) {
-                    termStamp = c.stamp();
-                    if (current == null) {
-                        term = c.data().path("term").asLong();
-                    }
-                }
-            }
-            if (leaderLabel != null) {
-                leaderSeenMicros = loop.nowMicros();
+          }
+          if (changes.status() != 200) {
+            // Refused or cut off: what is known grows old, so it is read anew before anything is
+            // built on it.
+            loop.after(RETRY_MICROS + random.nextInt(200_000), this::read);
+            return;
+          }
+          epoch = Math.max(epoch, changes.epoch());
+          for (StateClient.Change c : changes.log()) {
+            if (c.key().equals(LEADER)) {
+              if (c.data() == null && c.stamp() > leaderStamp) {
+                leaderStamp = 0;
+                leaderLabel = null;
+              } else if (c.data() != null && c.stamp() > leaderStamp) {
+                seeLeader(c.data(), c.stamp());
+              }
+            } else if (c.key().equals(STAND_IN) && c.data() != null) {
+              standInFor = c.data().path("mandate").asLong(-1);
+            } else if (c.key().equals(MANDATE)) {
+              mandateSeen = c.data() != null;
+            } else if (c.key().equals(TERM) && c.data() != null && c.stamp() > termStamp) {
+              termStamp = c.stamp();
+              if (current == null) {
+                term = c.data().path("term").asLong();
+              }
             }
-            changed();
-            follow();
+          }
+          if (leaderLabel != null) {
+            leaderSeenMicros = loop.nowMicros();
+          }
+          changed();
+          follow();
         });
+  }
+
+  private boolean mine() {
+    return label.equals(leaderLabel) && nonce.equals(leaderNonce);
+  }
+
+  private void changed() {
+    if (current != null) {
+      if (!busy && leaderStamp != 0 && !mine()) {
+        leave("another node holds the office");
+      }
+    } else if (!busy && (leaderStamp == 0 || label.equals(leaderLabel))) {
+      // A key of this node's own that it does not act on is left from an earlier life of this
+      // process:
+      // that one is dead, so the office is free.
+      standing.wakeIn(lost * 150_000L + random.nextInt(250_000));
     }
+  }
 
-    private boolean mine() {
-        return label.equals(leaderLabel) && nonce.equals(leaderNonce);
+  private long stand() {
+    if (current != null || busy || !known || !(leaderStamp == 0 || label.equals(leaderLabel))) {
+      return -1;
     }
-
-    private void changed() {
-        if (current != null) {
-            if (!busy && leaderStamp != 0 && !mine()) {
-                leave("another node holds the office");
-            }
-        } else if (!busy && (leaderStamp == 0 || label.equals(leaderLabel))) {
-            // A key of this node's own that it does not act on is left from an earlier life of this process:
-            // that one is dead, so the office is free.
-            standing.wakeIn(lost * 150_000L + random.nextInt(250_000));
-        }
+    long now = loop.nowMicros();
+    if (now < notBeforeMicros) {
+      return notBeforeMicros - now;
     }
-
-    private long stand() {
-        if (current != null || busy || !known || !(leaderStamp == 0 || label.equals(leaderLabel))) {
-            return -1;
-        }
-        long now = loop.nowMicros();
-        if (now < notBeforeMicros) {
-            return notBeforeMicros - now;
-        }
-        busy = true;
-        // The guards are what this decision was taken on: followed changes go on arriving while the grant is made, and
-        // a guard on the newest stamp would depose a leader elected in between.
-        long seenLeader = leaderStamp;
-        long seenTerm = termStamp;
-        long newTerm = term + 1;
-        store.grant(tunables.grantTtlMicros(), p -> {
-            if (p < 0) {
-                busy = false;
-                standing.wakeIn(RETRY_MICROS + random.nextInt(400_000));
-                return;
-            }
-            long sentAt = now;
-            ObjectNode leader = Json.object().put("label", label).put("nonce", nonce).put("term", newTerm);
-            Txn txn = new Txn().guard(LEADER, seenLeader).guard(TERM, seenTerm)
-                    .put(LEADER, leader, p).put(TERM, Json.object().put("term", newTerm)).drop(MANDATE);
-            store.txn(txn, StateClient.Class.URGENT, result -> {
+    busy = true;
+    // The guards are what this decision was taken on: followed changes go on arriving while the
+    // grant is made, and
+    // a guard on the newest stamp would depose a leader elected in between.
+    long seenLeader = leaderStamp;
+    long seenTerm = termStamp;
+    long newTerm = term + 1;
+    store.grant(
+        tunables.grantTtlMicros(),
+        p -> {
+          if (p < 0) {
+            busy = false;
+            standing.wakeIn(RETRY_MICROS + random.nextInt(400_000));
+            return;
+          }
+          long sentAt = now;
+          ObjectNode leader =
+              Json.object().put("label", label).put("nonce", nonce).put("term", newTerm);
+          Txn txn =
+              new Txn()
+                  .guard(LEADER, seenLeader)
+                  .guard(TERM, seenTerm)
+                  .put(LEADER, leader, p)
+                  .put(TERM, Json.object().put("term", newTerm))
+                  .drop(MANDATE);
+          store.txn(
+              txn,
+              StateClient.Class.URGENT,
+              result -> {
                 switch (result.outcome()) {
-                    case APPLIED -> take(p, newTerm, result.epoch(), sentAt);
-                    case UNKNOWN -> settle(p, newTerm, sentAt, 0);
-                    default -> giveUp(p);
+                  case APPLIED -> take(p, newTerm, result.epoch(), sentAt);
+                  case UNKNOWN -> settle(p, newTerm, sentAt, 0);
+                  default -> giveUp(p);
                 }
-            });
+              });
         });
-        return -1;
-    }
-
-    /** An uncertain answer is settled by reading, never by assuming. */
-    private void settle(long p, long newTerm, long sentAt, int tries) {
-        store.get(LEADER, StateClient.Class.URGENT, got -> {
-            if (got.found() && label.equals(got.item().data().path("label").asText())
-                    && nonce.equals(got.item().data().path("nonce").asText())
-                    && got.item().data().path("term").asLong() == newTerm) {
-                // Both keys were put in one change and so have the same revision.
-                take(p, newTerm, got.item().stamp(), sentAt);
-            } else if (got.found() || got.missing() || tries >= 3) {
-                giveUp(p);
-            } else {
-                loop.after(RETRY_MICROS, () -> settle(p, newTerm, sentAt, tries + 1));
-            }
+    return -1;
+  }
+
+  /** An uncertain answer is settled by reading, never by assuming. */
+  private void settle(long p, long newTerm, long sentAt, int tries) {
+    store.get(
+        LEADER,
+        StateClient.Class.URGENT,
+        got -> {
+          if (got.found()
+              && label.equals(got.item().data().path("label").asText())
+              && nonce.equals(got.item().data().path("nonce").asText())
+              && got.item().data().path("term").asLong() == newTerm) {
+            // Both keys were put in one change and so have the same revision.
+            take(p, newTerm, got.item().stamp(), sentAt);
+          } else if (got.found() || got.missing() || tries >= 3) {
+            giveUp(p);
+          } else {
+            loop.after(RETRY_MICROS, () -> settle(p, newTerm, sentAt, tries + 1));
+          }
         });
-    }
-
-    private void giveUp(long p) {
-        // Ending the grant makes a late execution of the transaction fail.
-        store.endGrant(p);
-        busy = false;
-        lost = Math.min(lost + 1, 6);
-        loop.after(50_000, this::reread);
-    }
-
-    private void reread() {
-        store.list(PREFIX, StateClient.Class.URGENT, listing -> {
-            if (listing != null && current == null && !busy) {
-                boolean leaderFound = false;
-                for (StateClient.Item i : listing.items()) {
-                    if (i.key().equals(LEADER)) {
-                        leaderFound = true;
-                        seeLeader(i.data(), i.stamp());
-                    } else if (i.key().equals(TERM)) {
-                        termStamp = i.stamp();
-                        term = i.data().path("term").asLong();
-                    }
-                }
-                if (!leaderFound) {
-                    leaderStamp = 0;
-                    leaderLabel = null;
-                }
-                changed();
-            } else if (listing == null) {
-                standing.wakeIn(RETRY_MICROS + random.nextInt(400_000));
+  }
+
+  private void giveUp(long p) {
+    // Ending the grant makes a late execution of the transaction fail.
+    store.endGrant(p);
+    busy = false;
+    lost = Math.min(lost + 1, 6);
+    loop.after(50_000, this::reread);
+  }
+
+  private void reread() {
+    store.list(
+        PREFIX,
+        StateClient.Class.URGENT,
+        listing -> {
+          if (listing != null && current == null && !busy) {
+            boolean leaderFound = false;
+            for (StateClient.Item i : listing.items()) {
+              if (i.key().equals(LEADER)) {
+                leaderFound = true;
+                seeLeader(i.data(), i.stamp());
+              } else if (i.key().equals(TERM)) {
+                termStamp = i.stamp();
+                term = i.data().path("term").asLong();
+              }
             }
+            if (!leaderFound) {
+              leaderStamp = 0;
+              leaderLabel = null;
+            }
+            changed();
+          } else if (listing == null) {
+            standing.wakeIn(RETRY_MICROS + random.nextInt(400_000));
+          }
         });
+  }
+
+  private void take(long p, long newTerm, long stamp, long sentAt) {
+    Term t = new Term(loop, newTerm, stamp, p);
+    busy = false;
+    lost = 0;
+    term = newTerm;
+    leaderLabel = label;
+    leaderNonce = nonce;
+    leaderSeenMicros = loop.nowMicros();
+    turnedMicros = loop.nowMicros();
+    extend(t, sentAt);
+    current = t;
+    if (!t.mayAct()) {
+      leave("the grant ran out while the office was taken");
+      return;
     }
-
-    private void take(long p, long newTerm, long stamp, long sentAt) {
-        Term t = new Term(loop, newTerm, stamp, p);
-        busy = false;
-        lost = 0;
-        term = newTerm;
-        leaderLabel = label;
-        leaderNonce = nonce;
-        leaderSeenMicros = loop.nowMicros();
-        turnedMicros = loop.nowMicros();
-        extend(t, sentAt);
-        current = t;
-        if (!t.mayAct()) {
-            leave("the grant ran out while the office was taken");
-            return;
-        }
-        log.info("leading, term {}", newTerm);
-        touching.wakeIn(tunables.touchMicros());
-        holder.elected(t);
-    }
-
-    private void extend(Term t, long sentAt) {
-        t.extend(sentAt + (long) (tunables.grantTtlMicros() * (1 - DRIFT)) - tunables.actMarginMicros());
+    log.info("leading, term {}", newTerm);
+    touching.wakeIn(tunables.touchMicros());
+    holder.elected(t);
+  }
+
+  private void extend(Term t, long sentAt) {
+    t.extend(
+        sentAt + (long) (tunables.grantTtlMicros() * (1 - DRIFT)) - tunables.actMarginMicros());
+  }
+
+  private long touch() {
+    Term t = current;
+    if (t == null) {
+      return -1;
     }
-
-    private long touch() {
-        Term t = current;
-        if (t == null) {
-            return -1;
-        }
-        long now = loop.nowMicros();
-        if (!t.mayAct()) {
-            leave("the grant could not be renewed");
-            return -1;
-        }
-        if (now - turnedMicros > STANDSTILL_MICROS) {
-            giveUp(t, "its decisions stand still", STANDSTILL_MICROS);
-            return -1;
-        }
-        holder.whenTurning(() -> turnedMicros = loop.nowMicros());
-        store.touch(t.permit(), result -> {
-            if (current != t) {
-                return;
-            }
-            switch (result) {
-                case RENEWED -> extend(t, now);
-                case ENDED -> leave("the grant has ended");
-                case UNKNOWN -> touching.wakeIn(Math.min(RETRY_MICROS, Math.max(1, t.rightUntilMicros() - loop.nowMicros())));
-            }
-        });
-        return Math.min(tunables.touchMicros(), Math.max(1, t.rightUntilMicros() - now));
+    long now = loop.nowMicros();
+    if (!t.mayAct()) {
+      leave("the grant could not be renewed");
+      return -1;
     }
-
-    private void leave(String why) {
-        Term t = current;
-        t.end();
-        current = null;
-        log.info("no longer leading term {}: {}", t.number(), why);
-        holder.left(t);
-        if (mine()) {
-            // Until the key is seen to go, or somebody else's comes, nothing is known of who leads.
-            leaderLabel = null;
-            leaderStamp = -1;
-        }
-        loop.after(RETRY_MICROS, this::reread);
+    if (now - turnedMicros > STANDSTILL_MICROS) {
+      giveUp(t, "its decisions stand still", STANDSTILL_MICROS);
+      return -1;
     }
-
-    @Override
-    public void close() {
-        loop.execute(() -> {
-            giveUp(current, "shutting down", 3_600_000_000L);
-            scope.close();
+    holder.whenTurning(() -> turnedMicros = loop.nowMicros());
+    store.touch(
+        t.permit(),
+        result -> {
+          if (current != t) {
+            return;
+          }
+          switch (result) {
+            case RENEWED -> extend(t, now);
+            case ENDED -> leave("the grant has ended");
+            case UNKNOWN ->
+                touching.wakeIn(
+                    Math.min(RETRY_MICROS, Math.max(1, t.rightUntilMicros() - loop.nowMicros())));
+          }
         });
+    return Math.min(tunables.touchMicros(), Math.max(1, t.rightUntilMicros() - now));
+  }
+
+  private void leave(String why) {
+    Term t = current;
+    t.end();
+    current = null;
+    log.info("no longer leading term {}: {}", t.number(), why);
+    holder.left(t);
+    if (mine()) {
+      // Until the key is seen to go, or somebody else's comes, nothing is known of who leads.
+      leaderLabel = null;
+      leaderStamp = -1;
     }
+    loop.after(RETRY_MICROS, this::reread);
+  }
+
+  @Override
+  public void close() {
+    loop.execute(
+        () -> {
+          giveUp(current, "shutting down", 3_600_000_000L);
+          scope.close();
+        });
+  }
 }
--- a/src/main/java/plumlever/election/Term.java
+++ b/src/main/java/plumlever/election/Term.java
@@ -4,56 +4,59 @@
 import plumlever.store.Txn;
 
 /**
- * One term of office, and the right to act in it. Once it has ended it never comes back, also if the same node is elected
- * again: whoever still works for the old term must not go on under the right of the new one. Extended on the office's
- * thread, asked on any.
+ * One term of office, and the right to act in it. Once it has ended it never comes back, also if
+ * the same node is elected again: whoever still works for the old term must not go on under the
+ * right of the new one. Extended on the office's thread, asked on any.
  */
 public final class Term {
-    private final Loop clock;
-    private final long number;
-    private final long stamp;
-    private final long permit;
-    private volatile long rightUntilMicros;
-    private volatile boolean ended;
-
-    Term(Loop clock, long number, long stamp, long permit) {
-        this.clock = clock;
-        this.number = number;
-        this.stamp = stamp;
-        this.permit = permit;
-    }
-
-    public long number() {
-        return number;
-    }
-
-    /** The grant that the office hangs on. */
-    public long permit() {
-        return permit;
-    }
-
-    /** True while its holder may act for the controllers; asked again right before every answer and order. */
-    public boolean mayAct() {
-        return !ended && clock.nowMicros() < rightUntilMicros;
-    }
-
-    /**
-     * A guard that holds as long as no later term has begun: what a leader writes of its own work carries it, so that a
-     * write carried out late can't spoil a successor's.
-     */
-    public Txn guard() {
-        return new Txn().guard(Office.TERM, stamp);
-    }
-
-    long rightUntilMicros() {
-        return rightUntilMicros;
-    }
-
-    void extend(long untilMicros) {
-        rightUntilMicros = Math.max(rightUntilMicros, untilMicros);
-    }
-
-    void end() {
-        ended = true;
-    }
+  private final Loop clock;
+  private final long number;
+  private final long stamp;
+  private final long permit;
+  private volatile long rightUntilMicros;
+  private volatile boolean ended;
+
+  Term(Loop clock, long number, long stamp, long permit) {
+    this.clock = clock;
+    this.number = number;
+    this.stamp = stamp;
+    this.permit = permit;
+  }
+
+  public long number() {
+    return number;
+  }
+
+  /** The grant that the office hangs on. */
+  public long permit() {
+    return permit;
+  }
+
+  /**
+   * True while its holder may act for the controllers; asked again right before every answer and
+   * order.
+   */
+  public boolean mayAct() {
+    return !ended && clock.nowMicros() < rightUntilMicros;
+  }
+
+  /**
+   * A guard that holds as long as no later term has begun: what a leader writes of its own work
+   * carries it, so that a write carried out late can't spoil a successor's.
+   */
+  public Txn guard() {
+    return new Txn().guard(Office.TERM, stamp);
+  }
+
+  long rightUntilMicros() {
+    return rightUntilMicros;
+  }
+
+  void extend(long untilMicros) {
+    rightUntilMicros = Math.max(rightUntilMicros, untilMicros);
+  }
+
+  void end() {
+    ended = true;
+  }
 }
--- a/src/main/java/plumlever/fleet/Attempt.java
+++ b/src/main/java/plumlever/fleet/Attempt.java
@@ -6,146 +6,154 @@
 
 /** One try at running a task on a machine. It ends only by proof, see {@link Fleet#end}. */
 public final class Attempt {
-    private final Job job;
-    private final int task;
-    private final long id;
-    private final Machine machine;
-    private final long tenure;
-    private final long sentTick;
-    private final long directToken;
-    private final long sentMicros;
-    private TaskStatus status;
-    private long runningSinceMicros = -1;
-    private boolean over;
-    private ExitCause cause;
-    private boolean halting;
-    private double windDownS;
-    private long haltedMicros;
-
-    /**
-     * @param sentTick number of the report whose answer carried the order, -1 for any other attempt
-     * @param directToken token of the direct order that started it, -1 for any other attempt
-     */
-    Attempt(Job job, int task, long id, Machine machine, long tenure, long sentTick, long directToken, long sentMicros) {
-        this.job = job;
-        this.task = task;
-        this.id = id;
-        this.machine = machine;
-        this.tenure = tenure;
-        this.sentTick = sentTick;
-        this.directToken = directToken;
-        this.sentMicros = sentMicros;
-    }
-
-    public Job job() {
-        return job;
-    }
-
-    public int task() {
-        return task;
-    }
-
-    public TaskName name() {
-        return new TaskName(job.uid(), task);
-    }
-
-    public long id() {
-        return id;
-    }
-
-    public Machine machine() {
-        return machine;
-    }
-
-    public long tenure() {
-        return tenure;
-    }
-
-    public long sentTick() {
-        return sentTick;
-    }
-
-    public long directToken() {
-        return directToken;
-    }
-
-    /** True for an attempt of an earlier term that its machine reported. */
-    public boolean adopted() {
-        return sentTick < 0 && directToken < 0;
-    }
-
-    public long sentMicros() {
-        return sentMicros;
-    }
-
-    /** Null until the worker has reported it. */
-    public TaskStatus status() {
-        return status;
-    }
-
-    public long runningSinceMicros() {
-        return runningSinceMicros;
-    }
-
-    public void see(TaskStatus now, long nowMicros) {
-        if (now == TaskStatus.RUNNING && runningSinceMicros < 0) {
-            runningSinceMicros = nowMicros;
-            job.begin();
-        }
-        settle();
-        status = now;
-    }
-
-    /** True while it was sent straight to the machine and nothing has been heard of it. */
-    boolean unheard() {
-        return directToken >= 0 && status == null && !over;
-    }
-
-    private void settle() {
-        if (unheard()) {
-            machine.heardOf();
-        }
-    }
-
-    /** True when it surely runs no more. */
-    public boolean over() {
-        return over;
-    }
-
-    /** Why it ended, as reported; null if it vanished with its machine or session. */
-    public ExitCause cause() {
-        return cause;
-    }
-
-    void end(ExitCause why) {
-        settle();
-        if (!over) {
-            machine.ended();
-        }
-        over = true;
-        cause = why;
-    }
-
-    public boolean halting() {
-        return halting;
-    }
-
-    public double windDownS() {
-        return windDownS;
-    }
-
-    /** From now on every answer to its machine says halt, until it is reported as ended. */
-    public void halt(double windDown, long nowMicros) {
-        if (!halting) {
-            halting = true;
-            haltedMicros = nowMicros;
-            windDownS = windDown;
-        } else {
-            windDownS = Math.min(windDownS, windDown);
-        }
-    }
-
-    public long haltedMicros() {
-        return haltedMicros;
-    }
+  private final Job job;
+  private final int task;
+  private final long id;
+  private final Machine machine;
+  private final long tenure;
+  private final long sentTick;
+  private final long directToken;
+  private final long sentMicros;
+  private TaskStatus status;
+  private long runningSinceMicros = -1;
+  private boolean over;
+  private ExitCause cause;
+  private boolean halting;
+  private double windDownS;
+  private long haltedMicros;
+
+  /**
+   * @param sentTick number of the report whose answer carried the order, -1 for any other attempt
+   * @param directToken token of the direct order that started it, -1 for any other attempt
+   */
+  Attempt(
+      Job job,
+      int task,
+      long id,
+      Machine machine,
+      long tenure,
+      long sentTick,
+      long directToken,
+      long sentMicros) {
+    this.job = job;
+    this.task = task;
+    this.id = id;
+    this.machine = machine;
+    this.tenure = tenure;
+    this.sentTick = sentTick;
+    this.directToken = directToken;
+    this.sentMicros = sentMicros;
+  }
+
+  public Job job() {
+    return job;
+  }
+
+  public int task() {
+    return task;
+  }
+
+  public TaskName name() {
+    return new TaskName(job.uid(), task);
+  }
+
+  public long id() {
+    return id;
+  }
+
+  public Machine machine() {
+    return machine;
+  }
+
+  public long tenure() {
+    return tenure;
+  }
+
+  public long sentTick() {
+    return sentTick;
+  }
+
+  public long directToken() {
+    return directToken;
+  }
+
+  /** True for an attempt of an earlier term that its machine reported. */
+  public boolean adopted() {
+    return sentTick < 0 && directToken < 0;
+  }
+
+  public long sentMicros() {
+    return sentMicros;
+  }
+
+  /** Null until the worker has reported it. */
+  public TaskStatus status() {
+    return status;
+  }
+
+  public long runningSinceMicros() {
+    return runningSinceMicros;
+  }
+
+  public void see(TaskStatus now, long nowMicros) {
+    if (now == TaskStatus.RUNNING && runningSinceMicros < 0) {
+      runningSinceMicros = nowMicros;
+      job.begin();
+    }
+    settle();
+    status = now;
+  }
+
+  /** True while it was sent straight to the machine and nothing has been heard of it. */
+  boolean unheard() {
+    return directToken >= 0 && status == null && !over;
+  }
+
+  private void settle() {
+    if (unheard()) {
+      machine.heardOf();
+    }
+  }
+
+  /** True when it surely runs no more. */
+  public boolean over() {
+    return over;
+  }
+
+  /** Why it ended, as reported; null if it vanished with its machine or session. */
+  public ExitCause cause() {
+    return cause;
+  }
+
+  void end(ExitCause why) {
+    settle();
+    if (!over) {
+      machine.ended();
+    }
+    over = true;
+    cause = why;
+  }
+
+  public boolean halting() {
+    return halting;
+  }
+
+  public double windDownS() {
+    return windDownS;
+  }
+
+  /** From now on every answer to its machine says halt, until it is reported as ended. */
+  public void halt(double windDown, long nowMicros) {
+    if (!halting) {
+      halting = true;
+      haltedMicros = nowMicros;
+      windDownS = windDown;
+    } else {
+      windDownS = Math.min(windDownS, windDown);
+    }
+  }
+
+  public long haltedMicros() {
+    return haltedMicros;
+  }
 }
--- a/src/main/java/plumlever/fleet/Chains.java
+++ b/src/main/java/plumlever/fleet/Chains.java
@@ -13,294 +13,317 @@
 import plumlever.wire.Urgency;
 
 /**
- * Jobs that wait for others, and what follows from how those end. Pure: it is told what the stored records say and asked what
- * that means, by the controllers that answer users and by the leader alike.
+ * Jobs that wait for others, and what follows from how those end. Pure: it is told what the stored
+ * records say and asked what that means, by the controllers that answer users and by the leader
+ * alike.
  *
- * <p>A job is released when all jobs that it waits on are stored as done, and aborted as soon as one before it, directly or
- * through others, is stored as aborted, unless it has ended itself. Where only a later job has a deadline or is urgent, those
- * before it get their part of that ({@link Aim}). Records never change and a job names only such as were accepted before it, so
+ * <p>A job is released when all jobs that it waits on are stored as done, and aborted as soon as
+ * one before it, directly or through others, is stored as aborted, unless it has ended itself.
+ * Where only a later job has a deadline or is urgent, those before it get their part of that
+ * ({@link Aim}). Records never change and a job names only such as were accepted before it, so
  * there are no cycles; each word costs what it changes and no recursion.
  */
 public final class Chains {
-    /** What follows for a job from the records told so far. */
-    public enum Standing {
-        /** Nothing is known of it. */
-        UNKNOWN,
-        /** Some job that it waits on has not ended, as far as is known. */
-        WAITING,
-        /** All that it waits on are done. */
-        RELEASED,
-        /** It or a job before it is aborted. */
-        ABORTED,
-        DONE
-    }
+  /** What follows for a job from the records told so far. */
+  public enum Standing {
+    /** Nothing is known of it. */
+    UNKNOWN,
+    /** Some job that it waits on has not ended, as far as is known. */
+    WAITING,
+    /** All that it waits on are done. */
+    RELEASED,
+    /** It or a job before it is aborted. */
+    ABORTED,
+    DONE
+  }
 
-    /**
-     * What a job is worth: its own, or what a job that needs it leaves it.
-     *
-     * @param submittedMicros when the job with the deadline was submitted
-     * @param dueMicros its deadline, from then on; Long.MAX_VALUE for none
-     * @param jobclass its class, whose aims say by how much the deadline may be missed
-     * @param tailMicros what the jobs after this one take, on the longest way to that job and with it
-     */
-    public record Aim(long submittedMicros, long dueMicros, String jobclass, long tailMicros, Urgency urgency) {
-        /** By when this job has to be done; Long.MAX_VALUE for any time. */
-        public long byMicros() {
-            return dueMicros == Long.MAX_VALUE ? Long.MAX_VALUE : submittedMicros + dueMicros - tailMicros;
-        }
+  /**
+   * What a job is worth: its own, or what a job that needs it leaves it.
+   *
+   * @param submittedMicros when the job with the deadline was submitted
+   * @param dueMicros its deadline, from then on; Long.MAX_VALUE for none
+   * @param jobclass its class, whose aims say by how much the deadline may be missed
+   * @param tailMicros what the jobs after this one take, on the longest way to that job and with it
+   */
+  public record Aim(
+      long submittedMicros, long dueMicros, String jobclass, long tailMicros, Urgency urgency) {
+    /** By when this job has to be done; Long.MAX_VALUE for any time. */
+    public long byMicros() {
+      return dueMicros == Long.MAX_VALUE
+          ? Long.MAX_VALUE
+          : submittedMicros + dueMicros - tailMicros;
+    }
 
-        private Aim before(long costMicros) {
-            return new Aim(submittedMicros, dueMicros, jobclass, dueMicros == Long.MAX_VALUE ? 0 : tailMicros + costMicros, urgency);
-        }
+    private Aim before(long costMicros) {
+      return new Aim(
+          submittedMicros,
+          dueMicros,
+          jobclass,
+          dueMicros == Long.MAX_VALUE ? 0 : tailMicros + costMicros,
+          urgency);
+    }
 
-        private Aim with(Aim other) {
-            Aim sooner = other.byMicros() < byMicros() ? other : this;
-            Urgency u = other.urgency.compareTo(urgency) < 0 ? other.urgency : urgency;
-            return sooner.urgency == u ? sooner
-                    : new Aim(sooner.submittedMicros, sooner.dueMicros, sooner.jobclass, sooner.tailMicros, u);
-        }
+    private Aim with(Aim other) {
+      Aim sooner = other.byMicros() < byMicros() ? other : this;
+      Urgency u = other.urgency.compareTo(urgency) < 0 ? other.urgency : urgency;
+      return sooner.urgency == u
+          ? sooner
+          : new Aim(
+              sooner.submittedMicros, sooner.dueMicros, sooner.jobclass, sooner.tailMicros, u);
     }
+  }
 
-    private static final class Node {
-        final String uid;
-        final List<Node> needs = new ArrayList<>();
-        final List<Node> neededBy = new ArrayList<>();
-        /** How many of the jobs that it waits on are not done, as far as is known. */
-        int open;
-        Standing standing = Standing.UNKNOWN;
-        String through;
-        long releasedMicros;
-        /** Revision of its record: a job has a later one than those it waits on. */
-        long stamp;
-        Aim own;
-        Aim aim;
-        long costMicros;
-
-        Node(String uid) {
-            this.uid = uid;
-        }
+  private static final class Node {
+    final String uid;
+    final List<Node> needs = new ArrayList<>();
+    final List<Node> neededBy = new ArrayList<>();
 
-        boolean over() {
-            return standing == Standing.DONE || standing == Standing.ABORTED;
-        }
-    }
+    /** How many of the jobs that it waits on are not done, as far as is known. */
+    int open;
 
-    private final Map<String, Node> nodes = new HashMap<>();
-    private final List<String> released = new ArrayList<>();
-    private final List<String> aborted = new ArrayList<>();
-    private final PriorityQueue<Node> stale = new PriorityQueue<>(Comparator.comparingLong((Node n) -> n.stamp).reversed());
+    Standing standing = Standing.UNKNOWN;
+    String through;
+    long releasedMicros;
 
-    private Node node(String uid) {
-        return nodes.computeIfAbsent(uid, Node::new);
-    }
+    /** Revision of its record: a job has a later one than those it waits on. */
+    long stamp;
 
-    /**
-     * The record of a job that has not ended.
-     *
-     * @return the jobs named of which nothing was known: what their records say is to be told too
-     */
-    public List<String> accepted(String uid, long stamp, Collection<String> waitsOn) {
-        Node n = node(uid);
-        if (n.standing != Standing.UNKNOWN) {
-            return List.of();
-        }
-        n.standing = Standing.WAITING;
-        n.stamp = stamp;
-        List<String> unknown = new ArrayList<>();
-        Node cause = null;
-        for (String name : waitsOn) {
-            Node before = node(name);
-            n.needs.add(before);
-            if (before.standing == Standing.DONE) {
-                n.releasedMicros = Math.max(n.releasedMicros, before.releasedMicros);
-                continue;
-            }
-            n.open++;
-            before.neededBy.add(n);
-            if (before.standing == Standing.UNKNOWN) {
-                unknown.add(name);
-            } else if (before.standing == Standing.ABORTED) {
-                cause = before;
-            }
-        }
-        if (cause != null) {
-            abort(n, cause.uid);
-        } else if (n.open == 0) {
-            release(n);
-        }
-        return unknown;
+    Aim own;
+    Aim aim;
+    long costMicros;
+
+    Node(String uid) {
+      this.uid = uid;
     }
 
-    private void release(Node n) {
-        n.standing = Standing.RELEASED;
-        released.add(n.uid);
+    boolean over() {
+      return standing == Standing.DONE || standing == Standing.ABORTED;
     }
+  }
 
-    /** The stored end of a job, of which anything may be known or not. */
-    public void ended(String uid, JobState how, long atMicros) {
-        Node n = nodes.get(uid);
-        if (n == null || n.standing == Standing.DONE) {
-            return;
-        }
-        if (how == JobState.ABORTED) {
-            if (n.standing != Standing.ABORTED) {
-                abort(n, uid);
-            }
-            forget(n);
-            return;
-        }
-        n.standing = Standing.DONE;
-        for (Node after : n.neededBy) {
-            after.releasedMicros = Math.max(after.releasedMicros, atMicros);
-            if (--after.open == 0 && after.standing == Standing.WAITING) {
-                release(after);
-            }
-        }
-        forget(n);
+  private final Map<String, Node> nodes = new HashMap<>();
+  private final List<String> released = new ArrayList<>();
+  private final List<String> aborted = new ArrayList<>();
+  private final PriorityQueue<Node> stale =
+      new PriorityQueue<>(Comparator.comparingLong((Node n) -> n.stamp).reversed());
+
+  private Node node(String uid) {
+    return nodes.computeIfAbsent(uid, Node::new);
+  }
+
+  /**
+   * The record of a job that has not ended.
+   *
+   * @return the jobs named of which nothing was known: what their records say is to be told too
+   */
+  public List<String> accepted(String uid, long stamp, Collection<String> waitsOn) {
+    Node n = node(uid);
+    if (n.standing != Standing.UNKNOWN) {
+      return List.of();
+    }
+    n.standing = Standing.WAITING;
+    n.stamp = stamp;
+    List<String> unknown = new ArrayList<>();
+    Node cause = null;
+    for (String name : waitsOn) {
+      Node before = node(name);
+      n.needs.add(before);
+      if (before.standing == Standing.DONE) {
+        n.releasedMicros = Math.max(n.releasedMicros, before.releasedMicros);
+        continue;
+      }
+      n.open++;
+      before.neededBy.add(n);
+      if (before.standing == Standing.UNKNOWN) {
+        unknown.add(name);
+      } else if (before.standing == Standing.ABORTED) {
+        cause = before;
+      }
     }
+    if (cause != null) {
+      abort(n, cause.uid);
+    } else if (n.open == 0) {
+      release(n);
+    }
+    return unknown;
+  }
+
+  private void release(Node n) {
+    n.standing = Standing.RELEASED;
+    released.add(n.uid);
+  }
 
-    /** What has ended has told all that it ever will; should a later job name it, its record is read again. */
-    private void forget(Node n) {
-        nodes.remove(n.uid, n);
+  /** The stored end of a job, of which anything may be known or not. */
+  public void ended(String uid, JobState how, long atMicros) {
+    Node n = nodes.get(uid);
+    if (n == null || n.standing == Standing.DONE) {
+      return;
+    }
+    if (how == JobState.ABORTED) {
+      if (n.standing != Standing.ABORTED) {
+        abort(n, uid);
+      }
+      forget(n);
+      return;
     }
+    n.standing = Standing.DONE;
+    for (Node after : n.neededBy) {
+      after.releasedMicros = Math.max(after.releasedMicros, atMicros);
+      if (--after.open == 0 && after.standing == Standing.WAITING) {
+        release(after);
+      }
+    }
+    forget(n);
+  }
+
+  /**
+   * What has ended has told all that it ever will; should a later job name it, its record is read
+   * again.
+   */
+  private void forget(Node n) {
+    nodes.remove(n.uid, n);
+  }
 
-    /** Aborts it and all that need it; each is visited once. */
-    private void abort(Node first, String through) {
-        List<Node> next = new ArrayList<>();
-        first.standing = Standing.ABORTED;
-        first.through = through;
-        next.add(first);
-        for (int i = 0; i < next.size(); i++) {
-            Node n = next.get(i);
-            aborted.add(n.uid);
-            n.needs.forEach(this::outdated);
-            for (Node after : n.neededBy) {
-                if (!after.over()) {
-                    after.standing = Standing.ABORTED;
-                    after.through = through;
-                    next.add(after);
-                }
-            }
+  /** Aborts it and all that need it; each is visited once. */
+  private void abort(Node first, String through) {
+    List<Node> next = new ArrayList<>();
+    first.standing = Standing.ABORTED;
+    first.through = through;
+    next.add(first);
+    for (int i = 0; i < next.size(); i++) {
+      Node n = next.get(i);
+      aborted.add(n.uid);
+      n.needs.forEach(this::outdated);
+      for (Node after : n.neededBy) {
+        if (!after.over()) {
+          after.standing = Standing.ABORTED;
+          after.through = through;
+          next.add(after);
         }
+      }
     }
+  }
 
-    public Standing standing(String uid) {
-        Node n = nodes.get(uid);
-        return n == null ? Standing.UNKNOWN : n.standing;
-    }
+  public Standing standing(String uid) {
+    Node n = nodes.get(uid);
+    return n == null ? Standing.UNKNOWN : n.standing;
+  }
 
-    /** The revision of its record; 0 where nothing is known of it. */
-    public long stamp(String uid) {
-        Node n = nodes.get(uid);
-        return n == null ? 0 : n.stamp;
-    }
+  /** The revision of its record; 0 where nothing is known of it. */
+  public long stamp(String uid) {
+    Node n = nodes.get(uid);
+    return n == null ? 0 : n.stamp;
+  }
 
-    /** The job whose abort aborted this one. */
-    public String through(String uid) {
-        Node n = nodes.get(uid);
-        return n == null ? null : n.through;
-    }
+  /** The job whose abort aborted this one. */
+  public String through(String uid) {
+    Node n = nodes.get(uid);
+    return n == null ? null : n.through;
+  }
 
-    /** When the last job that it waits on ended; 0 if that is not known or there is none. */
-    public long releasedMicros(String uid) {
-        Node n = nodes.get(uid);
-        return n == null ? 0 : n.releasedMicros;
-    }
+  /** When the last job that it waits on ended; 0 if that is not known or there is none. */
+  public long releasedMicros(String uid) {
+    Node n = nodes.get(uid);
+    return n == null ? 0 : n.releasedMicros;
+  }
 
-    /** The jobs that it still waits on, for the log. */
-    public List<String> waitsFor(String uid) {
-        Node n = nodes.get(uid);
-        return n == null ? List.of() : n.needs.stream().filter(b -> b.standing != Standing.DONE).map(b -> b.uid).toList();
-    }
+  /** The jobs that it still waits on, for the log. */
+  public List<String> waitsFor(String uid) {
+    Node n = nodes.get(uid);
+    return n == null
+        ? List.of()
+        : n.needs.stream().filter(b -> b.standing != Standing.DONE).map(b -> b.uid).toList();
+  }
 
-    /** True if some job not over waits on it. */
-    public boolean needed(String uid) {
-        Node n = nodes.get(uid);
-        return n != null && n.neededBy.stream().anyMatch(a -> !a.over());
-    }
+  /** True if some job not over waits on it. */
+  public boolean needed(String uid) {
+    Node n = nodes.get(uid);
+    return n != null && n.neededBy.stream().anyMatch(a -> !a.over());
+  }
 
-    /** The jobs released since asked last. */
-    public List<String> takeReleased() {
-        return take(released);
-    }
+  /** The jobs released since asked last. */
+  public List<String> takeReleased() {
+    return take(released);
+  }
 
-    /** The jobs aborted since asked last, the ones that were told among them. */
-    public List<String> takeAborted() {
-        return take(aborted);
-    }
+  /** The jobs aborted since asked last, the ones that were told among them. */
+  public List<String> takeAborted() {
+    return take(aborted);
+  }
 
-    private static List<String> take(List<String> from) {
-        List<String> out = List.copyOf(from);
-        from.clear();
-        return out;
-    }
+  private static List<String> take(List<String> from) {
+    List<String> out = List.copyOf(from);
+    from.clear();
+    return out;
+  }
 
-    /** How many jobs are kept in mind. */
-    public int size() {
-        return nodes.size();
-    }
+  /** How many jobs are kept in mind. */
+  public int size() {
+    return nodes.size();
+  }
 
-    /** What the job itself asks for, and what it takes once it is released. */
-    public void aim(String uid, Aim own, long costMicros) {
-        Node n = nodes.get(uid);
-        if (n == null) {
-            return;
-        }
-        n.own = own;
-        n.costMicros = costMicros;
-        outdated(n);
-        n.needs.forEach(this::outdated);
+  /** What the job itself asks for, and what it takes once it is released. */
+  public void aim(String uid, Aim own, long costMicros) {
+    Node n = nodes.get(uid);
+    if (n == null) {
+      return;
     }
+    n.own = own;
+    n.costMicros = costMicros;
+    outdated(n);
+    n.needs.forEach(this::outdated);
+  }
 
-    /** What jobs take is better known now than when they came. */
-    public void costs(ToLongFunction<String> costMicros) {
-        for (Node n : nodes.values()) {
-            if (n.own != null && !n.over()) {
-                long now = costMicros.applyAsLong(n.uid);
-                if (now != n.costMicros) {
-                    n.costMicros = now;
-                    n.needs.forEach(this::outdated);
-                }
-            }
+  /** What jobs take is better known now than when they came. */
+  public void costs(ToLongFunction<String> costMicros) {
+    for (Node n : nodes.values()) {
+      if (n.own != null && !n.over()) {
+        long now = costMicros.applyAsLong(n.uid);
+        if (now != n.costMicros) {
+          n.costMicros = now;
+          n.needs.forEach(this::outdated);
         }
+      }
     }
+  }
 
-    private void outdated(Node n) {
-        if (n.own != null && !n.over()) {
-            stale.add(n);
-        }
+  private void outdated(Node n) {
+    if (n.own != null && !n.over()) {
+      stale.add(n);
     }
+  }
 
-    /**
-     * Works out again what has changed: the jobs accepted last come first, so each is looked at once, after all that need it.
-     *
-     * @param changed takes each job whose aim is another now
-     */
-    public void settleAims(Consumer<String> changed) {
-        Node last = null;
-        while (!stale.isEmpty()) {
-            Node n = stale.poll();
-            if (n == last || n.over()) {
-                continue;
-            }
-            last = n;
-            Aim now = n.own;
-            for (Node after : n.neededBy) {
-                if (!after.over() && after.aim != null) {
-                    now = now.with(after.aim.before(after.costMicros));
-                }
-            }
-            if (!now.equals(n.aim)) {
-                n.aim = now;
-                changed.accept(n.uid);
-                n.needs.forEach(this::outdated);
-            }
+  /**
+   * Works out again what has changed: the jobs accepted last come first, so each is looked at once,
+   * after all that need it.
+   *
+   * @param changed takes each job whose aim is another now
+   */
+  public void settleAims(Consumer<String> changed) {
+    Node last = null;
+    while (!stale.isEmpty()) {
+      Node n = stale.poll();
+      if (n == last || n.over()) {
+        continue;
+      }
+      last = n;
+      Aim now = n.own;
+      for (Node after : n.neededBy) {
+        if (!after.over() && after.aim != null) {
+          now = now.with(after.aim.before(after.costMicros));
         }
+      }
+      if (!now.equals(n.aim)) {
+        n.aim = now;
+        changed.accept(n.uid);
+        n.needs.forEach(this::outdated);
+      }
     }
+  }
 
-    /** What it is worth, what needs it considered; null before {@link #settleAims}. */
-    public Aim aim(String uid) {
-        Node n = nodes.get(uid);
-        return n == null ? null : n.aim;
-    }
+  /** What it is worth, what needs it considered; null before {@link #settleAims}. */
+  public Aim aim(String uid) {
+    Node n = nodes.get(uid);
+    return n == null ? null : n.aim;
+  }
 }
--- a/src/main/java/plumlever/fleet/Enrolled.java
+++ b/src/main/java/plumlever/fleet/Enrolled.java
@@ -2,7 +2,7 @@
 
 /** What has to be on record in the state service before anything is ordered of it. */
 public interface Enrolled {
-    Enrolment enrolment();
+  Enrolment enrolment();
 
-    void enrolment(Enrolment e);
+  void enrolment(Enrolment e);
 }
--- a/src/main/java/plumlever/fleet/Estimates.java
+++ b/src/main/java/plumlever/fleet/Estimates.java
@@ -3,33 +3,36 @@
 import java.util.HashMap;
 import java.util.Map;
 
-/** How far owners' estimates are off, by class of jobs; on some days they are mostly too high or too low. */
+/**
+ * How far owners' estimates are off, by class of jobs; on some days they are mostly too high or too
+ * low.
+ */
 public final class Estimates {
-    private static final double WEIGHT = 0.08;
+  private static final double WEIGHT = 0.08;
 
-    private final Map<String, Double> ratios = new HashMap<>();
+  private final Map<String, Double> ratios = new HashMap<>();
 
-    public void observe(String jobclass, double ratio) {
-        double bounded = Math.max(0.2, Math.min(5, ratio));
-        ratios.merge(jobclass, bounded, (old, seen) -> old * (1 - WEIGHT) + seen * WEIGHT);
-    }
+  public void observe(String jobclass, double ratio) {
+    double bounded = Math.max(0.2, Math.min(5, ratio));
+    ratios.merge(jobclass, bounded, (old, seen) -> old * (1 - WEIGHT) + seen * WEIGHT);
+  }
 
-    /** What an earlier leader found. */
-    public void suggest(String jobclass, double ratio) {
-        ratios.putIfAbsent(jobclass, Math.max(0.2, Math.min(5, ratio)));
-    }
+  /** What an earlier leader found. */
+  public void suggest(String jobclass, double ratio) {
+    ratios.putIfAbsent(jobclass, Math.max(0.2, Math.min(5, ratio)));
+  }
 
-    public Map<String, Double> ratios() {
-        return ratios;
-    }
+  public Map<String, Double> ratios() {
+    return ratios;
+  }
 
-    public double ratio(String jobclass) {
-        return ratios.getOrDefault(jobclass, 1.0);
-    }
+  public double ratio(String jobclass) {
+    return ratios.getOrDefault(jobclass, 1.0);
+  }
 
-    /** Run time to plan with for a task of the job, on a machine of nominal speed. */
-    public long runMicros(Job job) {
-        double ratio = job.ratio(ratio(job.spec().jobclass()));
-        return Math.max(100_000, (long) (job.spec().expectS() * 1e6 * ratio));
-    }
+  /** Run time to plan with for a task of the job, on a machine of nominal speed. */
+  public long runMicros(Job job) {
+    double ratio = job.ratio(ratio(job.spec().jobclass()));
+    return Math.max(100_000, (long) (job.spec().expectS() * 1e6 * ratio));
+  }
 }
--- a/src/main/java/plumlever/fleet/Fleet.java
+++ b/src/main/java/plumlever/fleet/Fleet.java
@@ -8,106 +8,111 @@
 
 /** All machines and attempts of a term, with what each team holds. */
 public final class Fleet {
-    /** Resources in use. */
-    public static final class Held {
-        private double cores;
-        private double accelerators;
-
-        public double cores() {
-            return cores;
-        }
-
-        public double accelerators() {
-            return accelerators;
-        }
-    }
-
-    private static final int TERM_SHIFT = 24;
-    private static final int TOKEN_SHIFT = 20;
-
-    private final Map<String, Machine> machines = new LinkedHashMap<>();
-    private final Map<String, Held> heldByTeam = new HashMap<>();
-    private final long term;
-    private long counter;
-
-    public Fleet(long term) {
-        this.term = term;
-    }
-
-    public Collection<Machine> machines() {
-        return machines.values();
-    }
-
-    public Machine machine(String id) {
-        return machines.get(id);
-    }
-
-    public void add(Machine m) {
-        m.token(firstToken(term));
-        machines.put(m.id(), m);
-    }
-
-    /** The least token of a term: a leader may raise it for each machine as it needs. */
-    public static long firstToken(long term) {
-        return term << TOKEN_SHIFT;
-    }
+  /** Resources in use. */
+  public static final class Held {
+    private double cores;
+    private double accelerators;
 
-    public static long termOf(long token) {
-        return token >>> TOKEN_SHIFT;
+    public double cores() {
+      return cores;
     }
 
-    /** Replaces what a rental told by what the machine itself or the list tells. */
-    public void remove(Machine m) {
-        machines.remove(m.id(), m);
+    public double accelerators() {
+      return accelerators;
     }
-
-    /** Attempt numbers are unique over all terms without being stored: the term is in the high bits. */
-    public Attempt start(Job job, int task, Machine m, boolean direct, long nowMicros) {
-        long id = (term << TERM_SHIFT) | ++counter;
-        return enter(direct ? new Attempt(job, task, id, m, m.tenure(), -1, m.token(), nowMicros)
-                : new Attempt(job, task, id, m, m.tenure(), m.ownTick(), -1, nowMicros));
-    }
-
-    /** An attempt of an earlier term that its machine reports. */
-    public Attempt adopt(Job job, int task, long id, Machine m, long nowMicros) {
-        return enter(new Attempt(job, task, id, m, m.tenure(), -1, -1, nowMicros));
-    }
-
-    public boolean ofEarlierTerm(long attemptId) {
-        return attemptId >>> TERM_SHIFT < term;
-    }
-
-    private Attempt enter(Attempt a) {
-        a.machine().add(a);
-        a.job().occupy(a);
-        Held h = heldByTeam.computeIfAbsent(a.job().spec().owner(), k -> new Held());
-        h.cores += a.job().spec().cores();
-        h.accelerators += a.job().spec().accelerators();
-        return a;
-    }
-
-    /**
-     * The attempt is surely over: reported as ended, missing from a report that would list it, of a session that
-     * has ended, or on a machine that was deleted. Its room and quota are free from here on.
-     */
-    public void end(Attempt a, ExitCause cause) {
-        if (a.over()) {
-            return;
-        }
-        a.end(cause);
-        a.job().release(a);
-        Held h = heldByTeam.get(a.job().spec().owner());
-        h.cores -= a.job().spec().cores();
-        h.accelerators -= a.job().spec().accelerators();
-    }
-
-    /** Its machine does not list it any more. */
-    public void forget(Attempt a) {
-        end(a, a.cause());
-        a.machine().remove(a);
-    }
-
-    public Held held(String team) {
-        return heldByTeam.computeIfAbsent(team, k -> new Held());
+  }
+
+  private static final int TERM_SHIFT = 24;
+  private static final int TOKEN_SHIFT = 20;
+
+  private final Map<String, Machine> machines = new LinkedHashMap<>();
+  private final Map<String, Held> heldByTeam = new HashMap<>();
+  private final long term;
+  private long counter;
+
+  public Fleet(long term) {
+    this.term = term;
+  }
+
+  public Collection<Machine> machines() {
+    return machines.values();
+  }
+
+  public Machine machine(String id) {
+    return machines.get(id);
+  }
+
+  public void add(Machine m) {
+    m.token(firstToken(term));
+    machines.put(m.id(), m);
+  }
+
+  /** The least token of a term: a leader may raise it for each machine as it needs. */
+  public static long firstToken(long term) {
+    return term << TOKEN_SHIFT;
+  }
+
+  public static long termOf(long token) {
+    return token >>> TOKEN_SHIFT;
+  }
+
+  /** Replaces what a rental told by what the machine itself or the list tells. */
+  public void remove(Machine m) {
+    machines.remove(m.id(), m);
+  }
+
+  /**
+   * Attempt numbers are unique over all terms without being stored: the term is in the high bits.
+   */
+  public Attempt start(Job job, int task, Machine m, boolean direct, long nowMicros) {
+    long id = (term << TERM_SHIFT) | ++counter;
+    return enter(
+        direct
+            ? new Attempt(job, task, id, m, m.tenure(), -1, m.token(), nowMicros)
+            : new Attempt(job, task, id, m, m.tenure(), m.ownTick(), -1, nowMicros));
+  }
+
+  /** An attempt of an earlier term that its machine reports. */
+  public Attempt adopt(Job job, int task, long id, Machine m, long nowMicros) {
+    return enter(new Attempt(job, task, id, m, m.tenure(), -1, -1, nowMicros));
+  }
+
+  public boolean ofEarlierTerm(long attemptId) {
+    return attemptId >>> TERM_SHIFT < term;
+  }
+
+  private Attempt enter(Attempt a) {
+    a.machine().add(a);
+    a.job().occupy(a);
+    Held h = heldByTeam.computeIfAbsent(a.job().spec().owner(), k -> new Held());
+    h.cores += a.job().spec().cores();
+    h.accelerators += a.job().spec().accelerators();
+    return a;
+  }
+
+  /**
+   * The attempt is surely over: reported as ended, missing from a report that would list it, of a
+   * session that has ended, or on a machine that was deleted. Its room and quota are free from here
+   * on.
+   */
+  public void end(Attempt a, ExitCause cause) {
+    if (a.over()) {
+      return;
     }
+    a.end(cause);
+    a.job().release(a);
+    Held h = heldByTeam.get(a.job().spec().owner());
+    h.cores -= a.job().spec().cores();
+    h.accelerators -= a.job().spec().accelerators();
+  }
+
+  /** Its machine does not list it any more. */
+  public void forget(Attempt a) {
+    end(a, a.cause());
+    a.machine().remove(a);
+  }
+
+  public Held held(String team) {
+    return heldByTeam.computeIfAbsent(team, k -> new Held());
+  }
 }
--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -7,269 +7,298 @@
 
 /** An accepted job that has not ended, and what is known of its tasks. */
 public final class Job implements Enrolled {
-    private final JobSpec spec;
-    private final long stamp;
-    private final long acceptedMicros;
-    /** When the last job that it waits on ended; what counts waiting work counts from here. */
-    private long releasedMicros;
-    private boolean waiting;
-    private boolean calledOff;
-    private Chains.Aim aim;
-    /** An earlier leader may have started its tasks on machines not yet accounted for. */
-    private final boolean inherited;
-    /** Tasks that completed. */
-    private final BitSet done = new BitSet();
-    /** The part of {@link #done} that the state service holds. */
-    private final BitSet stored = new BitSet();
-    /** Tasks that are neither done nor possibly on a machine. */
-    private final BitSet free = new BitSet();
-    private final Int2ObjectHashMap<Attempt> live = new Int2ObjectHashMap<>();
-    /** Tasks that ran before: what they take the next time tells nothing of their whole run time. */
-    private final BitSet restarted = new BitSet();
-    private Enrolment enrolment = Enrolment.NONE;
-    private int doneCount;
-    private boolean over;
-    private boolean begun;
-    private int errors;
-    private long notBeforeMicros;
-    private double ratioSum;
-    private int ratioCount;
-
-    /** @param acceptedMicros on this node's steady clock */
-    public Job(JobSpec spec, long stamp, long acceptedMicros, boolean inherited) {
-        this.spec = spec;
-        this.stamp = stamp;
-        this.acceptedMicros = acceptedMicros;
-        this.releasedMicros = acceptedMicros;
-        this.aim = new Chains.Aim(acceptedMicros, spec.hasDeadline() ? (long) (spec.dueS() * 1e6) : Long.MAX_VALUE, spec.jobclass(), 0,
-                spec.urgency());
-        this.inherited = inherited;
-        free.set(0, spec.pieces());
-    }
-
-    public JobSpec spec() {
-        return spec;
-    }
-
-    public String uid() {
-        return spec.uid();
-    }
-
-    /** Revision of the record that accepted it; its end is guarded by it. */
-    public long stamp() {
-        return stamp;
-    }
-
-    public long acceptedMicros() {
-        return acceptedMicros;
-    }
-
-    /** It waits for other jobs: none of its tasks may start, and it counts for nothing yet. */
-    public boolean waiting() {
-        return waiting;
-    }
-
-    public void hold() {
-        waiting = true;
-    }
-
-    /** Another controller says that it is cancelled: true before it is known here from the records, and for ever. */
-    public boolean calledOff() {
-        return calledOff;
-    }
-
-    public void callOff() {
-        calledOff = true;
-    }
-
-    /** All that it waits on is done. */
-    public void release(long sinceMicros) {
-        waiting = false;
-        releasedMicros = Math.max(acceptedMicros, sinceMicros);
-    }
-
-    /** From when its waiting counts: when it was accepted, or released where it waits on others. */
-    public long releasedMicros() {
-        return releasedMicros;
-    }
-
-    /** What it is worth: its own deadline and urgency, or what jobs that need it leave it. */
-    public Chains.Aim aim() {
-        return aim;
-    }
-
-    public void aim(Chains.Aim now) {
-        aim = now;
-    }
-
-    /** Its own, or of a more urgent job that needs it. */
-    public Urgency urgency() {
-        return aim.urgency();
-    }
-
-    public boolean hasDeadline() {
-        return aim.dueMicros() != Long.MAX_VALUE;
-    }
-
-    /** By when it has to be done, its own deadline or what that of a job that needs it leaves; Long.MAX_VALUE for any time. */
-    public long deadlineMicros() {
-        return aim.byMicros();
-    }
-
-    public boolean inherited() {
-        return inherited;
-    }
-
-    /** Until it is stored none of its tasks is ordered, so that a successor knows which jobs may be on a machine. */
-    @Override
-    public Enrolment enrolment() {
-        return enrolment;
-    }
-
-    @Override
-    public void enrolment(Enrolment e) {
-        enrolment = e;
-    }
-
-    public BitSet done() {
-        return done;
-    }
-
-    public BitSet stored() {
-        return stored;
-    }
-
-    public int doneCount() {
-        return doneCount;
-    }
-
-    public boolean complete() {
-        return doneCount == spec.pieces();
-    }
-
-    public int freeCount() {
-        return free.cardinality();
-    }
-
-    public boolean hasFree() {
-        return !free.isEmpty();
-    }
-
-    /** A task that never ran, if there is one free: aims for starts count the first. */
-    public int firstFree() {
-        for (int i = free.nextSetBit(0); i >= 0; i = free.nextSetBit(i + 1)) {
-            if (!restarted.get(i)) {
-                return i;
-            }
-        }
-        return free.nextSetBit(0);
-    }
-
-    public boolean hasFreshFree() {
-        int i = firstFree();
-        return i >= 0 && !restarted.get(i);
-    }
-
-    public Iterable<Attempt> live() {
-        return live.values();
-    }
-
-    public int liveCount() {
-        return live.size();
-    }
-
-    public Attempt liveAttempt(int task) {
-        return live.get(task);
-    }
-
-    /** True once the job is done, aborted or dropped: none of its tasks may start any more. */
-    public boolean over() {
-        return over;
-    }
-
-    public void end() {
-        over = true;
-    }
-
-    public void markDone(int task) {
-        if (task < spec.pieces() && !done.get(task)) {
-            done.set(task);
-            doneCount++;
-            free.clear(task);
-        }
-    }
-
-    /** True once any of its tasks was seen to run. */
-    public boolean begun() {
-        return begun || doneCount > 0;
-    }
-
-    public void begin() {
-        begun = true;
-    }
-
-    /** A task may be on a machine from now on. */
-    void occupy(Attempt a) {
-        free.clear(a.task());
-        live.put(a.task(), a);
-    }
-
-    /** The attempt is surely over. */
-    void release(Attempt a) {
-        if (live.get(a.task()) == a) {
-            live.remove(a.task());
-            if (!done.get(a.task())) {
-                free.set(a.task());
-                if (a.runningSinceMicros() >= 0) {
-                    restarted.set(a.task());
-                }
-            }
-        }
-    }
-
-    public boolean restarted(int task) {
-        return restarted.get(task);
-    }
-
-    /** The zone that a one-zone job is bound to by its live tasks, or null. */
-    public String boundZone() {
-        if (!spec.oneZone() || live.isEmpty()) {
-            return null;
+  private final JobSpec spec;
+  private final long stamp;
+  private final long acceptedMicros;
+
+  /** When the last job that it waits on ended; what counts waiting work counts from here. */
+  private long releasedMicros;
+
+  private boolean waiting;
+  private boolean calledOff;
+  private Chains.Aim aim;
+
+  /** An earlier leader may have started its tasks on machines not yet accounted for. */
+  private final boolean inherited;
+
+  /** Tasks that completed. */
+  private final BitSet done = new BitSet();
+
+  /** The part of {@link #done} that the state service holds. */
+  private final BitSet stored = new BitSet();
+
+  /** Tasks that are neither done nor possibly on a machine. */
+  private final BitSet free = new BitSet();
+
+  private final Int2ObjectHashMap<Attempt> live = new Int2ObjectHashMap<>();
+
+  /** Tasks that ran before: what they take the next time tells nothing of their whole run time. */
+  private final BitSet restarted = new BitSet();
+
+  private Enrolment enrolment = Enrolment.NONE;
+  private int doneCount;
+  private boolean over;
+  private boolean begun;
+  private int errors;
+  private long notBeforeMicros;
+  private double ratioSum;
+  private int ratioCount;
+
+  /**
+   * @param acceptedMicros on this node's steady clock
+   */
+  public Job(JobSpec spec, long stamp, long acceptedMicros, boolean inherited) {
+    this.spec = spec;
+    this.stamp = stamp;
+    this.acceptedMicros = acceptedMicros;
+    this.releasedMicros = acceptedMicros;
+    this.aim =
+        new Chains.Aim(
+            acceptedMicros,
+            spec.hasDeadline() ? (long) (spec.dueS() * 1e6) : Long.MAX_VALUE,
+            spec.jobclass(),
+            0,
+            spec.urgency());
+    this.inherited = inherited;
+    free.set(0, spec.pieces());
+  }
+
+  public JobSpec spec() {
+    return spec;
+  }
+
+  public String uid() {
+    return spec.uid();
+  }
+
+  /** Revision of the record that accepted it; its end is guarded by it. */
+  public long stamp() {
+    return stamp;
+  }
+
+  public long acceptedMicros() {
+    return acceptedMicros;
+  }
+
+  /** It waits for other jobs: none of its tasks may start, and it counts for nothing yet. */
+  public boolean waiting() {
+    return waiting;
+  }
+
+  public void hold() {
+    waiting = true;
+  }
+
+  /**
+   * Another controller says that it is cancelled: true before it is known here from the records,
+   * and for ever.
+   */
+  public boolean calledOff() {
+    return calledOff;
+  }
+
+  public void callOff() {
+    calledOff = true;
+  }
+
+  /** All that it waits on is done. */
+  public void release(long sinceMicros) {
+    waiting = false;
+    releasedMicros = Math.max(acceptedMicros, sinceMicros);
+  }
+
+  /** From when its waiting counts: when it was accepted, or released where it waits on others. */
+  public long releasedMicros() {
+    return releasedMicros;
+  }
+
+  /** What it is worth: its own deadline and urgency, or what jobs that need it leave it. */
+  public Chains.Aim aim() {
+    return aim;
+  }
+
+  public void aim(Chains.Aim now) {
+    aim = now;
+  }
+
+  /** Its own, or of a more urgent job that needs it. */
+  public Urgency urgency() {
+    return aim.urgency();
+  }
+
+  public boolean hasDeadline() {
+    return aim.dueMicros() != Long.MAX_VALUE;
+  }
+
+  /**
+   * By when it has to be done, its own deadline or what that of a job that needs it leaves;
+   * Long.MAX_VALUE for any time.
+   */
+  public long deadlineMicros() {
+    return aim.byMicros();
+  }
+
+  public boolean inherited() {
+    return inherited;
+  }
+
+  /**
+   * Until it is stored none of its tasks is ordered, so that a successor knows which jobs may be on
+   * a machine.
+   */
+  @Override
+  public Enrolment enrolment() {
+    return enrolment;
+  }
+
+  @Override
+  public void enrolment(Enrolment e) {
+    enrolment = e;
+  }
+
+  public BitSet done() {
+    return done;
+  }
+
+  public BitSet stored() {
+    return stored;
+  }
+
+  public int doneCount() {
+    return doneCount;
+  }
+
+  public boolean complete() {
+    return doneCount == spec.pieces();
+  }
+
+  public int freeCount() {
+    return free.cardinality();
+  }
+
+  public boolean hasFree() {
+    return !free.isEmpty();
+  }
+
+  /** A task that never ran, if there is one free: aims for starts count the first. */
+  public int firstFree() {
+    for (int i = free.nextSetBit(0); i >= 0; i = free.nextSetBit(i + 1)) {
+      if (!restarted.get(i)) {
+        return i;
+      }
+    }
+    return free.nextSetBit(0);
+  }
+
+  public boolean hasFreshFree() {
+    int i = firstFree();
+    return i >= 0 && !restarted.get(i);
+  }
+
+  public Iterable<Attempt> live() {
+    return live.values();
+  }
+
+  public int liveCount() {
+    return live.size();
+  }
+
+  public Attempt liveAttempt(int task) {
+    return live.get(task);
+  }
+
+  /** True once the job is done, aborted or dropped: none of its tasks may start any more. */
+  public boolean over() {
+    return over;
+  }
+
+  public void end() {
+    over = true;
+  }
+
+  public void markDone(int task) {
+    if (task < spec.pieces() && !done.get(task)) {
+      done.set(task);
+      doneCount++;
+      free.clear(task);
+    }
+  }
+
+  /** True once any of its tasks was seen to run. */
+  public boolean begun() {
+    return begun || doneCount > 0;
+  }
+
+  public void begin() {
+    begun = true;
+  }
+
+  /** A task may be on a machine from now on. */
+  void occupy(Attempt a) {
+    free.clear(a.task());
+    live.put(a.task(), a);
+  }
+
+  /** The attempt is surely over. */
+  void release(Attempt a) {
+    if (live.get(a.task()) == a) {
+      live.remove(a.task());
+      if (!done.get(a.task())) {
+        free.set(a.task());
+        if (a.runningSinceMicros() >= 0) {
+          restarted.set(a.task());
         }
-        return live.values().iterator().next().machine().site();
-    }
-
-    /**
-     * A job submitted with a mistake fails on every machine; growing pauses keep it from wearing the fleet out
-     * until its user cancels it.
-     */
-    public void noteError(long nowMicros) {
-        errors = Math.min(errors + 1, 16);
-        long pause = errors <= 2 ? 1_000_000L : Math.min(60_000_000L, 1_000_000L << Math.min(errors - 2, 6));
-        notBeforeMicros = Math.max(notBeforeMicros, nowMicros + pause);
-    }
-
-    public void noteSuccess() {
-        errors = 0;
-        notBeforeMicros = 0;
-    }
-
-    /** A task ran this many times as long as its owner's estimate. */
-    public void observe(double ratio) {
-        ratioSum += ratio;
-        ratioCount++;
-    }
-
-    /** Mean of what was observed of its own tasks, mixed with what its class suggests while they are few. */
-    public double ratio(double classRatio) {
-        return (ratioSum + classRatio) / (ratioCount + 1);
-    }
-
-    public int errors() {
-        return errors;
-    }
-
-    public long notBeforeMicros() {
-        return notBeforeMicros;
-    }
+      }
+    }
+  }
+
+  public boolean restarted(int task) {
+    return restarted.get(task);
+  }
+
+  /** The zone that a one-zone job is bound to by its live tasks, or null. */
+  public String boundZone() {
+    if (!spec.oneZone() || live.isEmpty()) {
+      return null;
+    }
+    return live.values().iterator().next().machine().site();
+  }
+
+  /**
+   * A job submitted with a mistake fails on every machine; growing pauses keep it from wearing the
+   * fleet out until its user cancels it.
+   */
+  public void noteError(long nowMicros) {
+    errors = Math.min(errors + 1, 16);
+    long pause =
+        errors <= 2 ? 1_000_000L : Math.min(60_000_000L, 1_000_000L << Math.min(errors - 2, 6));
+    notBeforeMicros = Math.max(notBeforeMicros, nowMicros + pause);
+  }
+
+  public void noteSuccess() {
+    errors = 0;
+    notBeforeMicros = 0;
+  }
+
+  /** A task ran this many times as long as its owner's estimate. */
+  public void observe(double ratio) {
+    ratioSum += ratio;
+    ratioCount++;
+  }
+
+  /**
+   * Mean of what was observed of its own tasks, mixed with what its class suggests while they are
+   * few.
+   */
+  public double ratio(double classRatio) {
+    return (ratioSum + classRatio) / (ratioCount + 1);
+  }
+
+  public int errors() {
+    return errors;
+  }
+
+  public long notBeforeMicros() {
+    return notBeforeMicros;
+  }
 }
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -8,413 +8,440 @@
 
 /** What is known of one machine. */
 public final class Machine implements Enrolled {
-    private static final long STALE_FETCH_MICROS = 300_000_000;
-
-    private final String id;
-    private String endpoint;
-    private final String flavor;
-    private final String site;
-    private final boolean spot;
-    private final long knownSinceMicros;
-
-    private Enrolment enrolment = Enrolment.NONE;
-    private long tenure;
-    private long tick;
-    private long ownTick;
-    private long token;
-    private long answeredToken;
-    private long directToken = -1;
-    private boolean calling;
-    private int failedCalls;
-    private int unheard;
-    private boolean deaf;
-    private long lastReportMicros = -1;
-    private long lastSeenMicros = -1;
-    private long lastAnswerMicros = -1;
-    private boolean accounted;
-    private long reclaimAtMicros = -1;
-    private boolean draining;
-    private boolean returning;
-    private long idleSinceMicros = -1;
-    private long listedMicros = -1;
-    private boolean failed;
-    private double slowness = 1;
-    private int errorStreak;
-    private String lastErrorJob;
-    private int erringJobs;
-
-    /** Attempts that are not over, and those among them of which nothing has been heard since they were sent directly. */
-    private int live;
-    private int unheardOf;
-    private final Long2ObjectHashMap<Attempt> attempts = new Long2ObjectHashMap<>();
-    /** Images it should have or is fetching, the most recently used last. */
-    private final LinkedHashMap<String, Image> images = new LinkedHashMap<>(8, 0.75f, true);
-
-    public Machine(String id, String endpoint, String flavor, String site, boolean spot, long nowMicros) {
-        this.id = id;
-        this.endpoint = endpoint;
-        this.flavor = flavor;
-        this.site = site;
-        this.spot = spot;
-        this.knownSinceMicros = nowMicros;
-    }
-
-    public String id() {
-        return id;
-    }
-
-    /** Null while only the rental is known. */
-    public String endpoint() {
-        return endpoint;
-    }
-
-    public void learnEndpoint(String at) {
-        if (endpoint == null) {
-            endpoint = at;
-        }
-    }
-
-    public String flavor() {
-        return flavor;
-    }
-
-    public String site() {
-        return site;
-    }
-
-    public boolean spot() {
-        return spot;
-    }
-
-    public long knownSinceMicros() {
-        return knownSinceMicros;
-    }
-
-    @Override
-    public Enrolment enrolment() {
-        return enrolment;
-    }
-
-    @Override
-    public void enrolment(Enrolment e) {
-        enrolment = e;
-    }
-
-    public long tenure() {
-        return tenure;
-    }
-
-    public long tick() {
-        return tick;
-    }
-
-    /** Number of the last report that it sent itself; bodies of direct answers may have larger ones. */
-    public long ownTick() {
-        return ownTick;
-    }
-
-    /** The token that answers and orders to it carry now. */
-    public long token() {
-        return token;
-    }
-
-    public void token(long now) {
-        token = Math.max(token, now);
-    }
-
-    /** A direct order carries the present token; until the token is raised a copy of it may be carried out late. */
-    public void direct() {
-        directToken = token;
-    }
-
-    /** From the next answer on, no direct order sent before will be carried out. */
-    public void voidDirect() {
-        token = Math.max(token, directToken + 1);
-    }
-
-    /** True while a late copy of a direct order could still be carried out, as far as this side has seen to it. */
-    public boolean directOpen() {
-        return directToken >= token;
-    }
-
-    /** A direct order is on its way or its answer is. */
-    public boolean calling() {
-        return calling;
-    }
-
-    public void calling(boolean now) {
-        calling = now;
-    }
-
-    /** A direct call came to its end. */
-    public void called(boolean answered) {
-        failedCalls = answered ? 0 : failedCalls + 1;
-    }
-
-    /** Direct calls running that got no answer. */
-    public int failedCalls() {
-        return failedCalls;
-    }
-
-    /** True while it may have started something that nothing has been heard of: a direct order without an answer. */
-    public boolean unsettled() {
-        return unheardOf > 0;
-    }
-
-    /**
-     * Reports that show nothing of what was sent before them: an order that is lost, a token that is not taken. After
-     * two running, answers and orders seem not to arrive, and the machine gets neither work nor its lease renewed until
-     * it shows the token. Else each answer would push back the time at which its lease has surely lapsed.
-     */
-    public void unheard() {
-        if (++unheard >= 2) {
-            deaf = true;
-        }
-    }
-
-    public void heardAnswer() {
-        unheard = 0;
-        deaf = false;
-    }
-
-    public boolean deaf() {
-        return deaf;
-    }
-
-    /** True once it has reported in this term. */
-    public boolean heard() {
-        return lastReportMicros >= 0;
-    }
-
-    public long lastReportMicros() {
-        return lastReportMicros;
-    }
-
-    /** When it last told anything, by a report or by the answer to a direct call; -1 for never in this term. */
-    public long lastSeenMicros() {
-        return lastSeenMicros;
-    }
-
-    /** When this node last let it renew its lease; -1 for never. */
-    public long lastAnswerMicros() {
-        return lastAnswerMicros;
-    }
-
-    public void answered(long nowMicros) {
-        lastAnswerMicros = nowMicros;
-        answeredToken = token;
-    }
-
-    /** The token of the last answer that let it renew its lease; 0 before the first. */
-    public long answeredToken() {
-        return answeredToken;
-    }
-
-    /** A report of its own came after the body of a direct call that was sent later. */
-    public void overtaken(long reportTick, long nowMicros) {
-        ownTick = reportTick;
-        lastReportMicros = nowMicros;
-        lastSeenMicros = nowMicros;
-    }
-
-    /** True when everything an earlier leader may have started on it is known. */
-    public boolean accounted() {
-        return accounted;
-    }
-
-    public void account() {
-        accounted = true;
-    }
-
-    public void heardAt(WorkerReport r, long nowMicros, boolean own) {
-        if (r.tenure() > tenure) {
-            ownTick = 0;
-        }
-        tenure = r.tenure();
-        tick = r.tick();
-        lastSeenMicros = nowMicros;
-        if (own) {
-            ownTick = r.tick();
-            lastReportMicros = nowMicros;
-        }
-        reclaimAtMicros = r.noticed() ? nowMicros + (long) (r.reclaimInS() * 1e6) : -1;
-    }
-
-    /** When the cloud takes it away, or -1. */
-    public long reclaimAtMicros() {
-        return reclaimAtMicros;
-    }
-
-    public boolean draining() {
-        return draining || reclaimAtMicros >= 0;
-    }
-
-    public void drain() {
-        draining = true;
-    }
-
-    public boolean returning() {
-        return returning;
-    }
-
-    public void returning(boolean now) {
-        returning = now;
-    }
-
-    public long idleSinceMicros() {
-        return idleSinceMicros;
-    }
-
-    public void idleSince(long micros) {
-        idleSinceMicros = micros;
-    }
-
-    public long listedMicros() {
-        return listedMicros;
-    }
-
-    public void listed(long nowMicros, boolean asFailed) {
-        listedMicros = nowMicros;
-        failed |= asFailed;
-    }
-
-    public boolean failed() {
-        return failed;
-    }
-
-    public Iterable<Attempt> attempts() {
-        return attempts.values();
-    }
-
-    public Attempt attempt(long attemptId) {
-        return attempts.get(attemptId);
-    }
-
-    void add(Attempt a) {
-        attempts.put(a.id(), a);
-        live++;
-        unheardOf += a.unheard() ? 1 : 0;
-    }
-
-    /** Something was heard of an attempt that was sent directly, or it is over. */
-    void heardOf() {
-        unheardOf--;
-    }
-
-    /** An attempt is over. */
-    void ended() {
-        live--;
-    }
-
-    void remove(Attempt a) {
-        attempts.remove(a.id());
-    }
-
-    public boolean running() {
-        return live > 0;
-    }
-
-    /** Observed run time over the planned one; 1 for a machine as fast as its type. */
-    public double slowness() {
-        return slowness;
-    }
-
-    public void observe(double ratio) {
-        double bounded = Math.max(0.5, Math.min(6, ratio));
-        slowness = Math.max(0.8, 0.7 * slowness + 0.3 * bounded);
-    }
-
-    /** A machine that fails the tasks of several jobs is faulty; one job failing may be the job's own mistake. */
-    public boolean noteError(String job) {
-        errorStreak++;
-        if (!job.equals(lastErrorJob)) {
-            lastErrorJob = job;
-            erringJobs++;
-        }
-        return erringJobs >= 2 && errorStreak >= 3;
-    }
-
-    public void noteSuccess() {
-        errorStreak = 0;
-        erringJobs = 0;
-        lastErrorJob = null;
-    }
-
-    /** Tells how long a task that needs the image would wait for it, as far as known. */
-    public long fetchMicros(String image, double gb, Flavor type, long nowMicros) {
-        Image held = images.get(image);
-        if (held != null && held.ready || type.fetchGbPerS() <= 0) {
-            return 0;
-        }
-        int others = 0;
-        for (Map.Entry<String, Image> e : images.entrySet()) {
-            if (!e.getValue().ready && !e.getKey().equals(image) && nowMicros - e.getValue().sinceMicros < STALE_FETCH_MICROS) {
-                others++;
-            }
-        }
-        // Several fetches at a time may share the rate.
-        long whole = (long) (gb / type.fetchGbPerS() * 1e6) * (1 + others);
-        return held == null ? whole : Math.max(whole / 10, whole - (nowMicros - held.sinceMicros));
-    }
-
-    /** A task that needs the image goes to the machine. */
-    public void useImage(String image, double gb, Flavor type, long nowMicros) {
-        Image held = images.get(image);
-        if (held == null) {
-            images.put(image, new Image(gb, nowMicros));
-        }
-        double sum = 0;
-        for (Image i : images.values()) {
-            sum += i.gb;
-        }
-        var it = images.entrySet().iterator();
-        while (sum > type.cacheGb() && it.hasNext()) {
-            Map.Entry<String, Image> eldest = it.next();
-            if (eldest.getKey().equals(image)) {
-                break;
-            }
-            sum -= eldest.getValue().gb;
-            it.remove();
-        }
-    }
-
-    /** A task that needs the image runs, so the machine has it. */
-    public void hasImage(String image, double gb) {
-        Image held = images.get(image);
-        if (held == null) {
-            held = new Image(gb, 0);
-            images.put(image, held);
-        }
-        held.ready = true;
-    }
-
-    /** Images it has, with their sizes. */
-    public Map<String, Double> readyImages() {
-        Map<String, Double> ready = new LinkedHashMap<>();
-        images.forEach((name, i) -> {
-            if (i.ready) {
-                ready.put(name, i.gb);
-            }
+  private static final long STALE_FETCH_MICROS = 300_000_000;
+
+  private final String id;
+  private String endpoint;
+  private final String flavor;
+  private final String site;
+  private final boolean spot;
+  private final long knownSinceMicros;
+
+  private Enrolment enrolment = Enrolment.NONE;
+  private long tenure;
+  private long tick;
+  private long ownTick;
+  private long token;
+  private long answeredToken;
+  private long directToken = -1;
+  private boolean calling;
+  private int failedCalls;
+  private int unheard;
+  private boolean deaf;
+  private long lastReportMicros = -1;
+  private long lastSeenMicros = -1;
+  private long lastAnswerMicros = -1;
+  private boolean accounted;
+  private long reclaimAtMicros = -1;
+  private boolean draining;
+  private boolean returning;
+  private long idleSinceMicros = -1;
+  private long listedMicros = -1;
+  private boolean failed;
+  private double slowness = 1;
+  private int errorStreak;
+  private String lastErrorJob;
+  private int erringJobs;
+
+  /**
+   * Attempts that are not over, and those among them of which nothing has been heard since they
+   * were sent directly.
+   */
+  private int live;
+
+  private int unheardOf;
+  private final Long2ObjectHashMap<Attempt> attempts = new Long2ObjectHashMap<>();
+
+  /** Images it should have or is fetching, the most recently used last. */
+  private final LinkedHashMap<String, Image> images = new LinkedHashMap<>(8, 0.75f, true);
+
+  public Machine(
+      String id, String endpoint, String flavor, String site, boolean spot, long nowMicros) {
+    this.id = id;
+    this.endpoint = endpoint;
+    this.flavor = flavor;
+    this.site = site;
+    this.spot = spot;
+    this.knownSinceMicros = nowMicros;
+  }
+
+  public String id() {
+    return id;
+  }
+
+  /** Null while only the rental is known. */
+  public String endpoint() {
+    return endpoint;
+  }
+
+  public void learnEndpoint(String at) {
+    if (endpoint == null) {
+      endpoint = at;
+    }
+  }
+
+  public String flavor() {
+    return flavor;
+  }
+
+  public String site() {
+    return site;
+  }
+
+  public boolean spot() {
+    return spot;
+  }
+
+  public long knownSinceMicros() {
+    return knownSinceMicros;
+  }
+
+  @Override
+  public Enrolment enrolment() {
+    return enrolment;
+  }
+
+  @Override
+  public void enrolment(Enrolment e) {
+    enrolment = e;
+  }
+
+  public long tenure() {
+    return tenure;
+  }
+
+  public long tick() {
+    return tick;
+  }
+
+  /**
+   * Number of the last report that it sent itself; bodies of direct answers may have larger ones.
+   */
+  public long ownTick() {
+    return ownTick;
+  }
+
+  /** The token that answers and orders to it carry now. */
+  public long token() {
+    return token;
+  }
+
+  public void token(long now) {
+    token = Math.max(token, now);
+  }
+
+  /**
+   * A direct order carries the present token; until the token is raised a copy of it may be carried
+   * out late.
+   */
+  public void direct() {
+    directToken = token;
+  }
+
+  /** From the next answer on, no direct order sent before will be carried out. */
+  public void voidDirect() {
+    token = Math.max(token, directToken + 1);
+  }
+
+  /**
+   * True while a late copy of a direct order could still be carried out, as far as this side has
+   * seen to it.
+   */
+  public boolean directOpen() {
+    return directToken >= token;
+  }
+
+  /** A direct order is on its way or its answer is. */
+  public boolean calling() {
+    return calling;
+  }
+
+  public void calling(boolean now) {
+    calling = now;
+  }
+
+  /** A direct call came to its end. */
+  public void called(boolean answered) {
+    failedCalls = answered ? 0 : failedCalls + 1;
+  }
+
+  /** Direct calls running that got no answer. */
+  public int failedCalls() {
+    return failedCalls;
+  }
+
+  /**
+   * True while it may have started something that nothing has been heard of: a direct order without
+   * an answer.
+   */
+  public boolean unsettled() {
+    return unheardOf > 0;
+  }
+
+  /**
+   * Reports that show nothing of what was sent before them: an order that is lost, a token that is
+   * not taken. After two running, answers and orders seem not to arrive, and the machine gets
+   * neither work nor its lease renewed until it shows the token. Else each answer would push back
+   * the time at which its lease has surely lapsed.
+   */
+  public void unheard() {
+    if (++unheard >= 2) {
+      deaf = true;
+    }
+  }
+
+  public void heardAnswer() {
+    unheard = 0;
+    deaf = false;
+  }
+
+  public boolean deaf() {
+    return deaf;
+  }
+
+  /** True once it has reported in this term. */
+  public boolean heard() {
+    return lastReportMicros >= 0;
+  }
+
+  public long lastReportMicros() {
+    return lastReportMicros;
+  }
+
+  /**
+   * When it last told anything, by a report or by the answer to a direct call; -1 for never in this
+   * term.
+   */
+  public long lastSeenMicros() {
+    return lastSeenMicros;
+  }
+
+  /** When this node last let it renew its lease; -1 for never. */
+  public long lastAnswerMicros() {
+    return lastAnswerMicros;
+  }
+
+  public void answered(long nowMicros) {
+    lastAnswerMicros = nowMicros;
+    answeredToken = token;
+  }
+
+  /** The token of the last answer that let it renew its lease; 0 before the first. */
+  public long answeredToken() {
+    return answeredToken;
+  }
+
+  /** A report of its own came after the body of a direct call that was sent later. */
+  public void overtaken(long reportTick, long nowMicros) {
+    ownTick = reportTick;
+    lastReportMicros = nowMicros;
+    lastSeenMicros = nowMicros;
+  }
+
+  /** True when everything an earlier leader may have started on it is known. */
+  public boolean accounted() {
+    return accounted;
+  }
+
+  public void account() {
+    accounted = true;
+  }
+
+  public void heardAt(WorkerReport r, long nowMicros, boolean own) {
+    if (r.tenure() > tenure) {
+      ownTick = 0;
+    }
+    tenure = r.tenure();
+    tick = r.tick();
+    lastSeenMicros = nowMicros;
+    if (own) {
+      ownTick = r.tick();
+      lastReportMicros = nowMicros;
+    }
+    reclaimAtMicros = r.noticed() ? nowMicros + (long) (r.reclaimInS() * 1e6) : -1;
+  }
+
+  /** When the cloud takes it away, or -1. */
+  public long reclaimAtMicros() {
+    return reclaimAtMicros;
+  }
+
+  public boolean draining() {
+    return draining || reclaimAtMicros >= 0;
+  }
+
+  public void drain() {
+    draining = true;
+  }
+
+  public boolean returning() {
+    return returning;
+  }
+
+  public void returning(boolean now) {
+    returning = now;
+  }
+
+  public long idleSinceMicros() {
+    return idleSinceMicros;
+  }
+
+  public void idleSince(long micros) {
+    idleSinceMicros = micros;
+  }
+
+  public long listedMicros() {
+    return listedMicros;
+  }
+
+  public void listed(long nowMicros, boolean asFailed) {
+    listedMicros = nowMicros;
+    failed |= asFailed;
+  }
+
+  public boolean failed() {
+    return failed;
+  }
+
+  public Iterable<Attempt> attempts() {
+    return attempts.values();
+  }
+
+  public Attempt attempt(long attemptId) {
+    return attempts.get(attemptId);
+  }
+
+  void add(Attempt a) {
+    attempts.put(a.id(), a);
+    live++;
+    unheardOf += a.unheard() ? 1 : 0;
+  }
+
+  /** Something was heard of an attempt that was sent directly, or it is over. */
+  void heardOf() {
+    unheardOf--;
+  }
+
+  /** An attempt is over. */
+  void ended() {
+    live--;
+  }
+
+  void remove(Attempt a) {
+    attempts.remove(a.id());
+  }
+
+  public boolean running() {
+    return live > 0;
+  }
+
+  /** Observed run time over the planned one; 1 for a machine as fast as its type. */
+  public double slowness() {
+    return slowness;
+  }
+
+  public void observe(double ratio) {
+    double bounded = Math.max(0.5, Math.min(6, ratio));
+    slowness = Math.max(0.8, 0.7 * slowness + 0.3 * bounded);
+  }
+
+  /**
+   * A machine that fails the tasks of several jobs is faulty; one job failing may be the job's own
+   * mistake.
+   */
+  public boolean noteError(String job) {
+    errorStreak++;
+    if (!job.equals(lastErrorJob)) {
+      lastErrorJob = job;
+      erringJobs++;
+    }
+    return erringJobs >= 2 && errorStreak >= 3;
+  }
+
+  public void noteSuccess() {
+    errorStreak = 0;
+    erringJobs = 0;
+    lastErrorJob = null;
+  }
+
+  /** Tells how long a task that needs the image would wait for it, as far as known. */
+  public long fetchMicros(String image, double gb, Flavor type, long nowMicros) {
+    Image held = images.get(image);
+    if (held != null && held.ready || type.fetchGbPerS() <= 0) {
+      return 0;
+    }
+    int others = 0;
+    for (Map.Entry<String, Image> e : images.entrySet()) {
+      if (!e.getValue().ready
+          && !e.getKey().equals(image)
+          && nowMicros - e.getValue().sinceMicros < STALE_FETCH_MICROS) {
+        others++;
+      }
+    }
+    // Several fetches at a time may share the rate.
+    long whole = (long) (gb / type.fetchGbPerS() * 1e6) * (1 + others);
+    return held == null ? whole : Math.max(whole / 10, whole - (nowMicros - held.sinceMicros));
+  }
+
+  /** A task that needs the image goes to the machine. */
+  public void useImage(String image, double gb, Flavor type, long nowMicros) {
+    Image held = images.get(image);
+    if (held == null) {
+      images.put(image, new Image(gb, nowMicros));
+    }
+    double sum = 0;
+    for (Image i : images.values()) {
+      sum += i.gb;
+    }
+    var it = images.entrySet().iterator();
+    while (sum > type.cacheGb() && it.hasNext()) {
+      Map.Entry<String, Image> eldest = it.next();
+      if (eldest.getKey().equals(image)) {
+        break;
+      }
+      sum -= eldest.getValue().gb;
+      it.remove();
+    }
+  }
+
+  /** A task that needs the image runs, so the machine has it. */
+  public void hasImage(String image, double gb) {
+    Image held = images.get(image);
+    if (held == null) {
+      held = new Image(gb, 0);
+      images.put(image, held);
+    }
+    held.ready = true;
+  }
+
+  /** Images it has, with their sizes. */
+  public Map<String, Double> readyImages() {
+    Map<String, Double> ready = new LinkedHashMap<>();
+    images.forEach(
+        (name, i) -> {
+          if (i.ready) {
+            ready.put(name, i.gb);
+          }
         });
-        return ready;
-    }
+    return ready;
+  }
 
-    /** The fetch was given up, since no task waits for it any more. */
-    public void dropFetch(String image) {
-        Image held = images.get(image);
-        if (held != null && !held.ready) {
-            images.remove(image);
-        }
+  /** The fetch was given up, since no task waits for it any more. */
+  public void dropFetch(String image) {
+    Image held = images.get(image);
+    if (held != null && !held.ready) {
+      images.remove(image);
     }
+  }
 
-    private static final class Image {
-        private final double gb;
-        private final long sinceMicros;
-        private boolean ready;
+  private static final class Image {
+    private final double gb;
+    private final long sinceMicros;
+    private boolean ready;
 
-        Image(double gb, long sinceMicros) {
-            this.gb = gb;
-            this.sinceMicros = sinceMicros;
-        }
+    Image(double gb, long sinceMicros) {
+      this.gb = gb;
+      this.sinceMicros = sinceMicros;
     }
+  }
 }
--- a/src/main/java/plumlever/http/Caller.java
+++ b/src/main/java/plumlever/http/Caller.java
@@ -4,12 +4,18 @@
 
 /** Outgoing requests. The answer is given on the loop, exactly once. */
 public interface Caller {
-    /** @param body null for none */
-    void call(Endpoint to, String method, String path, byte[] body, long timeoutMicros, Answer answer);
+  /**
+   * @param body null for none
+   */
+  void call(
+      Endpoint to, String method, String path, byte[] body, long timeoutMicros, Answer answer);
 
-    /** Takes what came of a request. */
-    interface Answer {
-        /** @param status 0 when there was no response: the request may have been executed or may still be */
-        void take(int status, byte[] body);
-    }
+  /** Takes what came of a request. */
+  interface Answer {
+    /**
+     * @param status 0 when there was no response: the request may have been executed or may still
+     *     be
+     */
+    void take(int status, byte[] body);
+  }
 }
--- a/src/main/java/plumlever/http/Front.java
+++ b/src/main/java/plumlever/http/Front.java
@@ -13,142 +13,153 @@
 
 /** Routes requests of users, workers and health checks. */
 public final class Front implements Server.Handler {
-    /** What the front has to know of this node. */
-    public interface House {
-        /** The leader here, or null when this node does not lead. */
-        Leader leader();
+  /** What the front has to know of this node. */
+  public interface House {
+    /** The leader here, or null when this node does not lead. */
+    Leader leader();
 
-        /** Label of the live leader, or null. */
-        String leaderLabel();
+    /** Label of the live leader, or null. */
+    String leaderLabel();
 
-        boolean canTakeRequests();
+    boolean canTakeRequests();
 
-        /** A worker reported to a node that does not lead. */
-        void strayReport(String host);
+    /** A worker reported to a node that does not lead. */
+    void strayReport(String host);
 
-        /** True while this node may renew the lease of a worker in the zone that has seen the token, for the leader. */
-        boolean mayRenew(String site, long token);
-
-        /** A lease was renewed for the leader. */
-        void renewed();
+    /**
+     * True while this node may renew the lease of a worker in the zone that has seen the token, for
+     * the leader.
+     */
+    boolean mayRenew(String site, long token);
 
-        /** The halts that a stand-in gives with its answer; null when it can't be found out which jobs have ended. */
-        void endedPieces(WorkerReport r, Consumer<StandInHalts> then);
-    }
+    /** A lease was renewed for the leader. */
+    void renewed();
 
     /**
-     * What a stand-in orders.
-     *
-     * @param knownMicros when the oldest read that it rests on had been sent
+     * The halts that a stand-in gives with its answer; null when it can't be found out which jobs
+     * have ended.
      */
-    public record StandInHalts(List<Order> halts, long knownMicros) {}
-
-    private static final String JOBS = "/submissions";
-    private static final String ABORT = "/abort";
-
-    private final Loop clock;
-    private final UserApi users;
-    private final House house;
-    private final Metrics metrics;
-    private final RenewalLimit limit;
-
-    public Front(Loop clock, UserApi users, House house, RenewalLimit limit, Metrics metrics) {
-        this.limit = limit;
-        this.clock = clock;
-        this.users = users;
-        this.house = house;
-        this.metrics = metrics;
+    void endedPieces(WorkerReport r, Consumer<StandInHalts> then);
+  }
+
+  /**
+   * What a stand-in orders.
+   *
+   * @param knownMicros when the oldest read that it rests on had been sent
+   */
+  public record StandInHalts(List<Order> halts, long knownMicros) {}
+
+  private static final String JOBS = "/submissions";
+  private static final String ABORT = "/abort";
+
+  private final Loop clock;
+  private final UserApi users;
+  private final House house;
+  private final Metrics metrics;
+  private final RenewalLimit limit;
+
+  public Front(Loop clock, UserApi users, House house, RenewalLimit limit, Metrics metrics) {
+    this.limit = limit;
+    this.clock = clock;
+    this.users = users;
+    this.house = house;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public void handle(String method, String pathAndQuery, byte[] body, Responder out) {
+    long since = clock.nowMicros();
+    route(method, pathAndQuery, body, out);
+    metrics.spent(pathAndQuery.equals("/hello") ? "reports" : "users", clock.nowMicros() - since);
+  }
+
+  private void route(String method, String pathAndQuery, byte[] body, Responder out) {
+    int q = pathAndQuery.indexOf('?');
+    String path = q < 0 ? pathAndQuery : pathAndQuery.substring(0, q);
+    if (path.equals("/hello")) {
+      if (allowed(method, "POST", out)) {
+        hello(body, out);
+      }
+    } else if (path.equals("/up")) {
+      if (allowed(method, "GET", out)) {
+        up(out);
+      }
+    } else if (path.equals(JOBS)) {
+      if (allowed(method, "POST", out)) {
+        users.submit(body, out);
+      }
+    } else if (path.startsWith(JOBS + "/")) {
+      String rest = path.substring(JOBS.length() + 1);
+      if (rest.endsWith(ABORT)) {
+        if (allowed(method, "POST", out)) {
+          users.abort(rest.substring(0, rest.length() - ABORT.length()), out);
+        }
+      } else if (rest.indexOf('/') >= 0) {
+        out.error(404, "no such path");
+      } else if (allowed(method, "GET", out)) {
+        users.poll(rest, out);
+      }
+    } else {
+      out.error(404, "no such path");
     }
+  }
 
-    @Override
-    public void handle(String method, String pathAndQuery, byte[] body, Responder out) {
-        long since = clock.nowMicros();
-        route(method, pathAndQuery, body, out);
-        metrics.spent(pathAndQuery.equals("/hello") ? "reports" : "users", clock.nowMicros() - since);
+  private static boolean allowed(String method, String want, Responder out) {
+    if (method.equals(want)) {
+      return true;
     }
-
-    private void route(String method, String pathAndQuery, byte[] body, Responder out) {
-        int q = pathAndQuery.indexOf('?');
-        String path = q < 0 ? pathAndQuery : pathAndQuery.substring(0, q);
-        if (path.equals("/hello")) {
-            if (allowed(method, "POST", out)) {
-                hello(body, out);
-            }
-        } else if (path.equals("/up")) {
-            if (allowed(method, "GET", out)) {
-                up(out);
-            }
-        } else if (path.equals(JOBS)) {
-            if (allowed(method, "POST", out)) {
-                users.submit(body, out);
-            }
-        } else if (path.startsWith(JOBS + "/")) {
-            String rest = path.substring(JOBS.length() + 1);
-            if (rest.endsWith(ABORT)) {
-                if (allowed(method, "POST", out)) {
-                    users.abort(rest.substring(0, rest.length() - ABORT.length()), out);
-                }
-            } else if (rest.indexOf('/') >= 0) {
-                out.error(404, "no such path");
-            } else if (allowed(method, "GET", out)) {
-                users.poll(rest, out);
-            }
-        } else {
-            out.error(404, "no such path");
-        }
+    out.error(405, "only " + want + " is served here");
+    return false;
+  }
+
+  private void up(Responder out) {
+    if (house.canTakeRequests()) {
+      out.send(200, "{}");
+    } else {
+      out.later(503, "can't take requests", 1);
     }
-
-    private static boolean allowed(String method, String want, Responder out) {
-        if (method.equals(want)) {
-            return true;
-        }
-        out.error(405, "only " + want + " is served here");
-        return false;
+  }
+
+  private void hello(byte[] body, Responder out) {
+    WorkerReport r;
+    try {
+      r = WorkerReport.parse(body);
+    } catch (InvalidMessage e) {
+      metrics.count("reports_unreadable");
+      out.error(400, e.getMessage());
+      return;
     }
-
-    private void up(Responder out) {
-        if (house.canTakeRequests()) {
-            out.send(200, "{}");
-        } else {
-            out.later(503, "can't take requests", 1);
-        }
+    metrics.count("reports");
+    if (out.crowded()) {
+      // Users come first: a worker can do with a connection for each report.
+      metrics.count("reports_closed_crowded");
+      out.closing();
     }
-
-    private void hello(byte[] body, Responder out) {
-        WorkerReport r;
-        try {
-            r = WorkerReport.parse(body);
-        } catch (InvalidMessage e) {
-            metrics.count("reports_unreadable");
-            out.error(400, e.getMessage());
-            return;
-        }
-        metrics.count("reports");
-        if (out.crowded()) {
-            // Users come first: a worker can do with a connection for each report.
-            metrics.count("reports_closed_crowded");
-            out.closing();
-        }
-        Leader leader = house.leader();
-        if (leader != null) {
-            leader.report(r, out);
-            return;
-        }
-        house.strayReport(r.host());
-        if (house.mayRenew(r.site(), r.baton())) {
-            house.endedPieces(r, found -> {
-                // Asked again: finding out took its time. A lease is not renewed for tasks whose halt can't be given.
-                if (found != null && house.mayRenew(r.site(), r.baton()) && limit.mayRenew(clock.nowMicros(), found.knownMicros())) {
-                    metrics.count("leases_renewed_for_leader");
-                    house.renewed();
-                    out.send(200, Order.answer(r.baton(), found.halts()));
-                } else {
-                    out.later(503, "can't stand in", 1);
-                }
-            });
-            return;
-        }
-        String label = house.leaderLabel();
-        out.send(421, Json.write(label == null ? Json.object() : Json.object().put("foreman", label)));
+    Leader leader = house.leader();
+    if (leader != null) {
+      leader.report(r, out);
+      return;
+    }
+    house.strayReport(r.host());
+    if (house.mayRenew(r.site(), r.baton())) {
+      house.endedPieces(
+          r,
+          found -> {
+            // Asked again: finding out took its time. A lease is not renewed for tasks whose halt
+            // can't be given.
+            if (found != null
+                && house.mayRenew(r.site(), r.baton())
+                && limit.mayRenew(clock.nowMicros(), found.knownMicros())) {
+              metrics.count("leases_renewed_for_leader");
+              house.renewed();
+              out.send(200, Order.answer(r.baton(), found.halts()));
+            } else {
+              out.later(503, "can't stand in", 1);
+            }
+          });
+      return;
     }
+    String label = house.leaderLabel();
+    out.send(421, Json.write(label == null ? Json.object() : Json.object().put("foreman", label)));
+  }
 }
--- a/src/main/java/plumlever/http/Responder.java
+++ b/src/main/java/plumlever/http/Responder.java
@@ -2,28 +2,32 @@
 
 /** Answers one incoming request, once. */
 public interface Responder {
-    /** @param retryAfterS 0 for none */
-    void send(int status, String json, int retryAfterS);
+  /**
+   * @param retryAfterS 0 for none
+   */
+  void send(int status, String json, int retryAfterS);
 
-    /** The connection ends with the answer, so that its user finds another node. */
-    default void closing() {
-    }
+  /** The connection ends with the answer, so that its user finds another node. */
+  default void closing() {}
 
-    /** True when connections are short: one that can be done without is better closed. */
-    default boolean crowded() {
-        return false;
-    }
+  /** True when connections are short: one that can be done without is better closed. */
+  default boolean crowded() {
+    return false;
+  }
 
-    default void send(int status, String json) {
-        send(status, json, 0);
-    }
+  default void send(int status, String json) {
+    send(status, json, 0);
+  }
 
-    default void error(int status, String reason) {
-        send(status, plumlever.wire.Json.write(plumlever.wire.Json.object().put("error", reason)), 0);
-    }
+  default void error(int status, String reason) {
+    send(status, plumlever.wire.Json.write(plumlever.wire.Json.object().put("error", reason)), 0);
+  }
 
-    /** For what can't be taken now: tells when to come back. */
-    default void later(int status, String reason, int retryAfterS) {
-        send(status, plumlever.wire.Json.write(plumlever.wire.Json.object().put("error", reason)), retryAfterS);
-    }
+  /** For what can't be taken now: tells when to come back. */
+  default void later(int status, String reason, int retryAfterS) {
+    send(
+        status,
+        plumlever.wire.Json.write(plumlever.wire.Json.object().put("error", reason)),
+        retryAfterS);
+  }
 }
