--- a/src/main/java/plumlever/http/UndertowCaller.java
+++ b/src/main/java/plumlever/http/UndertowCaller.java
@@ -28,271 +28,292 @@
 import plumlever.settings.Endpoint;
 
 /**
- * Outgoing requests over Undertow's client on the loop's own thread: a bounded pool of kept connections for
- * each address, one request at a time on each. A request is never repeated here, because only the caller knows
- * whether it may be.
+ * Outgoing requests over Undertow's client on the loop's own thread: a bounded pool of kept
+ * connections for each address, one request at a time on each. A request is never repeated here,
+ * because only the caller knows whether it may be.
  */
 public final class UndertowCaller implements Caller, AutoCloseable {
-    private static final Logger LOG = LoggerFactory.getLogger(UndertowCaller.class);
-    private static final int MAX_CONNECTIONS_EACH = 12;
-    private static final int MAX_WAITING_EACH = 64;
-    /** Connections kept for later, to all addresses: with a thousand machines to call they would use up all sockets. */
-    private static final int MAX_IDLE = 48;
-    private static final int MAX_BODY = 8 << 20;
-    private static final byte[] NO_BODY = new byte[0];
+  private static final Logger LOG = LoggerFactory.getLogger(UndertowCaller.class);
+  private static final int MAX_CONNECTIONS_EACH = 12;
+  private static final int MAX_WAITING_EACH = 64;
 
-    private final Loop loop;
-    private final XnioIoThread thread;
-    private final ByteBufferPool buffers;
-    private final HttpClientProvider provider = new HttpClientProvider();
-    private final Map<Endpoint, Pool> pools = new HashMap<>();
-    /** Kept connections with the pool of each, the one kept longest first. */
-    private final LinkedHashMap<ClientConnection, Pool> idle = new LinkedHashMap<>();
+  /**
+   * Connections kept for later, to all addresses: with a thousand machines to call they would use
+   * up all sockets.
+   */
+  private static final int MAX_IDLE = 48;
 
-    public UndertowCaller(Loop loop, XnioIoThread thread, ByteBufferPool buffers) {
-        this.loop = loop;
-        this.thread = thread;
-        this.buffers = buffers;
-    }
+  private static final int MAX_BODY = 8 << 20;
+  private static final byte[] NO_BODY = new byte[0];
 
-    @Override
-    public void call(Endpoint to, String method, String path, byte[] body, long timeoutMicros, Answer answer) {
-        Pool pool = pools.computeIfAbsent(to, Pool::new);
-        Call call = new Call(pool, method, path, body, answer);
-        call.timer = loop.after(timeoutMicros, () -> call.finish(0, NO_BODY, false));
-        pool.submit(call);
-    }
+  private final Loop loop;
+  private final XnioIoThread thread;
+  private final ByteBufferPool buffers;
+  private final HttpClientProvider provider = new HttpClientProvider();
+  private final Map<Endpoint, Pool> pools = new HashMap<>();
 
-    @Override
-    public void close() {
-        idle.keySet().forEach(IoUtils::safeClose);
-    }
+  /** Kept connections with the pool of each, the one kept longest first. */
+  private final LinkedHashMap<ClientConnection, Pool> idle = new LinkedHashMap<>();
 
-    private final class Pool {
-        private final Endpoint to;
-        private final ArrayDeque<ClientConnection> kept = new ArrayDeque<>();
-        private final ArrayDeque<Call> waiting = new ArrayDeque<>();
-        private int inUse;
+  public UndertowCaller(Loop loop, XnioIoThread thread, ByteBufferPool buffers) {
+    this.loop = loop;
+    this.thread = thread;
+    this.buffers = buffers;
+  }
 
-        Pool(Endpoint to) {
-            this.to = to;
-        }
+  @Override
+  public void call(
+      Endpoint to, String method, String path, byte[] body, long timeoutMicros, Answer answer) {
+    Pool pool = pools.computeIfAbsent(to, Pool::new);
+    Call call = new Call(pool, method, path, body, answer);
+    call.timer = loop.after(timeoutMicros, () -> call.finish(0, NO_BODY, false));
+    pool.submit(call);
+  }
 
-        void submit(Call call) {
-            if (inUse < MAX_CONNECTIONS_EACH) {
-                inUse++;
-                call.begin();
-            } else if (waiting.size() < MAX_WAITING_EACH) {
-                waiting.add(call);
-            } else {
-                call.finish(0, NO_BODY, false);
-            }
-        }
+  @Override
+  public void close() {
+    idle.keySet().forEach(IoUtils::safeClose);
+  }
 
-        /** A slot is free again; {@code connection} is null if it cannot be used again. */
-        void release(ClientConnection connection) {
-            inUse--;
-            if (connection != null && connection.isOpen()) {
-                kept.push(connection);
-                idle.put(connection, this);
-                if (idle.size() > MAX_IDLE) {
-                    Map.Entry<ClientConnection, Pool> eldest = idle.entrySet().iterator().next();
-                    idle.remove(eldest.getKey());
-                    eldest.getValue().kept.remove(eldest.getKey());
-                    IoUtils.safeClose(eldest.getKey());
-                    eldest.getValue().dropIfUnused();
-                }
-            }
-            while (!waiting.isEmpty() && inUse < MAX_CONNECTIONS_EACH) {
-                Call next = waiting.poll();
-                if (!next.finished) {
-                    inUse++;
-                    next.begin();
-                }
-            }
-            dropIfUnused();
-        }
+  private final class Pool {
+    private final Endpoint to;
+    private final ArrayDeque<ClientConnection> kept = new ArrayDeque<>();
+    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+    private int inUse;
 
-        /** Machines come and go; what was kept for their addresses goes as well. */
-        private void dropIfUnused() {
-            if (inUse == 0 && kept.isEmpty() && waiting.isEmpty()) {
-                pools.remove(to, this);
-            }
-        }
+    Pool(Endpoint to) {
+      this.to = to;
+    }
 
-        ClientConnection take() {
-            ClientConnection c;
-            while ((c = kept.poll()) != null) {
-                idle.remove(c);
-                if (c.isOpen()) {
-                    return c;
-                }
-                IoUtils.safeClose(c);
-            }
-            return null;
+    void submit(Call call) {
+      if (inUse < MAX_CONNECTIONS_EACH) {
+        inUse++;
+        call.begin();
+      } else if (waiting.size() < MAX_WAITING_EACH) {
+        waiting.add(call);
+      } else {
+        call.finish(0, NO_BODY, false);
+      }
+    }
+
+    /** A slot is free again; {@code connection} is null if it cannot be used again. */
+    void release(ClientConnection connection) {
+      inUse--;
+      if (connection != null && connection.isOpen()) {
+        kept.push(connection);
+        idle.put(connection, this);
+        if (idle.size() > MAX_IDLE) {
+          Map.Entry<ClientConnection, Pool> eldest = idle.entrySet().iterator().next();
+          idle.remove(eldest.getKey());
+          eldest.getValue().kept.remove(eldest.getKey());
+          IoUtils.safeClose(eldest.getKey());
+          eldest.getValue().dropIfUnused();
+        }
+      }
+      while (!waiting.isEmpty() && inUse < MAX_CONNECTIONS_EACH) {
+        Call next = waiting.poll();
+        if (!next.finished) {
+          inUse++;
+          next.begin();
         }
+      }
+      dropIfUnused();
     }
 
-    private final class Call {
-        private final Pool pool;
-        private final String method;
-        private final String path;
-        private final byte[] body;
-        private final Answer answer;
-        private Loop.Timer timer;
-        private ClientConnection connection;
-        private boolean begun;
-        private boolean finished;
+    /** Machines come and go; what was kept for their addresses goes as well. */
+    private void dropIfUnused() {
+      if (inUse == 0 && kept.isEmpty() && waiting.isEmpty()) {
+        pools.remove(to, this);
+      }
+    }
 
-        Call(Pool pool, String method, String path, byte[] body, Answer answer) {
-            this.pool = pool;
-            this.method = method;
-            this.path = path;
-            this.body = body;
-            this.answer = answer;
+    ClientConnection take() {
+      ClientConnection c;
+      while ((c = kept.poll()) != null) {
+        idle.remove(c);
+        if (c.isOpen()) {
+          return c;
         }
+        IoUtils.safeClose(c);
+      }
+      return null;
+    }
+  }
 
-        void begin() {
-            begun = true;
-            ClientConnection kept = pool.take();
-            if (kept != null) {
-                send(kept);
-                return;
-            }
-            provider.connect(new ClientCallback<>() {
-                @Override
-                public void completed(ClientConnection c) {
-                    if (finished) {
-                        // Given up while connecting; the slot went back already, so the connection is closed.
-                        IoUtils.safeClose(c);
-                    } else {
-                        send(c);
-                    }
-                }
+  private final class Call {
+    private final Pool pool;
+    private final String method;
+    private final String path;
+    private final byte[] body;
+    private final Answer answer;
+    private Loop.Timer timer;
+    private ClientConnection connection;
+    private boolean begun;
+    private boolean finished;
 
-                @Override
-                public void failed(IOException e) {
-                    LOG.debug("no connection to {}: {}", pool.to, e.toString());
-                    finish(0, NO_BODY, false);
-                }
-            }, null, URI.create("http://" + pool.to), thread, null, buffers, OptionMap.EMPTY);
-        }
+    Call(Pool pool, String method, String path, byte[] body, Answer answer) {
+      this.pool = pool;
+      this.method = method;
+      this.path = path;
+      this.body = body;
+      this.answer = answer;
+    }
 
-        private void send(ClientConnection c) {
-            connection = c;
-            ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
-            request.getRequestHeaders().put(Headers.HOST, pool.to.toString());
-            if (body != null) {
-                request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
-                request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
-            } else if (!method.equals("GET")) {
-                request.getRequestHeaders().put(Headers.CONTENT_LENGTH, 0);
+    void begin() {
+      begun = true;
+      ClientConnection kept = pool.take();
+      if (kept != null) {
+        send(kept);
+        return;
+      }
+      provider.connect(
+          new ClientCallback<>() {
+            @Override
+            public void completed(ClientConnection c) {
+              if (finished) {
+                // Given up while connecting; the slot went back already, so the connection is
+                // closed.
+                IoUtils.safeClose(c);
+              } else {
+                send(c);
+              }
             }
-            c.sendRequest(request, new ClientCallback<>() {
-                @Override
-                public void completed(ClientExchange exchange) {
-                    exchange.setResponseListener(new ClientCallback<>() {
-                        @Override
-                        public void completed(ClientExchange e) {
-                            receive(e);
-                        }
 
-                        @Override
-                        public void failed(IOException e) {
-                            broke(e);
-                        }
-                    });
-                    if (body != null && body.length > 0) {
-                        write(exchange.getRequestChannel(), ByteBuffer.wrap(body));
-                    }
-                }
+            @Override
+            public void failed(IOException e) {
+              LOG.debug("no connection to {}: {}", pool.to, e.toString());
+              finish(0, NO_BODY, false);
+            }
+          },
+          null,
+          URI.create("http://" + pool.to),
+          thread,
+          null,
+          buffers,
+          OptionMap.EMPTY);
+    }
 
-                @Override
-                public void failed(IOException e) {
-                    broke(e);
-                }
-            });
-        }
+    private void send(ClientConnection c) {
+      connection = c;
+      ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
+      request.getRequestHeaders().put(Headers.HOST, pool.to.toString());
+      if (body != null) {
+        request.getRequestHeaders().put(Headers.CONTENT_TYPE, "application/json");
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, body.length);
+      } else if (!method.equals("GET")) {
+        request.getRequestHeaders().put(Headers.CONTENT_LENGTH, 0);
+      }
+      c.sendRequest(
+          request,
+          new ClientCallback<>() {
+            @Override
+            public void completed(ClientExchange exchange) {
+              exchange.setResponseListener(
+                  new ClientCallback<>() {
+                    @Override
+                    public void completed(ClientExchange e) {
+                      receive(e);
+                    }
 
-        private void write(StreamSinkChannel channel, ByteBuffer data) {
-            try {
-                while (data.hasRemaining()) {
-                    if (channel.write(data) == 0) {
-                        channel.getWriteSetter().set(ch -> write(ch, data));
-                        channel.resumeWrites();
-                        return;
+                    @Override
+                    public void failed(IOException e) {
+                      broke(e);
                     }
-                }
-                channel.shutdownWrites();
-                if (!channel.flush()) {
-                    channel.getWriteSetter().set(ch -> {
-                        try {
-                            if (ch.flush()) {
-                                ch.suspendWrites();
-                            }
-                        } catch (IOException e) {
-                            broke(e);
-                        }
-                    });
-                    channel.resumeWrites();
-                }
-            } catch (IOException e) {
-                broke(e);
+                  });
+              if (body != null && body.length > 0) {
+                write(exchange.getRequestChannel(), ByteBuffer.wrap(body));
+              }
             }
-        }
 
-        private void receive(ClientExchange exchange) {
-            int status = exchange.getResponse().getResponseCode();
-            ByteArrayOutputStream into = new ByteArrayOutputStream(512);
-            read(exchange.getResponseChannel(), into, status);
-        }
+            @Override
+            public void failed(IOException e) {
+              broke(e);
+            }
+          });
+    }
 
-        private void read(StreamSourceChannel channel, ByteArrayOutputStream into, int status) {
-            try (PooledByteBuffer pooled = buffers.allocate()) {
-                ByteBuffer buffer = pooled.getBuffer();
-                while (true) {
-                    buffer.clear();
-                    int n = channel.read(buffer);
-                    if (n < 0) {
-                        finish(status, into.toByteArray(), true);
-                        return;
-                    }
-                    if (n == 0) {
-                        channel.getReadSetter().set(ch -> read(ch, into, status));
-                        channel.resumeReads();
-                        return;
-                    }
-                    buffer.flip();
-                    into.write(buffer.array(), buffer.arrayOffset() + buffer.position(), buffer.remaining());
-                    if (into.size() > MAX_BODY) {
-                        throw new IOException("response is too long");
+    private void write(StreamSinkChannel channel, ByteBuffer data) {
+      try {
+        while (data.hasRemaining()) {
+          if (channel.write(data) == 0) {
+            channel.getWriteSetter().set(ch -> write(ch, data));
+            channel.resumeWrites();
+            return;
+          }
+        }
+        channel.shutdownWrites();
+        if (!channel.flush()) {
+          channel
+              .getWriteSetter()
+              .set(
+                  ch -> {
+                    try {
+                      if (ch.flush()) {
+                        ch.suspendWrites();
+                      }
+                    } catch (IOException e) {
+                      broke(e);
                     }
-                }
-            } catch (IOException e) {
-                broke(e);
-            }
+                  });
+          channel.resumeWrites();
         }
+      } catch (IOException e) {
+        broke(e);
+      }
+    }
 
-        private void broke(IOException e) {
-            LOG.debug("{} {} at {} got no answer: {}", method, path, pool.to, e.toString());
-            finish(0, NO_BODY, false);
+    private void receive(ClientExchange exchange) {
+      int status = exchange.getResponse().getResponseCode();
+      ByteArrayOutputStream into = new ByteArrayOutputStream(512);
+      read(exchange.getResponseChannel(), into, status);
+    }
+
+    private void read(StreamSourceChannel channel, ByteArrayOutputStream into, int status) {
+      try (PooledByteBuffer pooled = buffers.allocate()) {
+        ByteBuffer buffer = pooled.getBuffer();
+        while (true) {
+          buffer.clear();
+          int n = channel.read(buffer);
+          if (n < 0) {
+            finish(status, into.toByteArray(), true);
+            return;
+          }
+          if (n == 0) {
+            channel.getReadSetter().set(ch -> read(ch, into, status));
+            channel.resumeReads();
+            return;
+          }
+          buffer.flip();
+          into.write(buffer.array(), buffer.arrayOffset() + buffer.position(), buffer.remaining());
+          if (into.size() > MAX_BODY) {
+            throw new IOException("response is too long");
+          }
         }
+      } catch (IOException e) {
+        broke(e);
+      }
+    }
 
-        private void finish(int status, byte[] data, boolean reusable) {
-            if (finished) {
-                return;
-            }
-            finished = true;
-            if (timer != null) {
-                timer.cancel();
-            }
-            if (begun) {
-                if (!reusable && connection != null) {
-                    IoUtils.safeClose(connection);
-                }
-                pool.release(reusable ? connection : null);
-            }
-            answer.take(status, data);
+    private void broke(IOException e) {
+      LOG.debug("{} {} at {} got no answer: {}", method, path, pool.to, e.toString());
+      finish(0, NO_BODY, false);
+    }
+
+    private void finish(int status, byte[] data, boolean reusable) {
+      if (finished) {
+        return;
+      }
+      finished = true;
+      if (timer != null) {
+        timer.cancel();
+      }
+      if (begun) {
+        if (!reusable && connection != null) {
+          IoUtils.safeClose(connection);
         }
+        pool.release(reusable ? connection : null);
+      }
+      answer.take(status, data);
     }
+  }
 }
--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -21,365 +21,427 @@
 import plumlever.wire.Json;
 
 /**
- * Users' requests. Every answer but a final state rests on a read of the state service begun after the request came
- * in, so any node can give it; what can't be found out now is refused at once, with the time to come back.
+ * Users' requests. Every answer but a final state rests on a read of the state service begun after
+ * the request came in, so any node can give it; what can't be found out now is refused at once,
+ * with the time to come back.
  */
 public final class UserApi {
-    /** Told of what users changed through this node, and asked for counts to display. */
-    public interface Desk {
-        void aborted(String uid);
+  /** Told of what users changed through this node, and asked for counts to display. */
+  public interface Desk {
+    void aborted(String uid);
 
-        /** Finished and running tasks, or null if not known here. */
-        int[] counts(String uid);
+    /** Finished and running tasks, or null if not known here. */
+    int[] counts(String uid);
 
-        /** True when the state service serves others but not this node. */
-        boolean alone();
-    }
+    /** True when the state service serves others but not this node. */
+    boolean alone();
+  }
 
-    private static final int MOST_AT_ONCE = 256;
-    private static final int RETRY_AFTER_S = 1;
-    private static final long AGAIN_MICROS = 150_000;
-    private static final int TRIES = 4;
-    /** Of a transaction's 64 KiB. */
-    private static final int MOST_TXN_BYTES = 48 * 1024;
-    /** A user waits 5 s for an answer, and goes on with the next try where this one stopped. */
-    private static final long PARTS_MICROS = 4_000_000;
+  private static final int MOST_AT_ONCE = 256;
+  private static final int RETRY_AFTER_S = 1;
+  private static final long AGAIN_MICROS = 150_000;
+  private static final int TRIES = 4;
 
-    private final Loop loop;
-    private final StateClient store;
-    private final JobStore layout;
-    private final PriceBook prices;
-    private final Metrics metrics;
-    private final Desk desk;
-    private final Set<String> teams = new HashSet<>();
-    private final List<Platform.Team> limits;
-    private final JobBook book;
-    private int open;
+  /** Of a transaction's 64 KiB. */
+  private static final int MOST_TXN_BYTES = 48 * 1024;
 
-    public UserApi(Loop loop, StateClient store, JobBook book, JobStore layout, PriceBook prices, Platform platform, Metrics metrics, Desk desk) {
-        this.loop = loop;
-        this.store = store;
-        this.book = book;
-        this.layout = layout;
-        this.prices = prices;
-        this.metrics = metrics;
-        this.desk = desk;
-        this.limits = platform.teams();
-        limits.forEach(t -> teams.add(t.name()));
-    }
+  /** A user waits 5 s for an answer, and goes on with the next try where this one stopped. */
+  private static final long PARTS_MICROS = 4_000_000;
 
-    /** Counts a request while it is open; too many at once are turned away. */
-    private Responder admit(String kind, Responder out) {
-        if (open >= MOST_AT_ONCE) {
-            metrics.count("users_turned_away");
-            out.later(503, "too many requests", RETRY_AFTER_S);
-            return null;
-        }
-        open++;
-        long since = loop.nowMicros();
-        return new Responder() {
-            @Override
-            public void send(int status, String json, int retryAfterS) {
-                open--;
-                metrics.time(kind, loop.nowMicros() - since);
-                if (status >= 500 || status == 429) {
-                    metrics.count(kind + "_refused");
-                }
-                out.send(status, json, retryAfterS);
-            }
+  private final Loop loop;
+  private final StateClient store;
+  private final JobStore layout;
+  private final PriceBook prices;
+  private final Metrics metrics;
+  private final Desk desk;
+  private final Set<String> teams = new HashSet<>();
+  private final List<Platform.Team> limits;
+  private final JobBook book;
+  private int open;
 
-            @Override
-            public void closing() {
-                out.closing();
-            }
-        };
-    }
+  public UserApi(
+      Loop loop,
+      StateClient store,
+      JobBook book,
+      JobStore layout,
+      PriceBook prices,
+      Platform platform,
+      Metrics metrics,
+      Desk desk) {
+    this.loop = loop;
+    this.store = store;
+    this.book = book;
+    this.layout = layout;
+    this.prices = prices;
+    this.metrics = metrics;
+    this.desk = desk;
+    this.limits = platform.teams();
+    limits.forEach(t -> teams.add(t.name()));
+  }
 
-    /** A user's connection stays on its node: one that alone can't answer must not keep its users from those that can. */
-    private void unavailable(Responder out) {
-        if (desk.alone()) {
-            metrics.count("users_sent_away");
-            out.closing();
+  /** Counts a request while it is open; too many at once are turned away. */
+  private Responder admit(String kind, Responder out) {
+    if (open >= MOST_AT_ONCE) {
+      metrics.count("users_turned_away");
+      out.later(503, "too many requests", RETRY_AFTER_S);
+      return null;
+    }
+    open++;
+    long since = loop.nowMicros();
+    return new Responder() {
+      @Override
+      public void send(int status, String json, int retryAfterS) {
+        open--;
+        metrics.time(kind, loop.nowMicros() - since);
+        if (status >= 500 || status == 429) {
+          metrics.count(kind + "_refused");
         }
-        out.later(503, "the state service can't be reached", RETRY_AFTER_S);
+        out.send(status, json, retryAfterS);
+      }
+
+      @Override
+      public void closing() {
+        out.closing();
+      }
+    };
+  }
+
+  /**
+   * A user's connection stays on its node: one that alone can't answer must not keep its users from
+   * those that can.
+   */
+  private void unavailable(Responder out) {
+    if (desk.alone()) {
+      metrics.count("users_sent_away");
+      out.closing();
     }
+    out.later(503, "the state service can't be reached", RETRY_AFTER_S);
+  }
 
-    public void submit(byte[] body, Responder raw) {
-        ObjectNode o;
-        String uid;
-        try {
-            o = Json.parseObject(body);
-            uid = Json.text(o, "uid");
-            if (!JobSpec.validUid(uid)) {
-                throw new InvalidMessage("uid must be job- and digits");
-            }
-        } catch (InvalidMessage e) {
-            raw.error(400, e.getMessage());
-            return;
-        }
-        Responder out = admit("submit", raw);
-        if (out == null) {
-            return;
-        }
-        JobSpec spec;
-        try {
-            spec = JobSpec.parse(o);
-        } catch (InvalidMessage e) {
-            // A known job is told its state whatever is wrong with the repeat.
-            ifUnknown(uid, out, () -> out.error(400, e.getMessage()));
-            return;
-        }
-        if (!teams.contains(spec.owner())) {
-            ifUnknown(uid, out, () -> out.error(422, "owner is unknown"));
-            return;
-        }
-        if (overLimit(spec)) {
-            ifUnknown(uid, out, () -> out.error(422, "a task needs more than its team's limit"));
-            return;
-        }
-        if (!prices.known()) {
-            ifUnknown(uid, out, () -> out.later(503, "the machine types are not known yet", RETRY_AFTER_S));
-            return;
-        }
-        if (!prices.fits(spec)) {
-            ifUnknown(uid, out, () -> out.error(422, "a task fits no allowed machine type"));
-            return;
-        }
-        JobStore.Acceptance acceptance = layout.accept(spec, loop.wallMicros());
-        if (acceptance == null) {
-            ifUnknown(uid, out, () -> out.error(400, "the submission is too long"));
-            return;
-        }
-        if (spec.waits()) {
-            afterOthers(spec, acceptance, out);
-        } else {
-            accept(spec, acceptance.txn(), out, TRIES);
-        }
+  public void submit(byte[] body, Responder raw) {
+    ObjectNode o;
+    String uid;
+    try {
+      o = Json.parseObject(body);
+      uid = Json.text(o, "uid");
+      if (!JobSpec.validUid(uid)) {
+        throw new InvalidMessage("uid must be job- and digits");
+      }
+    } catch (InvalidMessage e) {
+      raw.error(400, e.getMessage());
+      return;
+    }
+    Responder out = admit("submit", raw);
+    if (out == null) {
+      return;
+    }
+    JobSpec spec;
+    try {
+      spec = JobSpec.parse(o);
+    } catch (InvalidMessage e) {
+      // A known job is told its state whatever is wrong with the repeat.
+      ifUnknown(uid, out, () -> out.error(400, e.getMessage()));
+      return;
+    }
+    if (!teams.contains(spec.owner())) {
+      ifUnknown(uid, out, () -> out.error(422, "owner is unknown"));
+      return;
+    }
+    if (overLimit(spec)) {
+      ifUnknown(uid, out, () -> out.error(422, "a task needs more than its team's limit"));
+      return;
     }
+    if (!prices.known()) {
+      ifUnknown(
+          uid, out, () -> out.later(503, "the machine types are not known yet", RETRY_AFTER_S));
+      return;
+    }
+    if (!prices.fits(spec)) {
+      ifUnknown(uid, out, () -> out.error(422, "a task fits no allowed machine type"));
+      return;
+    }
+    JobStore.Acceptance acceptance = layout.accept(spec, loop.wallMicros());
+    if (acceptance == null) {
+      ifUnknown(uid, out, () -> out.error(400, "the submission is too long"));
+      return;
+    }
+    if (spec.waits()) {
+      afterOthers(spec, acceptance, out);
+    } else {
+      accept(spec, acceptance.txn(), out, TRIES);
+    }
+  }
 
-    /**
-     * Waits only for what was accepted. That a job was accepted stays true, so nothing need be guarded for it; and whether one
-     * of them is cancelled meanwhile is found out after this one is stored, from the records of all that it waits on.
-     */
-    private void afterOthers(JobSpec spec, JobStore.Acceptance acceptance, Responder out) {
-        if (spec.waitsOn().contains(spec.uid())) {
-            ifUnknown(spec.uid(), out, () -> out.error(422, "waits_on names the job itself"));
-            return;
-        }
-        book.unknownOf(spec.waitsOn(), unknown -> {
-            if (unknown == null) {
-                unavailable(out);
-            } else if (!unknown.isEmpty()) {
-                ifUnknown(spec.uid(), out, () -> out.error(422, "waits_on names a job that was never accepted: " + unknown.iterator().next()));
-            } else {
-                storeParts(new ArrayList<>(acceptance.parts().entrySet()), loop.nowMicros(), stored -> {
-                    if (stored) {
-                        accept(spec, acceptance.txn(), out, TRIES);
-                    } else {
-                        unavailable(out);
-                    }
+  /**
+   * Waits only for what was accepted. That a job was accepted stays true, so nothing need be
+   * guarded for it; and whether one of them is cancelled meanwhile is found out after this one is
+   * stored, from the records of all that it waits on.
+   */
+  private void afterOthers(JobSpec spec, JobStore.Acceptance acceptance, Responder out) {
+    if (spec.waitsOn().contains(spec.uid())) {
+      ifUnknown(spec.uid(), out, () -> out.error(422, "waits_on names the job itself"));
+      return;
+    }
+    book.unknownOf(
+        spec.waitsOn(),
+        unknown -> {
+          if (unknown == null) {
+            unavailable(out);
+          } else if (!unknown.isEmpty()) {
+            ifUnknown(
+                spec.uid(),
+                out,
+                () ->
+                    out.error(
+                        422,
+                        "waits_on names a job that was never accepted: "
+                            + unknown.iterator().next()));
+          } else {
+            storeParts(
+                new ArrayList<>(acceptance.parts().entrySet()),
+                loop.nowMicros(),
+                stored -> {
+                  if (stored) {
+                    accept(spec, acceptance.txn(), out, TRIES);
+                  } else {
+                    unavailable(out);
+                  }
                 });
-            }
+          }
         });
-    }
+  }
 
-    /**
-     * Stores what must be there before the job is. The values are named by what they hold, so whatever is there already is
-     * right, and a submission that is repeated goes on where the last one stopped.
-     */
-    private void storeParts(List<Map.Entry<String, ObjectNode>> parts, long sinceMicros, Consumer<Boolean> then) {
-        if (parts.isEmpty()) {
-            then.accept(true);
-            return;
-        }
-        String first = parts.get(0).getKey();
-        store.list(first.substring(0, first.lastIndexOf('/') + 1), StateClient.Class.ORDINARY, listing -> {
-            if (listing == null) {
-                then.accept(false);
-                return;
-            }
-            Set<String> there = new HashSet<>();
-            listing.items().forEach(i -> there.add(i.key()));
-            parts.removeIf(p -> there.contains(p.getKey()));
-            storeNext(parts, sinceMicros, then);
-        });
+  /**
+   * Stores what must be there before the job is. The values are named by what they hold, so
+   * whatever is there already is right, and a submission that is repeated goes on where the last
+   * one stopped.
+   */
+  private void storeParts(
+      List<Map.Entry<String, ObjectNode>> parts, long sinceMicros, Consumer<Boolean> then) {
+    if (parts.isEmpty()) {
+      then.accept(true);
+      return;
     }
-
-    private void storeNext(List<Map.Entry<String, ObjectNode>> parts, long sinceMicros, Consumer<Boolean> then) {
-        if (parts.isEmpty()) {
-            then.accept(true);
+    String first = parts.get(0).getKey();
+    store.list(
+        first.substring(0, first.lastIndexOf('/') + 1),
+        StateClient.Class.ORDINARY,
+        listing -> {
+          if (listing == null) {
+            then.accept(false);
             return;
-        }
-        Txn txn = new Txn();
-        int bytes = 0;
-        int count = 0;
-        for (Map.Entry<String, ObjectNode> p : parts) {
-            bytes += layout.valueBytes();
-            if (count == layout.limits().txnOps() || (count > 0 && bytes > MOST_TXN_BYTES)) {
-                break;
-            }
-            txn.guard(p.getKey(), 0).put(p.getKey(), p.getValue());
-            count++;
-        }
-        int sent = count;
-        store.txn(txn, StateClient.Class.ORDINARY, result -> {
-            if (result.applied()) {
-                parts.subList(0, sent).clear();
-                storeNext(parts, sinceMicros, then);
-            } else if (loop.nowMicros() - sinceMicros > PARTS_MICROS || (result.outcome() == Txn.Outcome.REFUSED && result.status() != 429)) {
-                then.accept(false);
-            } else {
-                loop.after(AGAIN_MICROS, () -> storeParts(parts, sinceMicros, then));
-            }
+          }
+          Set<String> there = new HashSet<>();
+          listing.items().forEach(i -> there.add(i.key()));
+          parts.removeIf(p -> there.contains(p.getKey()));
+          storeNext(parts, sinceMicros, then);
         });
+  }
+
+  private void storeNext(
+      List<Map.Entry<String, ObjectNode>> parts, long sinceMicros, Consumer<Boolean> then) {
+    if (parts.isEmpty()) {
+      then.accept(true);
+      return;
     }
+    Txn txn = new Txn();
+    int bytes = 0;
+    int count = 0;
+    for (Map.Entry<String, ObjectNode> p : parts) {
+      bytes += layout.valueBytes();
+      if (count == layout.limits().txnOps() || (count > 0 && bytes > MOST_TXN_BYTES)) {
+        break;
+      }
+      txn.guard(p.getKey(), 0).put(p.getKey(), p.getValue());
+      count++;
+    }
+    int sent = count;
+    store.txn(
+        txn,
+        StateClient.Class.ORDINARY,
+        result -> {
+          if (result.applied()) {
+            parts.subList(0, sent).clear();
+            storeNext(parts, sinceMicros, then);
+          } else if (loop.nowMicros() - sinceMicros > PARTS_MICROS
+              || (result.outcome() == Txn.Outcome.REFUSED && result.status() != 429)) {
+            then.accept(false);
+          } else {
+            loop.after(AGAIN_MICROS, () -> storeParts(parts, sinceMicros, then));
+          }
+        });
+  }
 
-    private boolean overLimit(JobSpec spec) {
-        for (Platform.Team t : limits) {
-            if (t.name().equals(spec.owner())) {
-                return (t.cpusMax() > 0 && spec.cores() > t.cpusMax()) || (t.gpusMax() > 0 && spec.accelerators() > t.gpusMax());
-            }
-        }
-        return false;
+  private boolean overLimit(JobSpec spec) {
+    for (Platform.Team t : limits) {
+      if (t.name().equals(spec.owner())) {
+        return (t.cpusMax() > 0 && spec.cores() > t.cpusMax())
+            || (t.gpusMax() > 0 && spec.accelerators() > t.gpusMax());
+      }
     }
+    return false;
+  }
 
-    /** Accepted means stored: 201 only once the transaction that creates the record has been carried out. */
-    private void accept(JobSpec spec, Txn txn, Responder out, int tries) {
-        String uid = spec.uid();
-        store.txn(txn, StateClient.Class.ORDINARY, result -> {
-            switch (result.outcome()) {
-                case APPLIED -> {
-                    metrics.count("jobs_accepted");
-                    if (spec.waits()) {
-                        book.acceptedWaiting(uid, result.epoch(), spec.waitsOn(), look -> {
-                            if (look.found()) {
-                                out.send(201, describe(uid, look));
-                            } else {
-                                unavailable(out);
-                            }
-                        });
-                        return;
-                    }
-                    book.accepted(uid, result.epoch());
-                    out.send(201, state(uid, JobState.PENDING, null));
-                }
-                // Without an answer it is not known either whether this request or an earlier one made the record.
-                case CONFLICT, UNKNOWN -> known(uid, out);
-                case REFUSED -> {
-                    if (tries > 1 && recentlyServed()) {
-                        loop.after(AGAIN_MICROS, () -> accept(spec, txn, out, tries - 1));
-                    } else {
+  /**
+   * Accepted means stored: 201 only once the transaction that creates the record has been carried
+   * out.
+   */
+  private void accept(JobSpec spec, Txn txn, Responder out, int tries) {
+    String uid = spec.uid();
+    store.txn(
+        txn,
+        StateClient.Class.ORDINARY,
+        result -> {
+          switch (result.outcome()) {
+            case APPLIED -> {
+              metrics.count("jobs_accepted");
+              if (spec.waits()) {
+                book.acceptedWaiting(
+                    uid,
+                    result.epoch(),
+                    spec.waitsOn(),
+                    look -> {
+                      if (look.found()) {
+                        out.send(201, describe(uid, look));
+                      } else {
                         unavailable(out);
-                    }
-                }
+                      }
+                    });
+                return;
+              }
+              book.accepted(uid, result.epoch());
+              out.send(201, state(uid, JobState.PENDING, null));
+            }
+            // Without an answer it is not known either whether this request or an earlier one made
+            // the record.
+            case CONFLICT, UNKNOWN -> known(uid, out);
+            case REFUSED -> {
+              if (tries > 1 && recentlyServed()) {
+                loop.after(AGAIN_MICROS, () -> accept(spec, txn, out, tries - 1));
+              } else {
+                unavailable(out);
+              }
             }
+          }
         });
-    }
+  }
 
-    private boolean recentlyServed() {
-        return loop.nowMicros() - store.lastServedMicros() < 500_000;
-    }
+  private boolean recentlyServed() {
+    return loop.nowMicros() - store.lastServedMicros() < 500_000;
+  }
 
-    /** The record decides; if it can't be read or is not there yet, the user asks again. */
-    private void known(String uid, Responder out) {
-        book.look(uid, look -> {
-            if (look.found()) {
-                out.send(200, describe(uid, look));
-            } else {
-                unavailable(out);
-            }
+  /** The record decides; if it can't be read or is not there yet, the user asks again. */
+  private void known(String uid, Responder out) {
+    book.look(
+        uid,
+        look -> {
+          if (look.found()) {
+            out.send(200, describe(uid, look));
+          } else {
+            unavailable(out);
+          }
         });
-    }
+  }
 
-    private void ifUnknown(String uid, Responder out, Runnable refuse) {
-        book.look(uid, look -> {
-            switch (look.standing()) {
-                case ACTIVE, ENDED -> out.send(200, describe(uid, look));
-                case MISSING -> refuse.run();
-                case UNAVAILABLE -> unavailable(out);
-            }
+  private void ifUnknown(String uid, Responder out, Runnable refuse) {
+    book.look(
+        uid,
+        look -> {
+          switch (look.standing()) {
+            case ACTIVE, ENDED -> out.send(200, describe(uid, look));
+            case MISSING -> refuse.run();
+            case UNAVAILABLE -> unavailable(out);
+          }
         });
-    }
+  }
 
-    private String describe(String uid, JobBook.Look look) {
-        if (look.how() != null) {
-            return state(uid, look.how(), null);
-        }
-        int[] counts = desk.counts(uid);
-        return state(uid, counts != null && counts[1] > 0 ? JobState.RUNNING : JobState.PENDING, counts);
+  private String describe(String uid, JobBook.Look look) {
+    if (look.how() != null) {
+      return state(uid, look.how(), null);
     }
+    int[] counts = desk.counts(uid);
+    return state(
+        uid, counts != null && counts[1] > 0 ? JobState.RUNNING : JobState.PENDING, counts);
+  }
 
-    private static String state(String uid, JobState s, int[] counts) {
-        ObjectNode o = Json.object().put("uid", uid).put("status", s.wireName());
-        if (counts != null) {
-            o.put("done", counts[0]).put("running", counts[1]);
-        }
-        return Json.write(o);
+  private static String state(String uid, JobState s, int[] counts) {
+    ObjectNode o = Json.object().put("uid", uid).put("status", s.wireName());
+    if (counts != null) {
+      o.put("done", counts[0]).put("running", counts[1]);
     }
+    return Json.write(o);
+  }
 
-    public void poll(String uid, Responder raw) {
-        Responder out = admitKnown("poll", uid, raw);
-        if (out != null) {
-            ifUnknown(uid, out, () -> out.error(404, "no such job"));
-        }
+  public void poll(String uid, Responder raw) {
+    Responder out = admitKnown("poll", uid, raw);
+    if (out != null) {
+      ifUnknown(uid, out, () -> out.error(404, "no such job"));
     }
+  }
 
-    /** Null when the answer has been given: no such id, an end that is known, or too many requests. */
-    private Responder admitKnown(String kind, String uid, Responder raw) {
-        if (!JobSpec.validUid(uid)) {
-            raw.error(404, "no such job");
-            return null;
-        }
-        JobState how = book.known(uid);
-        if (how != null) {
-            raw.send(200, state(uid, how, null));
-            return null;
-        }
-        return admit(kind, raw);
+  /**
+   * Null when the answer has been given: no such id, an end that is known, or too many requests.
+   */
+  private Responder admitKnown(String kind, String uid, Responder raw) {
+    if (!JobSpec.validUid(uid)) {
+      raw.error(404, "no such job");
+      return null;
     }
+    JobState how = book.known(uid);
+    if (how != null) {
+      raw.send(200, state(uid, how, null));
+      return null;
+    }
+    return admit(kind, raw);
+  }
 
-    public void abort(String uid, Responder raw) {
-        Responder out = admitKnown("abort", uid, raw);
-        if (out != null) {
-            abort(uid, out, TRIES);
-        }
+  public void abort(String uid, Responder raw) {
+    Responder out = admitKnown("abort", uid, raw);
+    if (out != null) {
+      abort(uid, out, TRIES);
     }
+  }
 
-    private void abort(String uid, Responder out, int tries) {
-        book.look(uid, look -> {
-            switch (look.standing()) {
-                case MISSING -> out.error(404, "no such job");
-                case UNAVAILABLE -> unavailable(out);
-                case ENDED -> {
-                    if (look.how() == JobState.ABORTED) {
-                        desk.aborted(uid);
-                    }
-                    out.send(200, describe(uid, look));
-                }
-                case ACTIVE -> {
-                    if (tries == 0) {
-                        unavailable(out);
-                    } else {
-                        end(uid, look.stamp(), out, tries);
-                    }
-                }
+  private void abort(String uid, Responder out, int tries) {
+    book.look(
+        uid,
+        look -> {
+          switch (look.standing()) {
+            case MISSING -> out.error(404, "no such job");
+            case UNAVAILABLE -> unavailable(out);
+            case ENDED -> {
+              if (look.how() == JobState.ABORTED) {
+                desk.aborted(uid);
+              }
+              out.send(200, describe(uid, look));
+            }
+            case ACTIVE -> {
+              if (tries == 0) {
+                unavailable(out);
+              } else {
+                end(uid, look.stamp(), out, tries);
+              }
             }
+          }
         });
-    }
+  }
 
-    private void end(String uid, long stamp, Responder out, int tries) {
-        store.txn(layout.end(uid, stamp, JobState.ABORTED, loop.wallMicros(), List.of()), StateClient.Class.URGENT, result -> {
-            switch (result.outcome()) {
-                case APPLIED -> {
-                    book.ended(uid, JobState.ABORTED);
-                    metrics.count("jobs_aborted");
-                    desk.aborted(uid);
-                    out.send(200, state(uid, JobState.ABORTED, null));
-                }
-                case REFUSED -> unavailable(out);
-                // The stored state decides, whatever became of this transaction.
-                default -> abort(uid, out, tries - 1);
+  private void end(String uid, long stamp, Responder out, int tries) {
+    store.txn(
+        layout.end(uid, stamp, JobState.ABORTED, loop.wallMicros(), List.of()),
+        StateClient.Class.URGENT,
+        result -> {
+          switch (result.outcome()) {
+            case APPLIED -> {
+              book.ended(uid, JobState.ABORTED);
+              metrics.count("jobs_aborted");
+              desk.aborted(uid);
+              out.send(200, state(uid, JobState.ABORTED, null));
             }
+            case REFUSED -> unavailable(out);
+            // The stored state decides, whatever became of this transaction.
+            default -> abort(uid, out, tries - 1);
+          }
         });
-    }
+  }
 }
--- a/src/main/java/plumlever/leader/Begun.java
+++ b/src/main/java/plumlever/leader/Begun.java
@@ -17,110 +17,122 @@
 import plumlever.wire.Json;
 
 /**
- * The stored record of the jobs that a leader may have ordered something of: a job is in it before its first order goes out.
- * So what a new leader does not find here was never on any machine, and need not wait until all machines are accounted for:
- * a takeover takes seconds, and where a zone is cut off as long as a lease.
+ * The stored record of the jobs that a leader may have ordered something of: a job is in it before
+ * its first order goes out. So what a new leader does not find here was never on any machine, and
+ * need not wait until all machines are accounted for: a takeover takes seconds, and where a zone is
+ * cut off as long as a lease.
  */
 final class Begun {
-    private static final Logger LOG = LoggerFactory.getLogger(Begun.class);
-    /** Jobs come one at a time and their first start waits for this, so little is gathered. */
-    private static final long PAUSE_MICROS = 60_000;
-    private static final String JOBS = "jobs";
-    private static final int BASE_BYTES = 32;
-
-    private record Found(int number, long stamp, List<String> uids) {}
-
-    private final SharedRecords<Job> records;
-    private final List<Found> found = new ArrayList<>();
-    private final Set<String> foundUids = new HashSet<>();
-
-    /** @param recorded runs when jobs have come to be on record */
-    Begun(Context context, Runnable recorded) {
-        this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, recorded);
-    }
-
-    /** Takes in what earlier leaders stored; read after this node took its term, so nobody else can add to it. */
-    void read(List<StateClient.Item> items) {
-        found.clear();
-        foundUids.clear();
-        for (StateClient.Item i : items) {
-            int number = JobStore.numberOf(i.key());
-            if (number < 0) {
-                LOG.error("{} is no record of jobs", i.key());
-                continue;
-            }
-            List<String> uids = new ArrayList<>();
-            for (JsonNode n : i.data().path(JOBS)) {
-                uids.add(n.asText());
-            }
-            found.add(new Found(number, i.stamp(), uids));
-            foundUids.addAll(uids);
-        }
-    }
-
-    /** True if an earlier leader may have ordered something of it. Without any record that is not known, and so may be. */
-    boolean mayHaveBegun(String uid) {
-        return found.isEmpty() || foundUids.contains(uid);
+  private static final Logger LOG = LoggerFactory.getLogger(Begun.class);
+
+  /** Jobs come one at a time and their first start waits for this, so little is gathered. */
+  private static final long PAUSE_MICROS = 60_000;
+
+  private static final String JOBS = "jobs";
+  private static final int BASE_BYTES = 32;
+
+  private record Found(int number, long stamp, List<String> uids) {}
+
+  private final SharedRecords<Job> records;
+  private final List<Found> found = new ArrayList<>();
+  private final Set<String> foundUids = new HashSet<>();
+
+  /**
+   * @param recorded runs when jobs have come to be on record
+   */
+  Begun(Context context, Runnable recorded) {
+    this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, recorded);
+  }
+
+  /**
+   * Takes in what earlier leaders stored; read after this node took its term, so nobody else can
+   * add to it.
+   */
+  void read(List<StateClient.Item> items) {
+    found.clear();
+    foundUids.clear();
+    for (StateClient.Item i : items) {
+      int number = JobStore.numberOf(i.key());
+      if (number < 0) {
+        LOG.error("{} is no record of jobs", i.key());
+        continue;
+      }
+      List<String> uids = new ArrayList<>();
+      for (JsonNode n : i.data().path(JOBS)) {
+        uids.add(n.asText());
+      }
+      found.add(new Found(number, i.stamp(), uids));
+      foundUids.addAll(uids);
     }
-
-    /** The jobs are known by now: those that have ended go from the records. */
-    void loaded(Jobs jobs) {
-        Map<String, Job> kept = new HashMap<>();
-        for (Found f : found) {
-            List<Job> entries = new ArrayList<>();
-            for (String uid : f.uids) {
-                Job j = jobs.get(uid);
-                if (j != null && kept.putIfAbsent(uid, j) == null) {
-                    entries.add(j);
-                }
-            }
-            records.load(f.number, f.stamp, entries);
+  }
+
+  /**
+   * True if an earlier leader may have ordered something of it. Without any record that is not
+   * known, and so may be.
+   */
+  boolean mayHaveBegun(String uid) {
+    return found.isEmpty() || foundUids.contains(uid);
+  }
+
+  /** The jobs are known by now: those that have ended go from the records. */
+  void loaded(Jobs jobs) {
+    Map<String, Job> kept = new HashMap<>();
+    for (Found f : found) {
+      List<Job> entries = new ArrayList<>();
+      for (String uid : f.uids) {
+        Job j = jobs.get(uid);
+        if (j != null && kept.putIfAbsent(uid, j) == null) {
+          entries.add(j);
         }
+      }
+      records.load(f.number, f.stamp, entries);
     }
-
-    /**
-     * The job is to be recorded, since there is room for one of its tasks; until that is stored none is ordered. Not sooner:
-     * in a full fleet jobs wait for long, and through a takeover only those that were begun must.
-     */
-    void enroll(Job j) {
-        records.enroll(j);
+  }
+
+  /**
+   * The job is to be recorded, since there is room for one of its tasks; until that is stored none
+   * is ordered. Not sooner: in a full fleet jobs wait for long, and through a takeover only those
+   * that were begun must.
+   */
+  void enroll(Job j) {
+    records.enroll(j);
+  }
+
+  /** The job has ended. */
+  void remove(Job j) {
+    records.remove(j);
+  }
+
+  long tidy() {
+    return records.tidy();
+  }
+
+  void close() {
+    records.close();
+  }
+
+  private static final class Layout implements SharedRecords.Layout<Job> {
+    @Override
+    public String key(int number) {
+      return JobStore.begunKey(number);
     }
 
-    /** The job has ended. */
-    void remove(Job j) {
-        records.remove(j);
+    @Override
+    public int bytes(Job j) {
+      return j.uid().length() + 3;
     }
 
-    long tidy() {
-        return records.tidy();
+    @Override
+    public int baseBytes() {
+      return BASE_BYTES;
     }
 
-    void close() {
-        records.close();
-    }
-
-    private static final class Layout implements SharedRecords.Layout<Job> {
-        @Override
-        public String key(int number) {
-            return JobStore.begunKey(number);
-        }
-
-        @Override
-        public int bytes(Job j) {
-            return j.uid().length() + 3;
-        }
-
-        @Override
-        public int baseBytes() {
-            return BASE_BYTES;
-        }
-
-        @Override
-        public ObjectNode value(List<Job> jobs) {
-            ObjectNode o = Json.object();
-            ArrayNode a = o.putArray(JOBS);
-            jobs.forEach(j -> a.add(j.uid()));
-            return o;
-        }
+    @Override
+    public ObjectNode value(List<Job> jobs) {
+      ObjectNode o = Json.object();
+      ArrayNode a = o.putArray(JOBS);
+      jobs.forEach(j -> a.add(j.uid()));
+      return o;
     }
+  }
 }
--- a/src/main/java/plumlever/leader/Context.java
+++ b/src/main/java/plumlever/leader/Context.java
@@ -22,16 +22,33 @@
  * @param term the term of office that it is for
  * @param reader reads what earlier leaders left, not on this thread
  * @param latenessMicros how late this thread was lately: what can wait makes way
- * @param moneyMatters whether to save money where the aims leave time; asked for each machine of each round
+ * @param moneyMatters whether to save money where the aims leave time; asked for each machine of
+ *     each round
  * @param workersElsewhere how many workers report to another controller, by what the others tell
  */
-public record Context(Loop loop, Platform platform, Tunables tunables, Office office, Term term, StateClient store, JobStore layout,
-        CloudClient cloud, PriceBook prices, Caller caller, Metrics metrics, IntSupplier workersElsewhere, Reader reader, LongSupplier latenessMicros, Logs logs,
-        boolean moneyMatters) {
+public record Context(
+    Loop loop,
+    Platform platform,
+    Tunables tunables,
+    Office office,
+    Term term,
+    StateClient store,
+    JobStore layout,
+    CloudClient cloud,
+    PriceBook prices,
+    Caller caller,
+    Metrics metrics,
+    IntSupplier workersElsewhere,
+    Reader reader,
+    LongSupplier latenessMicros,
+    Logs logs,
+    boolean moneyMatters) {
 
-    /** Lists keys on another thread than the one that decides. */
-    public interface Reader {
-        /** @param then takes null when the keys could not all be read; runs on the thread that decides */
-        void list(String prefix, Consumer<StateClient.Listing> then);
-    }
+  /** Lists keys on another thread than the one that decides. */
+  public interface Reader {
+    /**
+     * @param then takes null when the keys could not all be read; runs on the thread that decides
+     */
+    void list(String prefix, Consumer<StateClient.Listing> then);
+  }
 }
--- a/src/main/java/plumlever/leader/Direct.java
+++ b/src/main/java/plumlever/leader/Direct.java
@@ -13,140 +13,170 @@
 import plumlever.wire.WorkerReport;
 
 /**
- * Orders sent straight to machines: planned tasks, so that they need not wait for the next report, and empty ones that
- * raise the token on machines that must be accounted for. A direct order may be carried out late. So one that got no
- * answer leaves its tasks possibly running, until the machine has shown a higher token or its session has ended; and
- * nothing started this way is reaped with the token that started it (see {@link Machine#voidDirect}).
+ * Orders sent straight to machines: planned tasks, so that they need not wait for the next report,
+ * and empty ones that raise the token on machines that must be accounted for. A direct order may be
+ * carried out late. So one that got no answer leaves its tasks possibly running, until the machine
+ * has shown a higher token or its session has ended; and nothing started this way is reaped with
+ * the token that started it (see {@link Machine#voidDirect}).
  */
 final class Direct {
-    private static final long START_TIMEOUT_MICROS = 1_500_000;
-    private static final long RAISE_TIMEOUT_MICROS = 1_000_000;
-    /** Calls under way at a time, so that a wave of starts leaves sockets and time for everybody else. */
-    private static final int MOST_STARTS = 48;
-    private static final int MOST_RAISES = 64;
+  private static final long START_TIMEOUT_MICROS = 1_500_000;
+  private static final long RAISE_TIMEOUT_MICROS = 1_000_000;
 
-    private final Logger log;
-    private final Context context;
-    private final Round round;
-    private final Reports reports;
-    private final Runnable changed;
-    private int starts;
-    private int raises;
-    private boolean closed;
+  /**
+   * Calls under way at a time, so that a wave of starts leaves sockets and time for everybody else.
+   */
+  private static final int MOST_STARTS = 48;
 
-    Direct(Context context, Round round, Reports reports, Runnable changed) {
-        this.context = context;
-        this.log = context.logs().of(Direct.class);
-        this.round = round;
-        this.reports = reports;
-        this.changed = changed;
-    }
+  private static final int MOST_RAISES = 64;
 
-    /** Sends what the round planned; what can't go now goes with the machine's next report, or is planned anew. */
-    void dispatch(Fleet fleet) {
-        for (String host : round.plannedMachines()) {
-            if (starts >= MOST_STARTS || !context.term().mayAct()) {
-                return;
-            }
-            Machine m = fleet.machine(host);
-            Endpoint at = m == null || m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
-            if (at == null || m.calling() || m.unsettled() || m.tenure() == 0 || !round.recorded(m)) {
-                continue;
-            }
-            List<Order> orders = new ArrayList<>();
-            List<Attempt> sent = reports.start(m, round.planned(m), true, orders);
-            round.dropPlan(m);
-            if (!sent.isEmpty()) {
-                start(m, at, orders, sent);
-            }
-        }
-    }
+  private final Logger log;
+  private final Context context;
+  private final Round round;
+  private final Reports reports;
+  private final Runnable changed;
+  private int starts;
+  private int raises;
+  private boolean closed;
 
-    private void start(Machine m, Endpoint at, List<Order> orders, List<Attempt> sent) {
-        m.direct();
-        m.calling(true);
-        starts++;
-        long since = context.loop().nowMicros();
-        call(m, at, orders, START_TIMEOUT_MICROS, (status, r) -> {
-            starts--;
-            m.calling(false);
-            if (closed) {
-                return;
-            }
-            context.metrics().time("direct", context.loop().nowMicros() - since);
-            if (r != null) {
-                reports.apply(m, r, false);
-            }
-            if (status == 409) {
-                reports.refused(sent);
-            } else if (status != 200 || r == null) {
-                context.metrics().count("direct_unheard");
-                m.voidDirect();
-            }
-            if (reports.takeChanged()) {
-                changed.run();
-            }
-        });
+  Direct(Context context, Round round, Reports reports, Runnable changed) {
+    this.context = context;
+    this.log = context.logs().of(Direct.class);
+    this.round = round;
+    this.reports = reports;
+    this.changed = changed;
+  }
+
+  /**
+   * Sends what the round planned; what can't go now goes with the machine's next report, or is
+   * planned anew.
+   */
+  void dispatch(Fleet fleet) {
+    for (String host : round.plannedMachines()) {
+      if (starts >= MOST_STARTS || !context.term().mayAct()) {
+        return;
+      }
+      Machine m = fleet.machine(host);
+      Endpoint at = m == null || m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
+      if (at == null || m.calling() || m.unsettled() || m.tenure() == 0 || !round.recorded(m)) {
+        continue;
+      }
+      List<Order> orders = new ArrayList<>();
+      List<Attempt> sent = reports.start(m, round.planned(m), true, orders);
+      round.dropPlan(m);
+      if (!sent.isEmpty()) {
+        start(m, at, orders, sent);
+      }
     }
+  }
 
-    /**
-     * Shows the machine the present token; what it answers tells all that earlier leaders started on it. Asked often, it
-     * calls no machine again before the last call came to its end, and only so many at a time.
-     */
-    void raise(Machine m) {
-        Endpoint at = m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
-        if (at == null || m.calling() || raises >= MOST_RAISES || !context.term().mayAct()) {
+  private void start(Machine m, Endpoint at, List<Order> orders, List<Attempt> sent) {
+    m.direct();
+    m.calling(true);
+    starts++;
+    long since = context.loop().nowMicros();
+    call(
+        m,
+        at,
+        orders,
+        START_TIMEOUT_MICROS,
+        (status, r) -> {
+          starts--;
+          m.calling(false);
+          if (closed) {
             return;
-        }
-        raises++;
-        m.calling(true);
-        call(m, at, List.of(), RAISE_TIMEOUT_MICROS, (status, r) -> {
-            raises--;
-            m.calling(false);
-            if (closed || !context.term().mayAct()) {
-                return;
-            }
-            m.called(r != null);
-            if (r == null) {
-                return;
-            }
-            boolean otherSession = status == 409 && r.tenure() != m.tenure();
+          }
+          context.metrics().time("direct", context.loop().nowMicros() - since);
+          if (r != null) {
             reports.apply(m, r, false);
-            if (otherSession && !m.accounted()) {
-                raise(m);
-            }
-            if (reports.takeChanged()) {
-                changed.run();
-            }
+          }
+          if (status == 409) {
+            reports.refused(sent);
+          } else if (status != 200 || r == null) {
+            context.metrics().count("direct_unheard");
+            m.voidDirect();
+          }
+          if (reports.takeChanged()) {
+            changed.run();
+          }
         });
-    }
+  }
 
-    /** How many machines are being called to raise the token. */
-    int raises() {
-        return raises;
+  /**
+   * Shows the machine the present token; what it answers tells all that earlier leaders started on
+   * it. Asked often, it calls no machine again before the last call came to its end, and only so
+   * many at a time.
+   */
+  void raise(Machine m) {
+    Endpoint at = m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
+    if (at == null || m.calling() || raises >= MOST_RAISES || !context.term().mayAct()) {
+      return;
     }
+    raises++;
+    m.calling(true);
+    call(
+        m,
+        at,
+        List.of(),
+        RAISE_TIMEOUT_MICROS,
+        (status, r) -> {
+          raises--;
+          m.calling(false);
+          if (closed || !context.term().mayAct()) {
+            return;
+          }
+          m.called(r != null);
+          if (r == null) {
+            return;
+          }
+          boolean otherSession = status == 409 && r.tenure() != m.tenure();
+          reports.apply(m, r, false);
+          if (otherSession && !m.accounted()) {
+            raise(m);
+          }
+          if (reports.takeChanged()) {
+            changed.run();
+          }
+        });
+  }
 
-    private interface Answer {
-        /** @param report null unless the machine answered with one of its own */
-        void take(int status, WorkerReport report);
-    }
+  /** How many machines are being called to raise the token. */
+  int raises() {
+    return raises;
+  }
+
+  private interface Answer {
+    /**
+     * @param report null unless the machine answered with one of its own
+     */
+    void take(int status, WorkerReport report);
+  }
 
-    private void call(Machine m, Endpoint at, List<Order> orders, long timeoutMicros, Answer then) {
-        byte[] body = Order.direct(m.token(), Math.max(1, m.tenure()), orders).getBytes(StandardCharsets.UTF_8);
-        context.caller().call(at, "POST", "/orders", body, timeoutMicros, (status, data) -> {
-            WorkerReport r = null;
-            if (status == 200 || status == 409) {
+  private void call(Machine m, Endpoint at, List<Order> orders, long timeoutMicros, Answer then) {
+    byte[] body =
+        Order.direct(m.token(), Math.max(1, m.tenure()), orders).getBytes(StandardCharsets.UTF_8);
+    context
+        .caller()
+        .call(
+            at,
+            "POST",
+            "/orders",
+            body,
+            timeoutMicros,
+            (status, data) -> {
+              WorkerReport r = null;
+              if (status == 200 || status == 409) {
                 try {
-                    r = WorkerReport.parse(data);
+                  r = WorkerReport.parse(data);
                 } catch (InvalidMessage e) {
-                    log.warn("the direct answer of {} can't be read: {}", m.id(), e.getMessage());
+                  log.warn("the direct answer of {} can't be read: {}", m.id(), e.getMessage());
                 }
-            }
-            then.take(status, r != null && r.host().equals(m.id()) ? r : null);
-        });
-    }
+              }
+              then.take(status, r != null && r.host().equals(m.id()) ? r : null);
+            });
+  }
 
-    void close() {
-        closed = true;
-    }
+  void close() {
+    closed = true;
+  }
 }
--- a/src/main/java/plumlever/leader/Hints.java
+++ b/src/main/java/plumlever/leader/Hints.java
@@ -18,155 +18,179 @@
 import plumlever.wire.Json;
 
 /**
- * What a successor would otherwise have to learn anew: which machines have which images, and how far estimates are off.
- * Written now and then, in as many values as a large fleet takes: without it each change of leader costs a fetch for most
- * tasks that follow. It is advice only: wrong or missing hints cost time, no rule.
+ * What a successor would otherwise have to learn anew: which machines have which images, and how
+ * far estimates are off. Written now and then, in as many values as a large fleet takes: without it
+ * each change of leader costs a fetch for most tasks that follow. It is advice only: wrong or
+ * missing hints cost time, no rule.
  */
 final class Hints {
-    private static final long EVERY_MICROS = 10_000_000;
-    /** Changes in one transaction: submissions must not wait for these. */
-    private static final int MOST_AT_ONCE = 2;
-    /** Stands for a part that is not needed any more. */
-    private static final ObjectNode GONE = Json.object();
-    private static final String IMAGES = "images";
-    private static final String MACHINES = "machines";
-    private static final String RATIOS = "ratios";
-    /** What a part takes besides its machines and images, and each of those besides its name. */
-    private static final int BASE_BYTES = 400;
-    private static final int MACHINE_BYTES = 6;
-    private static final int IMAGE_BYTES = 24;
-    private static final int INDEX_BYTES = 4;
-
-    private final Context context;
-    private final Fleet fleet;
-    private final Estimates estimates;
-    /** What the state service holds, part by part; null where that is not known. */
-    private final List<ObjectNode> written = new ArrayList<>();
-    private int cursor;
-    private boolean writing;
-
-    Hints(Context context, Fleet fleet, Estimates estimates) {
-        this.context = context;
-        this.fleet = fleet;
-        this.estimates = estimates;
-    }
+  private static final long EVERY_MICROS = 10_000_000;
+
+  /** Changes in one transaction: submissions must not wait for these. */
+  private static final int MOST_AT_ONCE = 2;
+
+  /** Stands for a part that is not needed any more. */
+  private static final ObjectNode GONE = Json.object();
+
+  private static final String IMAGES = "images";
+  private static final String MACHINES = "machines";
+  private static final String RATIOS = "ratios";
+
+  /** What a part takes besides its machines and images, and each of those besides its name. */
+  private static final int BASE_BYTES = 400;
+
+  private static final int MACHINE_BYTES = 6;
+  private static final int IMAGE_BYTES = 24;
+  private static final int INDEX_BYTES = 4;
+
+  private final Context context;
+  private final Fleet fleet;
+  private final Estimates estimates;
+
+  /** What the state service holds, part by part; null where that is not known. */
+  private final List<ObjectNode> written = new ArrayList<>();
+
+  private int cursor;
+  private boolean writing;
 
-    /** Takes what the last leader left. */
-    void load(List<StateClient.Item> items) {
-        for (StateClient.Item i : items) {
-            apply(i.data());
-            known(JobStore.numberOf(i.key()));
-        }
+  Hints(Context context, Fleet fleet, Estimates estimates) {
+    this.context = context;
+    this.fleet = fleet;
+    this.estimates = estimates;
+  }
+
+  /** Takes what the last leader left. */
+  void load(List<StateClient.Item> items) {
+    for (StateClient.Item i : items) {
+      apply(i.data());
+      known(JobStore.numberOf(i.key()));
     }
+  }
 
-    private void apply(JsonNode data) {
-        List<JsonNode> images = new ArrayList<>();
-        data.path(IMAGES).forEach(images::add);
-        data.path(MACHINES).fields().forEachRemaining(e -> {
-            Machine m = fleet.machine(e.getKey());
-            if (m != null) {
+  private void apply(JsonNode data) {
+    List<JsonNode> images = new ArrayList<>();
+    data.path(IMAGES).forEach(images::add);
+    data.path(MACHINES)
+        .fields()
+        .forEachRemaining(
+            e -> {
+              Machine m = fleet.machine(e.getKey());
+              if (m != null) {
                 for (JsonNode index : e.getValue()) {
-                    int i = index.asInt(-1);
-                    if (i >= 0 && i < images.size()) {
-                        m.hasImage(images.get(i).path(0).asText(), images.get(i).path(1).asDouble());
-                    }
+                  int i = index.asInt(-1);
+                  if (i >= 0 && i < images.size()) {
+                    m.hasImage(images.get(i).path(0).asText(), images.get(i).path(1).asDouble());
+                  }
                 }
-            }
-        });
-        data.path(RATIOS).fields().forEachRemaining(e -> estimates.suggest(e.getKey(), e.getValue().asDouble(1)));
-    }
+              }
+            });
+    data.path(RATIOS)
+        .fields()
+        .forEachRemaining(e -> estimates.suggest(e.getKey(), e.getValue().asDouble(1)));
+  }
 
-    /** One value, as it is put together. */
-    private static final class Part {
-        final ObjectNode out = Json.object();
-        final ArrayNode images = out.putArray(IMAGES);
-        final ObjectNode machines = out.putObject(MACHINES);
-        final Map<String, Integer> indexes = new HashMap<>();
-        int bytes = BASE_BYTES;
-
-        /** False when it does not fit. */
-        boolean add(Machine m, Map<String, Double> held, int limit) {
-            int more = m.id().length() + MACHINE_BYTES + INDEX_BYTES * held.size();
-            for (String name : held.keySet()) {
-                more += indexes.containsKey(name) ? 0 : bytes(name) + IMAGE_BYTES;
-            }
-            if (bytes + more > limit) {
-                return false;
-            }
-            bytes += more;
-            ArrayNode a = machines.putArray(m.id());
-            held.forEach((name, gb) -> a.add(indexes.computeIfAbsent(name, k -> {
-                images.addArray().add(name).add(Math.round(gb * 1_000) / 1_000.0);
-                return images.size() - 1;
-            })));
-            return true;
-        }
-    }
+  /** One value, as it is put together. */
+  private static final class Part {
+    final ObjectNode out = Json.object();
+    final ArrayNode images = out.putArray(IMAGES);
+    final ObjectNode machines = out.putObject(MACHINES);
+    final Map<String, Integer> indexes = new HashMap<>();
+    int bytes = BASE_BYTES;
 
-    /** Users name images; what they put into a name may take several times its length. */
-    private static int bytes(String name) {
-        return Json.write(TextNode.valueOf(name)).getBytes(StandardCharsets.UTF_8).length;
+    /** False when it does not fit. */
+    boolean add(Machine m, Map<String, Double> held, int limit) {
+      int more = m.id().length() + MACHINE_BYTES + INDEX_BYTES * held.size();
+      for (String name : held.keySet()) {
+        more += indexes.containsKey(name) ? 0 : bytes(name) + IMAGE_BYTES;
+      }
+      if (bytes + more > limit) {
+        return false;
+      }
+      bytes += more;
+      ArrayNode a = machines.putArray(m.id());
+      held.forEach(
+          (name, gb) ->
+              a.add(
+                  indexes.computeIfAbsent(
+                      name,
+                      k -> {
+                        images.addArray().add(name).add(Math.round(gb * 1_000) / 1_000.0);
+                        return images.size() - 1;
+                      })));
+      return true;
     }
+  }
 
-    private List<ObjectNode> parts() {
-        List<Part> parts = new ArrayList<>();
-        Part part = new Part();
+  /** Users name images; what they put into a name may take several times its length. */
+  private static int bytes(String name) {
+    return Json.write(TextNode.valueOf(name)).getBytes(StandardCharsets.UTF_8).length;
+  }
+
+  private List<ObjectNode> parts() {
+    List<Part> parts = new ArrayList<>();
+    Part part = new Part();
+    parts.add(part);
+    ObjectNode ratios = part.out.putObject(RATIOS);
+    estimates.ratios().forEach((k, v) -> ratios.put(k, Math.round(v * 100) / 100.0));
+    part.bytes += Json.write(ratios).length();
+    int limit = context.layout().valueBytes();
+    for (Machine m : fleet.machines()) {
+      Map<String, Double> held = m.readyImages();
+      if (!held.isEmpty() && !part.add(m, held, limit)) {
+        part = new Part();
         parts.add(part);
-        ObjectNode ratios = part.out.putObject(RATIOS);
-        estimates.ratios().forEach((k, v) -> ratios.put(k, Math.round(v * 100) / 100.0));
-        part.bytes += Json.write(ratios).length();
-        int limit = context.layout().valueBytes();
-        for (Machine m : fleet.machines()) {
-            Map<String, Double> held = m.readyImages();
-            if (!held.isEmpty() && !part.add(m, held, limit)) {
-                part = new Part();
-                parts.add(part);
-                part.add(m, held, limit);
-            }
-        }
-        return parts.stream().map(p -> p.out).toList();
+        part.add(m, held, limit);
+      }
     }
+    return parts.stream().map(p -> p.out).toList();
+  }
 
-    /** One turn of the duty: some of what has changed, going on where the last turn stopped. */
-    long write() {
-        if (writing) {
-            return EVERY_MICROS;
-        }
-        List<ObjectNode> now = parts();
-        int all = Math.max(now.size(), written.size());
-        Txn txn = context.term().guard();
-        Map<Integer, ObjectNode> sent = new HashMap<>();
-        for (int n = 0; n < all && sent.size() < MOST_AT_ONCE; n++) {
-            int i = cursor++ % all;
-            ObjectNode part = i < now.size() ? now.get(i) : GONE;
-            if (i < written.size() && part.equals(written.get(i))) {
-                continue;
-            }
-            sent.put(i, part);
-            if (part == GONE) {
-                txn.drop(JobStore.hintsKey(i));
-            } else {
-                txn.put(JobStore.hintsKey(i), part);
-            }
-        }
-        cursor %= all;
-        if (!sent.isEmpty()) {
-            writing = true;
-            context.store().txn(txn, StateClient.Class.ORDINARY, result -> {
+  /** One turn of the duty: some of what has changed, going on where the last turn stopped. */
+  long write() {
+    if (writing) {
+      return EVERY_MICROS;
+    }
+    List<ObjectNode> now = parts();
+    int all = Math.max(now.size(), written.size());
+    Txn txn = context.term().guard();
+    Map<Integer, ObjectNode> sent = new HashMap<>();
+    for (int n = 0; n < all && sent.size() < MOST_AT_ONCE; n++) {
+      int i = cursor++ % all;
+      ObjectNode part = i < now.size() ? now.get(i) : GONE;
+      if (i < written.size() && part.equals(written.get(i))) {
+        continue;
+      }
+      sent.put(i, part);
+      if (part == GONE) {
+        txn.drop(JobStore.hintsKey(i));
+      } else {
+        txn.put(JobStore.hintsKey(i), part);
+      }
+    }
+    cursor %= all;
+    if (!sent.isEmpty()) {
+      writing = true;
+      context
+          .store()
+          .txn(
+              txn,
+              StateClient.Class.ORDINARY,
+              result -> {
                 writing = false;
-                sent.forEach((i, part) -> {
-                    known(i);
-                    written.set(i, result.applied() ? part : null);
-                });
-            });
-        }
-        return sent.size() == MOST_AT_ONCE ? EVERY_MICROS / 4 : EVERY_MICROS;
+                sent.forEach(
+                    (i, part) -> {
+                      known(i);
+                      written.set(i, result.applied() ? part : null);
+                    });
+              });
     }
+    return sent.size() == MOST_AT_ONCE ? EVERY_MICROS / 4 : EVERY_MICROS;
+  }
 
-    /** Makes room in the list of what is stored. */
-    private void known(int part) {
-        while (written.size() <= part) {
-            written.add(null);
-        }
+  /** Makes room in the list of what is stored. */
+  private void known(int part) {
+    while (written.size() <= part) {
+      written.add(null);
     }
+  }
 }
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -24,413 +24,484 @@
 
 /** The jobs that have not ended, kept up with the state service by following it. */
 final class Jobs {
-    private static final long RETRY_MICROS = 500_000;
-
-    private final Logger log;
-    private final Context context;
-    private final Begun begun;
-    private final Runnable changed;
-    private final Map<String, Job> active = new LinkedHashMap<>();
-    private final Chains chains = new Chains();
-    /** Jobs aborted through another, whose end is to be stored. */
-    private final Map<String, Job> doomed = new LinkedHashMap<>();
-    /** What a task of the job takes, its image included, to plan with. */
-    private ToLongFunction<Job> cost = j -> 0;
-    private final Set<String> unread = new LinkedHashSet<>();
-    private final JobFinder finder;
-    private boolean readingEnds;
-    private boolean ending;
-    /** What is put off until all jobs are there: the listing is in no order that the chains would know. */
-    private List<Runnable> atLoad = new ArrayList<>();
-    /** Which stored pack each job's progress was found in. */
-    private final Map<Job, Integer> packs = new HashMap<>();
-    private final Map<String, Long> packStamps = new HashMap<>();
-    private final Map<Job, Map<String, Long>> chunks = new HashMap<>();
-    private final List<String> strays = new ArrayList<>();
-    private final RenewalLimit limit;
-    private long epoch;
-    /** When the last read that tells which jobs have ended had been sent. */
-    private long knownMicros = Long.MIN_VALUE / 2;
-    private boolean closed;
-
-    Jobs(Context context, Begun begun, Runnable changed) {
-        this.context = context;
-        this.log = context.logs().of(Jobs.class);
-        this.begun = begun;
-        this.changed = changed;
-        this.finder = new JobFinder(context.loop(), context.store());
-        this.limit = new RenewalLimit(context.platform().workers());
-    }
+  private static final long RETRY_MICROS = 500_000;
 
-    Collection<Job> all() {
-        return active.values();
-    }
+  private final Logger log;
+  private final Context context;
+  private final Begun begun;
+  private final Runnable changed;
+  private final Map<String, Job> active = new LinkedHashMap<>();
+  private final Chains chains = new Chains();
 
-    Map<String, Long> packStamps() {
-        return packStamps;
-    }
+  /** Jobs aborted through another, whose end is to be stored. */
+  private final Map<String, Job> doomed = new LinkedHashMap<>();
 
-    /** Keys of stored progress by job, and those of jobs that have ended. */
-    Map<Job, Map<String, Long>> chunks() {
-        return chunks;
-    }
+  /** What a task of the job takes, its image included, to plan with. */
+  private ToLongFunction<Job> cost = j -> 0;
 
-    List<String> strays() {
-        return strays;
-    }
+  private final Set<String> unread = new LinkedHashSet<>();
+  private final JobFinder finder;
+  private boolean readingEnds;
+  private boolean ending;
 
-    Map<Job, Integer> packs() {
-        return packs;
-    }
+  /**
+   * What is put off until all jobs are there: the listing is in no order that the chains would
+   * know.
+   */
+  private List<Runnable> atLoad = new ArrayList<>();
 
-    Job get(String uid) {
-        return active.get(uid);
-    }
+  /** Which stored pack each job's progress was found in. */
+  private final Map<Job, Integer> packs = new HashMap<>();
 
-    /**
-     * True while a lease may be renewed on a machine with tasks, and a task ordered on one: later, a cancellation that this
-     * leader has not heard of might come to its end of time before the lease does.
-     */
-    boolean mayRenew() {
-        return limit.mayRenew(context.loop().nowMicros(), knownMicros);
-    }
+  private final Map<String, Long> packStamps = new HashMap<>();
+  private final Map<Job, Map<String, Long>> chunks = new HashMap<>();
+  private final List<String> strays = new ArrayList<>();
+  private final RenewalLimit limit;
+  private long epoch;
 
-    /** Takes in all jobs and which of them earlier leaders may have begun, and goes on following. */
-    void load(Records found) {
-        knownMicros = found.askedMicros();
-        StateClient.Listing jobs = found.under(JobStore.ACTIVE);
-        begun.read(found.under(JobStore.BEGUN).items());
-        jobs.items().forEach(i -> put(i.key(), i.data(), i.stamp(), true));
-        found.under(JobStore.PROGRESS).items().forEach(this::readProgress);
-        begun.loaded(this);
-        List<Runnable> put = atLoad;
-        atLoad = null;
-        put.forEach(Runnable::run);
-        settleChains();
-        epoch = jobs.epoch();
-        follow();
-    }
+  /** When the last read that tells which jobs have ended had been sent. */
+  private long knownMicros = Long.MIN_VALUE / 2;
+
+  private boolean closed;
+
+  Jobs(Context context, Begun begun, Runnable changed) {
+    this.context = context;
+    this.log = context.logs().of(Jobs.class);
+    this.begun = begun;
+    this.changed = changed;
+    this.finder = new JobFinder(context.loop(), context.store());
+    this.limit = new RenewalLimit(context.platform().workers());
+  }
+
+  Collection<Job> all() {
+    return active.values();
+  }
+
+  Map<String, Long> packStamps() {
+    return packStamps;
+  }
+
+  /** Keys of stored progress by job, and those of jobs that have ended. */
+  Map<Job, Map<String, Long>> chunks() {
+    return chunks;
+  }
+
+  List<String> strays() {
+    return strays;
+  }
+
+  Map<Job, Integer> packs() {
+    return packs;
+  }
+
+  Job get(String uid) {
+    return active.get(uid);
+  }
+
+  /**
+   * True while a lease may be renewed on a machine with tasks, and a task ordered on one: later, a
+   * cancellation that this leader has not heard of might come to its end of time before the lease
+   * does.
+   */
+  boolean mayRenew() {
+    return limit.mayRenew(context.loop().nowMicros(), knownMicros);
+  }
 
-    private void readProgress(StateClient.Item i) {
-        int pack = JobStore.packOf(i.key());
-        if (pack >= 0) {
-            packStamps.put(i.key(), i.stamp());
-            JobStore.readPack(i.data()).forEach((uid, done) -> {
+  /** Takes in all jobs and which of them earlier leaders may have begun, and goes on following. */
+  void load(Records found) {
+    knownMicros = found.askedMicros();
+    StateClient.Listing jobs = found.under(JobStore.ACTIVE);
+    begun.read(found.under(JobStore.BEGUN).items());
+    jobs.items().forEach(i -> put(i.key(), i.data(), i.stamp(), true));
+    found.under(JobStore.PROGRESS).items().forEach(this::readProgress);
+    begun.loaded(this);
+    List<Runnable> put = atLoad;
+    atLoad = null;
+    put.forEach(Runnable::run);
+    settleChains();
+    epoch = jobs.epoch();
+    follow();
+  }
+
+  private void readProgress(StateClient.Item i) {
+    int pack = JobStore.packOf(i.key());
+    if (pack >= 0) {
+      packStamps.put(i.key(), i.stamp());
+      JobStore.readPack(i.data())
+          .forEach(
+              (uid, done) -> {
                 Job job = active.get(uid);
                 if (job != null) {
-                    job.stored().or(done);
-                    job.stored().stream().forEach(job::markDone);
-                    packs.put(job, pack);
+                  job.stored().or(done);
+                  job.stored().stream().forEach(job::markDone);
+                  packs.put(job, pack);
                 }
-            });
-            return;
-        }
-        String rest = i.key().substring(JobStore.PROGRESS.length());
-        int slash = rest.lastIndexOf('/');
-        Job job = slash < 0 ? null : active.get(rest.substring(0, slash));
-        if (job == null) {
-            // Left by a job that ended with more chunks than one transaction drops, or written late.
-            context.metrics().count("progress_strays");
-            strays.add(i.key());
-            return;
-        }
-        chunks.computeIfAbsent(job, j -> new LinkedHashMap<>()).put(i.key(), i.stamp());
-        try {
-            context.layout().readChunk(i.data(), rest.substring(slash + 1), job.stored());
-            job.stored().stream().forEach(job::markDone);
-        } catch (InvalidMessage e) {
-            log.warn("{} can't be read and is taken as no progress", i.key());
-        }
+              });
+      return;
+    }
+    String rest = i.key().substring(JobStore.PROGRESS.length());
+    int slash = rest.lastIndexOf('/');
+    Job job = slash < 0 ? null : active.get(rest.substring(0, slash));
+    if (job == null) {
+      // Left by a job that ended with more chunks than one transaction drops, or written late.
+      context.metrics().count("progress_strays");
+      strays.add(i.key());
+      return;
     }
+    chunks.computeIfAbsent(job, j -> new LinkedHashMap<>()).put(i.key(), i.stamp());
+    try {
+      context.layout().readChunk(i.data(), rest.substring(slash + 1), job.stored());
+      job.stored().stream().forEach(job::markDone);
+    } catch (InvalidMessage e) {
+      log.warn("{} can't be read and is taken as no progress", i.key());
+    }
+  }
 
-    /** @param known the job was there when the term began */
-    private void put(String key, JsonNode data, long stamp, boolean known) {
-        String uid = key.substring(JobStore.ACTIVE.length());
-        if (active.containsKey(uid)) {
-            return;
-        }
-        try {
-            long age = context.loop().wallMicros() - JobStore.acceptedWallMicros(data);
-            Job job = new Job(JobStore.spec(data), stamp, context.loop().nowMicros() - Math.max(0, age),
-                    known && begun.mayHaveBegun(uid));
-            active.put(uid, job);
-            log.debug("{} taken in: {} tasks of class {}, accepted {} ms ago", uid, job.spec().pieces(), job.spec().jobclass(),
-                    age / 1_000);
-            List<String> parts = JobStore.waitsKeys(uid, data);
-            if (!parts.isEmpty()) {
-                job.hold();
-                whenLoaded(() -> readWaits(job, parts, 0, new ArrayList<>()));
-            } else if (job.spec().waits()) {
-                job.hold();
-                whenLoaded(() -> chain(job, job.spec().waitsOn()));
-            } else if (chains.standing(uid) == Chains.Standing.UNKNOWN && chains.needed(uid)) {
-                chain(job, List.of());
-            }
-        } catch (InvalidMessage e) {
-            log.error("{} can't be read: {}", key, e.getMessage());
-        }
+  /**
+   * @param known the job was there when the term began
+   */
+  private void put(String key, JsonNode data, long stamp, boolean known) {
+    String uid = key.substring(JobStore.ACTIVE.length());
+    if (active.containsKey(uid)) {
+      return;
     }
+    try {
+      long age = context.loop().wallMicros() - JobStore.acceptedWallMicros(data);
+      Job job =
+          new Job(
+              JobStore.spec(data),
+              stamp,
+              context.loop().nowMicros() - Math.max(0, age),
+              known && begun.mayHaveBegun(uid));
+      active.put(uid, job);
+      log.debug(
+          "{} taken in: {} tasks of class {}, accepted {} ms ago",
+          uid,
+          job.spec().pieces(),
+          job.spec().jobclass(),
+          age / 1_000);
+      List<String> parts = JobStore.waitsKeys(uid, data);
+      if (!parts.isEmpty()) {
+        job.hold();
+        whenLoaded(() -> readWaits(job, parts, 0, new ArrayList<>()));
+      } else if (job.spec().waits()) {
+        job.hold();
+        whenLoaded(() -> chain(job, job.spec().waitsOn()));
+      } else if (chains.standing(uid) == Chains.Standing.UNKNOWN && chains.needed(uid)) {
+        chain(job, List.of());
+      }
+    } catch (InvalidMessage e) {
+      log.error("{} can't be read: {}", key, e.getMessage());
+    }
+  }
 
-    private void whenLoaded(Runnable action) {
-        if (atLoad == null) {
-            action.run();
-        } else {
-            atLoad.add(action);
-        }
+  private void whenLoaded(Runnable action) {
+    if (atLoad == null) {
+      action.run();
+    } else {
+      atLoad.add(action);
     }
+  }
 
-    /** The names that did not fit the job's own record, part by part; it waits until they are known. */
-    private void readWaits(Job job, List<String> parts, int next, List<String> names) {
-        if (closed || job.over()) {
-            return;
-        }
-        if (next == parts.size()) {
-            chain(job, names);
-            settleChains();
-            return;
-        }
-        context.store().get(parts.get(next), StateClient.Class.ORDINARY, got -> {
-            if (got.found()) {
+  /**
+   * The names that did not fit the job's own record, part by part; it waits until they are known.
+   */
+  private void readWaits(Job job, List<String> parts, int next, List<String> names) {
+    if (closed || job.over()) {
+      return;
+    }
+    if (next == parts.size()) {
+      chain(job, names);
+      settleChains();
+      return;
+    }
+    context
+        .store()
+        .get(
+            parts.get(next),
+            StateClient.Class.ORDINARY,
+            got -> {
+              if (got.found()) {
                 names.addAll(JobStore.names(got.item().data()));
                 readWaits(job, parts, next + 1, names);
-            } else {
-                // The parts are stored before the job and dropped after its end, so this one is only not to be had now.
+              } else {
+                // The parts are stored before the job and dropped after its end, so this one is
+                // only not to be had now.
                 context.loop().after(RETRY_MICROS, () -> readWaits(job, parts, next, names));
-            }
-        });
-    }
+              }
+            });
+  }
 
-    /** The job and what it waits on are known: those of which nothing was told yet are looked up. */
-    private void chain(Job job, List<String> waitsOn) {
-        List<String> unknown = chains.accepted(job.uid(), job.stamp(), waitsOn);
-        chains.aim(job.uid(), job.aim(), cost.applyAsLong(job));
-        for (String name : unknown) {
-            Job before = active.get(name);
-            if (before == null) {
-                readEnd(name);
-            } else if (!before.waiting()) {
-                chain(before, List.of());
-            }
-            // One that waits itself is told by its own turn.
-        }
-        if (!waitsOn.isEmpty() && job.waiting() && log.isDebugEnabled()) {
-            log.debug("{} waits on {}", job.uid(), chains.waitsFor(job.uid()));
-        }
+  /** The job and what it waits on are known: those of which nothing was told yet are looked up. */
+  private void chain(Job job, List<String> waitsOn) {
+    List<String> unknown = chains.accepted(job.uid(), job.stamp(), waitsOn);
+    chains.aim(job.uid(), job.aim(), cost.applyAsLong(job));
+    for (String name : unknown) {
+      Job before = active.get(name);
+      if (before == null) {
+        readEnd(name);
+      } else if (!before.waiting()) {
+        chain(before, List.of());
+      }
+      // One that waits itself is told by its own turn.
+    }
+    if (!waitsOn.isEmpty() && job.waiting() && log.isDebugEnabled()) {
+      log.debug("{} waits on {}", job.uid(), chains.waitsFor(job.uid()));
     }
+  }
 
-    /** How jobs ended that others wait on: only their records tell. */
-    private void readEnd(String uid) {
-        unread.add(uid);
-        if (!readingEnds) {
-            readingEnds = true;
-            // What comes in the same turn is read together.
-            context.loop().after(0, this::readEnds);
-        }
+  /** How jobs ended that others wait on: only their records tell. */
+  private void readEnd(String uid) {
+    unread.add(uid);
+    if (!readingEnds) {
+      readingEnds = true;
+      // What comes in the same turn is read together.
+      context.loop().after(0, this::readEnds);
     }
+  }
 
-    private void readEnds() {
-        unread.removeIf(uid -> active.containsKey(uid) || !chains.needed(uid));
-        if (closed || unread.isEmpty()) {
-            readingEnds = false;
+  private void readEnds() {
+    unread.removeIf(uid -> active.containsKey(uid) || !chains.needed(uid));
+    if (closed || unread.isEmpty()) {
+      readingEnds = false;
+      return;
+    }
+    finder.find(
+        new ArrayList<>(unread),
+        found -> {
+          if (closed) {
             return;
-        }
-        finder.find(new ArrayList<>(unread), found -> {
-            if (closed) {
-                return;
-            }
-            if (found != null) {
-                found.forEach((uid, f) -> {
-                    if (f.how() != null) {
-                        unread.remove(uid);
-                        chains.ended(uid, f.how(), f.endedWallMicros());
-                    }
+          }
+          if (found != null) {
+            found.forEach(
+                (uid, f) -> {
+                  if (f.how() != null) {
+                    unread.remove(uid);
+                    chains.ended(uid, f.how(), f.endedWallMicros());
+                  }
                 });
-                settleChains();
-            }
-            // What is neither active here nor ended was accepted a moment ago: it comes with the followed changes.
-            context.loop().after(found == null || !unread.isEmpty() ? RETRY_MICROS : 0, this::readEnds);
+            settleChains();
+          }
+          // What is neither active here nor ended was accepted a moment ago: it comes with the
+          // followed changes.
+          context
+              .loop()
+              .after(found == null || !unread.isEmpty() ? RETRY_MICROS : 0, this::readEnds);
         });
-    }
+  }
 
-    /** Carries out what follows from what is known of the chains now. */
-    private void settleChains() {
-        long wall = context.loop().wallMicros();
-        for (String uid : chains.takeReleased()) {
-            Job job = active.get(uid);
-            if (job != null && job.waiting()) {
-                long ended = chains.releasedMicros(uid);
-                long age = ended > 0 ? Math.max(0, wall - ended) : 0;
-                job.release(context.loop().nowMicros() - age);
-                context.metrics().count("jobs_released");
-                log.debug("{} is released, the last job that it waits on ended {} ms ago", uid, age / 1_000);
-                changed.run();
-            }
-        }
-        for (String uid : chains.takeAborted()) {
-            Job job = active.get(uid);
-            if (job != null && job.waiting() && doomed.put(uid, job) == null) {
-                log.info("{} is aborted through {}", uid, chains.through(uid));
-            }
-        }
-        endDoomed();
+  /** Carries out what follows from what is known of the chains now. */
+  private void settleChains() {
+    long wall = context.loop().wallMicros();
+    for (String uid : chains.takeReleased()) {
+      Job job = active.get(uid);
+      if (job != null && job.waiting()) {
+        long ended = chains.releasedMicros(uid);
+        long age = ended > 0 ? Math.max(0, wall - ended) : 0;
+        job.release(context.loop().nowMicros() - age);
+        context.metrics().count("jobs_released");
+        log.debug(
+            "{} is released, the last job that it waits on ended {} ms ago", uid, age / 1_000);
+        changed.run();
+      }
     }
-
-    /** One after the other: each is final for whoever asks already, so this is in no hurry. */
-    private void endDoomed() {
-        if (ending || closed || doomed.isEmpty()) {
-            return;
-        }
-        Job job = doomed.values().iterator().next();
-        if (job.over()) {
-            doomed.remove(job.uid());
-            endDoomed();
-            return;
-        }
-        ending = true;
-        context.store().txn(context.layout().end(job.uid(), job.stamp(), JobState.ABORTED, context.loop().wallMicros(), List.of()),
-                StateClient.Class.ORDINARY, result -> {
-                    ending = false;
-                    if (result.applied()) {
-                        context.metrics().count("jobs_aborted_through");
-                        ended(job.uid(), JobState.ABORTED);
-                        endDoomed();
-                    } else if (result.outcome() == Txn.Outcome.CONFLICT) {
-                        // Stored by whoever was asked about it: the followed changes will say so.
-                        doomed.remove(job.uid());
-                        context.loop().after(RETRY_MICROS, this::endDoomed);
-                    } else {
-                        context.loop().after(RETRY_MICROS, this::endDoomed);
-                    }
-                });
+    for (String uid : chains.takeAborted()) {
+      Job job = active.get(uid);
+      if (job != null && job.waiting() && doomed.put(uid, job) == null) {
+        log.info("{} is aborted through {}", uid, chains.through(uid));
+      }
     }
+    endDoomed();
+  }
 
-    /** What a task takes, with which the deadlines along a chain are worked out. */
-    void costs(ToLongFunction<Job> ofTask) {
-        cost = ofTask;
+  /** One after the other: each is final for whoever asks already, so this is in no hurry. */
+  private void endDoomed() {
+    if (ending || closed || doomed.isEmpty()) {
+      return;
     }
-
-    /** Brings deadlines and urgency along the chains up to date; cheap where nothing changed. */
-    void settleAims(boolean costsToo) {
-        if (chains.size() == 0) {
-            return;
-        }
-        if (costsToo) {
-            chains.costs(uid -> {
-                Job j = active.get(uid);
-                return j == null ? 0 : cost.applyAsLong(j);
+    Job job = doomed.values().iterator().next();
+    if (job.over()) {
+      doomed.remove(job.uid());
+      endDoomed();
+      return;
+    }
+    ending = true;
+    context
+        .store()
+        .txn(
+            context
+                .layout()
+                .end(
+                    job.uid(),
+                    job.stamp(),
+                    JobState.ABORTED,
+                    context.loop().wallMicros(),
+                    List.of()),
+            StateClient.Class.ORDINARY,
+            result -> {
+              ending = false;
+              if (result.applied()) {
+                context.metrics().count("jobs_aborted_through");
+                ended(job.uid(), JobState.ABORTED);
+                endDoomed();
+              } else if (result.outcome() == Txn.Outcome.CONFLICT) {
+                // Stored by whoever was asked about it: the followed changes will say so.
+                doomed.remove(job.uid());
+                context.loop().after(RETRY_MICROS, this::endDoomed);
+              } else {
+                context.loop().after(RETRY_MICROS, this::endDoomed);
+              }
             });
-        }
-        chains.settleAims(uid -> {
+  }
+
+  /** What a task takes, with which the deadlines along a chain are worked out. */
+  void costs(ToLongFunction<Job> ofTask) {
+    cost = ofTask;
+  }
+
+  /** Brings deadlines and urgency along the chains up to date; cheap where nothing changed. */
+  void settleAims(boolean costsToo) {
+    if (chains.size() == 0) {
+      return;
+    }
+    if (costsToo) {
+      chains.costs(
+          uid -> {
             Job j = active.get(uid);
-            if (j != null) {
-                j.aim(chains.aim(uid));
-            }
-        });
+            return j == null ? 0 : cost.applyAsLong(j);
+          });
     }
+    chains.settleAims(
+        uid -> {
+          Job j = active.get(uid);
+          if (j != null) {
+            j.aim(chains.aim(uid));
+          }
+        });
+  }
 
-    /** @param how null when that is not known */
-    private void drop(String uid, JobState how) {
-        Job job = active.remove(uid);
-        if (job != null) {
-            job.end();
-            begun.remove(job);
-            log.debug("{} has ended", uid);
-        }
-        doomed.remove(uid);
-        if (chains.standing(uid) == Chains.Standing.UNKNOWN) {
-            return;
-        }
-        if (how == null && !chains.needed(uid)) {
-            // Nobody waits to be told how.
-            how = JobState.ABORTED;
-        }
-        if (how != null) {
-            chains.ended(uid, how, context.loop().wallMicros());
-            settleChains();
-        } else {
-            readEnd(uid);
-        }
+  /**
+   * @param how null when that is not known
+   */
+  private void drop(String uid, JobState how) {
+    Job job = active.remove(uid);
+    if (job != null) {
+      job.end();
+      begun.remove(job);
+      log.debug("{} has ended", uid);
+    }
+    doomed.remove(uid);
+    if (chains.standing(uid) == Chains.Standing.UNKNOWN) {
+      return;
+    }
+    if (how == null && !chains.needed(uid)) {
+      // Nobody waits to be told how.
+      how = JobState.ABORTED;
     }
+    if (how != null) {
+      chains.ended(uid, how, context.loop().wallMicros());
+      settleChains();
+    } else {
+      readEnd(uid);
+    }
+  }
+
+  /** The job's end is stored, known before the followed changes say so. */
+  void ended(String uid, JobState how) {
+    drop(uid, how);
+    changed.run();
+  }
 
-    /** The job's end is stored, known before the followed changes say so. */
-    void ended(String uid, JobState how) {
-        drop(uid, how);
+  /**
+   * Another controller's word that these are cancelled: nothing more of them is started, and their
+   * tasks are halted.
+   */
+  void calledOff(Collection<String> uids) {
+    for (String uid : uids) {
+      Job job = active.get(uid);
+      if (job != null && !job.over()) {
+        job.callOff();
         changed.run();
+      }
     }
+  }
 
-    /** Another controller's word that these are cancelled: nothing more of them is started, and their tasks are halted. */
-    void calledOff(Collection<String> uids) {
-        for (String uid : uids) {
-            Job job = active.get(uid);
-            if (job != null && !job.over()) {
-                job.callOff();
-                changed.run();
-            }
-        }
+  private void follow() {
+    if (closed) {
+      return;
     }
-
-    private void follow() {
-        if (closed) {
-            return;
-        }
-        long sent = context.loop().nowMicros();
-        context.store().follow(JobStore.ACTIVE, epoch, limit.watchMicros(), changes -> {
-            if (closed) {
+    long sent = context.loop().nowMicros();
+    context
+        .store()
+        .follow(
+            JobStore.ACTIVE,
+            epoch,
+            limit.watchMicros(),
+            changes -> {
+              if (closed) {
                 return;
-            }
-            if (changes.status() == 410) {
+              }
+              if (changes.status() == 410) {
                 relist();
                 return;
-            }
-            if (changes.status() != 200) {
+              }
+              if (changes.status() != 200) {
                 context.loop().after(RETRY_MICROS, this::follow);
                 return;
-            }
-            epoch = Math.max(epoch, changes.epoch());
-            knownMicros = sent;
-            for (StateClient.Change c : changes.log()) {
+              }
+              epoch = Math.max(epoch, changes.epoch());
+              knownMicros = sent;
+              for (StateClient.Change c : changes.log()) {
                 if (c.data() == null) {
-                    drop(c.key().substring(JobStore.ACTIVE.length()), null);
+                  drop(c.key().substring(JobStore.ACTIVE.length()), null);
                 } else {
-                    put(c.key(), c.data(), c.stamp(), false);
+                  put(c.key(), c.data(), c.stamp(), false);
                 }
-            }
-            if (!changes.log().isEmpty()) {
+              }
+              if (!changes.log().isEmpty()) {
                 settleChains();
                 changed.run();
-            }
-            follow();
-        });
-    }
+              }
+              follow();
+            });
+  }
 
-    /** Changes were missed: what is not listed any more has ended. */
-    private void relist() {
-        long sent = context.loop().nowMicros();
-        context.store().list(JobStore.ACTIVE, StateClient.Class.URGENT, listing -> {
-            if (closed) {
+  /** Changes were missed: what is not listed any more has ended. */
+  private void relist() {
+    long sent = context.loop().nowMicros();
+    context
+        .store()
+        .list(
+            JobStore.ACTIVE,
+            StateClient.Class.URGENT,
+            listing -> {
+              if (closed) {
                 return;
-            }
-            if (listing == null) {
+              }
+              if (listing == null) {
                 context.loop().after(RETRY_MICROS, this::relist);
                 return;
-            }
-            Set<String> listed = new HashSet<>();
-            listing.items().forEach(i -> {
-                listed.add(i.key().substring(JobStore.ACTIVE.length()));
-                put(i.key(), i.data(), i.stamp(), false);
+              }
+              Set<String> listed = new HashSet<>();
+              listing
+                  .items()
+                  .forEach(
+                      i -> {
+                        listed.add(i.key().substring(JobStore.ACTIVE.length()));
+                        put(i.key(), i.data(), i.stamp(), false);
+                      });
+              List<String> gone = new ArrayList<>(active.keySet());
+              gone.removeAll(listed);
+              gone.forEach(uid -> drop(uid, null));
+              settleChains();
+              epoch = listing.epoch();
+              knownMicros = sent;
+              changed.run();
+              follow();
             });
-            List<String> gone = new ArrayList<>(active.keySet());
-            gone.removeAll(listed);
-            gone.forEach(uid -> drop(uid, null));
-            settleChains();
-            epoch = listing.epoch();
-            knownMicros = sent;
-            changed.run();
-            follow();
-        });
-    }
+  }
 
-    void close() {
-        closed = true;
-    }
+  void close() {
+    closed = true;
+  }
 }
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -19,304 +19,333 @@
 import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
 
-/** One term of office: everything the leading node knows and does, from election until it leaves. */
+/**
+ * One term of office: everything the leading node knows and does, from election until it leaves.
+ */
 public final class Leader implements AutoCloseable {
-    private static final long ROUND_EVERY_MICROS = 150_000;
-    private static final long ROUND_PAUSE_MOST_MICROS = 1_500_000;
-    private static final int ROUND_PAUSE_TIMES = 3;
-    private static final long SLICE_PAUSE_MICROS = 5_000;
-    private static final long RAISE_DEAF_EVERY_MICROS = 4_000_000;
-    private static final long RAISE_EVERY_MICROS = 100_000;
-    private static final long ANSWER_SHOWS_MICROS = 2_000_000;
-    private static final long LATE_MICROS = 50_000;
-    /** Calls under way at a time while late: enough to find out those that are gone. */
-    private static final int MOST_RAISES_LATE = 6;
+  private static final long ROUND_EVERY_MICROS = 150_000;
+  private static final long ROUND_PAUSE_MOST_MICROS = 1_500_000;
+  private static final int ROUND_PAUSE_TIMES = 3;
+  private static final long SLICE_PAUSE_MICROS = 5_000;
+  private static final long RAISE_DEAF_EVERY_MICROS = 4_000_000;
+  private static final long RAISE_EVERY_MICROS = 100_000;
+  private static final long ANSWER_SHOWS_MICROS = 2_000_000;
+  private static final long LATE_MICROS = 50_000;
 
-    private final Logger log;
-    private final Context context;
-    private final long term;
-    private final Scope scope = new Scope();
-    private final Fleet fleet;
-    private final Begun begun;
-    private final Jobs jobs;
-    private final Estimates estimates = new Estimates();
-    private final Records records;
-    private final Takeover takeover;
-    private final Progress progress;
-    private final Reports reports;
-    private final Round round;
-    private final Roster roster;
-    private final Machines machines;
-    private final Hints hints;
-    private final Direct direct;
-    private final Duty rounds;
-    private final EarlyReports early;
-    private boolean loaded;
-    private boolean due = true;
+  /** Calls under way at a time while late: enough to find out those that are gone. */
+  private static final int MOST_RAISES_LATE = 6;
 
-    public Leader(Context context) {
-        this.context = context;
-        this.log = context.logs().of(Leader.class);
-        this.term = context.term().number();
-        this.fleet = new Fleet(term);
-        this.begun = new Begun(context, this::recorded);
-        this.jobs = new Jobs(context, begun, this::changed);
-        this.records = new Records(context);
-        this.takeover = new Takeover(context, fleet);
-        this.progress = new Progress(context, jobs);
-        this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
-        this.round = new Round(context, fleet, jobs, begun, estimates, takeover);
-        jobs.costs(round::costMicros);
-        this.direct = new Direct(context, round, reports, this::changed);
-        this.roster = new Roster(context, this::changed);
-        this.machines = new Machines(context, fleet, roster, round, reports, direct, takeover, this::changed);
-        this.hints = new Hints(context, fleet, estimates);
-        this.early = new EarlyReports(context.loop());
-        this.rounds = new Duty("rounds", context.loop(), this::roundTurn);
-    }
+  private final Logger log;
+  private final Context context;
+  private final long term;
+  private final Scope scope = new Scope();
+  private final Fleet fleet;
+  private final Begun begun;
+  private final Jobs jobs;
+  private final Estimates estimates = new Estimates();
+  private final Records records;
+  private final Takeover takeover;
+  private final Progress progress;
+  private final Reports reports;
+  private final Round round;
+  private final Roster roster;
+  private final Machines machines;
+  private final Hints hints;
+  private final Direct direct;
+  private final Duty rounds;
+  private final EarlyReports early;
+  private boolean loaded;
+  private boolean due = true;
 
-    /** True while this leader's own term lasts. */
-    public boolean mayAct() {
-        return context.term().mayAct();
-    }
+  public Leader(Context context) {
+    this.context = context;
+    this.log = context.logs().of(Leader.class);
+    this.term = context.term().number();
+    this.fleet = new Fleet(term);
+    this.begun = new Begun(context, this::recorded);
+    this.jobs = new Jobs(context, begun, this::changed);
+    this.records = new Records(context);
+    this.takeover = new Takeover(context, fleet);
+    this.progress = new Progress(context, jobs);
+    this.reports = new Reports(context, fleet, jobs, estimates, takeover, progress, term);
+    this.round = new Round(context, fleet, jobs, begun, estimates, takeover);
+    jobs.costs(round::costMicros);
+    this.direct = new Direct(context, round, reports, this::changed);
+    this.roster = new Roster(context, this::changed);
+    this.machines =
+        new Machines(context, fleet, roster, round, reports, direct, takeover, this::changed);
+    this.hints = new Hints(context, fleet, estimates);
+    this.early = new EarlyReports(context.loop());
+    this.rounds = new Duty("rounds", context.loop(), this::roundTurn);
+  }
 
-    public void start() {
-        records.read(this::loaded);
-    }
+  /** True while this leader's own term lasts. */
+  public boolean mayAct() {
+    return context.term().mayAct();
+  }
 
-    private void loaded(Records found) {
-        roster.load(found.under(JobStore.FLEET).items(), fleet);
-        hints.load(found.under(JobStore.HINTS).items());
-        jobs.load(found);
-        loaded = true;
-        takeover.loaded();
-        progress.loaded();
-        int n = 0;
-        for (Job j : jobs.all()) {
-            if (j.complete()) {
-                progress.taskDone(j, 0);
-            }
-            n++;
-        }
-        log.info("term {} begins with {} jobs and {} machines to account for, {} ms after election", term, n,
-                takeover.open().size(), (context.loop().nowMicros() - takeover.startedMicros()) / 1_000);
-        early.release(this::report);
-        scope.own(jobs::close);
-        scope.own(begun::close);
-        scope.own(progress::close);
-        scope.own(machines::close);
-        scope.own(direct::close);
-        scope.own(roster::close);
-        scope.own(new Duty("roster", context.loop(), roster::tidy)).start();
-        scope.own(new Duty("begun", context.loop(), begun::tidy)).start();
-        scope.own(new Duty("progress", context.loop(), progress::write)).start();
-        scope.own(new Duty("machines", context.loop(), machines::turn)).start();
-        scope.own(new Duty("hints", context.loop(), hints::write)).start();
-        scope.own(new Duty("raise", context.loop(), this::raise)).start();
-        scope.own(rounds).start();
-    }
+  public void start() {
+    records.read(this::loaded);
+  }
 
-    /**
-     * Shows the token to machines not accounted for, without waiting for their reports; and now and then to those that
-     * nothing seems to reach, whose reports are not answered meanwhile.
-     */
-    private long raise() {
-        long since = context.loop().nowMicros();
-        raiseOpen();
-        context.metrics().spent("raise", context.loop().nowMicros() - since);
-        return takeover.complete() ? RAISE_DEAF_EVERY_MICROS : RAISE_EVERY_MICROS;
+  private void loaded(Records found) {
+    roster.load(found.under(JobStore.FLEET).items(), fleet);
+    hints.load(found.under(JobStore.HINTS).items());
+    jobs.load(found);
+    loaded = true;
+    takeover.loaded();
+    progress.loaded();
+    int n = 0;
+    for (Job j : jobs.all()) {
+      if (j.complete()) {
+        progress.taskDone(j, 0);
+      }
+      n++;
     }
+    log.info(
+        "term {} begins with {} jobs and {} machines to account for, {} ms after election",
+        term,
+        n,
+        takeover.open().size(),
+        (context.loop().nowMicros() - takeover.startedMicros()) / 1_000);
+    early.release(this::report);
+    scope.own(jobs::close);
+    scope.own(begun::close);
+    scope.own(progress::close);
+    scope.own(machines::close);
+    scope.own(direct::close);
+    scope.own(roster::close);
+    scope.own(new Duty("roster", context.loop(), roster::tidy)).start();
+    scope.own(new Duty("begun", context.loop(), begun::tidy)).start();
+    scope.own(new Duty("progress", context.loop(), progress::write)).start();
+    scope.own(new Duty("machines", context.loop(), machines::turn)).start();
+    scope.own(new Duty("hints", context.loop(), hints::write)).start();
+    scope.own(new Duty("raise", context.loop(), this::raise)).start();
+    scope.own(rounds).start();
+  }
+
+  /**
+   * Shows the token to machines not accounted for, without waiting for their reports; and now and
+   * then to those that nothing seems to reach, whose reports are not answered meanwhile.
+   */
+  private long raise() {
+    long since = context.loop().nowMicros();
+    raiseOpen();
+    context.metrics().spent("raise", context.loop().nowMicros() - since);
+    return takeover.complete() ? RAISE_DEAF_EVERY_MICROS : RAISE_EVERY_MICROS;
+  }
 
-    private void raiseOpen() {
-        if (context.term().mayAct()) {
-            long now = context.loop().nowMicros();
-            // Those that did not answer come last: dozens behind a cut would else be called again and again, and nobody else.
-            List<Machine> open = new ArrayList<>(takeover.open());
-            open.sort(Comparator.comparingInt(Machine::failedCalls));
-            // Where time is short, calls make way for the reports that come anyhow: both tell the same, and all machines that
-            // still work report within seconds.
-            int most = context.latenessMicros().getAsLong() > LATE_MICROS ? MOST_RAISES_LATE : Integer.MAX_VALUE;
-            for (Machine m : open) {
-                if (direct.raises() >= most) {
-                    break;
-                }
-                // One whose report was just answered shows the token with its next.
-                if (m.lastAnswerMicros() < 0 || now - m.lastAnswerMicros() > ANSWER_SHOWS_MICROS) {
-                    direct.raise(m);
-                }
-            }
-            if (takeover.complete()) {
-                for (Machine m : fleet.machines()) {
-                    if (m.deaf()) {
-                        direct.raise(m);
-                    }
-                }
-            }
+  private void raiseOpen() {
+    if (context.term().mayAct()) {
+      long now = context.loop().nowMicros();
+      // Those that did not answer come last: dozens behind a cut would else be called again and
+      // again, and nobody else.
+      List<Machine> open = new ArrayList<>(takeover.open());
+      open.sort(Comparator.comparingInt(Machine::failedCalls));
+      // Where time is short, calls make way for the reports that come anyhow: both tell the same,
+      // and all machines that
+      // still work report within seconds.
+      int most =
+          context.latenessMicros().getAsLong() > LATE_MICROS ? MOST_RAISES_LATE : Integer.MAX_VALUE;
+      for (Machine m : open) {
+        if (direct.raises() >= most) {
+          break;
+        }
+        // One whose report was just answered shows the token with its next.
+        if (m.lastAnswerMicros() < 0 || now - m.lastAnswerMicros() > ANSWER_SHOWS_MICROS) {
+          direct.raise(m);
         }
+      }
+      if (takeover.complete()) {
+        for (Machine m : fleet.machines()) {
+          if (m.deaf()) {
+            direct.raise(m);
+          }
+        }
+      }
     }
+  }
 
-    /** What was planned for jobs that had to be recorded first can go out now. */
-    private void recorded() {
-        due = true;
-        direct.dispatch(fleet);
-    }
+  /** What was planned for jobs that had to be recorded first can go out now. */
+  private void recorded() {
+    due = true;
+    direct.dispatch(fleet);
+  }
 
-    private void changed() {
-        due = true;
-    }
+  private void changed() {
+    due = true;
+  }
 
-    /** Rounds are gathered: each pauses for a few times what the last one took, so that requests come first. */
-    private long roundTurn() {
-        if (!due || !context.term().mayAct()) {
-            return ROUND_EVERY_MICROS;
-        }
-        long since = context.loop().nowMicros();
-        boolean finished = round.run();
-        long placed = context.loop().nowMicros();
-        direct.dispatch(fleet);
-        context.metrics().spent("rounds", placed - since);
-        context.metrics().spent("dispatch", context.loop().nowMicros() - placed);
-        if (!finished) {
-            return SLICE_PAUSE_MICROS;
-        }
-        due = false;
-        // A thread that runs late has reports and requests before it that come first.
-        long pause = ROUND_PAUSE_TIMES * Math.max(round.spentMicros(), context.latenessMicros().getAsLong());
-        return Math.max(ROUND_EVERY_MICROS, Math.min(ROUND_PAUSE_MOST_MICROS, pause));
+  /**
+   * Rounds are gathered: each pauses for a few times what the last one took, so that requests come
+   * first.
+   */
+  private long roundTurn() {
+    if (!due || !context.term().mayAct()) {
+      return ROUND_EVERY_MICROS;
     }
-
-    /** Answers a worker's report; the caller has checked that this node leads. */
-    public void report(WorkerReport r, Responder out) {
-        if (!context.term().mayAct()) {
-            out.later(503, "not in office", 1);
-            return;
-        }
-        if (Fleet.termOf(r.baton()) > term) {
-            // Somebody holds a later term, so this one is over whatever this node believes.
-            context.office().resign(context.term(), "a worker has seen term " + Fleet.termOf(r.baton()), 1_000_000);
-            out.later(503, "not in office", 1);
-            return;
-        }
-        if (machines.isDeleted(r.host())) {
-            out.later(503, "this machine was returned", 1);
-            return;
-        }
-        if (!loaded && r.holdsTasks()) {
-            early.keep(r, out);
-            return;
-        }
-        if (!loaded) {
-            // Nothing runs there that could have been cancelled; the lease is renewed, and the term shown.
-            out.send(200, Order.answer(Fleet.firstToken(term), List.of()));
-            return;
-        }
-        long now = context.loop().nowMicros();
-        Machine m = fleet.machine(r.host());
-        if (m == null) {
-            m = new Machine(r.host(), r.endpoint(), r.flavor(), r.site(), r.loaners(), now);
-            fleet.add(m);
-        }
-        m.learnEndpoint(r.endpoint());
-        Reports.News news = reports.apply(m, r, true);
-        if (reports.takeChanged()) {
-            due = true;
-        }
-        if (news == Reports.News.COPY) {
-            context.metrics().count("report_copies");
-            out.later(503, "a newer report is known", 1);
-            return;
-        }
-        if (m.deaf()) {
-            // Were it answered, its lease would count as renewed for ever, and nobody else could have its tasks.
-            out.later(503, "answers do not arrive", 1);
-            return;
-        }
-        if (m.enrolment() == Enrolment.NONE && !m.returning() && (m.accounted() || r.baton() == 0)) {
-            // A report that shows an earlier term may be a late copy of a machine that is gone: nothing is recorded for it.
-            roster.enroll(m);
-        }
-        if (news == Reports.News.NEWS) {
-            notice(m, r, now);
-        }
-        if (!jobs.mayRenew() && reports.holdsOpenTasks(r)) {
-            // A cancellation confirmed by another controller may not be known here, and would be outlived by the lease.
-            context.metrics().count("renewals_refused");
-            out.later(503, "which jobs have ended is not known", 1);
-            return;
-        }
-        List<Order> orders = reports.standing(m, r);
-        if (news == Reports.News.NEWS && Fleet.termOf(r.baton()) == term && round.hasPlan(m) && round.recorded(m) && !m.unsettled()) {
-            reports.start(m, round.planned(m), false, orders);
-            round.dropPlan(m);
-        }
-        // Checked once more: a turn that ran late may have outlived the right to act.
-        if (!context.term().mayAct()) {
-            out.later(503, "not in office", 1);
-            return;
-        }
-        m.answered(context.loop().nowMicros());
-        out.send(200, Order.answer(m.token(), orders));
+    long since = context.loop().nowMicros();
+    boolean finished = round.run();
+    long placed = context.loop().nowMicros();
+    direct.dispatch(fleet);
+    context.metrics().spent("rounds", placed - since);
+    context.metrics().spent("dispatch", context.loop().nowMicros() - placed);
+    if (!finished) {
+      return SLICE_PAUSE_MICROS;
     }
+    due = false;
+    // A thread that runs late has reports and requests before it that come first.
+    long pause =
+        ROUND_PAUSE_TIMES * Math.max(round.spentMicros(), context.latenessMicros().getAsLong());
+    return Math.max(ROUND_EVERY_MICROS, Math.min(ROUND_PAUSE_MOST_MICROS, pause));
+  }
 
-    /** A machine about to be taken: tasks that can save are stopped in time, others are left to finish if they can. */
-    private void notice(Machine m, WorkerReport r, long now) {
-        if (!r.noticed()) {
-            return;
-        }
-        for (Attempt a : m.attempts()) {
-            if (!a.over() && a.job().spec().checkpoints()) {
-                double save = a.job().spec().snapshotS();
-                // The next report comes within a few seconds; what could not be saved after it is saved now.
-                double slack = 1.5 * context.platform().workers().reportMicros() / 1e6 + 1;
-                if (r.reclaimInS() <= save + slack + 2) {
-                    a.halt(save + 1, now);
-                }
-            }
-        }
+  /** Answers a worker's report; the caller has checked that this node leads. */
+  public void report(WorkerReport r, Responder out) {
+    if (!context.term().mayAct()) {
+      out.later(503, "not in office", 1);
+      return;
     }
-
-    /** True once nothing that earlier leaders started is unknown. */
-    public boolean tookOver() {
-        return takeover.complete();
+    if (Fleet.termOf(r.baton()) > term) {
+      // Somebody holds a later term, so this one is over whatever this node believes.
+      context
+          .office()
+          .resign(context.term(), "a worker has seen term " + Fleet.termOf(r.baton()), 1_000_000);
+      out.later(503, "not in office", 1);
+      return;
     }
-
-    /** The job as this leader knows it, or null. */
-    public Job job(String uid) {
-        return loaded ? jobs.get(uid) : null;
+    if (machines.isDeleted(r.host())) {
+      out.later(503, "this machine was returned", 1);
+      return;
     }
-
-    /** Finished and running tasks of a job for display, or null if it is not known here. */
-    public int[] counts(String uid) {
-        Job j = loaded ? jobs.get(uid) : null;
-        return j == null ? null : new int[] {j.doneCount(), j.liveCount()};
+    if (!loaded && r.holdsTasks()) {
+      early.keep(r, out);
+      return;
+    }
+    if (!loaded) {
+      // Nothing runs there that could have been cancelled; the lease is renewed, and the term
+      // shown.
+      out.send(200, Order.answer(Fleet.firstToken(term), List.of()));
+      return;
+    }
+    long now = context.loop().nowMicros();
+    Machine m = fleet.machine(r.host());
+    if (m == null) {
+      m = new Machine(r.host(), r.endpoint(), r.flavor(), r.site(), r.loaners(), now);
+      fleet.add(m);
+    }
+    m.learnEndpoint(r.endpoint());
+    Reports.News news = reports.apply(m, r, true);
+    if (reports.takeChanged()) {
+      due = true;
+    }
+    if (news == Reports.News.COPY) {
+      context.metrics().count("report_copies");
+      out.later(503, "a newer report is known", 1);
+      return;
+    }
+    if (m.deaf()) {
+      // Were it answered, its lease would count as renewed for ever, and nobody else could have its
+      // tasks.
+      out.later(503, "answers do not arrive", 1);
+      return;
     }
+    if (m.enrolment() == Enrolment.NONE && !m.returning() && (m.accounted() || r.baton() == 0)) {
+      // A report that shows an earlier term may be a late copy of a machine that is gone: nothing
+      // is recorded for it.
+      roster.enroll(m);
+    }
+    if (news == Reports.News.NEWS) {
+      notice(m, r, now);
+    }
+    if (!jobs.mayRenew() && reports.holdsOpenTasks(r)) {
+      // A cancellation confirmed by another controller may not be known here, and would be outlived
+      // by the lease.
+      context.metrics().count("renewals_refused");
+      out.later(503, "which jobs have ended is not known", 1);
+      return;
+    }
+    List<Order> orders = reports.standing(m, r);
+    if (news == Reports.News.NEWS
+        && Fleet.termOf(r.baton()) == term
+        && round.hasPlan(m)
+        && round.recorded(m)
+        && !m.unsettled()) {
+      reports.start(m, round.planned(m), false, orders);
+      round.dropPlan(m);
+    }
+    // Checked once more: a turn that ran late may have outlived the right to act.
+    if (!context.term().mayAct()) {
+      out.later(503, "not in office", 1);
+      return;
+    }
+    m.answered(context.loop().nowMicros());
+    out.send(200, Order.answer(m.token(), orders));
+  }
 
-    public java.util.Map<String, int[]> allCounts(java.util.Map<String, int[]> into) {
-        if (loaded) {
-            jobs.all().forEach(j -> into.put(j.uid(), new int[] {j.doneCount(), j.liveCount()}));
+  /**
+   * A machine about to be taken: tasks that can save are stopped in time, others are left to finish
+   * if they can.
+   */
+  private void notice(Machine m, WorkerReport r, long now) {
+    if (!r.noticed()) {
+      return;
+    }
+    for (Attempt a : m.attempts()) {
+      if (!a.over() && a.job().spec().checkpoints()) {
+        double save = a.job().spec().snapshotS();
+        // The next report comes within a few seconds; what could not be saved after it is saved
+        // now.
+        double slack = 1.5 * context.platform().workers().reportMicros() / 1e6 + 1;
+        if (r.reclaimInS() <= save + slack + 2) {
+          a.halt(save + 1, now);
         }
-        return into;
+      }
     }
+  }
 
-    /** The job's end is stored; its tasks are stopped without waiting for the followed changes. */
-    public void aborted(String uid) {
-        if (loaded) {
-            jobs.ended(uid, JobState.ABORTED);
-        }
+  /** True once nothing that earlier leaders started is unknown. */
+  public boolean tookOver() {
+    return takeover.complete();
+  }
+
+  /** The job as this leader knows it, or null. */
+  public Job job(String uid) {
+    return loaded ? jobs.get(uid) : null;
+  }
+
+  /** Finished and running tasks of a job for display, or null if it is not known here. */
+  public int[] counts(String uid) {
+    Job j = loaded ? jobs.get(uid) : null;
+    return j == null ? null : new int[] {j.doneCount(), j.liveCount()};
+  }
+
+  public java.util.Map<String, int[]> allCounts(java.util.Map<String, int[]> into) {
+    if (loaded) {
+      jobs.all().forEach(j -> into.put(j.uid(), new int[] {j.doneCount(), j.liveCount()}));
     }
+    return into;
+  }
 
-    /** Advice of another controller, which may only halt more. */
-    public void calledOff(Collection<String> uids) {
-        if (loaded) {
-            jobs.calledOff(uids);
-        }
+  /** The job's end is stored; its tasks are stopped without waiting for the followed changes. */
+  public void aborted(String uid) {
+    if (loaded) {
+      jobs.ended(uid, JobState.ABORTED);
     }
+  }
 
-    @Override
-    public void close() {
-        records.close();
-        early.close();
-        scope.close();
-        jobs.close();
+  /** Advice of another controller, which may only halt more. */
+  public void calledOff(Collection<String> uids) {
+    if (loaded) {
+      jobs.calledOff(uids);
     }
+  }
+
+  @Override
+  public void close() {
+    records.close();
+    early.close();
+    scope.close();
+    jobs.close();
+  }
 }
--- a/src/main/java/plumlever/leader/Preemption.java
+++ b/src/main/java/plumlever/leader/Preemption.java
@@ -15,163 +15,189 @@
 import plumlever.wire.Urgency;
 
 /**
- * Makes room for a task that would miss its aim, by stopping tasks of less urgent jobs. Only tasks that save their
- * progress are stopped, so little work is lost, and none that began a moment ago.
+ * Makes room for a task that would miss its aim, by stopping tasks of less urgent jobs. Only tasks
+ * that save their progress are stopped, so little work is lost, and none that began a moment ago.
  */
 final class Preemption {
-    /** Tells whether a machine takes orders now. */
-    interface Usable {
-        boolean test(Machine m, long nowMicros);
-    }
+  /** Tells whether a machine takes orders now. */
+  interface Usable {
+    boolean test(Machine m, long nowMicros);
+  }
 
-    /** Tells whether stopping an attempt now would cost its job an aim. */
-    interface Harm {
-        boolean test(Attempt a, long nowMicros);
-    }
+  /** Tells whether stopping an attempt now would cost its job an aim. */
+  interface Harm {
+    boolean test(Attempt a, long nowMicros);
+  }
 
-    /** A task stopped sooner after its start was hardly worth starting. */
-    private static final long SETTLED_MICROS = 35_000_000;
-    /** A halt goes out with the next answer, and the room is seen with the report after it. */
-    private static final long ORDER_MICROS = 3_000_000;
-    private static final double EPSILON = 1e-9;
-
-    private final Logger log;
-    private final Context context;
-    private final Fleet fleet;
-    private final Usable usable;
-    private final Harm harm;
-
-    Preemption(Context context, Fleet fleet, Usable usable, Harm harm) {
-        this.context = context;
-        this.log = context.logs().of(Preemption.class);
-        this.fleet = fleet;
-        this.usable = usable;
-        this.harm = harm;
-    }
+  /** A task stopped sooner after its start was hardly worth starting. */
+  private static final long SETTLED_MICROS = 35_000_000;
 
-    /** Room that could be made for one task of a job. */
-    private record Offer(Machine machine, List<Attempt> victims, int harmed, long readyMicros) {}
-
-    /** Makes room for the tasks of one job, one after the other; the whole fleet is looked through once. */
-    final class Search {
-        private final Job job;
-        private final Ask ask;
-        private final long startByMicros;
-        private final long now;
-        private List<Offer> offers;
-        private int next;
-
-        private Search(Job job, Ask ask, long startByMicros, long now) {
-            this.job = job;
-            this.ask = ask;
-            this.startByMicros = startByMicros;
-            this.now = now;
-        }
+  /** A halt goes out with the next answer, and the room is seen with the report after it. */
+  private static final long ORDER_MICROS = 3_000_000;
 
-        /** True if tasks were told to stop so that one more task of the job will fit. */
-        boolean makeRoom() {
-            if (offers == null) {
-                offers = offers(job, ask, startByMicros, now);
-            }
-            if (next == offers.size()) {
-                return false;
-            }
-            Offer o = offers.get(next++);
-            for (Attempt a : o.victims) {
-                a.halt(a.job().spec().snapshotS() + 2, now);
-                context.metrics().count("preempted");
-                if (log.isDebugEnabled()) {
-                    log.debug("{} on {} is stopped to make room for {}", a.name().wireName(), o.machine.id(), job.uid());
-                }
-            }
-            return true;
-        }
-    }
+  private static final double EPSILON = 1e-9;
+
+  private final Logger log;
+  private final Context context;
+  private final Fleet fleet;
+  private final Usable usable;
+  private final Harm harm;
+
+  Preemption(Context context, Fleet fleet, Usable usable, Harm harm) {
+    this.context = context;
+    this.log = context.logs().of(Preemption.class);
+    this.fleet = fleet;
+    this.usable = usable;
+    this.harm = harm;
+  }
+
+  /** Room that could be made for one task of a job. */
+  private record Offer(Machine machine, List<Attempt> victims, int harmed, long readyMicros) {}
 
-    Search search(Job job, Ask ask, long startByMicros, long now) {
-        return new Search(job, ask, startByMicros, now);
+  /**
+   * Makes room for the tasks of one job, one after the other; the whole fleet is looked through
+   * once.
+   */
+  final class Search {
+    private final Job job;
+    private final Ask ask;
+    private final long startByMicros;
+    private final long now;
+    private List<Offer> offers;
+    private int next;
+
+    private Search(Job job, Ask ask, long startByMicros, long now) {
+      this.job = job;
+      this.ask = ask;
+      this.startByMicros = startByMicros;
+      this.now = now;
     }
 
-    /** The least harm first, then the fewest tasks stopped, then the soonest room; a machine is offered once. */
-    private List<Offer> offers(Job job, Ask ask, long startByMicros, long now) {
-        List<Offer> out = new ArrayList<>();
-        if (job.urgency() == Urgency.IDLE) {
-            // Nothing is less urgent, and in a full fleet most of what waits is like this.
-            return out;
-        }
-        Zones zones = Round.zones(job);
-        for (Machine m : fleet.machines()) {
-            Flavor f = context.prices().flavor(m.flavor());
-            if (f == null || !usable.test(m, now) || !job.spec().allows(m.flavor(), m.site(), m.spot())
-                    || !zones.allows(m.site())) {
-                continue;
-            }
-            List<Attempt> stop = victims(m, f, job, now);
-            if (stop.isEmpty()) {
-                continue;
-            }
-            long ready = now + ORDER_MICROS + m.fetchMicros(job.spec().bundle(), job.spec().imageGb(), f, now);
-            int harmed = 0;
-            for (Attempt a : stop) {
-                ready = Math.max(ready, now + ORDER_MICROS + (long) (a.job().spec().snapshotS() * 1e6));
-                harmed += harm.test(a, now) ? 1 : 0;
-            }
-            if (helps(ask, startByMicros, ready)) {
-                out.add(new Offer(m, stop, harmed, ready));
-            }
+    /** True if tasks were told to stop so that one more task of the job will fit. */
+    boolean makeRoom() {
+      if (offers == null) {
+        offers = offers(job, ask, startByMicros, now);
+      }
+      if (next == offers.size()) {
+        return false;
+      }
+      Offer o = offers.get(next++);
+      for (Attempt a : o.victims) {
+        a.halt(a.job().spec().snapshotS() + 2, now);
+        context.metrics().count("preempted");
+        if (log.isDebugEnabled()) {
+          log.debug(
+              "{} on {} is stopped to make room for {}",
+              a.name().wireName(),
+              o.machine.id(),
+              job.uid());
         }
-        out.sort(Comparator.comparingInt(Offer::harmed).thenComparingInt(o -> o.victims.size())
-                .thenComparingLong(Offer::readyMicros));
-        // Zones are checked for one more task; a job with such a rule makes room for one a round.
-        return job.spec().oneZone() || job.spec().spread() ? out.subList(0, Math.min(1, out.size())) : out;
+      }
+      return true;
     }
+  }
 
-    private static boolean helps(Ask ask, long startByMicros, long ready) {
-        boolean starts = startByMicros != Long.MAX_VALUE && ready <= startByMicros;
-        boolean ends = ask.deadlineMicros() != Long.MAX_VALUE && ready + ask.runMicros() <= ask.deadlineMicros();
-        return starts || ends;
-    }
+  Search search(Job job, Ask ask, long startByMicros, long now) {
+    return new Search(job, ask, startByMicros, now);
+  }
 
-    /** The fewest tasks on the machine that have to stop; empty if it would not be enough or nothing has to. */
-    private List<Attempt> victims(Machine m, Flavor f, Job job, long now) {
-        double cores = f.cores();
-        double memory = f.memoryGb();
-        double accelerators = f.accelerators();
-        List<Attempt> candidates = new ArrayList<>();
-        for (Attempt a : m.attempts()) {
-            if (a.over()) {
-                continue;
-            }
-            if (a.halting()) {
-                // Room on its way already, meant for somebody.
-                return List.of();
-            }
-            cores -= a.job().spec().cores();
-            memory -= a.job().spec().memoryGb();
-            accelerators -= a.job().spec().accelerators();
-            if (a.status() == TaskStatus.RUNNING && a.job().spec().checkpoints()
-                    && a.job().urgency().compareTo(job.urgency()) > 0
-                    && now - a.runningSinceMicros() > SETTLED_MICROS) {
-                candidates.add(a);
-            }
-        }
-        candidates.sort(Comparator.<Attempt>comparingInt(a -> harm.test(a, now) ? 1 : 0)
-                .thenComparing(Comparator.comparingLong(Attempt::runningSinceMicros).reversed()));
-        List<Attempt> stop = new ArrayList<>();
-        for (Attempt a : candidates) {
-            if (fits(job, cores, memory, accelerators)) {
-                break;
-            }
-            cores += a.job().spec().cores();
-            memory += a.job().spec().memoryGb();
-            accelerators += a.job().spec().accelerators();
-            stop.add(a);
-        }
-        return fits(job, cores, memory, accelerators) ? stop : List.of();
+  /**
+   * The least harm first, then the fewest tasks stopped, then the soonest room; a machine is
+   * offered once.
+   */
+  private List<Offer> offers(Job job, Ask ask, long startByMicros, long now) {
+    List<Offer> out = new ArrayList<>();
+    if (job.urgency() == Urgency.IDLE) {
+      // Nothing is less urgent, and in a full fleet most of what waits is like this.
+      return out;
     }
+    Zones zones = Round.zones(job);
+    for (Machine m : fleet.machines()) {
+      Flavor f = context.prices().flavor(m.flavor());
+      if (f == null
+          || !usable.test(m, now)
+          || !job.spec().allows(m.flavor(), m.site(), m.spot())
+          || !zones.allows(m.site())) {
+        continue;
+      }
+      List<Attempt> stop = victims(m, f, job, now);
+      if (stop.isEmpty()) {
+        continue;
+      }
+      long ready =
+          now + ORDER_MICROS + m.fetchMicros(job.spec().bundle(), job.spec().imageGb(), f, now);
+      int harmed = 0;
+      for (Attempt a : stop) {
+        ready = Math.max(ready, now + ORDER_MICROS + (long) (a.job().spec().snapshotS() * 1e6));
+        harmed += harm.test(a, now) ? 1 : 0;
+      }
+      if (helps(ask, startByMicros, ready)) {
+        out.add(new Offer(m, stop, harmed, ready));
+      }
+    }
+    out.sort(
+        Comparator.comparingInt(Offer::harmed)
+            .thenComparingInt(o -> o.victims.size())
+            .thenComparingLong(Offer::readyMicros));
+    // Zones are checked for one more task; a job with such a rule makes room for one a round.
+    return job.spec().oneZone() || job.spec().spread()
+        ? out.subList(0, Math.min(1, out.size()))
+        : out;
+  }
+
+  private static boolean helps(Ask ask, long startByMicros, long ready) {
+    boolean starts = startByMicros != Long.MAX_VALUE && ready <= startByMicros;
+    boolean ends =
+        ask.deadlineMicros() != Long.MAX_VALUE && ready + ask.runMicros() <= ask.deadlineMicros();
+    return starts || ends;
+  }
 
-    private static boolean fits(Job job, double cores, double memory, double accelerators) {
-        return cores + EPSILON >= job.spec().cores() && memory + EPSILON >= job.spec().memoryGb()
-                && accelerators + EPSILON >= job.spec().accelerators();
+  /**
+   * The fewest tasks on the machine that have to stop; empty if it would not be enough or nothing
+   * has to.
+   */
+  private List<Attempt> victims(Machine m, Flavor f, Job job, long now) {
+    double cores = f.cores();
+    double memory = f.memoryGb();
+    double accelerators = f.accelerators();
+    List<Attempt> candidates = new ArrayList<>();
+    for (Attempt a : m.attempts()) {
+      if (a.over()) {
+        continue;
+      }
+      if (a.halting()) {
+        // Room on its way already, meant for somebody.
+        return List.of();
+      }
+      cores -= a.job().spec().cores();
+      memory -= a.job().spec().memoryGb();
+      accelerators -= a.job().spec().accelerators();
+      if (a.status() == TaskStatus.RUNNING
+          && a.job().spec().checkpoints()
+          && a.job().urgency().compareTo(job.urgency()) > 0
+          && now - a.runningSinceMicros() > SETTLED_MICROS) {
+        candidates.add(a);
+      }
     }
+    candidates.sort(
+        Comparator.<Attempt>comparingInt(a -> harm.test(a, now) ? 1 : 0)
+            .thenComparing(Comparator.comparingLong(Attempt::runningSinceMicros).reversed()));
+    List<Attempt> stop = new ArrayList<>();
+    for (Attempt a : candidates) {
+      if (fits(job, cores, memory, accelerators)) {
+        break;
+      }
+      cores += a.job().spec().cores();
+      memory += a.job().spec().memoryGb();
+      accelerators += a.job().spec().accelerators();
+      stop.add(a);
+    }
+    return fits(job, cores, memory, accelerators) ? stop : List.of();
+  }
+
+  private static boolean fits(Job job, double cores, double memory, double accelerators) {
+    return cores + EPSILON >= job.spec().cores()
+        && memory + EPSILON >= job.spec().memoryGb()
+        && accelerators + EPSILON >= job.spec().accelerators();
+  }
 }
--- a/src/main/java/plumlever/leader/Progress.java
+++ b/src/main/java/plumlever/leader/Progress.java
@@ -17,326 +17,379 @@
 import plumlever.wire.JobState;
 
 /**
- * Writes finished tasks in batches, and the end of a job at once: its user expects to read it within seconds of the
- * last task. Small jobs share records, since changes are what the state service has least of. Losing stored progress is
- * safe: a completed task that is started again ends at once. All the same each record is guarded by its own revision, so that
- * a write carried out late undoes nothing, and one at a time is under way.
+ * Writes finished tasks in batches, and the end of a job at once: its user expects to read it
+ * within seconds of the last task. Small jobs share records, since changes are what the state
+ * service has least of. Losing stored progress is safe: a completed task that is started again ends
+ * at once. All the same each record is guarded by its own revision, so that a write carried out
+ * late undoes nothing, and one at a time is under way.
  */
 final class Progress {
-    private static final long RETRY_MICROS = 300_000;
-    private static final long MOST_BYTES = 48 * 1024;
+  private static final long RETRY_MICROS = 300_000;
+  private static final long MOST_BYTES = 48 * 1024;
 
-    /** A record that small jobs share. */
-    private static final class Pack {
-        final int number;
-        final Set<Job> jobs = new LinkedHashSet<>();
-        int bytes;
-        boolean dirty;
+  /** A record that small jobs share. */
+  private static final class Pack {
+    final int number;
+    final Set<Job> jobs = new LinkedHashSet<>();
+    int bytes;
+    boolean dirty;
 
-        Pack(int number) {
-            this.number = number;
-        }
+    Pack(int number) {
+      this.number = number;
     }
+  }
 
-    private final Logger log;
-    private final Context context;
-    private final Jobs jobs;
-    private final Map<Integer, Pack> packs = new LinkedHashMap<>();
-    private final Map<Job, Pack> packOf = new HashMap<>();
-    /** Chunks of large jobs, by their first task, that have not been written since a task of theirs finished. */
-    private final Map<Job, BitSet> dirty = new LinkedHashMap<>();
-    /** The revision of each record, 0 where there is none; without an entry it is to be read. */
-    private final Map<String, Long> stamps = new HashMap<>();
-    /** The records of a large job. */
-    private final Map<Job, Set<String>> keysOf = new HashMap<>();
-    /** Records of jobs that have ended. */
-    private final ArrayDeque<String> strays = new ArrayDeque<>();
-    private final Set<Job> ending = new LinkedHashSet<>();
-    private int tasksPerChunk;
-    private boolean writing;
-    private boolean closed;
+  private final Logger log;
+  private final Context context;
+  private final Jobs jobs;
+  private final Map<Integer, Pack> packs = new LinkedHashMap<>();
+  private final Map<Job, Pack> packOf = new HashMap<>();
 
-    Progress(Context context, Jobs jobs) {
-        this.context = context;
-        this.log = context.logs().of(Progress.class);
-        this.jobs = jobs;
-        this.tasksPerChunk = context.layout().tasksPerChunk();
-    }
+  /**
+   * Chunks of large jobs, by their first task, that have not been written since a task of theirs
+   * finished.
+   */
+  private final Map<Job, BitSet> dirty = new LinkedHashMap<>();
+
+  /** The revision of each record, 0 where there is none; without an entry it is to be read. */
+  private final Map<String, Long> stamps = new HashMap<>();
+
+  /** The records of a large job. */
+  private final Map<Job, Set<String>> keysOf = new HashMap<>();
+
+  /** Records of jobs that have ended. */
+  private final ArrayDeque<String> strays = new ArrayDeque<>();
 
-    /**
-     * The packs as earlier leaders left them: a record is only written whole, with all its jobs. What an earlier limit let
-     * share one record may not fit any more: the rest goes to others, and until they are written this one stays as it is.
-     */
-    void loaded() {
-        stamps.putAll(jobs.packStamps());
-        jobs.chunks().forEach((job, keys) -> {
-            stamps.putAll(keys);
-            keysOf.computeIfAbsent(job, j -> new LinkedHashSet<>()).addAll(keys.keySet());
-        });
-        strays.addAll(jobs.strays());
-        List<Job> moved = new ArrayList<>();
-        jobs.packs().forEach((job, number) -> {
-            Pack p = packs.computeIfAbsent(number, Pack::new);
-            int bytes = context.layout().packedBytes(job.spec());
-            if (bytes >= 0 && p.bytes + bytes <= context.layout().packBytes()) {
+  private final Set<Job> ending = new LinkedHashSet<>();
+  private int tasksPerChunk;
+  private boolean writing;
+  private boolean closed;
+
+  Progress(Context context, Jobs jobs) {
+    this.context = context;
+    this.log = context.logs().of(Progress.class);
+    this.jobs = jobs;
+    this.tasksPerChunk = context.layout().tasksPerChunk();
+  }
+
+  /**
+   * The packs as earlier leaders left them: a record is only written whole, with all its jobs. What
+   * an earlier limit let share one record may not fit any more: the rest goes to others, and until
+   * they are written this one stays as it is.
+   */
+  void loaded() {
+    stamps.putAll(jobs.packStamps());
+    jobs.chunks()
+        .forEach(
+            (job, keys) -> {
+              stamps.putAll(keys);
+              keysOf.computeIfAbsent(job, j -> new LinkedHashSet<>()).addAll(keys.keySet());
+            });
+    strays.addAll(jobs.strays());
+    List<Job> moved = new ArrayList<>();
+    jobs.packs()
+        .forEach(
+            (job, number) -> {
+              Pack p = packs.computeIfAbsent(number, Pack::new);
+              int bytes = context.layout().packedBytes(job.spec());
+              if (bytes >= 0 && p.bytes + bytes <= context.layout().packBytes()) {
                 enter(p, job);
-            } else {
+              } else {
                 moved.add(job);
-            }
-        });
-        moved.forEach(this::keep);
-    }
+              }
+            });
+    moved.forEach(this::keep);
+  }
 
-    private void enter(Pack p, Job job) {
-        p.jobs.add(job);
-        p.bytes += JobStore.packSize(job.spec());
-        packOf.put(job, p);
-    }
+  private void enter(Pack p, Job job) {
+    p.jobs.add(job);
+    p.bytes += JobStore.packSize(job.spec());
+    packOf.put(job, p);
+  }
 
-    /** Has the job's finished tasks written, wherever there is room. */
-    private void keep(Job job) {
-        int bytes = context.layout().packedBytes(job.spec());
-        if (bytes < 0) {
-            job.done().stream().forEach(t -> dirtyChunk(job, t));
-            return;
-        }
-        Pack p = packWithRoom(bytes);
-        enter(p, job);
-        p.dirty = true;
+  /** Has the job's finished tasks written, wherever there is room. */
+  private void keep(Job job) {
+    int bytes = context.layout().packedBytes(job.spec());
+    if (bytes < 0) {
+      job.done().stream().forEach(t -> dirtyChunk(job, t));
+      return;
     }
+    Pack p = packWithRoom(bytes);
+    enter(p, job);
+    p.dirty = true;
+  }
 
-    private void dirtyChunk(Job job, int task) {
-        dirty.computeIfAbsent(job, j -> new BitSet()).set(task / tasksPerChunk * tasksPerChunk);
-    }
+  private void dirtyChunk(Job job, int task) {
+    dirty.computeIfAbsent(job, j -> new BitSet()).set(task / tasksPerChunk * tasksPerChunk);
+  }
 
-    void taskDone(Job job, int task) {
-        if (job.complete()) {
-            dirty.remove(job);
-            if (ending.add(job)) {
-                end(job);
-            }
-            return;
-        }
-        Pack p = packOf.get(job);
-        if (p != null) {
-            p.dirty = true;
-        } else if (context.layout().packedBytes(job.spec()) < 0) {
-            dirtyChunk(job, task);
-        } else {
-            keep(job);
-        }
+  void taskDone(Job job, int task) {
+    if (job.complete()) {
+      dirty.remove(job);
+      if (ending.add(job)) {
+        end(job);
+      }
+      return;
+    }
+    Pack p = packOf.get(job);
+    if (p != null) {
+      p.dirty = true;
+    } else if (context.layout().packedBytes(job.spec()) < 0) {
+      dirtyChunk(job, task);
+    } else {
+      keep(job);
     }
+  }
 
-    private Pack packWithRoom(int bytes) {
-        for (Pack p : packs.values()) {
-            if (p.bytes + bytes <= context.layout().packBytes()) {
-                return p;
-            }
-        }
-        int number = 0;
-        while (packs.containsKey(number)) {
-            number++;
-        }
-        Pack p = new Pack(number);
-        packs.put(number, p);
+  private Pack packWithRoom(int bytes) {
+    for (Pack p : packs.values()) {
+      if (p.bytes + bytes <= context.layout().packBytes()) {
         return p;
+      }
+    }
+    int number = 0;
+    while (packs.containsKey(number)) {
+      number++;
     }
+    Pack p = new Pack(number);
+    packs.put(number, p);
+    return p;
+  }
 
-    private void end(Job job) {
-        if (closed || job.over()) {
-            ending.remove(job);
-            return;
-        }
-        List<String> records = List.copyOf(keysOf.getOrDefault(job, Set.of()));
-        int dropped = Math.min(records.size(), context.layout().dropsAtEnd());
-        Txn txn = context.layout().end(job.uid(), job.stamp(), JobState.DONE, context.loop().wallMicros(), records.subList(0, dropped));
-        context.store().txn(txn, StateClient.Class.URGENT, result -> {
-            switch (result.outcome()) {
+  private void end(Job job) {
+    if (closed || job.over()) {
+      ending.remove(job);
+      return;
+    }
+    List<String> records = List.copyOf(keysOf.getOrDefault(job, Set.of()));
+    int dropped = Math.min(records.size(), context.layout().dropsAtEnd());
+    Txn txn =
+        context
+            .layout()
+            .end(
+                job.uid(),
+                job.stamp(),
+                JobState.DONE,
+                context.loop().wallMicros(),
+                records.subList(0, dropped));
+    context
+        .store()
+        .txn(
+            txn,
+            StateClient.Class.URGENT,
+            result -> {
+              switch (result.outcome()) {
                 case APPLIED -> {
-                    context.metrics().count("jobs_done");
-                    log.debug("{} done", job.uid());
-                    strays.addAll(records.subList(dropped, records.size()));
-                    keysOf.remove(job);
-                    ended(job, JobState.DONE);
+                  context.metrics().count("jobs_done");
+                  log.debug("{} done", job.uid());
+                  strays.addAll(records.subList(dropped, records.size()));
+                  keysOf.remove(job);
+                  ended(job, JobState.DONE);
                 }
                 case CONFLICT -> settle(job);
                 default -> context.loop().after(RETRY_MICROS, () -> end(job));
-            }
-        });
-    }
+              }
+            });
+  }
 
-    /** Somebody else ended it, or an earlier write of this node's own was carried out unheard. */
-    private void settle(Job job) {
-        context.store().get(JobStore.endedKey(job.uid()), StateClient.Class.URGENT, got -> {
-            JobState how = got.found() ? JobStore.finalState(got.item().data()) : null;
-            if (how != null) {
+  /** Somebody else ended it, or an earlier write of this node's own was carried out unheard. */
+  private void settle(Job job) {
+    context
+        .store()
+        .get(
+            JobStore.endedKey(job.uid()),
+            StateClient.Class.URGENT,
+            got -> {
+              JobState how = got.found() ? JobStore.finalState(got.item().data()) : null;
+              if (how != null) {
                 ended(job, how);
-            } else {
+              } else {
                 context.loop().after(RETRY_MICROS, () -> end(job));
-            }
-        });
-    }
+              }
+            });
+  }
 
-    private void ended(Job job, JobState how) {
-        ending.remove(job);
-        jobs.ended(job.uid(), how);
-    }
+  private void ended(Job job, JobState how) {
+    ending.remove(job);
+    jobs.ended(job.uid(), how);
+  }
 
-    /** One turn of the duty: as much as one transaction takes, the oldest first. */
-    long write() {
-        long pause = context.tunables().progressMicros();
-        forgetEnded();
-        fitLimits();
-        if (writing || closed) {
-            return pause;
-        }
-        Txn txn = context.term().guard();
-        Map<Job, BitSet> snapshots = new LinkedHashMap<>();
-        List<Pack> sentPacks = new ArrayList<>();
-        Map<Job, BitSet> sentChunks = new LinkedHashMap<>();
-        Set<String> keys = new LinkedHashSet<>();
-        int room = context.layout().limits().txnOps();
-        long bytes = 0;
-        for (Pack p : packs.values()) {
-            if (!p.dirty || room == 0 || bytes + p.bytes > MOST_BYTES) {
-                continue;
-            }
-            room--;
-            bytes += p.bytes;
-            p.dirty = false;
-            sentPacks.add(p);
-            Map<String, BitSet> done = new LinkedHashMap<>();
-            for (Job j : p.jobs) {
-                done.put(j.uid(), j.done());
-                snapshots.put(j, (BitSet) j.done().clone());
-            }
-            String key = JobStore.packKey(p.number);
-            keys.add(key);
-            txn.guard(key, stamps.getOrDefault(key, 0L)).put(key, context.layout().pack(done));
-        }
-        for (Map.Entry<Job, BitSet> e : dirty.entrySet()) {
-            Job job = e.getKey();
-            int each = Math.min(context.layout().valueBytes(), job.spec().pieces() / 6 + 100);
-            BitSet written = new BitSet();
-            for (int first = e.getValue().nextSetBit(0); first >= 0 && room > 0 && bytes + each <= MOST_BYTES;
-                    first = e.getValue().nextSetBit(first + 1)) {
-                room--;
-                bytes += each;
-                written.set(first);
-                String key = JobStore.progressKey(job.uid(), first);
-                keys.add(key);
-                keysOf.computeIfAbsent(job, j -> new LinkedHashSet<>()).add(key);
-                txn.guard(key, stamps.getOrDefault(key, 0L)).put(key, context.layout().chunk(job.done(), first, tasksPerChunk));
-                BitSet part = job.done().get(first, first + tasksPerChunk);
-                int from = first;
-                BitSet snapshot = snapshots.computeIfAbsent(job, j -> new BitSet());
-                part.stream().forEach(t -> snapshot.set(from + t));
-            }
-            if (!written.isEmpty()) {
-                sentChunks.put(job, written);
-            }
-        }
-        List<String> dropped = new ArrayList<>();
-        while (room > 0 && !strays.isEmpty()) {
-            // Of a job that has ended for good: whatever is written there is of no use.
-            room--;
-            dropped.add(strays.poll());
-            txn.drop(dropped.get(dropped.size() - 1));
-        }
-        if (txn.changes() == 0) {
-            return pause;
-        }
-        sentChunks.forEach((job, written) -> dirty.get(job).andNot(written));
-        dirty.values().removeIf(BitSet::isEmpty);
-        writing = true;
-        context.store().txn(txn, StateClient.Class.ORDINARY, result -> {
-            if (result.applied()) {
+  /** One turn of the duty: as much as one transaction takes, the oldest first. */
+  long write() {
+    long pause = context.tunables().progressMicros();
+    forgetEnded();
+    fitLimits();
+    if (writing || closed) {
+      return pause;
+    }
+    Txn txn = context.term().guard();
+    Map<Job, BitSet> snapshots = new LinkedHashMap<>();
+    List<Pack> sentPacks = new ArrayList<>();
+    Map<Job, BitSet> sentChunks = new LinkedHashMap<>();
+    Set<String> keys = new LinkedHashSet<>();
+    int room = context.layout().limits().txnOps();
+    long bytes = 0;
+    for (Pack p : packs.values()) {
+      if (!p.dirty || room == 0 || bytes + p.bytes > MOST_BYTES) {
+        continue;
+      }
+      room--;
+      bytes += p.bytes;
+      p.dirty = false;
+      sentPacks.add(p);
+      Map<String, BitSet> done = new LinkedHashMap<>();
+      for (Job j : p.jobs) {
+        done.put(j.uid(), j.done());
+        snapshots.put(j, (BitSet) j.done().clone());
+      }
+      String key = JobStore.packKey(p.number);
+      keys.add(key);
+      txn.guard(key, stamps.getOrDefault(key, 0L)).put(key, context.layout().pack(done));
+    }
+    for (Map.Entry<Job, BitSet> e : dirty.entrySet()) {
+      Job job = e.getKey();
+      int each = Math.min(context.layout().valueBytes(), job.spec().pieces() / 6 + 100);
+      BitSet written = new BitSet();
+      for (int first = e.getValue().nextSetBit(0);
+          first >= 0 && room > 0 && bytes + each <= MOST_BYTES;
+          first = e.getValue().nextSetBit(first + 1)) {
+        room--;
+        bytes += each;
+        written.set(first);
+        String key = JobStore.progressKey(job.uid(), first);
+        keys.add(key);
+        keysOf.computeIfAbsent(job, j -> new LinkedHashSet<>()).add(key);
+        txn.guard(key, stamps.getOrDefault(key, 0L))
+            .put(key, context.layout().chunk(job.done(), first, tasksPerChunk));
+        BitSet part = job.done().get(first, first + tasksPerChunk);
+        int from = first;
+        BitSet snapshot = snapshots.computeIfAbsent(job, j -> new BitSet());
+        part.stream().forEach(t -> snapshot.set(from + t));
+      }
+      if (!written.isEmpty()) {
+        sentChunks.put(job, written);
+      }
+    }
+    List<String> dropped = new ArrayList<>();
+    while (room > 0 && !strays.isEmpty()) {
+      // Of a job that has ended for good: whatever is written there is of no use.
+      room--;
+      dropped.add(strays.poll());
+      txn.drop(dropped.get(dropped.size() - 1));
+    }
+    if (txn.changes() == 0) {
+      return pause;
+    }
+    sentChunks.forEach((job, written) -> dirty.get(job).andNot(written));
+    dirty.values().removeIf(BitSet::isEmpty);
+    writing = true;
+    context
+        .store()
+        .txn(
+            txn,
+            StateClient.Class.ORDINARY,
+            result -> {
+              if (result.applied()) {
                 writing = false;
                 keys.forEach(k -> stamps.put(k, result.epoch()));
                 snapshots.forEach((job, bits) -> job.stored().or(bits));
                 return;
-            }
-            sentPacks.forEach(p -> p.dirty = true);
-            sentChunks.forEach((job, chunks) -> dirty.computeIfAbsent(job, j -> new BitSet()).or(chunks));
-            strays.addAll(dropped);
-            if (result.outcome() == Txn.Outcome.REFUSED) {
+              }
+              sentPacks.forEach(p -> p.dirty = true);
+              sentChunks.forEach(
+                  (job, chunks) -> dirty.computeIfAbsent(job, j -> new BitSet()).or(chunks));
+              strays.addAll(dropped);
+              if (result.outcome() == Txn.Outcome.REFUSED) {
                 writing = false;
-            } else {
-                // It may have been carried out, or may be yet: the next write is guarded by what is there now.
+              } else {
+                // It may have been carried out, or may be yet: the next write is guarded by what is
+                // there now.
                 reread(new ArrayDeque<>(keys));
-            }
-        });
-        boolean more = !dirty.isEmpty() || !strays.isEmpty() || packs.values().stream().anyMatch(p -> p.dirty);
-        return more ? pause / 8 : pause;
-    }
+              }
+            });
+    boolean more =
+        !dirty.isEmpty() || !strays.isEmpty() || packs.values().stream().anyMatch(p -> p.dirty);
+    return more ? pause / 8 : pause;
+  }
 
-    private void reread(ArrayDeque<String> keys) {
-        String key = keys.poll();
-        if (key == null || closed) {
-            writing = false;
-            return;
-        }
-        context.store().get(key, StateClient.Class.ORDINARY, got -> {
-            if (got.found()) {
+  private void reread(ArrayDeque<String> keys) {
+    String key = keys.poll();
+    if (key == null || closed) {
+      writing = false;
+      return;
+    }
+    context
+        .store()
+        .get(
+            key,
+            StateClient.Class.ORDINARY,
+            got -> {
+              if (got.found()) {
                 stamps.put(key, got.item().stamp());
-            } else if (got.missing()) {
+              } else if (got.missing()) {
                 stamps.remove(key);
-            }
-            reread(keys);
-        });
-    }
+              }
+              reread(keys);
+            });
+  }
 
-    /** Limits may have fallen: what does not fit any more is cut up anew. */
-    private void fitLimits() {
-        if (context.layout().tasksPerChunk() < tasksPerChunk) {
-            tasksPerChunk = context.layout().tasksPerChunk();
-            Set<Job> large = new LinkedHashSet<>(dirty.keySet());
-            large.addAll(keysOf.keySet());
-            dirty.clear();
-            large.stream().filter(j -> !j.over()).forEach(j -> j.done().stream().forEach(t -> dirtyChunk(j, t)));
-        }
-        for (Pack p : List.copyOf(packs.values())) {
-            if (p.bytes <= context.layout().packBytes()) {
-                continue;
-            }
-            List<Job> kept = new ArrayList<>(p.jobs);
-            p.jobs.clear();
-            p.bytes = 0;
-            List<Job> moved = new ArrayList<>();
-            for (Job j : kept) {
-                packOf.remove(j);
-                int bytes = context.layout().packedBytes(j.spec());
-                if (bytes >= 0 && p.bytes + bytes <= context.layout().packBytes()) {
-                    enter(p, j);
-                } else {
-                    moved.add(j);
-                }
-            }
-            p.dirty = true;
-            moved.forEach(this::keep);
+  /** Limits may have fallen: what does not fit any more is cut up anew. */
+  private void fitLimits() {
+    if (context.layout().tasksPerChunk() < tasksPerChunk) {
+      tasksPerChunk = context.layout().tasksPerChunk();
+      Set<Job> large = new LinkedHashSet<>(dirty.keySet());
+      large.addAll(keysOf.keySet());
+      dirty.clear();
+      large.stream()
+          .filter(j -> !j.over())
+          .forEach(j -> j.done().stream().forEach(t -> dirtyChunk(j, t)));
+    }
+    for (Pack p : List.copyOf(packs.values())) {
+      if (p.bytes <= context.layout().packBytes()) {
+        continue;
+      }
+      List<Job> kept = new ArrayList<>(p.jobs);
+      p.jobs.clear();
+      p.bytes = 0;
+      List<Job> moved = new ArrayList<>();
+      for (Job j : kept) {
+        packOf.remove(j);
+        int bytes = context.layout().packedBytes(j.spec());
+        if (bytes >= 0 && p.bytes + bytes <= context.layout().packBytes()) {
+          enter(p, j);
+        } else {
+          moved.add(j);
         }
+      }
+      p.dirty = true;
+      moved.forEach(this::keep);
     }
+  }
 
-    private void forgetEnded() {
-        dirty.keySet().removeIf(Job::over);
-        keysOf.entrySet().removeIf(e -> {
-            if (e.getKey().over()) {
+  private void forgetEnded() {
+    dirty.keySet().removeIf(Job::over);
+    keysOf
+        .entrySet()
+        .removeIf(
+            e -> {
+              if (e.getKey().over()) {
                 strays.addAll(e.getValue());
-            }
-            return e.getKey().over();
-        });
-        for (Pack p : packs.values()) {
-            p.jobs.removeIf(j -> {
-                if (j.over()) {
-                    p.bytes -= JobStore.packSize(j.spec());
-                    packOf.remove(j);
-                }
-                return j.over();
+              }
+              return e.getKey().over();
             });
-        }
+    for (Pack p : packs.values()) {
+      p.jobs.removeIf(
+          j -> {
+            if (j.over()) {
+              p.bytes -= JobStore.packSize(j.spec());
+              packOf.remove(j);
+            }
+            return j.over();
+          });
     }
+  }
 
-    void close() {
-        closed = true;
-    }
+  void close() {
+    closed = true;
+  }
 }
--- a/src/main/java/plumlever/leader/Records.java
+++ b/src/main/java/plumlever/leader/Records.java
@@ -8,62 +8,69 @@
 import plumlever.store.StateClient;
 
 /**
- * What earlier leaders left in the state service, read by a new one. All of it is asked for at once: their writes are guarded
- * by their terms, so nothing of it changes any more but the jobs that come and end. It is read on the office's thread: on the
- * one that decides each answer would wait behind the crowd of workers that come to a new leader.
+ * What earlier leaders left in the state service, read by a new one. All of it is asked for at
+ * once: their writes are guarded by their terms, so nothing of it changes any more but the jobs
+ * that come and end. It is read on the office's thread: on the one that decides each answer would
+ * wait behind the crowd of workers that come to a new leader.
  */
 final class Records {
-    private static final long RETRY_MICROS = 500_000;
-    private static final List<String> PREFIXES = List.of(JobStore.FLEET, JobStore.HINTS, JobStore.BEGUN, JobStore.ACTIVE,
-            JobStore.PROGRESS);
+  private static final long RETRY_MICROS = 500_000;
+  private static final List<String> PREFIXES =
+      List.of(JobStore.FLEET, JobStore.HINTS, JobStore.BEGUN, JobStore.ACTIVE, JobStore.PROGRESS);
 
-    private final Context context;
-    private final Map<String, StateClient.Listing> read = new HashMap<>();
-    private Consumer<Records> then;
-    private long askedMicros;
+  private final Context context;
+  private final Map<String, StateClient.Listing> read = new HashMap<>();
+  private Consumer<Records> then;
+  private long askedMicros;
 
-    Records(Context context) {
-        this.context = context;
-    }
+  Records(Context context) {
+    this.context = context;
+  }
 
-    /** @param whenRead runs once, when everything has been read */
-    void read(Consumer<Records> whenRead) {
-        then = whenRead;
-        PREFIXES.forEach(this::read);
-    }
+  /**
+   * @param whenRead runs once, when everything has been read
+   */
+  void read(Consumer<Records> whenRead) {
+    then = whenRead;
+    PREFIXES.forEach(this::read);
+  }
 
-    private void read(String prefix) {
-        if (prefix.equals(JobStore.ACTIVE)) {
-            askedMicros = context.loop().nowMicros();
-        }
-        context.reader().list(prefix, listing -> {
-            if (then == null) {
+  private void read(String prefix) {
+    if (prefix.equals(JobStore.ACTIVE)) {
+      askedMicros = context.loop().nowMicros();
+    }
+    context
+        .reader()
+        .list(
+            prefix,
+            listing -> {
+              if (then == null) {
                 return;
-            }
-            if (listing == null) {
+              }
+              if (listing == null) {
                 context.loop().after(RETRY_MICROS, () -> read(prefix));
                 return;
-            }
-            read.put(prefix, listing);
-            if (read.size() == PREFIXES.size()) {
+              }
+              read.put(prefix, listing);
+              if (read.size() == PREFIXES.size()) {
                 Consumer<Records> whole = then;
                 then = null;
                 whole.accept(this);
-            }
-        });
-    }
+              }
+            });
+  }
 
-    /** The keys under the prefix, as they were after the term had been taken. */
-    StateClient.Listing under(String prefix) {
-        return read.get(prefix);
-    }
+  /** The keys under the prefix, as they were after the term had been taken. */
+  StateClient.Listing under(String prefix) {
+    return read.get(prefix);
+  }
 
-    /** When the read of the active jobs had been sent: whatever ended before it is known. */
-    long askedMicros() {
-        return askedMicros;
-    }
+  /** When the read of the active jobs had been sent: whatever ended before it is known. */
+  long askedMicros() {
+    return askedMicros;
+  }
 
-    void close() {
-        then = null;
-    }
+  void close() {
+    then = null;
+  }
 }
--- a/src/main/java/plumlever/leader/Roster.java
+++ b/src/main/java/plumlever/leader/Roster.java
@@ -14,98 +14,112 @@
 import plumlever.store.StateClient;
 import plumlever.wire.Json;
 
-/** The stored record of the machines that may hold tasks: a machine is in it before anything is ordered from it. */
+/**
+ * The stored record of the machines that may hold tasks: a machine is in it before anything is
+ * ordered from it.
+ */
 final class Roster {
-    private static final long PAUSE_MICROS = 250_000;
-    private static final String HOSTS = "hosts";
-    private static final String KINDS = "kinds";
-    private static final int KINDS_BYTES = 500;
+  private static final long PAUSE_MICROS = 250_000;
+  private static final String HOSTS = "hosts";
+  private static final String KINDS = "kinds";
+  private static final int KINDS_BYTES = 500;
 
-    private final Logger log;
-    private final Context context;
-    private final SharedRecords<Machine> records;
+  private final Logger log;
+  private final Context context;
+  private final SharedRecords<Machine> records;
 
-    Roster(Context context, Runnable changed) {
-        this.context = context;
-        this.log = context.logs().of(Roster.class);
-        this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, changed);
-    }
+  Roster(Context context, Runnable changed) {
+    this.context = context;
+    this.log = context.logs().of(Roster.class);
+    this.records = new SharedRecords<>(context, new Layout(), PAUSE_MICROS, changed);
+  }
 
-    /** Takes over what earlier leaders stored. */
-    void load(List<StateClient.Item> items, Fleet fleet) {
-        for (StateClient.Item i : items) {
-            int number = JobStore.numberOf(i.key());
-            if (number < 0) {
-                log.error("{} is no record of machines", i.key());
-                continue;
-            }
-            List<Machine> entries = new ArrayList<>();
-            JsonNode kinds = i.data().path(KINDS);
-            for (JsonNode h : i.data().path(HOSTS)) {
-                JsonNode kind = kinds.path(h.path(2).asInt());
-                String id = h.path(0).asText();
-                Machine known = fleet.machine(id);
-                Machine m = known != null ? known : new Machine(id, h.path(1).asText(), kind.path(0).asText(),
-                        kind.path(1).asText(), kind.path(2).asBoolean(), context.loop().nowMicros());
-                if (known == null) {
-                    fleet.add(m);
-                    entries.add(m);
-                }
-            }
-            records.load(number, i.stamp(), entries);
+  /** Takes over what earlier leaders stored. */
+  void load(List<StateClient.Item> items, Fleet fleet) {
+    for (StateClient.Item i : items) {
+      int number = JobStore.numberOf(i.key());
+      if (number < 0) {
+        log.error("{} is no record of machines", i.key());
+        continue;
+      }
+      List<Machine> entries = new ArrayList<>();
+      JsonNode kinds = i.data().path(KINDS);
+      for (JsonNode h : i.data().path(HOSTS)) {
+        JsonNode kind = kinds.path(h.path(2).asInt());
+        String id = h.path(0).asText();
+        Machine known = fleet.machine(id);
+        Machine m =
+            known != null
+                ? known
+                : new Machine(
+                    id,
+                    h.path(1).asText(),
+                    kind.path(0).asText(),
+                    kind.path(1).asText(),
+                    kind.path(2).asBoolean(),
+                    context.loop().nowMicros());
+        if (known == null) {
+          fleet.add(m);
+          entries.add(m);
         }
+      }
+      records.load(number, i.stamp(), entries);
     }
+  }
 
-    /** The machine is to be recorded; until its enrolment is stored it takes no orders. */
-    void enroll(Machine m) {
-        if (m.endpoint() != null) {
-            records.enroll(m);
-        }
+  /** The machine is to be recorded; until its enrolment is stored it takes no orders. */
+  void enroll(Machine m) {
+    if (m.endpoint() != null) {
+      records.enroll(m);
     }
+  }
 
-    /** The machine is gone for good. */
-    void remove(Machine m) {
-        records.remove(m);
-    }
+  /** The machine is gone for good. */
+  void remove(Machine m) {
+    records.remove(m);
+  }
 
-    long tidy() {
-        return records.tidy();
-    }
+  long tidy() {
+    return records.tidy();
+  }
 
-    void close() {
-        records.close();
-    }
+  void close() {
+    records.close();
+  }
 
-    private static final class Layout implements SharedRecords.Layout<Machine> {
-        @Override
-        public String key(int number) {
-            return JobStore.rosterKey(number);
-        }
+  private static final class Layout implements SharedRecords.Layout<Machine> {
+    @Override
+    public String key(int number) {
+      return JobStore.rosterKey(number);
+    }
 
-        @Override
-        public int bytes(Machine m) {
-            return m.id().length() + m.endpoint().length() + 11;
-        }
+    @Override
+    public int bytes(Machine m) {
+      return m.id().length() + m.endpoint().length() + 11;
+    }
 
-        @Override
-        public int baseBytes() {
-            return KINDS_BYTES;
-        }
+    @Override
+    public int baseBytes() {
+      return KINDS_BYTES;
+    }
 
-        @Override
-        public ObjectNode value(List<Machine> machines) {
-            ObjectNode o = Json.object();
-            ArrayNode kinds = o.putArray(KINDS);
-            ArrayNode hosts = o.putArray(HOSTS);
-            Map<String, Integer> numbers = new HashMap<>();
-            for (Machine m : machines) {
-                int kind = numbers.computeIfAbsent(m.flavor() + "/" + m.site() + "/" + m.spot(), k -> {
-                    kinds.addArray().add(m.flavor()).add(m.site()).add(m.spot());
-                    return kinds.size() - 1;
+    @Override
+    public ObjectNode value(List<Machine> machines) {
+      ObjectNode o = Json.object();
+      ArrayNode kinds = o.putArray(KINDS);
+      ArrayNode hosts = o.putArray(HOSTS);
+      Map<String, Integer> numbers = new HashMap<>();
+      for (Machine m : machines) {
+        int kind =
+            numbers.computeIfAbsent(
+                m.flavor() + "/" + m.site() + "/" + m.spot(),
+                k -> {
+                  kinds.addArray().add(m.flavor()).add(m.site()).add(m.spot());
+                  return kinds.size() - 1;
                 });
-                hosts.addArray().add(m.id()).add(m.endpoint()).add(kind);
-            }
-            return o;
-        }
+        hosts.addArray().add(m.id()).add(m.endpoint()).add(kind);
+      }
+      return o;
     }
+  }
 }
