--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -28,525 +28,651 @@
 import plumlever.wire.TaskStatus;
 
 /**
- * The round of decisions: which free tasks go to which machine. A plan binds nobody: it is made anew as things change,
- * and a task is only taken when its machine's answer is written. A round that uses up its time goes on with the next
- * job when it is called again.
+ * The round of decisions: which free tasks go to which machine. A plan binds nobody: it is made
+ * anew as things change, and a task is only taken when its machine's answer is written. A round
+ * that uses up its time goes on with the next job when it is called again.
  */
 final class Round {
-    /** Tasks of one job looked at in one round beyond those that find room at once. */
-    private static final int MOST_BOOKED = 64;
-    private static final int MOST_PREEMPTED = 48;
-    /** Jobs in one round for which no machine has room now, and that are looked at closely all the same: the most pressing. */
-    private static final int MOST_ROOMLESS = 24;
-
-    /** About what a task that is stopped loses until it runs again: saving, waiting for room, its image. */
-    private static final long RESTART_MICROS = 60_000_000;
-    private static final double SPEED_GB_FOR_CORE = 4;
-    private static final long STANDBY_WINDOW_MICROS = 120_000_000;
-    private static final long STAND_BY_EVERY_MICROS = 1_000_000;
-    private static final long MISSED_MICROS = 120_000_000;
-    private static final long LONG_WAIT_MICROS = 120_000_000;
-
-    /** About what an order takes that is sent to a machine. */
-    private static final long ORDER_MICROS = 50_000;
-    /** From the end of a job's last task to the start of the next one's in its chain: a report, the record, a round, an order. */
-    private static final long HAND_OVER_MICROS = 1_500_000;
-    private static final long COSTS_EVERY_MICROS = 10_000_000;
-
-    /** Some tasks of a job that go to a machine with its next answer. */
-    static final class Planned {
-        final Job job;
-        int tasks;
-
-        Planned(Job job) {
-            this.job = job;
+  /** Tasks of one job looked at in one round beyond those that find room at once. */
+  private static final int MOST_BOOKED = 64;
+
+  private static final int MOST_PREEMPTED = 48;
+
+  /**
+   * Jobs in one round for which no machine has room now, and that are looked at closely all the
+   * same: the most pressing.
+   */
+  private static final int MOST_ROOMLESS = 24;
+
+  /**
+   * About what a task that is stopped loses until it runs again: saving, waiting for room, its
+   * image.
+   */
+  private static final long RESTART_MICROS = 60_000_000;
+
+  private static final double SPEED_GB_FOR_CORE = 4;
+  private static final long STANDBY_WINDOW_MICROS = 120_000_000;
+  private static final long STAND_BY_EVERY_MICROS = 1_000_000;
+  private static final long MISSED_MICROS = 120_000_000;
+  private static final long LONG_WAIT_MICROS = 120_000_000;
+
+  /** About what an order takes that is sent to a machine. */
+  private static final long ORDER_MICROS = 50_000;
+
+  /**
+   * From the end of a job's last task to the start of the next one's in its chain: a report, the
+   * record, a round, an order.
+   */
+  private static final long HAND_OVER_MICROS = 1_500_000;
+
+  private static final long COSTS_EVERY_MICROS = 10_000_000;
+
+  /** Some tasks of a job that go to a machine with its next answer. */
+  static final class Planned {
+    final Job job;
+    int tasks;
+
+    Planned(Job job) {
+      this.job = job;
+    }
+  }
+
+  private final Logger log;
+  private final Context context;
+  private final Fleet fleet;
+  private final Jobs jobs;
+  private final Begun begun;
+  private final Estimates estimates;
+  private final Takeover takeover;
+  private final Placer placer;
+  private final Preemption preemption;
+  private final Targets targets;
+  private final Map<String, Map<Job, Planned>> plans = new HashMap<>();
+  private final Map<String, double[]> plannedByTeam = new HashMap<>();
+  private final Map<Job, Boolean> within = new HashMap<>();
+  private final Set<Job> seen = new HashSet<>();
+  private final Standby standby;
+  private List<Job> order = List.of();
+  private final Set<Machine> closed = new LinkedHashSet<>();
+  private int cursor;
+  private int roomless;
+  private long finishedMicros;
+  private long stoodByMicros = Long.MIN_VALUE / 2;
+  private long spentMicros;
+  private long costedMicros;
+  private Picture picture;
+  private List<RentalPlan.Demand> demands = new ArrayList<>();
+  private List<RentalPlan.Demand> lastDemands = List.of();
+
+  Round(
+      Context context,
+      Fleet fleet,
+      Jobs jobs,
+      Begun begun,
+      Estimates estimates,
+      Takeover takeover) {
+    this.context = context;
+    this.log = context.logs().of(Round.class);
+    this.fleet = fleet;
+    this.jobs = jobs;
+    this.begun = begun;
+    this.estimates = estimates;
+    this.takeover = takeover;
+    this.placer =
+        new Placer(
+            context.tunables().paddingShare(),
+            context.tunables().tieShare(),
+            hedge(context),
+            context.moneyMatters() ? 0 : context.tunables().spotRisk());
+    this.preemption = new Preemption(context, fleet, this::usable, this::harmed);
+    this.standby =
+        new Standby(
+            STANDBY_WINDOW_MICROS,
+            context.tunables().rentMicros(),
+            context.tunables().standbySpreads());
+    this.targets =
+        new Targets(context.platform().objectives(), context.tunables().startTargetMicros());
+  }
+
+  /** When the demands were found. */
+  long finishedMicros() {
+    return finishedMicros;
+  }
+
+  private static long hedge(Context c) {
+    return c.moneyMatters() ? c.tunables().rentMicros() : 0;
+  }
+
+  /**
+   * What a task of the job takes from its release on, padded, its image included: what it leaves
+   * those before it in a chain.
+   */
+  long costMicros(Job job) {
+    double fetch = 0;
+    int types = 0;
+    for (Flavor f : context.prices().flavors()) {
+      if (f.fetchGbPerS() > 0
+          && (job.spec().flavors() == null || job.spec().flavors().contains(f.sku()))) {
+        fetch += job.spec().imageGb() / f.fetchGbPerS() * 1e6;
+        types++;
+      }
+    }
+    long run = (long) (estimates.runMicros(job) * (1 + context.tunables().paddingShare()));
+    return run + (types == 0 ? 0 : (long) (fetch / types)) + HAND_OVER_MICROS;
+  }
+
+  /** Machines that get no new tasks, because the others will do; they go once they are empty. */
+  Set<Machine> closed() {
+    return closed;
+  }
+
+  /**
+   * True if all that waits would still be served in time without these machines. Nothing is
+   * changed.
+   */
+  boolean canDoWithout(Set<Machine> without) {
+    long now = context.loop().nowMicros();
+    Picture picture = new Picture(now, without, false);
+    for (Job job : order(now)) {
+      Ask ask = ask(job, now);
+      Placer.Search search = search(ask, zones(job), picture);
+      int want = Math.min(job.freeCount(), takeover.quotaRoom(job));
+      for (int i = 0; i < want; i++) {
+        Placer.Choice c = search.next();
+        if (c.seat() < 0 || (!c.feasible() && rentalHelps(job, ask, now)) || i > MOST_BOOKED) {
+          return false;
         }
+        search.commit(c);
+      }
     }
+    return picture.spareCores() >= standby.cores(now);
+  }
 
-    private final Logger log;
-    private final Context context;
-    private final Fleet fleet;
-    private final Jobs jobs;
-    private final Begun begun;
-    private final Estimates estimates;
-    private final Takeover takeover;
-    private final Placer placer;
-    private final Preemption preemption;
-    private final Targets targets;
-    private final Map<String, Map<Job, Planned>> plans = new HashMap<>();
-    private final Map<String, double[]> plannedByTeam = new HashMap<>();
-    private final Map<Job, Boolean> within = new HashMap<>();
-    private final Set<Job> seen = new HashSet<>();
-    private final Standby standby;
-    private List<Job> order = List.of();
-    private final Set<Machine> closed = new LinkedHashSet<>();
-    private int cursor;
-    private int roomless;
-    private long finishedMicros;
-    private long stoodByMicros = Long.MIN_VALUE / 2;
-    private long spentMicros;
-    private long costedMicros;
-    private Picture picture;
-    private List<RentalPlan.Demand> demands = new ArrayList<>();
-    private List<RentalPlan.Demand> lastDemands = List.of();
-
-    Round(Context context, Fleet fleet, Jobs jobs, Begun begun, Estimates estimates, Takeover takeover) {
-        this.context = context;
-        this.log = context.logs().of(Round.class);
-        this.fleet = fleet;
-        this.jobs = jobs;
-        this.begun = begun;
-        this.estimates = estimates;
-        this.takeover = takeover;
-        this.placer = new Placer(context.tunables().paddingShare(), context.tunables().tieShare(),
-                hedge(context), context.moneyMatters() ? 0 : context.tunables().spotRisk());
-        this.preemption = new Preemption(context, fleet, this::usable, this::harmed);
-        this.standby = new Standby(STANDBY_WINDOW_MICROS, context.tunables().rentMicros(), context.tunables().standbySpreads());
-        this.targets = new Targets(context.platform().objectives(), context.tunables().startTargetMicros());
-    }
-
-    /** When the demands were found. */
-    long finishedMicros() {
-        return finishedMicros;
-    }
-
-    private static long hedge(Context c) {
-        return c.moneyMatters() ? c.tunables().rentMicros() : 0;
-    }
-
-    /** What a task of the job takes from its release on, padded, its image included: what it leaves those before it in a chain. */
-    long costMicros(Job job) {
-        double fetch = 0;
-        int types = 0;
-        for (Flavor f : context.prices().flavors()) {
-            if (f.fetchGbPerS() > 0 && (job.spec().flavors() == null || job.spec().flavors().contains(f.sku()))) {
-                fetch += job.spec().imageGb() / f.fetchGbPerS() * 1e6;
-                types++;
-            }
-        }
-        long run = (long) (estimates.runMicros(job) * (1 + context.tunables().paddingShare()));
-        return run + (types == 0 ? 0 : (long) (fetch / types)) + HAND_OVER_MICROS;
-    }
+  /** What waits for machines, as of the last whole round. */
+  List<RentalPlan.Demand> demands() {
+    return lastDemands;
+  }
 
-    /** Machines that get no new tasks, because the others will do; they go once they are empty. */
-    Set<Machine> closed() {
-        return closed;
-    }
+  Iterable<Planned> planned(Machine m) {
+    return plans.getOrDefault(m.id(), Map.of()).values();
+  }
 
-    /** True if all that waits would still be served in time without these machines. Nothing is changed. */
-    boolean canDoWithout(Set<Machine> without) {
-        long now = context.loop().nowMicros();
-        Picture picture = new Picture(now, without, false);
-        for (Job job : order(now)) {
-            Ask ask = ask(job, now);
-            Placer.Search search = search(ask, zones(job), picture);
-            int want = Math.min(job.freeCount(), takeover.quotaRoom(job));
-            for (int i = 0; i < want; i++) {
-                Placer.Choice c = search.next();
-                if (c.seat() < 0 || (!c.feasible() && rentalHelps(job, ask, now)) || i > MOST_BOOKED) {
-                    return false;
-                }
-                search.commit(c);
-            }
-        }
-        return picture.spareCores() >= standby.cores(now);
-    }
+  boolean hasPlan(Machine m) {
+    return plans.containsKey(m.id());
+  }
 
-    /** What waits for machines, as of the last whole round. */
-    List<RentalPlan.Demand> demands() {
-        return lastDemands;
-    }
-
-    Iterable<Planned> planned(Machine m) {
-        return plans.getOrDefault(m.id(), Map.of()).values();
-    }
-
-    boolean hasPlan(Machine m) {
-        return plans.containsKey(m.id());
-    }
-
-    /** True if something of the plan can be ordered: its job is on record. */
-    boolean recorded(Machine m) {
-        for (Planned p : planned(m)) {
-            if (p.job.enrolment() == Enrolment.STORED) {
-                return true;
-            }
-        }
-        return false;
-    }
-
-    void dropPlan(Machine m) {
-        plans.remove(m.id());
-    }
-
-    /** Goes through the jobs, most urgent first; true when it came to the end within its time. */
-    boolean run() {
-        long start = context.loop().nowMicros();
-        if (cursor >= order.size()) {
-            plans.clear();
-            plannedByTeam.clear();
-            demands = new ArrayList<>();
-            jobs.settleAims(start - costedMicros > COSTS_EVERY_MICROS);
-            costedMicros = start - costedMicros > COSTS_EVERY_MICROS ? start : costedMicros;
-            order = order(start);
-            cursor = 0;
-            roomless = 0;
-            spentMicros = 0;
-            picture = order.isEmpty() ? null : new Picture(start, closed, true);
-        }
-        while (cursor < order.size()) {
-            place(order.get(cursor++));
-            if (context.loop().nowMicros() - start > context.tunables().roundBudgetMicros() && cursor < order.size()) {
-                spentMicros += context.loop().nowMicros() - start;
-                context.metrics().count("rounds_cut");
-                return false;
-            }
-        }
-        // Where nothing waits, a look at every machine only to see whether enough room stands by is not needed each time.
-        if (picture != null || !lastDemands.isEmpty() || start - stoodByMicros >= STAND_BY_EVERY_MICROS) {
-            stoodByMicros = start;
-            standBy(picture == null ? new Picture(start, closed, true) : picture);
-        }
-        picture = null;
-        lastDemands = demands;
-        finishedMicros = context.loop().nowMicros();
-        spentMicros += finishedMicros - start;
-        context.metrics().time("round", spentMicros);
+  /** True if something of the plan can be ordered: its job is on record. */
+  boolean recorded(Machine m) {
+    for (Planned p : planned(m)) {
+      if (p.job.enrolment() == Enrolment.STORED) {
         return true;
-    }
-
-    /** Asks for room that is missing for work that has not come yet but must start at once when it does. */
-    private void standBy(Picture p) {
-        double missing = standby.cores(p.now) - p.spareCores();
-        JobSpec like = standby.typical();
-        if (missing > 0 && like != null && like.cores() > 0) {
-            demands.add(new RentalPlan.Demand(like, null, (int) Math.ceil(missing / like.cores()), (long) (like.expectS() * 1e6)));
-        }
-    }
-
-    /** What the last whole round took, without the pauses in it. */
-    long spentMicros() {
-        return spentMicros;
-    }
-
-    /** Machines that have a plan, by name. */
-    List<String> plannedMachines() {
-        return new ArrayList<>(plans.keySet());
-    }
-
-    /** By when its next task has to run; tasks that ran before have met any aim for a start. */
-    private long latestStart(Job j, long now) {
-        long finish = targets.finishBy(j, now);
-        long run = (long) (estimates.runMicros(j) * (1 + context.tunables().paddingShare()));
-        long byFinish = finish == Long.MAX_VALUE ? Long.MAX_VALUE : finish - run;
-        return j.hasFreshFree() ? Math.min(byFinish, targets.startBy(j, guaranteed(j), now)) : byFinish;
-    }
-
-    /** What missed its aim a moment ago makes way for what can still meet its own, but not for ever. */
-    private static boolean missed(long latestStart, long now) {
-        return latestStart < now && now - latestStart < MISSED_MICROS;
-    }
-
-    /** Of lasting work that is more urgent or guaranteed there may be no end, so what has waited long to begin goes first. */
-    private boolean mustBegin(Job j, long now) {
-        return !j.begun() && now - j.releasedMicros() > context.tunables().beginMicros();
-    }
-
-    /** What must begin first, the oldest first; then work within a guarantee, then by urgency, then what can still meet its aim, the most pressing first. */
-    private List<Job> order(long now) {
-        Map<String, Double> guaranteed = new HashMap<>();
-        for (Platform.Team t : context.platform().teams()) {
-            guaranteed.put(t.name(), t.cpus());
-        }
-        List<Job> byAge = new ArrayList<>(jobs.all());
-        byAge.sort(Comparator.comparingLong(Job::releasedMicros));
-        within.keySet().retainAll(byAge);
-        seen.retainAll(within.keySet());
-        Map<String, Double> used = new HashMap<>();
-        List<Job> waiting = new ArrayList<>();
-        for (Job j : byAge) {
-            if (j.complete() || j.over() || j.calledOff() || j.waiting()) {
-                continue;
-            }
-            double cores = used.merge(j.spec().owner(), j.spec().pieces() * j.spec().cores(), Double::sum);
-            // Decided once, when the job comes: what finishes later does not move a job that came beyond the guarantee.
-            if (within.putIfAbsent(j, cores <= guaranteed.getOrDefault(j.spec().owner(), 0.0)) == null && within.get(j)) {
-                context.metrics().count("jobs_guaranteed");
-            }
-            if (seen.add(j) && now - j.releasedMicros() < STANDBY_WINDOW_MICROS
-                    && targets.startBy(j, guaranteed(j), j.releasedMicros()) - j.releasedMicros() < context.tunables().rentMicros()) {
-                standby.arrived(now, j.spec());
-            }
-            if (j.hasFree() && j.notBeforeMicros() <= now && !takeover.blocks(j)) {
-                waiting.add(j);
-            }
-        }
-        Map<Job, Long> latest = new HashMap<>();
-        waiting.forEach(j -> latest.put(j, latestStart(j, now)));
-        waiting.sort(Comparator.<Job>comparingLong(j -> mustBegin(j, now) ? j.releasedMicros() : Long.MAX_VALUE)
-                .thenComparingInt(j -> within.get(j) ? 0 : 1)
-                .thenComparing(j -> j.urgency())
-                .thenComparingInt(j -> missed(latest.get(j), now) ? 1 : 0)
-                .thenComparingLong(latest::get)
-                .thenComparingLong(Job::releasedMicros));
-        return waiting;
-    }
-
-    private boolean usable(Machine m, long now) {
-        // A new leader has the machines' answers to its direct calls before their own reports: without those machines
-        // everything would seem to lack room, and be rented for.
-        long sign = m.heard() ? m.lastReportMicros() : takeover.startedMicros();
-        // A machine that missed a report may be gone, and one with an unheard direct order may have taken it.
-        return m.enrolment() == Enrolment.STORED && m.accounted() && !m.draining() && !m.returning() && !m.deaf()
-                && !m.unsettled() && now - sign < context.platform().workers().latestReportMicros();
-    }
-
-    /** Rented and not up yet, or up and not yet on record. */
-    private boolean coming(Machine m, long now) {
-        if (takeover.overdue(now) && takeover.open().contains(m)) {
-            return false;
-        }
-        return !m.returning() && !m.failed() && !m.draining() && (!m.heard() || m.enrolment() != Enrolment.STORED)
-                && m.accounted() == m.heard();
-    }
-
-    /** The machines as one round sees them, with what it gives away as it goes. */
-    private final class Picture {
-        private final long now;
-        private final List<Seat> seats = new ArrayList<>();
-        private final List<Machine> machines = new ArrayList<>();
-
-        Picture(long now, Set<Machine> without, boolean withPlans) {
-            this.now = now;
-            for (Machine m : fleet.machines()) {
-                Flavor f = context.prices().flavor(m.flavor());
-                if (f == null || without.contains(m)) {
-                    continue;
-                }
-                if (coming(m, now)) {
-                    long up = Math.max(now + 1_000_000, m.knownSinceMicros() + (long) (f.startupS() * 1.2e6));
-                    Seat s = seat(m, f, 1, 0);
-                    s.comesUp(up);
-                    add(m, s);
-                } else if (usable(m, now)) {
-                    Seat s = seat(m, f, m.slowness(), ORDER_MICROS);
-                    for (Attempt a : m.attempts()) {
-                        if (!a.over()) {
-                            occupy(s, a.job(), endsAt(a, f, now));
-                        }
-                    }
-                    if (withPlans) {
-                        for (Planned p : planned(m)) {
-                            for (int i = 0; i < p.tasks; i++) {
-                                occupy(s, p.job, now + estimates.runMicros(p.job));
-                            }
-                        }
-                    }
-                    add(m, s);
-                }
-            }
-        }
-
-        private Seat seat(Machine m, Flavor f, double slowness, long delay) {
-            // Where only speed matters no machine is dearer than another for its size: what is left of the score is the time
-            // that a task holds its share, with the image if it has to be fetched.
-            double price = context.moneyMatters() ? context.prices().hourly(f, m.spot()) / 3600
-                    : Math.max(f.cores(), f.memoryGb() / SPEED_GB_FOR_CORE);
-            return new Seat(m.id(), m.flavor(), m.site(), m.spot(), f.cores(), f.accelerators(), f.memoryGb(), price, slowness, delay);
-        }
-
-        private void add(Machine m, Seat s) {
-            machines.add(m);
-            seats.add(s);
-        }
-
-        double spareCores() {
-            double spare = 0;
-            for (Seat s : seats) {
-                spare += s.spareCores();
-            }
-            return spare;
-        }
-
-        private static void occupy(Seat s, Job j, long until) {
-            s.occupy(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), until);
-        }
-    }
-
-    private long endsAt(Attempt a, Flavor f, long now) {
-        if (a.halting()) {
-            return now + (long) (a.job().spec().snapshotS() * 1e6);
-        }
-        long run = (long) (estimates.runMicros(a.job()) * a.machine().slowness() * (1 + context.tunables().paddingShare()));
-        if (a.status() == TaskStatus.RUNNING && a.runningSinceMicros() >= 0) {
-            long end = a.runningSinceMicros() + run;
-            // A task past its estimate may take any time; the longer it has run, the longer it is expected to.
-            return end > now ? end : now + (now - a.runningSinceMicros()) / 5 + 1_000_000;
-        }
-        long fetch = f.fetchGbPerS() > 0 ? (long) (a.job().spec().imageGb() / f.fetchGbPerS() * 1e6) : 0;
-        return Math.max(now, a.sentMicros() + fetch) + run;
-    }
-
-    private Ask ask(Job j, long now) {
-        return ask(j, now, targets.startBy(j, guaranteed(j), now));
-    }
-
-    private Ask ask(Job j, long now, long startBy) {
-        return new Ask(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), j.spec().bundle(), j.spec().imageGb(),
-                estimates.runMicros(j), targets.finishBy(j, now), startBy, j.spec().flavors(),
-                j.spec().site(), j.spec().loaners(), j.spec().checkpoints());
-    }
-
-    private boolean guaranteed(Job j) {
-        return within.getOrDefault(j, false);
-    }
-
-    /** The job's rules about zones, all its tasks counted that may still be on a machine. */
-    static Zones zones(Job j) {
-        if (!j.spec().oneZone() && !j.spec().spread()) {
-            return new Zones(false, Integer.MAX_VALUE);
-        }
-        Zones z = new Zones(j.spec().oneZone(), j.spec().zoneLimit());
-        for (Attempt a : j.live()) {
-            z.add(a.machine().site());
-        }
-        return z;
-    }
-
-    /** True if stopping the attempt now would make its job miss an aim for its end that it can still meet. */
-    private boolean harmed(Attempt a, long now) {
-        long finish = targets.finishBy(a.job(), now);
-        if (finish == Long.MAX_VALUE || a.runningSinceMicros() < 0) {
-            return false;
-        }
-        long run = estimates.runMicros(a.job());
-        long left = Math.max(run / 10, run - (now - a.runningSinceMicros()));
-        return now + left <= finish && now + left + RESTART_MICROS > finish;
-    }
-
-    private Placer.Search search(Ask ask, Zones zones, Picture p) {
-        context.metrics().count("seats_evaluated", p.seats.size());
-        return placer.search(ask, p.seats, zones, (seat, machine, image, gb) -> {
-            Machine m = p.machines.get(seat);
-            return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), p.now);
-        }, p.now);
-    }
-
-    private void place(Job job) {
-        if (job.over() || job.calledOff() || job.waiting() || !job.hasFree()) {
-            return;
-        }
-        long now = picture.now;
-        Ask ask = ask(job, now);
-        Zones zones = zones(job);
-        int quota = quotaRoom(job);
-        if (quota < 1 && mustBegin(job, now)) {
-            // What its team's smaller tasks leave of the limit would go to the next of them, again and again.
-            planned(job);
-        }
-        int want = Math.min(job.freeCount(), quota);
-        if (want < 1) {
-            return;
-        }
-        if (!Placer.roomNow(ask, picture.seats, zones) && ++roomless > MOST_ROOMLESS) {
-            // Behind so many that wait as well there is no machine that could be booked for soon; where hundreds of jobs wait
-            // in a full fleet, searching for each would take longer than until the next urgent one comes.
-            if (!context.moneyMatters()) {
-                demands.add(new RentalPlan.Demand(job.spec(), job.boundZone(), want, ask.runMicros()));
-            }
-            return;
+      }
+    }
+    return false;
+  }
+
+  void dropPlan(Machine m) {
+    plans.remove(m.id());
+  }
+
+  /** Goes through the jobs, most urgent first; true when it came to the end within its time. */
+  boolean run() {
+    long start = context.loop().nowMicros();
+    if (cursor >= order.size()) {
+      plans.clear();
+      plannedByTeam.clear();
+      demands = new ArrayList<>();
+      jobs.settleAims(start - costedMicros > COSTS_EVERY_MICROS);
+      costedMicros = start - costedMicros > COSTS_EVERY_MICROS ? start : costedMicros;
+      order = order(start);
+      cursor = 0;
+      roomless = 0;
+      spentMicros = 0;
+      picture = order.isEmpty() ? null : new Picture(start, closed, true);
+    }
+    while (cursor < order.size()) {
+      place(order.get(cursor++));
+      if (context.loop().nowMicros() - start > context.tunables().roundBudgetMicros()
+          && cursor < order.size()) {
+        spentMicros += context.loop().nowMicros() - start;
+        context.metrics().count("rounds_cut");
+        return false;
+      }
+    }
+    // Where nothing waits, a look at every machine only to see whether enough room stands by is not
+    // needed each time.
+    if (picture != null
+        || !lastDemands.isEmpty()
+        || start - stoodByMicros >= STAND_BY_EVERY_MICROS) {
+      stoodByMicros = start;
+      standBy(picture == null ? new Picture(start, closed, true) : picture);
+    }
+    picture = null;
+    lastDemands = demands;
+    finishedMicros = context.loop().nowMicros();
+    spentMicros += finishedMicros - start;
+    context.metrics().time("round", spentMicros);
+    return true;
+  }
+
+  /**
+   * Asks for room that is missing for work that has not come yet but must start at once when it
+   * does.
+   */
+  private void standBy(Picture p) {
+    double missing = standby.cores(p.now) - p.spareCores();
+    JobSpec like = standby.typical();
+    if (missing > 0 && like != null && like.cores() > 0) {
+      demands.add(
+          new RentalPlan.Demand(
+              like, null, (int) Math.ceil(missing / like.cores()), (long) (like.expectS() * 1e6)));
+    }
+  }
+
+  /** What the last whole round took, without the pauses in it. */
+  long spentMicros() {
+    return spentMicros;
+  }
+
+  /** Machines that have a plan, by name. */
+  List<String> plannedMachines() {
+    return new ArrayList<>(plans.keySet());
+  }
+
+  /** By when its next task has to run; tasks that ran before have met any aim for a start. */
+  private long latestStart(Job j, long now) {
+    long finish = targets.finishBy(j, now);
+    long run = (long) (estimates.runMicros(j) * (1 + context.tunables().paddingShare()));
+    long byFinish = finish == Long.MAX_VALUE ? Long.MAX_VALUE : finish - run;
+    return j.hasFreshFree() ? Math.min(byFinish, targets.startBy(j, guaranteed(j), now)) : byFinish;
+  }
+
+  /**
+   * What missed its aim a moment ago makes way for what can still meet its own, but not for ever.
+   */
+  private static boolean missed(long latestStart, long now) {
+    return latestStart < now && now - latestStart < MISSED_MICROS;
+  }
+
+  /**
+   * Of lasting work that is more urgent or guaranteed there may be no end, so what has waited long
+   * to begin goes first.
+   */
+  private boolean mustBegin(Job j, long now) {
+    return !j.begun() && now - j.releasedMicros() > context.tunables().beginMicros();
+  }
+
+  /**
+   * What must begin first, the oldest first; then work within a guarantee, then by urgency, then
+   * what can still meet its aim, the most pressing first.
+   */
+  private List<Job> order(long now) {
+    Map<String, Double> guaranteed = new HashMap<>();
+    for (Platform.Team t : context.platform().teams()) {
+      guaranteed.put(t.name(), t.cpus());
+    }
+    List<Job> byAge = new ArrayList<>(jobs.all());
+    byAge.sort(Comparator.comparingLong(Job::releasedMicros));
+    within.keySet().retainAll(byAge);
+    seen.retainAll(within.keySet());
+    Map<String, Double> used = new HashMap<>();
+    List<Job> waiting = new ArrayList<>();
+    for (Job j : byAge) {
+      if (j.complete() || j.over() || j.calledOff() || j.waiting()) {
+        continue;
+      }
+      double cores =
+          used.merge(j.spec().owner(), j.spec().pieces() * j.spec().cores(), Double::sum);
+      // Decided once, when the job comes: what finishes later does not move a job that came beyond
+      // the guarantee.
+      if (within.putIfAbsent(j, cores <= guaranteed.getOrDefault(j.spec().owner(), 0.0)) == null
+          && within.get(j)) {
+        context.metrics().count("jobs_guaranteed");
+      }
+      if (seen.add(j)
+          && now - j.releasedMicros() < STANDBY_WINDOW_MICROS
+          && targets.startBy(j, guaranteed(j), j.releasedMicros()) - j.releasedMicros()
+              < context.tunables().rentMicros()) {
+        standby.arrived(now, j.spec());
+      }
+      if (j.hasFree() && j.notBeforeMicros() <= now && !takeover.blocks(j)) {
+        waiting.add(j);
+      }
+    }
+    Map<Job, Long> latest = new HashMap<>();
+    waiting.forEach(j -> latest.put(j, latestStart(j, now)));
+    waiting.sort(
+        Comparator.<Job>comparingLong(j -> mustBegin(j, now) ? j.releasedMicros() : Long.MAX_VALUE)
+            .thenComparingInt(j -> within.get(j) ? 0 : 1)
+            .thenComparing(j -> j.urgency())
+            .thenComparingInt(j -> missed(latest.get(j), now) ? 1 : 0)
+            .thenComparingLong(latest::get)
+            .thenComparingLong(Job::releasedMicros));
+    return waiting;
+  }
+
+  private boolean usable(Machine m, long now) {
+    // A new leader has the machines' answers to its direct calls before their own reports: without
+    // those machines
+    // everything would seem to lack room, and be rented for.
+    long sign = m.heard() ? m.lastReportMicros() : takeover.startedMicros();
+    // A machine that missed a report may be gone, and one with an unheard direct order may have
+    // taken it.
+    return m.enrolment() == Enrolment.STORED
+        && m.accounted()
+        && !m.draining()
+        && !m.returning()
+        && !m.deaf()
+        && !m.unsettled()
+        && now - sign < context.platform().workers().latestReportMicros();
+  }
+
+  /** Rented and not up yet, or up and not yet on record. */
+  private boolean coming(Machine m, long now) {
+    if (takeover.overdue(now) && takeover.open().contains(m)) {
+      return false;
+    }
+    return !m.returning()
+        && !m.failed()
+        && !m.draining()
+        && (!m.heard() || m.enrolment() != Enrolment.STORED)
+        && m.accounted() == m.heard();
+  }
+
+  /** The machines as one round sees them, with what it gives away as it goes. */
+  private final class Picture {
+    private final long now;
+    private final List<Seat> seats = new ArrayList<>();
+    private final List<Machine> machines = new ArrayList<>();
+
+    Picture(long now, Set<Machine> without, boolean withPlans) {
+      this.now = now;
+      for (Machine m : fleet.machines()) {
+        Flavor f = context.prices().flavor(m.flavor());
+        if (f == null || without.contains(m)) {
+          continue;
         }
-        Placer.Search search = search(ask, zones, picture);
-        int waiting = 0;
-        int booked = 0;
-        int preempted = 0;
-        Preemption.Search room = preemption.search(job, ask, targets.startBy(job, guaranteed(job), now), now);
-        boolean mayPreempt = true;
-        boolean relaxed = false;
-        for (int i = 0; i < want; i++) {
-            Placer.Choice c = search.next();
-            if ((c.seat() < 0 || !c.feasible()) && c.startMicros() > now && mayPreempt && preempted < MOST_PREEMPTED) {
-                if (room.makeRoom()) {
-                    preempted++;
-                    continue;
-                }
-                mayPreempt = false;
-            }
-            if (!relaxed && !c.feasible() && c.startMicros() > now && context.moneyMatters()) {
-                // No machine that is rented now would be up for this aim; what is booked or rented is for the next one.
-                relaxed = true;
-                long later = targets.startBy(job, guaranteed(job), now + context.tunables().rentMicros());
-                if (later > ask.startByMicros()) {
-                    ask = ask(job, now, later);
-                    search = search(ask, zones, picture);
-                    i--;
-                    continue;
-                }
+        if (coming(m, now)) {
+          long up = Math.max(now + 1_000_000, m.knownSinceMicros() + (long) (f.startupS() * 1.2e6));
+          Seat s = seat(m, f, 1, 0);
+          s.comesUp(up);
+          add(m, s);
+        } else if (usable(m, now)) {
+          Seat s = seat(m, f, m.slowness(), ORDER_MICROS);
+          for (Attempt a : m.attempts()) {
+            if (!a.over()) {
+              occupy(s, a.job(), endsAt(a, f, now));
             }
-            if (c.seat() < 0) {
-                // Nowhere at all. With time to spare one machine is a start: the rest is booked on it, or found short, then.
-                boolean spare = context.moneyMatters() && ask.startByMicros() != Long.MAX_VALUE
-                        && ask.startByMicros() - now > 2 * context.tunables().rentMicros();
-                waiting += spare ? 1 : want - i;
-                break;
-            }
-            search.commit(c);
-            if (c.startMicros() <= now) {
-                begun.enroll(job);
-                plans.computeIfAbsent(picture.seats.get(c.seat()).machine(), k -> new LinkedHashMap<>())
-                        .computeIfAbsent(job, Planned::new).tasks++;
-                planned(job);
-            } else {
-                boolean rent = needsRental(job, c, ask, now);
-                if (rent) {
-                    waiting++;
-                }
-                if (++booked >= MOST_BOOKED) {
-                    waiting += rent ? want - i - 1 : 0;
-                    break;
-                }
+          }
+          if (withPlans) {
+            for (Planned p : planned(m)) {
+              for (int i = 0; i < p.tasks; i++) {
+                occupy(s, p.job, now + estimates.runMicros(p.job));
+              }
             }
+          }
+          add(m, s);
         }
-        if (waiting > 0) {
-            demands.add(new RentalPlan.Demand(job.spec(), job.boundZone(), waiting, ask.runMicros()));
+      }
+    }
+
+    private Seat seat(Machine m, Flavor f, double slowness, long delay) {
+      // Where only speed matters no machine is dearer than another for its size: what is left of
+      // the score is the time
+      // that a task holds its share, with the image if it has to be fetched.
+      double price =
+          context.moneyMatters()
+              ? context.prices().hourly(f, m.spot()) / 3600
+              : Math.max(f.cores(), f.memoryGb() / SPEED_GB_FOR_CORE);
+      return new Seat(
+          m.id(),
+          m.flavor(),
+          m.site(),
+          m.spot(),
+          f.cores(),
+          f.accelerators(),
+          f.memoryGb(),
+          price,
+          slowness,
+          delay);
+    }
+
+    private void add(Machine m, Seat s) {
+      machines.add(m);
+      seats.add(s);
+    }
+
+    double spareCores() {
+      double spare = 0;
+      for (Seat s : seats) {
+        spare += s.spareCores();
+      }
+      return spare;
+    }
+
+    private static void occupy(Seat s, Job j, long until) {
+      s.occupy(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), until);
+    }
+  }
+
+  private long endsAt(Attempt a, Flavor f, long now) {
+    if (a.halting()) {
+      return now + (long) (a.job().spec().snapshotS() * 1e6);
+    }
+    long run =
+        (long)
+            (estimates.runMicros(a.job())
+                * a.machine().slowness()
+                * (1 + context.tunables().paddingShare()));
+    if (a.status() == TaskStatus.RUNNING && a.runningSinceMicros() >= 0) {
+      long end = a.runningSinceMicros() + run;
+      // A task past its estimate may take any time; the longer it has run, the longer it is
+      // expected to.
+      return end > now ? end : now + (now - a.runningSinceMicros()) / 5 + 1_000_000;
+    }
+    long fetch =
+        f.fetchGbPerS() > 0 ? (long) (a.job().spec().imageGb() / f.fetchGbPerS() * 1e6) : 0;
+    return Math.max(now, a.sentMicros() + fetch) + run;
+  }
+
+  private Ask ask(Job j, long now) {
+    return ask(j, now, targets.startBy(j, guaranteed(j), now));
+  }
+
+  private Ask ask(Job j, long now, long startBy) {
+    return new Ask(
+        j.spec().cores(),
+        j.spec().accelerators(),
+        j.spec().memoryGb(),
+        j.spec().bundle(),
+        j.spec().imageGb(),
+        estimates.runMicros(j),
+        targets.finishBy(j, now),
+        startBy,
+        j.spec().flavors(),
+        j.spec().site(),
+        j.spec().loaners(),
+        j.spec().checkpoints());
+  }
+
+  private boolean guaranteed(Job j) {
+    return within.getOrDefault(j, false);
+  }
+
+  /** The job's rules about zones, all its tasks counted that may still be on a machine. */
+  static Zones zones(Job j) {
+    if (!j.spec().oneZone() && !j.spec().spread()) {
+      return new Zones(false, Integer.MAX_VALUE);
+    }
+    Zones z = new Zones(j.spec().oneZone(), j.spec().zoneLimit());
+    for (Attempt a : j.live()) {
+      z.add(a.machine().site());
+    }
+    return z;
+  }
+
+  /**
+   * True if stopping the attempt now would make its job miss an aim for its end that it can still
+   * meet.
+   */
+  private boolean harmed(Attempt a, long now) {
+    long finish = targets.finishBy(a.job(), now);
+    if (finish == Long.MAX_VALUE || a.runningSinceMicros() < 0) {
+      return false;
+    }
+    long run = estimates.runMicros(a.job());
+    long left = Math.max(run / 10, run - (now - a.runningSinceMicros()));
+    return now + left <= finish && now + left + RESTART_MICROS > finish;
+  }
+
+  private Placer.Search search(Ask ask, Zones zones, Picture p) {
+    context.metrics().count("seats_evaluated", p.seats.size());
+    return placer.search(
+        ask,
+        p.seats,
+        zones,
+        (seat, machine, image, gb) -> {
+          Machine m = p.machines.get(seat);
+          return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), p.now);
+        },
+        p.now);
+  }
+
+  private void place(Job job) {
+    if (job.over() || job.calledOff() || job.waiting() || !job.hasFree()) {
+      return;
+    }
+    long now = picture.now;
+    Ask ask = ask(job, now);
+    Zones zones = zones(job);
+    int quota = quotaRoom(job);
+    if (quota < 1 && mustBegin(job, now)) {
+      // What its team's smaller tasks leave of the limit would go to the next of them, again and
+      // again.
+      planned(job);
+    }
+    int want = Math.min(job.freeCount(), quota);
+    if (want < 1) {
+      return;
+    }
+    if (!Placer.roomNow(ask, picture.seats, zones) && ++roomless > MOST_ROOMLESS) {
+      // Behind so many that wait as well there is no machine that could be booked for soon; where
+      // hundreds of jobs wait
+      // in a full fleet, searching for each would take longer than until the next urgent one comes.
+      if (!context.moneyMatters()) {
+        demands.add(new RentalPlan.Demand(job.spec(), job.boundZone(), want, ask.runMicros()));
+      }
+      return;
+    }
+    Placer.Search search = search(ask, zones, picture);
+    int waiting = 0;
+    int booked = 0;
+    int preempted = 0;
+    Preemption.Search room =
+        preemption.search(job, ask, targets.startBy(job, guaranteed(job), now), now);
+    boolean mayPreempt = true;
+    boolean relaxed = false;
+    for (int i = 0; i < want; i++) {
+      Placer.Choice c = search.next();
+      if ((c.seat() < 0 || !c.feasible())
+          && c.startMicros() > now
+          && mayPreempt
+          && preempted < MOST_PREEMPTED) {
+        if (room.makeRoom()) {
+          preempted++;
+          continue;
         }
-        if (waiting > 0 && log.isDebugEnabled()) {
-            log.debug("{}: {} of {} free tasks wait for machines, {} booked", job.uid(), waiting, job.freeCount(), booked);
+        mayPreempt = false;
+      }
+      if (!relaxed && !c.feasible() && c.startMicros() > now && context.moneyMatters()) {
+        // No machine that is rented now would be up for this aim; what is booked or rented is for
+        // the next one.
+        relaxed = true;
+        long later = targets.startBy(job, guaranteed(job), now + context.tunables().rentMicros());
+        if (later > ask.startByMicros()) {
+          ask = ask(job, now, later);
+          search = search(ask, zones, picture);
+          i--;
+          continue;
         }
-    }
-
-    /** What one task of the job takes of its team's limit is given away in this round. */
-    private void planned(Job job) {
-        double[] t = plannedByTeam.computeIfAbsent(job.spec().owner(), k -> new double[2]);
-        t[0] += job.spec().cores();
-        t[1] += job.spec().accelerators();
-    }
-
-    private boolean needsRental(Job job, Placer.Choice c, Ask ask, long now) {
-        if (!context.moneyMatters()) {
-            return c.startMicros() - now > context.tunables().rentMicros();
+      }
+      if (c.seat() < 0) {
+        // Nowhere at all. With time to spare one machine is a start: the rest is booked on it, or
+        // found short, then.
+        boolean spare =
+            context.moneyMatters()
+                && ask.startByMicros() != Long.MAX_VALUE
+                && ask.startByMicros() - now > 2 * context.tunables().rentMicros();
+        waiting += spare ? 1 : want - i;
+        break;
+      }
+      search.commit(c);
+      if (c.startMicros() <= now) {
+        begun.enroll(job);
+        plans
+            .computeIfAbsent(picture.seats.get(c.seat()).machine(), k -> new LinkedHashMap<>())
+            .computeIfAbsent(job, Planned::new)
+            .tasks++;
+        planned(job);
+      } else {
+        boolean rent = needsRental(job, c, ask, now);
+        if (rent) {
+          waiting++;
         }
-        return !c.feasible() && (rentalHelps(job, ask, now) || c.startMicros() - now > LONG_WAIT_MICROS);
-    }
-
-    /** True if a machine rented now could still serve the task in time. */
-    private boolean rentalHelps(Job job, Ask ask, long now) {
-        long up = now + context.tunables().rentMicros();
-        return up <= targets.startBy(job, guaranteed(job), up)
-                && (ask.deadlineMicros() == Long.MAX_VALUE || up + ask.runMicros() <= ask.deadlineMicros());
-    }
-
-    /** How many more tasks the job's team may run, counting whatever may still be running anywhere. */
-    int quotaRoom(Job job) {
-        int room = takeover.quotaRoom(job);
-        double[] planned = plannedByTeam.get(job.spec().owner());
-        if (planned != null && room != Integer.MAX_VALUE) {
-            if (job.spec().cores() > 0) {
-                room -= (int) Math.ceil(planned[0] / job.spec().cores() - 1e-9);
-            } else if (job.spec().accelerators() > 0) {
-                room -= (int) Math.ceil(planned[1] / job.spec().accelerators() - 1e-9);
-            }
+        if (++booked >= MOST_BOOKED) {
+          waiting += rent ? want - i - 1 : 0;
+          break;
         }
-        return Math.max(0, room);
-    }
+      }
+    }
+    if (waiting > 0) {
+      demands.add(new RentalPlan.Demand(job.spec(), job.boundZone(), waiting, ask.runMicros()));
+    }
+    if (waiting > 0 && log.isDebugEnabled()) {
+      log.debug(
+          "{}: {} of {} free tasks wait for machines, {} booked",
+          job.uid(),
+          waiting,
+          job.freeCount(),
+          booked);
+    }
+  }
+
+  /** What one task of the job takes of its team's limit is given away in this round. */
+  private void planned(Job job) {
+    double[] t = plannedByTeam.computeIfAbsent(job.spec().owner(), k -> new double[2]);
+    t[0] += job.spec().cores();
+    t[1] += job.spec().accelerators();
+  }
+
+  private boolean needsRental(Job job, Placer.Choice c, Ask ask, long now) {
+    if (!context.moneyMatters()) {
+      return c.startMicros() - now > context.tunables().rentMicros();
+    }
+    return !c.feasible()
+        && (rentalHelps(job, ask, now) || c.startMicros() - now > LONG_WAIT_MICROS);
+  }
+
+  /** True if a machine rented now could still serve the task in time. */
+  private boolean rentalHelps(Job job, Ask ask, long now) {
+    long up = now + context.tunables().rentMicros();
+    return up <= targets.startBy(job, guaranteed(job), up)
+        && (ask.deadlineMicros() == Long.MAX_VALUE || up + ask.runMicros() <= ask.deadlineMicros());
+  }
+
+  /**
+   * How many more tasks the job's team may run, counting whatever may still be running anywhere.
+   */
+  int quotaRoom(Job job) {
+    int room = takeover.quotaRoom(job);
+    double[] planned = plannedByTeam.get(job.spec().owner());
+    if (planned != null && room != Integer.MAX_VALUE) {
+      if (job.spec().cores() > 0) {
+        room -= (int) Math.ceil(planned[0] / job.spec().cores() - 1e-9);
+      } else if (job.spec().accelerators() > 0) {
+        room -= (int) Math.ceil(planned[1] / job.spec().accelerators() - 1e-9);
+      }
+    }
+    return Math.max(0, room);
+  }
 }
--- a/src/main/java/plumlever/leader/SharedRecords.java
+++ b/src/main/java/plumlever/leader/SharedRecords.java
@@ -14,277 +14,310 @@
 import plumlever.store.Txn;
 
 /**
- * Entries of which many share one stored value, since changes are what the state service has least of. Each write is guarded
- * by the term and by the record's own revision: one that is carried out late can't undo another, nor a successor's. An entry
- * counts as stored only after the answer that says so.
+ * Entries of which many share one stored value, since changes are what the state service has least
+ * of. Each write is guarded by the term and by the record's own revision: one that is carried out
+ * late can't undo another, nor a successor's. An entry counts as stored only after the answer that
+ * says so.
  *
- * <p>A value that an earlier limit allowed may be larger than one may be now. It is not written as it is: what does not fit is
- * first written to other values, and only when that is known to be stored does it leave the large one. Broken off at any point
- * an entry is in one value or in two, never in none.
+ * <p>A value that an earlier limit allowed may be larger than one may be now. It is not written as
+ * it is: what does not fit is first written to other values, and only when that is known to be
+ * stored does it leave the large one. Broken off at any point an entry is in one value or in two,
+ * never in none.
  */
 final class SharedRecords<E extends Enrolled> {
-    private static final long TIDY_MICROS = 5_000_000;
-    private static final long RETRY_MICROS = 300_000;
+  private static final long TIDY_MICROS = 5_000_000;
+  private static final long RETRY_MICROS = 300_000;
 
-    /** How entries are written. */
-    interface Layout<E> {
-        String key(int number);
+  /** How entries are written. */
+  interface Layout<E> {
+    String key(int number);
 
-        /** Room that the entry takes of a value. */
-        int bytes(E entry);
+    /** Room that the entry takes of a value. */
+    int bytes(E entry);
 
-        /** Room that every value takes besides. */
-        int baseBytes();
+    /** Room that every value takes besides. */
+    int baseBytes();
 
-        ObjectNode value(List<E> entries);
-    }
+    ObjectNode value(List<E> entries);
+  }
 
-    /** One stored value. */
-    private static final class Chunk<E> {
-        final int number;
-        final Set<E> entries = new LinkedHashSet<>();
-        long stamp;
-        int bytes;
-        /** Of these, bytes of entries on their way to other values. */
-        int leaving;
-        boolean writing;
-        /** Something must be written before it can be used, or can be dropped when there is time. */
-        boolean due;
-        boolean untidy;
-        long writtenMicros;
-
-        Chunk(int number, int bytes) {
-            this.number = number;
-            this.bytes = bytes;
-        }
-    }
+  /** One stored value. */
+  private static final class Chunk<E> {
+    final int number;
+    final Set<E> entries = new LinkedHashSet<>();
+    long stamp;
+    int bytes;
 
-    private final Context context;
-    private final Layout<E> layout;
-    /** What comes together within this time is written together. */
-    private final long pauseMicros;
-    private final Runnable stored;
-    private final Map<Integer, Chunk<E>> chunks = new LinkedHashMap<>();
-    private final Map<E, Chunk<E>> chunkOf = new HashMap<>();
-    /** Where entries go that leave a value that is too large. */
-    private final Map<E, Chunk<E>> movingTo = new HashMap<>();
-    private boolean closed;
-
-    /** @param stored runs when entries have come to be on record */
-    SharedRecords(Context context, Layout<E> layout, long pauseMicros, Runnable stored) {
-        this.context = context;
-        this.layout = layout;
-        this.pauseMicros = pauseMicros;
-        this.stored = stored;
-    }
+    /** Of these, bytes of entries on their way to other values. */
+    int leaving;
+
+    boolean writing;
 
-    /** Takes over a value as an earlier leader stored it; entries that are no use any more may be missing. */
-    void load(int number, long stamp, List<E> entries) {
-        Chunk<E> c = new Chunk<>(number, layout.baseBytes());
-        c.stamp = stamp;
-        c.writtenMicros = context.loop().nowMicros();
-        chunks.put(number, c);
-        for (E e : entries) {
-            e.enrolment(Enrolment.STORED);
-            enter(c, e);
-        }
+    /** Something must be written before it can be used, or can be dropped when there is time. */
+    boolean due;
+
+    boolean untidy;
+    long writtenMicros;
+
+    Chunk(int number, int bytes) {
+      this.number = number;
+      this.bytes = bytes;
     }
+  }
+
+  private final Context context;
+  private final Layout<E> layout;
 
-    private void enter(Chunk<E> c, E entry) {
-        c.entries.add(entry);
-        c.bytes += layout.bytes(entry);
-        chunkOf.put(entry, c);
+  /** What comes together within this time is written together. */
+  private final long pauseMicros;
+
+  private final Runnable stored;
+  private final Map<Integer, Chunk<E>> chunks = new LinkedHashMap<>();
+  private final Map<E, Chunk<E>> chunkOf = new HashMap<>();
+
+  /** Where entries go that leave a value that is too large. */
+  private final Map<E, Chunk<E>> movingTo = new HashMap<>();
+
+  private boolean closed;
+
+  /**
+   * @param stored runs when entries have come to be on record
+   */
+  SharedRecords(Context context, Layout<E> layout, long pauseMicros, Runnable stored) {
+    this.context = context;
+    this.layout = layout;
+    this.pauseMicros = pauseMicros;
+    this.stored = stored;
+  }
+
+  /**
+   * Takes over a value as an earlier leader stored it; entries that are no use any more may be
+   * missing.
+   */
+  void load(int number, long stamp, List<E> entries) {
+    Chunk<E> c = new Chunk<>(number, layout.baseBytes());
+    c.stamp = stamp;
+    c.writtenMicros = context.loop().nowMicros();
+    chunks.put(number, c);
+    for (E e : entries) {
+      e.enrolment(Enrolment.STORED);
+      enter(c, e);
     }
+  }
+
+  private void enter(Chunk<E> c, E entry) {
+    c.entries.add(entry);
+    c.bytes += layout.bytes(entry);
+    chunkOf.put(entry, c);
+  }
 
-    /** The entry is to be recorded, if it is not yet. */
-    void enroll(E entry) {
-        if (entry.enrolment() != Enrolment.NONE) {
-            return;
-        }
-        entry.enrolment(Enrolment.WRITING);
-        Chunk<E> into = withRoom(layout.bytes(entry));
-        enter(into, entry);
-        into.due = true;
-        write(into);
+  /** The entry is to be recorded, if it is not yet. */
+  void enroll(E entry) {
+    if (entry.enrolment() != Enrolment.NONE) {
+      return;
     }
+    entry.enrolment(Enrolment.WRITING);
+    Chunk<E> into = withRoom(layout.bytes(entry));
+    enter(into, entry);
+    into.due = true;
+    write(into);
+  }
 
-    private Chunk<E> withRoom(int bytes) {
-        for (Chunk<E> c : chunks.values()) {
-            if (c.bytes + bytes <= context.layout().valueBytes()) {
-                return c;
-            }
-        }
-        int number = 0;
-        while (chunks.containsKey(number)) {
-            number++;
-        }
-        Chunk<E> c = new Chunk<>(number, layout.baseBytes());
-        chunks.put(number, c);
+  private Chunk<E> withRoom(int bytes) {
+    for (Chunk<E> c : chunks.values()) {
+      if (c.bytes + bytes <= context.layout().valueBytes()) {
         return c;
+      }
     }
+    int number = 0;
+    while (chunks.containsKey(number)) {
+      number++;
+    }
+    Chunk<E> c = new Chunk<>(number, layout.baseBytes());
+    chunks.put(number, c);
+    return c;
+  }
 
-    /** Has what does not fit the value written to others; it stays in this one until that is stored. */
-    private void shed(Chunk<E> c) {
-        Set<Chunk<E>> touched = new LinkedHashSet<>();
-        for (E e : List.copyOf(c.entries)) {
-            if (c.bytes - c.leaving <= context.layout().valueBytes()) {
-                break;
-            }
-            if (movingTo.containsKey(e)) {
-                continue;
-            }
-            Chunk<E> to = withRoom(layout.bytes(e));
-            to.entries.add(e);
-            to.bytes += layout.bytes(e);
-            to.due = true;
-            touched.add(to);
-            movingTo.put(e, to);
-            c.leaving += layout.bytes(e);
-        }
-        touched.forEach(this::write);
+  /**
+   * Has what does not fit the value written to others; it stays in this one until that is stored.
+   */
+  private void shed(Chunk<E> c) {
+    Set<Chunk<E>> touched = new LinkedHashSet<>();
+    for (E e : List.copyOf(c.entries)) {
+      if (c.bytes - c.leaving <= context.layout().valueBytes()) {
+        break;
+      }
+      if (movingTo.containsKey(e)) {
+        continue;
+      }
+      Chunk<E> to = withRoom(layout.bytes(e));
+      to.entries.add(e);
+      to.bytes += layout.bytes(e);
+      to.due = true;
+      touched.add(to);
+      movingTo.put(e, to);
+      c.leaving += layout.bytes(e);
     }
+    touched.forEach(this::write);
+  }
 
-    /** An entry that was on its way is stored in its new value, and leaves the old one. */
-    private void moved(E e, Chunk<E> to) {
-        if (movingTo.get(e) != to) {
-            return;
-        }
-        movingTo.remove(e);
-        Chunk<E> from = chunkOf.put(e, to);
-        if (from != null && from.entries.remove(e)) {
-            from.bytes -= layout.bytes(e);
-            from.leaving -= layout.bytes(e);
-            from.untidy = true;
-        }
+  /** An entry that was on its way is stored in its new value, and leaves the old one. */
+  private void moved(E e, Chunk<E> to) {
+    if (movingTo.get(e) != to) {
+      return;
+    }
+    movingTo.remove(e);
+    Chunk<E> from = chunkOf.put(e, to);
+    if (from != null && from.entries.remove(e)) {
+      from.bytes -= layout.bytes(e);
+      from.leaving -= layout.bytes(e);
+      from.untidy = true;
     }
+  }
 
-    /** The entry is of no use any more; it goes with the next write, or when there is time for one. */
-    void remove(E entry) {
-        Chunk<E> to = movingTo.remove(entry);
-        if (to != null && to.entries.remove(entry)) {
-            to.bytes -= layout.bytes(entry);
-            to.untidy = true;
-        }
-        Chunk<E> c = chunkOf.remove(entry);
-        if (c != null) {
-            c.leaving -= to == null ? 0 : layout.bytes(entry);
-            c.entries.remove(entry);
-            c.bytes -= layout.bytes(entry);
-            c.untidy = true;
-        }
+  /**
+   * The entry is of no use any more; it goes with the next write, or when there is time for one.
+   */
+  void remove(E entry) {
+    Chunk<E> to = movingTo.remove(entry);
+    if (to != null && to.entries.remove(entry)) {
+      to.bytes -= layout.bytes(entry);
+      to.untidy = true;
+    }
+    Chunk<E> c = chunkOf.remove(entry);
+    if (c != null) {
+      c.leaving -= to == null ? 0 : layout.bytes(entry);
+      c.entries.remove(entry);
+      c.bytes -= layout.bytes(entry);
+      c.untidy = true;
     }
+  }
 
-    /** One turn of the duty. */
-    long tidy() {
-        long now = context.loop().nowMicros();
-        for (Chunk<E> c : List.copyOf(chunks.values())) {
-            if (c.bytes > context.layout().valueBytes()) {
-                shed(c);
-            } else if (c.untidy && now - c.writtenMicros > TIDY_MICROS) {
-                write(c);
-            }
-        }
-        return TIDY_MICROS / 4;
+  /** One turn of the duty. */
+  long tidy() {
+    long now = context.loop().nowMicros();
+    for (Chunk<E> c : List.copyOf(chunks.values())) {
+      if (c.bytes > context.layout().valueBytes()) {
+        shed(c);
+      } else if (c.untidy && now - c.writtenMicros > TIDY_MICROS) {
+        write(c);
+      }
     }
+    return TIDY_MICROS / 4;
+  }
 
-    private void write(Chunk<E> c) {
-        if (closed || c.writing || !(c.due || c.untidy)) {
-            return;
-        }
-        if (c.bytes > context.layout().valueBytes()) {
-            shed(c);
-            return;
-        }
-        c.writing = true;
-        long wait = Math.max(0, c.writtenMicros + pauseMicros - context.loop().nowMicros());
-        context.loop().after(c.writtenMicros == 0 ? 0 : wait, () -> send(c));
+  private void write(Chunk<E> c) {
+    if (closed || c.writing || !(c.due || c.untidy)) {
+      return;
     }
+    if (c.bytes > context.layout().valueBytes()) {
+      shed(c);
+      return;
+    }
+    c.writing = true;
+    long wait = Math.max(0, c.writtenMicros + pauseMicros - context.loop().nowMicros());
+    context.loop().after(c.writtenMicros == 0 ? 0 : wait, () -> send(c));
+  }
 
-    private void send(Chunk<E> c) {
-        if (closed || !context.term().mayAct()) {
-            c.writing = false;
-            if (!closed) {
-                context.loop().after(RETRY_MICROS, () -> write(c));
-            }
-            return;
-        }
-        if (c.bytes > context.layout().valueBytes()) {
-            // The limit has fallen since this was put off.
-            c.writing = false;
-            shed(c);
-            return;
-        }
-        c.due = false;
-        c.untidy = false;
-        c.writtenMicros = context.loop().nowMicros();
-        List<E> written = new ArrayList<>(c.entries);
-        String key = layout.key(c.number);
-        Txn txn = context.term().guard().guard(key, c.stamp);
-        if (written.isEmpty()) {
-            txn.drop(key);
-        } else {
-            txn.put(key, layout.value(written));
-        }
-        context.store().txn(txn, StateClient.Class.ORDINARY, result -> {
-            if (closed) {
+  private void send(Chunk<E> c) {
+    if (closed || !context.term().mayAct()) {
+      c.writing = false;
+      if (!closed) {
+        context.loop().after(RETRY_MICROS, () -> write(c));
+      }
+      return;
+    }
+    if (c.bytes > context.layout().valueBytes()) {
+      // The limit has fallen since this was put off.
+      c.writing = false;
+      shed(c);
+      return;
+    }
+    c.due = false;
+    c.untidy = false;
+    c.writtenMicros = context.loop().nowMicros();
+    List<E> written = new ArrayList<>(c.entries);
+    String key = layout.key(c.number);
+    Txn txn = context.term().guard().guard(key, c.stamp);
+    if (written.isEmpty()) {
+      txn.drop(key);
+    } else {
+      txn.put(key, layout.value(written));
+    }
+    context
+        .store()
+        .txn(
+            txn,
+            StateClient.Class.ORDINARY,
+            result -> {
+              if (closed) {
                 return;
-            }
-            switch (result.outcome()) {
+              }
+              switch (result.outcome()) {
                 case APPLIED -> {
-                    c.stamp = written.isEmpty() ? 0 : result.epoch();
-                    c.writing = false;
-                    stored(written);
-                    Set<Chunk<E>> left = new LinkedHashSet<>();
-                    for (E e : written) {
-                        Chunk<E> from = chunkOf.get(e);
-                        if (movingTo.get(e) == c) {
-                            moved(e, c);
-                            left.add(from);
-                        }
+                  c.stamp = written.isEmpty() ? 0 : result.epoch();
+                  c.writing = false;
+                  stored(written);
+                  Set<Chunk<E>> left = new LinkedHashSet<>();
+                  for (E e : written) {
+                    Chunk<E> from = chunkOf.get(e);
+                    if (movingTo.get(e) == c) {
+                      moved(e, c);
+                      left.add(from);
                     }
-                    left.forEach(this::write);
-                    write(c);
+                  }
+                  left.forEach(this::write);
+                  write(c);
                 }
                 case REFUSED -> again(c);
                 default -> settle(c);
-            }
-        });
-    }
+              }
+            });
+  }
 
-    private void stored(List<E> written) {
-        boolean news = false;
-        for (E e : written) {
-            if (e.enrolment() == Enrolment.WRITING) {
-                e.enrolment(Enrolment.STORED);
-                news = true;
-            }
-        }
-        if (news) {
-            stored.run();
-        }
+  private void stored(List<E> written) {
+    boolean news = false;
+    for (E e : written) {
+      if (e.enrolment() == Enrolment.WRITING) {
+        e.enrolment(Enrolment.STORED);
+        news = true;
+      }
     }
-
-    private void again(Chunk<E> c) {
-        c.due = true;
-        context.loop().after(RETRY_MICROS, () -> {
-            c.writing = false;
-            write(c);
-        });
+    if (news) {
+      stored.run();
     }
+  }
 
-    /** It may have been written, or may be yet: the next write is guarded by what is there now. */
-    private void settle(Chunk<E> c) {
-        context.store().get(layout.key(c.number), StateClient.Class.ORDINARY, got -> {
-            if (got.found()) {
+  private void again(Chunk<E> c) {
+    c.due = true;
+    context
+        .loop()
+        .after(
+            RETRY_MICROS,
+            () -> {
+              c.writing = false;
+              write(c);
+            });
+  }
+
+  /** It may have been written, or may be yet: the next write is guarded by what is there now. */
+  private void settle(Chunk<E> c) {
+    context
+        .store()
+        .get(
+            layout.key(c.number),
+            StateClient.Class.ORDINARY,
+            got -> {
+              if (got.found()) {
                 c.stamp = got.item().stamp();
-            } else if (got.missing()) {
+              } else if (got.missing()) {
                 c.stamp = 0;
-            }
-            again(c);
-        });
-    }
+              }
+              again(c);
+            });
+  }
 
-    void close() {
-        closed = true;
-    }
+  void close() {
+    closed = true;
+  }
 }
--- a/src/main/java/plumlever/leader/Takeover.java
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -14,150 +14,166 @@
 import plumlever.wire.Flavor;
 
 /**
- * What earlier leaders may have left running. Until every machine that could hold one of its tasks is accounted for,
- * no task of a job that an earlier leader knew is started; and a machine not accounted for counts against every
- * team's limit with all it could hold.
+ * What earlier leaders may have left running. Until every machine that could hold one of its tasks
+ * is accounted for, no task of a job that an earlier leader knew is started; and a machine not
+ * accounted for counts against every team's limit with all it could hold.
  */
 final class Takeover {
-    /** Nearly all machines that can be reached have come over by then, also those of a large fleet. */
-    private static final long OVERDUE_MICROS = 7_000_000;
-
-    private final Logger log;
-    private final Context context;
-    private final Fleet fleet;
-    private final long startedMicros;
-    private final Map<String, Platform.Team> teams = new HashMap<>();
-    private final Set<Machine> open = new LinkedHashSet<>();
-    /** Machines that run tasks of jobs this leader does not know. */
-    private final Set<Machine> foreign = new LinkedHashSet<>();
-    private boolean loaded;
-    private boolean unsureKnown;
-    private double unsureCores;
-    private double unsureAccelerators;
-    private long loadedMicros;
-
-    Takeover(Context context, Fleet fleet) {
-        this.context = context;
-        this.log = context.logs().of(Takeover.class);
-        this.fleet = fleet;
-        this.startedMicros = context.loop().nowMicros();
-        context.platform().teams().forEach(t -> teams.put(t.name(), t));
+  /**
+   * Nearly all machines that can be reached have come over by then, also those of a large fleet.
+   */
+  private static final long OVERDUE_MICROS = 7_000_000;
+
+  private final Logger log;
+  private final Context context;
+  private final Fleet fleet;
+  private final long startedMicros;
+  private final Map<String, Platform.Team> teams = new HashMap<>();
+  private final Set<Machine> open = new LinkedHashSet<>();
+
+  /** Machines that run tasks of jobs this leader does not know. */
+  private final Set<Machine> foreign = new LinkedHashSet<>();
+
+  private boolean loaded;
+  private boolean unsureKnown;
+  private double unsureCores;
+  private double unsureAccelerators;
+  private long loadedMicros;
+
+  Takeover(Context context, Fleet fleet) {
+    this.context = context;
+    this.log = context.logs().of(Takeover.class);
+    this.fleet = fleet;
+    this.startedMicros = context.loop().nowMicros();
+    context.platform().teams().forEach(t -> teams.put(t.name(), t));
+  }
+
+  long startedMicros() {
+    return startedMicros;
+  }
+
+  /**
+   * From here on each answer to a machine is on record; before, an answer may have renewed any
+   * lease.
+   */
+  long loadedMicros() {
+    return loadedMicros;
+  }
+
+  /** All machines that may hold tasks are in the fleet now. */
+  void loaded() {
+    loaded = true;
+    unsureKnown = false;
+    loadedMicros = context.loop().nowMicros();
+    for (Machine m : fleet.machines()) {
+      if (m.enrolment() == Enrolment.STORED && !m.accounted()) {
+        open.add(m);
+      }
     }
-
-    long startedMicros() {
-        return startedMicros;
+    if (open.isEmpty()) {
+      log.info("takeover complete: no machine may hold a task");
     }
-
-    /** From here on each answer to a machine is on record; before, an answer may have renewed any lease. */
-    long loadedMicros() {
-        return loadedMicros;
+  }
+
+  boolean complete() {
+    return loaded && open.isEmpty();
+  }
+
+  /**
+   * True when what is still open will not come over soon: it is gone or behind a cut, and nothing
+   * can be planned with it.
+   */
+  boolean overdue(long now) {
+    return loaded && !open.isEmpty() && now - loadedMicros > OVERDUE_MICROS;
+  }
+
+  Set<Machine> open() {
+    return open;
+  }
+
+  /** Nothing that an earlier leader started on the machine is unknown any more, or it is gone. */
+  void accounted(Machine m, String how) {
+    m.account();
+    if (open.remove(m)) {
+      unsureKnown = false;
+      log.debug("{} accounted for: {}", m.id(), how);
+      if (open.isEmpty()) {
+        long took = context.loop().nowMicros() - startedMicros;
+        context.metrics().time("takeover", took);
+        log.info(
+            "takeover complete after {} ms, the last machine was {}: {}",
+            took / 1_000,
+            m.id(),
+            how);
+      }
     }
+  }
 
-    /** All machines that may hold tasks are in the fleet now. */
-    void loaded() {
-        loaded = true;
-        unsureKnown = false;
-        loadedMicros = context.loop().nowMicros();
-        for (Machine m : fleet.machines()) {
-            if (m.enrolment() == Enrolment.STORED && !m.accounted()) {
-                open.add(m);
-            }
-        }
-        if (open.isEmpty()) {
-            log.info("takeover complete: no machine may hold a task");
-        }
+  /** The machine lists so many running tasks that this leader does not keep. */
+  void foreign(Machine m, int tasks) {
+    if (tasks > 0 ? foreign.add(m) : foreign.remove(m)) {
+      unsureKnown = false;
     }
-
-    boolean complete() {
-        return loaded && open.isEmpty();
+  }
+
+  /** True while a task of the job could be running on a machine not accounted for. */
+  boolean blocks(Job job) {
+    return !loaded || (job.inherited() && !open.isEmpty());
+  }
+
+  /** How many more tasks of the job its team's limit allows. */
+  int quotaRoom(Job job) {
+    Platform.Team team = teams.get(job.spec().owner());
+    if (team == null) {
+      return 0;
     }
-
-    /** True when what is still open will not come over soon: it is gone or behind a cut, and nothing can be planned with it. */
-    boolean overdue(long now) {
-        return loaded && !open.isEmpty() && now - loadedMicros > OVERDUE_MICROS;
+    Fleet.Held held = fleet.held(job.spec().owner());
+    double cores = held.cores();
+    double accelerators = held.accelerators();
+    if (team.cpusMax() <= 0 && team.gpusMax() <= 0) {
+      return Integer.MAX_VALUE;
     }
-
-    Set<Machine> open() {
-        return open;
+    if (!countUnsure()) {
+      return 0;
     }
-
-    /** Nothing that an earlier leader started on the machine is unknown any more, or it is gone. */
-    void accounted(Machine m, String how) {
-        m.account();
-        if (open.remove(m)) {
-            unsureKnown = false;
-            log.debug("{} accounted for: {}", m.id(), how);
-            if (open.isEmpty()) {
-                long took = context.loop().nowMicros() - startedMicros;
-                context.metrics().time("takeover", took);
-                log.info("takeover complete after {} ms, the last machine was {}: {}", took / 1_000, m.id(), how);
-            }
-        }
+    cores += unsureCores;
+    accelerators += unsureAccelerators;
+    return Math.min(
+        room(team.cpusMax(), cores, job.spec().cores()),
+        room(team.gpusMax(), accelerators, job.spec().accelerators()));
+  }
+
+  /**
+   * Adds up the machines that could run anybody's tasks. A machine may run tasks of a job that
+   * ended before this term: whose they are is unknown, and until they are seen to be gone they
+   * count like those of a machine not accounted for.
+   *
+   * @return false when the size of one of them is not known
+   */
+  private boolean countUnsure() {
+    if (unsureKnown) {
+      return true;
     }
-
-    /** The machine lists so many running tasks that this leader does not keep. */
-    void foreign(Machine m, int tasks) {
-        if (tasks > 0 ? foreign.add(m) : foreign.remove(m)) {
-            unsureKnown = false;
-        }
-    }
-
-    /** True while a task of the job could be running on a machine not accounted for. */
-    boolean blocks(Job job) {
-        return !loaded || (job.inherited() && !open.isEmpty());
-    }
-
-    /** How many more tasks of the job its team's limit allows. */
-    int quotaRoom(Job job) {
-        Platform.Team team = teams.get(job.spec().owner());
-        if (team == null) {
-            return 0;
-        }
-        Fleet.Held held = fleet.held(job.spec().owner());
-        double cores = held.cores();
-        double accelerators = held.accelerators();
-        if (team.cpusMax() <= 0 && team.gpusMax() <= 0) {
-            return Integer.MAX_VALUE;
-        }
-        if (!countUnsure()) {
-            return 0;
-        }
-        cores += unsureCores;
-        accelerators += unsureAccelerators;
-        return Math.min(room(team.cpusMax(), cores, job.spec().cores()),
-                room(team.gpusMax(), accelerators, job.spec().accelerators()));
-    }
-
-    /**
-     * Adds up the machines that could run anybody's tasks. A machine may run tasks of a job that ended before this term:
-     * whose they are is unknown, and until they are seen to be gone they count like those of a machine not accounted for.
-     *
-     * @return false when the size of one of them is not known
-     */
-    private boolean countUnsure() {
-        if (unsureKnown) {
-            return true;
-        }
-        Set<Machine> unsure = new HashSet<>(open);
-        unsure.addAll(foreign);
-        unsureCores = 0;
-        unsureAccelerators = 0;
-        for (Machine m : unsure) {
-            Flavor f = context.prices().flavor(m.flavor());
-            if (f == null) {
-                return false;
-            }
-            unsureCores += f.cores();
-            unsureAccelerators += f.accelerators();
-        }
-        unsureKnown = true;
-        return true;
+    Set<Machine> unsure = new HashSet<>(open);
+    unsure.addAll(foreign);
+    unsureCores = 0;
+    unsureAccelerators = 0;
+    for (Machine m : unsure) {
+      Flavor f = context.prices().flavor(m.flavor());
+      if (f == null) {
+        return false;
+      }
+      unsureCores += f.cores();
+      unsureAccelerators += f.accelerators();
     }
+    unsureKnown = true;
+    return true;
+  }
 
-    private static int room(double limit, double used, double each) {
-        if (limit <= 0 || each <= 0) {
-            return Integer.MAX_VALUE;
-        }
-        return (int) Math.max(0, Math.min(Integer.MAX_VALUE, Math.floor((limit - used) / each + 1e-9)));
+  private static int room(double limit, double used, double each) {
+    if (limit <= 0 || each <= 0) {
+      return Integer.MAX_VALUE;
     }
+    return (int) Math.max(0, Math.min(Integer.MAX_VALUE, Math.floor((limit - used) / each + 1e-9)));
+  }
 }
--- a/src/main/java/plumlever/leader/Targets.java
+++ b/src/main/java/plumlever/leader/Targets.java
@@ -8,92 +8,107 @@
 import plumlever.fleet.Job;
 import plumlever.settings.Platform;
 
-/** By when a job's tasks should run and be complete: its own deadline, what the aims say of its class, or the default. */
+/**
+ * By when a job's tasks should run and be complete: its own deadline, what the aims say of its
+ * class, or the default.
+ */
 final class Targets {
-    private final Map<String, long[]> startWithin = new HashMap<>();
-    private final Map<String, long[]> finishWithin = new HashMap<>();
-    private final Map<String, double[]> deadlineTimes = new HashMap<>();
-    private final long startTargetMicros;
-    private long guaranteedWithin = Long.MAX_VALUE;
+  private final Map<String, long[]> startWithin = new HashMap<>();
+  private final Map<String, long[]> finishWithin = new HashMap<>();
+  private final Map<String, double[]> deadlineTimes = new HashMap<>();
+  private final long startTargetMicros;
+  private long guaranteedWithin = Long.MAX_VALUE;
 
-    Targets(List<Platform.Objective> objectives, long startTargetMicros) {
-        this.startTargetMicros = startTargetMicros;
-        for (Platform.Objective o : objectives) {
-            long within = (long) (o.withinS() * 1e6);
-            if (o.jobclass() == null) {
-                if (o.kind().equals("guarantee")) {
-                    guaranteedWithin = Math.min(guaranteedWithin, within);
-                }
-                continue;
-            }
-            switch (o.kind()) {
-                case "wait" -> startWithin.merge(o.jobclass(), new long[] {within}, Targets::both);
-                case "finished" -> finishWithin.merge(o.jobclass(), new long[] {within}, Targets::both);
-                case "deadline" -> deadlineTimes.merge(o.jobclass(), new double[] {o.times()}, (a, b) -> {
-                    double[] all = Arrays.copyOf(a, a.length + 1);
-                    all[a.length] = b[0];
-                    Arrays.sort(all);
-                    return all;
-                });
-                default -> { }
-            }
+  Targets(List<Platform.Objective> objectives, long startTargetMicros) {
+    this.startTargetMicros = startTargetMicros;
+    for (Platform.Objective o : objectives) {
+      long within = (long) (o.withinS() * 1e6);
+      if (o.jobclass() == null) {
+        if (o.kind().equals("guarantee")) {
+          guaranteedWithin = Math.min(guaranteedWithin, within);
         }
+        continue;
+      }
+      switch (o.kind()) {
+        case "wait" -> startWithin.merge(o.jobclass(), new long[] {within}, Targets::both);
+        case "finished" -> finishWithin.merge(o.jobclass(), new long[] {within}, Targets::both);
+        case "deadline" ->
+            deadlineTimes.merge(
+                o.jobclass(),
+                new double[] {o.times()},
+                (a, b) -> {
+                  double[] all = Arrays.copyOf(a, a.length + 1);
+                  all[a.length] = b[0];
+                  Arrays.sort(all);
+                  return all;
+                });
+        default -> {}
+      }
     }
+  }
 
-    private static long[] both(long[] a, long[] b) {
-        long[] all = Arrays.copyOf(a, a.length + 1);
-        all[a.length] = b[0];
-        Arrays.sort(all);
-        return all;
-    }
+  private static long[] both(long[] a, long[] b) {
+    long[] all = Arrays.copyOf(a, a.length + 1);
+    all[a.length] = b[0];
+    Arrays.sort(all);
+    return all;
+  }
 
-    /** The soonest aim that is still ahead; when all are behind, the last of them. */
-    private static long nextOf(long[] withins, long from, long now) {
-        for (long w : withins) {
-            if (from + w >= now) {
-                return from + w;
-            }
-        }
-        return from + withins[withins.length - 1];
+  /** The soonest aim that is still ahead; when all are behind, the last of them. */
+  private static long nextOf(long[] withins, long from, long now) {
+    for (long w : withins) {
+      if (from + w >= now) {
+        return from + w;
+      }
     }
+    return from + withins[withins.length - 1];
+  }
 
-    /**
-     * By when it should start: of the aims for its start the soonest that is not missed yet. Long.MAX_VALUE for a job that
-     * has only a deadline.
-     */
-    long startBy(Job j, boolean withinGuarantee, long now) {
-        long[] aims = startWithin.get(j.spec().jobclass());
-        long by = aims != null ? nextOf(aims, j.releasedMicros(), now)
-                : j.hasDeadline() ? Long.MAX_VALUE : j.releasedMicros() + startTargetMicros;
-        if (withinGuarantee && guaranteedWithin != Long.MAX_VALUE) {
-            long guaranteed = j.releasedMicros() + guaranteedWithin;
-            // Once it is missed, the aims of the class are what is left to meet.
-            if (guaranteed >= now || (by == Long.MAX_VALUE && !j.hasDeadline())) {
-                by = Math.min(by, guaranteed);
-            }
-        }
-        return by;
+  /**
+   * By when it should start: of the aims for its start the soonest that is not missed yet.
+   * Long.MAX_VALUE for a job that has only a deadline.
+   */
+  long startBy(Job j, boolean withinGuarantee, long now) {
+    long[] aims = startWithin.get(j.spec().jobclass());
+    long by =
+        aims != null
+            ? nextOf(aims, j.releasedMicros(), now)
+            : j.hasDeadline() ? Long.MAX_VALUE : j.releasedMicros() + startTargetMicros;
+    if (withinGuarantee && guaranteedWithin != Long.MAX_VALUE) {
+      long guaranteed = j.releasedMicros() + guaranteedWithin;
+      // Once it is missed, the aims of the class are what is left to meet.
+      if (guaranteed >= now || (by == Long.MAX_VALUE && !j.hasDeadline())) {
+        by = Math.min(by, guaranteed);
+      }
     }
+    return by;
+  }
 
-    /** By when it should be complete: its deadline or what that of a later job leaves it, as many times over as the aims still allow, and the aims of its class. */
-    long finishBy(Job j, long now) {
-        long by = Long.MAX_VALUE;
-        if (j.hasDeadline()) {
-            by = j.deadlineMicros();
-            Chains.Aim aim = j.aim();
-            for (double times : deadlineTimes.getOrDefault(aim.jobclass(), new double[0])) {
-                if (by >= now) {
-                    break;
-                }
-                by = aim.submittedMicros() + (long) (aim.dueMicros() * Math.max(1, times)) - aim.tailMicros();
-            }
+  /**
+   * By when it should be complete: its deadline or what that of a later job leaves it, as many
+   * times over as the aims still allow, and the aims of its class.
+   */
+  long finishBy(Job j, long now) {
+    long by = Long.MAX_VALUE;
+    if (j.hasDeadline()) {
+      by = j.deadlineMicros();
+      Chains.Aim aim = j.aim();
+      for (double times : deadlineTimes.getOrDefault(aim.jobclass(), new double[0])) {
+        if (by >= now) {
+          break;
         }
-        long[] aims = finishWithin.get(j.spec().jobclass());
-        return aims == null ? by : Math.min(by, nextOf(aims, j.releasedMicros(), now));
+        by =
+            aim.submittedMicros()
+                + (long) (aim.dueMicros() * Math.max(1, times))
+                - aim.tailMicros();
+      }
     }
+    long[] aims = finishWithin.get(j.spec().jobclass());
+    return aims == null ? by : Math.min(by, nextOf(aims, j.releasedMicros(), now));
+  }
 
-    /** True if some start is asked for sooner than this: machines must stand by for it. */
-    boolean startsSoonerThan(long micros) {
-        return guaranteedWithin < micros || startWithin.values().stream().anyMatch(w -> w[0] < micros);
-    }
+  /** True if some start is asked for sooner than this: machines must stand by for it. */
+  boolean startsSoonerThan(long micros) {
+    return guaranteedWithin < micros || startWithin.values().stream().anyMatch(w -> w[0] < micros);
+  }
 }
--- a/src/main/java/plumlever/metrics/Logs.java
+++ b/src/main/java/plumlever/metrics/Logs.java
@@ -5,8 +5,8 @@
 
 /** Gives loggers by class, so that what a node plays to itself can be told from what it does. */
 public interface Logs {
-    /** The service's own lines. */
-    Logs SERVICE = LoggerFactory::getLogger;
+  /** The service's own lines. */
+  Logs SERVICE = LoggerFactory::getLogger;
 
-    Logger of(Class<?> c);
+  Logger of(Class<?> c);
 }
--- a/src/main/java/plumlever/metrics/Metrics.java
+++ b/src/main/java/plumlever/metrics/Metrics.java
@@ -6,75 +6,90 @@
 import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 
-/** Counters and histograms, summed up in one log line a minute. Two threads count: the one that decides, and the office's. */
+/**
+ * Counters and histograms, summed up in one log line a minute. Two threads count: the one that
+ * decides, and the office's.
+ */
 public final class Metrics {
-    private static final long MOST_MICROS = 3_600_000_000L;
+  private static final long MOST_MICROS = 3_600_000_000L;
 
-    private final Logger log;
-    private final Map<String, Long> counters = new TreeMap<>();
-    private final Map<String, Histogram> times = new TreeMap<>();
-    private final Map<String, long[]> spent = new TreeMap<>();
-    private final Map<String, LongSupplier> gauges = new TreeMap<>();
+  private final Logger log;
+  private final Map<String, Long> counters = new TreeMap<>();
+  private final Map<String, Histogram> times = new TreeMap<>();
+  private final Map<String, long[]> spent = new TreeMap<>();
+  private final Map<String, LongSupplier> gauges = new TreeMap<>();
 
-    public Metrics(Logs logs) {
-        this.log = logs.of(Metrics.class);
-    }
+  public Metrics(Logs logs) {
+    this.log = logs.of(Metrics.class);
+  }
 
-    public synchronized void count(String name) {
-        counters.merge(name, 1L, Long::sum);
-    }
+  public synchronized void count(String name) {
+    counters.merge(name, 1L, Long::sum);
+  }
 
-    public synchronized void count(String name, long n) {
-        counters.merge(name, n, Long::sum);
-    }
+  public synchronized void count(String name, long n) {
+    counters.merge(name, n, Long::sum);
+  }
 
-    public synchronized long counted(String name) {
-        return counters.getOrDefault(name, 0L);
-    }
+  public synchronized long counted(String name) {
+    return counters.getOrDefault(name, 0L);
+  }
 
-    public synchronized void time(String name, long micros) {
-        times.computeIfAbsent(name, k -> new Histogram(1, MOST_MICROS, 2))
-                .recordValue(Math.max(1, Math.min(MOST_MICROS, micros)));
-    }
+  public synchronized void time(String name, long micros) {
+    times
+        .computeIfAbsent(name, k -> new Histogram(1, MOST_MICROS, 2))
+        .recordValue(Math.max(1, Math.min(MOST_MICROS, micros)));
+  }
 
-    /** Adds to what a kind of work has taken, by the clock: on little processor that is what others wait. */
-    public synchronized void spent(String work, long micros) {
-        spent.computeIfAbsent(work, k -> new long[2])[0] += micros;
-        spent.get(work)[1]++;
-    }
+  /**
+   * Adds to what a kind of work has taken, by the clock: on little processor that is what others
+   * wait.
+   */
+  public synchronized void spent(String work, long micros) {
+    spent.computeIfAbsent(work, k -> new long[2])[0] += micros;
+    spent.get(work)[1]++;
+  }
 
-    /** A level that is looked up for each summary. */
-    public synchronized void gauge(String name, LongSupplier level) {
-        gauges.put(name, level);
-    }
+  /** A level that is looked up for each summary. */
+  public synchronized void gauge(String name, LongSupplier level) {
+    gauges.put(name, level);
+  }
 
-    /** Counts the answers of an outside service that show it to be short, down or out of reach. */
-    public synchronized void outside(String service, int status) {
-        if (status == 0) {
-            count(service + "_silent");
-        } else if (status == 429) {
-            count(service + "_over_rate");
-        } else if (status == 503) {
-            count(service + "_refused");
-        }
+  /** Counts the answers of an outside service that show it to be short, down or out of reach. */
+  public synchronized void outside(String service, int status) {
+    if (status == 0) {
+      count(service + "_silent");
+    } else if (status == 429) {
+      count(service + "_over_rate");
+    } else if (status == 503) {
+      count(service + "_refused");
     }
+  }
 
-    public synchronized void logSummary() {
-        if (!log.isInfoEnabled() || (counters.isEmpty() && times.isEmpty())) {
-            return;
-        }
-        StringBuilder line = new StringBuilder("summary");
-        gauges.forEach((k, level) -> line.append(' ').append(k).append('=').append(level.getAsLong()));
-        counters.forEach((k, v) -> line.append(' ').append(k).append('=').append(v));
-        times.forEach((k, h) -> line.append(String.format(" %s_ms[n=%d p50=%.1f p99=%.1f max=%.1f]", k, h.getTotalCount(),
-                h.getValueAtPercentile(50) / 1e3, h.getValueAtPercentile(99) / 1e3, h.getMaxValue() / 1e3)));
-        if (!spent.isEmpty()) {
-            line.append(" spent_ms[");
-            spent.forEach((k, v) -> line.append(String.format("%s=%.0f/%d ", k, v[0] / 1e3, v[1])));
-            line.setCharAt(line.length() - 1, ']');
-            spent.clear();
-        }
-        log.info("{}", line);
-        times.values().forEach(Histogram::reset);
+  public synchronized void logSummary() {
+    if (!log.isInfoEnabled() || (counters.isEmpty() && times.isEmpty())) {
+      return;
+    }
+    StringBuilder line = new StringBuilder("summary");
+    gauges.forEach((k, level) -> line.append(' ').append(k).append('=').append(level.getAsLong()));
+    counters.forEach((k, v) -> line.append(' ').append(k).append('=').append(v));
+    times.forEach(
+        (k, h) ->
+            line.append(
+                String.format(
+                    " %s_ms[n=%d p50=%.1f p99=%.1f max=%.1f]",
+                    k,
+                    h.getTotalCount(),
+                    h.getValueAtPercentile(50) / 1e3,
+                    h.getValueAtPercentile(99) / 1e3,
+                    h.getMaxValue() / 1e3)));
+    if (!spent.isEmpty()) {
+      line.append(" spent_ms[");
+      spent.forEach((k, v) -> line.append(String.format("%s=%.0f/%d ", k, v[0] / 1e3, v[1])));
+      line.setCharAt(line.length() - 1, ']');
+      spent.clear();
     }
+    log.info("{}", line);
+    times.values().forEach(Histogram::reset);
+  }
 }
--- a/src/main/java/plumlever/peer/PeerStatus.java
+++ b/src/main/java/plumlever/peer/PeerStatus.java
@@ -17,93 +17,103 @@
  * @param lateMicros how late its deciding thread was lately
  * @param workers how many workers reported to it in the last seconds
  * @param counts finished and running tasks by job, from the leader, for display
- * @param calledOff jobs whose users were lately told through this controller that they are cancelled: who leads halts their
- *     tasks even if the state service refuses to tell it
+ * @param calledOff jobs whose users were lately told through this controller that they are
+ *     cancelled: who leads halts their tasks even if the state service refuses to tell it
  */
-public record PeerStatus(String label, long term, boolean leading, long storeRefusedMicros, long lateMicros, int workers,
-        Map<String, int[]> counts, List<String> calledOff) {
+public record PeerStatus(
+    String label,
+    long term,
+    boolean leading,
+    long storeRefusedMicros,
+    long lateMicros,
+    int workers,
+    Map<String, int[]> counts,
+    List<String> calledOff) {
 
-    /** Kryo's form of it; written out, so that nothing is looked up by reflection at start. */
-    public static final class Codec {
-        private static final int MOST_BYTES = 256 * 1024;
-        private static final int MOST_COUNTS = 5_000;
-        private static final int MOST_CALLED_OFF = 500;
-        private final Kryo kryo = new Kryo();
-        private final Output output = new Output(4 * 1024, MOST_BYTES);
+  /** Kryo's form of it; written out, so that nothing is looked up by reflection at start. */
+  public static final class Codec {
+    private static final int MOST_BYTES = 256 * 1024;
+    private static final int MOST_COUNTS = 5_000;
+    private static final int MOST_CALLED_OFF = 500;
+    private final Kryo kryo = new Kryo();
+    private final Output output = new Output(4 * 1024, MOST_BYTES);
 
-        public Codec() {
-            kryo.setRegistrationRequired(true);
-            kryo.register(PeerStatus.class, new Form(), 100);
-        }
+    public Codec() {
+      kryo.setRegistrationRequired(true);
+      kryo.register(PeerStatus.class, new Form(), 100);
+    }
 
-        public byte[] write(PeerStatus s) {
-            output.reset();
-            kryo.writeObject(output, s);
-            return output.toBytes();
-        }
+    public byte[] write(PeerStatus s) {
+      output.reset();
+      kryo.writeObject(output, s);
+      return output.toBytes();
+    }
 
-        /** Null when it can't be read. */
-        public PeerStatus read(byte[] bytes) {
-            try {
-                return kryo.readObject(new Input(bytes), PeerStatus.class);
-            } catch (KryoException | IllegalArgumentException | IndexOutOfBoundsException | NegativeArraySizeException e) {
-                return null;
-            }
-        }
+    /** Null when it can't be read. */
+    public PeerStatus read(byte[] bytes) {
+      try {
+        return kryo.readObject(new Input(bytes), PeerStatus.class);
+      } catch (KryoException
+          | IllegalArgumentException
+          | IndexOutOfBoundsException
+          | NegativeArraySizeException e) {
+        return null;
+      }
     }
+  }
 
-    private static final class Form extends Serializer<PeerStatus> {
-        @Override
-        public void write(Kryo kryo, Output out, PeerStatus s) {
-            out.writeString(s.label);
-            out.writeVarLong(s.term, true);
-            out.writeBoolean(s.leading);
-            out.writeVarLong(s.storeRefusedMicros, true);
-            out.writeVarLong(s.lateMicros, true);
-            out.writeVarInt(s.workers, true);
-            out.writeVarInt(Math.min(s.counts.size(), Codec.MOST_COUNTS), true);
-            int n = 0;
-            for (Map.Entry<String, int[]> e : s.counts.entrySet()) {
-                if (n++ >= Codec.MOST_COUNTS) {
-                    break;
-                }
-                out.writeString(e.getKey());
-                out.writeVarInt(e.getValue()[0], true);
-                out.writeVarInt(e.getValue()[1], true);
-            }
-            // Earlier versions read as far as here and leave the rest.
-            int m = Math.min(s.calledOff.size(), Codec.MOST_CALLED_OFF);
-            out.writeVarInt(m, true);
-            s.calledOff.stream().limit(m).forEach(out::writeString);
+  private static final class Form extends Serializer<PeerStatus> {
+    @Override
+    public void write(Kryo kryo, Output out, PeerStatus s) {
+      out.writeString(s.label);
+      out.writeVarLong(s.term, true);
+      out.writeBoolean(s.leading);
+      out.writeVarLong(s.storeRefusedMicros, true);
+      out.writeVarLong(s.lateMicros, true);
+      out.writeVarInt(s.workers, true);
+      out.writeVarInt(Math.min(s.counts.size(), Codec.MOST_COUNTS), true);
+      int n = 0;
+      for (Map.Entry<String, int[]> e : s.counts.entrySet()) {
+        if (n++ >= Codec.MOST_COUNTS) {
+          break;
         }
+        out.writeString(e.getKey());
+        out.writeVarInt(e.getValue()[0], true);
+        out.writeVarInt(e.getValue()[1], true);
+      }
+      // Earlier versions read as far as here and leave the rest.
+      int m = Math.min(s.calledOff.size(), Codec.MOST_CALLED_OFF);
+      out.writeVarInt(m, true);
+      s.calledOff.stream().limit(m).forEach(out::writeString);
+    }
 
-        @Override
-        public PeerStatus read(Kryo kryo, Input in, Class<? extends PeerStatus> type) {
-            String label = in.readString();
-            long term = in.readVarLong(true);
-            boolean leading = in.readBoolean();
-            long silent = in.readVarLong(true);
-            long late = in.readVarLong(true);
-            int workers = in.readVarInt(true);
-            int n = in.readVarInt(true);
-            if (n < 0 || n > Codec.MOST_COUNTS || label == null) {
-                throw new KryoException("out of range");
-            }
-            Map<String, int[]> counts = new LinkedHashMap<>();
-            for (int i = 0; i < n; i++) {
-                counts.put(in.readString(), new int[] {in.readVarInt(true), in.readVarInt(true)});
-            }
-            List<String> calledOff = new ArrayList<>();
-            if (in.position() < in.limit()) {
-                int m = in.readVarInt(true);
-                if (m < 0 || m > Codec.MOST_CALLED_OFF) {
-                    throw new KryoException("out of range");
-                }
-                for (int i = 0; i < m; i++) {
-                    calledOff.add(in.readString());
-                }
-            }
-            return new PeerStatus(label, term, leading, silent, late, workers, counts, calledOff);
+    @Override
+    public PeerStatus read(Kryo kryo, Input in, Class<? extends PeerStatus> type) {
+      String label = in.readString();
+      long term = in.readVarLong(true);
+      boolean leading = in.readBoolean();
+      long silent = in.readVarLong(true);
+      long late = in.readVarLong(true);
+      int workers = in.readVarInt(true);
+      int n = in.readVarInt(true);
+      if (n < 0 || n > Codec.MOST_COUNTS || label == null) {
+        throw new KryoException("out of range");
+      }
+      Map<String, int[]> counts = new LinkedHashMap<>();
+      for (int i = 0; i < n; i++) {
+        counts.put(in.readString(), new int[] {in.readVarInt(true), in.readVarInt(true)});
+      }
+      List<String> calledOff = new ArrayList<>();
+      if (in.position() < in.limit()) {
+        int m = in.readVarInt(true);
+        if (m < 0 || m > Codec.MOST_CALLED_OFF) {
+          throw new KryoException("out of range");
+        }
+        for (int i = 0; i < m; i++) {
+          calledOff.add(in.readString());
         }
+      }
+      return new PeerStatus(label, term, leading, silent, late, workers, counts, calledOff);
     }
+  }
 }
--- a/src/main/java/plumlever/peer/Peers.java
+++ b/src/main/java/plumlever/peer/Peers.java
@@ -12,60 +12,65 @@
 
 /** The links between controllers: each tells the others its status, over HTTP with Kryo bodies. */
 public final class Peers {
-    /** A status with the time it came in. */
-    public record Heard(PeerStatus status, long atMicros) {}
+  /** A status with the time it came in. */
+  public record Heard(PeerStatus status, long atMicros) {}
 
-    private static final String PATH = "/peer";
-    private static final long EVERY_MICROS = 1_000_000;
-    private static final long TIMEOUT_MICROS = 2_000_000;
+  private static final String PATH = "/peer";
+  private static final long EVERY_MICROS = 1_000_000;
+  private static final long TIMEOUT_MICROS = 2_000_000;
 
-    private final Loop loop;
-    private final Caller caller;
-    private final Platform platform;
-    private final Supplier<PeerStatus> own;
-    private final Consumer<PeerStatus> news;
-    private final PeerStatus.Codec codec = new PeerStatus.Codec();
-    private final Map<String, Heard> heard = new HashMap<>();
+  private final Loop loop;
+  private final Caller caller;
+  private final Platform platform;
+  private final Supplier<PeerStatus> own;
+  private final Consumer<PeerStatus> news;
+  private final PeerStatus.Codec codec = new PeerStatus.Codec();
+  private final Map<String, Heard> heard = new HashMap<>();
 
-    public Peers(Loop loop, Caller caller, Platform platform, Supplier<PeerStatus> own, Consumer<PeerStatus> news) {
-        this.news = news;
-        this.loop = loop;
-        this.caller = caller;
-        this.platform = platform;
-        this.own = own;
-    }
+  public Peers(
+      Loop loop,
+      Caller caller,
+      Platform platform,
+      Supplier<PeerStatus> own,
+      Consumer<PeerStatus> news) {
+    this.news = news;
+    this.loop = loop;
+    this.caller = caller;
+    this.platform = platform;
+    this.own = own;
+  }
 
-    public Duty duty() {
-        return new Duty("peers", loop, this::tell);
-    }
+  public Duty duty() {
+    return new Duty("peers", loop, this::tell);
+  }
 
-    private long tell() {
-        byte[] body = codec.write(own.get());
-        for (Platform.Seed s : platform.seeds()) {
-            caller.call(s.endpoint(), "POST", PATH, body, TIMEOUT_MICROS, (status, data) -> { });
-        }
-        return EVERY_MICROS;
+  private long tell() {
+    byte[] body = codec.write(own.get());
+    for (Platform.Seed s : platform.seeds()) {
+      caller.call(s.endpoint(), "POST", PATH, body, TIMEOUT_MICROS, (status, data) -> {});
     }
+    return EVERY_MICROS;
+  }
 
-    /** Takes a request on the peers' listener. */
-    public void handle(String method, String path, byte[] body, Responder out) {
-        if (!path.equals(PATH) || !method.equals("POST")) {
-            out.error(404, "no such path");
-            return;
-        }
-        PeerStatus s = codec.read(body);
-        if (s == null || platform.seeds().stream().noneMatch(p -> p.label().equals(s.label()))) {
-            out.error(400, "not a peer's status");
-            return;
-        }
-        heard.put(s.label(), new Heard(s, loop.nowMicros()));
-        news.accept(s);
-        out.send(200, "{}");
+  /** Takes a request on the peers' listener. */
+  public void handle(String method, String path, byte[] body, Responder out) {
+    if (!path.equals(PATH) || !method.equals("POST")) {
+      out.error(404, "no such path");
+      return;
     }
-
-    /** Statuses not older than this. */
-    public Iterable<PeerStatus> lately(long micros) {
-        long from = loop.nowMicros() - micros;
-        return heard.values().stream().filter(h -> h.atMicros >= from).map(Heard::status).toList();
+    PeerStatus s = codec.read(body);
+    if (s == null || platform.seeds().stream().noneMatch(p -> p.label().equals(s.label()))) {
+      out.error(400, "not a peer's status");
+      return;
     }
+    heard.put(s.label(), new Heard(s, loop.nowMicros()));
+    news.accept(s);
+    out.send(200, "{}");
+  }
+
+  /** Statuses not older than this. */
+  public Iterable<PeerStatus> lately(long micros) {
+    long from = loop.nowMicros() - micros;
+    return heard.values().stream().filter(h -> h.atMicros >= from).map(Heard::status).toList();
+  }
 }
--- a/src/main/java/plumlever/placement/Ask.java
+++ b/src/main/java/plumlever/placement/Ask.java
@@ -13,15 +13,30 @@
  * @param spot whether spot machines are allowed
  * @param saves whether a task that is stopped loses little
  */
-public record Ask(double cores, double accelerators, double memoryGb, String image, double imageGb, long runMicros,
-        long deadlineMicros, long startByMicros, List<String> flavors, String site, boolean spot, boolean saves) {
+public record Ask(
+    double cores,
+    double accelerators,
+    double memoryGb,
+    String image,
+    double imageGb,
+    long runMicros,
+    long deadlineMicros,
+    long startByMicros,
+    List<String> flavors,
+    String site,
+    boolean spot,
+    boolean saves) {
 
-    boolean allows(Seat s) {
-        return (flavors == null || flavors.contains(s.flavor)) && (site == null || site.equals(s.zone)) && (spot || !s.spot);
-    }
+  boolean allows(Seat s) {
+    return (flavors == null || flavors.contains(s.flavor))
+        && (site == null || site.equals(s.zone))
+        && (spot || !s.spot);
+  }
 
-    double share(Seat s) {
-        double share = Math.max(cores / s.totalCores, memoryGb / s.totalMemoryGb);
-        return accelerators > 0 ? Math.max(share, s.totalAccelerators > 0 ? accelerators / s.totalAccelerators : 2) : share;
-    }
+  double share(Seat s) {
+    double share = Math.max(cores / s.totalCores, memoryGb / s.totalMemoryGb);
+    return accelerators > 0
+        ? Math.max(share, s.totalAccelerators > 0 ? accelerators / s.totalAccelerators : 2)
+        : share;
+  }
 }
--- a/src/main/java/plumlever/placement/Placer.java
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -5,288 +5,312 @@
 import java.util.PriorityQueue;
 
 /**
- * The design's ordinary path. Machines that meet the deadline come before any score; of these the least of price per
- * second, times the task's largest machine share, times run time; scores within the tie band go to machines already
- * running work, then to the most free memory, then to the most free processors.
+ * The design's ordinary path. Machines that meet the deadline come before any score; of these the
+ * least of price per second, times the task's largest machine share, times run time; scores within
+ * the tie band go to machines already running work, then to the most free memory, then to the most
+ * free processors.
  */
 public final class Placer {
-    /** Where one task goes: {@code seat} is -1 if nowhere now. */
-    public record Choice(int seat, long startMicros, boolean feasible) {
-        static final Choice NONE = new Choice(-1, Long.MAX_VALUE, false);
-    }
+  /** Where one task goes: {@code seat} is -1 if nowhere now. */
+  public record Choice(int seat, long startMicros, boolean feasible) {
+    static final Choice NONE = new Choice(-1, Long.MAX_VALUE, false);
+  }
 
-    /** How long a machine would fetch an image that a task needs; 0 if it has it. */
-    public interface Fetch {
-        long micros(int seat, String machine, String image, double gb);
-    }
+  /** How long a machine would fetch an image that a task needs; 0 if it has it. */
+  public interface Fetch {
+    long micros(int seat, String machine, String image, double gb);
+  }
 
-    /** Kinds of choice, the better ones first: padded now, padded later, then the design's second look without padding. */
-    private static final int KINDS = 4;
-    private static final int UNPADDED = 2;
+  /**
+   * Kinds of choice, the better ones first: padded now, padded later, then the design's second look
+   * without padding.
+   */
+  private static final int KINDS = 4;
 
-    private final double padding;
-    private final double tie;
-    private final long hedgeMicros;
-    private final double spotRisk;
+  private static final int UNPADDED = 2;
 
-    /**
-     * @param hedgeMicros the time that must be left when a task waits for others to end, so that a machine could still be
-     *     rented for it
-     * @param spotRisk share by which a spot machine seems dearer to a task that would lose its work with it
-     */
-    public Placer(double padding, double tie, long hedgeMicros, double spotRisk) {
-        this.padding = padding;
-        this.tie = tie;
-        this.hedgeMicros = hedgeMicros;
-        this.spotRisk = spotRisk;
-    }
+  private final double padding;
+  private final double tie;
+  private final long hedgeMicros;
+  private final double spotRisk;
 
-    /**
-     * Tasks of one job, which are all alike, against all seats. Every seat is evaluated once and kept in the order of
-     * its score; the tie band slides over that order as seats fill up. Within a search room only shrinks, so a seat that
-     * is no choice for one kind of choice never becomes one again, and a kind that has run out stays so.
-     */
-    public final class Search {
-        private final Ask ask;
-        private final List<Seat> seats;
-        private final Zones zones;
-        private final long nowMicros;
-        /** Until it could run once there is room: the order's way and the image. */
-        private final long[] fetch;
-        private final long[] run;
-        private final double[] score;
-        /** Seats that could ever take the task, the least score first. */
-        private final int[] byScore;
-        private final Band band = new Band();
-        private final Soonest soonest = new Soonest();
-        private int kind;
+  /**
+   * @param hedgeMicros the time that must be left when a task waits for others to end, so that a
+   *     machine could still be rented for it
+   * @param spotRisk share by which a spot machine seems dearer to a task that would lose its work
+   *     with it
+   */
+  public Placer(double padding, double tie, long hedgeMicros, double spotRisk) {
+    this.padding = padding;
+    this.tie = tie;
+    this.hedgeMicros = hedgeMicros;
+    this.spotRisk = spotRisk;
+  }
 
-        private Search(Ask ask, List<Seat> seats, Zones zones, Fetch fetchTimes, long nowMicros) {
-            this.ask = ask;
-            this.seats = seats;
-            this.zones = zones;
-            this.nowMicros = nowMicros;
-            int size = seats.size();
-            fetch = new long[size];
-            run = new long[size];
-            score = new double[size];
-            long[] keys = new long[size];
-            int n = 0;
-            for (int i = 0; i < size; i++) {
-                Seat s = seats.get(i);
-                double share = ask.share(s);
-                if (share > 1 + 1e-9 || !ask.allows(s)) {
-                    continue;
-                }
-                fetch[i] = s.delayMicros + fetchTimes.micros(i, s.machine, ask.image(), ask.imageGb());
-                run[i] = (long) (ask.runMicros() * s.slowness);
-                double risk = s.spot && !ask.saves() ? 1 + spotRisk : 1;
-                score[i] = s.pricePerS * share * risk * (fetch[i] + run[i]);
-                // Scores are never negative, so their bits are in their order; the seat's number is in the low half.
-                keys[n++] = (long) Float.floatToIntBits((float) score[i]) << 32 | i;
-            }
-            Arrays.sort(keys, 0, n);
-            byScore = new int[n];
-            for (int i = 0; i < n; i++) {
-                byScore[i] = (int) keys[i];
-            }
-            band.begin(kind);
-        }
+  /**
+   * Tasks of one job, which are all alike, against all seats. Every seat is evaluated once and kept
+   * in the order of its score; the tie band slides over that order as seats fill up. Within a
+   * search room only shrinks, so a seat that is no choice for one kind of choice never becomes one
+   * again, and a kind that has run out stays so.
+   */
+  public final class Search {
+    private final Ask ask;
+    private final List<Seat> seats;
+    private final Zones zones;
+    private final long nowMicros;
 
-        /** Where the next task goes; nothing is changed. */
-        public Choice next() {
-            while (kind < KINDS) {
-                int seat = band.best();
-                if (seat >= 0) {
-                    return new Choice(seat, seats.get(seat).earliest(ask, nowMicros), kind < UNPADDED);
-                }
-                kind++;
-                if (kind < KINDS) {
-                    band.begin(kind);
-                } else {
-                    soonest.begin();
-                }
-            }
-            return soonest.best();
-        }
+    /** Until it could run once there is room: the order's way and the image. */
+    private final long[] fetch;
 
-        /** The task goes there: now, or booked for later. */
-        public void commit(Choice c) {
-            Seat s = seats.get(c.seat);
-            long end = c.startMicros + fetch[c.seat] + (long) (run[c.seat] * (1 + padding));
-            if (c.startMicros <= nowMicros) {
-                s.take(ask);
-                s.release(ask, end);
-            } else {
-                s.book(ask, c.startMicros, end);
-            }
-            zones.add(s.zone);
-            if (kind < KINDS) {
-                band.changed();
-            }
+    private final long[] run;
+    private final double[] score;
+
+    /** Seats that could ever take the task, the least score first. */
+    private final int[] byScore;
+
+    private final Band band = new Band();
+    private final Soonest soonest = new Soonest();
+    private int kind;
+
+    private Search(Ask ask, List<Seat> seats, Zones zones, Fetch fetchTimes, long nowMicros) {
+      this.ask = ask;
+      this.seats = seats;
+      this.zones = zones;
+      this.nowMicros = nowMicros;
+      int size = seats.size();
+      fetch = new long[size];
+      run = new long[size];
+      score = new double[size];
+      long[] keys = new long[size];
+      int n = 0;
+      for (int i = 0; i < size; i++) {
+        Seat s = seats.get(i);
+        double share = ask.share(s);
+        if (share > 1 + 1e-9 || !ask.allows(s)) {
+          continue;
         }
+        fetch[i] = s.delayMicros + fetchTimes.micros(i, s.machine, ask.image(), ask.imageGb());
+        run[i] = (long) (ask.runMicros() * s.slowness);
+        double risk = s.spot && !ask.saves() ? 1 + spotRisk : 1;
+        score[i] = s.pricePerS * share * risk * (fetch[i] + run[i]);
+        // Scores are never negative, so their bits are in their order; the seat's number is in the
+        // low half.
+        keys[n++] = (long) Float.floatToIntBits((float) score[i]) << 32 | i;
+      }
+      Arrays.sort(keys, 0, n);
+      byScore = new int[n];
+      for (int i = 0; i < n; i++) {
+        byScore[i] = (int) keys[i];
+      }
+      band.begin(kind);
+    }
 
-        private boolean suits(int seat, int asKind) {
-            Seat s = seats.get(seat);
-            if (!zones.allows(s.zone)) {
-                return false;
-            }
-            boolean later = (asKind & 1) == 1;
-            if (s.fitsNow(ask) == later) {
-                return false;
-            }
-            long start = s.earliest(ask, nowMicros);
-            if (start == Long.MAX_VALUE || (start > nowMicros) != later) {
-                return false;
-            }
-            double pad = asKind < UNPADDED ? padding : 0;
-            long runs = start + fetch[seat];
-            // Room that others leave may come later than estimated; room on a machine that is booting does not hang on that.
-            if (pad > 0 && later && start > s.upMicros()) {
-                runs += hedgeMicros;
-            }
-            return runs <= ask.startByMicros() && (ask.deadlineMicros() == Long.MAX_VALUE
-                    || runs + (long) (run[seat] * (1 + pad)) <= ask.deadlineMicros());
+    /** Where the next task goes; nothing is changed. */
+    public Choice next() {
+      while (kind < KINDS) {
+        int seat = band.best();
+        if (seat >= 0) {
+          return new Choice(seat, seats.get(seat).earliest(ask, nowMicros), kind < UNPADDED);
         }
+        kind++;
+        if (kind < KINDS) {
+          band.begin(kind);
+        } else {
+          soonest.begin();
+        }
+      }
+      return soonest.best();
+    }
 
-        /** The seats within the tie band of the least score, the winner of the tie on top. */
-        private final class Band {
-            private int[] heap = new int[16];
-            private int size;
-            private int anchor;
-            private int end;
-            private int asKind;
+    /** The task goes there: now, or booked for later. */
+    public void commit(Choice c) {
+      Seat s = seats.get(c.seat);
+      long end = c.startMicros + fetch[c.seat] + (long) (run[c.seat] * (1 + padding));
+      if (c.startMicros <= nowMicros) {
+        s.take(ask);
+        s.release(ask, end);
+      } else {
+        s.book(ask, c.startMicros, end);
+      }
+      zones.add(s.zone);
+      if (kind < KINDS) {
+        band.changed();
+      }
+    }
 
-            void begin(int newKind) {
-                asKind = newKind;
-                size = 0;
-                anchor = 0;
-                end = 0;
-            }
+    private boolean suits(int seat, int asKind) {
+      Seat s = seats.get(seat);
+      if (!zones.allows(s.zone)) {
+        return false;
+      }
+      boolean later = (asKind & 1) == 1;
+      if (s.fitsNow(ask) == later) {
+        return false;
+      }
+      long start = s.earliest(ask, nowMicros);
+      if (start == Long.MAX_VALUE || (start > nowMicros) != later) {
+        return false;
+      }
+      double pad = asKind < UNPADDED ? padding : 0;
+      long runs = start + fetch[seat];
+      // Room that others leave may come later than estimated; room on a machine that is booting
+      // does not hang on that.
+      if (pad > 0 && later && start > s.upMicros()) {
+        runs += hedgeMicros;
+      }
+      return runs <= ask.startByMicros()
+          && (ask.deadlineMicros() == Long.MAX_VALUE
+              || runs + (long) (run[seat] * (1 + pad)) <= ask.deadlineMicros());
+    }
 
-            /** The seat that takes the next task, or -1 when this kind of choice has run out. */
-            int best() {
-                while (anchor < byScore.length && !suits(byScore[anchor], asKind)) {
-                    anchor++;
-                }
-                if (anchor == byScore.length) {
-                    return -1;
-                }
-                double most = score[byScore[anchor]] * (1 + tie);
-                end = Math.max(end, anchor);
-                while (end < byScore.length && score[byScore[end]] <= most) {
-                    if (suits(byScore[end], asKind)) {
-                        push(byScore[end]);
-                    }
-                    end++;
-                }
-                while (!suits(heap[0], asKind)) {
-                    heap[0] = heap[--size];
-                    sink();
-                }
-                return heap[0];
-            }
+    /** The seats within the tie band of the least score, the winner of the tie on top. */
+    private final class Band {
+      private int[] heap = new int[16];
+      private int size;
+      private int anchor;
+      private int end;
+      private int asKind;
 
-            /** The seat on top has less room than before. */
-            void changed() {
-                sink();
-            }
+      void begin(int newKind) {
+        asKind = newKind;
+        size = 0;
+        anchor = 0;
+        end = 0;
+      }
 
-            private void push(int seat) {
-                if (size == heap.length) {
-                    heap = Arrays.copyOf(heap, size * 2);
-                }
-                int i = size++;
-                while (i > 0 && before(seat, heap[(i - 1) / 2])) {
-                    heap[i] = heap[(i - 1) / 2];
-                    i = (i - 1) / 2;
-                }
-                heap[i] = seat;
-            }
+      /** The seat that takes the next task, or -1 when this kind of choice has run out. */
+      int best() {
+        while (anchor < byScore.length && !suits(byScore[anchor], asKind)) {
+          anchor++;
+        }
+        if (anchor == byScore.length) {
+          return -1;
+        }
+        double most = score[byScore[anchor]] * (1 + tie);
+        end = Math.max(end, anchor);
+        while (end < byScore.length && score[byScore[end]] <= most) {
+          if (suits(byScore[end], asKind)) {
+            push(byScore[end]);
+          }
+          end++;
+        }
+        while (!suits(heap[0], asKind)) {
+          heap[0] = heap[--size];
+          sink();
+        }
+        return heap[0];
+      }
 
-            private void sink() {
-                if (size == 0) {
-                    return;
-                }
-                int seat = heap[0];
-                int i = 0;
-                while (2 * i + 1 < size) {
-                    int child = 2 * i + 1;
-                    if (child + 1 < size && before(heap[child + 1], heap[child])) {
-                        child++;
-                    }
-                    if (!before(heap[child], seat)) {
-                        break;
-                    }
-                    heap[i] = heap[child];
-                    i = child;
-                }
-                heap[i] = seat;
-            }
+      /** The seat on top has less room than before. */
+      void changed() {
+        sink();
+      }
 
-            private boolean before(int a, int b) {
-                Seat x = seats.get(a);
-                Seat y = seats.get(b);
-                return winsTie(x, y) || (!winsTie(y, x) && a < b);
-            }
+      private void push(int seat) {
+        if (size == heap.length) {
+          heap = Arrays.copyOf(heap, size * 2);
+        }
+        int i = size++;
+        while (i > 0 && before(seat, heap[(i - 1) / 2])) {
+          heap[i] = heap[(i - 1) / 2];
+          i = (i - 1) / 2;
         }
+        heap[i] = seat;
+      }
 
-        /** For a task that no machine can serve in time: the seat where it would run soonest. */
-        private final class Soonest {
-            private PriorityQueue<long[]> heap;
+      private void sink() {
+        if (size == 0) {
+          return;
+        }
+        int seat = heap[0];
+        int i = 0;
+        while (2 * i + 1 < size) {
+          int child = 2 * i + 1;
+          if (child + 1 < size && before(heap[child + 1], heap[child])) {
+            child++;
+          }
+          if (!before(heap[child], seat)) {
+            break;
+          }
+          heap[i] = heap[child];
+          i = child;
+        }
+        heap[i] = seat;
+      }
 
-            void begin() {
-                heap = new PriorityQueue<>(16, (a, b) -> a[0] != b[0] ? Long.compare(a[0], b[0]) : Long.compare(a[1], b[1]));
-                for (int i : byScore) {
-                    add(i);
-                }
-            }
+      private boolean before(int a, int b) {
+        Seat x = seats.get(a);
+        Seat y = seats.get(b);
+        return winsTie(x, y) || (!winsTie(y, x) && a < b);
+      }
+    }
 
-            private void add(int seat) {
-                long start = zones.allows(seats.get(seat).zone) ? seats.get(seat).earliest(ask, nowMicros) : Long.MAX_VALUE;
-                if (start != Long.MAX_VALUE) {
-                    heap.add(new long[] {start + fetch[seat], seat});
-                }
-            }
+    /** For a task that no machine can serve in time: the seat where it would run soonest. */
+    private final class Soonest {
+      private PriorityQueue<long[]> heap;
 
-            Choice best() {
-                while (!heap.isEmpty()) {
-                    long[] top = heap.peek();
-                    int seat = (int) top[1];
-                    long start = zones.allows(seats.get(seat).zone) ? seats.get(seat).earliest(ask, nowMicros) : Long.MAX_VALUE;
-                    if (start != Long.MAX_VALUE && start + fetch[seat] == top[0]) {
-                        return new Choice(seat, start, false);
-                    }
-                    heap.poll();
-                    add(seat);
-                }
-                return Choice.NONE;
-            }
+      void begin() {
+        heap =
+            new PriorityQueue<>(
+                16, (a, b) -> a[0] != b[0] ? Long.compare(a[0], b[0]) : Long.compare(a[1], b[1]));
+        for (int i : byScore) {
+          add(i);
         }
-    }
+      }
 
-    public Search search(Ask ask, List<Seat> seats, Zones zones, Fetch fetchTimes, long nowMicros) {
-        return new Search(ask, seats, zones, fetchTimes, nowMicros);
-    }
+      private void add(int seat) {
+        long start =
+            zones.allows(seats.get(seat).zone)
+                ? seats.get(seat).earliest(ask, nowMicros)
+                : Long.MAX_VALUE;
+        if (start != Long.MAX_VALUE) {
+          heap.add(new long[] {start + fetch[seat], seat});
+        }
+      }
 
-    /** True if some seat has room for one such task now: a quick look, where a search sees to score and time as well. */
-    public static boolean roomNow(Ask ask, List<Seat> seats, Zones zones) {
-        for (Seat s : seats) {
-            if (s.fitsNow(ask) && ask.allows(s) && zones.allows(s.zone) && ask.share(s) <= 1 + 1e-9) {
-                return true;
-            }
+      Choice best() {
+        while (!heap.isEmpty()) {
+          long[] top = heap.peek();
+          int seat = (int) top[1];
+          long start =
+              zones.allows(seats.get(seat).zone)
+                  ? seats.get(seat).earliest(ask, nowMicros)
+                  : Long.MAX_VALUE;
+          if (start != Long.MAX_VALUE && start + fetch[seat] == top[0]) {
+            return new Choice(seat, start, false);
+          }
+          heap.poll();
+          add(seat);
         }
-        return false;
+        return Choice.NONE;
+      }
     }
+  }
 
-    private static boolean winsTie(Seat a, Seat b) {
-        if (a.busy != b.busy) {
-            return a.busy;
-        }
-        if (a.memoryGb != b.memoryGb) {
-            return a.memoryGb > b.memoryGb;
-        }
-        return a.cores > b.cores;
+  public Search search(Ask ask, List<Seat> seats, Zones zones, Fetch fetchTimes, long nowMicros) {
+    return new Search(ask, seats, zones, fetchTimes, nowMicros);
+  }
+
+  /**
+   * True if some seat has room for one such task now: a quick look, where a search sees to score
+   * and time as well.
+   */
+  public static boolean roomNow(Ask ask, List<Seat> seats, Zones zones) {
+    for (Seat s : seats) {
+      if (s.fitsNow(ask) && ask.allows(s) && zones.allows(s.zone) && ask.share(s) <= 1 + 1e-9) {
+        return true;
+      }
     }
+    return false;
+  }
 
+  private static boolean winsTie(Seat a, Seat b) {
+    if (a.busy != b.busy) {
+      return a.busy;
+    }
+    if (a.memoryGb != b.memoryGb) {
+      return a.memoryGb > b.memoryGb;
+    }
+    return a.cores > b.cores;
+  }
 }
--- a/src/main/java/plumlever/placement/Seat.java
+++ b/src/main/java/plumlever/placement/Seat.java
@@ -6,154 +6,173 @@
 
 /** A machine as placement sees it: room now, and the times at which more of it comes free. */
 public final class Seat {
-    /** Room that comes free at a time, as far as known. */
-    public record Release(long atMicros, double cores, double accelerators, double memoryGb) {}
-
-    private static final double EPSILON = 1e-9;
-
-    final String machine;
-    final String flavor;
-    final String zone;
-    final boolean spot;
-    final double totalCores;
-    final double totalAccelerators;
-    final double totalMemoryGb;
-    final double pricePerS;
-    final double slowness;
-    double cores;
-    double accelerators;
-    double memoryGb;
-    boolean busy;
-    private long upMicros = Long.MIN_VALUE;
-    /** Time until an order reaches the machine: it is only given orders in answers to its reports. */
-    final long delayMicros;
-    private final List<Release> releases = new ArrayList<>();
-    private boolean sorted = true;
-
-    public Seat(String machine, String flavor, String zone, boolean spot, double totalCores, double totalAccelerators,
-            double totalMemoryGb, double pricePerS, double slowness, long delayMicros) {
-        this.machine = machine;
-        this.flavor = flavor;
-        this.zone = zone;
-        this.spot = spot;
-        this.totalCores = totalCores;
-        this.totalAccelerators = totalAccelerators;
-        this.totalMemoryGb = totalMemoryGb;
-        this.pricePerS = pricePerS;
-        this.slowness = slowness;
-        this.delayMicros = delayMicros;
-        this.cores = totalCores;
-        this.accelerators = totalAccelerators;
-        this.memoryGb = totalMemoryGb;
+  /** Room that comes free at a time, as far as known. */
+  public record Release(long atMicros, double cores, double accelerators, double memoryGb) {}
+
+  private static final double EPSILON = 1e-9;
+
+  final String machine;
+  final String flavor;
+  final String zone;
+  final boolean spot;
+  final double totalCores;
+  final double totalAccelerators;
+  final double totalMemoryGb;
+  final double pricePerS;
+  final double slowness;
+  double cores;
+  double accelerators;
+  double memoryGb;
+  boolean busy;
+  private long upMicros = Long.MIN_VALUE;
+
+  /** Time until an order reaches the machine: it is only given orders in answers to its reports. */
+  final long delayMicros;
+
+  private final List<Release> releases = new ArrayList<>();
+  private boolean sorted = true;
+
+  public Seat(
+      String machine,
+      String flavor,
+      String zone,
+      boolean spot,
+      double totalCores,
+      double totalAccelerators,
+      double totalMemoryGb,
+      double pricePerS,
+      double slowness,
+      long delayMicros) {
+    this.machine = machine;
+    this.flavor = flavor;
+    this.zone = zone;
+    this.spot = spot;
+    this.totalCores = totalCores;
+    this.totalAccelerators = totalAccelerators;
+    this.totalMemoryGb = totalMemoryGb;
+    this.pricePerS = pricePerS;
+    this.slowness = slowness;
+    this.delayMicros = delayMicros;
+    this.cores = totalCores;
+    this.accelerators = totalAccelerators;
+    this.memoryGb = totalMemoryGb;
+  }
+
+  public String machine() {
+    return machine;
+  }
+
+  /** A task that is on the machine already. */
+  public void occupy(
+      double taskCores, double taskAccelerators, double taskMemoryGb, long endsAtMicros) {
+    cores -= taskCores;
+    accelerators -= taskAccelerators;
+    memoryGb -= taskMemoryGb;
+    busy = true;
+    releases.add(new Release(endsAtMicros, taskCores, taskAccelerators, taskMemoryGb));
+    sorted = false;
+  }
+
+  /** The machine is not up before then. */
+  public void comesUp(long atMicros) {
+    upMicros = atMicros;
+    releases.add(new Release(atMicros, cores, accelerators, memoryGb));
+    sorted = false;
+    cores = 0;
+    accelerators = 0;
+    memoryGb = 0;
+  }
+
+  /** When the machine comes up; long ago for one that is. */
+  long upMicros() {
+    return upMicros;
+  }
+
+  /** Room now, or for a machine that is not up yet when it comes up, that nothing is booked for. */
+  public double spareCores() {
+    double spare = cores;
+    for (Release r : releases) {
+      if (r.atMicros <= upMicros) {
+        spare += r.cores;
+      }
     }
-
-    public String machine() {
-        return machine;
-    }
-
-    /** A task that is on the machine already. */
-    public void occupy(double taskCores, double taskAccelerators, double taskMemoryGb, long endsAtMicros) {
-        cores -= taskCores;
-        accelerators -= taskAccelerators;
-        memoryGb -= taskMemoryGb;
-        busy = true;
-        releases.add(new Release(endsAtMicros, taskCores, taskAccelerators, taskMemoryGb));
-        sorted = false;
-    }
-
-    /** The machine is not up before then. */
-    public void comesUp(long atMicros) {
-        upMicros = atMicros;
-        releases.add(new Release(atMicros, cores, accelerators, memoryGb));
-        sorted = false;
-        cores = 0;
-        accelerators = 0;
-        memoryGb = 0;
-    }
-
-    /** When the machine comes up; long ago for one that is. */
-    long upMicros() {
-        return upMicros;
-    }
-
-    /** Room now, or for a machine that is not up yet when it comes up, that nothing is booked for. */
-    public double spareCores() {
-        double spare = cores;
-        for (Release r : releases) {
-            if (r.atMicros <= upMicros) {
-                spare += r.cores;
-            }
-        }
-        return spare;
+    return spare;
+  }
+
+  void take(Ask ask) {
+    cores -= ask.cores();
+    accelerators -= ask.accelerators();
+    memoryGb -= ask.memoryGb();
+    busy = true;
+  }
+
+  void release(Ask ask, long atMicros) {
+    releases.add(new Release(atMicros, ask.cores(), ask.accelerators(), ask.memoryGb()));
+    sorted = false;
+  }
+
+  boolean fitsNow(Ask ask) {
+    return cores + EPSILON >= ask.cores()
+        && memoryGb + EPSILON >= ask.memoryGb()
+        && accelerators + EPSILON >= ask.accelerators();
+  }
+
+  /** The earliest time the task fits, or Long.MAX_VALUE. */
+  long earliest(Ask ask, long nowMicros) {
+    if (fitsNow(ask)) {
+      return nowMicros;
     }
-
-    void take(Ask ask) {
-        cores -= ask.cores();
-        accelerators -= ask.accelerators();
-        memoryGb -= ask.memoryGb();
-        busy = true;
+    sort();
+    double c = cores;
+    double a = accelerators;
+    double m = memoryGb;
+    for (Release r : releases) {
+      c += r.cores;
+      a += r.accelerators;
+      m += r.memoryGb;
+      if (c + EPSILON >= ask.cores()
+          && m + EPSILON >= ask.memoryGb()
+          && a + EPSILON >= ask.accelerators()) {
+        // Room that is due but has not been reported free is not room now.
+        return Math.max(nowMicros + 1, r.atMicros);
+      }
     }
-
-    void release(Ask ask, long atMicros) {
-        releases.add(new Release(atMicros, ask.cores(), ask.accelerators(), ask.memoryGb()));
-        sorted = false;
+    return Long.MAX_VALUE;
+  }
+
+  /**
+   * Books room that comes free later: what is released until then goes to this task, and back when
+   * it ends.
+   */
+  void book(Ask ask, long fromMicros, long untilMicros) {
+    sort();
+    double coresNow = cores;
+    double acceleratorsNow = accelerators;
+    double memoryNow = memoryGb;
+    int n = 0;
+    while (n < releases.size() && releases.get(n).atMicros <= fromMicros) {
+      Release r = releases.get(n++);
+      cores += r.cores;
+      accelerators += r.accelerators;
+      memoryGb += r.memoryGb;
     }
-
-    boolean fitsNow(Ask ask) {
-        return cores + EPSILON >= ask.cores() && memoryGb + EPSILON >= ask.memoryGb()
-                && accelerators + EPSILON >= ask.accelerators();
-    }
-
-    /** The earliest time the task fits, or Long.MAX_VALUE. */
-    long earliest(Ask ask, long nowMicros) {
-        if (fitsNow(ask)) {
-            return nowMicros;
-        }
-        sort();
-        double c = cores;
-        double a = accelerators;
-        double m = memoryGb;
-        for (Release r : releases) {
-            c += r.cores;
-            a += r.accelerators;
-            m += r.memoryGb;
-            if (c + EPSILON >= ask.cores() && m + EPSILON >= ask.memoryGb() && a + EPSILON >= ask.accelerators()) {
-                // Room that is due but has not been reported free is not room now.
-                return Math.max(nowMicros + 1, r.atMicros);
-            }
-        }
-        return Long.MAX_VALUE;
-    }
-
-    /** Books room that comes free later: what is released until then goes to this task, and back when it ends. */
-    void book(Ask ask, long fromMicros, long untilMicros) {
-        sort();
-        double coresNow = cores;
-        double acceleratorsNow = accelerators;
-        double memoryNow = memoryGb;
-        int n = 0;
-        while (n < releases.size() && releases.get(n).atMicros <= fromMicros) {
-            Release r = releases.get(n++);
-            cores += r.cores;
-            accelerators += r.accelerators;
-            memoryGb += r.memoryGb;
-        }
-        releases.subList(0, n).clear();
-        double c = cores - ask.cores();
-        double a = accelerators - ask.accelerators();
-        double m = memoryGb - ask.memoryGb();
-        // Room there is now stays usable as far as the booking leaves it; the rest is not there before then.
-        cores = Math.min(coresNow, c);
-        accelerators = Math.min(acceleratorsNow, a);
-        memoryGb = Math.min(memoryNow, m);
-        releases.add(new Release(fromMicros, c - cores, a - accelerators, m - memoryGb));
-        release(ask, untilMicros);
-    }
-
-    private void sort() {
-        if (!sorted) {
-            releases.sort(Comparator.comparingLong(Release::atMicros));
-            sorted = true;
-        }
+    releases.subList(0, n).clear();
+    double c = cores - ask.cores();
+    double a = accelerators - ask.accelerators();
+    double m = memoryGb - ask.memoryGb();
+    // Room there is now stays usable as far as the booking leaves it; the rest is not there before
+    // then.
+    cores = Math.min(coresNow, c);
+    accelerators = Math.min(acceleratorsNow, a);
+    memoryGb = Math.min(memoryNow, m);
+    releases.add(new Release(fromMicros, c - cores, a - accelerators, m - memoryGb));
+    release(ask, untilMicros);
+  }
+
+  private void sort() {
+    if (!sorted) {
+      releases.sort(Comparator.comparingLong(Release::atMicros));
+      sorted = true;
     }
+  }
 }
--- a/src/main/java/plumlever/placement/Zones.java
+++ b/src/main/java/plumlever/placement/Zones.java
@@ -5,27 +5,29 @@
 
 /** A job's rules about zones, given its tasks that may still be on a machine. */
 public final class Zones {
-    private final boolean oneZone;
-    private final int limit;
-    private final Map<String, Integer> tasks = new HashMap<>();
+  private final boolean oneZone;
+  private final int limit;
+  private final Map<String, Integer> tasks = new HashMap<>();
 
-    /** @param limit the most tasks in one zone */
-    public Zones(boolean oneZone, int limit) {
-        this.oneZone = oneZone;
-        this.limit = limit;
-    }
+  /**
+   * @param limit the most tasks in one zone
+   */
+  public Zones(boolean oneZone, int limit) {
+    this.oneZone = oneZone;
+    this.limit = limit;
+  }
 
-    public void add(String zone) {
-        tasks.merge(zone, 1, Integer::sum);
-    }
+  public void add(String zone) {
+    tasks.merge(zone, 1, Integer::sum);
+  }
 
-    public boolean allows(String zone) {
-        if (!oneZone && limit == Integer.MAX_VALUE) {
-            return true;
-        }
-        if (oneZone && !tasks.isEmpty() && !(tasks.size() == 1 && tasks.containsKey(zone))) {
-            return false;
-        }
-        return tasks.getOrDefault(zone, 0) < limit;
+  public boolean allows(String zone) {
+    if (!oneZone && limit == Integer.MAX_VALUE) {
+      return true;
+    }
+    if (oneZone && !tasks.isEmpty() && !(tasks.size() == 1 && tasks.containsKey(zone))) {
+      return false;
     }
+    return tasks.getOrDefault(zone, 0) < limit;
+  }
 }
--- a/src/main/java/plumlever/scaling/RentalPlan.java
+++ b/src/main/java/plumlever/scaling/RentalPlan.java
@@ -11,139 +11,153 @@
 
 /** What to rent for tasks that no machine, here or coming, can start in time. Pure. */
 public final class RentalPlan {
-    /** Tasks of one job that wait for a machine. */
-    public record Demand(JobSpec job, String zone, int tasks, long runMicros) {}
+  /** Tasks of one job that wait for a machine. */
+  public record Demand(JobSpec job, String zone, int tasks, long runMicros) {}
 
-    /** A kind of machine the cloud may have. */
-    public record Kind(String flavor, String site, boolean spot) {
-        // Written out for the same reason as in Endpoint: a new leader asks for it in its first moments.
-        @Override
-        public boolean equals(Object o) {
-            return o instanceof Kind k && k.spot == spot && k.flavor.equals(flavor) && k.site.equals(site);
-        }
+  /** A kind of machine the cloud may have. */
+  public record Kind(String flavor, String site, boolean spot) {
+    // Written out for the same reason as in Endpoint: a new leader asks for it in its first
+    // moments.
+    @Override
+    public boolean equals(Object o) {
+      return o instanceof Kind k
+          && k.spot == spot
+          && k.flavor.equals(flavor)
+          && k.site.equals(site);
+    }
 
-        @Override
-        public int hashCode() {
-            return (flavor.hashCode() * 31 + site.hashCode()) * 2 + (spot ? 1 : 0);
-        }
+    @Override
+    public int hashCode() {
+      return (flavor.hashCode() * 31 + site.hashCode()) * 2 + (spot ? 1 : 0);
     }
+  }
 
-    public record Rental(Kind kind, int count) {}
+  public record Rental(Kind kind, int count) {}
 
-    /** Room on a machine that is coming up. */
-    public static final class Coming {
-        private final Kind kind;
-        private double cores;
-        private double accelerators;
-        private double memoryGb;
+  /** Room on a machine that is coming up. */
+  public static final class Coming {
+    private final Kind kind;
+    private double cores;
+    private double accelerators;
+    private double memoryGb;
 
-        public Coming(Kind kind, Flavor f) {
-            this.kind = kind;
-            this.cores = f.cores();
-            this.accelerators = f.accelerators();
-            this.memoryGb = f.memoryGb();
-        }
+    public Coming(Kind kind, Flavor f) {
+      this.kind = kind;
+      this.cores = f.cores();
+      this.accelerators = f.accelerators();
+      this.memoryGb = f.memoryGb();
+    }
 
-        private int take(JobSpec job, int most) {
-            int n = most;
-            if (job.cores() > 0) {
-                n = Math.min(n, (int) (cores / job.cores() + 1e-9));
-            }
-            if (job.memoryGb() > 0) {
-                n = Math.min(n, (int) (memoryGb / job.memoryGb() + 1e-9));
-            }
-            if (job.accelerators() > 0) {
-                n = Math.min(n, (int) (accelerators / job.accelerators() + 1e-9));
-            }
-            cores -= n * job.cores();
-            memoryGb -= n * job.memoryGb();
-            accelerators -= n * job.accelerators();
-            return n;
-        }
+    private int take(JobSpec job, int most) {
+      int n = most;
+      if (job.cores() > 0) {
+        n = Math.min(n, (int) (cores / job.cores() + 1e-9));
+      }
+      if (job.memoryGb() > 0) {
+        n = Math.min(n, (int) (memoryGb / job.memoryGb() + 1e-9));
+      }
+      if (job.accelerators() > 0) {
+        n = Math.min(n, (int) (accelerators / job.accelerators() + 1e-9));
+      }
+      cores -= n * job.cores();
+      memoryGb -= n * job.memoryGb();
+      accelerators -= n * job.accelerators();
+      return n;
     }
+  }
 
-    /** How much dearer a kind may seem for what is rented of it at the same time, and how many machines make half of that. */
-    private static final double SPREAD = 0.3;
-    private static final int SPREAD_HALF = 30;
+  /**
+   * How much dearer a kind may seem for what is rented of it at the same time, and how many
+   * machines make half of that.
+   */
+  private static final double SPREAD = 0.3;
 
-    private final PriceBook prices;
-    private final boolean moneyMatters;
+  private static final int SPREAD_HALF = 30;
 
-    public RentalPlan(PriceBook prices, boolean moneyMatters) {
-        this.prices = prices;
-        this.moneyMatters = moneyMatters;
-    }
+  private final PriceBook prices;
+  private final boolean moneyMatters;
+
+  public RentalPlan(PriceBook prices, boolean moneyMatters) {
+    this.prices = prices;
+    this.moneyMatters = moneyMatters;
+  }
 
-    /**
-     * @param demands the most urgent first
-     * @param coming machines that are booting; their room is used up
-     * @param available false for kinds of which the cloud had none lately
-     */
-    public List<Rental> plan(List<Demand> demands, List<Coming> coming, Predicate<Kind> available, int mostMachines) {
-        Map<Kind, Integer> rent = new HashMap<>();
-        List<Coming> fresh = new ArrayList<>(coming);
-        int total = 0;
-        for (Demand d : demands) {
-            int left = d.tasks();
-            for (Coming c : fresh) {
-                if (left > 0 && allowed(d, c.kind)) {
-                    left -= c.take(d.job(), left);
-                }
-            }
-            while (left > 0 && total < mostMachines) {
-                Kind kind = cheapest(d, left, available, rent);
-                if (kind == null) {
-                    break;
-                }
-                Coming c = new Coming(kind, prices.flavor(kind.flavor));
-                int got = c.take(d.job(), left);
-                if (got == 0) {
-                    break;
-                }
-                left -= got;
-                fresh.add(c);
-                rent.merge(kind, 1, Integer::sum);
-                total++;
-            }
+  /**
+   * @param demands the most urgent first
+   * @param coming machines that are booting; their room is used up
+   * @param available false for kinds of which the cloud had none lately
+   */
+  public List<Rental> plan(
+      List<Demand> demands, List<Coming> coming, Predicate<Kind> available, int mostMachines) {
+    Map<Kind, Integer> rent = new HashMap<>();
+    List<Coming> fresh = new ArrayList<>(coming);
+    int total = 0;
+    for (Demand d : demands) {
+      int left = d.tasks();
+      for (Coming c : fresh) {
+        if (left > 0 && allowed(d, c.kind)) {
+          left -= c.take(d.job(), left);
+        }
+      }
+      while (left > 0 && total < mostMachines) {
+        Kind kind = cheapest(d, left, available, rent);
+        if (kind == null) {
+          break;
         }
-        List<Rental> out = new ArrayList<>();
-        rent.forEach((k, n) -> out.add(new Rental(k, n)));
-        return out;
+        Coming c = new Coming(kind, prices.flavor(kind.flavor));
+        int got = c.take(d.job(), left);
+        if (got == 0) {
+          break;
+        }
+        left -= got;
+        fresh.add(c);
+        rent.merge(kind, 1, Integer::sum);
+        total++;
+      }
     }
+    List<Rental> out = new ArrayList<>();
+    rent.forEach((k, n) -> out.add(new Rental(k, n)));
+    return out;
+  }
 
-    private static boolean allowed(Demand d, Kind k) {
-        return d.job().allows(k.flavor, k.site, k.spot) && (d.zone() == null || d.zone().equals(k.site));
-    }
+  private static boolean allowed(Demand d, Kind k) {
+    return d.job().allows(k.flavor, k.site, k.spot)
+        && (d.zone() == null || d.zone().equals(k.site));
+  }
 
-    /** The least cost for each task served; a machine too large for what is left costs its whole price. */
-    private Kind cheapest(Demand d, int left, Predicate<Kind> available, Map<Kind, Integer> planned) {
-        Kind best = null;
-        double least = Double.MAX_VALUE;
-        for (Flavor f : prices.flavors()) {
-            double share = f.share(d.job());
-            if (share > 1 + 1e-9) {
-                continue;
-            }
-            for (String site : f.sites()) {
-                for (boolean spot : new boolean[] {true, false}) {
-                    Kind k = new Kind(f.sku(), site, spot);
-                    if (!allowed(d, k) || !available.test(k)) {
-                        continue;
-                    }
-                    int tasks = Math.max(1, Math.min(left, (int) (1 / Math.max(share, 1e-6) + 1e-9)));
-                    double cost = prices.hourly(f, spot) / tasks;
-                    if (!moneyMatters) {
-                        cost *= 1 + f.startupS() / 300;
-                    }
-                    // Spreads requests over zones, so that one zone's trouble or shortage takes less at once.
-                    cost *= 1 + SPREAD * planned.getOrDefault(k, 0) / (SPREAD_HALF + planned.getOrDefault(k, 0));
-                    if (cost < least) {
-                        least = cost;
-                        best = k;
-                    }
-                }
-            }
+  /**
+   * The least cost for each task served; a machine too large for what is left costs its whole
+   * price.
+   */
+  private Kind cheapest(Demand d, int left, Predicate<Kind> available, Map<Kind, Integer> planned) {
+    Kind best = null;
+    double least = Double.MAX_VALUE;
+    for (Flavor f : prices.flavors()) {
+      double share = f.share(d.job());
+      if (share > 1 + 1e-9) {
+        continue;
+      }
+      for (String site : f.sites()) {
+        for (boolean spot : new boolean[] {true, false}) {
+          Kind k = new Kind(f.sku(), site, spot);
+          if (!allowed(d, k) || !available.test(k)) {
+            continue;
+          }
+          int tasks = Math.max(1, Math.min(left, (int) (1 / Math.max(share, 1e-6) + 1e-9)));
+          double cost = prices.hourly(f, spot) / tasks;
+          if (!moneyMatters) {
+            cost *= 1 + f.startupS() / 300;
+          }
+          // Spreads requests over zones, so that one zone's trouble or shortage takes less at once.
+          cost *=
+              1 + SPREAD * planned.getOrDefault(k, 0) / (SPREAD_HALF + planned.getOrDefault(k, 0));
+          if (cost < least) {
+            least = cost;
+            best = k;
+          }
         }
-        return best;
+      }
     }
+    return best;
+  }
 }
--- a/src/main/java/plumlever/scaling/Standby.java
+++ b/src/main/java/plumlever/scaling/Standby.java
@@ -4,42 +4,45 @@
 import plumlever.wire.JobSpec;
 
 /**
- * How much room must stand by for work that should start sooner than a machine can be rented. On the whole as much comes
- * free as comes in; what must be there is the spread of what comes in while a machine is rented and comes up. Pure.
+ * How much room must stand by for work that should start sooner than a machine can be rented. On
+ * the whole as much comes free as comes in; what must be there is the spread of what comes in while
+ * a machine is rented and comes up. Pure.
  */
 public final class Standby {
-    private record Arrival(long atMicros, double cores, JobSpec job) {}
+  private record Arrival(long atMicros, double cores, JobSpec job) {}
 
-    private final long windowMicros;
-    private final long rentMicros;
-    private final double spreads;
-    private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
-    private double squares;
+  private final long windowMicros;
+  private final long rentMicros;
+  private final double spreads;
+  private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
+  private double squares;
 
-    /** @param spreads how many times the standard deviation stands by */
-    public Standby(long windowMicros, long rentMicros, double spreads) {
-        this.windowMicros = windowMicros;
-        this.rentMicros = rentMicros;
-        this.spreads = spreads;
-    }
+  /**
+   * @param spreads how many times the standard deviation stands by
+   */
+  public Standby(long windowMicros, long rentMicros, double spreads) {
+    this.windowMicros = windowMicros;
+    this.rentMicros = rentMicros;
+    this.spreads = spreads;
+  }
 
-    public void arrived(long atMicros, JobSpec job) {
-        double cores = job.pieces() * job.cores();
-        arrivals.add(new Arrival(atMicros, cores, job));
-        squares += cores * cores;
-    }
+  public void arrived(long atMicros, JobSpec job) {
+    double cores = job.pieces() * job.cores();
+    arrivals.add(new Arrival(atMicros, cores, job));
+    squares += cores * cores;
+  }
 
-    /** Cores that should be free or coming up. */
-    public double cores(long nowMicros) {
-        while (!arrivals.isEmpty() && arrivals.peek().atMicros < nowMicros - windowMicros) {
-            Arrival old = arrivals.poll();
-            squares = arrivals.isEmpty() ? 0 : squares - old.cores * old.cores;
-        }
-        return spreads * Math.sqrt(Math.max(0, squares) * rentMicros / windowMicros);
+  /** Cores that should be free or coming up. */
+  public double cores(long nowMicros) {
+    while (!arrivals.isEmpty() && arrivals.peek().atMicros < nowMicros - windowMicros) {
+      Arrival old = arrivals.poll();
+      squares = arrivals.isEmpty() ? 0 : squares - old.cores * old.cores;
     }
+    return spreads * Math.sqrt(Math.max(0, squares) * rentMicros / windowMicros);
+  }
 
-    /** What most likely comes next is like what came last; null when nothing came lately. */
-    public JobSpec typical() {
-        return arrivals.isEmpty() ? null : arrivals.peekLast().job;
-    }
+  /** What most likely comes next is like what came last; null when nothing came lately. */
+  public JobSpec typical() {
+    return arrivals.isEmpty() ? null : arrivals.peekLast().job;
+  }
 }
--- a/src/main/java/plumlever/settings/Endpoint.java
+++ b/src/main/java/plumlever/settings/Endpoint.java
@@ -2,33 +2,34 @@
 
 /** An address and port. */
 public record Endpoint(String host, int port) {
-    /** Null if the text is not {@code ADDRESS:PORT}. */
-    public static Endpoint parse(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon <= 0) {
-            return null;
-        }
-        try {
-            int port = Integer.parseInt(text, colon + 1, text.length(), 10);
-            return port < 0 || port > 65535 ? null : new Endpoint(text.substring(0, colon), port);
-        } catch (NumberFormatException e) {
-            return null;
-        }
+  /** Null if the text is not {@code ADDRESS:PORT}. */
+  public static Endpoint parse(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon <= 0) {
+      return null;
     }
-
-    // Written out: the generated ones link method handles at their first use, which a cold start can't afford.
-    @Override
-    public boolean equals(Object o) {
-        return o instanceof Endpoint e && e.port == port && e.host.equals(host);
+    try {
+      int port = Integer.parseInt(text, colon + 1, text.length(), 10);
+      return port < 0 || port > 65535 ? null : new Endpoint(text.substring(0, colon), port);
+    } catch (NumberFormatException e) {
+      return null;
     }
+  }
 
-    @Override
-    public int hashCode() {
-        return host.hashCode() * 31 + port;
-    }
+  // Written out: the generated ones link method handles at their first use, which a cold start
+  // can't afford.
+  @Override
+  public boolean equals(Object o) {
+    return o instanceof Endpoint e && e.port == port && e.host.equals(host);
+  }
 
-    @Override
-    public String toString() {
-        return host + ":" + port;
-    }
+  @Override
+  public int hashCode() {
+    return host.hashCode() * 31 + port;
+  }
+
+  @Override
+  public String toString() {
+    return host + ":" + port;
+  }
 }
--- a/src/main/java/plumlever/store/ChainBook.java
+++ b/src/main/java/plumlever/store/ChainBook.java
@@ -14,318 +14,362 @@
 import plumlever.wire.JobState;
 
 /**
- * What the state service says of jobs that wait for others. Their records never change until they end, so they are read once,
- * with those that they name, directly and through others; from then on one question for what has ended since the last one,
- * begun after the users asked, answers all of them. Nothing hangs on who leads, nor on a version's knowing of chains.
+ * What the state service says of jobs that wait for others. Their records never change until they
+ * end, so they are read once, with those that they name, directly and through others; from then on
+ * one question for what has ended since the last one, begun after the users asked, answers all of
+ * them. Nothing hangs on who leads, nor on a version's knowing of chains.
  */
 final class ChainBook {
-    /** What follows for a job from the records, as of a moment after it was asked about. */
-    enum Answer { WAITING, RELEASED, ABORTED, ENDED, UNAVAILABLE }
-
-    private record Question(String uid, int tries, Consumer<Answer> then) {}
-
-    private static final long GATHER_MICROS = 25_000;
-    private static final long AGAIN_MICROS = 150_000;
-    private static final int TRIES = 4;
-    /** After so many steps back along chains all active jobs are read at once. */
-    private static final int MOST_STEPS = 3;
-    /** Beyond this much the book is begun anew; chains are read again as they are asked about. */
-    private static final int MOST_JOBS = 50_000;
-
-    private final Loop loop;
-    private final StateClient store;
-    private final JobFinder finder;
-    /** Told of each end that is read. */
-    private final Ends ends;
-    private Chains chains = new Chains();
-    /** Jobs of which all that they wait on, directly or through others, is in the book. */
-    private Set<String> whole = new HashSet<>();
-    /** Ends up to this revision are in the book; -1 before the first. */
-    private long epoch = -1;
-    private List<Question> gathered = new ArrayList<>();
-
-    interface Ends {
-        void ended(String uid, JobState how);
-
-        /** How it ended, or null if that is not known without asking. */
-        JobState known(String uid);
-    }
+  /** What follows for a job from the records, as of a moment after it was asked about. */
+  enum Answer {
+    WAITING,
+    RELEASED,
+    ABORTED,
+    ENDED,
+    UNAVAILABLE
+  }
 
-    ChainBook(Loop loop, StateClient store, JobFinder finder, Ends ends) {
-        this.loop = loop;
-        this.store = store;
-        this.finder = finder;
-        this.ends = ends;
-    }
+  private record Question(String uid, int tries, Consumer<Answer> then) {}
 
-    /** The job whose abort aborted this one, or null. */
-    String through(String uid) {
-        return chains.through(uid);
-    }
+  private static final long GATHER_MICROS = 25_000;
+  private static final long AGAIN_MICROS = 150_000;
+  private static final int TRIES = 4;
 
-    /** The revision of a job's record that is in the book with all that it waits on; 0 for any other. */
-    long stamp(String uid) {
-        return whole.contains(uid) ? chains.stamp(uid) : 0;
-    }
+  /** After so many steps back along chains all active jobs are read at once. */
+  private static final int MOST_STEPS = 3;
 
-    /** An end that this node knows of. */
-    void ended(String uid, JobState how) {
-        chains.ended(uid, how, 0);
-        whole.remove(uid);
-        forgetNews();
-    }
+  /** Beyond this much the book is begun anew; chains are read again as they are asked about. */
+  private static final int MOST_JOBS = 50_000;
 
-    private void forgetNews() {
-        chains.takeReleased();
-        chains.takeAborted();
-    }
+  private final Loop loop;
+  private final StateClient store;
+  private final JobFinder finder;
 
-    /** Finds out what follows for a job that waits, or waited, for others. */
-    void ask(String uid, Consumer<Answer> then) {
-        ask(new Question(uid, TRIES, then));
-    }
+  /** Told of each end that is read. */
+  private final Ends ends;
 
-    private void ask(Question q) {
-        gathered.add(q);
-        if (gathered.size() == 1) {
-            loop.after(GATHER_MICROS, this::turn);
-        }
+  private Chains chains = new Chains();
+
+  /** Jobs of which all that they wait on, directly or through others, is in the book. */
+  private Set<String> whole = new HashSet<>();
+
+  /** Ends up to this revision are in the book; -1 before the first. */
+  private long epoch = -1;
+
+  private List<Question> gathered = new ArrayList<>();
+
+  interface Ends {
+    void ended(String uid, JobState how);
+
+    /** How it ended, or null if that is not known without asking. */
+    JobState known(String uid);
+  }
+
+  ChainBook(Loop loop, StateClient store, JobFinder finder, Ends ends) {
+    this.loop = loop;
+    this.store = store;
+    this.finder = finder;
+    this.ends = ends;
+  }
+
+  /** The job whose abort aborted this one, or null. */
+  String through(String uid) {
+    return chains.through(uid);
+  }
+
+  /**
+   * The revision of a job's record that is in the book with all that it waits on; 0 for any other.
+   */
+  long stamp(String uid) {
+    return whole.contains(uid) ? chains.stamp(uid) : 0;
+  }
+
+  /** An end that this node knows of. */
+  void ended(String uid, JobState how) {
+    chains.ended(uid, how, 0);
+    whole.remove(uid);
+    forgetNews();
+  }
+
+  private void forgetNews() {
+    chains.takeReleased();
+    chains.takeAborted();
+  }
+
+  /** Finds out what follows for a job that waits, or waited, for others. */
+  void ask(String uid, Consumer<Answer> then) {
+    ask(new Question(uid, TRIES, then));
+  }
+
+  private void ask(Question q) {
+    gathered.add(q);
+    if (gathered.size() == 1) {
+      loop.after(GATHER_MICROS, this::turn);
     }
+  }
 
-    private void turn() {
-        List<Question> asked = gathered;
-        gathered = new ArrayList<>();
-        if (chains.size() > MOST_JOBS) {
-            reset();
-        }
-        if (epoch >= 0) {
+  private void turn() {
+    List<Question> asked = gathered;
+    gathered = new ArrayList<>();
+    if (chains.size() > MOST_JOBS) {
+      reset();
+    }
+    if (epoch >= 0) {
+      complete(asked);
+      return;
+    }
+    // Where to begin: whatever ends after this revision is told by the changes, whatever did before
+    // by the records.
+    store.epoch(
+        now -> {
+          if (now < 0) {
+            answer(asked, Answer.UNAVAILABLE);
+          } else {
+            epoch = epoch < 0 ? now : epoch;
             complete(asked);
-            return;
-        }
-        // Where to begin: whatever ends after this revision is told by the changes, whatever did before by the records.
-        store.epoch(now -> {
-            if (now < 0) {
-                answer(asked, Answer.UNAVAILABLE);
-            } else {
-                epoch = epoch < 0 ? now : epoch;
-                complete(asked);
-            }
+          }
         });
-    }
+  }
 
-    /** The job was accepted here a moment ago: its own record need not be read. */
-    void accepted(String uid, long stamp, List<String> waitsOn) {
-        if (epoch >= 0) {
-            chains.accepted(uid, stamp, waitsOn);
-            forgetNews();
-        }
+  /** The job was accepted here a moment ago: its own record need not be read. */
+  void accepted(String uid, long stamp, List<String> waitsOn) {
+    if (epoch >= 0) {
+      chains.accepted(uid, stamp, waitsOn);
+      forgetNews();
     }
+  }
 
-    /** Reads what is missing of the chains asked about, step by step away from them. */
-    private void complete(List<Question> asked) {
-        Set<String> unread = new LinkedHashSet<>();
-        for (Question q : asked) {
-            if (!whole.contains(q.uid)) {
-                unread.add(q.uid);
-            }
-        }
-        Chains into = chains;
-        new Reading(into, unread, fine -> {
-            if (!fine || into != chains) {
+  /** Reads what is missing of the chains asked about, step by step away from them. */
+  private void complete(List<Question> asked) {
+    Set<String> unread = new LinkedHashSet<>();
+    for (Question q : asked) {
+      if (!whole.contains(q.uid)) {
+        unread.add(q.uid);
+      }
+    }
+    Chains into = chains;
+    new Reading(
+            into,
+            unread,
+            fine -> {
+              if (!fine || into != chains) {
                 answer(asked, Answer.UNAVAILABLE);
                 return;
-            }
-            whole.addAll(unread);
-            look(asked);
-        }).goOn();
-    }
+              }
+              whole.addAll(unread);
+              look(asked);
+            })
+        .goOn();
+  }
 
-    /** Enters jobs in the book, with all that they wait on, directly and through others. */
-    private final class Reading {
-        private final Chains into;
-        private final Set<String> seen;
-        private final ArrayDeque<String> open;
-        private final Consumer<Boolean> then;
-        /** All active jobs, once that takes fewer requests than going on one by one. */
-        private Map<String, StateClient.Item> all;
-        private int steps;
-
-        Reading(Chains into, Set<String> uids, Consumer<Boolean> then) {
-            this.into = into;
-            this.seen = new HashSet<>(uids);
-            this.open = new ArrayDeque<>(uids);
-            this.then = then;
-        }
+  /** Enters jobs in the book, with all that they wait on, directly and through others. */
+  private final class Reading {
+    private final Chains into;
+    private final Set<String> seen;
+    private final ArrayDeque<String> open;
+    private final Consumer<Boolean> then;
 
-        void goOn() {
-            Set<String> unread = new LinkedHashSet<>();
-            List<StateClient.Item> spilled = new ArrayList<>();
-            while (!open.isEmpty()) {
-                String uid = open.poll();
-                JobState how = ends.known(uid);
-                if (how != null) {
-                    into.ended(uid, how, 0);
-                } else if (into.standing(uid) != Chains.Standing.UNKNOWN) {
-                    // In the book already, but not all that it waits on need be.
-                    name(into.waitsFor(uid));
-                } else if (all != null && all.containsKey(uid)) {
-                    active(all.get(uid), spilled);
-                } else {
-                    unread.add(uid);
-                }
-            }
-            if (unread.isEmpty()) {
-                readParts(spilled);
-            } else if (all == null && (steps >= MOST_STEPS || unread.size() > JobFinder.MOST_SINGLE)) {
-                open.addAll(unread);
-                store.list(JobStore.ACTIVE, StateClient.Class.ORDINARY, listing -> {
-                    if (listing == null) {
-                        then.accept(false);
-                        return;
-                    }
-                    all = new HashMap<>();
-                    listing.items().forEach(i -> all.put(i.key().substring(JobStore.ACTIVE.length()), i));
-                    readParts(spilled);
-                });
-            } else {
-                steps++;
-                finder.find(unread, found -> {
-                    if (found == null) {
-                        then.accept(false);
-                        return;
-                    }
-                    found.forEach((uid, f) -> {
-                        // What ended while this was read is known from the changes, which may have come first.
-                        JobState how = f.how() != null ? f.how() : ends.known(uid);
-                        if (how != null) {
-                            ends.ended(uid, how);
-                            into.ended(uid, how, f.endedWallMicros());
-                        } else if (f.active() != null) {
-                            active(f.active(), spilled);
-                        }
-                    });
-                    readParts(spilled);
-                });
-            }
-        }
+    /** All active jobs, once that takes fewer requests than going on one by one. */
+    private Map<String, StateClient.Item> all;
 
-        private void active(StateClient.Item i, List<StateClient.Item> spilled) {
-            String uid = i.key().substring(JobStore.ACTIVE.length());
-            if (JobStore.waitsKeys(uid, i.data()).isEmpty()) {
-                enter(i, JobStore.waitsInline(i.data()));
-            } else {
-                spilled.add(i);
-            }
-        }
+    private int steps;
 
-        private void enter(StateClient.Item i, List<String> waitsOn) {
-            into.accepted(i.key().substring(JobStore.ACTIVE.length()), i.stamp(), waitsOn);
-            name(waitsOn);
-        }
+    Reading(Chains into, Set<String> uids, Consumer<Boolean> then) {
+      this.into = into;
+      this.seen = new HashSet<>(uids);
+      this.open = new ArrayDeque<>(uids);
+      this.then = then;
+    }
 
-        private void name(List<String> uids) {
-            for (String uid : uids) {
-                if (!whole.contains(uid) && seen.add(uid)) {
-                    open.add(uid);
-                }
-            }
+    void goOn() {
+      Set<String> unread = new LinkedHashSet<>();
+      List<StateClient.Item> spilled = new ArrayList<>();
+      while (!open.isEmpty()) {
+        String uid = open.poll();
+        JobState how = ends.known(uid);
+        if (how != null) {
+          into.ended(uid, how, 0);
+        } else if (into.standing(uid) != Chains.Standing.UNKNOWN) {
+          // In the book already, but not all that it waits on need be.
+          name(into.waitsFor(uid));
+        } else if (all != null && all.containsKey(uid)) {
+          active(all.get(uid), spilled);
+        } else {
+          unread.add(uid);
         }
-
-        /** The lists that did not fit their jobs' records, one job after the other. */
-        private void readParts(List<StateClient.Item> jobs) {
-            if (jobs.isEmpty()) {
-                if (open.isEmpty()) {
-                    then.accept(true);
-                } else {
-                    goOn();
-                }
+      }
+      if (unread.isEmpty()) {
+        readParts(spilled);
+      } else if (all == null && (steps >= MOST_STEPS || unread.size() > JobFinder.MOST_SINGLE)) {
+        open.addAll(unread);
+        store.list(
+            JobStore.ACTIVE,
+            StateClient.Class.ORDINARY,
+            listing -> {
+              if (listing == null) {
+                then.accept(false);
                 return;
-            }
-            StateClient.Item job = jobs.remove(jobs.size() - 1);
-            List<String> keys = JobStore.waitsKeys(job.key().substring(JobStore.ACTIVE.length()), job.data());
-            String first = keys.get(0);
-            store.list(first.substring(0, first.lastIndexOf('/') + 1), StateClient.Class.ORDINARY, listing -> {
-                Map<String, List<String>> parts = new HashMap<>();
-                if (listing != null) {
-                    listing.items().forEach(i -> parts.put(i.key(), JobStore.names(i.data())));
-                }
-                List<String> names = new ArrayList<>();
-                for (String key : keys) {
-                    if (!parts.containsKey(key)) {
-                        // Not to be had now, or gone because the job has ended meanwhile: then its record says so.
-                        then.accept(false);
-                        return;
+              }
+              all = new HashMap<>();
+              listing.items().forEach(i -> all.put(i.key().substring(JobStore.ACTIVE.length()), i));
+              readParts(spilled);
+            });
+      } else {
+        steps++;
+        finder.find(
+            unread,
+            found -> {
+              if (found == null) {
+                then.accept(false);
+                return;
+              }
+              found.forEach(
+                  (uid, f) -> {
+                    // What ended while this was read is known from the changes, which may have come
+                    // first.
+                    JobState how = f.how() != null ? f.how() : ends.known(uid);
+                    if (how != null) {
+                      ends.ended(uid, how);
+                      into.ended(uid, how, f.endedWallMicros());
+                    } else if (f.active() != null) {
+                      active(f.active(), spilled);
                     }
-                    names.addAll(parts.get(key));
-                }
-                enter(job, names);
-                readParts(jobs);
+                  });
+              readParts(spilled);
             });
+      }
+    }
+
+    private void active(StateClient.Item i, List<StateClient.Item> spilled) {
+      String uid = i.key().substring(JobStore.ACTIVE.length());
+      if (JobStore.waitsKeys(uid, i.data()).isEmpty()) {
+        enter(i, JobStore.waitsInline(i.data()));
+      } else {
+        spilled.add(i);
+      }
+    }
+
+    private void enter(StateClient.Item i, List<String> waitsOn) {
+      into.accepted(i.key().substring(JobStore.ACTIVE.length()), i.stamp(), waitsOn);
+      name(waitsOn);
+    }
+
+    private void name(List<String> uids) {
+      for (String uid : uids) {
+        if (!whole.contains(uid) && seen.add(uid)) {
+          open.add(uid);
         }
+      }
     }
 
-    /** All that ended since the last look, as of now. */
-    private void look(List<Question> asked) {
-        Chains into = chains;
-        store.follow(JobStore.ENDED, epoch, 0, changes -> {
-            if (into != chains) {
-                answer(asked, Answer.UNAVAILABLE);
-                return;
-            }
-            if (changes.status() == 410) {
-                reset();
-                again(asked);
-                return;
+    /** The lists that did not fit their jobs' records, one job after the other. */
+    private void readParts(List<StateClient.Item> jobs) {
+      if (jobs.isEmpty()) {
+        if (open.isEmpty()) {
+          then.accept(true);
+        } else {
+          goOn();
+        }
+        return;
+      }
+      StateClient.Item job = jobs.remove(jobs.size() - 1);
+      List<String> keys =
+          JobStore.waitsKeys(job.key().substring(JobStore.ACTIVE.length()), job.data());
+      String first = keys.get(0);
+      store.list(
+          first.substring(0, first.lastIndexOf('/') + 1),
+          StateClient.Class.ORDINARY,
+          listing -> {
+            Map<String, List<String>> parts = new HashMap<>();
+            if (listing != null) {
+              listing.items().forEach(i -> parts.put(i.key(), JobStore.names(i.data())));
             }
-            if (changes.status() != 200) {
-                if (changes.status() == 429) {
-                    again(asked);
-                } else {
-                    answer(asked, Answer.UNAVAILABLE);
-                }
+            List<String> names = new ArrayList<>();
+            for (String key : keys) {
+              if (!parts.containsKey(key)) {
+                // Not to be had now, or gone because the job has ended meanwhile: then its record
+                // says so.
+                then.accept(false);
                 return;
+              }
+              names.addAll(parts.get(key));
             }
-            for (StateClient.Change c : changes.log()) {
-                JobState how = c.data() == null ? null : JobStore.finalState(c.data());
-                if (how != null) {
-                    String uid = c.key().substring(JobStore.ENDED.length());
-                    // Also of jobs that are not in the book: one that was read before it ended may be on its way into it.
-                    ends.ended(uid, how);
-                    chains.ended(uid, how, JobStore.endedWallMicros(c.data()));
-                    whole.remove(uid);
-                }
-            }
-            epoch = Math.max(epoch, changes.epoch());
-            forgetNews();
-            for (Question q : asked) {
-                q.then.accept(ends.known(q.uid) != null ? Answer.ENDED : switch (chains.standing(q.uid)) {
-                    case WAITING -> Answer.WAITING;
-                    case RELEASED -> Answer.RELEASED;
-                    case ABORTED -> Answer.ABORTED;
-                    case DONE -> Answer.ENDED;
-                    case UNKNOWN -> Answer.UNAVAILABLE;
-                });
-            }
-        });
+            enter(job, names);
+            readParts(jobs);
+          });
     }
+  }
 
-    private void again(List<Question> asked) {
-        for (Question q : asked) {
-            if (q.tries > 1) {
-                loop.after(AGAIN_MICROS, () -> ask(new Question(q.uid, q.tries - 1, q.then)));
+  /** All that ended since the last look, as of now. */
+  private void look(List<Question> asked) {
+    Chains into = chains;
+    store.follow(
+        JobStore.ENDED,
+        epoch,
+        0,
+        changes -> {
+          if (into != chains) {
+            answer(asked, Answer.UNAVAILABLE);
+            return;
+          }
+          if (changes.status() == 410) {
+            reset();
+            again(asked);
+            return;
+          }
+          if (changes.status() != 200) {
+            if (changes.status() == 429) {
+              again(asked);
             } else {
-                q.then.accept(Answer.UNAVAILABLE);
+              answer(asked, Answer.UNAVAILABLE);
             }
-        }
-    }
+            return;
+          }
+          for (StateClient.Change c : changes.log()) {
+            JobState how = c.data() == null ? null : JobStore.finalState(c.data());
+            if (how != null) {
+              String uid = c.key().substring(JobStore.ENDED.length());
+              // Also of jobs that are not in the book: one that was read before it ended may be on
+              // its way into it.
+              ends.ended(uid, how);
+              chains.ended(uid, how, JobStore.endedWallMicros(c.data()));
+              whole.remove(uid);
+            }
+          }
+          epoch = Math.max(epoch, changes.epoch());
+          forgetNews();
+          for (Question q : asked) {
+            q.then.accept(
+                ends.known(q.uid) != null
+                    ? Answer.ENDED
+                    : switch (chains.standing(q.uid)) {
+                      case WAITING -> Answer.WAITING;
+                      case RELEASED -> Answer.RELEASED;
+                      case ABORTED -> Answer.ABORTED;
+                      case DONE -> Answer.ENDED;
+                      case UNKNOWN -> Answer.UNAVAILABLE;
+                    });
+          }
+        });
+  }
 
-    private static void answer(List<Question> asked, Answer a) {
-        asked.forEach(q -> q.then.accept(a));
+  private void again(List<Question> asked) {
+    for (Question q : asked) {
+      if (q.tries > 1) {
+        loop.after(AGAIN_MICROS, () -> ask(new Question(q.uid, q.tries - 1, q.then)));
+      } else {
+        q.then.accept(Answer.UNAVAILABLE);
+      }
     }
+  }
 
-    private void reset() {
-        chains = new Chains();
-        whole = new HashSet<>();
-        epoch = -1;
-    }
+  private static void answer(List<Question> asked, Answer a) {
+    asked.forEach(q -> q.then.accept(a));
+  }
+
+  private void reset() {
+    chains = new Chains();
+    whole = new HashSet<>();
+    epoch = -1;
+  }
 }
