--- a/src/main/java/plumlever/store/JobBook.java
+++ b/src/main/java/plumlever/store/JobBook.java
@@ -17,317 +17,374 @@
 import plumlever.wire.JobState;
 
 /**
- * What the state service says of jobs. Every answer but a final state rests on a read begun after it was asked for. Most
- * questions are about jobs that have not ended, whose record is known: these are put together, and one transaction of
- * guards only finds out for all of them whether anything has changed.
+ * What the state service says of jobs. Every answer but a final state rests on a read begun after
+ * it was asked for. Most questions are about jobs that have not ended, whose record is known: these
+ * are put together, and one transaction of guards only finds out for all of them whether anything
+ * has changed.
  */
 public final class JobBook {
-    /** What is known of a job. */
-    public enum Standing { ACTIVE, ENDED, MISSING, UNAVAILABLE }
+  /** What is known of a job. */
+  public enum Standing {
+    ACTIVE,
+    ENDED,
+    MISSING,
+    UNAVAILABLE
+  }
 
-    /** @param stamp of the record of an active job, else 0; {@code how} is null unless it has ended */
-    public record Look(Standing standing, long stamp, JobState how) {
-        static final Look MISSING = new Look(Standing.MISSING, 0, null);
-        static final Look UNAVAILABLE = new Look(Standing.UNAVAILABLE, 0, null);
+  /**
+   * @param stamp of the record of an active job, else 0; {@code how} is null unless it has ended
+   */
+  public record Look(Standing standing, long stamp, JobState how) {
+    static final Look MISSING = new Look(Standing.MISSING, 0, null);
+    static final Look UNAVAILABLE = new Look(Standing.UNAVAILABLE, 0, null);
 
-        public boolean found() {
-            return standing == Standing.ACTIVE || standing == Standing.ENDED;
-        }
+    public boolean found() {
+      return standing == Standing.ACTIVE || standing == Standing.ENDED;
     }
+  }
 
-    private record Question(String uid, long stamp, int tries, Consumer<Look> then) {}
+  private record Question(String uid, long stamp, int tries, Consumer<Look> then) {}
 
-    private static final long GATHER_MICROS = 25_000;
-    private static final long AGAIN_MICROS = 150_000;
-    private static final int TRIES = 4;
-    private static final long LATELY_MICROS = 3_000_000;
+  private static final long GATHER_MICROS = 25_000;
+  private static final long AGAIN_MICROS = 150_000;
+  private static final int TRIES = 4;
+  private static final long LATELY_MICROS = 3_000_000;
 
-    private static final Logger LOG = LoggerFactory.getLogger(JobBook.class);
+  private static final Logger LOG = LoggerFactory.getLogger(JobBook.class);
 
-    private final Loop loop;
-    private final StateClient store;
-    private final Metrics metrics;
-    private final JobStore layout;
-    private final JobFinder finder;
-    private final ChainBook chains;
-    /** Final states never change, so they may be told from memory; evicted ones are read again. */
-    private final Cache<String, JobState> ended = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(20_000).build();
-    private final Cache<String, Long> stamps = CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(5_000).build();
-    /** Jobs that were active, by when that was asked. */
-    private final Map<String, Long> activeAsked = new HashMap<>();
-    private List<Question> gathered = new ArrayList<>();
+  private final Loop loop;
+  private final StateClient store;
+  private final Metrics metrics;
+  private final JobStore layout;
+  private final JobFinder finder;
+  private final ChainBook chains;
 
-    public JobBook(Loop loop, StateClient store, JobStore layout, Metrics metrics) {
-        this.loop = loop;
-        this.store = store;
-        this.metrics = metrics;
-        this.layout = layout;
-        this.finder = new JobFinder(loop, store);
-        this.chains = new ChainBook(loop, store, finder, new ChainBook.Ends() {
-            @Override
-            public void ended(String uid, JobState how) {
+  /** Final states never change, so they may be told from memory; evicted ones are read again. */
+  private final Cache<String, JobState> ended =
+      CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(20_000).build();
+
+  private final Cache<String, Long> stamps =
+      CacheBuilder.newBuilder().concurrencyLevel(1).maximumSize(5_000).build();
+
+  /** Jobs that were active, by when that was asked. */
+  private final Map<String, Long> activeAsked = new HashMap<>();
+
+  private List<Question> gathered = new ArrayList<>();
+
+  public JobBook(Loop loop, StateClient store, JobStore layout, Metrics metrics) {
+    this.loop = loop;
+    this.store = store;
+    this.metrics = metrics;
+    this.layout = layout;
+    this.finder = new JobFinder(loop, store);
+    this.chains =
+        new ChainBook(
+            loop,
+            store,
+            finder,
+            new ChainBook.Ends() {
+              @Override
+              public void ended(String uid, JobState how) {
                 stamps.invalidate(uid);
                 ended.put(uid, how);
-            }
+              }
 
-            @Override
-            public JobState known(String uid) {
+              @Override
+              public JobState known(String uid) {
                 return ended.getIfPresent(uid);
-            }
-        });
-    }
+              }
+            });
+  }
 
-    /** The job has been accepted with this stamp. */
-    public void accepted(String uid, long stamp) {
-        if (stamp > 0) {
-            stamps.put(uid, stamp);
-        }
+  /** The job has been accepted with this stamp. */
+  public void accepted(String uid, long stamp) {
+    if (stamp > 0) {
+      stamps.put(uid, stamp);
     }
+  }
 
-    /** A job that waits for others has been accepted with this stamp: what follows from how those end. */
-    public void acceptedWaiting(String uid, long stamp, List<String> waitsOn, Consumer<Look> then) {
-        chains.accepted(uid, stamp, waitsOn);
-        chain(uid, stamp, then);
-    }
+  /**
+   * A job that waits for others has been accepted with this stamp: what follows from how those end.
+   */
+  public void acceptedWaiting(String uid, long stamp, List<String> waitsOn, Consumer<Look> then) {
+    chains.accepted(uid, stamp, waitsOn);
+    chain(uid, stamp, then);
+  }
 
-    /** The job's end is stored. */
-    public void ended(String uid, JobState how) {
-        stamps.invalidate(uid);
-        ended.put(uid, how);
-        chains.ended(uid, how);
-    }
+  /** The job's end is stored. */
+  public void ended(String uid, JobState how) {
+    stamps.invalidate(uid);
+    ended.put(uid, how);
+    chains.ended(uid, how);
+  }
 
-    /**
-     * Which of these were never accepted, by reads begun now where that is not known of them.
-     *
-     * @param then takes null when that can't be found out
-     */
-    public void unknownOf(Collection<String> uids, Consumer<Set<String>> then) {
-        Set<String> open = new HashSet<>();
-        for (String uid : uids) {
-            if (stamps.getIfPresent(uid) == null && ended.getIfPresent(uid) == null) {
-                open.add(uid);
-            }
-        }
-        if (open.isEmpty()) {
-            then.accept(Set.of());
+  /**
+   * Which of these were never accepted, by reads begun now where that is not known of them.
+   *
+   * @param then takes null when that can't be found out
+   */
+  public void unknownOf(Collection<String> uids, Consumer<Set<String>> then) {
+    Set<String> open = new HashSet<>();
+    for (String uid : uids) {
+      if (stamps.getIfPresent(uid) == null && ended.getIfPresent(uid) == null) {
+        open.add(uid);
+      }
+    }
+    if (open.isEmpty()) {
+      then.accept(Set.of());
+      return;
+    }
+    finder.find(
+        open,
+        found -> {
+          if (found == null) {
+            then.accept(null);
             return;
-        }
-        finder.find(open, found -> {
-            if (found == null) {
-                then.accept(null);
-                return;
-            }
-            Set<String> unknown = new HashSet<>();
-            found.forEach((uid, f) -> {
+          }
+          Set<String> unknown = new HashSet<>();
+          found.forEach(
+              (uid, f) -> {
                 if (!f.accepted()) {
-                    unknown.add(uid);
+                  unknown.add(uid);
                 } else if (f.how() != null) {
-                    ended(uid, f.how());
+                  ended(uid, f.how());
                 }
-            });
-            then.accept(unknown);
+              });
+          then.accept(unknown);
         });
-    }
+  }
 
-    /** How it ended, or null if that is not known without asking. */
-    public JobState known(String uid) {
-        return ended.getIfPresent(uid);
-    }
+  /** How it ended, or null if that is not known without asking. */
+  public JobState known(String uid) {
+    return ended.getIfPresent(uid);
+  }
 
-    /**
-     * Jobs that have ended.
-     *
-     * @param askedMicros when the oldest of the reads that showed the others as active had been sent
-     */
-    public record Ends(Set<String> uids, long askedMicros) {}
+  /**
+   * Jobs that have ended.
+   *
+   * @param askedMicros when the oldest of the reads that showed the others as active had been sent
+   */
+  public record Ends(Set<String> uids, long askedMicros) {}
 
-    /** Which of these jobs have ended, as of a few seconds ago at most; null when that can't be found out. */
-    public void endedOf(Collection<String> uids, Consumer<Ends> then) {
-        long now = loop.nowMicros();
-        activeAsked.values().removeIf(asked -> now - asked > LATELY_MICROS);
-        Set<String> over = new HashSet<>();
-        int[] open = {1};
-        boolean[] failed = new boolean[1];
-        long[] asked = {now};
-        Runnable settled = () -> {
-            if (--open[0] == 0) {
-                then.accept(failed[0] ? null : new Ends(over, asked[0]));
-            }
+  /**
+   * Which of these jobs have ended, as of a few seconds ago at most; null when that can't be found
+   * out.
+   */
+  public void endedOf(Collection<String> uids, Consumer<Ends> then) {
+    long now = loop.nowMicros();
+    activeAsked.values().removeIf(asked -> now - asked > LATELY_MICROS);
+    Set<String> over = new HashSet<>();
+    int[] open = {1};
+    boolean[] failed = new boolean[1];
+    long[] asked = {now};
+    Runnable settled =
+        () -> {
+          if (--open[0] == 0) {
+            then.accept(failed[0] ? null : new Ends(over, asked[0]));
+          }
         };
-        for (String uid : uids) {
-            Long before = activeAsked.get(uid);
-            if (before != null) {
-                asked[0] = Math.min(asked[0], before);
-                continue;
+    for (String uid : uids) {
+      Long before = activeAsked.get(uid);
+      if (before != null) {
+        asked[0] = Math.min(asked[0], before);
+        continue;
+      }
+      open[0]++;
+      look(
+          uid,
+          look -> {
+            if (look.standing() == Standing.ACTIVE) {
+              activeAsked.put(uid, now);
+            } else if (look.standing() == Standing.UNAVAILABLE) {
+              failed[0] = true;
+            } else {
+              over.add(uid);
             }
-            open[0]++;
-            look(uid, look -> {
-                if (look.standing() == Standing.ACTIVE) {
-                    activeAsked.put(uid, now);
-                } else if (look.standing() == Standing.UNAVAILABLE) {
-                    failed[0] = true;
-                } else {
-                    over.add(uid);
-                }
-                settled.run();
-            });
-        }
-        settled.run();
+            settled.run();
+          });
     }
+    settled.run();
+  }
 
-    /** Finds out; the answer comes later, on the loop. */
-    public void look(String uid, Consumer<Look> then) {
-        look(uid, TRIES, then);
-    }
+  /** Finds out; the answer comes later, on the loop. */
+  public void look(String uid, Consumer<Look> then) {
+    look(uid, TRIES, then);
+  }
 
-    private void look(String uid, int tries, Consumer<Look> then) {
-        JobState how = ended.getIfPresent(uid);
-        if (how != null) {
-            then.accept(new Look(Standing.ENDED, 0, how));
-            return;
-        }
-        Long stamp = stamps.getIfPresent(uid);
-        if (stamp == null) {
-            // One that waits and is in the book need not be read again: what has ended is asked for all of them.
-            long waiting = chains.stamp(uid);
-            if (waiting > 0) {
-                chain(uid, waiting, then);
-            } else {
-                read(uid, tries, then);
-            }
-            return;
-        }
-        gathered.add(new Question(uid, stamp, tries, then));
-        if (gathered.size() == 1) {
-            loop.after(GATHER_MICROS, this::compare);
-        } else if (gathered.size() >= 4 * layout.limits().txnOps()) {
-            compare();
-        }
+  private void look(String uid, int tries, Consumer<Look> then) {
+    JobState how = ended.getIfPresent(uid);
+    if (how != null) {
+      then.accept(new Look(Standing.ENDED, 0, how));
+      return;
+    }
+    Long stamp = stamps.getIfPresent(uid);
+    if (stamp == null) {
+      // One that waits and is in the book need not be read again: what has ended is asked for all
+      // of them.
+      long waiting = chains.stamp(uid);
+      if (waiting > 0) {
+        chain(uid, waiting, then);
+      } else {
+        read(uid, tries, then);
+      }
+      return;
     }
+    gathered.add(new Question(uid, stamp, tries, then));
+    if (gathered.size() == 1) {
+      loop.after(GATHER_MICROS, this::compare);
+    } else if (gathered.size() >= 4 * layout.limits().txnOps()) {
+      compare();
+    }
+  }
 
-    private void compare() {
-        if (gathered.isEmpty()) {
-            return;
-        }
-        List<Question> asked = gathered;
-        gathered = new ArrayList<>();
-        Txn txn = new Txn();
-        Set<String> keys = new HashSet<>();
-        for (Question q : asked) {
-            if (keys.add(q.uid)) {
-                txn.guard(JobStore.activeKey(q.uid), q.stamp);
-            }
-        }
-        metrics.count("looks_shared", asked.size());
-        store.txn(txn, StateClient.Class.ORDINARY, result -> {
-            switch (result.outcome()) {
-                case APPLIED -> asked.forEach(q -> q.then.accept(new Look(Standing.ACTIVE, q.stamp, null)));
-                case CONFLICT -> {
-                    Set<String> failed = new HashSet<>(result.failed());
-                    for (Question q : asked) {
-                        // Whether all that failed are named is not promised: the others are compared once more.
-                        if (failed.isEmpty() || failed.contains(JobStore.activeKey(q.uid)) || q.tries <= 1) {
-                            stamps.invalidate(q.uid);
-                            read(q.uid, TRIES, q.then);
-                        } else {
-                            look(q.uid, q.tries - 1, q.then);
-                        }
-                    }
+  private void compare() {
+    if (gathered.isEmpty()) {
+      return;
+    }
+    List<Question> asked = gathered;
+    gathered = new ArrayList<>();
+    Txn txn = new Txn();
+    Set<String> keys = new HashSet<>();
+    for (Question q : asked) {
+      if (keys.add(q.uid)) {
+        txn.guard(JobStore.activeKey(q.uid), q.stamp);
+      }
+    }
+    metrics.count("looks_shared", asked.size());
+    store.txn(
+        txn,
+        StateClient.Class.ORDINARY,
+        result -> {
+          switch (result.outcome()) {
+            case APPLIED ->
+                asked.forEach(q -> q.then.accept(new Look(Standing.ACTIVE, q.stamp, null)));
+            case CONFLICT -> {
+              Set<String> failed = new HashSet<>(result.failed());
+              for (Question q : asked) {
+                // Whether all that failed are named is not promised: the others are compared once
+                // more.
+                if (failed.isEmpty()
+                    || failed.contains(JobStore.activeKey(q.uid))
+                    || q.tries <= 1) {
+                  stamps.invalidate(q.uid);
+                  read(q.uid, TRIES, q.then);
+                } else {
+                  look(q.uid, q.tries - 1, q.then);
                 }
-                default -> {
-                    for (Question q : asked) {
-                        if (result.status() == 429 && q.tries > 1) {
-                            loop.after(AGAIN_MICROS, () -> look(q.uid, q.tries - 1, q.then));
-                        } else {
-                            q.then.accept(Look.UNAVAILABLE);
-                        }
-                    }
+              }
+            }
+            default -> {
+              for (Question q : asked) {
+                if (result.status() == 429 && q.tries > 1) {
+                  loop.after(AGAIN_MICROS, () -> look(q.uid, q.tries - 1, q.then));
+                } else {
+                  q.then.accept(Look.UNAVAILABLE);
                 }
+              }
             }
+          }
         });
-    }
+  }
 
-    /**
-     * An active job first, then an ended one: the end moves it in one change, so a job that is found under neither key had
-     * not been accepted when the first read began.
-     */
-    private void read(String uid, int tries, Consumer<Look> then) {
-        store.get(JobStore.activeKey(uid), StateClient.Class.ORDINARY, got -> {
-            if (got.found() && JobStore.waits(got.item().data())) {
-                chain(uid, got.item().stamp(), then);
-            } else if (got.found()) {
-                stamps.put(uid, got.item().stamp());
-                then.accept(new Look(Standing.ACTIVE, got.item().stamp(), null));
-            } else if (got.missing()) {
-                readEnded(uid, tries, then);
-            } else {
-                again(got.status(), tries, then, () -> read(uid, tries - 1, then));
-            }
+  /**
+   * An active job first, then an ended one: the end moves it in one change, so a job that is found
+   * under neither key had not been accepted when the first read began.
+   */
+  private void read(String uid, int tries, Consumer<Look> then) {
+    store.get(
+        JobStore.activeKey(uid),
+        StateClient.Class.ORDINARY,
+        got -> {
+          if (got.found() && JobStore.waits(got.item().data())) {
+            chain(uid, got.item().stamp(), then);
+          } else if (got.found()) {
+            stamps.put(uid, got.item().stamp());
+            then.accept(new Look(Standing.ACTIVE, got.item().stamp(), null));
+          } else if (got.missing()) {
+            readEnded(uid, tries, then);
+          } else {
+            again(got.status(), tries, then, () -> read(uid, tries - 1, then));
+          }
         });
-    }
+  }
 
-    /** A job that waits for others, or did: whether it is aborted through one of them follows from how those ended. */
-    private void chain(String uid, long stamp, Consumer<Look> then) {
-        chains.ask(uid, answer -> {
-            switch (answer) {
-                case WAITING -> then.accept(new Look(Standing.ACTIVE, stamp, null));
-                case RELEASED -> {
-                    // Nothing before it can be aborted any more: from now on it is a job like others.
-                    stamps.put(uid, stamp);
-                    then.accept(new Look(Standing.ACTIVE, stamp, null));
-                }
-                case ABORTED -> abortThrough(uid, stamp, then);
-                case ENDED -> readEnded(uid, TRIES, then);
-                case UNAVAILABLE -> then.accept(Look.UNAVAILABLE);
+  /**
+   * A job that waits for others, or did: whether it is aborted through one of them follows from how
+   * those ended.
+   */
+  private void chain(String uid, long stamp, Consumer<Look> then) {
+    chains.ask(
+        uid,
+        answer -> {
+          switch (answer) {
+            case WAITING -> then.accept(new Look(Standing.ACTIVE, stamp, null));
+            case RELEASED -> {
+              // Nothing before it can be aborted any more: from now on it is a job like others.
+              stamps.put(uid, stamp);
+              then.accept(new Look(Standing.ACTIVE, stamp, null));
             }
+            case ABORTED -> abortThrough(uid, stamp, then);
+            case ENDED -> readEnded(uid, TRIES, then);
+            case UNAVAILABLE -> then.accept(Look.UNAVAILABLE);
+          }
         });
-    }
+  }
 
-    /** Stored before it is told, like every end. */
-    private void abortThrough(String uid, long stamp, Consumer<Look> then) {
-        String through = chains.through(uid);
-        Txn txn = layout.end(uid, stamp, JobState.ABORTED, loop.wallMicros(), List.of());
-        store.txn(txn, StateClient.Class.URGENT, result -> {
-            switch (result.outcome()) {
-                case APPLIED -> {
-                    LOG.info("{} is aborted through {}", uid, through);
-                    metrics.count("jobs_aborted_through");
-                    ended(uid, JobState.ABORTED);
-                    then.accept(new Look(Standing.ENDED, 0, JobState.ABORTED));
-                }
-                case REFUSED -> then.accept(Look.UNAVAILABLE);
-                // Somebody else stored it, or this was carried out unheard: the record tells.
-                default -> readEnded(uid, TRIES, look -> then.accept(look.standing() == Standing.ENDED ? look : Look.UNAVAILABLE));
+  /** Stored before it is told, like every end. */
+  private void abortThrough(String uid, long stamp, Consumer<Look> then) {
+    String through = chains.through(uid);
+    Txn txn = layout.end(uid, stamp, JobState.ABORTED, loop.wallMicros(), List.of());
+    store.txn(
+        txn,
+        StateClient.Class.URGENT,
+        result -> {
+          switch (result.outcome()) {
+            case APPLIED -> {
+              LOG.info("{} is aborted through {}", uid, through);
+              metrics.count("jobs_aborted_through");
+              ended(uid, JobState.ABORTED);
+              then.accept(new Look(Standing.ENDED, 0, JobState.ABORTED));
             }
+            case REFUSED -> then.accept(Look.UNAVAILABLE);
+            // Somebody else stored it, or this was carried out unheard: the record tells.
+            default ->
+                readEnded(
+                    uid,
+                    TRIES,
+                    look ->
+                        then.accept(look.standing() == Standing.ENDED ? look : Look.UNAVAILABLE));
+          }
         });
-    }
+  }
 
-    private void readEnded(String uid, int tries, Consumer<Look> then) {
-        JobState known = ended.getIfPresent(uid);
-        if (known != null) {
-            then.accept(new Look(Standing.ENDED, 0, known));
-            return;
-        }
-        store.get(JobStore.endedKey(uid), StateClient.Class.ORDINARY, got -> {
-            JobState how = got.found() ? JobStore.finalState(got.item().data()) : null;
-            if (how != null) {
-                ended(uid, how);
-                then.accept(new Look(Standing.ENDED, 0, how));
-            } else if (got.missing()) {
-                then.accept(Look.MISSING);
-            } else {
-                again(got.status(), tries, then, () -> readEnded(uid, tries - 1, then));
-            }
-        });
+  private void readEnded(String uid, int tries, Consumer<Look> then) {
+    JobState known = ended.getIfPresent(uid);
+    if (known != null) {
+      then.accept(new Look(Standing.ENDED, 0, known));
+      return;
     }
+    store.get(
+        JobStore.endedKey(uid),
+        StateClient.Class.ORDINARY,
+        got -> {
+          JobState how = got.found() ? JobStore.finalState(got.item().data()) : null;
+          if (how != null) {
+            ended(uid, how);
+            then.accept(new Look(Standing.ENDED, 0, how));
+          } else if (got.missing()) {
+            then.accept(Look.MISSING);
+          } else {
+            again(got.status(), tries, then, () -> readEnded(uid, tries - 1, then));
+          }
+        });
+  }
 
-    /** A read that was refused by a rate limit is tried again shortly; an outage is told at once. */
-    private void again(int status, int tries, Consumer<Look> then, Runnable retry) {
-        if (status == 429 && tries > 1) {
-            loop.after(AGAIN_MICROS, retry);
-        } else {
-            then.accept(Look.UNAVAILABLE);
-        }
+  /** A read that was refused by a rate limit is tried again shortly; an outage is told at once. */
+  private void again(int status, int tries, Consumer<Look> then, Runnable retry) {
+    if (status == 429 && tries > 1) {
+      loop.after(AGAIN_MICROS, retry);
+    } else {
+      then.accept(Look.UNAVAILABLE);
     }
+  }
 }
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -21,313 +21,347 @@
  * The layout of the records in the state service.
  *
  * <ul>
- *   <li>{@code active/ID}: the submission, while the job has not ended. Accepting a job is this one change.
- *   <li>{@code ended/ID}: how it ended, kept for ever; written in the transaction that drops the one above. So a new
- *       leader reads only what is left to do, and a poll of a job reads one key, or two after its end.
- *   <li>{@code progress/ID/from-TASK}: bitmap of finished tasks of a large job, from that task on; {@code progress/pack/N}:
- *       those of many small ones, since changes are what the state service has least of. Earlier versions wrote
- *       {@code progress/ID/CHUNK}, cut up by the largest value of their settings, which is read and not written any more;
- *       they pass over the present form, for they would take its bits for those of other tasks.
- *   <li>{@code waits/ID/DIGEST/N}: the names that a job waits on, where they do not fit its record; written before it.
- *   <li>{@code fleet/N}: machines that may hold tasks, as many as fit one value. A machine is in one of them before
- *       anything is ordered from it, so a new leader knows every machine that could run something, however far the
- *       cloud's list lags.
- *   <li>{@code begun/N}: jobs that a leader may have ordered something of, as many as fit one value. A job is in one of
- *       them before its first order, so what a new leader does not find there is on no machine.
+ *   <li>{@code active/ID}: the submission, while the job has not ended. Accepting a job is this one
+ *       change.
+ *   <li>{@code ended/ID}: how it ended, kept for ever; written in the transaction that drops the
+ *       one above. So a new leader reads only what is left to do, and a poll of a job reads one
+ *       key, or two after its end.
+ *   <li>{@code progress/ID/from-TASK}: bitmap of finished tasks of a large job, from that task on;
+ *       {@code progress/pack/N}: those of many small ones, since changes are what the state service
+ *       has least of. Earlier versions wrote {@code progress/ID/CHUNK}, cut up by the largest value
+ *       of their settings, which is read and not written any more; they pass over the present form,
+ *       for they would take its bits for those of other tasks.
+ *   <li>{@code waits/ID/DIGEST/N}: the names that a job waits on, where they do not fit its record;
+ *       written before it.
+ *   <li>{@code fleet/N}: machines that may hold tasks, as many as fit one value. A machine is in
+ *       one of them before anything is ordered from it, so a new leader knows every machine that
+ *       could run something, however far the cloud's list lags.
+ *   <li>{@code begun/N}: jobs that a leader may have ordered something of, as many as fit one
+ *       value. A job is in one of them before its first order, so what a new leader does not find
+ *       there is on no machine.
  *   <li>{@code hints/N}: what a leader learnt of images and estimates, for its successor.
- *   <li>{@code catalog}: the last machine types read, for a node that starts while the cloud is down.
+ *   <li>{@code catalog}: the last machine types read, for a node that starts while the cloud is
+ *       down.
  * </ul>
  */
 public final class JobStore {
-    public static final String ACTIVE = "active/";
-    public static final String PROGRESS = "progress/";
-    public static final String FLEET = "fleet/";
-    public static final String BEGUN = "begun/";
-    public static final String CATALOG = "catalog";
-    public static final String HINTS = "hints/";
-    public static final String ENDED = "ended/";
-    private static final String PACK = PROGRESS + "pack/";
-    private static final String PACKED = "p";
-    private static final String STATE = "s";
-    private static final String SPEC = "job";
-    private static final String ACCEPTED_MS = "at_ms";
-    private static final String BITS = "b";
-    private static final String FIRST = "f";
-    private static final String FROM = "from-";
-    private static final String WAITS = "waits/";
-    private static final String WAITS_AT = "waits";
-    private static final String DIGEST = "digest";
-    private static final String PARTS = "parts";
-    private static final String NAMES = "names";
-    private static final String ENDED_MS = "at_ms";
-    /** What the JSON round a list of names takes. */
-    private static final int NAMES_BASE_BYTES = 32;
-
-    private final WriteLimits limits;
-    private final int statedValueBytes;
-
-    public JobStore(WriteLimits limits) {
-        this.limits = limits;
-        this.statedValueBytes = limits.valueBytes();
-    }
-
-    public WriteLimits limits() {
-        return limits;
-    }
-
-    public int valueBytes() {
-        return limits.valueBytes();
-    }
-
-    public static String endedKey(String uid) {
-        return ENDED + uid;
-    }
-
-    public static String activeKey(String uid) {
-        return ACTIVE + uid;
-    }
-
-    public static String rosterKey(int chunk) {
-        return FLEET + chunk;
-    }
-
-    public static String begunKey(int chunk) {
-        return BEGUN + chunk;
-    }
-
-    public static String hintsKey(int part) {
-        return HINTS + part;
-    }
-
-    /** Number of a record that entries share, or -1. */
-    public static int numberOf(String key) {
-        try {
-            return Integer.parseInt(key.substring(key.indexOf('/') + 1));
-        } catch (NumberFormatException e) {
-            return -1;
-        }
-    }
-
-    /** The record of the tasks from this one on. */
-    public static String progressKey(String uid, int firstTask) {
-        return PROGRESS + uid + "/" + FROM + firstTask;
-    }
-
-    public static String packKey(int pack) {
-        return PACK + pack;
-    }
-
-    /** Number of the pack, or -1 for any other key. */
-    public static int packOf(String key) {
-        if (!key.startsWith(PACK)) {
-            return -1;
-        }
-        try {
-            return Integer.parseInt(key, PACK.length(), key.length(), 10);
-        } catch (NumberFormatException e) {
-            return -1;
-        }
-    }
-
-    /**
-     * How a job is accepted.
-     *
-     * @param parts what has to be stored before the transaction, by key: the names that it waits on, if they do not fit
-     */
-    public record Acceptance(Map<String, ObjectNode> parts, Txn txn) {}
-
-    /** Null when the record is too long to store, whatever it waits on. */
-    public Acceptance accept(JobSpec spec, long wallMicros) {
-        ObjectNode active = Json.object().put(ACCEPTED_MS, wallMicros / 1_000);
-        active.set(SPEC, spec.toJson());
-        Map<String, ObjectNode> parts = Map.of();
-        if (spec.waits() && bytes(active) > valueBytes()) {
-            active.set(SPEC, spec.waitingOn(List.of()).toJson());
-            String digest = digest(spec.waitsOn());
-            parts = parts(waitsKey(spec.uid(), digest), spec.waitsOn());
-            active.putObject(WAITS_AT).put(DIGEST, digest).put(PARTS, parts.size());
-        }
-        if (bytes(active) > statedValueBytes) {
-            return null;
-        }
-        Txn txn = new Txn().guard(activeKey(spec.uid()), 0).guard(endedKey(spec.uid()), 0).put(activeKey(spec.uid()), active);
-        return new Acceptance(parts, txn);
-    }
-
-    private static int bytes(JsonNode value) {
-        return Json.write(value).getBytes(StandardCharsets.UTF_8).length;
-    }
-
-    private static String waitsKey(String uid, String digest) {
-        return WAITS + uid + "/" + digest + "/";
-    }
-
-    /** Names the list, and how it is cut up: whoever stores the same list the same way stores the same values. */
-    private String digest(List<String> names) {
-        return Hashing.sha256().hashString(valueBytes() + " " + String.join(" ", names), StandardCharsets.UTF_8).toString().substring(0, 24);
-    }
-
-    private Map<String, ObjectNode> parts(String prefix, List<String> names) {
-        Map<String, ObjectNode> parts = new LinkedHashMap<>();
-        ArrayNode part = null;
-        int bytes = 0;
-        for (String name : names) {
-            if (part == null || bytes + name.length() + 3 > valueBytes()) {
-                ObjectNode value = Json.object();
-                part = value.putArray(NAMES);
-                parts.put(prefix + parts.size(), value);
-                bytes = NAMES_BASE_BYTES;
-            }
-            part.add(name);
-            bytes += name.length() + 3;
-        }
-        return parts;
-    }
-
-    /** True if the job waits on others. */
-    static boolean waits(JsonNode activeRecord) {
-        return activeRecord.has(WAITS_AT) || !activeRecord.path(SPEC).path("waits_on").isEmpty();
-    }
-
-    /** What the job waits on, where its own record holds that. */
-    static List<String> waitsInline(JsonNode activeRecord) {
-        List<String> names = new ArrayList<>();
-        activeRecord.path(SPEC).path("waits_on").forEach(n -> names.add(n.asText()));
-        return names;
-    }
-
-    /** The keys that hold what the job waits on, besides its own record. */
-    public static List<String> waitsKeys(String uid, JsonNode activeRecord) {
-        JsonNode at = activeRecord.path(WAITS_AT);
-        List<String> keys = new ArrayList<>();
-        for (int i = 0; i < at.path(PARTS).asInt(); i++) {
-            keys.add(waitsKey(uid, at.path(DIGEST).asText()) + i);
-        }
-        return keys;
-    }
-
-    /** The names that a part holds. */
-    public static List<String> names(JsonNode part) {
-        List<String> names = new ArrayList<>();
-        part.path(NAMES).forEach(n -> names.add(n.asText()));
-        return names;
-    }
-
-    /**
-     * Ends a job: its state is final from here on.
-     *
-     * @param drops records of it that are of no use any more, as many as the transaction takes
-     */
-    public Txn end(String uid, long stamp, JobState how, long wallMicros, List<String> drops) {
-        Txn txn = new Txn().guard(activeKey(uid), stamp).put(endedKey(uid), state(how.wireName()).put(ENDED_MS, wallMicros / 1_000))
-                .drop(activeKey(uid));
-        drops.stream().limit(Math.max(0, limits.txnOps() - txn.changes())).forEach(txn::drop);
-        return txn;
-    }
-
-    /** How many records the end of a job can drop. */
-    public int dropsAtEnd() {
-        return Math.max(0, limits.txnOps() - 2);
-    }
-
-    /** When it ended, by the clock of the controller that stored it; 0 where an earlier version did. */
-    public static long endedWallMicros(JsonNode endedRecord) {
-        return endedRecord.path(ENDED_MS).asLong(0) * 1_000;
-    }
-
-    private static ObjectNode state(String s) {
-        return Json.object().put(STATE, s);
-    }
-
-    /** Null when it can't be read. */
-    public static JobState finalState(JsonNode endedRecord) {
-        String s = endedRecord.path(STATE).asText();
-        for (JobState f : JobState.values()) {
-            if (f.isFinal() && f.wireName().equals(s)) {
-                return f;
-            }
-        }
-        return null;
-    }
-
-    public static JobSpec spec(JsonNode activeRecord) throws InvalidMessage {
-        if (!(activeRecord.get(SPEC) instanceof ObjectNode o)) {
-            throw new InvalidMessage("the record holds no job");
-        }
-        return JobSpec.parse(o);
-    }
-
-    public static long acceptedWallMicros(JsonNode activeRecord) {
-        return activeRecord.path(ACCEPTED_MS).asLong() * 1_000;
-    }
-
-    /** How many tasks one record of a large job holds: Base64 makes 4 bytes of 3, the rest is room for the JSON round it. */
-    public int tasksPerChunk() {
-        return tasksPerChunk(valueBytes());
-    }
-
-    private static int tasksPerChunk(int valueBytes) {
-        return (valueBytes - 64) / 4 * 3 * 8;
-    }
-
-    public JsonNode chunk(BitSet done, int firstTask, int tasks) {
-        byte[] raw = done.get(firstTask, firstTask + tasks).toByteArray();
-        return Json.object().put(FIRST, firstTask).put(BITS, Base64.getEncoder().encodeToString(raw));
-    }
-
-    /** Bytes the job takes in a pack, or -1 when it is too large to share a record. */
-    public int packedBytes(JobSpec spec) {
-        int bytes = packSize(spec);
-        return bytes <= valueBytes() / 8 ? bytes : -1;
-    }
-
-    /** Bytes the job takes in a pack, whether or not it may share one. */
-    public static int packSize(JobSpec spec) {
-        return spec.uid().length() + 8 + (spec.pieces() + 23) / 24 * 4;
-    }
-
-    /** Room in a pack. */
-    public int packBytes() {
-        return valueBytes() - 32;
-    }
-
-    public JsonNode pack(Map<String, BitSet> doneByJob) {
-        ObjectNode packed = Json.object();
-        doneByJob.forEach((uid, done) -> packed.put(uid, Base64.getEncoder().encodeToString(done.toByteArray())));
-        ObjectNode o = Json.object();
-        o.set(PACKED, packed);
-        return o;
-    }
-
-    /** The finished tasks by job; a job whose bitmap can't be read has none. */
-    public static Map<String, BitSet> readPack(JsonNode record) {
-        Map<String, BitSet> out = new LinkedHashMap<>();
-        record.path(PACKED).fields().forEachRemaining(e -> {
-            try {
+  public static final String ACTIVE = "active/";
+  public static final String PROGRESS = "progress/";
+  public static final String FLEET = "fleet/";
+  public static final String BEGUN = "begun/";
+  public static final String CATALOG = "catalog";
+  public static final String HINTS = "hints/";
+  public static final String ENDED = "ended/";
+  private static final String PACK = PROGRESS + "pack/";
+  private static final String PACKED = "p";
+  private static final String STATE = "s";
+  private static final String SPEC = "job";
+  private static final String ACCEPTED_MS = "at_ms";
+  private static final String BITS = "b";
+  private static final String FIRST = "f";
+  private static final String FROM = "from-";
+  private static final String WAITS = "waits/";
+  private static final String WAITS_AT = "waits";
+  private static final String DIGEST = "digest";
+  private static final String PARTS = "parts";
+  private static final String NAMES = "names";
+  private static final String ENDED_MS = "at_ms";
+
+  /** What the JSON round a list of names takes. */
+  private static final int NAMES_BASE_BYTES = 32;
+
+  private final WriteLimits limits;
+  private final int statedValueBytes;
+
+  public JobStore(WriteLimits limits) {
+    this.limits = limits;
+    this.statedValueBytes = limits.valueBytes();
+  }
+
+  public WriteLimits limits() {
+    return limits;
+  }
+
+  public int valueBytes() {
+    return limits.valueBytes();
+  }
+
+  public static String endedKey(String uid) {
+    return ENDED + uid;
+  }
+
+  public static String activeKey(String uid) {
+    return ACTIVE + uid;
+  }
+
+  public static String rosterKey(int chunk) {
+    return FLEET + chunk;
+  }
+
+  public static String begunKey(int chunk) {
+    return BEGUN + chunk;
+  }
+
+  public static String hintsKey(int part) {
+    return HINTS + part;
+  }
+
+  /** Number of a record that entries share, or -1. */
+  public static int numberOf(String key) {
+    try {
+      return Integer.parseInt(key.substring(key.indexOf('/') + 1));
+    } catch (NumberFormatException e) {
+      return -1;
+    }
+  }
+
+  /** The record of the tasks from this one on. */
+  public static String progressKey(String uid, int firstTask) {
+    return PROGRESS + uid + "/" + FROM + firstTask;
+  }
+
+  public static String packKey(int pack) {
+    return PACK + pack;
+  }
+
+  /** Number of the pack, or -1 for any other key. */
+  public static int packOf(String key) {
+    if (!key.startsWith(PACK)) {
+      return -1;
+    }
+    try {
+      return Integer.parseInt(key, PACK.length(), key.length(), 10);
+    } catch (NumberFormatException e) {
+      return -1;
+    }
+  }
+
+  /**
+   * How a job is accepted.
+   *
+   * @param parts what has to be stored before the transaction, by key: the names that it waits on,
+   *     if they do not fit
+   */
+  public record Acceptance(Map<String, ObjectNode> parts, Txn txn) {}
+
+  /** Null when the record is too long to store, whatever it waits on. */
+  public Acceptance accept(JobSpec spec, long wallMicros) {
+    ObjectNode active = Json.object().put(ACCEPTED_MS, wallMicros / 1_000);
+    active.set(SPEC, spec.toJson());
+    Map<String, ObjectNode> parts = Map.of();
+    if (spec.waits() && bytes(active) > valueBytes()) {
+      active.set(SPEC, spec.waitingOn(List.of()).toJson());
+      String digest = digest(spec.waitsOn());
+      parts = parts(waitsKey(spec.uid(), digest), spec.waitsOn());
+      active.putObject(WAITS_AT).put(DIGEST, digest).put(PARTS, parts.size());
+    }
+    if (bytes(active) > statedValueBytes) {
+      return null;
+    }
+    Txn txn =
+        new Txn()
+            .guard(activeKey(spec.uid()), 0)
+            .guard(endedKey(spec.uid()), 0)
+            .put(activeKey(spec.uid()), active);
+    return new Acceptance(parts, txn);
+  }
+
+  private static int bytes(JsonNode value) {
+    return Json.write(value).getBytes(StandardCharsets.UTF_8).length;
+  }
+
+  private static String waitsKey(String uid, String digest) {
+    return WAITS + uid + "/" + digest + "/";
+  }
+
+  /**
+   * Names the list, and how it is cut up: whoever stores the same list the same way stores the same
+   * values.
+   */
+  private String digest(List<String> names) {
+    return Hashing.sha256()
+        .hashString(valueBytes() + " " + String.join(" ", names), StandardCharsets.UTF_8)
+        .toString()
+        .substring(0, 24);
+  }
+
+  private Map<String, ObjectNode> parts(String prefix, List<String> names) {
+    Map<String, ObjectNode> parts = new LinkedHashMap<>();
+    ArrayNode part = null;
+    int bytes = 0;
+    for (String name : names) {
+      if (part == null || bytes + name.length() + 3 > valueBytes()) {
+        ObjectNode value = Json.object();
+        part = value.putArray(NAMES);
+        parts.put(prefix + parts.size(), value);
+        bytes = NAMES_BASE_BYTES;
+      }
+      part.add(name);
+      bytes += name.length() + 3;
+    }
+    return parts;
+  }
+
+  /** True if the job waits on others. */
+  static boolean waits(JsonNode activeRecord) {
+    return activeRecord.has(WAITS_AT) || !activeRecord.path(SPEC).path("waits_on").isEmpty();
+  }
+
+  /** What the job waits on, where its own record holds that. */
+  static List<String> waitsInline(JsonNode activeRecord) {
+    List<String> names = new ArrayList<>();
+    activeRecord.path(SPEC).path("waits_on").forEach(n -> names.add(n.asText()));
+    return names;
+  }
+
+  /** The keys that hold what the job waits on, besides its own record. */
+  public static List<String> waitsKeys(String uid, JsonNode activeRecord) {
+    JsonNode at = activeRecord.path(WAITS_AT);
+    List<String> keys = new ArrayList<>();
+    for (int i = 0; i < at.path(PARTS).asInt(); i++) {
+      keys.add(waitsKey(uid, at.path(DIGEST).asText()) + i);
+    }
+    return keys;
+  }
+
+  /** The names that a part holds. */
+  public static List<String> names(JsonNode part) {
+    List<String> names = new ArrayList<>();
+    part.path(NAMES).forEach(n -> names.add(n.asText()));
+    return names;
+  }
+
+  /**
+   * Ends a job: its state is final from here on.
+   *
+   * @param drops records of it that are of no use any more, as many as the transaction takes
+   */
+  public Txn end(String uid, long stamp, JobState how, long wallMicros, List<String> drops) {
+    Txn txn =
+        new Txn()
+            .guard(activeKey(uid), stamp)
+            .put(endedKey(uid), state(how.wireName()).put(ENDED_MS, wallMicros / 1_000))
+            .drop(activeKey(uid));
+    drops.stream().limit(Math.max(0, limits.txnOps() - txn.changes())).forEach(txn::drop);
+    return txn;
+  }
+
+  /** How many records the end of a job can drop. */
+  public int dropsAtEnd() {
+    return Math.max(0, limits.txnOps() - 2);
+  }
+
+  /**
+   * When it ended, by the clock of the controller that stored it; 0 where an earlier version did.
+   */
+  public static long endedWallMicros(JsonNode endedRecord) {
+    return endedRecord.path(ENDED_MS).asLong(0) * 1_000;
+  }
+
+  private static ObjectNode state(String s) {
+    return Json.object().put(STATE, s);
+  }
+
+  /** Null when it can't be read. */
+  public static JobState finalState(JsonNode endedRecord) {
+    String s = endedRecord.path(STATE).asText();
+    for (JobState f : JobState.values()) {
+      if (f.isFinal() && f.wireName().equals(s)) {
+        return f;
+      }
+    }
+    return null;
+  }
+
+  public static JobSpec spec(JsonNode activeRecord) throws InvalidMessage {
+    if (!(activeRecord.get(SPEC) instanceof ObjectNode o)) {
+      throw new InvalidMessage("the record holds no job");
+    }
+    return JobSpec.parse(o);
+  }
+
+  public static long acceptedWallMicros(JsonNode activeRecord) {
+    return activeRecord.path(ACCEPTED_MS).asLong() * 1_000;
+  }
+
+  /**
+   * How many tasks one record of a large job holds: Base64 makes 4 bytes of 3, the rest is room for
+   * the JSON round it.
+   */
+  public int tasksPerChunk() {
+    return tasksPerChunk(valueBytes());
+  }
+
+  private static int tasksPerChunk(int valueBytes) {
+    return (valueBytes - 64) / 4 * 3 * 8;
+  }
+
+  public JsonNode chunk(BitSet done, int firstTask, int tasks) {
+    byte[] raw = done.get(firstTask, firstTask + tasks).toByteArray();
+    return Json.object().put(FIRST, firstTask).put(BITS, Base64.getEncoder().encodeToString(raw));
+  }
+
+  /** Bytes the job takes in a pack, or -1 when it is too large to share a record. */
+  public int packedBytes(JobSpec spec) {
+    int bytes = packSize(spec);
+    return bytes <= valueBytes() / 8 ? bytes : -1;
+  }
+
+  /** Bytes the job takes in a pack, whether or not it may share one. */
+  public static int packSize(JobSpec spec) {
+    return spec.uid().length() + 8 + (spec.pieces() + 23) / 24 * 4;
+  }
+
+  /** Room in a pack. */
+  public int packBytes() {
+    return valueBytes() - 32;
+  }
+
+  public JsonNode pack(Map<String, BitSet> doneByJob) {
+    ObjectNode packed = Json.object();
+    doneByJob.forEach(
+        (uid, done) -> packed.put(uid, Base64.getEncoder().encodeToString(done.toByteArray())));
+    ObjectNode o = Json.object();
+    o.set(PACKED, packed);
+    return o;
+  }
+
+  /** The finished tasks by job; a job whose bitmap can't be read has none. */
+  public static Map<String, BitSet> readPack(JsonNode record) {
+    Map<String, BitSet> out = new LinkedHashMap<>();
+    record
+        .path(PACKED)
+        .fields()
+        .forEachRemaining(
+            e -> {
+              try {
                 out.put(e.getKey(), BitSet.valueOf(e.getValue().binaryValue()));
-            } catch (IOException | NullPointerException x) {
+              } catch (IOException | NullPointerException x) {
                 out.put(e.getKey(), new BitSet());
-            }
-        });
-        return out;
-    }
-
-    /**
-     * Adds the tasks of a stored chunk to {@code into}.
-     *
-     * @param name the last part of its key
-     */
-    public void readChunk(JsonNode record, String name, BitSet into) throws InvalidMessage {
-        try {
-            BitSet bits = BitSet.valueOf(record.path(BITS).binaryValue());
-            int from = name.startsWith(FROM) ? Integer.parseInt(name.substring(FROM.length()))
-                    : Math.multiplyExact(Integer.parseInt(name), tasksPerChunk(limits.formerValueBytes()));
-            if (from < 0 || (record.has(FIRST) && record.get(FIRST).asInt(-1) != from)) {
-                throw new InvalidMessage("a progress record is not what its key says");
-            }
-            bits.stream().forEach(i -> into.set(from + i));
-        } catch (IOException | NullPointerException | NumberFormatException | ArithmeticException e) {
-            throw new InvalidMessage("a progress record can't be read");
-        }
-    }
+              }
+            });
+    return out;
+  }
+
+  /**
+   * Adds the tasks of a stored chunk to {@code into}.
+   *
+   * @param name the last part of its key
+   */
+  public void readChunk(JsonNode record, String name, BitSet into) throws InvalidMessage {
+    try {
+      BitSet bits = BitSet.valueOf(record.path(BITS).binaryValue());
+      int from =
+          name.startsWith(FROM)
+              ? Integer.parseInt(name.substring(FROM.length()))
+              : Math.multiplyExact(
+                  Integer.parseInt(name), tasksPerChunk(limits.formerValueBytes()));
+      if (from < 0 || (record.has(FIRST) && record.get(FIRST).asInt(-1) != from)) {
+        throw new InvalidMessage("a progress record is not what its key says");
+      }
+      bits.stream().forEach(i -> into.set(from + i));
+    } catch (IOException | NullPointerException | NumberFormatException | ArithmeticException e) {
+      throw new InvalidMessage("a progress record can't be read");
+    }
+  }
 }
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -19,244 +19,357 @@
 import plumlever.wire.Json;
 
 /**
- * The state service's client. Keeps this node's part of the request limits; a request over it is refused here,
- * at once. Answers that can't be understood count as no answer.
+ * The state service's client. Keeps this node's part of the request limits; a request over it is
+ * refused here, at once. Answers that can't be understood count as no answer.
  */
 public final class StateClient {
-    /** A key with its value, revision and the grant it hangs on (0: none). */
-    public record Item(String key, JsonNode data, long stamp, long permit) {}
-
-    /** @param status 200, 404, or anything else for "not known"; 0 without an answer */
-    public record Got(int status, Item item) {
-        public boolean found() {
-            return status == 200;
-        }
-
-        public boolean missing() {
-            return status == 404;
-        }
-    }
+  /** A key with its value, revision and the grant it hangs on (0: none). */
+  public record Item(String key, JsonNode data, long stamp, long permit) {}
 
-    /** All keys under a prefix, as of a revision from which changes can be followed. */
-    public record Listing(List<Item> items, long epoch) {}
-
-    /** One change; {@code data} is null when the key was dropped. */
-    public record Change(String key, JsonNode data, long stamp) {}
-
-    /** @param status 200, 410 when {@code since} was too old, else not known */
-    public record Changes(int status, long epoch, List<Change> log) {}
-
-    /** What a renewal brought. */
-    public enum Touch { RENEWED, ENDED, UNKNOWN }
-
-    /** Ordinary requests wait their turn; urgent ones (office, grants) go whatever the rate. */
-    public enum Class { URGENT, ORDINARY }
-
-    private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
-    private static final long TIMEOUT_MICROS = 1_800_000;
-    /** The limits are shared by all nodes, so each takes up to this part. */
-    private static final double PART = 0.5;
-    /** Of the changes the leader needs most: ends of jobs, records of jobs and machines, progress. */
-    private static final double LEADER_PART = 0.7;
-    private static final int PAGE = 500;
-    /** A prefix of no key. */
-    private static final String NOTHING = "nothing/";
-
-    private final Loop loop;
-    private final Caller caller;
-    private final Endpoint at;
-    private final Metrics metrics;
-    private final TokenBucket requests;
-    private final TokenBucket writes;
-    private final double writesPerS;
-    private final WriteLimits limits;
-    private final Map<String, Long> surprises = new HashMap<>();
-    private long lastServedMicros;
-    private long refusedSinceMicros = -1;
-
-    public StateClient(Loop loop, Caller caller, Endpoint at, Platform.StateLimits limits, Metrics metrics) {
-        this.limits = new WriteLimits(limits);
-        this.metrics = metrics;
-        this.loop = loop;
-        this.caller = caller;
-        this.at = at;
-        this.requests = new TokenBucket(limits.rps() * PART, loop.nowMicros());
-        this.writesPerS = limits.writeRps();
-        this.writes = new TokenBucket(writesPerS * PART, loop.nowMicros());
-        this.lastServedMicros = loop.nowMicros();
+  /**
+   * @param status 200, 404, or anything else for "not known"; 0 without an answer
+   */
+  public record Got(int status, Item item) {
+    public boolean found() {
+      return status == 200;
     }
 
-    /** How much one write may hold. */
-    public WriteLimits limits() {
-        return limits;
+    public boolean missing() {
+      return status == 404;
     }
+  }
 
-    /** This node leads now, or does no more. */
-    public void leads(boolean now) {
-        writes.rate(writesPerS * (now ? LEADER_PART : PART), loop.nowMicros());
-    }
+  /** All keys under a prefix, as of a revision from which changes can be followed. */
+  public record Listing(List<Item> items, long epoch) {}
 
-    /** When the service last did anything but refuse this node. */
-    public long lastServedMicros() {
-        return lastServedMicros;
-    }
+  /** One change; {@code data} is null when the key was dropped. */
+  public record Change(String key, JsonNode data, long stamp) {}
 
-    /**
-     * How long every request has been refused or unanswered; 0 while the service serves this node. A quiet node asks
-     * little, so silence alone is no sign.
-     */
-    public long refusedForMicros() {
-        return refusedSinceMicros < 0 ? 0 : loop.nowMicros() - refusedSinceMicros;
-    }
+  /**
+   * @param status 200, 410 when {@code since} was too old, else not known
+   */
+  public record Changes(int status, long epoch, List<Change> log) {}
 
-    public void get(String key, Class c, Consumer<Got> then) {
-        send(c, 0, "GET", "/keys/" + key, null, TIMEOUT_MICROS, (status, o) -> {
-            if (status == 200 && o != null && o.hasNonNull("data") && o.path("stamp").isIntegralNumber()) {
-                then.accept(new Got(200, new Item(key, o.get("data"), o.get("stamp").longValue(), o.path("permit").asLong(0))));
-            } else {
-                then.accept(new Got(status == 200 ? 0 : status, null));
-            }
+  /** What a renewal brought. */
+  public enum Touch {
+    RENEWED,
+    ENDED,
+    UNKNOWN
+  }
+
+  /** Ordinary requests wait their turn; urgent ones (office, grants) go whatever the rate. */
+  public enum Class {
+    URGENT,
+    ORDINARY
+  }
+
+  private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
+  private static final long TIMEOUT_MICROS = 1_800_000;
+
+  /** The limits are shared by all nodes, so each takes up to this part. */
+  private static final double PART = 0.5;
+
+  /** Of the changes the leader needs most: ends of jobs, records of jobs and machines, progress. */
+  private static final double LEADER_PART = 0.7;
+
+  private static final int PAGE = 500;
+
+  /** A prefix of no key. */
+  private static final String NOTHING = "nothing/";
+
+  private final Loop loop;
+  private final Caller caller;
+  private final Endpoint at;
+  private final Metrics metrics;
+  private final TokenBucket requests;
+  private final TokenBucket writes;
+  private final double writesPerS;
+  private final WriteLimits limits;
+  private final Map<String, Long> surprises = new HashMap<>();
+  private long lastServedMicros;
+  private long refusedSinceMicros = -1;
+
+  public StateClient(
+      Loop loop, Caller caller, Endpoint at, Platform.StateLimits limits, Metrics metrics) {
+    this.limits = new WriteLimits(limits);
+    this.metrics = metrics;
+    this.loop = loop;
+    this.caller = caller;
+    this.at = at;
+    this.requests = new TokenBucket(limits.rps() * PART, loop.nowMicros());
+    this.writesPerS = limits.writeRps();
+    this.writes = new TokenBucket(writesPerS * PART, loop.nowMicros());
+    this.lastServedMicros = loop.nowMicros();
+  }
+
+  /** How much one write may hold. */
+  public WriteLimits limits() {
+    return limits;
+  }
+
+  /** This node leads now, or does no more. */
+  public void leads(boolean now) {
+    writes.rate(writesPerS * (now ? LEADER_PART : PART), loop.nowMicros());
+  }
+
+  /** When the service last did anything but refuse this node. */
+  public long lastServedMicros() {
+    return lastServedMicros;
+  }
+
+  /**
+   * How long every request has been refused or unanswered; 0 while the service serves this node. A
+   * quiet node asks little, so silence alone is no sign.
+   */
+  public long refusedForMicros() {
+    return refusedSinceMicros < 0 ? 0 : loop.nowMicros() - refusedSinceMicros;
+  }
+
+  public void get(String key, Class c, Consumer<Got> then) {
+    send(
+        c,
+        0,
+        "GET",
+        "/keys/" + key,
+        null,
+        TIMEOUT_MICROS,
+        (status, o) -> {
+          if (status == 200
+              && o != null
+              && o.hasNonNull("data")
+              && o.path("stamp").isIntegralNumber()) {
+            then.accept(
+                new Got(
+                    200,
+                    new Item(
+                        key,
+                        o.get("data"),
+                        o.get("stamp").longValue(),
+                        o.path("permit").asLong(0))));
+          } else {
+            then.accept(new Got(status == 200 ? 0 : status, null));
+          }
         });
-    }
+  }
 
-    /** @param then takes null when the keys could not all be read */
-    public void list(String prefix, Class c, Consumer<Listing> then) {
-        page(prefix, null, c, new ArrayList<>(), -1, then);
-    }
+  /**
+   * @param then takes null when the keys could not all be read
+   */
+  public void list(String prefix, Class c, Consumer<Listing> then) {
+    page(prefix, null, c, new ArrayList<>(), -1, then);
+  }
 
-    private void page(String prefix, String since, Class c, List<Item> into, long firstEpoch, Consumer<Listing> then) {
-        String path = "/keys?under=" + prefix + "&page=" + PAGE + (since == null ? "" : "&since=" + since);
-        send(c, 0, "GET", path, null, TIMEOUT_MICROS, (status, o) -> {
-            if (status != 200 || o == null || !o.path("items").isArray() || !o.path("epoch").isIntegralNumber()) {
-                then.accept(null);
-                return;
-            }
-            String last = null;
-            for (JsonNode n : o.get("items")) {
-                last = n.path("k").asText();
-                into.add(new Item(last, n.path("data"), n.path("stamp").asLong(), n.path("permit").asLong(0)));
-            }
-            // Pages are read at different revisions; following from the first one misses nothing in between.
-            long epoch = firstEpoch >= 0 ? firstEpoch : o.get("epoch").longValue();
-            if (o.path("more").asBoolean(false) && last != null) {
-                page(prefix, last, c, into, epoch, then);
-            } else {
-                then.accept(new Listing(into, epoch));
-            }
+  private void page(
+      String prefix,
+      String since,
+      Class c,
+      List<Item> into,
+      long firstEpoch,
+      Consumer<Listing> then) {
+    String path =
+        "/keys?under=" + prefix + "&page=" + PAGE + (since == null ? "" : "&since=" + since);
+    send(
+        c,
+        0,
+        "GET",
+        path,
+        null,
+        TIMEOUT_MICROS,
+        (status, o) -> {
+          if (status != 200
+              || o == null
+              || !o.path("items").isArray()
+              || !o.path("epoch").isIntegralNumber()) {
+            then.accept(null);
+            return;
+          }
+          String last = null;
+          for (JsonNode n : o.get("items")) {
+            last = n.path("k").asText();
+            into.add(
+                new Item(
+                    last, n.path("data"), n.path("stamp").asLong(), n.path("permit").asLong(0)));
+          }
+          // Pages are read at different revisions; following from the first one misses nothing in
+          // between.
+          long epoch = firstEpoch >= 0 ? firstEpoch : o.get("epoch").longValue();
+          if (o.path("more").asBoolean(false) && last != null) {
+            page(prefix, last, c, into, epoch, then);
+          } else {
+            then.accept(new Listing(into, epoch));
+          }
         });
-    }
+  }
 
-    /** The revision now; -1 when that can't be found out. */
-    public void epoch(Consumer<Long> then) {
-        send(Class.ORDINARY, 0, "GET", "/keys?under=" + NOTHING + "&page=1", null, TIMEOUT_MICROS, (status, o) ->
-                then.accept(status == 200 && o != null && o.path("epoch").isIntegralNumber() ? o.get("epoch").longValue() : -1L));
-    }
+  /** The revision now; -1 when that can't be found out. */
+  public void epoch(Consumer<Long> then) {
+    send(
+        Class.ORDINARY,
+        0,
+        "GET",
+        "/keys?under=" + NOTHING + "&page=1",
+        null,
+        TIMEOUT_MICROS,
+        (status, o) ->
+            then.accept(
+                status == 200 && o != null && o.path("epoch").isIntegralNumber()
+                    ? o.get("epoch").longValue()
+                    : -1L));
+  }
 
-    public void txn(Txn txn, Class c, Consumer<Txn.Result> then) {
-        send(c, txn.changes(), "POST", "/txn", txn.body(), TIMEOUT_MICROS, (status, o) -> {
-            if (status == 413 || (status == 400 && !txn.hangsOnGrant())) {
-                limits.refused(txn);
-            }
-            Txn.Outcome outcome = switch (status) {
+  public void txn(Txn txn, Class c, Consumer<Txn.Result> then) {
+    send(
+        c,
+        txn.changes(),
+        "POST",
+        "/txn",
+        txn.body(),
+        TIMEOUT_MICROS,
+        (status, o) -> {
+          if (status == 413 || (status == 400 && !txn.hangsOnGrant())) {
+            limits.refused(txn);
+          }
+          Txn.Outcome outcome =
+              switch (status) {
                 case 200 -> Txn.Outcome.APPLIED;
                 case 409 -> Txn.Outcome.CONFLICT;
                 case 400, 413, 429, 503 -> Txn.Outcome.REFUSED;
                 default -> Txn.Outcome.UNKNOWN;
-            };
-            List<String> failed = new ArrayList<>();
-            if (o != null) {
-                o.path("failed").forEach(k -> failed.add(k.asText()));
-            }
-            then.accept(new Txn.Result(outcome, status, o == null ? -1 : o.path("epoch").asLong(-1), failed));
+              };
+          List<String> failed = new ArrayList<>();
+          if (o != null) {
+            o.path("failed").forEach(k -> failed.add(k.asText()));
+          }
+          then.accept(
+              new Txn.Result(outcome, status, o == null ? -1 : o.path("epoch").asLong(-1), failed));
         });
-    }
+  }
 
-    /** @param then takes the permit, or -1 */
-    public void grant(long ttlMicros, Consumer<Long> then) {
-        send(Class.URGENT, 0, "POST", "/grants", Json.object().put("ttl_ms", ttlMicros / 1_000), TIMEOUT_MICROS,
-                (status, o) -> then.accept(status == 200 && o != null && o.path("permit").isIntegralNumber()
-                        ? o.get("permit").longValue() : -1L));
-    }
+  /**
+   * @param then takes the permit, or -1
+   */
+  public void grant(long ttlMicros, Consumer<Long> then) {
+    send(
+        Class.URGENT,
+        0,
+        "POST",
+        "/grants",
+        Json.object().put("ttl_ms", ttlMicros / 1_000),
+        TIMEOUT_MICROS,
+        (status, o) ->
+            then.accept(
+                status == 200 && o != null && o.path("permit").isIntegralNumber()
+                    ? o.get("permit").longValue()
+                    : -1L));
+  }
 
-    public void touch(long permit, Consumer<Touch> then) {
-        send(Class.URGENT, 0, "POST", "/grants/" + permit + "/touch", Json.object(), TIMEOUT_MICROS,
-                (status, o) -> then.accept(status == 200 ? Touch.RENEWED : status == 404 ? Touch.ENDED : Touch.UNKNOWN));
-    }
+  public void touch(long permit, Consumer<Touch> then) {
+    send(
+        Class.URGENT,
+        0,
+        "POST",
+        "/grants/" + permit + "/touch",
+        Json.object(),
+        TIMEOUT_MICROS,
+        (status, o) ->
+            then.accept(
+                status == 200 ? Touch.RENEWED : status == 404 ? Touch.ENDED : Touch.UNKNOWN));
+  }
 
-    public void endGrant(long permit) {
-        send(Class.URGENT, 0, "DELETE", "/grants/" + permit, null, TIMEOUT_MICROS, (status, o) -> { });
-    }
+  public void endGrant(long permit) {
+    send(Class.URGENT, 0, "DELETE", "/grants/" + permit, null, TIMEOUT_MICROS, (status, o) -> {});
+  }
 
-    public void follow(String prefix, long since, long waitMicros, Consumer<Changes> then) {
-        String path = "/follow?under=" + prefix + "&since=" + since + "&wait_ms=" + waitMicros / 1_000;
-        send(Class.URGENT, 0, "GET", path, null, waitMicros + TIMEOUT_MICROS, (status, o) -> {
-            if (status != 200 || o == null || !o.path("epoch").isIntegralNumber()) {
-                then.accept(new Changes(status == 200 ? 0 : status, since, List.of()));
-                return;
-            }
-            List<Change> log = new ArrayList<>();
-            for (JsonNode n : o.path("log")) {
-                if (n.hasNonNull("put")) {
-                    log.add(new Change(n.get("put").asText(), n.path("data"), n.path("stamp").asLong()));
-                } else if (n.hasNonNull("drop")) {
-                    log.add(new Change(n.get("drop").asText(), null, n.path("stamp").asLong()));
-                }
+  public void follow(String prefix, long since, long waitMicros, Consumer<Changes> then) {
+    String path = "/follow?under=" + prefix + "&since=" + since + "&wait_ms=" + waitMicros / 1_000;
+    send(
+        Class.URGENT,
+        0,
+        "GET",
+        path,
+        null,
+        waitMicros + TIMEOUT_MICROS,
+        (status, o) -> {
+          if (status != 200 || o == null || !o.path("epoch").isIntegralNumber()) {
+            then.accept(new Changes(status == 200 ? 0 : status, since, List.of()));
+            return;
+          }
+          List<Change> log = new ArrayList<>();
+          for (JsonNode n : o.path("log")) {
+            if (n.hasNonNull("put")) {
+              log.add(new Change(n.get("put").asText(), n.path("data"), n.path("stamp").asLong()));
+            } else if (n.hasNonNull("drop")) {
+              log.add(new Change(n.get("drop").asText(), null, n.path("stamp").asLong()));
             }
-            then.accept(new Changes(200, o.get("epoch").longValue(), log));
+          }
+          then.accept(new Changes(200, o.get("epoch").longValue(), log));
         });
-    }
+  }
 
-    private interface Parsed {
-        void take(int status, ObjectNode body);
-    }
+  private interface Parsed {
+    void take(int status, ObjectNode body);
+  }
 
-    private void send(Class c, int changes, String method, String path, JsonNode body, long timeoutMicros, Parsed then) {
-        long now = loop.nowMicros();
-        if (c == Class.URGENT) {
-            requests.force(1, now);
-            writes.force(changes, now);
-        } else if (!requests.take(1, now) || (changes > 0 && !writes.take(changes, now))) {
-            metrics.outside("state", 429);
-            loop.after(0, () -> then.take(429, null));
-            return;
-        }
-        byte[] bytes = body == null ? null : Json.write(body).getBytes(StandardCharsets.UTF_8);
-        caller.call(at, method, path, bytes, timeoutMicros, (status, data) -> {
-            metrics.outside("state", status);
-            if (status != 0 && status != 503) {
-                lastServedMicros = loop.nowMicros();
-                refusedSinceMicros = -1;
-            } else if (refusedSinceMicros < 0) {
-                refusedSinceMicros = loop.nowMicros();
-            }
-            ObjectNode parsed = null;
-            if ((status == 200 || status == 409) && data.length > 0) {
-                try {
-                    parsed = Json.parseObject(data);
-                } catch (InvalidMessage e) {
-                    surprise(method + " " + kind(path), e.getMessage());
-                    then.take(status == 200 ? 0 : status, null);
-                    return;
-                }
-            } else if (status == 400) {
-                surprise(method + " " + kind(path), new String(data, StandardCharsets.UTF_8));
+  private void send(
+      Class c,
+      int changes,
+      String method,
+      String path,
+      JsonNode body,
+      long timeoutMicros,
+      Parsed then) {
+    long now = loop.nowMicros();
+    if (c == Class.URGENT) {
+      requests.force(1, now);
+      writes.force(changes, now);
+    } else if (!requests.take(1, now) || (changes > 0 && !writes.take(changes, now))) {
+      metrics.outside("state", 429);
+      loop.after(0, () -> then.take(429, null));
+      return;
+    }
+    byte[] bytes = body == null ? null : Json.write(body).getBytes(StandardCharsets.UTF_8);
+    caller.call(
+        at,
+        method,
+        path,
+        bytes,
+        timeoutMicros,
+        (status, data) -> {
+          metrics.outside("state", status);
+          if (status != 0 && status != 503) {
+            lastServedMicros = loop.nowMicros();
+            refusedSinceMicros = -1;
+          } else if (refusedSinceMicros < 0) {
+            refusedSinceMicros = loop.nowMicros();
+          }
+          ObjectNode parsed = null;
+          if ((status == 200 || status == 409) && data.length > 0) {
+            try {
+              parsed = Json.parseObject(data);
+            } catch (InvalidMessage e) {
+              surprise(method + " " + kind(path), e.getMessage());
+              then.take(status == 200 ? 0 : status, null);
+              return;
             }
-            then.take(status, parsed);
+          } else if (status == 400) {
+            surprise(method + " " + kind(path), new String(data, StandardCharsets.UTF_8));
+          }
+          then.take(status, parsed);
         });
-    }
+  }
 
-    private static String kind(String path) {
-        int end = 1;
-        while (end < path.length() && path.charAt(end) != '/' && path.charAt(end) != '?') {
-            end++;
-        }
-        return path.substring(0, end);
+  private static String kind(String path) {
+    int end = 1;
+    while (end < path.length() && path.charAt(end) != '/' && path.charAt(end) != '?') {
+      end++;
     }
+    return path.substring(0, end);
+  }
 
-    /** Logged once for each kind, counted always. */
-    private void surprise(String kind, String what) {
-        if (surprises.merge(kind, 1L, Long::sum) == 1) {
-            LOG.warn("state service gave a surprising answer to {}: {}", kind, what);
-        }
+  /** Logged once for each kind, counted always. */
+  private void surprise(String kind, String what) {
+    if (surprises.merge(kind, 1L, Long::sum) == 1) {
+      LOG.warn("state service gave a surprising answer to {}: {}", kind, what);
     }
+  }
 }
--- a/src/main/java/plumlever/store/TokenBucket.java
+++ b/src/main/java/plumlever/store/TokenBucket.java
@@ -2,43 +2,43 @@
 
 /** Keeps requests within a rate, with bursts of one second's worth. */
 public final class TokenBucket {
-    private double perMicro;
-    private double burst;
-    private double tokens;
-    private long lastMicros;
+  private double perMicro;
+  private double burst;
+  private double tokens;
+  private long lastMicros;
 
-    public TokenBucket(double perSecond, long nowMicros) {
-        this.perMicro = perSecond / 1e6;
-        this.burst = Math.max(1, perSecond);
-        this.tokens = burst;
-        this.lastMicros = nowMicros;
-    }
+  public TokenBucket(double perSecond, long nowMicros) {
+    this.perMicro = perSecond / 1e6;
+    this.burst = Math.max(1, perSecond);
+    this.tokens = burst;
+    this.lastMicros = nowMicros;
+  }
 
-    /** From now on this many a second. */
-    public void rate(double perSecond, long nowMicros) {
-        refill(nowMicros);
-        perMicro = perSecond / 1e6;
-        burst = Math.max(1, perSecond);
-        tokens = Math.min(tokens, burst);
-    }
+  /** From now on this many a second. */
+  public void rate(double perSecond, long nowMicros) {
+    refill(nowMicros);
+    perMicro = perSecond / 1e6;
+    burst = Math.max(1, perSecond);
+    tokens = Math.min(tokens, burst);
+  }
 
-    public boolean take(double n, long nowMicros) {
-        refill(nowMicros);
-        if (tokens < n) {
-            return false;
-        }
-        tokens -= n;
-        return true;
+  public boolean take(double n, long nowMicros) {
+    refill(nowMicros);
+    if (tokens < n) {
+      return false;
     }
+    tokens -= n;
+    return true;
+  }
 
-    /** For requests that must go whatever the rate; they are paid for by the ones that can wait. */
-    public void force(double n, long nowMicros) {
-        refill(nowMicros);
-        tokens = Math.max(tokens - n, -burst);
-    }
+  /** For requests that must go whatever the rate; they are paid for by the ones that can wait. */
+  public void force(double n, long nowMicros) {
+    refill(nowMicros);
+    tokens = Math.max(tokens - n, -burst);
+  }
 
-    private void refill(long nowMicros) {
-        tokens = Math.min(burst, tokens + (nowMicros - lastMicros) * perMicro);
-        lastMicros = nowMicros;
-    }
+  private void refill(long nowMicros) {
+    tokens = Math.min(burst, tokens + (nowMicros - lastMicros) * perMicro);
+    lastMicros = nowMicros;
+  }
 }
--- a/src/main/java/plumlever/store/Txn.java
+++ b/src/main/java/plumlever/store/Txn.java
@@ -8,69 +8,71 @@
 
 /** A guarded transaction under construction. */
 public final class Txn {
-    /** What became of a transaction. */
-    public enum Outcome {
-        /** Carried out. */
-        APPLIED,
-        /** A guard did not hold; nothing was changed. */
-        CONFLICT,
-        /** Surely not carried out: refused by a limit, an outage or as malformed. */
-        REFUSED,
-        /** No answer: it may have been carried out, or may be later. */
-        UNKNOWN
-    }
+  /** What became of a transaction. */
+  public enum Outcome {
+    /** Carried out. */
+    APPLIED,
+    /** A guard did not hold; nothing was changed. */
+    CONFLICT,
+    /** Surely not carried out: refused by a limit, an outage or as malformed. */
+    REFUSED,
+    /** No answer: it may have been carried out, or may be later. */
+    UNKNOWN
+  }
 
-    /**
-     * What became of it.
-     *
-     * @param status of the answer; 0 without one
-     * @param epoch the revision of its changes when applied, else -1
-     * @param failed keys of guards that did not hold, as far as told
-     */
-    public record Result(Outcome outcome, int status, long epoch, List<String> failed) {
-        public boolean applied() {
-            return outcome == Outcome.APPLIED;
-        }
+  /**
+   * What became of it.
+   *
+   * @param status of the answer; 0 without one
+   * @param epoch the revision of its changes when applied, else -1
+   * @param failed keys of guards that did not hold, as far as told
+   */
+  public record Result(Outcome outcome, int status, long epoch, List<String> failed) {
+    public boolean applied() {
+      return outcome == Outcome.APPLIED;
     }
+  }
 
-    private final ObjectNode body = Json.object();
-    private final ArrayNode guards = body.putArray("guards");
-    private final ArrayNode then = body.putArray("then");
-    private boolean grant;
+  private final ObjectNode body = Json.object();
+  private final ArrayNode guards = body.putArray("guards");
+  private final ArrayNode then = body.putArray("then");
+  private boolean grant;
 
-    /** @param stamp 0: the key must not exist */
-    public Txn guard(String key, long stamp) {
-        guards.addObject().put("k", key).put("stamp", stamp);
-        return this;
-    }
+  /**
+   * @param stamp 0: the key must not exist
+   */
+  public Txn guard(String key, long stamp) {
+    guards.addObject().put("k", key).put("stamp", stamp);
+    return this;
+  }
 
-    public Txn put(String key, JsonNode data) {
-        then.addObject().put("put", key).set("data", data);
-        return this;
-    }
+  public Txn put(String key, JsonNode data) {
+    then.addObject().put("put", key).set("data", data);
+    return this;
+  }
 
-    public Txn put(String key, JsonNode data, long permit) {
-        grant = true;
-        ObjectNode n = then.addObject().put("put", key).put("permit", permit);
-        n.set("data", data);
-        return this;
-    }
+  public Txn put(String key, JsonNode data, long permit) {
+    grant = true;
+    ObjectNode n = then.addObject().put("put", key).put("permit", permit);
+    n.set("data", data);
+    return this;
+  }
 
-    /** True if it puts a key on a grant: such a transaction is malformed once the grant has ended. */
-    boolean hangsOnGrant() {
-        return grant;
-    }
+  /** True if it puts a key on a grant: such a transaction is malformed once the grant has ended. */
+  boolean hangsOnGrant() {
+    return grant;
+  }
 
-    public Txn drop(String key) {
-        then.addObject().put("drop", key);
-        return this;
-    }
+  public Txn drop(String key) {
+    then.addObject().put("drop", key);
+    return this;
+  }
 
-    public int changes() {
-        return then.size();
-    }
+  public int changes() {
+    return then.size();
+  }
 
-    ObjectNode body() {
-        return body;
-    }
+  ObjectNode body() {
+    return body;
+  }
 }
--- a/src/main/java/plumlever/store/WriteLimits.java
+++ b/src/main/java/plumlever/store/WriteLimits.java
@@ -8,62 +8,74 @@
 import plumlever.wire.Json;
 
 /**
- * How much one write may hold. It begins with the smaller of what the settings say of now and of later, and gets smaller when
- * the state service refuses a write for its size: limits may fall without notice. Owned by the thread that decides.
+ * How much one write may hold. It begins with the smaller of what the settings say of now and of
+ * later, and gets smaller when the state service refuses a write for its size: limits may fall
+ * without notice. Owned by the thread that decides.
  */
 public final class WriteLimits {
-    /** Below these nothing could be kept; the settings are checked for them. */
-    public static final int LEAST_VALUE_BYTES = 1024;
-    public static final int LEAST_OPS = 3;
+  /** Below these nothing could be kept; the settings are checked for them. */
+  public static final int LEAST_VALUE_BYTES = 1024;
 
-    private static final Logger LOG = LoggerFactory.getLogger(WriteLimits.class);
+  public static final int LEAST_OPS = 3;
 
-    private final int formerValueBytes;
-    private int valueBytes;
-    private int txnOps;
+  private static final Logger LOG = LoggerFactory.getLogger(WriteLimits.class);
 
-    public WriteLimits(Platform.StateLimits settings) {
-        this.valueBytes = settings.valueBytes();
-        this.txnOps = settings.txnOps();
-        this.formerValueBytes = settings.formerValueBytes();
-    }
+  private final int formerValueBytes;
+  private int valueBytes;
+  private int txnOps;
 
-    /** The most that a value may take, in bytes. */
-    public int valueBytes() {
-        return valueBytes;
-    }
+  public WriteLimits(Platform.StateLimits settings) {
+    this.valueBytes = settings.valueBytes();
+    this.txnOps = settings.txnOps();
+    this.formerValueBytes = settings.formerValueBytes();
+  }
 
-    /** The most puts and drops in one transaction; it takes four times as many guards. */
-    public int txnOps() {
-        return txnOps;
-    }
+  /** The most that a value may take, in bytes. */
+  public int valueBytes() {
+    return valueBytes;
+  }
 
-    /** What versions that knew of no later limit took for the most that a value may take. */
-    int formerValueBytes() {
-        return formerValueBytes;
-    }
+  /** The most puts and drops in one transaction; it takes four times as many guards. */
+  public int txnOps() {
+    return txnOps;
+  }
 
-    /** A transaction was called malformed. Nothing but its size can be wrong with it, so what comes next is smaller. */
-    void refused(Txn txn) {
-        int largest = 0;
-        for (JsonNode change : txn.body().path("then")) {
-            if (change.has("data")) {
-                largest = Math.max(largest, Json.write(change.get("data")).getBytes(StandardCharsets.UTF_8).length);
-            }
-        }
-        int fewer = Math.max(LEAST_OPS, Math.min(txnOps, txn.changes() / 2));
-        int smaller = Math.max(LEAST_VALUE_BYTES, Math.min(valueBytes, largest / 2));
-        if (txn.changes() <= LEAST_OPS) {
-            fewer = txnOps;
-        }
-        if (largest <= LEAST_VALUE_BYTES) {
-            smaller = valueBytes;
-        }
-        if (fewer < txnOps || smaller < valueBytes) {
-            LOG.warn("a write of {} changes and values of up to {} bytes was refused: from now on {} changes of {} bytes at most",
-                    txn.changes(), largest, fewer, smaller);
-            txnOps = fewer;
-            valueBytes = smaller;
-        }
+  /** What versions that knew of no later limit took for the most that a value may take. */
+  int formerValueBytes() {
+    return formerValueBytes;
+  }
+
+  /**
+   * A transaction was called malformed. Nothing but its size can be wrong with it, so what comes
+   * next is smaller.
+   */
+  void refused(Txn txn) {
+    int largest = 0;
+    for (JsonNode change : txn.body().path("then")) {
+      if (change.has("data")) {
+        largest =
+            Math.max(
+                largest, Json.write(change.get("data")).getBytes(StandardCharsets.UTF_8).length);
+      }
+    }
+    int fewer = Math.max(LEAST_OPS, Math.min(txnOps, txn.changes() / 2));
+    int smaller = Math.max(LEAST_VALUE_BYTES, Math.min(valueBytes, largest / 2));
+    if (txn.changes() <= LEAST_OPS) {
+      fewer = txnOps;
+    }
+    if (largest <= LEAST_VALUE_BYTES) {
+      smaller = valueBytes;
+    }
+    if (fewer < txnOps || smaller < valueBytes) {
+      LOG.warn(
+          "a write of {} changes and values of up to {} bytes was refused: from now on {} changes"
+              + " of {} bytes at most",
+          txn.changes(),
+          largest,
+          fewer,
+          smaller);
+      txnOps = fewer;
+      valueBytes = smaller;
     }
+  }
 }
--- a/src/main/java/plumlever/warmup/Practice.java
+++ b/src/main/java/plumlever/warmup/Practice.java
@@ -14,124 +14,180 @@
 import plumlever.wire.Urgency;
 
 /**
- * A node played to itself: two terms of a small deployment in memory, with the service's own code and a clock turned by
- * hand. What it is for is that this code has run when it is needed: code that never ran is interpreted, some twenty times
- * slower, and on little processor the first minute of a term would be lost to that.
+ * A node played to itself: two terms of a small deployment in memory, with the service's own code
+ * and a clock turned by hand. What it is for is that this code has run when it is needed: code that
+ * never ran is interpreted, some twenty times slower, and on little processor the first minute of a
+ * term would be lost to that.
  */
 final class Practice {
-    private static final int MACHINES = 40;
-    private static final int JOBS = 16;
-    private static final long LIFE_MICROS = 40_000_000;
-    private static final long REPORT_MICROS = 1_000_000;
-    private static final long WAY_MICROS = 5_000;
-    private static final Endpoint STATE = new Endpoint("state", 1);
-    private static final Endpoint CLOUD = new Endpoint("cloud", 1);
+  private static final int MACHINES = 40;
+  private static final int JOBS = 16;
+  private static final long LIFE_MICROS = 40_000_000;
+  private static final long REPORT_MICROS = 1_000_000;
+  private static final long WAY_MICROS = 5_000;
+  private static final Endpoint STATE = new Endpoint("state", 1);
+  private static final Endpoint CLOUD = new Endpoint("cloud", 1);
 
-    private final PracticeLoop loop;
-    private final PracticeOutside outside;
-    private final Platform platform;
-    private final Tunables tunables;
-    private Node node;
-    private long lifeEndsMicros;
-    private int lives;
-    private int submitted;
+  private final PracticeLoop loop;
+  private final PracticeOutside outside;
+  private final Platform platform;
+  private final Tunables tunables;
+  private Node node;
+  private long lifeEndsMicros;
+  private int lives;
+  private int submitted;
 
-    Practice(Platform real, Tunables tunables, long wallMicros) {
-        this.loop = new PracticeLoop(wallMicros);
-        this.outside = new PracticeOutside(loop, MACHINES, "practice-%d:9");
-        this.tunables = tunables;
-        this.platform = new Platform("practice", real.area(), real.bind(), real.back(), List.of(), CLOUD, STATE,
-                List.of(new Platform.Team("practice", 0, 0, 0, 0)), real.objectives(), real.workers(), real.stateLimits(),
-                real.cloudLimits(), real.socketLimit());
-    }
+  Practice(Platform real, Tunables tunables, long wallMicros) {
+    this.loop = new PracticeLoop(wallMicros);
+    this.outside = new PracticeOutside(loop, MACHINES, "practice-%d:9");
+    this.tunables = tunables;
+    this.platform =
+        new Platform(
+            "practice",
+            real.area(),
+            real.bind(),
+            real.back(),
+            List.of(),
+            CLOUD,
+            STATE,
+            List.of(new Platform.Team("practice", 0, 0, 0, 0)),
+            real.objectives(),
+            real.workers(),
+            real.stateLimits(),
+            real.cloudLimits(),
+            real.socketLimit());
+  }
 
-    /** A little of it; false when all has been played. */
-    boolean step() {
-        if (node == null) {
-            if (lives == 2) {
-                return false;
-            }
-            live();
-        }
-        if (!loop.step(lifeEndsMicros)) {
-            // Its machines and jobs are there for the next life to take over.
-            node.close();
-            node = null;
-        }
-        return true;
+  /** A little of it; false when all has been played. */
+  boolean step() {
+    if (node == null) {
+      if (lives == 2) {
+        return false;
+      }
+      live();
+    }
+    if (!loop.step(lifeEndsMicros)) {
+      // Its machines and jobs are there for the next life to take over.
+      node.close();
+      node = null;
     }
+    return true;
+  }
 
-    private void live() {
-        int life = ++lives;
-        lifeEndsMicros = loop.nowMicros() + LIFE_MICROS;
-        node = new Node(loop, caller(life), loop, caller(life), platform, tunables, life,
-                c -> LoggerFactory.getLogger("practice." + c.getSimpleName()));
-        node.start();
-        long apart = REPORT_MICROS / MACHINES;
-        int n = 0;
-        for (String m : outside.machines()) {
-            loop.after(n++ * apart, () -> report(life, m));
-        }
-        for (int i = 0; i < JOBS; i++) {
-            loop.after(500_000 + i * 1_500_000L, () -> submit(life));
-        }
-        loop.after(LIFE_MICROS / 2, () -> ask(life, "POST", "/submissions/job-" + (submitted - 1) + "/abort", null));
+  private void live() {
+    int life = ++lives;
+    lifeEndsMicros = loop.nowMicros() + LIFE_MICROS;
+    node =
+        new Node(
+            loop,
+            caller(life),
+            loop,
+            caller(life),
+            platform,
+            tunables,
+            life,
+            c -> LoggerFactory.getLogger("practice." + c.getSimpleName()));
+    node.start();
+    long apart = REPORT_MICROS / MACHINES;
+    int n = 0;
+    for (String m : outside.machines()) {
+      loop.after(n++ * apart, () -> report(life, m));
     }
+    for (int i = 0; i < JOBS; i++) {
+      loop.after(500_000 + i * 1_500_000L, () -> submit(life));
+    }
+    loop.after(
+        LIFE_MICROS / 2,
+        () -> ask(life, "POST", "/submissions/job-" + (submitted - 1) + "/abort", null));
+  }
 
-    /** Calls of a life that is over come to nothing, as those of a process that has ended. */
-    private Caller caller(int life) {
-        return (to, method, path, body, timeout, answer) -> loop.after(WAY_MICROS, () -> {
-            if (life != lives || node == null) {
+  /** Calls of a life that is over come to nothing, as those of a process that has ended. */
+  private Caller caller(int life) {
+    return (to, method, path, body, timeout, answer) ->
+        loop.after(
+            WAY_MICROS,
+            () -> {
+              if (life != lives || node == null) {
                 return;
-            }
-            if (path.equals("/orders")) {
+              }
+              if (path.equals("/orders")) {
                 String host = outside.machineAt(to.toString());
                 outside.order(host, new String(body, StandardCharsets.UTF_8));
                 answer.take(200, outside.report(host));
-            } else {
-                outside.handle(method, path, body, (status, text) -> loop.after(WAY_MICROS, () -> {
-                    if (life == lives) {
-                        answer.take(status, text.getBytes(StandardCharsets.UTF_8));
-                    }
-                }));
-            }
-        });
-    }
+              } else {
+                outside.handle(
+                    method,
+                    path,
+                    body,
+                    (status, text) ->
+                        loop.after(
+                            WAY_MICROS,
+                            () -> {
+                              if (life == lives) {
+                                answer.take(status, text.getBytes(StandardCharsets.UTF_8));
+                              }
+                            }));
+              }
+            });
+  }
 
-    private void report(int life, String host) {
-        if (life != lives || node == null) {
-            return;
-        }
-        node.front().handle("POST", "/hello", outside.report(host), (status, json, retry) -> {
-            if (status == 200) {
-                outside.order(host, json);
-            }
-        });
-        loop.after(REPORT_MICROS, () -> report(life, host));
+  private void report(int life, String host) {
+    if (life != lives || node == null) {
+      return;
     }
+    node.front()
+        .handle(
+            "POST",
+            "/hello",
+            outside.report(host),
+            (status, json, retry) -> {
+              if (status == 200) {
+                outside.order(host, json);
+              }
+            });
+    loop.after(REPORT_MICROS, () -> report(life, host));
+  }
 
-    private void submit(int life) {
-        Urgency urgency = Urgency.values()[submitted % Urgency.values().length];
-        JobSpec j = new JobSpec("job-" + ++submitted, "c" + submitted % 3, "practice", urgency, 24, 1 + submitted % 2, 0, 2,
-                "img-" + submitted % 5, 1.5, null, null, submitted % 7 == 0, submitted % 8 == 0, true, 4, submitted % 2 * 2, 1,
-                submitted % 2 == 0 ? 60 : JobSpec.NO_DEADLINE);
-        ask(life, "POST", "/submissions", Json.write(j.toJson()).getBytes(StandardCharsets.UTF_8));
-        poll(life, j.uid());
-    }
+  private void submit(int life) {
+    Urgency urgency = Urgency.values()[submitted % Urgency.values().length];
+    JobSpec j =
+        new JobSpec(
+            "job-" + ++submitted,
+            "c" + submitted % 3,
+            "practice",
+            urgency,
+            24,
+            1 + submitted % 2,
+            0,
+            2,
+            "img-" + submitted % 5,
+            1.5,
+            null,
+            null,
+            submitted % 7 == 0,
+            submitted % 8 == 0,
+            true,
+            4,
+            submitted % 2 * 2,
+            1,
+            submitted % 2 == 0 ? 60 : JobSpec.NO_DEADLINE);
+    ask(life, "POST", "/submissions", Json.write(j.toJson()).getBytes(StandardCharsets.UTF_8));
+    poll(life, j.uid());
+  }
 
-    private void poll(int life, String uid) {
-        if (life == lives && node != null) {
-            ask(life, "GET", "/submissions/" + uid, null);
-            loop.after(2_000_000, () -> poll(life, uid));
-        }
+  private void poll(int life, String uid) {
+    if (life == lives && node != null) {
+      ask(life, "GET", "/submissions/" + uid, null);
+      loop.after(2_000_000, () -> poll(life, uid));
     }
+  }
 
-    private void ask(int life, String method, String path, byte[] body) {
-        if (life == lives && node != null) {
-            node.front().handle(method, path, body, NOBODY);
-        }
+  private void ask(int life, String method, String path, byte[] body) {
+    if (life == lives && node != null) {
+      node.front().handle(method, path, body, NOBODY);
     }
+  }
 
-    /** What users would be told. */
-    private static final Responder NOBODY = (status, json, retry) -> { };
+  /** What users would be told. */
+  private static final Responder NOBODY = (status, json, retry) -> {};
 }
--- a/src/main/java/plumlever/warmup/PracticeLoop.java
+++ b/src/main/java/plumlever/warmup/PracticeLoop.java
@@ -6,53 +6,57 @@
 
 /** A clock that is turned by hand: what is due next is played, whatever time it is. */
 final class PracticeLoop implements Loop {
-    private record Event(long at, long seq, Runnable action) {}
-
-    private final PriorityQueue<Event> events = new PriorityQueue<>(
-            Comparator.comparingLong(Event::at).thenComparingLong(Event::seq));
-    private final long wallFromMicros;
-    private long now;
-    private long seq;
-
-    PracticeLoop(long wallFromMicros) {
-        this.wallFromMicros = wallFromMicros;
-    }
-
-    /** Plays the next thing that is due before then; false when there is none. */
-    boolean step(long untilMicros) {
-        Event e = events.peek();
-        if (e == null || e.at > untilMicros) {
-            return false;
-        }
-        events.poll();
-        now = Math.max(now, e.at);
-        e.action.run();
-        return true;
-    }
-
-    @Override
-    public long nowMicros() {
-        return now;
+  private record Event(long at, long seq, Runnable action) {}
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::seq));
+  private final long wallFromMicros;
+  private long now;
+  private long seq;
+
+  PracticeLoop(long wallFromMicros) {
+    this.wallFromMicros = wallFromMicros;
+  }
+
+  /** Plays the next thing that is due before then; false when there is none. */
+  boolean step(long untilMicros) {
+    Event e = events.peek();
+    if (e == null || e.at > untilMicros) {
+      return false;
     }
-
-    @Override
-    public long wallMicros() {
-        return wallFromMicros + now;
-    }
-
-    @Override
-    public Timer after(long delayMicros, Runnable action) {
-        boolean[] off = new boolean[1];
-        events.add(new Event(now + Math.max(0, delayMicros), seq++, () -> {
-            if (!off[0]) {
+    events.poll();
+    now = Math.max(now, e.at);
+    e.action.run();
+    return true;
+  }
+
+  @Override
+  public long nowMicros() {
+    return now;
+  }
+
+  @Override
+  public long wallMicros() {
+    return wallFromMicros + now;
+  }
+
+  @Override
+  public Timer after(long delayMicros, Runnable action) {
+    boolean[] off = new boolean[1];
+    events.add(
+        new Event(
+            now + Math.max(0, delayMicros),
+            seq++,
+            () -> {
+              if (!off[0]) {
                 action.run();
-            }
-        }));
-        return () -> off[0] = true;
-    }
-
-    @Override
-    public void execute(Runnable action) {
-        after(0, action);
-    }
+              }
+            }));
+    return () -> off[0] = true;
+  }
+
+  @Override
+  public void execute(Runnable action) {
+    after(0, action);
+  }
 }
--- a/src/main/java/plumlever/warmup/WarmUp.java
+++ b/src/main/java/plumlever/warmup/WarmUp.java
@@ -9,74 +9,84 @@
 import plumlever.settings.Tunables;
 
 /**
- * Lets a controller that does not lead practise leading, in small pieces while it has nothing better to do: a successor
- * whose code has never run takes several times as long to take over. It ends when all is played, or at once when the
- * controller is elected.
+ * Lets a controller that does not lead practise leading, in small pieces while it has nothing
+ * better to do: a successor whose code has never run takes several times as long to take over. It
+ * ends when all is played, or at once when the controller is elected.
  */
 public final class WarmUp {
-    private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
-    /** The first seconds belong to those who wait for the process to be up. */
-    private static final long AFTER_MICROS = 4_000_000;
-    private static final long PIECE_MICROS = 15_000;
-    private static final long PAUSE_MICROS = 30_000;
-    private static final long BUSY_PAUSE_MICROS = 500_000;
-    /** A loop that comes this late has no time to spare. */
-    private static final long LATE_MICROS = 60_000;
+  private static final Logger LOG = LoggerFactory.getLogger(WarmUp.class);
 
-    private final Loop loop;
-    private final LongSupplier latenessMicros;
-    private final BooleanSupplier leads;
-    private final long beganMicros;
-    private final Platform platform;
-    private final Tunables tunables;
-    private Practice practice;
-    private boolean over;
+  /** The first seconds belong to those who wait for the process to be up. */
+  private static final long AFTER_MICROS = 4_000_000;
 
-    /** @param latenessMicros how late the loop was lately */
-    public WarmUp(Loop loop, Platform platform, Tunables tunables, LongSupplier latenessMicros, BooleanSupplier leads) {
-        this.loop = loop;
-        this.latenessMicros = latenessMicros;
-        this.leads = leads;
-        this.beganMicros = loop.nowMicros();
-        this.platform = platform;
-        this.tunables = tunables;
-    }
+  private static final long PIECE_MICROS = 15_000;
+  private static final long PAUSE_MICROS = 30_000;
+  private static final long BUSY_PAUSE_MICROS = 500_000;
 
-    /** All of it at once. */
-    public static void playAll(Platform platform, Tunables tunables) {
-        Practice practice = new Practice(platform, tunables, 0);
-        boolean more = true;
-        while (more) {
-            more = practice.step();
-        }
-    }
+  /** A loop that comes this late has no time to spare. */
+  private static final long LATE_MICROS = 60_000;
+
+  private final Loop loop;
+  private final LongSupplier latenessMicros;
+  private final BooleanSupplier leads;
+  private final long beganMicros;
+  private final Platform platform;
+  private final Tunables tunables;
+  private Practice practice;
+  private boolean over;
 
-    /** One turn of the duty. */
-    public long turn() {
-        long start = loop.nowMicros();
-        if (over || leads.getAsBoolean()) {
-            return end();
-        }
-        if (start - beganMicros < AFTER_MICROS || latenessMicros.getAsLong() > LATE_MICROS) {
-            return BUSY_PAUSE_MICROS;
-        }
-        if (practice == null) {
-            practice = new Practice(platform, tunables, loop.wallMicros());
-        }
-        boolean more = true;
-        while (more && loop.nowMicros() - start < PIECE_MICROS) {
-            more = practice.step();
-        }
-        if (!more) {
-            LOG.info("warm after {} ms", (loop.nowMicros() - beganMicros) / 1_000);
-            return end();
-        }
-        return Math.max(PAUSE_MICROS, loop.nowMicros() - start);
+  /**
+   * @param latenessMicros how late the loop was lately
+   */
+  public WarmUp(
+      Loop loop,
+      Platform platform,
+      Tunables tunables,
+      LongSupplier latenessMicros,
+      BooleanSupplier leads) {
+    this.loop = loop;
+    this.latenessMicros = latenessMicros;
+    this.leads = leads;
+    this.beganMicros = loop.nowMicros();
+    this.platform = platform;
+    this.tunables = tunables;
+  }
+
+  /** All of it at once. */
+  public static void playAll(Platform platform, Tunables tunables) {
+    Practice practice = new Practice(platform, tunables, 0);
+    boolean more = true;
+    while (more) {
+      more = practice.step();
     }
+  }
 
-    private long end() {
-        over = true;
-        practice = null;
-        return -1;
+  /** One turn of the duty. */
+  public long turn() {
+    long start = loop.nowMicros();
+    if (over || leads.getAsBoolean()) {
+      return end();
+    }
+    if (start - beganMicros < AFTER_MICROS || latenessMicros.getAsLong() > LATE_MICROS) {
+      return BUSY_PAUSE_MICROS;
     }
+    if (practice == null) {
+      practice = new Practice(platform, tunables, loop.wallMicros());
+    }
+    boolean more = true;
+    while (more && loop.nowMicros() - start < PIECE_MICROS) {
+      more = practice.step();
+    }
+    if (!more) {
+      LOG.info("warm after {} ms", (loop.nowMicros() - beganMicros) / 1_000);
+      return end();
+    }
+    return Math.max(PAUSE_MICROS, loop.nowMicros() - start);
+  }
+
+  private long end() {
+    over = true;
+    practice = null;
+    return -1;
+  }
 }
--- a/src/main/java/plumlever/wire/ExitCause.java
+++ b/src/main/java/plumlever/wire/ExitCause.java
@@ -1,25 +1,34 @@
 package plumlever.wire;
 
-/** Why a task ended. OTHER stands for causes this version does not know: the attempt is over, the task is not done. */
+/**
+ * Why a task ended. OTHER stands for causes this version does not know: the attempt is over, the
+ * task is not done.
+ */
 public enum ExitCause {
-    DONE("done"), HALTED("halted"), ERROR("error"), FULL("full"), IN_USE("in_use"), NO_SUCH("no_such"), OTHER("other");
+  DONE("done"),
+  HALTED("halted"),
+  ERROR("error"),
+  FULL("full"),
+  IN_USE("in_use"),
+  NO_SUCH("no_such"),
+  OTHER("other");
 
-    private final String wireName;
+  private final String wireName;
 
-    ExitCause(String wireName) {
-        this.wireName = wireName;
-    }
+  ExitCause(String wireName) {
+    this.wireName = wireName;
+  }
 
-    public String wireName() {
-        return wireName;
-    }
+  public String wireName() {
+    return wireName;
+  }
 
-    public static ExitCause of(String name) {
-        for (ExitCause c : values()) {
-            if (c.wireName.equals(name)) {
-                return c;
-            }
-        }
-        return OTHER;
+  public static ExitCause of(String name) {
+    for (ExitCause c : values()) {
+      if (c.wireName.equals(name)) {
+        return c;
+      }
     }
+    return OTHER;
+  }
 }
--- a/src/main/java/plumlever/wire/JobState.java
+++ b/src/main/java/plumlever/wire/JobState.java
@@ -2,19 +2,22 @@
 
 /** What users are told of a job. */
 public enum JobState {
-    PENDING("pending"), RUNNING("running"), DONE("done"), ABORTED("aborted");
+  PENDING("pending"),
+  RUNNING("running"),
+  DONE("done"),
+  ABORTED("aborted");
 
-    private final String wireName;
+  private final String wireName;
 
-    JobState(String wireName) {
-        this.wireName = wireName;
-    }
+  JobState(String wireName) {
+    this.wireName = wireName;
+  }
 
-    public String wireName() {
-        return wireName;
-    }
+  public String wireName() {
+    return wireName;
+  }
 
-    public boolean isFinal() {
-        return this == DONE || this == ABORTED;
-    }
+  public boolean isFinal() {
+    return this == DONE || this == ABORTED;
+  }
 }
--- a/src/main/java/plumlever/wire/Json.java
+++ b/src/main/java/plumlever/wire/Json.java
@@ -1,10 +1,10 @@
 package plumlever.wire;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -16,106 +16,122 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * Reading and writing of JSON, and strict access to the fields of a message. Trees are used, and field by field for what comes
- * by the hundred; binding by reflection would cost more start-up time than the processor share allows.
+ * Reading and writing of JSON, and strict access to the fields of a message. Trees are used, and
+ * field by field for what comes by the hundred; binding by reflection would cost more start-up time
+ * than the processor share allows.
  */
 public final class Json {
-    private static final ObjectMapper MAPPER = new ObjectMapper(JsonFactory.builder()
-            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(64).build())
-            .build())
-            .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
-
-    static final int MOST_TEXT = 200;
-
-    private Json() {}
-
-    public static ObjectNode object() {
-        return JsonNodeFactory.instance.objectNode();
-    }
-
-    public static ObjectNode parseObject(String text) throws InvalidMessage {
-        return parseObject(text.getBytes(StandardCharsets.UTF_8));
-    }
-
-    /** @param text UTF-8 */
-    public static ObjectNode parseObject(byte[] text) throws InvalidMessage {
-        JsonNode node;
-        try {
-            node = MAPPER.readTree(text);
-        } catch (IOException e) {
-            throw new InvalidMessage("not JSON");
-        }
-        if (!(node instanceof ObjectNode object)) {
-            throw new InvalidMessage("not a JSON object");
-        }
-        return object;
+  private static final ObjectMapper MAPPER =
+      new ObjectMapper(
+              JsonFactory.builder()
+                  .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder().maxNestingDepth(64).build())
+                  .build())
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+  static final int MOST_TEXT = 200;
+
+  private Json() {}
+
+  public static ObjectNode object() {
+    return JsonNodeFactory.instance.objectNode();
+  }
+
+  public static ObjectNode parseObject(String text) throws InvalidMessage {
+    return parseObject(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /**
+   * @param text UTF-8
+   */
+  public static ObjectNode parseObject(byte[] text) throws InvalidMessage {
+    JsonNode node;
+    try {
+      node = MAPPER.readTree(text);
+    } catch (IOException e) {
+      throw new InvalidMessage("not JSON");
     }
-
-    /** For messages that come or go by the hundred: read or written field by field, without a tree. */
-    static JsonParser parser(byte[] text) throws IOException {
-        return MAPPER.getFactory().createParser(text);
+    if (!(node instanceof ObjectNode object)) {
+      throw new InvalidMessage("not a JSON object");
     }
-
-    static JsonGenerator generator(Writer to) throws IOException {
-        return MAPPER.getFactory().createGenerator(to);
+    return object;
+  }
+
+  /**
+   * For messages that come or go by the hundred: read or written field by field, without a tree.
+   */
+  static JsonParser parser(byte[] text) throws IOException {
+    return MAPPER.getFactory().createParser(text);
+  }
+
+  static JsonGenerator generator(Writer to) throws IOException {
+    return MAPPER.getFactory().createGenerator(to);
+  }
+
+  public static String write(JsonNode node) {
+    try {
+      return MAPPER.writeValueAsString(node);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException("a tree of plain values could not be written", e);
     }
-
-    public static String write(JsonNode node) {
-        try {
-            return MAPPER.writeValueAsString(node);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("a tree of plain values could not be written", e);
-        }
+  }
+
+  public static boolean absent(JsonNode object, String field) {
+    JsonNode v = object.get(field);
+    return v == null || v.isNull();
+  }
+
+  public static String text(JsonNode object, String field) throws InvalidMessage {
+    JsonNode v = object.get(field);
+    if (v == null
+        || !v.isTextual()
+        || v.textValue().isEmpty()
+        || v.textValue().length() > MOST_TEXT) {
+      throw new InvalidMessage(field + " must be a text of 1 to " + MOST_TEXT + " characters");
     }
+    return v.textValue();
+  }
 
-    public static boolean absent(JsonNode object, String field) {
-        JsonNode v = object.get(field);
-        return v == null || v.isNull();
-    }
+  public static String textOrNull(JsonNode object, String field) throws InvalidMessage {
+    return absent(object, field) ? null : text(object, field);
+  }
 
-    public static String text(JsonNode object, String field) throws InvalidMessage {
-        JsonNode v = object.get(field);
-        if (v == null || !v.isTextual() || v.textValue().isEmpty() || v.textValue().length() > MOST_TEXT) {
-            throw new InvalidMessage(field + " must be a text of 1 to " + MOST_TEXT + " characters");
-        }
-        return v.textValue();
+  public static boolean flag(JsonNode object, String field) throws InvalidMessage {
+    JsonNode v = object.get(field);
+    if (v == null || !v.isBoolean()) {
+      throw new InvalidMessage(field + " must be true or false");
     }
-
-    public static String textOrNull(JsonNode object, String field) throws InvalidMessage {
-        return absent(object, field) ? null : text(object, field);
+    return v.booleanValue();
+  }
+
+  /** A finite amount of at least {@code min}. */
+  public static double amount(JsonNode object, String field, double min) throws InvalidMessage {
+    JsonNode v = object.get(field);
+    if (v == null || !v.isNumber()) {
+      throw new InvalidMessage(field + " must be a number");
     }
-
-    public static boolean flag(JsonNode object, String field) throws InvalidMessage {
-        JsonNode v = object.get(field);
-        if (v == null || !v.isBoolean()) {
-            throw new InvalidMessage(field + " must be true or false");
-        }
-        return v.booleanValue();
+    double d = v.doubleValue();
+    if (!inRange(d, min)) {
+      throw new InvalidMessage(field + " is out of range");
     }
-
-    /** A finite amount of at least {@code min}. */
-    public static double amount(JsonNode object, String field, double min) throws InvalidMessage {
-        JsonNode v = object.get(field);
-        if (v == null || !v.isNumber()) {
-            throw new InvalidMessage(field + " must be a number");
-        }
-        double d = v.doubleValue();
-        if (!inRange(d, min)) {
-            throw new InvalidMessage(field + " is out of range");
-        }
-        return d;
-    }
-
-    static boolean inRange(double d, double min) {
-        return Double.isFinite(d) && d >= min && d <= 1e9;
-    }
-
-    public static long whole(JsonNode object, String field, long min, long max) throws InvalidMessage {
-        JsonNode v = object.get(field);
-        if (v == null || !v.isIntegralNumber() || !v.canConvertToLong() || v.longValue() < min || v.longValue() > max) {
-            throw new InvalidMessage(field + " must be a whole number from " + min + " to " + max);
-        }
-        return v.longValue();
+    return d;
+  }
+
+  static boolean inRange(double d, double min) {
+    return Double.isFinite(d) && d >= min && d <= 1e9;
+  }
+
+  public static long whole(JsonNode object, String field, long min, long max)
+      throws InvalidMessage {
+    JsonNode v = object.get(field);
+    if (v == null
+        || !v.isIntegralNumber()
+        || !v.canConvertToLong()
+        || v.longValue() < min
+        || v.longValue() > max) {
+      throw new InvalidMessage(field + " must be a whole number from " + min + " to " + max);
     }
+    return v.longValue();
+  }
 }
--- a/src/main/java/plumlever/wire/Order.java
+++ b/src/main/java/plumlever/wire/Order.java
@@ -7,63 +7,65 @@
 
 /** A command to a worker. */
 public record Order(Verb verb, TaskName task, long attempt, double windDownS) {
-    /** Commands, by their names on the wire. */
-    public enum Verb {
-        RUN("run"), HALT("halt"), REAP("reap");
+  /** Commands, by their names on the wire. */
+  public enum Verb {
+    RUN("run"),
+    HALT("halt"),
+    REAP("reap");
 
-        private final String wireName;
+    private final String wireName;
 
-        Verb(String wireName) {
-            this.wireName = wireName;
-        }
+    Verb(String wireName) {
+      this.wireName = wireName;
     }
+  }
 
-    public static Order run(TaskName task, long attempt) {
-        return new Order(Verb.RUN, task, attempt, 0);
-    }
+  public static Order run(TaskName task, long attempt) {
+    return new Order(Verb.RUN, task, attempt, 0);
+  }
 
-    public static Order halt(TaskName task, long attempt, double windDownS) {
-        return new Order(Verb.HALT, task, attempt, windDownS);
-    }
+  public static Order halt(TaskName task, long attempt, double windDownS) {
+    return new Order(Verb.HALT, task, attempt, windDownS);
+  }
 
-    public static Order reap(TaskName task, long attempt) {
-        return new Order(Verb.REAP, task, attempt, 0);
-    }
+  public static Order reap(TaskName task, long attempt) {
+    return new Order(Verb.REAP, task, attempt, 0);
+  }
 
-    /** The body of an answer to a report. */
-    public static String answer(long token, List<Order> orders) {
-        return body(token, 0, orders);
-    }
+  /** The body of an answer to a report. */
+  public static String answer(long token, List<Order> orders) {
+    return body(token, 0, orders);
+  }
 
-    /** The body of a direct call, for one session of the worker. */
-    public static String direct(long token, long tenure, List<Order> orders) {
-        return body(token, tenure, orders);
-    }
+  /** The body of a direct call, for one session of the worker. */
+  public static String direct(long token, long tenure, List<Order> orders) {
+    return body(token, tenure, orders);
+  }
 
-    private static String body(long token, long tenure, List<Order> orders) {
-        StringWriter out = new StringWriter(64);
-        try (JsonGenerator g = Json.generator(out)) {
-            g.writeStartObject();
-            g.writeNumberField("baton", token);
-            if (tenure > 0) {
-                g.writeNumberField("tenure", tenure);
-            }
-            g.writeArrayFieldStart("orders");
-            for (Order o : orders) {
-                g.writeStartObject();
-                g.writeStringField("verb", o.verb.wireName);
-                g.writeStringField("piece", o.task.wireName());
-                g.writeNumberField("try", o.attempt);
-                if (o.verb == Verb.HALT) {
-                    g.writeNumberField("wind_down_s", o.windDownS);
-                }
-                g.writeEndObject();
-            }
-            g.writeEndArray();
-            g.writeEndObject();
-        } catch (IOException e) {
-            throw new IllegalStateException("plain values could not be written to memory", e);
+  private static String body(long token, long tenure, List<Order> orders) {
+    StringWriter out = new StringWriter(64);
+    try (JsonGenerator g = Json.generator(out)) {
+      g.writeStartObject();
+      g.writeNumberField("baton", token);
+      if (tenure > 0) {
+        g.writeNumberField("tenure", tenure);
+      }
+      g.writeArrayFieldStart("orders");
+      for (Order o : orders) {
+        g.writeStartObject();
+        g.writeStringField("verb", o.verb.wireName);
+        g.writeStringField("piece", o.task.wireName());
+        g.writeNumberField("try", o.attempt);
+        if (o.verb == Verb.HALT) {
+          g.writeNumberField("wind_down_s", o.windDownS);
         }
-        return out.toString();
+        g.writeEndObject();
+      }
+      g.writeEndArray();
+      g.writeEndObject();
+    } catch (IOException e) {
+      throw new IllegalStateException("plain values could not be written to memory", e);
     }
+    return out.toString();
+  }
 }
--- a/src/main/java/plumlever/wire/TaskName.java
+++ b/src/main/java/plumlever/wire/TaskName.java
@@ -2,23 +2,23 @@
 
 /** Task {@code number} of job {@code job}; on the wire {@code job-000412/3}. */
 public record TaskName(String job, int number) {
-    public static TaskName of(String text) throws InvalidMessage {
-        int slash = text.lastIndexOf('/');
-        if (slash <= 0 || slash == text.length() - 1) {
-            throw new InvalidMessage("piece must be JOB/NUMBER");
-        }
-        try {
-            int n = Integer.parseInt(text, slash + 1, text.length(), 10);
-            if (n < 0) {
-                throw new InvalidMessage("piece number is negative");
-            }
-            return new TaskName(text.substring(0, slash), n);
-        } catch (NumberFormatException e) {
-            throw new InvalidMessage("piece must end in a number");
-        }
+  public static TaskName of(String text) throws InvalidMessage {
+    int slash = text.lastIndexOf('/');
+    if (slash <= 0 || slash == text.length() - 1) {
+      throw new InvalidMessage("piece must be JOB/NUMBER");
     }
-
-    public String wireName() {
-        return job + "/" + number;
+    try {
+      int n = Integer.parseInt(text, slash + 1, text.length(), 10);
+      if (n < 0) {
+        throw new InvalidMessage("piece number is negative");
+      }
+      return new TaskName(text.substring(0, slash), n);
+    } catch (NumberFormatException e) {
+      throw new InvalidMessage("piece must end in a number");
     }
+  }
+
+  public String wireName() {
+    return job + "/" + number;
+  }
 }
--- a/src/main/java/plumlever/wire/TaskStatus.java
+++ b/src/main/java/plumlever/wire/TaskStatus.java
@@ -2,24 +2,27 @@
 
 /** What a worker says of a task. */
 public enum TaskStatus {
-    PULLING("pulling"), RUNNING("running"), FLUSHING("flushing"), ENDED("ended");
+  PULLING("pulling"),
+  RUNNING("running"),
+  FLUSHING("flushing"),
+  ENDED("ended");
 
-    private final String wireName;
+  private final String wireName;
 
-    TaskStatus(String wireName) {
-        this.wireName = wireName;
-    }
+  TaskStatus(String wireName) {
+    this.wireName = wireName;
+  }
 
-    public String wireName() {
-        return wireName;
-    }
+  public String wireName() {
+    return wireName;
+  }
 
-    public static TaskStatus of(String name) throws InvalidMessage {
-        for (TaskStatus s : values()) {
-            if (s.wireName.equals(name)) {
-                return s;
-            }
-        }
-        throw new InvalidMessage("task status is unknown");
+  public static TaskStatus of(String name) throws InvalidMessage {
+    for (TaskStatus s : values()) {
+      if (s.wireName.equals(name)) {
+        return s;
+      }
     }
+    throw new InvalidMessage("task status is unknown");
+  }
 }
--- a/src/main/java/plumlever/wire/Urgency.java
+++ b/src/main/java/plumlever/wire/Urgency.java
@@ -2,24 +2,27 @@
 
 /** Priorities, the most urgent first. */
 public enum Urgency {
-    PROD("prod"), HIGH("high"), STANDARD("standard"), IDLE("idle");
+  PROD("prod"),
+  HIGH("high"),
+  STANDARD("standard"),
+  IDLE("idle");
 
-    private final String wireName;
+  private final String wireName;
 
-    Urgency(String wireName) {
-        this.wireName = wireName;
-    }
+  Urgency(String wireName) {
+    this.wireName = wireName;
+  }
 
-    public String wireName() {
-        return wireName;
-    }
+  public String wireName() {
+    return wireName;
+  }
 
-    public static Urgency of(String name) throws InvalidMessage {
-        for (Urgency u : values()) {
-            if (u.wireName.equals(name)) {
-                return u;
-            }
-        }
-        throw new InvalidMessage("urgency is unknown");
+  public static Urgency of(String name) throws InvalidMessage {
+    for (Urgency u : values()) {
+      if (u.wireName.equals(name)) {
+        return u;
+      }
     }
+    throw new InvalidMessage("urgency is unknown");
+  }
 }
--- a/src/test/java/plumlever/fleet/ChainsTest.java
+++ b/src/test/java/plumlever/fleet/ChainsTest.java
@@ -18,194 +18,217 @@
 import plumlever.wire.JobState;
 import plumlever.wire.Urgency;
 
-/** The chains beside a slow plain model that works everything out anew from the records each time. */
+/**
+ * The chains beside a slow plain model that works everything out anew from the records each time.
+ */
 final class ChainsTest {
-    /** The records, as they are. */
-    private static final class Model {
-        final Map<String, List<String>> needs = new HashMap<>();
-        final Map<String, JobState> ended = new HashMap<>();
-        final Map<String, Chains.Aim> own = new HashMap<>();
-        final Map<String, Long> cost = new HashMap<>();
-
-        boolean aborted(String uid) {
-            return ended.get(uid) == JobState.ABORTED || (ended.get(uid) == null && needs.get(uid).stream().anyMatch(this::aborted));
-        }
-
-        boolean released(String uid) {
-            return needs.get(uid).stream().allMatch(n -> ended.get(n) == JobState.DONE);
-        }
-
-        Chains.Standing standing(String uid) {
-            return ended.get(uid) == JobState.DONE ? Chains.Standing.DONE : aborted(uid) ? Chains.Standing.ABORTED
-                    : released(uid) ? Chains.Standing.RELEASED : Chains.Standing.WAITING;
-        }
-
-        /** By when it has to be done, for the sake of itself and all that need it. */
-        long by(String uid) {
-            long by = own.get(uid).byMicros();
-            for (String after : needs.keySet()) {
-                if (needs.get(after).contains(uid) && ended.get(after) == null && !aborted(after)) {
-                    long theirs = by(after);
-                    by = Math.min(by, theirs == Long.MAX_VALUE ? theirs : theirs - cost.get(after));
-                }
-            }
-            return by;
-        }
+  /** The records, as they are. */
+  private static final class Model {
+    final Map<String, List<String>> needs = new HashMap<>();
+    final Map<String, JobState> ended = new HashMap<>();
+    final Map<String, Chains.Aim> own = new HashMap<>();
+    final Map<String, Long> cost = new HashMap<>();
+
+    boolean aborted(String uid) {
+      return ended.get(uid) == JobState.ABORTED
+          || (ended.get(uid) == null && needs.get(uid).stream().anyMatch(this::aborted));
+    }
 
-        Urgency urgency(String uid) {
-            Urgency u = own.get(uid).urgency();
-            for (String after : needs.keySet()) {
-                if (needs.get(after).contains(uid) && ended.get(after) == null && !aborted(after)) {
-                    Urgency theirs = urgency(after);
-                    u = theirs.compareTo(u) < 0 ? theirs : u;
-                }
-            }
-            return u;
-        }
+    boolean released(String uid) {
+      return needs.get(uid).stream().allMatch(n -> ended.get(n) == JobState.DONE);
     }
 
-    static LongStream seeds() {
-        return LongStream.range(0, 150);
+    Chains.Standing standing(String uid) {
+      return ended.get(uid) == JobState.DONE
+          ? Chains.Standing.DONE
+          : aborted(uid)
+              ? Chains.Standing.ABORTED
+              : released(uid) ? Chains.Standing.RELEASED : Chains.Standing.WAITING;
     }
 
-    /** Jobs come, end and are aborted in any order, and their records are told of late and twice. */
-    @ParameterizedTest
-    @MethodSource("seeds")
-    void agreesWithThePlainModel(long seed) {
-        SplittableRandom r = new SplittableRandom(seed);
-        Model model = new Model();
-        Chains chains = new Chains();
-        List<String> all = new ArrayList<>();
-        Set<String> released = new HashSet<>();
-        Set<String> aborted = new HashSet<>();
-        for (int step = 0; step < 60; step++) {
-            if (all.size() < 14 && r.nextInt(3) > 0) {
-                accept(r, model, chains, all);
-            } else if (!all.isEmpty()) {
-                String uid = all.get(r.nextInt(all.size()));
-                if (model.ended.get(uid) == null) {
-                    boolean done = model.released(uid) && !model.aborted(uid) && r.nextInt(3) > 0;
-                    if (done || r.nextInt(4) == 0) {
-                        model.ended.put(uid, done ? JobState.DONE : JobState.ABORTED);
-                        chains.ended(uid, model.ended.get(uid), step);
-                    }
-                } else {
-                    chains.ended(uid, model.ended.get(uid), step);
-                }
-            }
-            if (r.nextInt(5) == 0) {
-                for (String uid : all) {
-                    model.cost.put(uid, 1 + r.nextLong(30));
-                }
-                chains.costs(model.cost::get);
-            }
-            chains.settleAims(uid -> { });
-            released.addAll(chains.takeReleased());
-            aborted.addAll(chains.takeAborted());
-            check(model, chains, all, released, aborted);
+    /** By when it has to be done, for the sake of itself and all that need it. */
+    long by(String uid) {
+      long by = own.get(uid).byMicros();
+      for (String after : needs.keySet()) {
+        if (needs.get(after).contains(uid) && ended.get(after) == null && !aborted(after)) {
+          long theirs = by(after);
+          by = Math.min(by, theirs == Long.MAX_VALUE ? theirs : theirs - cost.get(after));
         }
-        assertTrue(!released.isEmpty() && all.size() > 5);
+      }
+      return by;
     }
 
-    private static void accept(SplittableRandom r, Model model, Chains chains, List<String> all) {
-        String uid = "job-" + all.size();
-        List<String> needs = new ArrayList<>();
-        for (String before : all) {
-            if (r.nextInt(4) == 0) {
-                needs.add(before);
-            }
+    Urgency urgency(String uid) {
+      Urgency u = own.get(uid).urgency();
+      for (String after : needs.keySet()) {
+        if (needs.get(after).contains(uid) && ended.get(after) == null && !aborted(after)) {
+          Urgency theirs = urgency(after);
+          u = theirs.compareTo(u) < 0 ? theirs : u;
         }
-        all.add(uid);
-        model.needs.put(uid, needs);
-        model.cost.put(uid, 1 + r.nextLong(30));
-        model.own.put(uid, new Chains.Aim(all.size(), r.nextInt(3) == 0 ? 100 + r.nextLong(200) : Long.MAX_VALUE, "c", 0,
-                Urgency.values()[r.nextInt(4)]));
-        List<String> unknown = chains.accepted(uid, 1 + all.size(), needs);
-        for (String name : unknown) {
-            JobState how = model.ended.get(name);
-            assertTrue(how != null, name + " has ended, or it would be known");
-            chains.ended(name, how, 0);
-        }
-        chains.aim(uid, model.own.get(uid), model.cost.get(uid));
-        // Told again, it changes nothing.
-        chains.accepted(uid, 1 + all.size(), List.of());
+      }
+      return u;
     }
-
-    private static void check(Model model, Chains chains, List<String> all, Set<String> released, Set<String> aborted) {
+  }
+
+  static LongStream seeds() {
+    return LongStream.range(0, 150);
+  }
+
+  /** Jobs come, end and are aborted in any order, and their records are told of late and twice. */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void agreesWithThePlainModel(long seed) {
+    SplittableRandom r = new SplittableRandom(seed);
+    Model model = new Model();
+    Chains chains = new Chains();
+    List<String> all = new ArrayList<>();
+    Set<String> released = new HashSet<>();
+    Set<String> aborted = new HashSet<>();
+    for (int step = 0; step < 60; step++) {
+      if (all.size() < 14 && r.nextInt(3) > 0) {
+        accept(r, model, chains, all);
+      } else if (!all.isEmpty()) {
+        String uid = all.get(r.nextInt(all.size()));
+        if (model.ended.get(uid) == null) {
+          boolean done = model.released(uid) && !model.aborted(uid) && r.nextInt(3) > 0;
+          if (done || r.nextInt(4) == 0) {
+            model.ended.put(uid, done ? JobState.DONE : JobState.ABORTED);
+            chains.ended(uid, model.ended.get(uid), step);
+          }
+        } else {
+          chains.ended(uid, model.ended.get(uid), step);
+        }
+      }
+      if (r.nextInt(5) == 0) {
         for (String uid : all) {
-            Chains.Standing now = model.standing(uid);
-            if (model.ended.get(uid) != null) {
-                assertEquals(Chains.Standing.UNKNOWN, chains.standing(uid), uid + " has ended and is forgotten");
-                continue;
-            }
-            assertEquals(now, chains.standing(uid), uid);
-            assertEquals(now == Chains.Standing.RELEASED, released.contains(uid) && !aborted.contains(uid), uid + " was told to be released");
-            assertEquals(now == Chains.Standing.ABORTED, aborted.contains(uid), uid + " was told to be aborted");
-            if (now != Chains.Standing.ABORTED) {
-                assertEquals(model.by(uid), chains.aim(uid).byMicros(), uid + " has its deadline");
-                assertEquals(model.urgency(uid), chains.aim(uid).urgency(), uid + " has its urgency");
-            }
+          model.cost.put(uid, 1 + r.nextLong(30));
         }
+        chains.costs(model.cost::get);
+      }
+      chains.settleAims(uid -> {});
+      released.addAll(chains.takeReleased());
+      aborted.addAll(chains.takeAborted());
+      check(model, chains, all, released, aborted);
     }
-
-    private static Chains.Aim aim(long due, Urgency u) {
-        return new Chains.Aim(0, due, "c", 0, u);
+    assertTrue(!released.isEmpty() && all.size() > 5);
+  }
+
+  private static void accept(SplittableRandom r, Model model, Chains chains, List<String> all) {
+    String uid = "job-" + all.size();
+    List<String> needs = new ArrayList<>();
+    for (String before : all) {
+      if (r.nextInt(4) == 0) {
+        needs.add(before);
+      }
     }
-
-    /** Ten thousand in a row, and ten thousand on one: no recursion, and a word costs what it changes. */
-    @Test
-    void longAndWideChainsCostNoRecursion() {
-        Chains chains = new Chains();
-        int n = 10_000;
-        for (int i = 0; i < n; i++) {
-            chains.accepted("job-" + i, i + 1, i == 0 ? List.of() : List.of("job-" + (i - 1)));
-            chains.aim("job-" + i, aim(i == n - 1 ? 1_000_000 : Long.MAX_VALUE, i == n - 1 ? Urgency.PROD : Urgency.IDLE), 10);
-        }
-        int[] changed = new int[1];
-        chains.settleAims(uid -> changed[0]++);
-        assertEquals(n, changed[0], "each once");
-        assertEquals(1_000_000 - 10L * (n - 1), chains.aim("job-0").byMicros());
-        assertEquals(Urgency.PROD, chains.aim("job-0").urgency());
-        chains.settleAims(uid -> changed[0]++);
-        assertEquals(n, changed[0], "nothing changed, nothing is done");
-        chains.takeReleased();
-        chains.ended("job-0", JobState.ABORTED, 0);
-        assertEquals(n, chains.takeAborted().size());
-        assertEquals("job-0", chains.through("job-" + (n - 1)));
-
-        Chains wide = new Chains();
-        wide.accepted("job-0", 1, List.of());
-        List<String> middle = IntStream.rangeClosed(1, n).mapToObj(i -> "job-" + i).toList();
-        for (int i = 1; i <= n; i++) {
-            wide.accepted("job-" + i, i + 1, List.of("job-0"));
-        }
-        wide.accepted("job-last", n + 2, middle);
-        wide.takeReleased();
-        wide.ended("job-0", JobState.DONE, 5);
-        assertEquals(n, wide.takeReleased().size());
-        for (int i = 1; i <= n; i++) {
-            assertEquals(Chains.Standing.WAITING, wide.standing("job-last"));
-            wide.ended("job-" + i, JobState.DONE, i);
-        }
-        assertEquals(List.of("job-last"), wide.takeReleased());
-        assertEquals(n, wide.releasedMicros("job-last"));
+    all.add(uid);
+    model.needs.put(uid, needs);
+    model.cost.put(uid, 1 + r.nextLong(30));
+    model.own.put(
+        uid,
+        new Chains.Aim(
+            all.size(),
+            r.nextInt(3) == 0 ? 100 + r.nextLong(200) : Long.MAX_VALUE,
+            "c",
+            0,
+            Urgency.values()[r.nextInt(4)]));
+    List<String> unknown = chains.accepted(uid, 1 + all.size(), needs);
+    for (String name : unknown) {
+      JobState how = model.ended.get(name);
+      assertTrue(how != null, name + " has ended, or it would be known");
+      chains.ended(name, how, 0);
     }
-
-    /** A later job's deadline reaches back when it comes, and goes with it when it is aborted. */
-    @Test
-    void aDeadlineIsUndoneWithTheJobThatHadIt() {
-        Chains chains = new Chains();
-        chains.accepted("job-1", 1, List.of());
-        chains.aim("job-1", aim(Long.MAX_VALUE, Urgency.IDLE), 7);
-        chains.settleAims(uid -> { });
-        chains.accepted("job-2", 2, List.of("job-1"));
-        chains.aim("job-2", aim(90, Urgency.HIGH), 20);
-        chains.settleAims(uid -> { });
-        assertEquals(70, chains.aim("job-1").byMicros());
-        assertEquals(Urgency.HIGH, chains.aim("job-1").urgency());
-        chains.ended("job-2", JobState.ABORTED, 0);
-        chains.settleAims(uid -> { });
-        assertEquals(Long.MAX_VALUE, chains.aim("job-1").byMicros());
-        assertEquals(Urgency.IDLE, chains.aim("job-1").urgency());
+    chains.aim(uid, model.own.get(uid), model.cost.get(uid));
+    // Told again, it changes nothing.
+    chains.accepted(uid, 1 + all.size(), List.of());
+  }
+
+  private static void check(
+      Model model, Chains chains, List<String> all, Set<String> released, Set<String> aborted) {
+    for (String uid : all) {
+      Chains.Standing now = model.standing(uid);
+      if (model.ended.get(uid) != null) {
+        assertEquals(
+            Chains.Standing.UNKNOWN, chains.standing(uid), uid + " has ended and is forgotten");
+        continue;
+      }
+      assertEquals(now, chains.standing(uid), uid);
+      assertEquals(
+          now == Chains.Standing.RELEASED,
+          released.contains(uid) && !aborted.contains(uid),
+          uid + " was told to be released");
+      assertEquals(
+          now == Chains.Standing.ABORTED, aborted.contains(uid), uid + " was told to be aborted");
+      if (now != Chains.Standing.ABORTED) {
+        assertEquals(model.by(uid), chains.aim(uid).byMicros(), uid + " has its deadline");
+        assertEquals(model.urgency(uid), chains.aim(uid).urgency(), uid + " has its urgency");
+      }
+    }
+  }
+
+  private static Chains.Aim aim(long due, Urgency u) {
+    return new Chains.Aim(0, due, "c", 0, u);
+  }
+
+  /**
+   * Ten thousand in a row, and ten thousand on one: no recursion, and a word costs what it changes.
+   */
+  @Test
+  void longAndWideChainsCostNoRecursion() {
+    Chains chains = new Chains();
+    int n = 10_000;
+    for (int i = 0; i < n; i++) {
+      chains.accepted("job-" + i, i + 1, i == 0 ? List.of() : List.of("job-" + (i - 1)));
+      chains.aim(
+          "job-" + i,
+          aim(i == n - 1 ? 1_000_000 : Long.MAX_VALUE, i == n - 1 ? Urgency.PROD : Urgency.IDLE),
+          10);
+    }
+    int[] changed = new int[1];
+    chains.settleAims(uid -> changed[0]++);
+    assertEquals(n, changed[0], "each once");
+    assertEquals(1_000_000 - 10L * (n - 1), chains.aim("job-0").byMicros());
+    assertEquals(Urgency.PROD, chains.aim("job-0").urgency());
+    chains.settleAims(uid -> changed[0]++);
+    assertEquals(n, changed[0], "nothing changed, nothing is done");
+    chains.takeReleased();
+    chains.ended("job-0", JobState.ABORTED, 0);
+    assertEquals(n, chains.takeAborted().size());
+    assertEquals("job-0", chains.through("job-" + (n - 1)));
+
+    Chains wide = new Chains();
+    wide.accepted("job-0", 1, List.of());
+    List<String> middle = IntStream.rangeClosed(1, n).mapToObj(i -> "job-" + i).toList();
+    for (int i = 1; i <= n; i++) {
+      wide.accepted("job-" + i, i + 1, List.of("job-0"));
+    }
+    wide.accepted("job-last", n + 2, middle);
+    wide.takeReleased();
+    wide.ended("job-0", JobState.DONE, 5);
+    assertEquals(n, wide.takeReleased().size());
+    for (int i = 1; i <= n; i++) {
+      assertEquals(Chains.Standing.WAITING, wide.standing("job-last"));
+      wide.ended("job-" + i, JobState.DONE, i);
     }
+    assertEquals(List.of("job-last"), wide.takeReleased());
+    assertEquals(n, wide.releasedMicros("job-last"));
+  }
+
+  /** A later job's deadline reaches back when it comes, and goes with it when it is aborted. */
+  @Test
+  void aDeadlineIsUndoneWithTheJobThatHadIt() {
+    Chains chains = new Chains();
+    chains.accepted("job-1", 1, List.of());
+    chains.aim("job-1", aim(Long.MAX_VALUE, Urgency.IDLE), 7);
+    chains.settleAims(uid -> {});
+    chains.accepted("job-2", 2, List.of("job-1"));
+    chains.aim("job-2", aim(90, Urgency.HIGH), 20);
+    chains.settleAims(uid -> {});
+    assertEquals(70, chains.aim("job-1").byMicros());
+    assertEquals(Urgency.HIGH, chains.aim("job-1").urgency());
+    chains.ended("job-2", JobState.ABORTED, 0);
+    chains.settleAims(uid -> {});
+    assertEquals(Long.MAX_VALUE, chains.aim("job-1").byMicros());
+    assertEquals(Urgency.IDLE, chains.aim("job-1").urgency());
+  }
 }
--- a/src/test/java/plumlever/settings/SettingsTest.java
+++ b/src/test/java/plumlever/settings/SettingsTest.java
@@ -12,93 +12,120 @@
 import org.junit.jupiter.api.io.TempDir;
 
 final class SettingsTest {
-    private static final String GOOD = """
-            label = "n0"
-            area = "a"
-            bind = "127.0.0.1:8080"
-            back = "127.0.0.1:8081"
-            shiny = "an unknown field"
-            [[seeds]]
-            label = "n1"
-            area = "b"
-            endpoint = "127.0.0.2:8081"
-            [outside]
-            cloud = "127.0.0.1:1"
-            state = "127.0.0.1:2"
-            [deployment]
-            count = 2
-            [[deployment.teams]]
-            name = "t"
-            cpus = 1.0
-            cpus_max = 2.0
-            gpus = 0.0
-            gpus_max = 0.0
-            [[deployment.objectives]]
-            kind = "wait"
-            class = "c"
-            within_s = 250.0
-            share = 0.9
-            [deployment.workers]
-            report_s = 3.0
-            lease_s = 20.0
-            cancel_s = 40.0
-            [deployment.state]
-            rps = 100.0
-            write_rps = 20.0
-            value_kb = 4.0
-            txn_ops = 8
-            [deployment.cloud]
-            rps = 5.0
-            list_lag_s = 3.0
-            [deployment.quota]
-            fd_limit = 256
-            """;
+  private static final String GOOD =
+      """
+      label = "n0"
+      area = "a"
+      bind = "127.0.0.1:8080"
+      back = "127.0.0.1:8081"
+      shiny = "an unknown field"
+      [[seeds]]
+      label = "n1"
+      area = "b"
+      endpoint = "127.0.0.2:8081"
+      [outside]
+      cloud = "127.0.0.1:1"
+      state = "127.0.0.1:2"
+      [deployment]
+      count = 2
+      [[deployment.teams]]
+      name = "t"
+      cpus = 1.0
+      cpus_max = 2.0
+      gpus = 0.0
+      gpus_max = 0.0
+      [[deployment.objectives]]
+      kind = "wait"
+      class = "c"
+      within_s = 250.0
+      share = 0.9
+      [deployment.workers]
+      report_s = 3.0
+      lease_s = 20.0
+      cancel_s = 40.0
+      [deployment.state]
+      rps = 100.0
+      write_rps = 20.0
+      value_kb = 4.0
+      txn_ops = 8
+      [deployment.cloud]
+      rps = 5.0
+      list_lag_s = 3.0
+      [deployment.quota]
+      fd_limit = 256
+      """;
 
-    @TempDir
-    Path dir;
+  @TempDir Path dir;
 
-    private Path file(String text) throws IOException {
-        return Files.writeString(dir.resolve("s"), text);
-    }
+  private Path file(String text) throws IOException {
+    return Files.writeString(dir.resolve("s"), text);
+  }
 
-    @Test
-    void readsThePlatformsFileAndIgnoresUnknownFields() throws Exception {
-        Platform p = Platform.load(file(GOOD));
-        assertEquals(20_000_000, p.workers().leaseMicros());
-        assertEquals(new Endpoint("127.0.0.2", 8081), p.seeds().get(0).endpoint());
-        assertEquals(4096, p.stateLimits().valueBytes());
-    }
+  @Test
+  void readsThePlatformsFileAndIgnoresUnknownFields() throws Exception {
+    Platform p = Platform.load(file(GOOD));
+    assertEquals(20_000_000, p.workers().leaseMicros());
+    assertEquals(new Endpoint("127.0.0.2", 8081), p.seeds().get(0).endpoint());
+    assertEquals(4096, p.stateLimits().valueBytes());
+  }
 
-    @Test
-    void errorsNameFileKeyAndReason() throws Exception {
-        assertEquals(dir.resolve("s") + ": deployment.workers.lease_s must be a number",
-                assertThrows(SettingsException.class, () -> Platform.load(file(GOOD.replace("lease_s = 20.0", "lease_s = \"x\"")))).getMessage());
-        assertEquals(dir.resolve("s") + ": outside.state is missing",
-                assertThrows(SettingsException.class, () -> Platform.load(file(GOOD.replace("state = \"127.0.0.1:2\"", "")))).getMessage());
-        assertEquals(dir.resolve("s") + ": bind must be ADDRESS:PORT",
-                assertThrows(SettingsException.class, () -> Platform.load(file(GOOD.replace("127.0.0.1:8080", "8080")))).getMessage());
-        assertTrue(assertThrows(SettingsException.class, () -> Platform.load(file("label = "))).getMessage().contains("not TOML"));
-        assertTrue(assertThrows(SettingsException.class, () -> Platform.load(dir.resolve("none"))).getMessage().contains("cannot be read"));
-    }
+  @Test
+  void errorsNameFileKeyAndReason() throws Exception {
+    assertEquals(
+        dir.resolve("s") + ": deployment.workers.lease_s must be a number",
+        assertThrows(
+                SettingsException.class,
+                () -> Platform.load(file(GOOD.replace("lease_s = 20.0", "lease_s = \"x\""))))
+            .getMessage());
+    assertEquals(
+        dir.resolve("s") + ": outside.state is missing",
+        assertThrows(
+                SettingsException.class,
+                () -> Platform.load(file(GOOD.replace("state = \"127.0.0.1:2\"", ""))))
+            .getMessage());
+    assertEquals(
+        dir.resolve("s") + ": bind must be ADDRESS:PORT",
+        assertThrows(
+                SettingsException.class,
+                () -> Platform.load(file(GOOD.replace("127.0.0.1:8080", "8080"))))
+            .getMessage());
+    assertTrue(
+        assertThrows(SettingsException.class, () -> Platform.load(file("label = ")))
+            .getMessage()
+            .contains("not TOML"));
+    assertTrue(
+        assertThrows(SettingsException.class, () -> Platform.load(dir.resolve("none")))
+            .getMessage()
+            .contains("cannot be read"));
+  }
 
-    @Test
-    void operatorsFileChangesTunablesAndRefusesUnknownKeys() throws Exception {
-        Tunables t = OperatorFile.load(file("padding_share: 0.1\nowned_hourly:\n  rack: 0.02\n"));
-        assertEquals(0.1, t.paddingShare());
-        assertEquals(0.02, t.ownedHourly().get("rack"));
-        assertEquals(Tunables.defaults().tieShare(), t.tieShare());
-        assertTrue(assertThrows(SettingsException.class, () -> OperatorFile.load(file("pading_share: 0.1"))).getMessage()
-                .endsWith("pading_share is unknown"));
-        assertTrue(assertThrows(SettingsException.class, () -> OperatorFile.load(file("tie_share: 7"))).getMessage()
-                .contains("tie_share must be from"));
-    }
+  @Test
+  void operatorsFileChangesTunablesAndRefusesUnknownKeys() throws Exception {
+    Tunables t = OperatorFile.load(file("padding_share: 0.1\nowned_hourly:\n  rack: 0.02\n"));
+    assertEquals(0.1, t.paddingShare());
+    assertEquals(0.02, t.ownedHourly().get("rack"));
+    assertEquals(Tunables.defaults().tieShare(), t.tieShare());
+    assertTrue(
+        assertThrows(SettingsException.class, () -> OperatorFile.load(file("pading_share: 0.1")))
+            .getMessage()
+            .endsWith("pading_share is unknown"));
+    assertTrue(
+        assertThrows(SettingsException.class, () -> OperatorFile.load(file("tie_share: 7")))
+            .getMessage()
+            .contains("tie_share must be from"));
+  }
 
-    @Test
-    void moneyMattersWhereAimsNameItOrLeaveTimeToRent() throws Exception {
-        assertTrue(Platform.load(file(GOOD)).moneyMatters(35_000_000));
-        String urgent = GOOD.replace("within_s = 250.0", "within_s = 8.0");
-        assertFalse(Platform.load(file(urgent)).moneyMatters(35_000_000));
-        assertTrue(Platform.load(file(urgent.replace("[deployment.workers]",
-                "[[deployment.objectives]]\nkind = \"price\"\n[deployment.workers]"))).moneyMatters(35_000_000));
-    }
+  @Test
+  void moneyMattersWhereAimsNameItOrLeaveTimeToRent() throws Exception {
+    assertTrue(Platform.load(file(GOOD)).moneyMatters(35_000_000));
+    String urgent = GOOD.replace("within_s = 250.0", "within_s = 8.0");
+    assertFalse(Platform.load(file(urgent)).moneyMatters(35_000_000));
+    assertTrue(
+        Platform.load(
+                file(
+                    urgent.replace(
+                        "[deployment.workers]",
+                        "[[deployment.objectives]]\nkind = \"price\"\n[deployment.workers]")))
+            .moneyMatters(35_000_000));
+  }
 }
--- a/src/test/java/plumlever/sim/FakeCloud.java
+++ b/src/test/java/plumlever/sim/FakeCloud.java
@@ -12,141 +12,167 @@
 
 /** The cloud, by its protocol: two types, two zones, a list that lags. */
 final class FakeCloud implements World.Service {
-    static final long LAG_MICROS = 3_000_000;
-    private static final String CATALOG = """
-            {"flavors":[
-            {"sku":"small","cores":4,"accelerators":0,"memory_gb":16,"cache_gb":40,"fetch_gb_per_s":1.0,"hourly":0.2,"low_price":0.06,"startup_s":12,"sites":["a","b"]},
-            {"sku":"large","cores":16,"accelerators":0,"memory_gb":64,"cache_gb":40,"fetch_gb_per_s":0.5,"hourly":0.9,"low_price":0.3,"startup_s":8,"sites":["a","b"]}]}
-            """;
+  static final long LAG_MICROS = 3_000_000;
+  private static final String CATALOG =
+      """
+      {"flavors":[
+      {"sku":"small","cores":4,"accelerators":0,"memory_gb":16,"cache_gb":40,"fetch_gb_per_s":1.0,"hourly":0.2,"low_price":0.06,"startup_s":12,"sites":["a","b"]},
+      {"sku":"large","cores":16,"accelerators":0,"memory_gb":64,"cache_gb":40,"fetch_gb_per_s":0.5,"hourly":0.9,"low_price":0.3,"startup_s":8,"sites":["a","b"]}]}
+      """;
 
-    static double coresOf(String flavor) {
-        return flavor.equals("small") ? 4 : 16;
-    }
+  static double coresOf(String flavor) {
+    return flavor.equals("small") ? 4 : 16;
+  }
 
-    /** A rented machine. */
-    static final class Vm {
-        final String id;
-        final String flavor;
-        final String site;
-        final boolean spot;
-        final long bornMicros;
-        FakeWorker worker;
-        boolean dead;
+  /** A rented machine. */
+  static final class Vm {
+    final String id;
+    final String flavor;
+    final String site;
+    final boolean spot;
+    final long bornMicros;
+    FakeWorker worker;
+    boolean dead;
 
-        Vm(String id, String flavor, String site, boolean spot, long born) {
-            this.id = id;
-            this.flavor = flavor;
-            this.site = site;
-            this.spot = spot;
-            this.bornMicros = born;
-        }
+    Vm(String id, String flavor, String site, boolean spot, long born) {
+      this.id = id;
+      this.flavor = flavor;
+      this.site = site;
+      this.spot = spot;
+      this.bornMicros = born;
     }
+  }
 
-    private final World world;
-    final TreeMap<String, Vm> machines = new TreeMap<>();
-    private final Map<String, List<String>> rentals = new HashMap<>();
-    private final List<Object[]> history = new ArrayList<>();
-    private int counter;
-    boolean outage;
-    /** Machines are up within two seconds. */
-    boolean bootsAtOnce;
-    int most = 14;
+  private final World world;
+  final TreeMap<String, Vm> machines = new TreeMap<>();
+  private final Map<String, List<String>> rentals = new HashMap<>();
+  private final List<Object[]> history = new ArrayList<>();
+  private int counter;
+  boolean outage;
 
-    FakeCloud(World world) {
-        this.world = world;
-        world.at(1, this::snapshot);
-    }
+  /** Machines are up within two seconds. */
+  boolean bootsAtOnce;
 
-    private void snapshot() {
-        ArrayNode list = Json.object().putArray("hosts");
-        for (Vm v : machines.values()) {
-            list.addObject().put("uid", v.id).put("endpoint", world.workerAt.apply(v.id).toString()).put("flavor", v.flavor).put("site", v.site)
-                    .put("loaners", v.spot).put("status", v.worker == null ? "booting" : "running")
-                    .put("age_s", (world.now() - v.bornMicros) / 1e6);
-        }
-        history.add(new Object[] {world.now(), list});
-        history.removeIf(h -> (Long) h[0] < world.now() - 3 * LAG_MICROS);
-        world.at(500_000, this::snapshot);
+  int most = 14;
+
+  FakeCloud(World world) {
+    this.world = world;
+    world.at(1, this::snapshot);
+  }
+
+  private void snapshot() {
+    ArrayNode list = Json.object().putArray("hosts");
+    for (Vm v : machines.values()) {
+      list.addObject()
+          .put("uid", v.id)
+          .put("endpoint", world.workerAt.apply(v.id).toString())
+          .put("flavor", v.flavor)
+          .put("site", v.site)
+          .put("loaners", v.spot)
+          .put("status", v.worker == null ? "booting" : "running")
+          .put("age_s", (world.now() - v.bornMicros) / 1e6);
     }
+    history.add(new Object[] {world.now(), list});
+    history.removeIf(h -> (Long) h[0] < world.now() - 3 * LAG_MICROS);
+    world.at(500_000, this::snapshot);
+  }
 
-    @Override
-    public void handle(String from, String method, String path, String body, World.Reply reply) {
-        if (outage) {
-            reply.send(503, "{\"error\":\"trouble\"}");
-            return;
-        }
-        try {
-            if (path.equals("/catalog")) {
-                reply.send(200, CATALOG);
-            } else if (path.startsWith("/hosts?")) {
-                long then = world.now() - LAG_MICROS - world.random.nextLong(LAG_MICROS);
-                ObjectNode out = Json.object().put("more", false);
-                out.putArray("hosts");
-                for (Object[] h : history) {
-                    if ((Long) h[0] <= then) {
-                        out.set("hosts", (ArrayNode) h[1]);
-                    }
-                }
-                reply.send(200, Json.write(out));
-            } else if (path.equals("/hosts")) {
-                rent(Json.parseObject(body), reply);
-            } else if (path.equals("/hosts/return")) {
-                Json.parseObject(body).path("hosts").forEach(h -> delete(h.asText()));
-                reply.send(200, "{}");
-            } else {
-                reply.send(404, "{}");
-            }
-        } catch (InvalidMessage e) {
-            reply.send(400, "{}");
+  @Override
+  public void handle(String from, String method, String path, String body, World.Reply reply) {
+    if (outage) {
+      reply.send(503, "{\"error\":\"trouble\"}");
+      return;
+    }
+    try {
+      if (path.equals("/catalog")) {
+        reply.send(200, CATALOG);
+      } else if (path.startsWith("/hosts?")) {
+        long then = world.now() - LAG_MICROS - world.random.nextLong(LAG_MICROS);
+        ObjectNode out = Json.object().put("more", false);
+        out.putArray("hosts");
+        for (Object[] h : history) {
+          if ((Long) h[0] <= then) {
+            out.set("hosts", (ArrayNode) h[1]);
+          }
         }
+        reply.send(200, Json.write(out));
+      } else if (path.equals("/hosts")) {
+        rent(Json.parseObject(body), reply);
+      } else if (path.equals("/hosts/return")) {
+        Json.parseObject(body).path("hosts").forEach(h -> delete(h.asText()));
+        reply.send(200, "{}");
+      } else {
+        reply.send(404, "{}");
+      }
+    } catch (InvalidMessage e) {
+      reply.send(400, "{}");
     }
+  }
 
-    private void rent(ObjectNode o, World.Reply reply) {
-        String name = o.path("rental").asText();
-        if (!rentals.containsKey(name)) {
-            List<String> got = new ArrayList<>();
-            for (int i = 0; i < o.path("count").asInt() && has(o); i++) {
-                Vm v = new Vm(String.format("i-%06d", ++counter), o.path("flavor").asText(), o.path("site").asText(),
-                        o.path("loaners").asBoolean(), world.now());
-                machines.put(v.id, v);
-                got.add(v.id);
-                if (world.random.nextInt(25) > 0) {
-                    world.at(bootsAtOnce ? world.random.nextLong(2_000_000) : 5_000_000 + world.random.nextLong(15_000_000), () -> {
-                        if (machines.get(v.id) == v) {
-                            v.worker = new FakeWorker(world, v);
-                        }
-                    });
+  private void rent(ObjectNode o, World.Reply reply) {
+    String name = o.path("rental").asText();
+    if (!rentals.containsKey(name)) {
+      List<String> got = new ArrayList<>();
+      for (int i = 0; i < o.path("count").asInt() && has(o); i++) {
+        Vm v =
+            new Vm(
+                String.format("i-%06d", ++counter),
+                o.path("flavor").asText(),
+                o.path("site").asText(),
+                o.path("loaners").asBoolean(),
+                world.now());
+        machines.put(v.id, v);
+        got.add(v.id);
+        if (world.random.nextInt(25) > 0) {
+          world.at(
+              bootsAtOnce
+                  ? world.random.nextLong(2_000_000)
+                  : 5_000_000 + world.random.nextLong(15_000_000),
+              () -> {
+                if (machines.get(v.id) == v) {
+                  v.worker = new FakeWorker(world, v);
                 }
-            }
-            if (got.isEmpty()) {
-                reply.send(503, "{\"error\":\"no capacity\"}");
-                return;
-            }
-            rentals.put(name, got);
+              });
         }
-        ObjectNode out = Json.object();
-        ArrayNode a = out.putArray("hosts");
-        rentals.get(name).forEach(a::add);
-        reply.send(200, Json.write(out));
+      }
+      if (got.isEmpty()) {
+        reply.send(503, "{\"error\":\"no capacity\"}");
+        return;
+      }
+      rentals.put(name, got);
     }
+    ObjectNode out = Json.object();
+    ArrayNode a = out.putArray("hosts");
+    rentals.get(name).forEach(a::add);
+    reply.send(200, Json.write(out));
+  }
 
-    /** What there is of a kind does not depend on how much of the others is rented. */
-    private boolean has(ObjectNode o) {
-        long rented = machines.values().stream().filter(v -> v.flavor.equals(o.path("flavor").asText())
-                && v.site.equals(o.path("site").asText()) && v.spot == o.path("loaners").asBoolean()).count();
-        return rented < Math.max(1, Math.round(most / 8.0));
-    }
+  /** What there is of a kind does not depend on how much of the others is rented. */
+  private boolean has(ObjectNode o) {
+    long rented =
+        machines.values().stream()
+            .filter(
+                v ->
+                    v.flavor.equals(o.path("flavor").asText())
+                        && v.site.equals(o.path("site").asText())
+                        && v.spot == o.path("loaners").asBoolean())
+            .count();
+    return rented < Math.max(1, Math.round(most / 8.0));
+  }
 
-    /** Workers whose connection is with that node. */
-    int reportingTo(String node) {
-        return (int) machines.values().stream().filter(v -> v.worker != null && v.worker.reportsTo(node)).count();
-    }
+  /** Workers whose connection is with that node. */
+  int reportingTo(String node) {
+    return (int)
+        machines.values().stream()
+            .filter(v -> v.worker != null && v.worker.reportsTo(node))
+            .count();
+  }
 
-    /** Gone with all that is on it. */
-    void delete(String id) {
-        Vm v = machines.remove(id);
-        if (v != null && v.worker != null) {
-            v.worker.die();
-        }
+  /** Gone with all that is on it. */
+  void delete(String id) {
+    Vm v = machines.remove(id);
+    if (v != null && v.worker != null) {
+      v.worker.die();
     }
+  }
 }
--- a/src/test/java/plumlever/sim/FakeUsers.java
+++ b/src/test/java/plumlever/sim/FakeUsers.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.HashSet;
 import plumlever.settings.Endpoint;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.JobSpec;
@@ -14,318 +14,439 @@
 
 /** Users who submit, poll, cancel some, and ask about jobs that nobody submitted. */
 final class FakeUsers {
-    private final World world;
-    private final Set<String> accepted = new HashSet<>();
-    private final Set<String> cancelled = new HashSet<>();
-    private final Map<String, Endpoint> connected = new HashMap<>();
-    private final Map<String, Long> sickSince = new HashMap<>();
-    private int next;
-    /** Users ask at all nodes within milliseconds, and repeat the submission, after each answer that brings news. */
-    boolean closeLooks;
-    /** Close looks that came to an answer. */
-    int looks;
-    private final Map<String, JobSpec> specs = new HashMap<>();
-    private final Set<String> lookedAt = new HashSet<>();
-
-    FakeUsers(World world) {
-        this.world = world;
-        world.at(1_000_000, this::askForNothing);
-        world.at(500_000, this::probe);
-    }
+  private final World world;
+  private final Set<String> accepted = new HashSet<>();
+  private final Set<String> cancelled = new HashSet<>();
+  private final Map<String, Endpoint> connected = new HashMap<>();
+  private final Map<String, Long> sickSince = new HashMap<>();
+  private int next;
 
-    Set<String> accepted() {
-        return accepted;
-    }
+  /**
+   * Users ask at all nodes within milliseconds, and repeat the submission, after each answer that
+   * brings news.
+   */
+  boolean closeLooks;
 
-    private Endpoint anyNode() {
-        List<String> all = new ArrayList<>(world.members.keySet());
-        return new Endpoint(all.get(world.random.nextInt(all.size())), 1);
-    }
+  /** Close looks that came to an answer. */
+  int looks;
 
-    /**
-     * A user's connection stays on its node, whatever that answers, until it ends: by the node's own word, by a failure, or
-     * when the load balancer has found the node unhealthy for five seconds.
-     */
-    private Endpoint nodeOf(String uid) {
-        Endpoint at = connected.get(uid);
-        if (at == null || unhealthy(at.host())) {
-            List<String> healthy = new ArrayList<>(world.members.keySet());
-            healthy.removeIf(this::unhealthy);
-            at = healthy.isEmpty() ? anyNode() : new Endpoint(healthy.get(world.random.nextInt(healthy.size())), 1);
-            connected.put(uid, at);
-        }
-        return at;
-    }
+  private final Map<String, JobSpec> specs = new HashMap<>();
+  private final Set<String> lookedAt = new HashSet<>();
 
-    private boolean unhealthy(String node) {
-        return world.now() - sickSince.getOrDefault(node, Long.MAX_VALUE / 2) > 5_000_000;
-    }
+  FakeUsers(World world) {
+    this.world = world;
+    world.at(1_000_000, this::askForNothing);
+    world.at(500_000, this::probe);
+  }
 
-    private void probe() {
-        for (String node : world.members.keySet()) {
-            world.send("balancer", new Endpoint(node, 1), "GET", "/up", null, 1_000_000, a -> {
-                if ((Integer) a[0] == 200) {
-                    sickSince.remove(node);
-                } else {
-                    sickSince.putIfAbsent(node, world.now());
-                }
-            });
-        }
-        world.at(1_000_000, this::probe);
-    }
+  Set<String> accepted() {
+    return accepted;
+  }
 
-    private void heard(String uid, Object[] answer) {
-        if ((Integer) answer[0] == 0 || (answer.length > 2 && (Boolean) answer[2])) {
-            connected.remove(uid);
-        }
+  private Endpoint anyNode() {
+    List<String> all = new ArrayList<>(world.members.keySet());
+    return new Endpoint(all.get(world.random.nextInt(all.size())), 1);
+  }
+
+  /**
+   * A user's connection stays on its node, whatever that answers, until it ends: by the node's own
+   * word, by a failure, or when the load balancer has found the node unhealthy for five seconds.
+   */
+  private Endpoint nodeOf(String uid) {
+    Endpoint at = connected.get(uid);
+    if (at == null || unhealthy(at.host())) {
+      List<String> healthy = new ArrayList<>(world.members.keySet());
+      healthy.removeIf(this::unhealthy);
+      at =
+          healthy.isEmpty()
+              ? anyNode()
+              : new Endpoint(healthy.get(world.random.nextInt(healthy.size())), 1);
+      connected.put(uid, at);
     }
+    return at;
+  }
+
+  private boolean unhealthy(String node) {
+    return world.now() - sickSince.getOrDefault(node, Long.MAX_VALUE / 2) > 5_000_000;
+  }
 
-    private void askForNothing() {
-        world.send("user", anyNode(), "GET", "/submissions/job-99" + next, null, 2_000_000, a -> {
+  private void probe() {
+    for (String node : world.members.keySet()) {
+      world.send(
+          "balancer",
+          new Endpoint(node, 1),
+          "GET",
+          "/up",
+          null,
+          1_000_000,
+          a -> {
             if ((Integer) a[0] == 200) {
-                world.rules.broken.add("invented: job-99" + next);
+              sickSince.remove(node);
+            } else {
+              sickSince.putIfAbsent(node, world.now());
             }
-            world.at(7_000_000, this::askForNothing);
-        });
+          });
     }
+    world.at(1_000_000, this::probe);
+  }
 
-    /** A job like many. */
-    JobSpec submit(int pieces, double cores, double expectS, boolean cancel) {
-        boolean oneZone = world.random.nextInt(4) == 0;
-        boolean spread = !oneZone && world.random.nextInt(4) == 0;
-        JobSpec j = new JobSpec(nextUid(), "c" + next % 3, next % 2 == 0 ? "red" : "blue",
-                Urgency.values()[world.random.nextInt(4)], pieces, cores, 0, 2, "img-" + next % 4, 1, null,
-                world.random.nextInt(6) == 0 ? "a" : null, oneZone, spread, world.random.nextInt(3) > 0, expectS, 0, 0,
-                world.random.nextBoolean() ? 60 : JobSpec.NO_DEADLINE);
-        submit(j, cancel);
-        return j;
+  private void heard(String uid, Object[] answer) {
+    if ((Integer) answer[0] == 0 || (answer.length > 2 && (Boolean) answer[2])) {
+      connected.remove(uid);
     }
+  }
 
-    void submit(JobSpec j, boolean cancel) {
-        world.rules.submitted.put(j.uid(), j);
-        world.rules.submittedAt.put(j.uid(), world.now());
-        trySubmit(j, cancel);
-    }
+  private void askForNothing() {
+    world.send(
+        "user",
+        anyNode(),
+        "GET",
+        "/submissions/job-99" + next,
+        null,
+        2_000_000,
+        a -> {
+          if ((Integer) a[0] == 200) {
+            world.rules.broken.add("invented: job-99" + next);
+          }
+          world.at(7_000_000, this::askForNothing);
+        });
+  }
 
-    String nextUid() {
-        return String.format("job-%06d", ++next);
-    }
+  /** A job like many. */
+  JobSpec submit(int pieces, double cores, double expectS, boolean cancel) {
+    boolean oneZone = world.random.nextInt(4) == 0;
+    boolean spread = !oneZone && world.random.nextInt(4) == 0;
+    JobSpec j =
+        new JobSpec(
+            nextUid(),
+            "c" + next % 3,
+            next % 2 == 0 ? "red" : "blue",
+            Urgency.values()[world.random.nextInt(4)],
+            pieces,
+            cores,
+            0,
+            2,
+            "img-" + next % 4,
+            1,
+            null,
+            world.random.nextInt(6) == 0 ? "a" : null,
+            oneZone,
+            spread,
+            world.random.nextInt(3) > 0,
+            expectS,
+            0,
+            0,
+            world.random.nextBoolean() ? 60 : JobSpec.NO_DEADLINE);
+    submit(j, cancel);
+    return j;
+  }
 
-    private void trySubmit(JobSpec j, boolean cancel) {
-        specs.put(j.uid(), j);
-        long asked = world.now();
-        world.send("user", nodeOf(j.uid()), "POST", "/submissions", Json.write(j.toJson()), 5_000_000, a -> {
-            heard(j.uid(), a);
-            int code = (Integer) a[0];
-            if (code == 201 || code == 200) {
-                accepted.add(j.uid());
-                tell(j.uid(), (String) a[1], asked);
-                poll(j.uid());
-                if (cancel) {
-                    world.at(5_000_000 + world.random.nextLong(30_000_000), () -> cancel(j.uid()));
-                }
-            } else if (code == 400 || code == 422) {
-                world.rules.broken.add("refused: " + j.uid() + " " + a[1]);
-            } else {
-                world.at(1_000_000, () -> trySubmit(j, cancel));
+  void submit(JobSpec j, boolean cancel) {
+    world.rules.submitted.put(j.uid(), j);
+    world.rules.submittedAt.put(j.uid(), world.now());
+    trySubmit(j, cancel);
+  }
+
+  String nextUid() {
+    return String.format("job-%06d", ++next);
+  }
+
+  private void trySubmit(JobSpec j, boolean cancel) {
+    specs.put(j.uid(), j);
+    long asked = world.now();
+    world.send(
+        "user",
+        nodeOf(j.uid()),
+        "POST",
+        "/submissions",
+        Json.write(j.toJson()),
+        5_000_000,
+        a -> {
+          heard(j.uid(), a);
+          int code = (Integer) a[0];
+          if (code == 201 || code == 200) {
+            accepted.add(j.uid());
+            tell(j.uid(), (String) a[1], asked);
+            poll(j.uid());
+            if (cancel) {
+              world.at(5_000_000 + world.random.nextLong(30_000_000), () -> cancel(j.uid()));
             }
+          } else if (code == 400 || code == 422) {
+            world.rules.broken.add("refused: " + j.uid() + " " + a[1]);
+          } else {
+            world.at(1_000_000, () -> trySubmit(j, cancel));
+          }
         });
-    }
+  }
 
-    /** Cancels jobs at once that run and have long to go; some of their machines hang for as long. */
-    List<String> cancelNow(int count, double hangS, int machines) {
-        List<String> out = new ArrayList<>();
-        for (String uid : accepted) {
-            if (out.size() < count && !cancelled.contains(uid) && world.rules.began(uid) && !world.rules.allDone(uid)) {
-                out.add(uid);
-            }
-        }
-        if (hangS > 0) {
-            world.cloud.machines.values().stream().filter(v -> v.worker != null && v.worker.tasks.values().stream()
-                    .anyMatch(t -> out.contains(t.name.substring(0, t.name.indexOf('/'))))).limit(machines).toList().forEach(v -> {
-                        v.worker.hung = true;
-                        world.at((long) (hangS * 1e6), () -> v.worker.hung = false);
-                    });
-        }
-        out.forEach(uid -> world.at(world.random.nextLong(200_000), () -> cancel(uid)));
-        return out;
+  /** Cancels jobs at once that run and have long to go; some of their machines hang for as long. */
+  List<String> cancelNow(int count, double hangS, int machines) {
+    List<String> out = new ArrayList<>();
+    for (String uid : accepted) {
+      if (out.size() < count
+          && !cancelled.contains(uid)
+          && world.rules.began(uid)
+          && !world.rules.allDone(uid)) {
+        out.add(uid);
+      }
     }
+    if (hangS > 0) {
+      world.cloud.machines.values().stream()
+          .filter(
+              v ->
+                  v.worker != null
+                      && v.worker.tasks.values().stream()
+                          .anyMatch(t -> out.contains(t.name.substring(0, t.name.indexOf('/')))))
+          .limit(machines)
+          .toList()
+          .forEach(
+              v -> {
+                v.worker.hung = true;
+                world.at((long) (hangS * 1e6), () -> v.worker.hung = false);
+              });
+    }
+    out.forEach(uid -> world.at(world.random.nextLong(200_000), () -> cancel(uid)));
+    return out;
+  }
 
-    /** A share of the jobs is called off, asked about and repeated at the moment of the end. */
-    void meetEnds(double share) {
-        world.rules.whenComplete = uid -> {
-            if (world.random.nextDouble() < share && specs.containsKey(uid)) {
-                long offset = world.random.nextLong(1_500_000);
-                world.at(offset, () -> cancel(uid));
-                world.at(offset + world.random.nextLong(30_000), () -> lookClosely(uid));
-            }
+  /** A share of the jobs is called off, asked about and repeated at the moment of the end. */
+  void meetEnds(double share) {
+    world.rules.whenComplete =
+        uid -> {
+          if (world.random.nextDouble() < share && specs.containsKey(uid)) {
+            long offset = world.random.nextLong(1_500_000);
+            world.at(offset, () -> cancel(uid));
+            world.at(offset + world.random.nextLong(30_000), () -> lookClosely(uid));
+          }
         };
-    }
+  }
 
-    /** What users send by mistake: each has one right answer. */
-    int oddRequests() {
-        int sent = 0;
-        for (String uid : new ArrayList<>(accepted)) {
-            String last = world.rules.lastTold.get(uid);
-            JobSpec j = specs.get(uid);
-            if ("done".equals(last)) {
-                expect("POST", "/submissions/" + uid + "/abort", "", 200, "\"done\"");
-            } else if (last != null) {
-                expect("POST", "/submissions", Json.write(j.toJson().put("pieces", 0)), 200, uid);
-                expect("POST", "/submissions", Json.write(j.toJson().put("owner", "nobody")), 200, uid);
-            }
-            sent++;
-        }
-        JobSpec like = specs.values().iterator().next();
-        expect("POST", "/submissions", Json.write(like.toJson().put("uid", "job-880001").put("cores", 99.0)), 422, "");
-        expect("POST", "/submissions", Json.write(like.toJson().put("uid", "job-880002").without("cores")), 400, "");
-        expect("GET", "/submissions/job-880003", "", 404, "");
-        expect("POST", "/submissions/job-880003/abort", "", 404, "");
-        return sent;
+  /** What users send by mistake: each has one right answer. */
+  int oddRequests() {
+    int sent = 0;
+    for (String uid : new ArrayList<>(accepted)) {
+      String last = world.rules.lastTold.get(uid);
+      JobSpec j = specs.get(uid);
+      if ("done".equals(last)) {
+        expect("POST", "/submissions/" + uid + "/abort", "", 200, "\"done\"");
+      } else if (last != null) {
+        expect("POST", "/submissions", Json.write(j.toJson().put("pieces", 0)), 200, uid);
+        expect("POST", "/submissions", Json.write(j.toJson().put("owner", "nobody")), 200, uid);
+      }
+      sent++;
     }
+    JobSpec like = specs.values().iterator().next();
+    expect(
+        "POST",
+        "/submissions",
+        Json.write(like.toJson().put("uid", "job-880001").put("cores", 99.0)),
+        422,
+        "");
+    expect(
+        "POST",
+        "/submissions",
+        Json.write(like.toJson().put("uid", "job-880002").without("cores")),
+        400,
+        "");
+    expect("GET", "/submissions/job-880003", "", 404, "");
+    expect("POST", "/submissions/job-880003/abort", "", 404, "");
+    return sent;
+  }
 
-    /** While the state service is out nothing but a refusal for now may take the place of the right answer. */
-    private void expect(String method, String path, String body, int status, String part) {
-        world.send("odd", anyNode(), method, path, body, 5_000_000, a -> {
-            int s = (Integer) a[0];
-            if (s != 0 && s != 503 && s != 429 && (s != status || !((String) a[1]).contains(part))) {
-                world.rules.broken.add("odd request: " + method + " " + path + " got " + s + " " + a[1]);
-            }
+  /**
+   * While the state service is out nothing but a refusal for now may take the place of the right
+   * answer.
+   */
+  private void expect(String method, String path, String body, int status, String part) {
+    world.send(
+        "odd",
+        anyNode(),
+        method,
+        path,
+        body,
+        5_000_000,
+        a -> {
+          int s = (Integer) a[0];
+          if (s != 0 && s != 503 && s != 429 && (s != status || !((String) a[1]).contains(part))) {
+            world.rules.broken.add(
+                "odd request: " + method + " " + path + " got " + s + " " + a[1]);
+          }
         });
-    }
+  }
 
-    private void lookClosely(String uid) {
-        for (String n : world.members.keySet()) {
-            for (int i = 0; i < 2; i++) {
-                world.at(1_000L + world.random.nextLong(20_000), () -> {
-                    long asked = world.now();
-                    boolean repeat = world.random.nextInt(3) == 0;
-                    world.send("close", new Endpoint(n, 1), repeat ? "POST" : "GET", repeat ? "/submissions" : "/submissions/" + uid,
-                            repeat ? Json.write(specs.get(uid).toJson()) : null, 2_000_000, a -> {
-                                if ((Integer) a[0] == 200) {
-                                    looks++;
-                                    toldAnywhere(uid, (String) a[1], asked);
-                                } else if ((Integer) a[0] == 404) {
-                                    world.rules.toldAnywhere(uid, null, asked);
-                                } else if ((Integer) a[0] == 400 || (Integer) a[0] == 422 || (Integer) a[0] == 201) {
-                                    world.rules.broken.add("a repeat of " + uid + " got " + a[0]);
-                                }
-                            });
-                });
-            }
-        }
+  private void lookClosely(String uid) {
+    for (String n : world.members.keySet()) {
+      for (int i = 0; i < 2; i++) {
+        world.at(
+            1_000L + world.random.nextLong(20_000),
+            () -> {
+              long asked = world.now();
+              boolean repeat = world.random.nextInt(3) == 0;
+              world.send(
+                  "close",
+                  new Endpoint(n, 1),
+                  repeat ? "POST" : "GET",
+                  repeat ? "/submissions" : "/submissions/" + uid,
+                  repeat ? Json.write(specs.get(uid).toJson()) : null,
+                  2_000_000,
+                  a -> {
+                    if ((Integer) a[0] == 200) {
+                      looks++;
+                      toldAnywhere(uid, (String) a[1], asked);
+                    } else if ((Integer) a[0] == 404) {
+                      world.rules.toldAnywhere(uid, null, asked);
+                    } else if ((Integer) a[0] == 400
+                        || (Integer) a[0] == 422
+                        || (Integer) a[0] == 201) {
+                      world.rules.broken.add("a repeat of " + uid + " got " + a[0]);
+                    }
+                  });
+            });
+      }
     }
+  }
 
-    private void toldAnywhere(String uid, String body, long asked) {
-        try {
-            world.rules.toldAnywhere(uid, Json.parseObject(body).path("status").asText(), asked);
-        } catch (InvalidMessage e) {
-            world.rules.broken.add("unreadable: " + body);
-        }
+  private void toldAnywhere(String uid, String body, long asked) {
+    try {
+      world.rules.toldAnywhere(uid, Json.parseObject(body).path("status").asText(), asked);
+    } catch (InvalidMessage e) {
+      world.rules.broken.add("unreadable: " + body);
     }
+  }
 
-    void cancel(String uid) {
-        cancelled.add(uid);
-        long asked = world.now();
-        world.send("user", nodeOf(uid), "POST", "/submissions/" + uid + "/abort", "", 5_000_000, a -> {
-            heard(uid, a);
-            if ((Integer) a[0] == 200) {
-                tell(uid, (String) a[1], asked);
-            } else {
-                if ((Integer) a[0] == 404) {
-                    world.rules.broken.add("forgotten: " + uid);
-                }
-                world.at(1_000_000, () -> cancel(uid));
+  void cancel(String uid) {
+    cancelled.add(uid);
+    long asked = world.now();
+    world.send(
+        "user",
+        nodeOf(uid),
+        "POST",
+        "/submissions/" + uid + "/abort",
+        "",
+        5_000_000,
+        a -> {
+          heard(uid, a);
+          if ((Integer) a[0] == 200) {
+            tell(uid, (String) a[1], asked);
+          } else {
+            if ((Integer) a[0] == 404) {
+              world.rules.broken.add("forgotten: " + uid);
             }
+            world.at(1_000_000, () -> cancel(uid));
+          }
         });
-    }
+  }
 
-    /** Users cancel only what was accepted: at once if it is, else as soon as it is. */
-    void cancelOnceAccepted(String uid) {
-        if (accepted.contains(uid)) {
-            cancel(uid);
-        } else {
-            world.at(20_000, () -> cancelOnceAccepted(uid));
-        }
+  /** Users cancel only what was accepted: at once if it is, else as soon as it is. */
+  void cancelOnceAccepted(String uid) {
+    if (accepted.contains(uid)) {
+      cancel(uid);
+    } else {
+      world.at(20_000, () -> cancelOnceAccepted(uid));
     }
+  }
 
-    /** Cancelled by the test itself. */
-    void cancelled(JobSpec j) {
-        cancelled.add(j.uid());
-    }
+  /** Cancelled by the test itself. */
+  void cancelled(JobSpec j) {
+    cancelled.add(j.uid());
+  }
 
-    /** Once, at this controller. */
-    void cancelAt(Endpoint at, String uid, java.util.function.Consumer<Integer> status) {
-        cancelled.add(uid);
-        long asked = world.now();
-        world.send("user", at, "POST", "/submissions/" + uid + "/abort", "", 5_000_000, a -> {
-            if ((Integer) a[0] == 200) {
-                tell(uid, (String) a[1], asked);
-            }
-            status.accept((Integer) a[0]);
+  /** Once, at this controller. */
+  void cancelAt(Endpoint at, String uid, java.util.function.Consumer<Integer> status) {
+    cancelled.add(uid);
+    long asked = world.now();
+    world.send(
+        "user",
+        at,
+        "POST",
+        "/submissions/" + uid + "/abort",
+        "",
+        5_000_000,
+        a -> {
+          if ((Integer) a[0] == 200) {
+            tell(uid, (String) a[1], asked);
+          }
+          status.accept((Integer) a[0]);
         });
-    }
+  }
 
-    private void poll(String uid) {
-        long asked = world.now();
-        world.send("user", nodeOf(uid), "GET", "/submissions/" + uid, null, 2_000_000, a -> {
-            heard(uid, a);
-            if ((Integer) a[0] == 200) {
-                tell(uid, (String) a[1], asked);
-            } else if ((Integer) a[0] == 404) {
-                world.rules.broken.add("forgotten: " + uid);
-            }
-            world.at(5_000_000, () -> poll(uid));
+  private void poll(String uid) {
+    long asked = world.now();
+    world.send(
+        "user",
+        nodeOf(uid),
+        "GET",
+        "/submissions/" + uid,
+        null,
+        2_000_000,
+        a -> {
+          heard(uid, a);
+          if ((Integer) a[0] == 200) {
+            tell(uid, (String) a[1], asked);
+          } else if ((Integer) a[0] == 404) {
+            world.rules.broken.add("forgotten: " + uid);
+          }
+          world.at(5_000_000, () -> poll(uid));
         });
-    }
+  }
 
-    /** True if its user called it off, or a job that it waits on, directly or through others. */
-    private boolean calledOff(String uid) {
-        Set<String> seen = new HashSet<>(Set.of(uid));
-        java.util.ArrayDeque<String> open = new java.util.ArrayDeque<>(seen);
-        while (!open.isEmpty()) {
-            String next = open.poll();
-            if (cancelled.contains(next)) {
-                return true;
-            }
-            JobSpec j = world.rules.submitted.get(next);
-            (j == null ? List.<String>of() : j.waitsOn()).stream().filter(seen::add).forEach(open::add);
-        }
-        return false;
+  /** True if its user called it off, or a job that it waits on, directly or through others. */
+  private boolean calledOff(String uid) {
+    Set<String> seen = new HashSet<>(Set.of(uid));
+    java.util.ArrayDeque<String> open = new java.util.ArrayDeque<>(seen);
+    while (!open.isEmpty()) {
+      String next = open.poll();
+      if (cancelled.contains(next)) {
+        return true;
+      }
+      JobSpec j = world.rules.submitted.get(next);
+      (j == null ? List.<String>of() : j.waitsOn()).stream().filter(seen::add).forEach(open::add);
     }
+    return false;
+  }
 
-    /**
-     * The jobs of a pipeline, each submitted as soon as those that it names are accepted; some users submit the last only when
-     * the others are over.
-     */
-    void pipeline(List<JobSpec> stages, boolean lastLate) {
-        for (int i = 0; i < stages.size(); i++) {
-            JobSpec j = stages.get(i);
-            world.rules.submitted.put(j.uid(), j);
-            boolean late = lastLate && i == stages.size() - 1;
-            submitWhen(j, () -> j.waitsOn().stream().allMatch(n -> accepted.contains(n)
-                    && (!late || List.of("done", "aborted").contains(world.rules.lastTold.getOrDefault(n, "")))));
-        }
+  /**
+   * The jobs of a pipeline, each submitted as soon as those that it names are accepted; some users
+   * submit the last only when the others are over.
+   */
+  void pipeline(List<JobSpec> stages, boolean lastLate) {
+    for (int i = 0; i < stages.size(); i++) {
+      JobSpec j = stages.get(i);
+      world.rules.submitted.put(j.uid(), j);
+      boolean late = lastLate && i == stages.size() - 1;
+      submitWhen(
+          j,
+          () ->
+              j.waitsOn().stream()
+                  .allMatch(
+                      n ->
+                          accepted.contains(n)
+                              && (!late
+                                  || List.of("done", "aborted")
+                                      .contains(world.rules.lastTold.getOrDefault(n, "")))));
     }
+  }
 
-    private void submitWhen(JobSpec j, java.util.function.BooleanSupplier ready) {
-        if (ready.getAsBoolean()) {
-            submit(j, false);
-        } else {
-            world.at(50_000, () -> submitWhen(j, ready));
-        }
+  private void submitWhen(JobSpec j, java.util.function.BooleanSupplier ready) {
+    if (ready.getAsBoolean()) {
+      submit(j, false);
+    } else {
+      world.at(50_000, () -> submitWhen(j, ready));
     }
+  }
 
-    private void tell(String uid, String body, long asked) {
-        toldAnywhere(uid, body, asked);
-        if (closeLooks && lookedAt.add(uid + body.contains("\"status\":\"done\"") + body.contains("\"aborted\""))) {
-            lookClosely(uid);
-        }
-        try {
-            world.rules.answered(uid);
-            world.rules.told(uid, Json.parseObject(body).path("status").asText(), calledOff(uid));
-        } catch (InvalidMessage e) {
-            world.rules.broken.add("unreadable: " + body);
-        }
+  private void tell(String uid, String body, long asked) {
+    toldAnywhere(uid, body, asked);
+    if (closeLooks
+        && lookedAt.add(
+            uid + body.contains("\"status\":\"done\"") + body.contains("\"aborted\""))) {
+      lookClosely(uid);
+    }
+    try {
+      world.rules.answered(uid);
+      world.rules.told(uid, Json.parseObject(body).path("status").asText(), calledOff(uid));
+    } catch (InvalidMessage e) {
+      world.rules.broken.add("unreadable: " + body);
     }
+  }
 }
