--- a/src/test/java/plumlever/sim/UpgradeTest.java
+++ b/src/test/java/plumlever/sim/UpgradeTest.java
@@ -33,265 +33,456 @@
 import plumlever.wire.Urgency;
 
 /**
- * The version in production and this one side by side: each reads what the other wrote. The samples under
- * {@code production/} were written by that version itself, in a simulated deployment with values of 4 KiB.
+ * The version in production and this one side by side: each reads what the other wrote. The samples
+ * under {@code production/} were written by that version itself, in a simulated deployment with
+ * values of 4 KiB.
  */
 final class UpgradeTest {
-    private static final int NOW_BYTES = 4096;
-    private static final int NEXT_BYTES = 2048;
+  private static final int NOW_BYTES = 4096;
+  private static final int NEXT_BYTES = 2048;
 
-    private static byte[] sample(String name) {
-        try (InputStream in = UpgradeTest.class.getResourceAsStream("/production/" + name)) {
-            return in.readAllBytes();
-        } catch (IOException e) {
-            throw new AssertionError(e);
-        }
+  private static byte[] sample(String name) {
+    try (InputStream in = UpgradeTest.class.getResourceAsStream("/production/" + name)) {
+      return in.readAllBytes();
+    } catch (IOException e) {
+      throw new AssertionError(e);
     }
+  }
 
-    private static Map<String, JsonNode> records() throws InvalidMessage {
-        Map<String, JsonNode> out = new LinkedHashMap<>();
-        ObjectNode all = Json.parseObject(sample("records.json"));
-        all.fieldNames().forEachRemaining(k -> out.put(k, all.get(k).path("data")));
-        return out;
-    }
+  private static Map<String, JsonNode> records() throws InvalidMessage {
+    Map<String, JsonNode> out = new LinkedHashMap<>();
+    ObjectNode all = Json.parseObject(sample("records.json"));
+    all.fieldNames().forEachRemaining(k -> out.put(k, all.get(k).path("data")));
+    return out;
+  }
 
-    private static World world(long seed) {
-        return new World(seed, 3, List.of(new Platform.Team("red", 16, 48, 0, 0), new Platform.Team("blue", 16, 0, 0, 0)), false,
-                Rules.CANCEL_MICROS, new Platform.StateLimits(200, 25, NEXT_BYTES, 4, NOW_BYTES));
-    }
+  private static World world(long seed) {
+    return new World(
+        seed,
+        3,
+        List.of(new Platform.Team("red", 16, 48, 0, 0), new Platform.Team("blue", 16, 0, 0, 0)),
+        false,
+        Rules.CANCEL_MICROS,
+        new Platform.StateLimits(200, 25, NEXT_BYTES, 4, NOW_BYTES));
+  }
 
-    @Test
-    void readsItsRecordsOfEveryKind() throws InvalidMessage {
-        Set<String> kinds = new HashSet<>();
-        for (Map.Entry<String, JsonNode> e : records().entrySet()) {
-            kinds.add(e.getKey().substring(0, Math.max(0, e.getKey().indexOf('/'))));
-            if (e.getKey().startsWith(JobStore.ACTIVE)) {
-                JobSpec spec = JobStore.spec(e.getValue());
-                assertEquals(e.getValue().path("job"), Json.parseObject(Json.write(spec.toJson())), "nothing is read otherwise than it was written");
-                assertTrue(JobStore.acceptedWallMicros(e.getValue()) > 0);
-                assertEquals(List.of(), spec.waitsOn());
-            } else if (e.getKey().startsWith(JobStore.ENDED)) {
-                assertTrue(JobStore.finalState(e.getValue()) != null);
-                assertEquals(0, JobStore.endedWallMicros(e.getValue()), "when it ended is not told");
-            }
-        }
-        assertEquals(Set.of("active", "ended", "progress", "fleet", "begun", "hints", "office", ""), kinds);
+  @Test
+  void readsItsRecordsOfEveryKind() throws InvalidMessage {
+    Set<String> kinds = new HashSet<>();
+    for (Map.Entry<String, JsonNode> e : records().entrySet()) {
+      kinds.add(e.getKey().substring(0, Math.max(0, e.getKey().indexOf('/'))));
+      if (e.getKey().startsWith(JobStore.ACTIVE)) {
+        JobSpec spec = JobStore.spec(e.getValue());
+        assertEquals(
+            e.getValue().path("job"),
+            Json.parseObject(Json.write(spec.toJson())),
+            "nothing is read otherwise than it was written");
+        assertTrue(JobStore.acceptedWallMicros(e.getValue()) > 0);
+        assertEquals(List.of(), spec.waitsOn());
+      } else if (e.getKey().startsWith(JobStore.ENDED)) {
+        assertTrue(JobStore.finalState(e.getValue()) != null);
+        assertEquals(0, JobStore.endedWallMicros(e.getValue()), "when it ended is not told");
+      }
     }
+    assertEquals(
+        Set.of("active", "ended", "progress", "fleet", "begun", "hints", "office", ""), kinds);
+  }
 
-    /** A new leader of this version takes over what that one left: jobs, progress, machines, what was begun. */
-    @Test
-    void takesOverWhatItLeft() throws InvalidMessage {
-        World w = world(1);
-        Map<String, JsonNode> left = records();
-        left.keySet().removeIf(k -> k.startsWith("office/leader"));
-        w.store.rewrite("", left);
-        w.cloud.outage = true;
-        w.play(4);
-        for (Map.Entry<String, JsonNode> e : left.entrySet()) {
-            if (e.getKey().startsWith(JobStore.ACTIVE)) {
-                assertTrue(w.leader().node().leader().job(e.getKey().substring(JobStore.ACTIVE.length())) != null, e.getKey());
-            }
-        }
-        BitSet packed = JobStore.readPack(left.get("progress/pack/0")).get("job-000030");
-        Job small = w.leader().node().leader().job("job-000030");
-        if (small != null) {
-            assertEquals(packed, small.done());
-        }
-        Job large = w.leader().node().leader().job("job-900001");
-        assertEquals(FormerVersion.progressItReads(w.store, NOW_BYTES).get("job-900001"), large.done(), "by its own size of chunks");
-        assertTrue(large.doneCount() > 1000 && large.inherited());
-        int machines = left.get("fleet/0").path("hosts").size();
-        assertTrue(machines > 5);
-        assertEquals(200, status(w, "job-000003", "aborted"));
+  /**
+   * A new leader of this version takes over what that one left: jobs, progress, machines, what was
+   * begun.
+   */
+  @Test
+  void takesOverWhatItLeft() throws InvalidMessage {
+    World w = world(1);
+    Map<String, JsonNode> left = records();
+    left.keySet().removeIf(k -> k.startsWith("office/leader"));
+    w.store.rewrite("", left);
+    w.cloud.outage = true;
+    w.play(4);
+    for (Map.Entry<String, JsonNode> e : left.entrySet()) {
+      if (e.getKey().startsWith(JobStore.ACTIVE)) {
+        assertTrue(
+            w.leader().node().leader().job(e.getKey().substring(JobStore.ACTIVE.length())) != null,
+            e.getKey());
+      }
     }
-
-    private static int status(World w, String uid, String part) {
-        int[] status = new int[1];
-        w.members.get("n1").node().front().handle("GET", "/submissions/" + uid, new byte[0], (s, json, retry) -> {
-            status[0] = s;
-            assertTrue(json.contains(part), json);
-        });
-        w.play(1);
-        return status[0];
+    BitSet packed = JobStore.readPack(left.get("progress/pack/0")).get("job-000030");
+    Job small = w.leader().node().leader().job("job-000030");
+    if (small != null) {
+      assertEquals(packed, small.done());
     }
+    Job large = w.leader().node().leader().job("job-900001");
+    assertEquals(
+        FormerVersion.progressItReads(w.store, NOW_BYTES).get("job-900001"),
+        large.done(),
+        "by its own size of chunks");
+    assertTrue(large.doneCount() > 1000 && large.inherited());
+    int machines = left.get("fleet/0").path("hosts").size();
+    assertTrue(machines > 5);
+    assertEquals(200, status(w, "job-000003", "aborted"));
+  }
 
-    @Test
-    void peersFollowEachOther() {
-        byte[] theirs = HexFormat.of().parseHex(new String(sample("peer-status.hex"), StandardCharsets.US_ASCII).trim());
-        PeerStatus.Codec codec = new PeerStatus.Codec();
-        PeerStatus read = codec.read(theirs);
-        assertEquals("lever-1", read.label());
-        assertEquals(41, read.term());
-        assertTrue(read.leading());
-        assertEquals(2_500_000, read.storeRefusedMicros());
-        assertEquals(1_200, read.lateMicros());
-        assertEquals(610, read.workers());
-        assertArrayEquals(new int[] {0, 70_000}, read.counts().get("job-7"));
-        assertEquals(List.of(), read.calledOff());
-        PeerStatus news = new PeerStatus(read.label(), read.term(), true, read.storeRefusedMicros(), read.lateMicros(), read.workers(), read.counts(),
-                List.of("job-000412", "job-5"));
-        byte[] ours = codec.write(news);
-        assertArrayEquals(theirs, Arrays.copyOf(ours, theirs.length), "it reads as far as its own fields, and finds them unchanged");
-        assertEquals(news.calledOff(), codec.read(ours).calledOff());
-    }
+  private static int status(World w, String uid, String part) {
+    int[] status = new int[1];
+    w.members
+        .get("n1")
+        .node()
+        .front()
+        .handle(
+            "GET",
+            "/submissions/" + uid,
+            new byte[0],
+            (s, json, retry) -> {
+              status[0] = s;
+              assertTrue(json.contains(part), json);
+            });
+    w.play(1);
+    return status[0];
+  }
 
-    static LongStream seeds() {
-        return LongStream.range(1, 7);
-    }
+  @Test
+  void peersFollowEachOther() {
+    byte[] theirs =
+        HexFormat.of()
+            .parseHex(new String(sample("peer-status.hex"), StandardCharsets.US_ASCII).trim());
+    PeerStatus.Codec codec = new PeerStatus.Codec();
+    PeerStatus read = codec.read(theirs);
+    assertEquals("lever-1", read.label());
+    assertEquals(41, read.term());
+    assertTrue(read.leading());
+    assertEquals(2_500_000, read.storeRefusedMicros());
+    assertEquals(1_200, read.lateMicros());
+    assertEquals(610, read.workers());
+    assertArrayEquals(new int[] {0, 70_000}, read.counts().get("job-7"));
+    assertEquals(List.of(), read.calledOff());
+    PeerStatus news =
+        new PeerStatus(
+            read.label(),
+            read.term(),
+            true,
+            read.storeRefusedMicros(),
+            read.lateMicros(),
+            read.workers(),
+            read.counts(),
+            List.of("job-000412", "job-5"));
+    byte[] ours = codec.write(news);
+    assertArrayEquals(
+        theirs,
+        Arrays.copyOf(ours, theirs.length),
+        "it reads as far as its own fields, and finds them unchanged");
+    assertEquals(news.calledOff(), codec.read(ours).calledOff());
+  }
+
+  static LongStream seeds() {
+    return LongStream.range(1, 7);
+  }
 
-    /**
-     * Old and new lead in turns, the old one filling values up to the present limit, and the limits fall at some moment. Nothing
-     * is lost or started twice, and what this version writes keeps within the limits to come from the start.
-     */
-    @ParameterizedTest
-    @MethodSource("seeds")
-    void leadsInTurnsWithIt(long seed) {
-        World w = world(300 + seed);
-        FakeUsers users = new FakeUsers(w);
-        FormerVersion former = new FormerVersion(w.store, NOW_BYTES);
-        List<JobSpec> all = new ArrayList<>();
-        w.cloud.most = 60;
-        for (int i = 0; i < 110; i++) {
-            JobSpec j = new JobSpec(users.nextUid(), "c0", i % 3 == 0 ? "red" : "blue", Urgency.STANDARD, 2 + i % 9, 0.5, 0, 0.5, "img-" + i % 3, 1, null, null,
-                    false, false, true, 20 + i % 90, 0, 0, JobSpec.NO_DEADLINE);
-            all.add(j);
-            w.at(i * 300_000L, () -> users.submit(j, false));
-        }
-        JobSpec large = new JobSpec(users.nextUid(), "c1", "blue", Urgency.HIGH, 6_000, 0.02, 0, 0.01, "img", 1, null, null, false, false, true, 25, 0, 0,
-                JobSpec.NO_DEADLINE);
-        all.add(large);
-        users.submit(large, false);
-        int largest = 0;
-        long limitsFall = 60_000_000 + seed * 15_000_000;
-        w.at(limitsFall, () -> {
-            w.store.valueBytes = NEXT_BYTES;
-            w.store.txnOps = 4;
+  /**
+   * Old and new lead in turns, the old one filling values up to the present limit, and the limits
+   * fall at some moment. Nothing is lost or started twice, and what this version writes keeps
+   * within the limits to come from the start.
+   */
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void leadsInTurnsWithIt(long seed) {
+    World w = world(300 + seed);
+    FakeUsers users = new FakeUsers(w);
+    FormerVersion former = new FormerVersion(w.store, NOW_BYTES);
+    List<JobSpec> all = new ArrayList<>();
+    w.cloud.most = 60;
+    for (int i = 0; i < 110; i++) {
+      JobSpec j =
+          new JobSpec(
+              users.nextUid(),
+              "c0",
+              i % 3 == 0 ? "red" : "blue",
+              Urgency.STANDARD,
+              2 + i % 9,
+              0.5,
+              0,
+              0.5,
+              "img-" + i % 3,
+              1,
+              null,
+              null,
+              false,
+              false,
+              true,
+              20 + i % 90,
+              0,
+              0,
+              JobSpec.NO_DEADLINE);
+      all.add(j);
+      w.at(i * 300_000L, () -> users.submit(j, false));
+    }
+    JobSpec large =
+        new JobSpec(
+            users.nextUid(),
+            "c1",
+            "blue",
+            Urgency.HIGH,
+            6_000,
+            0.02,
+            0,
+            0.01,
+            "img",
+            1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            25,
+            0,
+            0,
+            JobSpec.NO_DEADLINE);
+    all.add(large);
+    users.submit(large, false);
+    int largest = 0;
+    long limitsFall = 60_000_000 + seed * 15_000_000;
+    w.at(
+        limitsFall,
+        () -> {
+          w.store.valueBytes = NEXT_BYTES;
+          w.store.txnOps = 4;
         });
-        for (int turn = 0; turn < 8; turn++) {
-            w.play(18);
-            largest = Math.max(largest, w.store.largestValue);
-            if (w.store.valueBytes > NEXT_BYTES && turn % 2 == (seed & 1)) {
-                w.members.values().stream().filter(World.Member::leads).forEach(m -> m.crash(2));
-                w.play(0.1);
-                former.leads();
-            } else {
-                w.members.values().stream().filter(World.Member::leads).forEach(m -> m.crash(1));
-            }
-            noProgressIsMistaken(w);
-        }
-        w.calmSince = w.now();
-        w.play(400);
-        assertTrue(largest <= NEXT_BYTES, "written by this version: " + largest);
-        assertEquals(0, w.store.malformed);
-        assertEquals(List.of(), w.rules.broken);
-        for (JobSpec j : all) {
-            assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid());
-        }
-        for (JsonNode v : w.store.values("fleet/")) {
-            assertTrue(Json.write(v).length() <= NEXT_BYTES, "rewritten in parts: " + Json.write(v).length());
-        }
+    for (int turn = 0; turn < 8; turn++) {
+      w.play(18);
+      largest = Math.max(largest, w.store.largestValue);
+      if (w.store.valueBytes > NEXT_BYTES && turn % 2 == (seed & 1)) {
+        w.members.values().stream().filter(World.Member::leads).forEach(m -> m.crash(2));
+        w.play(0.1);
+        former.leads();
+      } else {
+        w.members.values().stream().filter(World.Member::leads).forEach(m -> m.crash(1));
+      }
+      noProgressIsMistaken(w);
     }
-
-    /** What the old version would take for done is done. */
-    private static void noProgressIsMistaken(World w) {
-        FormerVersion.progressItReads(w.store, NOW_BYTES).forEach((uid, done) ->
-                done.stream().forEach(t -> assertTrue(w.rules.completed(uid + "/" + t), "it would take " + uid + "/" + t + " for done")));
+    w.calmSince = w.now();
+    w.play(400);
+    assertTrue(largest <= NEXT_BYTES, "written by this version: " + largest);
+    assertEquals(0, w.store.malformed);
+    assertEquals(List.of(), w.rules.broken);
+    for (JobSpec j : all) {
+      assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid());
     }
-
-    /** A value larger than may be written now is rewritten in parts, and at no moment is an entry of it in none. */
-    @Test
-    void aSharedRecordThatDoesNotFitLosesNothing() {
-        World w = world(77);
-        FakeUsers users = new FakeUsers(w);
-        w.cloud.most = 200;
-        for (int i = 0; i < 60; i++) {
-            users.submit(new JobSpec(users.nextUid(), "c0", "blue", Urgency.STANDARD, 14, 1, 0, 1, "img", 1, null, null, false, false, true, 150, 0, 0,
-                    JobSpec.NO_DEADLINE), false);
-        }
-        w.play(60);
-        Set<String> hosts = hosts(w);
-        assertTrue(hosts.size() > 60, "machines on record: " + hosts.size());
-        w.leader().crash(1);
-        w.play(0.05);
-        new FormerVersion(w.store, NOW_BYTES).leads();
-        assertTrue(w.store.values("fleet/").stream().anyMatch(v -> Json.write(v).length() > NEXT_BYTES), "too large to be written now");
-        w.store.valueBytes = NEXT_BYTES;
-        w.store.txnOps = 4;
-        int[] looks = new int[1];
-        for (int i = 0; i < 1_200; i++) {
-            w.at(i * 20_000L, () -> {
-                Set<String> now = hosts(w);
-                for (String h : hosts) {
-                    if (!now.contains(h) && w.cloud.machines.containsKey(h)) {
-                        w.rules.broken.add(h + " is on no record");
-                    }
-                }
-                looks[0]++;
-            });
-        }
-        // The new leader ends while it is at it, so that the next goes on with what it left.
-        w.at(4_300_000, () -> w.leader().crash(1));
-        w.play(26);
-        assertEquals(1_200, looks[0]);
-        assertEquals(List.of(), w.rules.broken);
-        assertEquals(0, w.store.malformed);
-        assertTrue(w.store.values("fleet/").stream().allMatch(v -> Json.write(v).length() <= NEXT_BYTES), "all in parts by now");
+    for (JsonNode v : w.store.values("fleet/")) {
+      assertTrue(
+          Json.write(v).length() <= NEXT_BYTES, "rewritten in parts: " + Json.write(v).length());
     }
+  }
 
-    private static Set<String> hosts(World w) {
-        Set<String> out = new HashSet<>();
-        w.store.values("fleet/").forEach(v -> v.path("hosts").forEach(h -> out.add(h.path(0).asText())));
-        return out;
-    }
+  /** What the old version would take for done is done. */
+  private static void noProgressIsMistaken(World w) {
+    FormerVersion.progressItReads(w.store, NOW_BYTES)
+        .forEach(
+            (uid, done) ->
+                done.stream()
+                    .forEach(
+                        t ->
+                            assertTrue(
+                                w.rules.completed(uid + "/" + t),
+                                "it would take " + uid + "/" + t + " for done")));
+  }
 
-    /** Limits that fall on a day on which nothing announced it: what is refused for its size comes smaller. */
-    @Test
-    void limitsThatFallUnannouncedAreKeptAfterTheFirstRefusals() {
-        World w = new World(78, 3, List.of(new Platform.Team("blue", 16, 0, 0, 0)), false, Rules.CANCEL_MICROS,
-                new Platform.StateLimits(200, 25, NOW_BYTES, 8));
-        FakeUsers users = new FakeUsers(w);
-        w.cloud.most = 200;
-        List<JobSpec> all = new ArrayList<>();
-        for (int i = 0; i < 70; i++) {
-            JobSpec j = new JobSpec(users.nextUid(), "c0", "blue", Urgency.STANDARD, 12, 1, 0, 1, "img", 1, null, null, false, false, true, 40 + i, 0, 0,
-                    JobSpec.NO_DEADLINE);
-            all.add(j);
-            w.at(i * 900_000L, () -> users.submit(j, false));
-        }
-        w.play(45);
-        assertTrue(w.store.largestValue > NEXT_BYTES);
-        w.store.valueBytes = NEXT_BYTES;
-        w.store.txnOps = 4;
-        // A machine that goes has the record that it shares with dozens written anew.
-        w.cloud.machines.keySet().stream().limit(4).toList().forEach(w.cloud::delete);
-        w.play(60);
-        int refused = w.store.malformed;
-        assertTrue(refused > 0 && refused < 40, "told by refusals: " + refused);
-        w.leader().crash(2);
-        w.play(250);
-        assertTrue(w.store.malformed - refused < 40, "and again by a new leader: " + (w.store.malformed - refused));
-        assertEquals(List.of(), w.rules.broken);
-        all.forEach(j -> assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid()));
+  /**
+   * A value larger than may be written now is rewritten in parts, and at no moment is an entry of
+   * it in none.
+   */
+  @Test
+  void aSharedRecordThatDoesNotFitLosesNothing() {
+    World w = world(77);
+    FakeUsers users = new FakeUsers(w);
+    w.cloud.most = 200;
+    for (int i = 0; i < 60; i++) {
+      users.submit(
+          new JobSpec(
+              users.nextUid(),
+              "c0",
+              "blue",
+              Urgency.STANDARD,
+              14,
+              1,
+              0,
+              1,
+              "img",
+              1,
+              null,
+              null,
+              false,
+              false,
+              true,
+              150,
+              0,
+              0,
+              JobSpec.NO_DEADLINE),
+          false);
+    }
+    w.play(60);
+    Set<String> hosts = hosts(w);
+    assertTrue(hosts.size() > 60, "machines on record: " + hosts.size());
+    w.leader().crash(1);
+    w.play(0.05);
+    new FormerVersion(w.store, NOW_BYTES).leads();
+    assertTrue(
+        w.store.values("fleet/").stream().anyMatch(v -> Json.write(v).length() > NEXT_BYTES),
+        "too large to be written now");
+    w.store.valueBytes = NEXT_BYTES;
+    w.store.txnOps = 4;
+    int[] looks = new int[1];
+    for (int i = 0; i < 1_200; i++) {
+      w.at(
+          i * 20_000L,
+          () -> {
+            Set<String> now = hosts(w);
+            for (String h : hosts) {
+              if (!now.contains(h) && w.cloud.machines.containsKey(h)) {
+                w.rules.broken.add(h + " is on no record");
+              }
+            }
+            looks[0]++;
+          });
     }
+    // The new leader ends while it is at it, so that the next goes on with what it left.
+    w.at(4_300_000, () -> w.leader().crash(1));
+    w.play(26);
+    assertEquals(1_200, looks[0]);
+    assertEquals(List.of(), w.rules.broken);
+    assertEquals(0, w.store.malformed);
+    assertTrue(
+        w.store.values("fleet/").stream().allMatch(v -> Json.write(v).length() <= NEXT_BYTES),
+        "all in parts by now");
+  }
 
-    /** When an old version stored a predecessor's end, which tells no time, what waits on it is released all the same. */
-    @Test
-    void anEndStoredByTheOldVersionReleases() {
-        World w = world(79);
-        FakeUsers users = new FakeUsers(w);
-        JobSpec first = new JobSpec(users.nextUid(), "c0", "blue", Urgency.STANDARD, 2, 1, 0, 1, "img", 1, null, null, false, false, true, 5, 0, 0,
-                JobSpec.NO_DEADLINE);
-        w.play(5);
-        users.submit(first, false);
-        w.play(40);
-        new FormerVersion(w.store, NOW_BYTES).leads();
-        w.leader().crash(1);
-        JobSpec next = new JobSpec(users.nextUid(), "c0", "blue", Urgency.STANDARD, 2, 1, 0, 1, "img", 1, null, null, false, false, true, 5, 0, 0,
-                JobSpec.NO_DEADLINE).waitingOn(List.of(first.uid()));
-        users.submit(next, false);
-        w.play(60);
-        assertEquals(List.of(), w.rules.broken);
-        assertEquals("done", w.rules.lastTold.get(next.uid()));
-        assertEquals(JobState.DONE.wireName(), w.rules.lastTold.get(first.uid()));
+  private static Set<String> hosts(World w) {
+    Set<String> out = new HashSet<>();
+    w.store
+        .values("fleet/")
+        .forEach(v -> v.path("hosts").forEach(h -> out.add(h.path(0).asText())));
+    return out;
+  }
+
+  /**
+   * Limits that fall on a day on which nothing announced it: what is refused for its size comes
+   * smaller.
+   */
+  @Test
+  void limitsThatFallUnannouncedAreKeptAfterTheFirstRefusals() {
+    World w =
+        new World(
+            78,
+            3,
+            List.of(new Platform.Team("blue", 16, 0, 0, 0)),
+            false,
+            Rules.CANCEL_MICROS,
+            new Platform.StateLimits(200, 25, NOW_BYTES, 8));
+    FakeUsers users = new FakeUsers(w);
+    w.cloud.most = 200;
+    List<JobSpec> all = new ArrayList<>();
+    for (int i = 0; i < 70; i++) {
+      JobSpec j =
+          new JobSpec(
+              users.nextUid(),
+              "c0",
+              "blue",
+              Urgency.STANDARD,
+              12,
+              1,
+              0,
+              1,
+              "img",
+              1,
+              null,
+              null,
+              false,
+              false,
+              true,
+              40 + i,
+              0,
+              0,
+              JobSpec.NO_DEADLINE);
+      all.add(j);
+      w.at(i * 900_000L, () -> users.submit(j, false));
     }
+    w.play(45);
+    assertTrue(w.store.largestValue > NEXT_BYTES);
+    w.store.valueBytes = NEXT_BYTES;
+    w.store.txnOps = 4;
+    // A machine that goes has the record that it shares with dozens written anew.
+    w.cloud.machines.keySet().stream().limit(4).toList().forEach(w.cloud::delete);
+    w.play(60);
+    int refused = w.store.malformed;
+    assertTrue(refused > 0 && refused < 40, "told by refusals: " + refused);
+    w.leader().crash(2);
+    w.play(250);
+    assertTrue(
+        w.store.malformed - refused < 40,
+        "and again by a new leader: " + (w.store.malformed - refused));
+    assertEquals(List.of(), w.rules.broken);
+    all.forEach(j -> assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid()));
+  }
+
+  /**
+   * When an old version stored a predecessor's end, which tells no time, what waits on it is
+   * released all the same.
+   */
+  @Test
+  void anEndStoredByTheOldVersionReleases() {
+    World w = world(79);
+    FakeUsers users = new FakeUsers(w);
+    JobSpec first =
+        new JobSpec(
+            users.nextUid(),
+            "c0",
+            "blue",
+            Urgency.STANDARD,
+            2,
+            1,
+            0,
+            1,
+            "img",
+            1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            5,
+            0,
+            0,
+            JobSpec.NO_DEADLINE);
+    w.play(5);
+    users.submit(first, false);
+    w.play(40);
+    new FormerVersion(w.store, NOW_BYTES).leads();
+    w.leader().crash(1);
+    JobSpec next =
+        new JobSpec(
+                users.nextUid(),
+                "c0",
+                "blue",
+                Urgency.STANDARD,
+                2,
+                1,
+                0,
+                1,
+                "img",
+                1,
+                null,
+                null,
+                false,
+                false,
+                true,
+                5,
+                0,
+                0,
+                JobSpec.NO_DEADLINE)
+            .waitingOn(List.of(first.uid()));
+    users.submit(next, false);
+    w.play(60);
+    assertEquals(List.of(), w.rules.broken);
+    assertEquals("done", w.rules.lastTold.get(next.uid()));
+    assertEquals(JobState.DONE.wireName(), w.rules.lastTold.get(first.uid()));
+  }
 }
--- a/src/test/java/plumlever/sim/UsersTest.java
+++ b/src/test/java/plumlever/sim/UsersTest.java
@@ -11,118 +11,139 @@
 
 /** What users are told, in ordinary and in bad times. */
 final class UsersTest {
-    private static final String JOB = "{\"uid\":\"job-1\",\"jobclass\":\"c\",\"owner\":\"red\",\"shape\":\"sweep\","
-            + "\"urgency\":\"high\",\"pieces\":2,\"cores\":1.0,\"accelerators\":0,\"memory_gb\":1.0,\"bundle\":\"i\","
-            + "\"image_gb\":1.0,\"one_zone\":false,\"spread\":false,\"loaners\":true,\"expect_s\":5.0,"
-            + "\"snapshot_every_s\":0,\"snapshot_s\":0}";
+  private static final String JOB =
+      "{\"uid\":\"job-1\",\"jobclass\":\"c\",\"owner\":\"red\",\"shape\":\"sweep\","
+          + "\"urgency\":\"high\",\"pieces\":2,\"cores\":1.0,\"accelerators\":0,\"memory_gb\":1.0,\"bundle\":\"i\","
+          + "\"image_gb\":1.0,\"one_zone\":false,\"spread\":false,\"loaners\":true,\"expect_s\":5.0,"
+          + "\"snapshot_every_s\":0,\"snapshot_s\":0}";
 
-    private World world;
-    private int status;
-    private String body;
-    private int retryAfter;
-    private long took;
+  private World world;
+  private int status;
+  private String body;
+  private int retryAfter;
+  private long took;
 
-    @BeforeEach
-    void begin() {
-        world = new World(1, 3, List.of(new Platform.Team("red", 4, 8, 0, 0)), true);
-        world.play(5);
-    }
+  @BeforeEach
+  void begin() {
+    world = new World(1, 3, List.of(new Platform.Team("red", 4, 8, 0, 0)), true);
+    world.play(5);
+  }
 
-    private int ask(String method, String path, String text) {
-        status = 0;
-        long from = world.now();
-        world.members.get("n0").node().front().handle(method, path,
-                text == null ? new byte[0] : text.getBytes(StandardCharsets.UTF_8), (s, json, retry) -> {
-                    status = s;
-                    body = json;
-                    retryAfter = retry;
-                    took = world.now() - from;
-                });
-        for (int i = 0; i < 100 && status == 0; i++) {
-            world.play(0.1);
-        }
-        return status;
+  private int ask(String method, String path, String text) {
+    status = 0;
+    long from = world.now();
+    world
+        .members
+        .get("n0")
+        .node()
+        .front()
+        .handle(
+            method,
+            path,
+            text == null ? new byte[0] : text.getBytes(StandardCharsets.UTF_8),
+            (s, json, retry) -> {
+              status = s;
+              body = json;
+              retryAfter = retry;
+              took = world.now() - from;
+            });
+    for (int i = 0; i < 100 && status == 0; i++) {
+      world.play(0.1);
     }
+    return status;
+  }
 
-    @Test
-    void acceptsOnceAndKnowsRepeatsWhateverTheySay() {
-        assertEquals(201, ask("POST", "/submissions", JOB));
-        assertEquals(200, ask("POST", "/submissions", JOB));
-        assertEquals(200, ask("POST", "/submissions", JOB.replace("\"pieces\":2", "\"pieces\":0")));
-        assertEquals(200, ask("POST", "/submissions", JOB.replace("\"owner\":\"red\"", "\"owner\":\"nobody\"")));
-        assertEquals(200, ask("GET", "/submissions/job-1", null));
-        assertTrue(body.contains("\"status\":\"pending\""), body);
-    }
+  @Test
+  void acceptsOnceAndKnowsRepeatsWhateverTheySay() {
+    assertEquals(201, ask("POST", "/submissions", JOB));
+    assertEquals(200, ask("POST", "/submissions", JOB));
+    assertEquals(200, ask("POST", "/submissions", JOB.replace("\"pieces\":2", "\"pieces\":0")));
+    assertEquals(
+        200, ask("POST", "/submissions", JOB.replace("\"owner\":\"red\"", "\"owner\":\"nobody\"")));
+    assertEquals(200, ask("GET", "/submissions/job-1", null));
+    assertTrue(body.contains("\"status\":\"pending\""), body);
+  }
 
-    @Test
-    void refusesWhatIsWrongAndWhatCanNeverRun() {
-        assertEquals(400, ask("POST", "/submissions", "{"));
-        assertEquals(400, ask("POST", "/submissions", JOB.replace("\"pieces\":2", "\"pieces\":0")));
-        assertEquals(422, ask("POST", "/submissions", JOB.replace("\"owner\":\"red\"", "\"owner\":\"nobody\"")));
-        assertEquals(422, ask("POST", "/submissions", JOB.replace("\"cores\":1.0", "\"cores\":9.0")));
-        assertEquals(422, ask("POST", "/submissions", JOB.replace("\"memory_gb\":1.0", "\"memory_gb\":900.0")));
-        assertEquals(404, ask("GET", "/submissions/job-1", null));
-        assertEquals(404, ask("POST", "/submissions/job-1/abort", ""));
-        assertEquals(404, ask("GET", "/nothing", null));
-        assertEquals(405, ask("GET", "/submissions", null));
-        assertEquals(200, ask("GET", "/up", null));
-    }
+  @Test
+  void refusesWhatIsWrongAndWhatCanNeverRun() {
+    assertEquals(400, ask("POST", "/submissions", "{"));
+    assertEquals(400, ask("POST", "/submissions", JOB.replace("\"pieces\":2", "\"pieces\":0")));
+    assertEquals(
+        422, ask("POST", "/submissions", JOB.replace("\"owner\":\"red\"", "\"owner\":\"nobody\"")));
+    assertEquals(422, ask("POST", "/submissions", JOB.replace("\"cores\":1.0", "\"cores\":9.0")));
+    assertEquals(
+        422, ask("POST", "/submissions", JOB.replace("\"memory_gb\":1.0", "\"memory_gb\":900.0")));
+    assertEquals(404, ask("GET", "/submissions/job-1", null));
+    assertEquals(404, ask("POST", "/submissions/job-1/abort", ""));
+    assertEquals(404, ask("GET", "/nothing", null));
+    assertEquals(405, ask("GET", "/submissions", null));
+    assertEquals(200, ask("GET", "/up", null));
+  }
 
-    @Test
-    void anAbortIsFinal() {
-        world.rules.submitted.put("job-1", null);
-        ask("POST", "/submissions", JOB);
-        assertEquals(200, ask("POST", "/submissions/job-1/abort", ""));
-        assertTrue(body.contains("aborted"), body);
-        assertEquals(200, ask("POST", "/submissions", JOB));
-        assertTrue(body.contains("aborted"), body);
-        world.play(30);
-        assertEquals(200, ask("GET", "/submissions/job-1", null));
-        assertTrue(body.contains("aborted"), body);
-    }
+  @Test
+  void anAbortIsFinal() {
+    world.rules.submitted.put("job-1", null);
+    ask("POST", "/submissions", JOB);
+    assertEquals(200, ask("POST", "/submissions/job-1/abort", ""));
+    assertTrue(body.contains("aborted"), body);
+    assertEquals(200, ask("POST", "/submissions", JOB));
+    assertTrue(body.contains("aborted"), body);
+    world.play(30);
+    assertEquals(200, ask("GET", "/submissions/job-1", null));
+    assertTrue(body.contains("aborted"), body);
+  }
 
-    @Test
-    void anOutageIsToldAtOnceWithTheTimeToComeBack() {
-        world.store.outage = true;
-        for (String[] r : new String[][] {{"POST", "/submissions", JOB}, {"GET", "/submissions/job-1", null},
-            {"POST", "/submissions/job-1/abort", ""}}) {
-            assertEquals(503, ask(r[0], r[1], r[2]));
-            assertTrue(retryAfter > 0, "Retry-After");
-            assertTrue(took < 100_000, "answered at once, not held back: " + took);
-        }
-        assertEquals(200, ask("GET", "/up", null), "a common outage makes no node unhealthy");
+  @Test
+  void anOutageIsToldAtOnceWithTheTimeToComeBack() {
+    world.store.outage = true;
+    for (String[] r :
+        new String[][] {
+          {"POST", "/submissions", JOB},
+          {"GET", "/submissions/job-1", null},
+          {"POST", "/submissions/job-1/abort", ""}
+        }) {
+      assertEquals(503, ask(r[0], r[1], r[2]));
+      assertTrue(retryAfter > 0, "Retry-After");
+      assertTrue(took < 100_000, "answered at once, not held back: " + took);
     }
+    assertEquals(200, ask("GET", "/up", null), "a common outage makes no node unhealthy");
+  }
 
-    /** The transaction is carried out, its answer is lost: the record decides, never a guess. */
-    @Test
-    void anUnheardAcceptanceIsSettledByReading() {
-        world.cuts.put("state>n0", true);
-        assertEquals(503, ask("POST", "/submissions", JOB));
-        world.cuts.clear();
-        world.play(3);
-        assertEquals(200, ask("GET", "/submissions/job-1", null));
-        assertEquals(200, ask("POST", "/submissions", JOB));
-    }
+  /** The transaction is carried out, its answer is lost: the record decides, never a guess. */
+  @Test
+  void anUnheardAcceptanceIsSettledByReading() {
+    world.cuts.put("state>n0", true);
+    assertEquals(503, ask("POST", "/submissions", JOB));
+    world.cuts.clear();
+    world.play(3);
+    assertEquals(200, ask("GET", "/submissions/job-1", null));
+    assertEquals(200, ask("POST", "/submissions", JOB));
+  }
 
-    /** A follower that nobody asks anything sends little to the state service, and is healthy all the same. */
-    @Test
-    void aQuietNodeStaysHealthy() {
-        for (int i = 0; i < 100; i++) {
-            for (World.Member m : world.members.values()) {
-                m.node().front().handle("GET", "/up", new byte[0], (s, json, retry) -> assertEquals(200, s));
-            }
-            world.play(0.3);
-        }
+  /**
+   * A follower that nobody asks anything sends little to the state service, and is healthy all the
+   * same.
+   */
+  @Test
+  void aQuietNodeStaysHealthy() {
+    for (int i = 0; i < 100; i++) {
+      for (World.Member m : world.members.values()) {
+        m.node()
+            .front()
+            .handle("GET", "/up", new byte[0], (s, json, retry) -> assertEquals(200, s));
+      }
+      world.play(0.3);
     }
+  }
 
-    /** Refused by the state service alone: users should go to another node. */
-    @Test
-    void aNodeThatAloneIsRefusedCallsItselfUnhealthy() {
-        world.store.refused.add("n0");
-        world.play(5);
-        assertEquals(503, ask("GET", "/up", null));
-        world.store.refused.clear();
-        world.play(3);
-        assertEquals(200, ask("GET", "/up", null));
-    }
+  /** Refused by the state service alone: users should go to another node. */
+  @Test
+  void aNodeThatAloneIsRefusedCallsItselfUnhealthy() {
+    world.store.refused.add("n0");
+    world.play(5);
+    assertEquals(503, ask("GET", "/up", null));
+    world.store.refused.clear();
+    world.play(3);
+    assertEquals(200, ask("GET", "/up", null));
+  }
 }
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -22,436 +22,606 @@
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
 
-/** A simulated deployment: the service's nodes as they are, with stand-ins for all that is round them, on one clock. */
+/**
+ * A simulated deployment: the service's nodes as they are, with stand-ins for all that is round
+ * them, on one clock.
+ */
 public final class World {
-    /** Answers a request, now or later. */
-    public interface Reply {
-        void send(int status, String body);
+  /** Answers a request, now or later. */
+  public interface Reply {
+    void send(int status, String body);
 
-        /** The connection ends with the answer. */
-        default void sendClosing(int status, String body) {
-            send(status, body);
+    /** The connection ends with the answer. */
+    default void sendClosing(int status, String body) {
+      send(status, body);
+    }
+  }
+
+  /** A stand-in that takes requests. */
+  public interface Service {
+    void handle(String from, String method, String path, String body, Reply reply);
+  }
+
+  private record Event(long at, long seq, Runnable action) {}
+
+  static final long LATENCY_MICROS = 3_000;
+  static final Endpoint STATE = new Endpoint("state", 1);
+  static final Endpoint CLOUD = new Endpoint("cloud", 1);
+
+  final SplittableRandom random;
+  final Rules rules;
+  final FakeStore store;
+  final FakeCloud cloud;
+  final Map<String, Member> members = new LinkedHashMap<>();
+  final Map<Endpoint, Service> services = new HashMap<>();
+
+  /** Pairs {@code from>to} whose messages are held. */
+  final Map<String, Boolean> cuts = new HashMap<>();
+
+  /** Shares of calls that lose their answer, are executed late, or are executed once more later. */
+  double loseAnswer;
+
+  double executeLate;
+  double repeat;
+
+  /** Share of direct orders that come once more, late. */
+  double copyOrders;
+
+  /** Extra time that direct orders are under way. */
+  long slowOrdersMicros;
+
+  /** Share of direct orders whose answer is lost. */
+  double loseOrderAnswers;
+
+  /** Share of reports of which a copy comes late, at any node. */
+  double copyReports;
+
+  /** Share of reports of which a copy is kept, and comes to every node when a new leader begins. */
+  double copyReportsForNext;
+
+  private final List<String> keptReports = new ArrayList<>();
+
+  /** How many copies a new leader was sent. */
+  int copiesAtNext;
+
+  /** Machines whose reports reach no node, while direct commands reach them. */
+  final java.util.Set<String> mute = new java.util.HashSet<>();
+
+  /** Longest time a copy of a report comes late: well over a lease. */
+  static final long COPY_MICROS = 3 * FakeWorker.LEASE_MICROS;
+
+  /**
+   * The most sockets that any node had in use: workers that report to it, and its direct calls
+   * under way.
+   */
+  int mostSockets;
+
+  /** What work costs the controllers' processors; null where it costs nothing. */
+  Processor.Costs costs;
+
+  /** Where a machine's worker takes direct calls. */
+  java.util.function.Function<String, Endpoint> workerAt = id -> new Endpoint(id, 9);
+
+  /**
+   * Troubles are over since then; no question about a job may go unanswered for too long after it.
+   */
+  long calmSince = Long.MAX_VALUE;
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.seq, b.seq));
+  private long seq;
+  private long now = 1_000_000_000L;
+
+  public World(long seed, int nodes, List<Platform.Team> teams, boolean money) {
+    this(seed, nodes, teams, money, Rules.CANCEL_MICROS);
+  }
+
+  /**
+   * @param cancelMicros what the controllers believe to have for a cancellation: for tests of the
+   *     checks
+   */
+  World(long seed, int nodes, List<Platform.Team> teams, boolean money, long cancelMicros) {
+    this(seed, nodes, teams, money, cancelMicros, new Platform.StateLimits(200, 25, 4096, 8));
+  }
+
+  /**
+   * @param limits what the settings say of the state service
+   */
+  World(
+      long seed,
+      int nodes,
+      List<Platform.Team> teams,
+      boolean money,
+      long cancelMicros,
+      Platform.StateLimits limits) {
+    random = new SplittableRandom(seed);
+    rules = new Rules(this, teams);
+    store = new FakeStore(this);
+    cloud = new FakeCloud(this);
+    services.put(STATE, store);
+    services.put(CLOUD, cloud);
+    for (int i = 0; i < nodes; i++) {
+      List<Platform.Seed> seeds = new ArrayList<>();
+      for (int j = 0; j < nodes; j++) {
+        if (j != i) {
+          seeds.add(new Platform.Seed("n" + j, "z" + j, new Endpoint("n" + j, 2)));
         }
+      }
+      List<Platform.Objective> aims =
+          money
+              ? List.of(new Platform.Objective("price", null, 0, 1, 1))
+              : List.of(new Platform.Objective("wait", "c0", 5, 1, 0.9));
+      Platform p =
+          new Platform(
+              "n" + i,
+              "z" + i,
+              new Endpoint("n" + i, 1),
+              new Endpoint("n" + i, 2),
+              seeds,
+              CLOUD,
+              STATE,
+              teams,
+              aims,
+              new Platform.Workers(3_000_000, FakeWorker.LEASE_MICROS, cancelMicros),
+              limits,
+              new Platform.CloudLimits(6, FakeCloud.LAG_MICROS),
+              1000);
+      members.put(p.label(), new Member(p));
     }
-
-    /** A stand-in that takes requests. */
-    public interface Service {
-        void handle(String from, String method, String path, String body, Reply reply);
+  }
+
+  long now() {
+    return now;
+  }
+
+  void at(long delay, Runnable action) {
+    events.add(new Event(now + Math.max(0, delay), seq++, action));
+  }
+
+  /** Plays on for this long, checking the rules after every step. */
+  public void play(double seconds) {
+    long end = now + (long) (seconds * 1e6);
+    while (!events.isEmpty() && events.peek().at <= end) {
+      Event e = events.poll();
+      now = e.at;
+      e.action.run();
+      rules.check();
+      if (e.seq % 64 == 0) {
+        rules.checkForgotten();
+        rules.checkWaiting();
+      }
+      checkOneLeader();
     }
-
-    private record Event(long at, long seq, Runnable action) {}
-
-    static final long LATENCY_MICROS = 3_000;
-    static final Endpoint STATE = new Endpoint("state", 1);
-    static final Endpoint CLOUD = new Endpoint("cloud", 1);
-
-    final SplittableRandom random;
-    final Rules rules;
-    final FakeStore store;
-    final FakeCloud cloud;
-    final Map<String, Member> members = new LinkedHashMap<>();
-    final Map<Endpoint, Service> services = new HashMap<>();
-    /** Pairs {@code from>to} whose messages are held. */
-    final Map<String, Boolean> cuts = new HashMap<>();
-    /** Shares of calls that lose their answer, are executed late, or are executed once more later. */
-    double loseAnswer;
-    double executeLate;
-    double repeat;
-    /** Share of direct orders that come once more, late. */
-    double copyOrders;
-    /** Extra time that direct orders are under way. */
-    long slowOrdersMicros;
-    /** Share of direct orders whose answer is lost. */
-    double loseOrderAnswers;
-    /** Share of reports of which a copy comes late, at any node. */
-    double copyReports;
-    /** Share of reports of which a copy is kept, and comes to every node when a new leader begins. */
-    double copyReportsForNext;
-    private final List<String> keptReports = new ArrayList<>();
-    /** How many copies a new leader was sent. */
-    int copiesAtNext;
-    /** Machines whose reports reach no node, while direct commands reach them. */
-    final java.util.Set<String> mute = new java.util.HashSet<>();
-    /** Longest time a copy of a report comes late: well over a lease. */
-    static final long COPY_MICROS = 3 * FakeWorker.LEASE_MICROS;
-    /** The most sockets that any node had in use: workers that report to it, and its direct calls under way. */
-    int mostSockets;
-    /** What work costs the controllers' processors; null where it costs nothing. */
-    Processor.Costs costs;
-    /** Where a machine's worker takes direct calls. */
-    java.util.function.Function<String, Endpoint> workerAt = id -> new Endpoint(id, 9);
-    /** Troubles are over since then; no question about a job may go unanswered for too long after it. */
-    long calmSince = Long.MAX_VALUE;
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) ->
-            a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.seq, b.seq));
-    private long seq;
-    private long now = 1_000_000_000L;
-
-    public World(long seed, int nodes, List<Platform.Team> teams, boolean money) {
-        this(seed, nodes, teams, money, Rules.CANCEL_MICROS);
+    now = end;
+  }
+
+  /**
+   * A world round controllers that run elsewhere, as processes of their own: whoever builds it
+   * turns its clock.
+   */
+  World(long seed, List<Platform.Team> teams, List<String> nodes) {
+    random = new SplittableRandom(seed);
+    rules = new Rules(this, teams);
+    store = new FakeStore(this);
+    cloud = new FakeCloud(this);
+    nodes.forEach(n -> members.put(n, null));
+  }
+
+  /** Plays all that is due by then, without the checks of every step. */
+  void turnTo(long micros) {
+    while (!events.isEmpty() && events.peek().at <= micros) {
+      Event e = events.poll();
+      now = Math.max(now, e.at);
+      e.action.run();
     }
-
-    /** @param cancelMicros what the controllers believe to have for a cancellation: for tests of the checks */
-    World(long seed, int nodes, List<Platform.Team> teams, boolean money, long cancelMicros) {
-        this(seed, nodes, teams, money, cancelMicros, new Platform.StateLimits(200, 25, 4096, 8));
+    now = Math.max(now, micros);
+  }
+
+  /** Not a rule of the protocol, but what the proof of the others starts from. */
+  private void checkOneLeader() {
+    int acting = 0;
+    for (Member m : members.values()) {
+      if (m.node != null && m.node.mayAct()) {
+        acting++;
+      }
     }
-
-    /** @param limits what the settings say of the state service */
-    World(long seed, int nodes, List<Platform.Team> teams, boolean money, long cancelMicros, Platform.StateLimits limits) {
-        random = new SplittableRandom(seed);
-        rules = new Rules(this, teams);
-        store = new FakeStore(this);
-        cloud = new FakeCloud(this);
-        services.put(STATE, store);
-        services.put(CLOUD, cloud);
-        for (int i = 0; i < nodes; i++) {
-            List<Platform.Seed> seeds = new ArrayList<>();
-            for (int j = 0; j < nodes; j++) {
-                if (j != i) {
-                    seeds.add(new Platform.Seed("n" + j, "z" + j, new Endpoint("n" + j, 2)));
-                }
-            }
-            List<Platform.Objective> aims = money ? List.of(new Platform.Objective("price", null, 0, 1, 1))
-                    : List.of(new Platform.Objective("wait", "c0", 5, 1, 0.9));
-            Platform p = new Platform("n" + i, "z" + i, new Endpoint("n" + i, 1), new Endpoint("n" + i, 2), seeds, CLOUD,
-                    STATE, teams, aims, new Platform.Workers(3_000_000, FakeWorker.LEASE_MICROS, cancelMicros),
-                    limits, new Platform.CloudLimits(6, FakeCloud.LAG_MICROS), 1000);
-            members.put(p.label(), new Member(p));
-        }
+    if (acting > 1) {
+      rules.broken.add("two leaders act at " + now / 1e6);
     }
-
-    long now() {
-        return now;
+  }
+
+  /**
+   * Nor is this a rule of the protocol: a lease is renewed only in the name of the latest leader,
+   * but for what a stand-in has read a moment ago.
+   */
+  private void checkInOffice(String answer, boolean asLeader) {
+    try {
+      long term = Fleet.termOf(Json.parseObject(answer).path("baton").asLong());
+      if (term < store.term() && (asLeader || now - store.termSince > StandIn.VALID_MICROS)) {
+        rules.broken.add(
+            "a lease was renewed in term "
+                + term
+                + " at "
+                + now / 1e6
+                + ", after term "
+                + store.term()
+                + " began");
+      }
+    } catch (InvalidMessage e) {
+      throw new AssertionError("a node's answer can't be read: " + answer, e);
     }
-
-    void at(long delay, Runnable action) {
-        events.add(new Event(now + Math.max(0, delay), seq++, action));
+  }
+
+  /** A term has begun. */
+  void newTerm() {
+    List<String> copies = new ArrayList<>(keptReports);
+    keptReports.clear();
+    for (String body : copies) {
+      for (String n : members.keySet()) {
+        copiesAtNext++;
+        deliver(
+            "copy",
+            new Endpoint(n, 1),
+            "POST",
+            "/hello",
+            body,
+            (st, t) -> {},
+            random.nextLong(1_500_000L));
+      }
     }
-
-    /** Plays on for this long, checking the rules after every step. */
-    public void play(double seconds) {
-        long end = now + (long) (seconds * 1e6);
-        while (!events.isEmpty() && events.peek().at <= end) {
-            Event e = events.poll();
-            now = e.at;
-            e.action.run();
-            rules.check();
-            if (e.seq % 64 == 0) {
-                rules.checkForgotten();
-                rules.checkWaiting();
-            }
-            checkOneLeader();
-        }
-        now = end;
+  }
+
+  Member leader() {
+    return members.values().stream().filter(Member::leads).findFirst().orElseThrow();
+  }
+
+  void cut(String a, String b, boolean on) {
+    cuts.put(a + ">" + b, on);
+    cuts.put(b + ">" + a, on);
+  }
+
+  private boolean isCut(String from, String to) {
+    return cuts.getOrDefault(from + ">" + to, false)
+        || cuts.getOrDefault(from + ">*", false)
+        || cuts.getOrDefault("*>" + to, false);
+  }
+
+  /** A request over the network; a cut holds it and delivers it, late, when the cut ends. */
+  void send(
+      String from,
+      Endpoint to,
+      String method,
+      String path,
+      String body,
+      long timeout,
+      Consumer<Object[]> answer) {
+    boolean[] answered = new boolean[1];
+    at(
+        timeout,
+        () -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            answer.accept(new Object[] {0, ""});
+          }
+        });
+    boolean lose =
+        random.nextDouble() < loseAnswer
+            || (path.equals("/orders") && random.nextDouble() < loseOrderAnswers);
+    long delay =
+        LATENCY_MICROS + random.nextInt(2_000) + (path.equals("/orders") ? slowOrdersMicros : 0);
+    if (random.nextDouble() < executeLate) {
+      delay += 1_000_000L + random.nextLong(60_000_000L);
     }
-
-    /** A world round controllers that run elsewhere, as processes of their own: whoever builds it turns its clock. */
-    World(long seed, List<Platform.Team> teams, List<String> nodes) {
-        random = new SplittableRandom(seed);
-        rules = new Rules(this, teams);
-        store = new FakeStore(this);
-        cloud = new FakeCloud(this);
-        nodes.forEach(n -> members.put(n, null));
+    Reply reply =
+        new Reply() {
+          @Override
+          public void send(int status, String text) {
+            back(status, text, false);
+          }
+
+          @Override
+          public void sendClosing(int status, String text) {
+            back(status, text, true);
+          }
+
+          private void back(int status, String text, boolean closing) {
+            at(
+                LATENCY_MICROS,
+                () -> {
+                  if (!answered[0] && !lose && !isCut(to.host(), from)) {
+                    answered[0] = true;
+                    answer.accept(new Object[] {status, text, closing});
+                  }
+                });
+          }
+        };
+    if (path.equals("/orders") && random.nextDouble() < copyOrders) {
+      deliver(
+          from, to, method, path, body, (st, t) -> {}, 4_000_000L + random.nextLong(16_000_000L));
+      deliver(from, to, method, path, body, (st, t) -> {}, 500_000L + random.nextLong(COPY_MICROS));
     }
-
-    /** Plays all that is due by then, without the checks of every step. */
-    void turnTo(long micros) {
-        while (!events.isEmpty() && events.peek().at <= micros) {
-            Event e = events.poll();
-            now = Math.max(now, e.at);
-            e.action.run();
-        }
-        now = Math.max(now, micros);
+    if (path.equals("/hello") && mute.contains(from)) {
+      return;
     }
-
-    /** Not a rule of the protocol, but what the proof of the others starts from. */
-    private void checkOneLeader() {
-        int acting = 0;
-        for (Member m : members.values()) {
-            if (m.node != null && m.node.mayAct()) {
-                acting++;
-            }
-        }
-        if (acting > 1) {
-            rules.broken.add("two leaders act at " + now / 1e6);
-        }
+    if (path.equals("/hello") && random.nextDouble() < copyReportsForNext) {
+      keptReports.add(body);
     }
-
-    /**
-     * Nor is this a rule of the protocol: a lease is renewed only in the name of the latest leader, but for what a stand-in
-     * has read a moment ago.
-     */
-    private void checkInOffice(String answer, boolean asLeader) {
-        try {
-            long term = Fleet.termOf(Json.parseObject(answer).path("baton").asLong());
-            if (term < store.term() && (asLeader || now - store.termSince > StandIn.VALID_MICROS)) {
-                rules.broken.add("a lease was renewed in term " + term + " at " + now / 1e6 + ", after term " + store.term() + " began");
-            }
-        } catch (InvalidMessage e) {
-            throw new AssertionError("a node's answer can't be read: " + answer, e);
-        }
+    if (path.equals("/hello") && random.nextDouble() < copyReports) {
+      Endpoint any = new Endpoint("n" + random.nextInt(members.size()), 1);
+      deliver(
+          from,
+          random.nextBoolean() ? to : any,
+          method,
+          path,
+          body,
+          (st, t) -> {},
+          1_000_000L + random.nextLong(COPY_MICROS));
     }
-
-    /** A term has begun. */
-    void newTerm() {
-        List<String> copies = new ArrayList<>(keptReports);
-        keptReports.clear();
-        for (String body : copies) {
-            for (String n : members.keySet()) {
-                copiesAtNext++;
-                deliver("copy", new Endpoint(n, 1), "POST", "/hello", body, (st, t) -> { }, random.nextLong(1_500_000L));
-            }
-        }
-    }
-
-    Member leader() {
-        return members.values().stream().filter(Member::leads).findFirst().orElseThrow();
+    deliver(from, to, method, path, body, reply, delay);
+    if (random.nextDouble() < repeat) {
+      deliver(
+          from,
+          to,
+          method,
+          path,
+          body,
+          (s, t) -> {},
+          delay + 500_000L + random.nextLong(20_000_000L));
     }
+  }
+
+  private void deliver(
+      String from, Endpoint to, String method, String path, String body, Reply reply, long delay) {
+    at(
+        delay,
+        () -> {
+          if (isCut(from, to.host())) {
+            deliver(from, to, method, path, body, reply, 500_000);
+            return;
+          }
+          Service s = services.get(to);
+          if (s != null) {
+            s.handle(from, method, path, body, reply);
+          }
+        });
+  }
 
-    void cut(String a, String b, boolean on) {
-        cuts.put(a + ">" + b, on);
-        cuts.put(b + ">" + a, on);
-    }
+  /** One controller, which can be killed and started again. */
+  final class Member {
+    final Platform platform;
+    private Node node;
+    private int life;
+    private long frozenUntil;
+    private long stalledUntil;
+    private int calls;
 
-    private boolean isCut(String from, String to) {
-        return cuts.getOrDefault(from + ">" + to, false) || cuts.getOrDefault(from + ">*", false)
-                || cuts.getOrDefault("*>" + to, false);
-    }
+    /** The thread that decides, and the office's. */
+    private Processor decisions;
 
-    /** A request over the network; a cut holds it and delivers it, late, when the cut ends. */
-    void send(String from, Endpoint to, String method, String path, String body, long timeout, Consumer<Object[]> answer) {
-        boolean[] answered = new boolean[1];
-        at(timeout, () -> {
-            if (!answered[0]) {
-                answered[0] = true;
-                answer.accept(new Object[] {0, ""});
-            }
-        });
-        boolean lose = random.nextDouble() < loseAnswer || (path.equals("/orders") && random.nextDouble() < loseOrderAnswers);
-        long delay = LATENCY_MICROS + random.nextInt(2_000) + (path.equals("/orders") ? slowOrdersMicros : 0);
-        if (random.nextDouble() < executeLate) {
-            delay += 1_000_000L + random.nextLong(60_000_000L);
-        }
-        Reply reply = new Reply() {
-            @Override
-            public void send(int status, String text) {
-                back(status, text, false);
-            }
+    private Processor office;
 
-            @Override
-            public void sendClosing(int status, String text) {
-                back(status, text, true);
-            }
+    /** False: the office has no thread of its own, as if nothing had been learnt. */
+    boolean officeApart = true;
 
-            private void back(int status, String text, boolean closing) {
-                at(LATENCY_MICROS, () -> {
-                    if (!answered[0] && !lose && !isCut(to.host(), from)) {
-                        answered[0] = true;
-                        answer.accept(new Object[] {status, text, closing});
-                    }
-                });
-            }
-        };
-        if (path.equals("/orders") && random.nextDouble() < copyOrders) {
-            deliver(from, to, method, path, body, (st, t) -> { }, 4_000_000L + random.nextLong(16_000_000L));
-            deliver(from, to, method, path, body, (st, t) -> { }, 500_000L + random.nextLong(COPY_MICROS));
-        }
-        if (path.equals("/hello") && mute.contains(from)) {
-            return;
-        }
-        if (path.equals("/hello") && random.nextDouble() < copyReportsForNext) {
-            keptReports.add(body);
-        }
-        if (path.equals("/hello") && random.nextDouble() < copyReports) {
-            Endpoint any = new Endpoint("n" + random.nextInt(members.size()), 1);
-            deliver(from, random.nextBoolean() ? to : any, method, path, body, (st, t) -> { }, 1_000_000L + random.nextLong(COPY_MICROS));
-        }
-        deliver(from, to, method, path, body, reply, delay);
-        if (random.nextDouble() < repeat) {
-            deliver(from, to, method, path, body, (s, t) -> { }, delay + 500_000L + random.nextLong(20_000_000L));
-        }
+    Member(Platform platform) {
+      this.platform = platform;
+      start();
     }
 
-    private void deliver(String from, Endpoint to, String method, String path, String body, Reply reply, long delay) {
-        at(delay, () -> {
-            if (isCut(from, to.host())) {
-                deliver(from, to, method, path, body, reply, 500_000);
-                return;
-            }
-            Service s = services.get(to);
-            if (s != null) {
-                s.handle(from, method, path, body, reply);
-            }
-        });
+    Node node() {
+      return node;
     }
 
-    /** One controller, which can be killed and started again. */
-    final class Member {
-        final Platform platform;
-        private Node node;
-        private int life;
-        private long frozenUntil;
-        private long stalledUntil;
-        private int calls;
-        /** The thread that decides, and the office's. */
-        private Processor decisions;
-        private Processor office;
-        /** False: the office has no thread of its own, as if nothing had been learnt. */
-        boolean officeApart = true;
-
-        Member(Platform platform) {
-            this.platform = platform;
-            start();
-        }
+    boolean leads() {
+      return node != null && node.leader() != null;
+    }
 
-        Node node() {
-            return node;
-        }
+    void start() {
+      int mine = ++life;
+      // The office's thread gets on whatever the other has to do, but on the same processor, so at
+      // half the speed.
+      decisions =
+          new Processor(
+              World.this,
+              costs,
+              1,
+              () -> node == null ? 0 : node.metrics().counted("seats_evaluated"));
+      office = officeApart ? new Processor(World.this, costs, 2, () -> 0L) : decisions;
+      Loop loop = loop(mine, decisions);
+      Loop officeLoop = loop(mine, office);
+      node =
+          new Node(
+              loop,
+              caller(mine, decisions),
+              officeLoop,
+              caller(mine, office),
+              platform,
+              Tunables.defaults(),
+              random.nextLong(),
+              Logs.SERVICE);
+      Node current = node;
+      services.put(
+          platform.bind(),
+          (from, method, path, body, reply) ->
+              awake(
+                  mine,
+                  decisions,
+                  path.equals("/hello") ? Processor.Work.REPORT : Processor.Work.REQUEST,
+                  () ->
+                      current
+                          .front()
+                          .handle(
+                              method,
+                              path,
+                              bytes(body),
+                              new Responder() {
+                                private boolean closing;
+
+                                @Override
+                                public void closing() {
+                                  closing = true;
+                                }
+
+                                @Override
+                                public void send(int status, String json, int retry) {
+                                  if (status == 200 && path.equals("/hello")) {
+                                    checkInOffice(json, current.leader() != null);
+                                  }
+                                  if (life == mine && closing) {
+                                    reply.sendClosing(status, json);
+                                  } else if (life == mine) {
+                                    reply.send(status, json);
+                                  }
+                                }
+                              })));
+      services.put(
+          platform.back(),
+          (from, method, path, body, reply) -> {
+            awake(
+                mine,
+                decisions,
+                Processor.Work.ANSWER,
+                () ->
+                    current.peer(
+                        method,
+                        path,
+                        bytes(body),
+                        (status, json, retry) -> reply.send(status, json)));
+          });
+      at(
+          0,
+          () -> {
+            if (life == mine) {
+              current.start();
+            }
+          });
+    }
 
-        boolean leads() {
-            return node != null && node.leader() != null;
+    private Loop loop(int mine, Processor thread) {
+      return new Loop() {
+        @Override
+        public long nowMicros() {
+          return now;
         }
 
-        void start() {
-            int mine = ++life;
-            // The office's thread gets on whatever the other has to do, but on the same processor, so at half the speed.
-            decisions = new Processor(World.this, costs, 1, () -> node == null ? 0 : node.metrics().counted("seats_evaluated"));
-            office = officeApart ? new Processor(World.this, costs, 2, () -> 0L) : decisions;
-            Loop loop = loop(mine, decisions);
-            Loop officeLoop = loop(mine, office);
-            node = new Node(loop, caller(mine, decisions), officeLoop, caller(mine, office), platform, Tunables.defaults(),
-                    random.nextLong(), Logs.SERVICE);
-            Node current = node;
-            services.put(platform.bind(), (from, method, path, body, reply) ->
-                    awake(mine, decisions, path.equals("/hello") ? Processor.Work.REPORT : Processor.Work.REQUEST,
-                            () -> current.front().handle(method, path, bytes(body), new Responder() {
-                        private boolean closing;
-
-                        @Override
-                        public void closing() {
-                            closing = true;
-                        }
-
-                        @Override
-                        public void send(int status, String json, int retry) {
-                            if (status == 200 && path.equals("/hello")) {
-                                checkInOffice(json, current.leader() != null);
-                            }
-                            if (life == mine && closing) {
-                                reply.sendClosing(status, json);
-                            } else if (life == mine) {
-                                reply.send(status, json);
-                            }
-                        }
-                    })));
-            services.put(platform.back(), (from, method, path, body, reply) -> {
-                awake(mine, decisions, Processor.Work.ANSWER, () -> current.peer(method, path, bytes(body), (status, json, retry) -> reply.send(status, json)));
-            });
-            at(0, () -> {
-                if (life == mine) {
-                    current.start();
-                }
-            });
+        @Override
+        public long wallMicros() {
+          return 1_700_000_000_000_000L + now;
         }
 
-        private Loop loop(int mine, Processor thread) {
-            return new Loop() {
-                @Override
-                public long nowMicros() {
-                    return now;
-                }
-
-                @Override
-                public long wallMicros() {
-                    return 1_700_000_000_000_000L + now;
-                }
-
-                @Override
-                public Timer after(long delay, Runnable action) {
-                    boolean[] off = new boolean[1];
-                    at(delay, () -> awake(mine, thread, Processor.Work.TIMER, () -> {
+        @Override
+        public Timer after(long delay, Runnable action) {
+          boolean[] off = new boolean[1];
+          at(
+              delay,
+              () ->
+                  awake(
+                      mine,
+                      thread,
+                      Processor.Work.TIMER,
+                      () -> {
                         if (!off[0]) {
-                            action.run();
+                          action.run();
                         }
-                    }));
-                    return () -> off[0] = true;
-                }
-
-                @Override
-                public void execute(Runnable action) {
-                    after(0, action);
-                }
-            };
+                      }));
+          return () -> off[0] = true;
         }
 
-        private Caller caller(int mine, Processor thread) {
-            return (to, method, path, body, timeout, answer) -> {
-                boolean direct = path.equals("/orders");
-                if (direct) {
-                    calls++;
-                    mostSockets = Math.max(mostSockets, calls + cloud.reportingTo(platform.label()));
-                }
-                send(platform.label(), to, method, path, body == null ? null : new String(body, StandardCharsets.ISO_8859_1),
-                        timeout, a -> awake(mine, thread, Processor.Work.ANSWER, () -> {
-                            calls -= direct ? 1 : 0;
-                            answer.take((Integer) a[0], ((String) a[1]).getBytes(StandardCharsets.ISO_8859_1));
-                        }));
-            };
+        @Override
+        public void execute(Runnable action) {
+          after(0, action);
         }
+      };
+    }
 
-        /** Runs it in this life, in its turn; a process that stands still gets to what has arrived when it wakes. */
-        private void awake(int ofLife, Processor thread, Processor.Work work, Runnable action) {
-            if (life != ofLife) {
-                return;
-            }
-            long held = thread == decisions ? Math.max(frozenUntil, stalledUntil) : frozenUntil;
-            if (now < held) {
-                at(held - now, () -> awake(ofLife, thread, work, action));
-            } else {
-                thread.take(work, () -> {
-                    if (life == ofLife) {
-                        action.run();
-                    }
-                });
-            }
+    private Caller caller(int mine, Processor thread) {
+      return (to, method, path, body, timeout, answer) -> {
+        boolean direct = path.equals("/orders");
+        if (direct) {
+          calls++;
+          mostSockets = Math.max(mostSockets, calls + cloud.reportingTo(platform.label()));
         }
+        send(
+            platform.label(),
+            to,
+            method,
+            path,
+            body == null ? null : new String(body, StandardCharsets.ISO_8859_1),
+            timeout,
+            a ->
+                awake(
+                    mine,
+                    thread,
+                    Processor.Work.ANSWER,
+                    () -> {
+                      calls -= direct ? 1 : 0;
+                      answer.take(
+                          (Integer) a[0], ((String) a[1]).getBytes(StandardCharsets.ISO_8859_1));
+                    }));
+      };
+    }
 
-        /** What the thread that decides does takes this many times as long. */
-        void slowDown(double times) {
-            decisions.slower(times);
-        }
+    /**
+     * Runs it in this life, in its turn; a process that stands still gets to what has arrived when
+     * it wakes.
+     */
+    private void awake(int ofLife, Processor thread, Processor.Work work, Runnable action) {
+      if (life != ofLife) {
+        return;
+      }
+      long held = thread == decisions ? Math.max(frozenUntil, stalledUntil) : frozenUntil;
+      if (now < held) {
+        at(held - now, () -> awake(ofLife, thread, work, action));
+      } else {
+        thread.take(
+            work,
+            () -> {
+              if (life == ofLife) {
+                action.run();
+              }
+            });
+      }
+    }
 
-        /** The thread that decides stands still; the office's goes on. */
-        void stall(double seconds) {
-            stalledUntil = now + (long) (seconds * 1e6);
-        }
+    /** What the thread that decides does takes this many times as long. */
+    void slowDown(double times) {
+      decisions.slower(times);
+    }
 
-        /** It stands still while its clocks run on. */
-        void freeze(double seconds) {
-            frozenUntil = now + (long) (seconds * 1e6);
-        }
+    /** The thread that decides stands still; the office's goes on. */
+    void stall(double seconds) {
+      stalledUntil = now + (long) (seconds * 1e6);
+    }
 
-        void kill() {
-            life++;
-            frozenUntil = 0;
-            stalledUntil = 0;
-            calls = 0;
-            node = null;
-            services.remove(platform.bind());
-            services.remove(platform.back());
-        }
+    /** It stands still while its clocks run on. */
+    void freeze(double seconds) {
+      frozenUntil = now + (long) (seconds * 1e6);
+    }
 
-        void crash(double backAfterS) {
-            kill();
-            at((long) (backAfterS * 1e6), () -> {
-                if (node == null) {
-                    start();
-                }
-            });
-        }
+    void kill() {
+      life++;
+      frozenUntil = 0;
+      stalledUntil = 0;
+      calls = 0;
+      node = null;
+      services.remove(platform.bind());
+      services.remove(platform.back());
     }
 
-    private static byte[] bytes(String s) {
-        return s == null ? new byte[0] : s.getBytes(StandardCharsets.ISO_8859_1);
+    void crash(double backAfterS) {
+      kill();
+      at(
+          (long) (backAfterS * 1e6),
+          () -> {
+            if (node == null) {
+              start();
+            }
+          });
     }
+  }
+
+  private static byte[] bytes(String s) {
+    return s == null ? new byte[0] : s.getBytes(StandardCharsets.ISO_8859_1);
+  }
 }
--- a/src/test/java/plumlever/store/JobStoreTest.java
+++ b/src/test/java/plumlever/store/JobStoreTest.java
@@ -23,117 +23,160 @@
 import plumlever.wire.Urgency;
 
 final class JobStoreTest {
-    private static JobStore layout(int valueBytes, int formerValueBytes) {
-        return new JobStore(new WriteLimits(new Platform.StateLimits(100, 20, valueBytes, 4, formerValueBytes)));
-    }
+  private static JobStore layout(int valueBytes, int formerValueBytes) {
+    return new JobStore(
+        new WriteLimits(new Platform.StateLimits(100, 20, valueBytes, 4, formerValueBytes)));
+  }
 
-    /** A hundred thousand finished tasks do not fit one value: each chunk must, and together they lose none. */
-    @ParameterizedTest
-    @ValueSource(ints = {1024, 2048, 4096, 16384})
-    void chunksHoldTheLargestJob(int valueBytes) throws InvalidMessage {
-        JobStore s = layout(valueBytes, 16384);
-        BitSet done = new BitSet();
-        SplittableRandom r = new SplittableRandom(3);
-        for (int i = 0; i < 100_000; i++) {
-            done.set(i, r.nextBoolean());
-        }
-        done.set(99_999);
-        BitSet back = new BitSet();
-        int chunks = 0;
-        for (int first = 0; first < 100_000; first += s.tasksPerChunk()) {
-            JsonNode chunk = s.chunk(done, first, s.tasksPerChunk());
-            assertTrue(Json.write(chunk).length() <= valueBytes);
-            String key = JobStore.progressKey("job-1", first);
-            // By whatever size it was cut up, it is read the same.
-            layout(1024, 4096).readChunk(chunk, key.substring(key.lastIndexOf('/') + 1), back);
-            chunks++;
-        }
-        assertEquals(done, back);
-        assertEquals((100_000 + s.tasksPerChunk() - 1) / s.tasksPerChunk(), chunks);
+  /**
+   * A hundred thousand finished tasks do not fit one value: each chunk must, and together they lose
+   * none.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1024, 2048, 4096, 16384})
+  void chunksHoldTheLargestJob(int valueBytes) throws InvalidMessage {
+    JobStore s = layout(valueBytes, 16384);
+    BitSet done = new BitSet();
+    SplittableRandom r = new SplittableRandom(3);
+    for (int i = 0; i < 100_000; i++) {
+      done.set(i, r.nextBoolean());
     }
-
-    /** Versions before wrote chunks by number, cut up by what their settings gave as the largest value: now, not next. */
-    @Test
-    void readsTheChunksOfEarlierVersions() throws InvalidMessage {
-        BitSet bits = new BitSet();
-        bits.set(5);
-        JsonNode record = Json.object().put("b", Base64.getEncoder().encodeToString(bits.toByteArray()));
-        BitSet back = new BitSet();
-        layout(2048, 4096).readChunk(record, "2", back);
-        assertEquals(2 * ((4096 - 64) / 4 * 3 * 8) + 5, back.nextSetBit(0));
-        assertEquals(1, back.cardinality());
-        assertThrows(InvalidMessage.class, () -> layout(2048, 4096).readChunk(Json.object().put("f", 7).put("b", ""), "from-8", back));
+    done.set(99_999);
+    BitSet back = new BitSet();
+    int chunks = 0;
+    for (int first = 0; first < 100_000; first += s.tasksPerChunk()) {
+      JsonNode chunk = s.chunk(done, first, s.tasksPerChunk());
+      assertTrue(Json.write(chunk).length() <= valueBytes);
+      String key = JobStore.progressKey("job-1", first);
+      // By whatever size it was cut up, it is read the same.
+      layout(1024, 4096).readChunk(chunk, key.substring(key.lastIndexOf('/') + 1), back);
+      chunks++;
     }
+    assertEquals(done, back);
+    assertEquals((100_000 + s.tasksPerChunk() - 1) / s.tasksPerChunk(), chunks);
+  }
 
-    /** A version before takes the last part of a chunk's key for its number: it must not find one there. */
-    @Test
-    void earlierVersionsTakeNoChunkForOneOfTheirs() {
-        String key = JobStore.progressKey("job-1", 0);
-        assertThrows(NumberFormatException.class, () -> Integer.parseInt(key.substring(key.lastIndexOf('/') + 1)));
-    }
+  /**
+   * Versions before wrote chunks by number, cut up by what their settings gave as the largest
+   * value: now, not next.
+   */
+  @Test
+  void readsTheChunksOfEarlierVersions() throws InvalidMessage {
+    BitSet bits = new BitSet();
+    bits.set(5);
+    JsonNode record =
+        Json.object().put("b", Base64.getEncoder().encodeToString(bits.toByteArray()));
+    BitSet back = new BitSet();
+    layout(2048, 4096).readChunk(record, "2", back);
+    assertEquals(2 * ((4096 - 64) / 4 * 3 * 8) + 5, back.nextSetBit(0));
+    assertEquals(1, back.cardinality());
+    assertThrows(
+        InvalidMessage.class,
+        () -> layout(2048, 4096).readChunk(Json.object().put("f", 7).put("b", ""), "from-8", back));
+  }
 
-    /** Any list of names that a body holds is stored, however small values are, and comes back in full. */
-    @ParameterizedTest
-    @ValueSource(ints = {1024, 2048, 16384})
-    void namesThatDoNotFitAreStoredInParts(int valueBytes) {
-        JobStore s = layout(valueBytes, 16384);
-        List<String> names = IntStream.range(0, 5_000).mapToObj(i -> "job-" + i * 7L).toList();
-        JobSpec spec = new JobSpec("job-99", "c", "red", Urgency.HIGH, 1, 1, 0, 1, "i", 1, null, null, false, false, true, 5, 0, 0,
-                JobSpec.NO_DEADLINE).waitingOn(names);
-        JobStore.Acceptance a = s.accept(spec, 5_000);
-        JsonNode active = a.txn().body().path("then").get(0).path("data");
-        assertTrue(Json.write(active).length() <= valueBytes);
-        List<String> back = new ArrayList<>();
-        for (String key : JobStore.waitsKeys("job-99", active)) {
-            assertTrue(Json.write(a.parts().get(key)).length() <= valueBytes);
-            back.addAll(JobStore.names(a.parts().get(key)));
-        }
-        assertEquals(names, back);
-        assertEquals(List.of(), JobStore.waitsInline(active));
-        assertTrue(JobStore.waits(active));
-        JobStore.Acceptance small = s.accept(spec.waitingOn(List.of("job-1", "job-2")), 5_000);
-        assertEquals(Map.of(), small.parts());
-        assertEquals(List.of("job-1", "job-2"), JobStore.waitsInline(small.txn().body().path("then").get(0).path("data")));
+  /**
+   * A version before takes the last part of a chunk's key for its number: it must not find one
+   * there.
+   */
+  @Test
+  void earlierVersionsTakeNoChunkForOneOfTheirs() {
+    String key = JobStore.progressKey("job-1", 0);
+    assertThrows(
+        NumberFormatException.class,
+        () -> Integer.parseInt(key.substring(key.lastIndexOf('/') + 1)));
+  }
+
+  /**
+   * Any list of names that a body holds is stored, however small values are, and comes back in
+   * full.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {1024, 2048, 16384})
+  void namesThatDoNotFitAreStoredInParts(int valueBytes) {
+    JobStore s = layout(valueBytes, 16384);
+    List<String> names = IntStream.range(0, 5_000).mapToObj(i -> "job-" + i * 7L).toList();
+    JobSpec spec =
+        new JobSpec(
+                "job-99",
+                "c",
+                "red",
+                Urgency.HIGH,
+                1,
+                1,
+                0,
+                1,
+                "i",
+                1,
+                null,
+                null,
+                false,
+                false,
+                true,
+                5,
+                0,
+                0,
+                JobSpec.NO_DEADLINE)
+            .waitingOn(names);
+    JobStore.Acceptance a = s.accept(spec, 5_000);
+    JsonNode active = a.txn().body().path("then").get(0).path("data");
+    assertTrue(Json.write(active).length() <= valueBytes);
+    List<String> back = new ArrayList<>();
+    for (String key : JobStore.waitsKeys("job-99", active)) {
+      assertTrue(Json.write(a.parts().get(key)).length() <= valueBytes);
+      back.addAll(JobStore.names(a.parts().get(key)));
     }
+    assertEquals(names, back);
+    assertEquals(List.of(), JobStore.waitsInline(active));
+    assertTrue(JobStore.waits(active));
+    JobStore.Acceptance small = s.accept(spec.waitingOn(List.of("job-1", "job-2")), 5_000);
+    assertEquals(Map.of(), small.parts());
+    assertEquals(
+        List.of("job-1", "job-2"),
+        JobStore.waitsInline(small.txn().body().path("then").get(0).path("data")));
+  }
 
-    /** Refused for its size, the next write is smaller; a grant that has ended tells nothing of sizes. */
-    @Test
-    void limitsThatFallWithoutNoticeAreLearnt() {
-        WriteLimits l = new WriteLimits(new Platform.StateLimits(100, 20, 16384, 12, 16384));
-        Txn t = new Txn().put("a", Json.object().put("x", "y".repeat(9_000)));
-        l.refused(t);
-        assertTrue(l.valueBytes() < 9_000 && l.valueBytes() >= 4_000, "" + l.valueBytes());
-        assertEquals(12, l.txnOps(), "one change is not too many");
-        Txn many = new Txn();
-        for (int i = 0; i < 10; i++) {
-            many.drop("k" + i);
-        }
-        l.refused(many);
-        assertEquals(5, l.txnOps());
-        for (int i = 0; i < 20; i++) {
-            l.refused(t);
-            l.refused(many);
-        }
-        assertTrue(l.valueBytes() >= WriteLimits.LEAST_VALUE_BYTES && l.txnOps() >= WriteLimits.LEAST_OPS);
-        assertTrue(new Txn().put("a", Json.object(), 7).hangsOnGrant());
-        assertFalse(t.hangsOnGrant());
+  /**
+   * Refused for its size, the next write is smaller; a grant that has ended tells nothing of sizes.
+   */
+  @Test
+  void limitsThatFallWithoutNoticeAreLearnt() {
+    WriteLimits l = new WriteLimits(new Platform.StateLimits(100, 20, 16384, 12, 16384));
+    Txn t = new Txn().put("a", Json.object().put("x", "y".repeat(9_000)));
+    l.refused(t);
+    assertTrue(l.valueBytes() < 9_000 && l.valueBytes() >= 4_000, "" + l.valueBytes());
+    assertEquals(12, l.txnOps(), "one change is not too many");
+    Txn many = new Txn();
+    for (int i = 0; i < 10; i++) {
+      many.drop("k" + i);
+    }
+    l.refused(many);
+    assertEquals(5, l.txnOps());
+    for (int i = 0; i < 20; i++) {
+      l.refused(t);
+      l.refused(many);
     }
+    assertTrue(
+        l.valueBytes() >= WriteLimits.LEAST_VALUE_BYTES && l.txnOps() >= WriteLimits.LEAST_OPS);
+    assertTrue(new Txn().put("a", Json.object(), 7).hangsOnGrant());
+    assertFalse(t.hangsOnGrant());
+  }
 
-    @Test
-    void aBucketKeepsTheRateAndLetsUrgentOnesBorrow() {
-        TokenBucket b = new TokenBucket(10, 0);
-        int taken = 0;
-        for (int i = 0; i < 100; i++) {
-            taken += b.take(1, i * 10_000L) ? 1 : 0;
-        }
-        assertTrue(taken >= 18 && taken <= 20, "a burst of ten and ten in the second: " + taken);
-        b.rate(20, 1_000_000);
-        int more = 0;
-        for (int i = 100; i < 200; i++) {
-            more += b.take(1, i * 10_000L) ? 1 : 0;
-        }
-        assertTrue(more >= 19 && more <= 21, "twice as many in the next: " + more);
-        b.force(5, 1_000_000);
-        assertFalse(b.take(1, 1_100_000), "what was borrowed is paid back first");
+  @Test
+  void aBucketKeepsTheRateAndLetsUrgentOnesBorrow() {
+    TokenBucket b = new TokenBucket(10, 0);
+    int taken = 0;
+    for (int i = 0; i < 100; i++) {
+      taken += b.take(1, i * 10_000L) ? 1 : 0;
+    }
+    assertTrue(taken >= 18 && taken <= 20, "a burst of ten and ten in the second: " + taken);
+    b.rate(20, 1_000_000);
+    int more = 0;
+    for (int i = 100; i < 200; i++) {
+      more += b.take(1, i * 10_000L) ? 1 : 0;
     }
+    assertTrue(more >= 19 && more <= 21, "twice as many in the next: " + more);
+    b.force(5, 1_000_000);
+    assertFalse(b.take(1, 1_100_000), "what was borrowed is paid back first");
+  }
 }
--- a/src/test/java/plumlever/wire/WireTest.java
+++ b/src/test/java/plumlever/wire/WireTest.java
@@ -11,90 +11,162 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 final class WireTest {
-    static final String GOOD = "{\"uid\":\"job-000412\",\"jobclass\":\"train\",\"owner\":\"vision\",\"shape\":\"sweep\","
-            + "\"urgency\":\"high\",\"pieces\":16,\"cores\":8.0,\"accelerators\":1.0,\"memory_gb\":64.0,\"bundle\":\"img-07\","
-            + "\"image_gb\":6.2,\"flavors\":[\"g8\"],\"site\":null,\"one_zone\":true,\"spread\":false,\"loaners\":true,"
-            + "\"expect_s\":240.0,\"snapshot_every_s\":30.0,\"snapshot_s\":4.0,\"due_s\":900.0,\"new_field\":1}";
+  static final String GOOD =
+      "{\"uid\":\"job-000412\",\"jobclass\":\"train\",\"owner\":\"vision\",\"shape\":\"sweep\","
+          + "\"urgency\":\"high\",\"pieces\":16,\"cores\":8.0,\"accelerators\":1.0,\"memory_gb\":64.0,\"bundle\":\"img-07\","
+          + "\"image_gb\":6.2,\"flavors\":[\"g8\"],\"site\":null,\"one_zone\":true,\"spread\":false,\"loaners\":true,"
+          + "\"expect_s\":240.0,\"snapshot_every_s\":30.0,\"snapshot_s\":4.0,\"due_s\":900.0,\"new_field\":1}";
 
-    @Test
-    void readsASubmissionAndWritesItBack() throws InvalidMessage {
-        JobSpec j = JobSpec.parse(Json.parseObject(GOOD));
-        assertEquals(16, j.pieces());
-        assertNull(j.site());
-        assertEquals(j, JobSpec.parse(j.toJson()));
-        assertEquals(5, JobSpec.parse(Json.parseObject(GOOD.replace("\"pieces\":16", "\"pieces\":9")
-                .replace("\"spread\":false", "\"spread\":true"))).zoneLimit());
-    }
+  @Test
+  void readsASubmissionAndWritesItBack() throws InvalidMessage {
+    JobSpec j = JobSpec.parse(Json.parseObject(GOOD));
+    assertEquals(16, j.pieces());
+    assertNull(j.site());
+    assertEquals(j, JobSpec.parse(j.toJson()));
+    assertEquals(
+        5,
+        JobSpec.parse(
+                Json.parseObject(
+                    GOOD.replace("\"pieces\":16", "\"pieces\":9")
+                        .replace("\"spread\":false", "\"spread\":true")))
+            .zoneLimit());
+  }
 
-    @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
-        "\"pieces\":16|\"pieces\":0", "\"pieces\":16|\"pieces\":100001", "\"pieces\":16|\"pieces\":1.5", "\"pieces\":16|\"pieces\":\"16\"",
-        "\"cores\":8.0|\"cores\":-1", "\"cores\":8.0|\"cores\":NaN", "\"cores\":8.0|\"cores\":null", "\"uid\":\"job-000412\"|\"uid\":\"412\"",
-        "\"shape\":\"sweep\"|\"shape\":\"circle\"", "\"urgency\":\"high\"|\"urgency\":\"very\"", "\"one_zone\":true|\"one_zone\":1",
-        "\"flavors\":[\"g8\"]|\"flavors\":\"g8\"", "\"flavors\":[\"g8\"]|\"flavors\":[8]", "\"due_s\":900.0|\"due_s\":-3",
-        "\"owner\":\"vision\",|", "\"expect_s\":240.0|\"expect_s\":1e400", "\"site\":null|\"site\":7"})
-    void refusesBadFields(String good, String bad) {
-        String text = GOOD.replace(good, bad == null ? "" : bad);
-        assertTrue(!text.equals(GOOD));
-        assertThrows(InvalidMessage.class, () -> JobSpec.parse(Json.parseObject(text)));
-    }
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "\"pieces\":16|\"pieces\":0",
+        "\"pieces\":16|\"pieces\":100001",
+        "\"pieces\":16|\"pieces\":1.5",
+        "\"pieces\":16|\"pieces\":\"16\"",
+        "\"cores\":8.0|\"cores\":-1",
+        "\"cores\":8.0|\"cores\":NaN",
+        "\"cores\":8.0|\"cores\":null",
+        "\"uid\":\"job-000412\"|\"uid\":\"412\"",
+        "\"shape\":\"sweep\"|\"shape\":\"circle\"",
+        "\"urgency\":\"high\"|\"urgency\":\"very\"",
+        "\"one_zone\":true|\"one_zone\":1",
+        "\"flavors\":[\"g8\"]|\"flavors\":\"g8\"",
+        "\"flavors\":[\"g8\"]|\"flavors\":[8]",
+        "\"due_s\":900.0|\"due_s\":-3",
+        "\"owner\":\"vision\",|",
+        "\"expect_s\":240.0|\"expect_s\":1e400",
+        "\"site\":null|\"site\":7"
+      })
+  void refusesBadFields(String good, String bad) {
+    String text = GOOD.replace(good, bad == null ? "" : bad);
+    assertTrue(!text.equals(GOOD));
+    assertThrows(InvalidMessage.class, () -> JobSpec.parse(Json.parseObject(text)));
+  }
 
-    @Test
-    void refusesWhatIsNoObject() {
-        for (String s : List.of("", "[]", "7", "{", "{}{}", "null")) {
-            assertThrows(InvalidMessage.class, () -> Json.parseObject(s));
-        }
+  @Test
+  void refusesWhatIsNoObject() {
+    for (String s : List.of("", "[]", "7", "{", "{}{}", "null")) {
+      assertThrows(InvalidMessage.class, () -> Json.parseObject(s));
     }
+  }
 
-    @Test
-    void readsAReportAndWritesOrders() throws InvalidMessage {
-        WorkerReport r = WorkerReport.parse(("{\"host\":\"i-1\",\"endpoint\":\"h:1\",\"flavor\":\"g8\",\"site\":\"a\",\"loaners\":true,"
-                + "\"tenure\":1,\"tick\":88,\"baton\":41,\"reclaim_in_s\":null,\"pieces\":[{\"piece\":\"job-1/3\",\"try\":2,"
-                + "\"status\":\"ended\",\"exit_cause\":\"something new\"}]}").getBytes(java.nio.charset.StandardCharsets.UTF_8));
-        assertEquals(ExitCause.OTHER, r.pieces().get(0).cause());
-        assertTrue(!r.noticed() && r.newerThan(1, 87) && !r.newerThan(2, 1) && !r.newerThan(1, 88));
-        assertEquals("{\"baton\":41,\"orders\":[{\"verb\":\"halt\",\"piece\":\"job-1/3\",\"try\":2,\"wind_down_s\":10.0}]}",
-                Order.answer(41, List.of(Order.halt(new TaskName("job-1", 3), 2, 10))));
-        assertThrows(InvalidMessage.class, () -> TaskName.of("job-1/-3"));
-    }
+  @Test
+  void readsAReportAndWritesOrders() throws InvalidMessage {
+    WorkerReport r =
+        WorkerReport.parse(
+            ("{\"host\":\"i-1\",\"endpoint\":\"h:1\",\"flavor\":\"g8\",\"site\":\"a\",\"loaners\":true,"
+                 + "\"tenure\":1,\"tick\":88,\"baton\":41,\"reclaim_in_s\":null,\"pieces\":[{\"piece\":\"job-1/3\",\"try\":2,\"status\":\"ended\",\"exit_cause\":\"something"
+                 + " new\"}]}")
+                .getBytes(java.nio.charset.StandardCharsets.UTF_8));
+    assertEquals(ExitCause.OTHER, r.pieces().get(0).cause());
+    assertTrue(!r.noticed() && r.newerThan(1, 87) && !r.newerThan(2, 1) && !r.newerThan(1, 88));
+    assertEquals(
+        "{\"baton\":41,\"orders\":[{\"verb\":\"halt\",\"piece\":\"job-1/3\",\"try\":2,\"wind_down_s\":10.0}]}",
+        Order.answer(41, List.of(Order.halt(new TaskName("job-1", 3), 2, 10))));
+    assertThrows(InvalidMessage.class, () -> TaskName.of("job-1/-3"));
+  }
 
-    private static final String REPORT = "{\"host\":\"i-1\",\"endpoint\":\"h:1\",\"flavor\":\"g8\",\"site\":\"a\",\"loaners\":true,"
-            + "\"tenure\":1,\"new\":{\"x\":[1,{\"host\":2}]},\"tick\":88,\"baton\":41,\"reclaim_in_s\":null,\"pieces\":[{\"piece\":\"job-1/3\","
-            + "\"try\":2,\"status\":\"running\",\"more\":[[]]},{\"piece\":\"job-1/4\",\"try\":3,\"status\":\"ended\","
-            + "\"exit_cause\":\"halted\",\"saved\":true}]}";
+  private static final String REPORT =
+      "{\"host\":\"i-1\",\"endpoint\":\"h:1\",\"flavor\":\"g8\",\"site\":\"a\",\"loaners\":true,"
+          + "\"tenure\":1,\"new\":{\"x\":[1,{\"host\":2}]},\"tick\":88,\"baton\":41,\"reclaim_in_s\":null,\"pieces\":[{\"piece\":\"job-1/3\","
+          + "\"try\":2,\"status\":\"running\",\"more\":[[]]},{\"piece\":\"job-1/4\",\"try\":3,\"status\":\"ended\","
+          + "\"exit_cause\":\"halted\",\"saved\":true}]}";
 
-    private static WorkerReport report(String text) throws InvalidMessage {
-        return WorkerReport.parse(text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
-    }
+  private static WorkerReport report(String text) throws InvalidMessage {
+    return WorkerReport.parse(text.getBytes(java.nio.charset.StandardCharsets.UTF_8));
+  }
 
-    /** Reports are read field by field: what they say must not hang on fields this version does not know, nor on their order. */
-    @Test
-    void readsAReportWhateverElseIsInIt() throws InvalidMessage {
-        WorkerReport r = report(REPORT);
-        assertEquals(new WorkerReport("i-1", "h:1", "g8", "a", true, 1, 88, 41, WorkerReport.NO_NOTICE, List.of(
-                new WorkerReport.Piece(new TaskName("job-1", 3), 2, TaskStatus.RUNNING, null, false),
-                new WorkerReport.Piece(new TaskName("job-1", 4), 3, TaskStatus.ENDED, ExitCause.HALTED, true))), r);
-        assertEquals(3.5, report(REPORT.replace("\"reclaim_in_s\":null", "\"reclaim_in_s\":3.5")).reclaimInS());
-        assertEquals(List.of(), report(REPORT.replaceAll(",\"pieces\".*", "}")).pieces());
-    }
+  /**
+   * Reports are read field by field: what they say must not hang on fields this version does not
+   * know, nor on their order.
+   */
+  @Test
+  void readsAReportWhateverElseIsInIt() throws InvalidMessage {
+    WorkerReport r = report(REPORT);
+    assertEquals(
+        new WorkerReport(
+            "i-1",
+            "h:1",
+            "g8",
+            "a",
+            true,
+            1,
+            88,
+            41,
+            WorkerReport.NO_NOTICE,
+            List.of(
+                new WorkerReport.Piece(
+                    new TaskName("job-1", 3), 2, TaskStatus.RUNNING, null, false),
+                new WorkerReport.Piece(
+                    new TaskName("job-1", 4), 3, TaskStatus.ENDED, ExitCause.HALTED, true))),
+        r);
+    assertEquals(
+        3.5, report(REPORT.replace("\"reclaim_in_s\":null", "\"reclaim_in_s\":3.5")).reclaimInS());
+    assertEquals(List.of(), report(REPORT.replaceAll(",\"pieces\".*", "}")).pieces());
+  }
 
-    @ParameterizedTest
-    @CsvSource(delimiter = '|', quoteCharacter = '`', value = {
-        "\"tick\":88|\"tick\":-1", "\"tick\":88|\"tick\":8.5", "\"tick\":88|\"tick\":\"88\"", "\"tick\":88|\"tick\":18446744073709551616",
-        "\"tick\":88,|", "\"host\":\"i-1\",|", "\"host\":\"i-1\"|\"host\":\"\"", "\"host\":\"i-1\"|\"host\":null", "\"loaners\":true|\"loaners\":1",
-        "\"reclaim_in_s\":null|\"reclaim_in_s\":-2", "\"reclaim_in_s\":null|\"reclaim_in_s\":true", "\"tenure\":1|\"tenure\":1,\"tenure\":2",
-        "\"status\":\"running\"|\"status\":\"asleep\"", "\"status\":\"running\",|", "\"try\":2|\"try\":null", "\"saved\":true|\"saved\":7",
-        "\"pieces\":[|\"pieces\":[7,", "\"piece\":\"job-1/3\"|\"piece\":\"job-1\""})
-    void refusesABadReport(String good, String bad) {
-        String text = REPORT.replace(good, bad == null ? "" : bad);
-        assertTrue(!text.equals(REPORT));
-        assertThrows(InvalidMessage.class, () -> report(text));
-    }
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      quoteCharacter = '`',
+      value = {
+        "\"tick\":88|\"tick\":-1",
+        "\"tick\":88|\"tick\":8.5",
+        "\"tick\":88|\"tick\":\"88\"",
+        "\"tick\":88|\"tick\":18446744073709551616",
+        "\"tick\":88,|",
+        "\"host\":\"i-1\",|",
+        "\"host\":\"i-1\"|\"host\":\"\"",
+        "\"host\":\"i-1\"|\"host\":null",
+        "\"loaners\":true|\"loaners\":1",
+        "\"reclaim_in_s\":null|\"reclaim_in_s\":-2",
+        "\"reclaim_in_s\":null|\"reclaim_in_s\":true",
+        "\"tenure\":1|\"tenure\":1,\"tenure\":2",
+        "\"status\":\"running\"|\"status\":\"asleep\"",
+        "\"status\":\"running\",|",
+        "\"try\":2|\"try\":null",
+        "\"saved\":true|\"saved\":7",
+        "\"pieces\":[|\"pieces\":[7,",
+        "\"piece\":\"job-1/3\"|\"piece\":\"job-1\""
+      })
+  void refusesABadReport(String good, String bad) {
+    String text = REPORT.replace(good, bad == null ? "" : bad);
+    assertTrue(!text.equals(REPORT));
+    assertThrows(InvalidMessage.class, () -> report(text));
+  }
 
-    @Test
-    void refusesWhatIsNoReport() {
-        for (String s : List.of("", "[]", "7", "{", REPORT + "{}", REPORT + "x", REPORT.substring(0, REPORT.length() - 2), "null", "{}")) {
-            assertThrows(InvalidMessage.class, () -> report(s), s);
-        }
+  @Test
+  void refusesWhatIsNoReport() {
+    for (String s :
+        List.of(
+            "",
+            "[]",
+            "7",
+            "{",
+            REPORT + "{}",
+            REPORT + "x",
+            REPORT.substring(0, REPORT.length() - 2),
+            "null",
+            "{}")) {
+      assertThrows(InvalidMessage.class, () -> report(s), s);
     }
+  }
 }
