--- a/src/main/java/plumlever/leader/Hints.java
+++ b/src/main/java/plumlever/leader/Hints.java
@@ -71,8 +71,8 @@
     List<JsonNode> images = new ArrayList<>();
     data.path(IMAGES).forEach(images::add);
     data.path(MACHINES)
-        .fields()
-        .forEachRemaining(
+        .properties()
+        .forEach(
             e -> {
               Machine m = fleet.machine(e.getKey());
               if (m != null) {
@@ -85,8 +85,8 @@
               }
             });
     data.path(RATIOS)
-        .fields()
-        .forEachRemaining(e -> estimates.suggest(e.getKey(), e.getValue().asDouble(1)));
+        .properties()
+        .forEach(e -> estimates.suggest(e.getKey(), e.getValue().asDouble(1)));
   }
 
   /** One value, as it is put together. */
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -331,8 +331,8 @@
     Map<String, BitSet> out = new LinkedHashMap<>();
     record
         .path(PACKED)
-        .fields()
-        .forEachRemaining(
+        .properties()
+        .forEach(
             e -> {
               try {
                 out.put(e.getKey(), BitSet.valueOf(e.getValue().binaryValue()));
