--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -243,8 +243,8 @@
               }
 
               @Override
-              public void endedPieces(WorkerReport r, Consumer<Front.StandInHalts> then) {
-                Node.this.endedPieces(r, then);
+              public void endedPieces(WorkerReport report, Consumer<Front.StandInHalts> then) {
+                Node.this.endedPieces(report, then);
               }
             },
             new RenewalLimit(platform.workers()),
@@ -349,9 +349,11 @@
                 JobStore.CATALOG,
                 StateClient.Class.ORDINARY,
                 got -> {
-                  if (got.found() && !prices.known() && got.item().data() instanceof ObjectNode o) {
+                  if (got.found()
+                      && !prices.known()
+                      && got.item().data() instanceof ObjectNode object) {
                     try {
-                      prices.update(Flavor.parseCatalog(o));
+                      prices.update(Flavor.parseCatalog(object));
                       LOG.info(
                           "machine types taken from the state service, the cloud does not answer");
                     } catch (InvalidMessage e) {
@@ -365,21 +367,22 @@
   }
 
   private void storeCatalog(List<Flavor> flavors) {
-    ObjectNode o = Json.object();
-    ArrayNode a = o.putArray("flavors");
-    for (Flavor f : flavors) {
-      ObjectNode n = a.addObject();
-      n.put("sku", f.sku())
-          .put("cores", f.cores())
-          .put("accelerators", f.accelerators())
-          .put("memory_gb", f.memoryGb())
-          .put("cache_gb", f.cacheGb())
-          .put("fetch_gb_per_s", f.fetchGbPerS())
-          .put("hourly", f.hourly())
-          .put("low_price", f.lowPrice())
-          .put("startup_s", f.startupS());
-      ArrayNode sites = n.putArray("sites");
-      f.sites().forEach(sites::add);
+    ObjectNode object = Json.object();
+    ArrayNode array = object.putArray("flavors");
+    for (Flavor flavor : flavors) {
+      ObjectNode value = array.addObject();
+      value
+          .put("sku", flavor.sku())
+          .put("cores", flavor.cores())
+          .put("accelerators", flavor.accelerators())
+          .put("memory_gb", flavor.memoryGb())
+          .put("cache_gb", flavor.cacheGb())
+          .put("fetch_gb_per_s", flavor.fetchGbPerS())
+          .put("hourly", flavor.hourly())
+          .put("low_price", flavor.lowPrice())
+          .put("startup_s", flavor.startupS());
+      ArrayNode sites = value.putArray("sites");
+      flavor.sites().forEach(sites::add);
     }
     store.get(
         JobStore.CATALOG,
@@ -387,7 +390,7 @@
         got -> {
           if (got.missing()) {
             store.txn(
-                new plumlever.store.Txn().guard(JobStore.CATALOG, 0).put(JobStore.CATALOG, o),
+                new plumlever.store.Txn().guard(JobStore.CATALOG, 0).put(JobStore.CATALOG, object),
                 StateClient.Class.ORDINARY,
                 result -> LOG.debug("machine types stored: {}", result.outcome()));
           }
@@ -398,10 +401,10 @@
     if (leader != null) {
       return leader.counts(uid);
     }
-    for (PeerStatus p : peers.lately(5_000_000)) {
-      int[] c = p.leading() ? p.counts().get(uid) : null;
-      if (c != null) {
-        return c;
+    for (PeerStatus peerStatus : peers.lately(5_000_000)) {
+      int[] counts = peerStatus.leading() ? peerStatus.counts().get(uid) : null;
+      if (counts != null) {
+        return counts;
       }
     }
     return null;
@@ -418,9 +421,9 @@
       return false;
     }
     boolean heard = false;
-    for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
+    for (PeerStatus peerStatus : peers.lately(PEER_FRESH_MICROS)) {
       heard = true;
-      if (p.storeRefusedMicros() == 0) {
+      if (peerStatus.storeRefusedMicros() == 0) {
         return true;
       }
     }
@@ -435,8 +438,8 @@
     if (latenessMicros() < LATE_MICROS) {
       return false;
     }
-    for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
-      if (p.storeRefusedMicros() == 0 && p.lateMicros() < ON_TIME_MICROS) {
+    for (PeerStatus peerStatus : peers.lately(PEER_FRESH_MICROS)) {
+      if (peerStatus.storeRefusedMicros() == 0 && peerStatus.lateMicros() < ON_TIME_MICROS) {
         return true;
       }
     }
@@ -470,9 +473,10 @@
     return pulseDueMicros == 0 ? 0 : Math.max(lateMicros, loop.nowMicros() - pulseDueMicros);
   }
 
-  private void endedPieces(WorkerReport r, Consumer<Front.StandInHalts> then) {
+  private void endedPieces(WorkerReport report, Consumer<Front.StandInHalts> then) {
     Set<String> uids = new HashSet<>();
-    r.pieces()
+    report
+        .pieces()
         .forEach(
             p -> {
               if (p.status() != TaskStatus.ENDED) {
@@ -487,7 +491,8 @@
             return;
           }
           List<Order> halts = new ArrayList<>();
-          r.pieces()
+          report
+              .pieces()
               .forEach(
                   p -> {
                     if (p.status() != TaskStatus.ENDED && ended.uids().contains(p.task().job())) {
@@ -501,8 +506,8 @@
   /** The most that another controller lately told of. */
   private int workersElsewhere() {
     int most = 0;
-    for (PeerStatus p : peers.lately(PEER_FRESH_MICROS)) {
-      most = Math.max(most, p.workers());
+    for (PeerStatus peerStatus : peers.lately(PEER_FRESH_MICROS)) {
+      most = Math.max(most, peerStatus.workers());
     }
     return most;
   }
--- a/src/main/java/plumlever/cli/Check.java
+++ b/src/main/java/plumlever/cli/Check.java
@@ -8,59 +8,67 @@
 final class Check {
   private Check() {}
 
-  static String describe(Platform p, Tunables t) {
-    StringBuilder s = new StringBuilder();
-    s.append(p.label())
+  static String describe(Platform platform, Tunables tunables) {
+    StringBuilder stringBuilder = new StringBuilder();
+    stringBuilder
+        .append(platform.label())
         .append(" in ")
-        .append(p.area())
+        .append(platform.area())
         .append(" would serve users and workers at ")
-        .append(p.bind())
+        .append(platform.bind())
         .append(" and controllers at ")
-        .append(p.back())
+        .append(platform.back())
         .append('\n');
-    s.append("other controllers: ")
+    stringBuilder
+        .append("other controllers: ")
         .append(
-            p.seeds().stream()
+            platform.seeds().stream()
                 .map(x -> x.label() + " at " + x.endpoint())
                 .collect(Collectors.joining(", ", "", "")))
         .append('\n');
-    s.append("state service at ")
-        .append(p.state())
+    stringBuilder
+        .append("state service at ")
+        .append(platform.state())
         .append(", cloud at ")
-        .append(p.cloud())
+        .append(platform.cloud())
         .append('\n');
-    Platform.StateLimits l = p.stateLimits();
-    s.append("writes to the state service, within the limits now and next: values of ")
-        .append(l.valueBytes())
+    Platform.StateLimits stateLimits = platform.stateLimits();
+    stringBuilder
+        .append("writes to the state service, within the limits now and next: values of ")
+        .append(stateLimits.valueBytes())
         .append(" bytes (now ")
-        .append(l.formerValueBytes())
+        .append(stateLimits.formerValueBytes())
         .append("), ")
-        .append(l.txnOps())
+        .append(stateLimits.txnOps())
         .append(" changes a transaction, ")
-        .append(l.writeRps())
+        .append(stateLimits.writeRps())
         .append(" changes and ")
-        .append(l.rps())
+        .append(stateLimits.rps())
         .append(" requests a second\n");
-    s.append("teams: ")
-        .append(p.teams().stream().map(Platform.Team::name).collect(Collectors.joining(", ")))
+    stringBuilder
+        .append("teams: ")
+        .append(
+            platform.teams().stream().map(Platform.Team::name).collect(Collectors.joining(", ")))
         .append('\n');
-    s.append(
-            p.moneyMatters(t.rentMicros())
+    stringBuilder
+        .append(
+            platform.moneyMatters(tunables.rentMicros())
                 ? "money is saved where the aims leave time: idle machines are returned after "
-                    + t.idleMoneyMicros() / 1e6
+                    + tunables.idleMoneyMicros() / 1e6
                     + " s"
                 : "machines stand by, since an aim leaves no time to rent one: idle machines are"
                     + " returned after "
-                    + t.idleSpeedMicros() / 1e6
+                    + tunables.idleSpeedMicros() / 1e6
                     + " s")
         .append('\n');
-    s.append("padding ")
-        .append(t.paddingShare())
+    stringBuilder
+        .append("padding ")
+        .append(tunables.paddingShare())
         .append(", tie band ")
-        .append(t.tieShare())
+        .append(tunables.tieShare())
         .append(", start target ")
-        .append(t.startTargetMicros() / 1e6)
+        .append(tunables.startTargetMicros() / 1e6)
         .append(" s");
-    return s.toString();
+    return stringBuilder.toString();
   }
 }
--- a/src/main/java/plumlever/cli/Main.java
+++ b/src/main/java/plumlever/cli/Main.java
@@ -68,8 +68,8 @@
       return 0;
     }
     if (line.hasOption("version")) {
-      String v = Main.class.getPackage().getImplementationVersion();
-      System.out.println(NAME + " " + (v == null ? "(development)" : v));
+      String text = Main.class.getPackage().getImplementationVersion();
+      System.out.println(NAME + " " + (text == null ? "(development)" : text));
       return 0;
     }
     if (!line.getArgList().isEmpty()) {
--- a/src/main/java/plumlever/cli/StartRehearsal.java
+++ b/src/main/java/plumlever/cli/StartRehearsal.java
@@ -176,9 +176,9 @@
     if (!Files.isRegularFile(jar)) {
       return;
     }
-    try (JarFile f = new JarFile(jar.toFile())) {
-      for (JarEntry e : Collections.list(f.entries())) {
-        String name = e.getName();
+    try (JarFile jarFile = new JarFile(jar.toFile())) {
+      for (JarEntry jarEntry : Collections.list(jarFile.entries())) {
+        String name = jarEntry.getName();
         if (name.startsWith("plumlever/") && name.endsWith(".class")) {
           try {
             Class.forName(name.substring(0, name.length() - 6).replace('/', '.'));
@@ -191,15 +191,16 @@
   }
 
   private static void ask(String url, String body) throws IOException {
-    HttpURLConnection c = (HttpURLConnection) URI.create(url).toURL().openConnection();
-    c.setConnectTimeout(3_000);
-    c.setReadTimeout(6_000);
+    HttpURLConnection httpURLConnection =
+        (HttpURLConnection) URI.create(url).toURL().openConnection();
+    httpURLConnection.setConnectTimeout(3_000);
+    httpURLConnection.setReadTimeout(6_000);
     if (body != null) {
-      c.setRequestMethod("POST");
-      c.setDoOutput(true);
-      c.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+      httpURLConnection.setRequestMethod("POST");
+      httpURLConnection.setDoOutput(true);
+      httpURLConnection.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
     }
-    c.getResponseCode();
-    c.disconnect();
+    httpURLConnection.getResponseCode();
+    httpURLConnection.disconnect();
   }
 }
--- a/src/main/java/plumlever/cloud/CloudClient.java
+++ b/src/main/java/plumlever/cloud/CloudClient.java
@@ -101,10 +101,10 @@
           }
           String last = null;
           try {
-            for (JsonNode n : o.get("hosts")) {
-              HostEntry e = HostEntry.parse(n);
-              last = e.uid();
-              into.add(e);
+            for (JsonNode node : o.get("hosts")) {
+              HostEntry hostEntry = HostEntry.parse(node);
+              last = hostEntry.uid();
+              into.add(hostEntry);
             }
           } catch (InvalidMessage e) {
             surprise("hosts", e.getMessage());
--- a/src/main/java/plumlever/cloud/PriceBook.java
+++ b/src/main/java/plumlever/cloud/PriceBook.java
@@ -18,9 +18,9 @@
   }
 
   public void update(List<Flavor> catalog) {
-    for (Flavor f : catalog) {
-      if (f.cores() > 0 && f.memoryGb() > 0) {
-        flavors.put(f.sku(), f);
+    for (Flavor flavor : catalog) {
+      if (flavor.cores() > 0 && flavor.memoryGb() > 0) {
+        flavors.put(flavor.sku(), flavor);
       }
     }
   }
@@ -38,9 +38,9 @@
   }
 
   /** What an hour costs; owned types carry what the operator set. */
-  public double hourly(Flavor f, boolean spot) {
-    Double owned = ownedHourly.get(f.sku());
-    return owned != null ? owned : f.hourly(spot);
+  public double hourly(Flavor flavor, boolean spot) {
+    Double owned = ownedHourly.get(flavor.sku());
+    return owned != null ? owned : flavor.hourly(spot);
   }
 
   /** True if some machine type that the job allows can hold one of its tasks. */
--- a/src/main/java/plumlever/election/Office.java
+++ b/src/main/java/plumlever/election/Office.java
@@ -131,8 +131,8 @@
 
   /** True while this node may act for the controllers, in whatever term. */
   public boolean mayAct() {
-    Term t = current;
-    return t != null && t.mayAct();
+    Term term = current;
+    return term != null && term.mayAct();
   }
 
   /** The live leader's label, or null if none is known lately. */
@@ -174,12 +174,12 @@
           termStamp = 0;
           mandateSeen = listing.items().stream().anyMatch(i -> i.key().equals(MANDATE));
           long newTerm = 0;
-          for (StateClient.Item i : listing.items()) {
-            if (i.key().equals(LEADER)) {
-              seeLeader(i.data(), i.stamp());
-            } else if (i.key().equals(TERM)) {
-              termStamp = i.stamp();
-              newTerm = i.data().path("term").asLong();
+          for (StateClient.Item item : listing.items()) {
+            if (item.key().equals(LEADER)) {
+              seeLeader(item.data(), item.stamp());
+            } else if (item.key().equals(TERM)) {
+              termStamp = item.stamp();
+              newTerm = item.data().path("term").asLong();
             }
           }
           if (current == null) {
@@ -219,22 +219,24 @@
             return;
           }
           epoch = Math.max(epoch, changes.epoch());
-          for (StateClient.Change c : changes.log()) {
-            if (c.key().equals(LEADER)) {
-              if (c.data() == null && c.stamp() > leaderStamp) {
+          for (StateClient.Change change : changes.log()) {
+            if (change.key().equals(LEADER)) {
+              if (change.data() == null && change.stamp() > leaderStamp) {
                 leaderStamp = 0;
                 leaderLabel = null;
-              } else if (c.data() != null && c.stamp() > leaderStamp) {
-                seeLeader(c.data(), c.stamp());
+              } else if (change.data() != null && change.stamp() > leaderStamp) {
+                seeLeader(change.data(), change.stamp());
               }
-            } else if (c.key().equals(STAND_IN) && c.data() != null) {
-              standInFor = c.data().path("mandate").asLong(-1);
-            } else if (c.key().equals(MANDATE)) {
-              mandateSeen = c.data() != null;
-            } else if (c.key().equals(TERM) && c.data() != null && c.stamp() > termStamp) {
-              termStamp = c.stamp();
+            } else if (change.key().equals(STAND_IN) && change.data() != null) {
+              standInFor = change.data().path("mandate").asLong(-1);
+            } else if (change.key().equals(MANDATE)) {
+              mandateSeen = change.data() != null;
+            } else if (change.key().equals(TERM)
+                && change.data() != null
+                && change.stamp() > termStamp) {
+              termStamp = change.stamp();
               if (current == null) {
-                term = c.data().path("term").asLong();
+                term = change.data().path("term").asLong();
               }
             }
           }
@@ -311,7 +313,7 @@
   }
 
   /** An uncertain answer is settled by reading, never by assuming. */
-  private void settle(long p, long newTerm, long sentAt, int tries) {
+  private void settle(long permit, long newTerm, long sentAt, int tries) {
     store.get(
         LEADER,
         StateClient.Class.URGENT,
@@ -321,18 +323,18 @@
               && nonce.equals(got.item().data().path("nonce").asText())
               && got.item().data().path("term").asLong() == newTerm) {
             // Both keys were put in one change and so have the same revision.
-            take(p, newTerm, got.item().stamp(), sentAt);
+            take(permit, newTerm, got.item().stamp(), sentAt);
           } else if (got.found() || got.missing() || tries >= 3) {
-            giveUp(p);
+            giveUp(permit);
           } else {
-            loop.after(RETRY_MICROS, () -> settle(p, newTerm, sentAt, tries + 1));
+            loop.after(RETRY_MICROS, () -> settle(permit, newTerm, sentAt, tries + 1));
           }
         });
   }
 
-  private void giveUp(long p) {
+  private void giveUp(long permit) {
     // Ending the grant makes a late execution of the transaction fail.
-    store.endGrant(p);
+    store.endGrant(permit);
     busy = false;
     lost = Math.min(lost + 1, 6);
     loop.after(50_000, this::reread);
@@ -345,13 +347,13 @@
         listing -> {
           if (listing != null && current == null && !busy) {
             boolean leaderFound = false;
-            for (StateClient.Item i : listing.items()) {
-              if (i.key().equals(LEADER)) {
+            for (StateClient.Item item : listing.items()) {
+              if (item.key().equals(LEADER)) {
                 leaderFound = true;
-                seeLeader(i.data(), i.stamp());
-              } else if (i.key().equals(TERM)) {
-                termStamp = i.stamp();
-                term = i.data().path("term").asLong();
+                seeLeader(item.data(), item.stamp());
+              } else if (item.key().equals(TERM)) {
+                termStamp = item.stamp();
+                term = item.data().path("term").asLong();
               }
             }
             if (!leaderFound) {
@@ -365,8 +367,8 @@
         });
   }
 
-  private void take(long p, long newTerm, long stamp, long sentAt) {
-    Term t = new Term(loop, newTerm, stamp, p);
+  private void take(long permit, long newTerm, long stamp, long sentAt) {
+    Term otherTerm = new Term(loop, newTerm, stamp, permit);
     busy = false;
     lost = 0;
     term = newTerm;
@@ -374,60 +376,61 @@
     leaderNonce = nonce;
     leaderSeenMicros = loop.nowMicros();
     turnedMicros = loop.nowMicros();
-    extend(t, sentAt);
-    current = t;
-    if (!t.mayAct()) {
+    extend(otherTerm, sentAt);
+    current = otherTerm;
+    if (!otherTerm.mayAct()) {
       leave("the grant ran out while the office was taken");
       return;
     }
     log.info("leading, term {}", newTerm);
     touching.wakeIn(tunables.touchMicros());
-    holder.elected(t);
+    holder.elected(otherTerm);
   }
 
-  private void extend(Term t, long sentAt) {
-    t.extend(
+  private void extend(Term term, long sentAt) {
+    term.extend(
         sentAt + (long) (tunables.grantTtlMicros() * (1 - DRIFT)) - tunables.actMarginMicros());
   }
 
   private long touch() {
-    Term t = current;
-    if (t == null) {
+    Term term = current;
+    if (term == null) {
       return -1;
     }
     long now = loop.nowMicros();
-    if (!t.mayAct()) {
+    if (!term.mayAct()) {
       leave("the grant could not be renewed");
       return -1;
     }
     if (now - turnedMicros > STANDSTILL_MICROS) {
-      giveUp(t, "its decisions stand still", STANDSTILL_MICROS);
+      giveUp(term, "its decisions stand still", STANDSTILL_MICROS);
       return -1;
     }
     holder.whenTurning(() -> turnedMicros = loop.nowMicros());
     store.touch(
-        t.permit(),
+        term.permit(),
         result -> {
-          if (current != t) {
+          if (current != term) {
             return;
           }
           switch (result) {
-            case RENEWED -> extend(t, now);
+            case RENEWED -> extend(term, now);
             case ENDED -> leave("the grant has ended");
             case UNKNOWN ->
                 touching.wakeIn(
-                    Math.min(RETRY_MICROS, Math.max(1, t.rightUntilMicros() - loop.nowMicros())));
+                    Math.min(
+                        RETRY_MICROS, Math.max(1, term.rightUntilMicros() - loop.nowMicros())));
           }
         });
-    return Math.min(tunables.touchMicros(), Math.max(1, t.rightUntilMicros() - now));
+    return Math.min(tunables.touchMicros(), Math.max(1, term.rightUntilMicros() - now));
   }
 
   private void leave(String why) {
-    Term t = current;
-    t.end();
+    Term term = current;
+    term.end();
     current = null;
-    log.info("no longer leading term {}: {}", t.number(), why);
-    holder.left(t);
+    log.info("no longer leading term {}: {}", term.number(), why);
+    holder.left(term);
     if (mine()) {
       // Until the key is seen to go, or somebody else's comes, nothing is known of who leads.
       leaderLabel = null;
--- a/src/main/java/plumlever/fleet/Chains.java
+++ b/src/main/java/plumlever/fleet/Chains.java
@@ -65,11 +65,15 @@
 
     private Aim with(Aim other) {
       Aim sooner = other.byMicros() < byMicros() ? other : this;
-      Urgency u = other.urgency.compareTo(urgency) < 0 ? other.urgency : urgency;
-      return sooner.urgency == u
+      Urgency otherUrgency = other.urgency.compareTo(urgency) < 0 ? other.urgency : urgency;
+      return sooner.urgency == otherUrgency
           ? sooner
           : new Aim(
-              sooner.submittedMicros, sooner.dueMicros, sooner.jobclass, sooner.tailMicros, u);
+              sooner.submittedMicros,
+              sooner.dueMicros,
+              sooner.jobclass,
+              sooner.tailMicros,
+              otherUrgency);
     }
   }
 
@@ -117,23 +121,23 @@
    * @return the jobs named of which nothing was known: what their records say is to be told too
    */
   public List<String> accepted(String uid, long stamp, Collection<String> waitsOn) {
-    Node n = node(uid);
-    if (n.standing != Standing.UNKNOWN) {
+    Node otherNode = node(uid);
+    if (otherNode.standing != Standing.UNKNOWN) {
       return List.of();
     }
-    n.standing = Standing.WAITING;
-    n.stamp = stamp;
+    otherNode.standing = Standing.WAITING;
+    otherNode.stamp = stamp;
     List<String> unknown = new ArrayList<>();
     Node cause = null;
     for (String name : waitsOn) {
       Node before = node(name);
-      n.needs.add(before);
+      otherNode.needs.add(before);
       if (before.standing == Standing.DONE) {
-        n.releasedMicros = Math.max(n.releasedMicros, before.releasedMicros);
+        otherNode.releasedMicros = Math.max(otherNode.releasedMicros, before.releasedMicros);
         continue;
       }
-      n.open++;
-      before.neededBy.add(n);
+      otherNode.open++;
+      before.neededBy.add(otherNode);
       if (before.standing == Standing.UNKNOWN) {
         unknown.add(name);
       } else if (before.standing == Standing.ABORTED) {
@@ -141,47 +145,47 @@
       }
     }
     if (cause != null) {
-      abort(n, cause.uid);
-    } else if (n.open == 0) {
-      release(n);
+      abort(otherNode, cause.uid);
+    } else if (otherNode.open == 0) {
+      release(otherNode);
     }
     return unknown;
   }
 
-  private void release(Node n) {
-    n.standing = Standing.RELEASED;
-    released.add(n.uid);
+  private void release(Node node) {
+    node.standing = Standing.RELEASED;
+    released.add(node.uid);
   }
 
   /** The stored end of a job, of which anything may be known or not. */
   public void ended(String uid, JobState how, long atMicros) {
-    Node n = nodes.get(uid);
-    if (n == null || n.standing == Standing.DONE) {
+    Node node = nodes.get(uid);
+    if (node == null || node.standing == Standing.DONE) {
       return;
     }
     if (how == JobState.ABORTED) {
-      if (n.standing != Standing.ABORTED) {
-        abort(n, uid);
+      if (node.standing != Standing.ABORTED) {
+        abort(node, uid);
       }
-      forget(n);
+      forget(node);
       return;
     }
-    n.standing = Standing.DONE;
-    for (Node after : n.neededBy) {
+    node.standing = Standing.DONE;
+    for (Node after : node.neededBy) {
       after.releasedMicros = Math.max(after.releasedMicros, atMicros);
       if (--after.open == 0 && after.standing == Standing.WAITING) {
         release(after);
       }
     }
-    forget(n);
+    forget(node);
   }
 
   /**
    * What has ended has told all that it ever will; should a later job name it, its record is read
    * again.
    */
-  private void forget(Node n) {
-    nodes.remove(n.uid, n);
+  private void forget(Node node) {
+    nodes.remove(node.uid, node);
   }
 
   /** Aborts it and all that need it; each is visited once. */
@@ -191,10 +195,10 @@
     first.through = through;
     next.add(first);
     for (int i = 0; i < next.size(); i++) {
-      Node n = next.get(i);
-      aborted.add(n.uid);
-      n.needs.forEach(this::outdated);
-      for (Node after : n.neededBy) {
+      Node node = next.get(i);
+      aborted.add(node.uid);
+      node.needs.forEach(this::outdated);
+      for (Node after : node.neededBy) {
         if (!after.over()) {
           after.standing = Standing.ABORTED;
           after.through = through;
@@ -205,40 +209,40 @@
   }
 
   public Standing standing(String uid) {
-    Node n = nodes.get(uid);
-    return n == null ? Standing.UNKNOWN : n.standing;
+    Node node = nodes.get(uid);
+    return node == null ? Standing.UNKNOWN : node.standing;
   }
 
   /** The revision of its record; 0 where nothing is known of it. */
   public long stamp(String uid) {
-    Node n = nodes.get(uid);
-    return n == null ? 0 : n.stamp;
+    Node node = nodes.get(uid);
+    return node == null ? 0 : node.stamp;
   }
 
   /** The job whose abort aborted this one. */
   public String through(String uid) {
-    Node n = nodes.get(uid);
-    return n == null ? null : n.through;
+    Node node = nodes.get(uid);
+    return node == null ? null : node.through;
   }
 
   /** When the last job that it waits on ended; 0 if that is not known or there is none. */
   public long releasedMicros(String uid) {
-    Node n = nodes.get(uid);
-    return n == null ? 0 : n.releasedMicros;
+    Node node = nodes.get(uid);
+    return node == null ? 0 : node.releasedMicros;
   }
 
   /** The jobs that it still waits on, for the log. */
   public List<String> waitsFor(String uid) {
-    Node n = nodes.get(uid);
-    return n == null
+    Node node = nodes.get(uid);
+    return node == null
         ? List.of()
-        : n.needs.stream().filter(b -> b.standing != Standing.DONE).map(b -> b.uid).toList();
+        : node.needs.stream().filter(b -> b.standing != Standing.DONE).map(b -> b.uid).toList();
   }
 
   /** True if some job not over waits on it. */
   public boolean needed(String uid) {
-    Node n = nodes.get(uid);
-    return n != null && n.neededBy.stream().anyMatch(a -> !a.over());
+    Node node = nodes.get(uid);
+    return node != null && node.neededBy.stream().anyMatch(a -> !a.over());
   }
 
   /** The jobs released since asked last. */
@@ -264,32 +268,32 @@
 
   /** What the job itself asks for, and what it takes once it is released. */
   public void aim(String uid, Aim own, long costMicros) {
-    Node n = nodes.get(uid);
-    if (n == null) {
+    Node node = nodes.get(uid);
+    if (node == null) {
       return;
     }
-    n.own = own;
-    n.costMicros = costMicros;
-    outdated(n);
-    n.needs.forEach(this::outdated);
+    node.own = own;
+    node.costMicros = costMicros;
+    outdated(node);
+    node.needs.forEach(this::outdated);
   }
 
   /** What jobs take is better known now than when they came. */
   public void costs(ToLongFunction<String> costMicros) {
-    for (Node n : nodes.values()) {
-      if (n.own != null && !n.over()) {
-        long now = costMicros.applyAsLong(n.uid);
-        if (now != n.costMicros) {
-          n.costMicros = now;
-          n.needs.forEach(this::outdated);
+    for (Node node : nodes.values()) {
+      if (node.own != null && !node.over()) {
+        long now = costMicros.applyAsLong(node.uid);
+        if (now != node.costMicros) {
+          node.costMicros = now;
+          node.needs.forEach(this::outdated);
         }
       }
     }
   }
 
-  private void outdated(Node n) {
-    if (n.own != null && !n.over()) {
-      stale.add(n);
+  private void outdated(Node node) {
+    if (node.own != null && !node.over()) {
+      stale.add(node);
     }
   }
 
@@ -302,28 +306,28 @@
   public void settleAims(Consumer<String> changed) {
     Node last = null;
     while (!stale.isEmpty()) {
-      Node n = stale.poll();
-      if (n == last || n.over()) {
+      Node node = stale.poll();
+      if (node == last || node.over()) {
         continue;
       }
-      last = n;
-      Aim now = n.own;
-      for (Node after : n.neededBy) {
+      last = node;
+      Aim now = node.own;
+      for (Node after : node.neededBy) {
         if (!after.over() && after.aim != null) {
           now = now.with(after.aim.before(after.costMicros));
         }
       }
-      if (!now.equals(n.aim)) {
-        n.aim = now;
-        changed.accept(n.uid);
-        n.needs.forEach(this::outdated);
+      if (!now.equals(node.aim)) {
+        node.aim = now;
+        changed.accept(node.uid);
+        node.needs.forEach(this::outdated);
       }
     }
   }
 
   /** What it is worth, what needs it considered; null before {@link #settleAims}. */
   public Aim aim(String uid) {
-    Node n = nodes.get(uid);
-    return n == null ? null : n.aim;
+    Node node = nodes.get(uid);
+    return node == null ? null : node.aim;
   }
 }
--- a/src/main/java/plumlever/fleet/Enrolled.java
+++ b/src/main/java/plumlever/fleet/Enrolled.java
@@ -4,5 +4,5 @@
 public interface Enrolled {
   Enrolment enrolment();
 
-  void enrolment(Enrolment e);
+  void enrolment(Enrolment enrolment);
 }
--- a/src/main/java/plumlever/fleet/Fleet.java
+++ b/src/main/java/plumlever/fleet/Fleet.java
@@ -42,9 +42,9 @@
     return machines.get(id);
   }
 
-  public void add(Machine m) {
-    m.token(firstToken(term));
-    machines.put(m.id(), m);
+  public void add(Machine machine) {
+    machine.token(firstToken(term));
+    machines.put(machine.id(), machine);
   }
 
   /** The least token of a term: a leader may raise it for each machine as it needs. */
@@ -57,37 +57,38 @@
   }
 
   /** Replaces what a rental told by what the machine itself or the list tells. */
-  public void remove(Machine m) {
-    machines.remove(m.id(), m);
+  public void remove(Machine machine) {
+    machines.remove(machine.id(), machine);
   }
 
   /**
    * Attempt numbers are unique over all terms without being stored: the term is in the high bits.
    */
-  public Attempt start(Job job, int task, Machine m, boolean direct, long nowMicros) {
+  public Attempt start(Job job, int task, Machine machine, boolean direct, long nowMicros) {
     long id = (term << TERM_SHIFT) | ++counter;
     return enter(
         direct
-            ? new Attempt(job, task, id, m, m.tenure(), -1, m.token(), nowMicros)
-            : new Attempt(job, task, id, m, m.tenure(), m.ownTick(), -1, nowMicros));
+            ? new Attempt(job, task, id, machine, machine.tenure(), -1, machine.token(), nowMicros)
+            : new Attempt(
+                job, task, id, machine, machine.tenure(), machine.ownTick(), -1, nowMicros));
   }
 
   /** An attempt of an earlier term that its machine reports. */
-  public Attempt adopt(Job job, int task, long id, Machine m, long nowMicros) {
-    return enter(new Attempt(job, task, id, m, m.tenure(), -1, -1, nowMicros));
+  public Attempt adopt(Job job, int task, long id, Machine machine, long nowMicros) {
+    return enter(new Attempt(job, task, id, machine, machine.tenure(), -1, -1, nowMicros));
   }
 
   public boolean ofEarlierTerm(long attemptId) {
     return attemptId >>> TERM_SHIFT < term;
   }
 
-  private Attempt enter(Attempt a) {
-    a.machine().add(a);
-    a.job().occupy(a);
-    Held h = heldByTeam.computeIfAbsent(a.job().spec().owner(), k -> new Held());
-    h.cores += a.job().spec().cores();
-    h.accelerators += a.job().spec().accelerators();
-    return a;
+  private Attempt enter(Attempt attempt) {
+    attempt.machine().add(attempt);
+    attempt.job().occupy(attempt);
+    Held held = heldByTeam.computeIfAbsent(attempt.job().spec().owner(), k -> new Held());
+    held.cores += attempt.job().spec().cores();
+    held.accelerators += attempt.job().spec().accelerators();
+    return attempt;
   }
 
   /**
@@ -95,21 +96,21 @@
    * session that has ended, or on a machine that was deleted. Its room and quota are free from here
    * on.
    */
-  public void end(Attempt a, ExitCause cause) {
-    if (a.over()) {
+  public void end(Attempt attempt, ExitCause cause) {
+    if (attempt.over()) {
       return;
     }
-    a.end(cause);
-    a.job().release(a);
-    Held h = heldByTeam.get(a.job().spec().owner());
-    h.cores -= a.job().spec().cores();
-    h.accelerators -= a.job().spec().accelerators();
+    attempt.end(cause);
+    attempt.job().release(attempt);
+    Held held = heldByTeam.get(attempt.job().spec().owner());
+    held.cores -= attempt.job().spec().cores();
+    held.accelerators -= attempt.job().spec().accelerators();
   }
 
   /** Its machine does not list it any more. */
-  public void forget(Attempt a) {
-    end(a, a.cause());
-    a.machine().remove(a);
+  public void forget(Attempt attempt) {
+    end(attempt, attempt.cause());
+    attempt.machine().remove(attempt);
   }
 
   public Held held(String team) {
--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -152,8 +152,8 @@
   }
 
   @Override
-  public void enrolment(Enrolment e) {
-    enrolment = e;
+  public void enrolment(Enrolment otherEnrolment) {
+    enrolment = otherEnrolment;
   }
 
   public BitSet done() {
@@ -191,8 +191,8 @@
   }
 
   public boolean hasFreshFree() {
-    int i = firstFree();
-    return i >= 0 && !restarted.get(i);
+    int index = firstFree();
+    return index >= 0 && !restarted.get(index);
   }
 
   public Iterable<Attempt> live() {
@@ -234,19 +234,19 @@
   }
 
   /** A task may be on a machine from now on. */
-  void occupy(Attempt a) {
-    free.clear(a.task());
-    live.put(a.task(), a);
+  void occupy(Attempt attempt) {
+    free.clear(attempt.task());
+    live.put(attempt.task(), attempt);
   }
 
   /** The attempt is surely over. */
-  void release(Attempt a) {
-    if (live.get(a.task()) == a) {
-      live.remove(a.task());
-      if (!done.get(a.task())) {
-        free.set(a.task());
-        if (a.runningSinceMicros() >= 0) {
-          restarted.set(a.task());
+  void release(Attempt attempt) {
+    if (live.get(attempt.task()) == attempt) {
+      live.remove(attempt.task());
+      if (!done.get(attempt.task())) {
+        free.set(attempt.task());
+        if (attempt.runningSinceMicros() >= 0) {
+          restarted.set(attempt.task());
         }
       }
     }
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -102,8 +102,8 @@
   }
 
   @Override
-  public void enrolment(Enrolment e) {
-    enrolment = e;
+  public void enrolment(Enrolment otherEnrolment) {
+    enrolment = otherEnrolment;
   }
 
   public long tenure() {
@@ -247,18 +247,18 @@
     accounted = true;
   }
 
-  public void heardAt(WorkerReport r, long nowMicros, boolean own) {
-    if (r.tenure() > tenure) {
+  public void heardAt(WorkerReport report, long nowMicros, boolean own) {
+    if (report.tenure() > tenure) {
       ownTick = 0;
     }
-    tenure = r.tenure();
-    tick = r.tick();
+    tenure = report.tenure();
+    tick = report.tick();
     lastSeenMicros = nowMicros;
     if (own) {
-      ownTick = r.tick();
+      ownTick = report.tick();
       lastReportMicros = nowMicros;
     }
-    reclaimAtMicros = r.noticed() ? nowMicros + (long) (r.reclaimInS() * 1e6) : -1;
+    reclaimAtMicros = report.noticed() ? nowMicros + (long) (report.reclaimInS() * 1e6) : -1;
   }
 
   /** When the cloud takes it away, or -1. */
@@ -311,10 +311,10 @@
     return attempts.get(attemptId);
   }
 
-  void add(Attempt a) {
-    attempts.put(a.id(), a);
+  void add(Attempt attempt) {
+    attempts.put(attempt.id(), attempt);
     live++;
-    unheardOf += a.unheard() ? 1 : 0;
+    unheardOf += attempt.unheard() ? 1 : 0;
   }
 
   /** Something was heard of an attempt that was sent directly, or it is over. */
@@ -327,8 +327,8 @@
     live--;
   }
 
-  void remove(Attempt a) {
-    attempts.remove(a.id());
+  void remove(Attempt attempt) {
+    attempts.remove(attempt.id());
   }
 
   public boolean running() {
@@ -371,10 +371,10 @@
       return 0;
     }
     int others = 0;
-    for (Map.Entry<String, Image> e : images.entrySet()) {
-      if (!e.getValue().ready
-          && !e.getKey().equals(image)
-          && nowMicros - e.getValue().sinceMicros < STALE_FETCH_MICROS) {
+    for (Map.Entry<String, Image> entry : images.entrySet()) {
+      if (!entry.getValue().ready
+          && !entry.getKey().equals(image)
+          && nowMicros - entry.getValue().sinceMicros < STALE_FETCH_MICROS) {
         others++;
       }
     }
@@ -390,8 +390,8 @@
       images.put(image, new Image(gb, nowMicros));
     }
     double sum = 0;
-    for (Image i : images.values()) {
-      sum += i.gb;
+    for (Image otherImage : images.values()) {
+      sum += otherImage.gb;
     }
     var it = images.entrySet().iterator();
     while (sum > type.cacheGb() && it.hasNext()) {
--- a/src/main/java/plumlever/http/Front.java
+++ b/src/main/java/plumlever/http/Front.java
@@ -39,7 +39,7 @@
      * The halts that a stand-in gives with its answer; null when it can't be found out which jobs
      * have ended.
      */
-    void endedPieces(WorkerReport r, Consumer<StandInHalts> then);
+    void endedPieces(WorkerReport report, Consumer<StandInHalts> then);
   }
 
   /**
@@ -74,8 +74,8 @@
   }
 
   private void route(String method, String pathAndQuery, byte[] body, Responder out) {
-    int q = pathAndQuery.indexOf('?');
-    String path = q < 0 ? pathAndQuery : pathAndQuery.substring(0, q);
+    int queryStart = pathAndQuery.indexOf('?');
+    String path = queryStart < 0 ? pathAndQuery : pathAndQuery.substring(0, queryStart);
     if (path.equals("/hello")) {
       if (allowed(method, "POST", out)) {
         hello(body, out);
@@ -121,9 +121,9 @@
   }
 
   private void hello(byte[] body, Responder out) {
-    WorkerReport r;
+    WorkerReport report;
     try {
-      r = WorkerReport.parse(body);
+      report = WorkerReport.parse(body);
     } catch (InvalidMessage e) {
       metrics.count("reports_unreadable");
       out.error(400, e.getMessage());
@@ -137,22 +137,22 @@
     }
     Leader leader = house.leader();
     if (leader != null) {
-      leader.report(r, out);
+      leader.report(report, out);
       return;
     }
-    house.strayReport(r.host());
-    if (house.mayRenew(r.site(), r.baton())) {
+    house.strayReport(report.host());
+    if (house.mayRenew(report.site(), report.baton())) {
       house.endedPieces(
-          r,
+          report,
           found -> {
             // Asked again: finding out took its time. A lease is not renewed for tasks whose halt
             // can't be given.
             if (found != null
-                && house.mayRenew(r.site(), r.baton())
+                && house.mayRenew(report.site(), report.baton())
                 && limit.mayRenew(clock.nowMicros(), found.knownMicros())) {
               metrics.count("leases_renewed_for_leader");
               house.renewed();
-              out.send(200, Order.answer(r.baton(), found.halts()));
+              out.send(200, Order.answer(report.baton(), found.halts()));
             } else {
               out.later(503, "can't stand in", 1);
             }
--- a/src/main/java/plumlever/http/UndertowCaller.java
+++ b/src/main/java/plumlever/http/UndertowCaller.java
@@ -128,13 +128,13 @@
     }
 
     ClientConnection take() {
-      ClientConnection c;
-      while ((c = kept.poll()) != null) {
-        idle.remove(c);
-        if (c.isOpen()) {
-          return c;
+      ClientConnection clientConnection;
+      while ((clientConnection = kept.poll()) != null) {
+        idle.remove(clientConnection);
+        if (clientConnection.isOpen()) {
+          return clientConnection;
         }
-        IoUtils.safeClose(c);
+        IoUtils.safeClose(clientConnection);
       }
       return null;
     }
@@ -169,19 +169,19 @@
       provider.connect(
           new ClientCallback<>() {
             @Override
-            public void completed(ClientConnection c) {
+            public void completed(ClientConnection clientConnection) {
               if (finished) {
                 // Given up while connecting; the slot went back already, so the connection is
                 // closed.
-                IoUtils.safeClose(c);
+                IoUtils.safeClose(clientConnection);
               } else {
-                send(c);
+                send(clientConnection);
               }
             }
 
             @Override
-            public void failed(IOException e) {
-              LOG.debug("no connection to {}: {}", pool.to, e.toString());
+            public void failed(IOException failure) {
+              LOG.debug("no connection to {}: {}", pool.to, failure.toString());
               finish(0, NO_BODY, false);
             }
           },
@@ -193,8 +193,8 @@
           OptionMap.EMPTY);
     }
 
-    private void send(ClientConnection c) {
-      connection = c;
+    private void send(ClientConnection clientConnection) {
+      connection = clientConnection;
       ClientRequest request = new ClientRequest().setMethod(new HttpString(method)).setPath(path);
       request.getRequestHeaders().put(Headers.HOST, pool.to.toString());
       if (body != null) {
@@ -203,7 +203,7 @@
       } else if (!method.equals("GET")) {
         request.getRequestHeaders().put(Headers.CONTENT_LENGTH, 0);
       }
-      c.sendRequest(
+      clientConnection.sendRequest(
           request,
           new ClientCallback<>() {
             @Override
@@ -211,13 +211,13 @@
               exchange.setResponseListener(
                   new ClientCallback<>() {
                     @Override
-                    public void completed(ClientExchange e) {
-                      receive(e);
+                    public void completed(ClientExchange clientExchange) {
+                      receive(clientExchange);
                     }
 
                     @Override
-                    public void failed(IOException e) {
-                      broke(e);
+                    public void failed(IOException failure) {
+                      broke(failure);
                     }
                   });
               if (body != null && body.length > 0) {
@@ -226,8 +226,8 @@
             }
 
             @Override
-            public void failed(IOException e) {
-              broke(e);
+            public void failed(IOException failure) {
+              broke(failure);
             }
           });
     }
@@ -273,12 +273,12 @@
         ByteBuffer buffer = pooled.getBuffer();
         while (true) {
           buffer.clear();
-          int n = channel.read(buffer);
-          if (n < 0) {
+          int count = channel.read(buffer);
+          if (count < 0) {
             finish(status, into.toByteArray(), true);
             return;
           }
-          if (n == 0) {
+          if (count == 0) {
             channel.getReadSetter().set(ch -> read(ch, into, status));
             channel.resumeReads();
             return;
@@ -294,8 +294,8 @@
       }
     }
 
-    private void broke(IOException e) {
-      LOG.debug("{} {} at {} got no answer: {}", method, path, pool.to, e.toString());
+    private void broke(IOException failure) {
+      LOG.debug("{} {} at {} got no answer: {}", method, path, pool.to, failure.toString());
       finish(0, NO_BODY, false);
     }
 
--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -119,11 +119,11 @@
   }
 
   public void submit(byte[] body, Responder raw) {
-    ObjectNode o;
+    ObjectNode object;
     String uid;
     try {
-      o = Json.parseObject(body);
-      uid = Json.text(o, "uid");
+      object = Json.parseObject(body);
+      uid = Json.text(object, "uid");
       if (!JobSpec.validUid(uid)) {
         throw new InvalidMessage("uid must be job- and digits");
       }
@@ -137,7 +137,7 @@
     }
     JobSpec spec;
     try {
-      spec = JobSpec.parse(o);
+      spec = JobSpec.parse(object);
     } catch (InvalidMessage e) {
       // A known job is told its state whatever is wrong with the repeat.
       ifUnknown(uid, out, () -> out.error(400, e.getMessage()));
@@ -247,12 +247,12 @@
     Txn txn = new Txn();
     int bytes = 0;
     int count = 0;
-    for (Map.Entry<String, ObjectNode> p : parts) {
+    for (Map.Entry<String, ObjectNode> entry : parts) {
       bytes += layout.valueBytes();
       if (count == layout.limits().txnOps() || (count > 0 && bytes > MOST_TXN_BYTES)) {
         break;
       }
-      txn.guard(p.getKey(), 0).put(p.getKey(), p.getValue());
+      txn.guard(entry.getKey(), 0).put(entry.getKey(), entry.getValue());
       count++;
     }
     int sent = count;
@@ -273,10 +273,10 @@
   }
 
   private boolean overLimit(JobSpec spec) {
-    for (Platform.Team t : limits) {
-      if (t.name().equals(spec.owner())) {
-        return (t.cpusMax() > 0 && spec.cores() > t.cpusMax())
-            || (t.gpusMax() > 0 && spec.accelerators() > t.gpusMax());
+    for (Platform.Team team : limits) {
+      if (team.name().equals(spec.owner())) {
+        return (team.cpusMax() > 0 && spec.cores() > team.cpusMax())
+            || (team.gpusMax() > 0 && spec.accelerators() > team.gpusMax());
       }
     }
     return false;
@@ -364,12 +364,12 @@
         uid, counts != null && counts[1] > 0 ? JobState.RUNNING : JobState.PENDING, counts);
   }
 
-  private static String state(String uid, JobState s, int[] counts) {
-    ObjectNode o = Json.object().put("uid", uid).put("status", s.wireName());
+  private static String state(String uid, JobState jobState, int[] counts) {
+    ObjectNode object = Json.object().put("uid", uid).put("status", jobState.wireName());
     if (counts != null) {
-      o.put("done", counts[0]).put("running", counts[1]);
+      object.put("done", counts[0]).put("running", counts[1]);
     }
-    return Json.write(o);
+    return Json.write(object);
   }
 
   public void poll(String uid, Responder raw) {
--- a/src/main/java/plumlever/http/XnioLoop.java
+++ b/src/main/java/plumlever/http/XnioLoop.java
@@ -61,8 +61,8 @@
   }
 
   /** Calls that break as the process stops have nobody left to tell. */
-  private static Timer ending(RejectedExecutionException e) {
-    LOG.debug("dropped, the thread is ending: {}", e.toString());
+  private static Timer ending(RejectedExecutionException rejectedExecutionException) {
+    LOG.debug("dropped, the thread is ending: {}", rejectedExecutionException.toString());
     return () -> {};
   }
 }
--- a/src/main/java/plumlever/leader/Begun.java
+++ b/src/main/java/plumlever/leader/Begun.java
@@ -51,17 +51,17 @@
   void read(List<StateClient.Item> items) {
     found.clear();
     foundUids.clear();
-    for (StateClient.Item i : items) {
-      int number = JobStore.numberOf(i.key());
+    for (StateClient.Item item : items) {
+      int number = JobStore.numberOf(item.key());
       if (number < 0) {
-        LOG.error("{} is no record of jobs", i.key());
+        LOG.error("{} is no record of jobs", item.key());
         continue;
       }
       List<String> uids = new ArrayList<>();
-      for (JsonNode n : i.data().path(JOBS)) {
-        uids.add(n.asText());
+      for (JsonNode node : item.data().path(JOBS)) {
+        uids.add(node.asText());
       }
-      found.add(new Found(number, i.stamp(), uids));
+      found.add(new Found(number, item.stamp(), uids));
       foundUids.addAll(uids);
     }
   }
@@ -77,15 +77,15 @@
   /** The jobs are known by now: those that have ended go from the records. */
   void loaded(Jobs jobs) {
     Map<String, Job> kept = new HashMap<>();
-    for (Found f : found) {
+    for (Found record : found) {
       List<Job> entries = new ArrayList<>();
-      for (String uid : f.uids) {
-        Job j = jobs.get(uid);
-        if (j != null && kept.putIfAbsent(uid, j) == null) {
-          entries.add(j);
+      for (String uid : record.uids) {
+        Job job = jobs.get(uid);
+        if (job != null && kept.putIfAbsent(uid, job) == null) {
+          entries.add(job);
         }
       }
-      records.load(f.number, f.stamp, entries);
+      records.load(record.number, record.stamp, entries);
     }
   }
 
@@ -94,13 +94,13 @@
    * is ordered. Not sooner: in a full fleet jobs wait for long, and through a takeover only those
    * that were begun must.
    */
-  void enroll(Job j) {
-    records.enroll(j);
+  void enroll(Job job) {
+    records.enroll(job);
   }
 
   /** The job has ended. */
-  void remove(Job j) {
-    records.remove(j);
+  void remove(Job job) {
+    records.remove(job);
   }
 
   long tidy() {
@@ -118,8 +118,8 @@
     }
 
     @Override
-    public int bytes(Job j) {
-      return j.uid().length() + 3;
+    public int bytes(Job job) {
+      return job.uid().length() + 3;
     }
 
     @Override
@@ -129,10 +129,10 @@
 
     @Override
     public ObjectNode value(List<Job> jobs) {
-      ObjectNode o = Json.object();
-      ArrayNode a = o.putArray(JOBS);
-      jobs.forEach(j -> a.add(j.uid()));
-      return o;
+      ObjectNode object = Json.object();
+      ArrayNode array = object.putArray(JOBS);
+      jobs.forEach(j -> array.add(j.uid()));
+      return object;
     }
   }
 }
--- a/src/main/java/plumlever/leader/Direct.java
+++ b/src/main/java/plumlever/leader/Direct.java
@@ -56,45 +56,50 @@
       if (starts >= MOST_STARTS || !context.term().mayAct()) {
         return;
       }
-      Machine m = fleet.machine(host);
-      Endpoint at = m == null || m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
-      if (at == null || m.calling() || m.unsettled() || m.tenure() == 0 || !round.recorded(m)) {
+      Machine machine = fleet.machine(host);
+      Endpoint at =
+          machine == null || machine.endpoint() == null ? null : Endpoint.parse(machine.endpoint());
+      if (at == null
+          || machine.calling()
+          || machine.unsettled()
+          || machine.tenure() == 0
+          || !round.recorded(machine)) {
         continue;
       }
       List<Order> orders = new ArrayList<>();
-      List<Attempt> sent = reports.start(m, round.planned(m), true, orders);
-      round.dropPlan(m);
+      List<Attempt> sent = reports.start(machine, round.planned(machine), true, orders);
+      round.dropPlan(machine);
       if (!sent.isEmpty()) {
-        start(m, at, orders, sent);
+        start(machine, at, orders, sent);
       }
     }
   }
 
-  private void start(Machine m, Endpoint at, List<Order> orders, List<Attempt> sent) {
-    m.direct();
-    m.calling(true);
+  private void start(Machine machine, Endpoint at, List<Order> orders, List<Attempt> sent) {
+    machine.direct();
+    machine.calling(true);
     starts++;
     long since = context.loop().nowMicros();
     call(
-        m,
+        machine,
         at,
         orders,
         START_TIMEOUT_MICROS,
         (status, r) -> {
           starts--;
-          m.calling(false);
+          machine.calling(false);
           if (closed) {
             return;
           }
           context.metrics().time("direct", context.loop().nowMicros() - since);
           if (r != null) {
-            reports.apply(m, r, false);
+            reports.apply(machine, r, false);
           }
           if (status == 409) {
             reports.refused(sent);
           } else if (status != 200 || r == null) {
             context.metrics().count("direct_unheard");
-            m.voidDirect();
+            machine.voidDirect();
           }
           if (reports.takeChanged()) {
             changed.run();
@@ -107,32 +112,32 @@
    * it. Asked often, it calls no machine again before the last call came to its end, and only so
    * many at a time.
    */
-  void raise(Machine m) {
-    Endpoint at = m.endpoint() == null ? null : Endpoint.parse(m.endpoint());
-    if (at == null || m.calling() || raises >= MOST_RAISES || !context.term().mayAct()) {
+  void raise(Machine machine) {
+    Endpoint at = machine.endpoint() == null ? null : Endpoint.parse(machine.endpoint());
+    if (at == null || machine.calling() || raises >= MOST_RAISES || !context.term().mayAct()) {
       return;
     }
     raises++;
-    m.calling(true);
+    machine.calling(true);
     call(
-        m,
+        machine,
         at,
         List.of(),
         RAISE_TIMEOUT_MICROS,
         (status, r) -> {
           raises--;
-          m.calling(false);
+          machine.calling(false);
           if (closed || !context.term().mayAct()) {
             return;
           }
-          m.called(r != null);
+          machine.called(r != null);
           if (r == null) {
             return;
           }
-          boolean otherSession = status == 409 && r.tenure() != m.tenure();
-          reports.apply(m, r, false);
-          if (otherSession && !m.accounted()) {
-            raise(m);
+          boolean otherSession = status == 409 && r.tenure() != machine.tenure();
+          reports.apply(machine, r, false);
+          if (otherSession && !machine.accounted()) {
+            raise(machine);
           }
           if (reports.takeChanged()) {
             changed.run();
@@ -152,9 +157,11 @@
     void take(int status, WorkerReport report);
   }
 
-  private void call(Machine m, Endpoint at, List<Order> orders, long timeoutMicros, Answer then) {
+  private void call(
+      Machine machine, Endpoint at, List<Order> orders, long timeoutMicros, Answer then) {
     byte[] body =
-        Order.direct(m.token(), Math.max(1, m.tenure()), orders).getBytes(StandardCharsets.UTF_8);
+        Order.direct(machine.token(), Math.max(1, machine.tenure()), orders)
+            .getBytes(StandardCharsets.UTF_8);
     context
         .caller()
         .call(
@@ -164,15 +171,17 @@
             body,
             timeoutMicros,
             (status, data) -> {
-              WorkerReport r = null;
+              WorkerReport report = null;
               if (status == 200 || status == 409) {
                 try {
-                  r = WorkerReport.parse(data);
+                  report = WorkerReport.parse(data);
                 } catch (InvalidMessage e) {
-                  log.warn("the direct answer of {} can't be read: {}", m.id(), e.getMessage());
+                  log.warn(
+                      "the direct answer of {} can't be read: {}", machine.id(), e.getMessage());
                 }
               }
-              then.take(status, r != null && r.host().equals(m.id()) ? r : null);
+              then.take(
+                  status, report != null && report.host().equals(machine.id()) ? report : null);
             });
   }
 
--- a/src/main/java/plumlever/leader/EarlyReports.java
+++ b/src/main/java/plumlever/leader/EarlyReports.java
@@ -30,23 +30,23 @@
     this.loop = loop;
   }
 
-  void keep(WorkerReport r, Responder out) {
+  void keep(WorkerReport report, Responder out) {
     long now = loop.nowMicros();
-    Early before = byHost.remove(r.host());
+    Early before = byHost.remove(report.host());
     if (before != null) {
       refuse(before);
     }
-    Early e = new Early(r, out, now);
+    Early early = new Early(report, out, now);
     if (byHost.size() >= MOST) {
-      refuse(e);
+      refuse(early);
       return;
     }
-    byHost.put(r.host(), e);
+    byHost.put(report.host(), early);
     loop.after(
         MOST_MICROS,
         () -> {
-          if (byHost.remove(r.host(), e)) {
-            refuse(e);
+          if (byHost.remove(report.host(), early)) {
+            refuse(early);
           }
         });
   }
@@ -58,13 +58,13 @@
   void release(BiConsumer<WorkerReport, Responder> take) {
     List<Early> all = new ArrayList<>(byHost.values());
     byHost.clear();
-    for (Early e : all) {
+    for (Early early : all) {
       loop.execute(
           () -> {
-            if (loop.nowMicros() - e.atMicros <= MOST_MICROS) {
-              take.accept(e.report, e.out);
+            if (loop.nowMicros() - early.atMicros <= MOST_MICROS) {
+              take.accept(early.report, early.out);
             } else {
-              refuse(e);
+              refuse(early);
             }
           });
     }
@@ -74,7 +74,7 @@
     release((r, out) -> out.later(503, "not in office", 1));
   }
 
-  private static void refuse(Early e) {
-    e.out.later(503, "which jobs have ended is not known yet", 1);
+  private static void refuse(Early early) {
+    early.out.later(503, "which jobs have ended is not known yet", 1);
   }
 }
--- a/src/main/java/plumlever/leader/Hints.java
+++ b/src/main/java/plumlever/leader/Hints.java
@@ -61,9 +61,9 @@
 
   /** Takes what the last leader left. */
   void load(List<StateClient.Item> items) {
-    for (StateClient.Item i : items) {
-      apply(i.data());
-      known(JobStore.numberOf(i.key()));
+    for (StateClient.Item item : items) {
+      apply(item.data());
+      known(JobStore.numberOf(item.key()));
     }
   }
 
@@ -74,12 +74,14 @@
         .properties()
         .forEach(
             e -> {
-              Machine m = fleet.machine(e.getKey());
-              if (m != null) {
+              Machine machine = fleet.machine(e.getKey());
+              if (machine != null) {
                 for (JsonNode index : e.getValue()) {
-                  int i = index.asInt(-1);
-                  if (i >= 0 && i < images.size()) {
-                    m.hasImage(images.get(i).path(0).asText(), images.get(i).path(1).asDouble());
+                  int otherIndex = index.asInt(-1);
+                  if (otherIndex >= 0 && otherIndex < images.size()) {
+                    machine.hasImage(
+                        images.get(otherIndex).path(0).asText(),
+                        images.get(otherIndex).path(1).asDouble());
                   }
                 }
               }
@@ -98,8 +100,8 @@
     int bytes = BASE_BYTES;
 
     /** False when it does not fit. */
-    boolean add(Machine m, Map<String, Double> held, int limit) {
-      int more = m.id().length() + MACHINE_BYTES + INDEX_BYTES * held.size();
+    boolean add(Machine machine, Map<String, Double> held, int limit) {
+      int more = machine.id().length() + MACHINE_BYTES + INDEX_BYTES * held.size();
       for (String name : held.keySet()) {
         more += indexes.containsKey(name) ? 0 : bytes(name) + IMAGE_BYTES;
       }
@@ -107,10 +109,10 @@
         return false;
       }
       bytes += more;
-      ArrayNode a = machines.putArray(m.id());
+      ArrayNode array = machines.putArray(machine.id());
       held.forEach(
           (name, gb) ->
-              a.add(
+              array.add(
                   indexes.computeIfAbsent(
                       name,
                       k -> {
@@ -134,12 +136,12 @@
     estimates.ratios().forEach((k, v) -> ratios.put(k, Math.round(v * 100) / 100.0));
     part.bytes += Json.write(ratios).length();
     int limit = context.layout().valueBytes();
-    for (Machine m : fleet.machines()) {
-      Map<String, Double> held = m.readyImages();
-      if (!held.isEmpty() && !part.add(m, held, limit)) {
+    for (Machine machine : fleet.machines()) {
+      Map<String, Double> held = machine.readyImages();
+      if (!held.isEmpty() && !part.add(machine, held, limit)) {
         part = new Part();
         parts.add(part);
-        part.add(m, held, limit);
+        part.add(machine, held, limit);
       }
     }
     return parts.stream().map(p -> p.out).toList();
@@ -155,16 +157,16 @@
     Txn txn = context.term().guard();
     Map<Integer, ObjectNode> sent = new HashMap<>();
     for (int n = 0; n < all && sent.size() < MOST_AT_ONCE; n++) {
-      int i = cursor++ % all;
-      ObjectNode part = i < now.size() ? now.get(i) : GONE;
-      if (i < written.size() && part.equals(written.get(i))) {
+      int index = cursor++ % all;
+      ObjectNode part = index < now.size() ? now.get(index) : GONE;
+      if (index < written.size() && part.equals(written.get(index))) {
         continue;
       }
-      sent.put(i, part);
+      sent.put(index, part);
       if (part == GONE) {
-        txn.drop(JobStore.hintsKey(i));
+        txn.drop(JobStore.hintsKey(index));
       } else {
-        txn.put(JobStore.hintsKey(i), part);
+        txn.put(JobStore.hintsKey(index), part);
       }
     }
     cursor %= all;
--- a/src/main/java/plumlever/leader/Jobs.java
+++ b/src/main/java/plumlever/leader/Jobs.java
@@ -123,11 +123,11 @@
     follow();
   }
 
-  private void readProgress(StateClient.Item i) {
-    int pack = JobStore.packOf(i.key());
+  private void readProgress(StateClient.Item item) {
+    int pack = JobStore.packOf(item.key());
     if (pack >= 0) {
-      packStamps.put(i.key(), i.stamp());
-      JobStore.readPack(i.data())
+      packStamps.put(item.key(), item.stamp());
+      JobStore.readPack(item.data())
           .forEach(
               (uid, done) -> {
                 Job job = active.get(uid);
@@ -139,21 +139,21 @@
               });
       return;
     }
-    String rest = i.key().substring(JobStore.PROGRESS.length());
+    String rest = item.key().substring(JobStore.PROGRESS.length());
     int slash = rest.lastIndexOf('/');
     Job job = slash < 0 ? null : active.get(rest.substring(0, slash));
     if (job == null) {
       // Left by a job that ended with more chunks than one transaction drops, or written late.
       context.metrics().count("progress_strays");
-      strays.add(i.key());
+      strays.add(item.key());
       return;
     }
-    chunks.computeIfAbsent(job, j -> new LinkedHashMap<>()).put(i.key(), i.stamp());
+    chunks.computeIfAbsent(job, j -> new LinkedHashMap<>()).put(item.key(), item.stamp());
     try {
-      context.layout().readChunk(i.data(), rest.substring(slash + 1), job.stored());
+      context.layout().readChunk(item.data(), rest.substring(slash + 1), job.stored());
       job.stored().stream().forEach(job::markDone);
     } catch (InvalidMessage e) {
-      log.warn("{} can't be read and is taken as no progress", i.key());
+      log.warn("{} can't be read and is taken as no progress", item.key());
     }
   }
 
@@ -367,15 +367,15 @@
     if (costsToo) {
       chains.costs(
           uid -> {
-            Job j = active.get(uid);
-            return j == null ? 0 : cost.applyAsLong(j);
+            Job job = active.get(uid);
+            return job == null ? 0 : cost.applyAsLong(job);
           });
     }
     chains.settleAims(
         uid -> {
-          Job j = active.get(uid);
-          if (j != null) {
-            j.aim(chains.aim(uid));
+          Job job = active.get(uid);
+          if (job != null) {
+            job.aim(chains.aim(uid));
           }
         });
   }
@@ -451,11 +451,11 @@
               }
               epoch = Math.max(epoch, changes.epoch());
               knownMicros = sent;
-              for (StateClient.Change c : changes.log()) {
-                if (c.data() == null) {
-                  drop(c.key().substring(JobStore.ACTIVE.length()), null);
+              for (StateClient.Change change : changes.log()) {
+                if (change.data() == null) {
+                  drop(change.key().substring(JobStore.ACTIVE.length()), null);
                 } else {
-                  put(c.key(), c.data(), c.stamp(), false);
+                  put(change.key(), change.data(), change.stamp(), false);
                 }
               }
               if (!changes.log().isEmpty()) {
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -95,17 +95,17 @@
     loaded = true;
     takeover.loaded();
     progress.loaded();
-    int n = 0;
-    for (Job j : jobs.all()) {
-      if (j.complete()) {
-        progress.taskDone(j, 0);
+    int count = 0;
+    for (Job job : jobs.all()) {
+      if (job.complete()) {
+        progress.taskDone(job, 0);
       }
-      n++;
+      count++;
     }
     log.info(
         "term {} begins with {} jobs and {} machines to account for, {} ms after election",
         term,
-        n,
+        count,
         takeover.open().size(),
         (context.loop().nowMicros() - takeover.startedMicros()) / 1_000);
     early.release(this::report);
@@ -147,19 +147,20 @@
       // still work report within seconds.
       int most =
           context.latenessMicros().getAsLong() > LATE_MICROS ? MOST_RAISES_LATE : Integer.MAX_VALUE;
-      for (Machine m : open) {
+      for (Machine machine : open) {
         if (direct.raises() >= most) {
           break;
         }
         // One whose report was just answered shows the token with its next.
-        if (m.lastAnswerMicros() < 0 || now - m.lastAnswerMicros() > ANSWER_SHOWS_MICROS) {
-          direct.raise(m);
+        if (machine.lastAnswerMicros() < 0
+            || now - machine.lastAnswerMicros() > ANSWER_SHOWS_MICROS) {
+          direct.raise(machine);
         }
       }
       if (takeover.complete()) {
-        for (Machine m : fleet.machines()) {
-          if (m.deaf()) {
-            direct.raise(m);
+        for (Machine machine : fleet.machines()) {
+          if (machine.deaf()) {
+            direct.raise(machine);
           }
         }
       }
@@ -201,25 +202,26 @@
   }
 
   /** Answers a worker's report; the caller has checked that this node leads. */
-  public void report(WorkerReport r, Responder out) {
+  public void report(WorkerReport report, Responder out) {
     if (!context.term().mayAct()) {
       out.later(503, "not in office", 1);
       return;
     }
-    if (Fleet.termOf(r.baton()) > term) {
+    if (Fleet.termOf(report.baton()) > term) {
       // Somebody holds a later term, so this one is over whatever this node believes.
       context
           .office()
-          .resign(context.term(), "a worker has seen term " + Fleet.termOf(r.baton()), 1_000_000);
+          .resign(
+              context.term(), "a worker has seen term " + Fleet.termOf(report.baton()), 1_000_000);
       out.later(503, "not in office", 1);
       return;
     }
-    if (machines.isDeleted(r.host())) {
+    if (machines.isDeleted(report.host())) {
       out.later(503, "this machine was returned", 1);
       return;
     }
-    if (!loaded && r.holdsTasks()) {
-      early.keep(r, out);
+    if (!loaded && report.holdsTasks()) {
+      early.keep(report, out);
       return;
     }
     if (!loaded) {
@@ -229,13 +231,20 @@
       return;
     }
     long now = context.loop().nowMicros();
-    Machine m = fleet.machine(r.host());
-    if (m == null) {
-      m = new Machine(r.host(), r.endpoint(), r.flavor(), r.site(), r.loaners(), now);
-      fleet.add(m);
+    Machine machine = fleet.machine(report.host());
+    if (machine == null) {
+      machine =
+          new Machine(
+              report.host(),
+              report.endpoint(),
+              report.flavor(),
+              report.site(),
+              report.loaners(),
+              now);
+      fleet.add(machine);
     }
-    m.learnEndpoint(r.endpoint());
-    Reports.News news = reports.apply(m, r, true);
+    machine.learnEndpoint(report.endpoint());
+    Reports.News news = reports.apply(machine, report, true);
     if (reports.takeChanged()) {
       due = true;
     }
@@ -244,61 +253,63 @@
       out.later(503, "a newer report is known", 1);
       return;
     }
-    if (m.deaf()) {
+    if (machine.deaf()) {
       // Were it answered, its lease would count as renewed for ever, and nobody else could have its
       // tasks.
       out.later(503, "answers do not arrive", 1);
       return;
     }
-    if (m.enrolment() == Enrolment.NONE && !m.returning() && (m.accounted() || r.baton() == 0)) {
+    if (machine.enrolment() == Enrolment.NONE
+        && !machine.returning()
+        && (machine.accounted() || report.baton() == 0)) {
       // A report that shows an earlier term may be a late copy of a machine that is gone: nothing
       // is recorded for it.
-      roster.enroll(m);
+      roster.enroll(machine);
     }
     if (news == Reports.News.NEWS) {
-      notice(m, r, now);
+      notice(machine, report, now);
     }
-    if (!jobs.mayRenew() && reports.holdsOpenTasks(r)) {
+    if (!jobs.mayRenew() && reports.holdsOpenTasks(report)) {
       // A cancellation confirmed by another controller may not be known here, and would be outlived
       // by the lease.
       context.metrics().count("renewals_refused");
       out.later(503, "which jobs have ended is not known", 1);
       return;
     }
-    List<Order> orders = reports.standing(m, r);
+    List<Order> orders = reports.standing(machine, report);
     if (news == Reports.News.NEWS
-        && Fleet.termOf(r.baton()) == term
-        && round.hasPlan(m)
-        && round.recorded(m)
-        && !m.unsettled()) {
-      reports.start(m, round.planned(m), false, orders);
-      round.dropPlan(m);
+        && Fleet.termOf(report.baton()) == term
+        && round.hasPlan(machine)
+        && round.recorded(machine)
+        && !machine.unsettled()) {
+      reports.start(machine, round.planned(machine), false, orders);
+      round.dropPlan(machine);
     }
     // Checked once more: a turn that ran late may have outlived the right to act.
     if (!context.term().mayAct()) {
       out.later(503, "not in office", 1);
       return;
     }
-    m.answered(context.loop().nowMicros());
-    out.send(200, Order.answer(m.token(), orders));
+    machine.answered(context.loop().nowMicros());
+    out.send(200, Order.answer(machine.token(), orders));
   }
 
   /**
    * A machine about to be taken: tasks that can save are stopped in time, others are left to finish
    * if they can.
    */
-  private void notice(Machine m, WorkerReport r, long now) {
-    if (!r.noticed()) {
+  private void notice(Machine machine, WorkerReport report, long now) {
+    if (!report.noticed()) {
       return;
     }
-    for (Attempt a : m.attempts()) {
-      if (!a.over() && a.job().spec().checkpoints()) {
-        double save = a.job().spec().snapshotS();
+    for (Attempt attempt : machine.attempts()) {
+      if (!attempt.over() && attempt.job().spec().checkpoints()) {
+        double save = attempt.job().spec().snapshotS();
         // The next report comes within a few seconds; what could not be saved after it is saved
         // now.
         double slack = 1.5 * context.platform().workers().reportMicros() / 1e6 + 1;
-        if (r.reclaimInS() <= save + slack + 2) {
-          a.halt(save + 1, now);
+        if (report.reclaimInS() <= save + slack + 2) {
+          attempt.halt(save + 1, now);
         }
       }
     }
@@ -316,8 +327,8 @@
 
   /** Finished and running tasks of a job for display, or null if it is not known here. */
   public int[] counts(String uid) {
-    Job j = loaded ? jobs.get(uid) : null;
-    return j == null ? null : new int[] {j.doneCount(), j.liveCount()};
+    Job job = loaded ? jobs.get(uid) : null;
+    return job == null ? null : new int[] {job.doneCount(), job.liveCount()};
   }
 
   public java.util.Map<String, int[]> allCounts(java.util.Map<String, int[]> into) {
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -198,38 +198,39 @@
               }
               long now = context.loop().nowMicros();
               listedMicros = now;
-              for (HostEntry h : hosts) {
-                if (deleted.contains(h.uid())) {
+              for (HostEntry hostEntry : hosts) {
+                if (deleted.contains(hostEntry.uid())) {
                   continue;
                 }
-                Machine m = fleet.machine(h.uid());
-                if (m == null) {
-                  m =
+                Machine machine = fleet.machine(hostEntry.uid());
+                if (machine == null) {
+                  machine =
                       new Machine(
-                          h.uid(),
-                          h.endpoint(),
-                          h.flavor(),
-                          h.site(),
-                          h.loaners(),
-                          now - (long) (h.ageS() * 1e6));
-                  fleet.add(m);
+                          hostEntry.uid(),
+                          hostEntry.endpoint(),
+                          hostEntry.flavor(),
+                          hostEntry.site(),
+                          hostEntry.loaners(),
+                          now - (long) (hostEntry.ageS() * 1e6));
+                  fleet.add(machine);
                 }
-                m.learnEndpoint(h.endpoint());
-                m.listed(now, h.status().equals("failed"));
+                machine.learnEndpoint(hostEntry.endpoint());
+                machine.listed(now, hostEntry.status().equals("failed"));
               }
             });
   }
 
-  private long lapsesAt(Machine m) {
-    if (mandate.covers(m.site())) {
+  private long lapsesAt(Machine machine) {
+    if (mandate.covers(machine.site())) {
       return Long.MAX_VALUE;
     }
     // An answer of this term renewed the lease at the latest; before the first, an earlier leader
     // may have, or a
     // stand-in of its, whose last read of the mandate is good for a while longer.
     long stoodIn =
-        Math.max(takeover.loadedMicros(), mandate.endedMicros(m.site())) + StandIn.VALID_MICROS;
-    long renewed = Math.max(stoodIn, m.lastAnswerMicros());
+        Math.max(takeover.loadedMicros(), mandate.endedMicros(machine.site()))
+            + StandIn.VALID_MICROS;
+    long renewed = Math.max(stoodIn, machine.lastAnswerMicros());
     return renewed
         + (long) (context.platform().workers().leaseMicros() * (1 + DRIFT))
         + LAPSE_MARGIN_MICROS;
@@ -237,16 +238,16 @@
 
   private void watch(long now) {
     Map<String, int[]> zones = new HashMap<>();
-    for (Machine m : fleet.machines()) {
-      if (m.heard() || takeover.open().contains(m)) {
-        int[] z = zones.computeIfAbsent(m.site(), k -> new int[3]);
-        z[0]++;
-        z[2] += takeover.open().contains(m) ? 1 : 0;
+    for (Machine machine : fleet.machines()) {
+      if (machine.heard() || takeover.open().contains(machine)) {
+        int[] zoneCounts = zones.computeIfAbsent(machine.site(), k -> new int[3]);
+        zoneCounts[0]++;
+        zoneCounts[2] += takeover.open().contains(machine) ? 1 : 0;
         // One missed report already: machines behind a cut fall silent one after the other, and by
         // the time the
         // first is called silent all the others must have missed one as well.
-        if (silentFor(m, now) > context.platform().workers().latestReportMicros()) {
-          z[1]++;
+        if (silentFor(machine, now) > context.platform().workers().latestReportMicros()) {
+          zoneCounts[1]++;
         }
       }
     }
@@ -270,49 +271,49 @@
     reachOut(now);
     boolean crowded =
         !round.demands().isEmpty() && shortUntil.values().stream().anyMatch(t -> t > now);
-    for (Machine m : fleet.machines()) {
+    for (Machine machine : fleet.machines()) {
       // Nobody has renewed its lease for that long, whatever it may have reported.
-      if (now >= lapsesAt(m)) {
-        boolean lost = m.running();
-        reports.endSessionsBefore(m, Long.MAX_VALUE);
+      if (now >= lapsesAt(machine)) {
+        boolean lost = machine.running();
+        reports.endSessionsBefore(machine, Long.MAX_VALUE);
         if (lost) {
-          log.info("the lease of {} has lapsed", m.id());
+          log.info("the lease of {} has lapsed", machine.id());
           changed.run();
         }
-        if (!m.accounted()) {
-          takeover.accounted(m, "its lease lapsed");
+        if (!machine.accounted()) {
+          takeover.accounted(machine, "its lease lapsed");
           changed.run();
         }
       }
-      if (m.returning()) {
+      if (machine.returning()) {
         continue;
       }
-      if (m.failed()) {
-        giveBack(m, "it failed");
-      } else if (!m.heard() && !takeover.open().contains(m)) {
-        Flavor f = context.prices().flavor(m.flavor());
+      if (machine.failed()) {
+        giveBack(machine, "it failed");
+      } else if (!machine.heard() && !takeover.open().contains(machine)) {
+        Flavor flavor = context.prices().flavor(machine.flavor());
         long patience =
             (long)
-                ((f == null ? 60 : Math.max(f.startupS(), 15))
+                ((flavor == null ? 60 : Math.max(flavor.startupS(), 15))
                     * 1e6
                     * context.tunables().bootFactor());
-        if (now - Math.max(m.knownSinceMicros(), takeover.startedMicros() - patience / 2)
+        if (now - Math.max(machine.knownSinceMicros(), takeover.startedMicros() - patience / 2)
             > patience) {
-          giveBack(m, "it does not come up");
+          giveBack(machine, "it does not come up");
         }
-      } else if (holdsUpTakeover(m, now, zones)) {
-        giveBack(m, "it holds up the takeover");
-      } else if (silentFor(m, now) > silentMicros()) {
+      } else if (holdsUpTakeover(machine, now, zones)) {
+        giveBack(machine, "it holds up the takeover");
+      } else if (silentFor(machine, now) > silentMicros()) {
         // Many silent at once in a zone look like a cut, behind which they go on working.
-        int leases = mandate.covers(m.site()) ? 6 : 2;
-        if (!cutZones.containsKey(m.site())
-            || silentFor(m, now) > leases * context.platform().workers().leaseMicros()) {
-          giveBack(m, "it is silent");
+        int leases = mandate.covers(machine.site()) ? 6 : 2;
+        if (!cutZones.containsKey(machine.site())
+            || silentFor(machine, now) > leases * context.platform().workers().leaseMicros()) {
+          giveBack(machine, "it is silent");
         }
-      } else if (m.draining() && !m.running()) {
-        giveBack(m, "it is drained");
-      } else if (idleTooLong(m, crowded, now)) {
-        giveBack(m, "it is idle");
+      } else if (machine.draining() && !machine.running()) {
+        giveBack(machine, "it is drained");
+      } else if (idleTooLong(machine, crowded, now)) {
+        giveBack(machine, "it is idle");
       }
     }
   }
@@ -328,14 +329,14 @@
       unreached.addAll(cutZones.keySet());
     }
     Map<String, Integer> calls = new HashMap<>();
-    for (Machine m : fleet.machines()) {
-      if (!m.heard() || !cutZones.containsKey(m.site())) {
+    for (Machine machine : fleet.machines()) {
+      if (!machine.heard() || !cutZones.containsKey(machine.site())) {
         continue;
       }
-      if (now - m.lastSeenMicros() < REACHED_MICROS) {
-        unreached.remove(m.site());
-      } else if (calls.merge(m.site(), 1, Integer::sum) <= PROBES) {
-        direct.raise(m);
+      if (now - machine.lastSeenMicros() < REACHED_MICROS) {
+        unreached.remove(machine.site());
+      } else if (calls.merge(machine.site(), 1, Integer::sum) <= PROBES) {
+        direct.raise(machine);
       }
     }
     mandate.want(unreached);
@@ -349,9 +350,9 @@
   private boolean lostItsWorkers(Map<String, int[]> zones) {
     int all = 0;
     int silent = 0;
-    for (int[] z : zones.values()) {
-      all += z[0];
-      silent += z[1];
+    for (int[] zoneCounts : zones.values()) {
+      all += zoneCounts[0];
+      silent += zoneCounts[1];
     }
     return all > 0
         && silent * 10 >= all * 7
@@ -364,14 +365,14 @@
    * them, so they are given up sooner. One that has not been called twice in vain may just not have
    * had its turn: a large fleet takes seconds to come over.
    */
-  private boolean holdsUpTakeover(Machine m, long now, Map<String, int[]> zones) {
-    if (!takeover.open().contains(m)
-        || m.failedCalls() < 2
+  private boolean holdsUpTakeover(Machine machine, long now, Map<String, int[]> zones) {
+    if (!takeover.open().contains(machine)
+        || machine.failedCalls() < 2
         || now - takeover.loadedMicros() < HOLD_UP_MICROS) {
       return false;
     }
-    int[] z = zones.get(m.site());
-    return z != null && z[2] * 3 <= z[0];
+    int[] zoneCounts = zones.get(machine.site());
+    return zoneCounts != null && zoneCounts[2] * 3 <= zoneCounts[0];
   }
 
   /** Reports that are far apart make a machine seem silent later. */
@@ -382,22 +383,23 @@
             + context.platform().workers().reportMicros() / 2);
   }
 
-  private long silentFor(Machine m, long now) {
+  private long silentFor(Machine machine, long now) {
     // What a thread that runs late has not read yet is no silence.
     return now
-        - Math.max(m.lastSeenMicros(), Math.max(takeover.loadedMicros(), punctualSinceMicros));
+        - Math.max(
+            machine.lastSeenMicros(), Math.max(takeover.loadedMicros(), punctualSinceMicros));
   }
 
-  private boolean idleTooLong(Machine m, boolean crowded, long now) {
-    if (m.running() || round.hasPlan(m) || !takeover.complete()) {
-      m.idleSince(-1);
+  private boolean idleTooLong(Machine machine, boolean crowded, long now) {
+    if (machine.running() || round.hasPlan(machine) || !takeover.complete()) {
+      machine.idleSince(-1);
       return false;
     }
-    if (m.idleSinceMicros() < 0) {
-      m.idleSince(now);
+    if (machine.idleSinceMicros() < 0) {
+      machine.idleSince(now);
     }
-    if (round.closed().contains(m)) {
-      return now - m.knownSinceMicros() > LEAST_CHARGE_MICROS;
+    if (round.closed().contains(machine)) {
+      return now - machine.knownSinceMicros() > LEAST_CHARGE_MICROS;
     }
     // Tasks that wait although the cloud has no more may need the place of a machine that does not
     // suit them.
@@ -405,18 +407,19 @@
         context.moneyMatters() || crowded
             ? context.tunables().idleMoneyMicros()
             : context.tunables().idleSpeedMicros();
-    return now - m.idleSinceMicros() > limit && now - m.knownSinceMicros() > LEAST_CHARGE_MICROS;
+    return now - machine.idleSinceMicros() > limit
+        && now - machine.knownSinceMicros() > LEAST_CHARGE_MICROS;
   }
 
-  private void giveBack(Machine m, String why) {
+  private void giveBack(Machine machine, String why) {
     log.info(
         "returning {} ({} in {}{}): {}",
-        m.id(),
-        m.flavor(),
-        m.site(),
-        m.spot() ? ", spot" : "",
+        machine.id(),
+        machine.flavor(),
+        machine.site(),
+        machine.spot() ? ", spot" : "",
         why);
-    m.returning(true);
+    machine.returning(true);
     context.metrics().count("machines_returned");
   }
 
@@ -425,9 +428,9 @@
       return;
     }
     List<Machine> out = new ArrayList<>();
-    for (Machine m : fleet.machines()) {
-      if (m.returning() && out.size() < CloudClient.MOST_PER_RETURN) {
-        out.add(m);
+    for (Machine machine : fleet.machines()) {
+      if (machine.returning() && out.size() < CloudClient.MOST_PER_RETURN) {
+        out.add(machine);
       }
     }
     if (out.isEmpty()) {
@@ -443,12 +446,12 @@
               if (!gone || closed) {
                 return;
               }
-              for (Machine m : out) {
-                reports.endSessionsBefore(m, Long.MAX_VALUE);
-                deleted.add(m.id());
-                fleet.remove(m);
-                takeover.accounted(m, "it was returned");
-                roster.remove(m);
+              for (Machine machine : out) {
+                reports.endSessionsBefore(machine, Long.MAX_VALUE);
+                deleted.add(machine.id());
+                fleet.remove(machine);
+                takeover.accounted(machine, "it was returned");
+                roster.remove(machine);
               }
               changed.run();
             });
@@ -472,13 +475,13 @@
     }
     sizedMicros = now;
     List<Machine> able = new ArrayList<>();
-    for (Machine m : fleet.machines()) {
-      if (m.heard()
-          && !closed.contains(m)
-          && !m.returning()
-          && !m.draining()
-          && now - m.knownSinceMicros() > LEAST_CHARGE_MICROS) {
-        able.add(m);
+    for (Machine machine : fleet.machines()) {
+      if (machine.heard()
+          && !closed.contains(machine)
+          && !machine.returning()
+          && !machine.draining()
+          && now - machine.knownSinceMicros() > LEAST_CHARGE_MICROS) {
+        able.add(machine);
       }
     }
     able.sort(
@@ -504,24 +507,24 @@
   /** The cheapest closed machines, as many as hold what waits, are opened again. */
   private void reopen(Set<Machine> closed, long now) {
     double cores = 0;
-    for (RentalPlan.Demand d : round.demands()) {
-      cores += d.tasks() * d.job().cores();
+    for (RentalPlan.Demand demand : round.demands()) {
+      cores += demand.tasks() * demand.job().cores();
     }
     List<Machine> able = new ArrayList<>();
-    for (Machine m : closed) {
-      if (!m.returning() && !m.draining()) {
-        able.add(m);
+    for (Machine machine : closed) {
+      if (!machine.returning() && !machine.draining()) {
+        able.add(machine);
       }
     }
     able.sort(Comparator.comparingDouble(this::price));
     boolean any = false;
-    for (Machine m : able) {
+    for (Machine machine : able) {
       if (any && cores <= 0) {
         break;
       }
-      Flavor f = context.prices().flavor(m.flavor());
-      cores -= f == null ? 0 : f.cores() - load(m);
-      closed.remove(m);
+      Flavor flavor = context.prices().flavor(machine.flavor());
+      cores -= flavor == null ? 0 : flavor.cores() - load(machine);
+      closed.remove(machine);
       any = true;
     }
     if (any) {
@@ -532,27 +535,27 @@
   }
 
   /** Price for each processor; spot prices move a little, so kinds are compared coarsely. */
-  private double price(Machine m) {
-    Flavor f = context.prices().flavor(m.flavor());
-    return f == null
+  private double price(Machine machine) {
+    Flavor flavor = context.prices().flavor(machine.flavor());
+    return flavor == null
         ? Double.MAX_VALUE
-        : Math.round(context.prices().hourly(f, m.spot()) / f.cores() * 400);
+        : Math.round(context.prices().hourly(flavor, machine.spot()) / flavor.cores() * 400);
   }
 
-  private static double load(Machine m) {
+  private static double load(Machine machine) {
     double cores = 0;
-    for (Attempt a : m.attempts()) {
-      if (!a.over()) {
-        cores += a.job().spec().cores();
+    for (Attempt attempt : machine.attempts()) {
+      if (!attempt.over()) {
+        cores += attempt.job().spec().cores();
       }
     }
     return cores;
   }
 
   private void rent(long now) {
-    for (Open o : new ArrayList<>(open)) {
-      if (!o.inFlight && now >= o.retryMicros) {
-        send(o);
+    for (Open otherOpen : new ArrayList<>(open)) {
+      if (!otherOpen.inFlight && now >= otherOpen.retryMicros) {
+        send(otherOpen);
       }
     }
     // Demands found before the last machine came or was opened again may be served by it: they are
@@ -564,13 +567,13 @@
     }
     // Machines that are booting are booked already; these are not known by name yet.
     List<RentalPlan.Coming> coming = new ArrayList<>();
-    for (Open o : open) {
-      Flavor f = context.prices().flavor(o.kind.flavor());
-      for (int i = 0; f != null && i < o.count; i++) {
-        coming.add(new RentalPlan.Coming(o.kind, f));
+    for (Open otherOpen : open) {
+      Flavor flavor = context.prices().flavor(otherOpen.kind.flavor());
+      for (int i = 0; flavor != null && i < otherOpen.count; i++) {
+        coming.add(new RentalPlan.Coming(otherOpen.kind, flavor));
       }
     }
-    for (RentalPlan.Rental r :
+    for (RentalPlan.Rental rental :
         plan.plan(
             round.demands(),
             coming,
@@ -579,66 +582,72 @@
       if (open.size() >= 6) {
         break;
       }
-      Open o =
+      Open otherOpen =
           new Open(
               "r-" + context.term().number() + "-" + ++rentalCounter,
-              r.kind(),
-              Math.min(r.count(), CloudClient.MOST_PER_RENTAL));
-      open.add(o);
-      send(o);
+              rental.kind(),
+              Math.min(rental.count(), CloudClient.MOST_PER_RENTAL));
+      open.add(otherOpen);
+      send(otherOpen);
     }
   }
 
-  private void send(Open o) {
+  private void send(Open otherOpen) {
     if (!context.term().mayAct()) {
       return;
     }
-    o.inFlight = true;
+    otherOpen.inFlight = true;
     context
         .cloud()
         .rent(
-            o.name,
-            o.kind.flavor(),
-            o.kind.site(),
-            o.kind.spot(),
-            o.count,
+            otherOpen.name,
+            otherOpen.kind.flavor(),
+            otherOpen.kind.site(),
+            otherOpen.kind.spot(),
+            otherOpen.count,
             (outcome, hosts) -> {
-              o.inFlight = false;
+              otherOpen.inFlight = false;
               long now = context.loop().nowMicros();
               switch (outcome) {
                 case RENTED -> {
-                  open.remove(o);
-                  if (hosts.size() < o.count) {
-                    shortUntil.put(o.kind, now + NO_CAPACITY_PAUSE_MICROS);
+                  open.remove(otherOpen);
+                  if (hosts.size() < otherOpen.count) {
+                    shortUntil.put(otherOpen.kind, now + NO_CAPACITY_PAUSE_MICROS);
                   }
                   log.info(
                       "rented {} of {} {} in {}{}",
                       hosts.size(),
-                      o.count,
-                      o.kind.flavor(),
-                      o.kind.site(),
-                      o.kind.spot() ? ", spot" : "");
+                      otherOpen.count,
+                      otherOpen.kind.flavor(),
+                      otherOpen.kind.site(),
+                      otherOpen.kind.spot() ? ", spot" : "");
                   context.metrics().count("machines_rented", hosts.size());
                   sizeChangedMicros = now;
                   changed.run();
-                  for (String h : hosts) {
-                    if (fleet.machine(h) == null && !deleted.contains(h)) {
+                  for (String text : hosts) {
+                    if (fleet.machine(text) == null && !deleted.contains(text)) {
                       fleet.add(
-                          new Machine(h, null, o.kind.flavor(), o.kind.site(), o.kind.spot(), now));
+                          new Machine(
+                              text,
+                              null,
+                              otherOpen.kind.flavor(),
+                              otherOpen.kind.site(),
+                              otherOpen.kind.spot(),
+                              now));
                     }
                   }
                 }
                 case NO_CAPACITY -> {
-                  open.remove(o);
-                  shortUntil.put(o.kind, now + NO_CAPACITY_PAUSE_MICROS);
+                  open.remove(otherOpen);
+                  shortUntil.put(otherOpen.kind, now + NO_CAPACITY_PAUSE_MICROS);
                 }
                 case NOT_NOW -> {
                   // Surely not rented; the need is looked at anew after a pause.
-                  open.remove(o);
-                  shortUntil.put(o.kind, now + REPEAT_MICROS);
+                  open.remove(otherOpen);
+                  shortUntil.put(otherOpen.kind, now + REPEAT_MICROS);
                 }
                 // It may have been rented: the same name is asked for until that is known.
-                case UNKNOWN -> o.retryMicros = now + REPEAT_MICROS;
+                case UNKNOWN -> otherOpen.retryMicros = now + REPEAT_MICROS;
               }
             });
   }
--- a/src/main/java/plumlever/leader/Mandate.java
+++ b/src/main/java/plumlever/leader/Mandate.java
@@ -128,13 +128,13 @@
 
   private void write(Txn txn, Set<String> sites, Consumer<Txn.Result> then) {
     writing = true;
-    ObjectNode o = Json.object().put("term", context.term().number());
-    ArrayNode a = o.putArray("sites");
-    sites.forEach(a::add);
+    ObjectNode object = Json.object().put("term", context.term().number());
+    ArrayNode array = object.putArray("sites");
+    sites.forEach(array::add);
     context
         .store()
         .txn(
-            txn.put(Office.MANDATE, o, context.term().permit()),
+            txn.put(Office.MANDATE, object, context.term().permit()),
             StateClient.Class.URGENT,
             result -> {
               writing = false;
--- a/src/main/java/plumlever/leader/Preemption.java
+++ b/src/main/java/plumlever/leader/Preemption.java
@@ -21,12 +21,12 @@
 final class Preemption {
   /** Tells whether a machine takes orders now. */
   interface Usable {
-    boolean test(Machine m, long nowMicros);
+    boolean test(Machine machine, long nowMicros);
   }
 
   /** Tells whether stopping an attempt now would cost its job an aim. */
   interface Harm {
-    boolean test(Attempt a, long nowMicros);
+    boolean test(Attempt attempt, long nowMicros);
   }
 
   /** A task stopped sooner after its start was hardly worth starting. */
@@ -81,15 +81,15 @@
       if (next == offers.size()) {
         return false;
       }
-      Offer o = offers.get(next++);
-      for (Attempt a : o.victims) {
-        a.halt(a.job().spec().snapshotS() + 2, now);
+      Offer offer = offers.get(next++);
+      for (Attempt attempt : offer.victims) {
+        attempt.halt(attempt.job().spec().snapshotS() + 2, now);
         context.metrics().count("preempted");
         if (log.isDebugEnabled()) {
           log.debug(
               "{} on {} is stopped to make room for {}",
-              a.name().wireName(),
-              o.machine.id(),
+              attempt.name().wireName(),
+              offer.machine.id(),
               job.uid());
         }
       }
@@ -112,27 +112,30 @@
       return out;
     }
     Zones zones = Round.zones(job);
-    for (Machine m : fleet.machines()) {
-      Flavor f = context.prices().flavor(m.flavor());
-      if (f == null
-          || !usable.test(m, now)
-          || !job.spec().allows(m.flavor(), m.site(), m.spot())
-          || !zones.allows(m.site())) {
+    for (Machine machine : fleet.machines()) {
+      Flavor flavor = context.prices().flavor(machine.flavor());
+      if (flavor == null
+          || !usable.test(machine, now)
+          || !job.spec().allows(machine.flavor(), machine.site(), machine.spot())
+          || !zones.allows(machine.site())) {
         continue;
       }
-      List<Attempt> stop = victims(m, f, job, now);
+      List<Attempt> stop = victims(machine, flavor, job, now);
       if (stop.isEmpty()) {
         continue;
       }
       long ready =
-          now + ORDER_MICROS + m.fetchMicros(job.spec().bundle(), job.spec().imageGb(), f, now);
+          now
+              + ORDER_MICROS
+              + machine.fetchMicros(job.spec().bundle(), job.spec().imageGb(), flavor, now);
       int harmed = 0;
-      for (Attempt a : stop) {
-        ready = Math.max(ready, now + ORDER_MICROS + (long) (a.job().spec().snapshotS() * 1e6));
-        harmed += harm.test(a, now) ? 1 : 0;
+      for (Attempt attempt : stop) {
+        ready =
+            Math.max(ready, now + ORDER_MICROS + (long) (attempt.job().spec().snapshotS() * 1e6));
+        harmed += harm.test(attempt, now) ? 1 : 0;
       }
       if (helps(ask, startByMicros, ready)) {
-        out.add(new Offer(m, stop, harmed, ready));
+        out.add(new Offer(machine, stop, harmed, ready));
       }
     }
     out.sort(
@@ -156,41 +159,41 @@
    * The fewest tasks on the machine that have to stop; empty if it would not be enough or nothing
    * has to.
    */
-  private List<Attempt> victims(Machine m, Flavor f, Job job, long now) {
-    double cores = f.cores();
-    double memory = f.memoryGb();
-    double accelerators = f.accelerators();
+  private List<Attempt> victims(Machine machine, Flavor flavor, Job job, long now) {
+    double cores = flavor.cores();
+    double memory = flavor.memoryGb();
+    double accelerators = flavor.accelerators();
     List<Attempt> candidates = new ArrayList<>();
-    for (Attempt a : m.attempts()) {
-      if (a.over()) {
+    for (Attempt attempt : machine.attempts()) {
+      if (attempt.over()) {
         continue;
       }
-      if (a.halting()) {
+      if (attempt.halting()) {
         // Room on its way already, meant for somebody.
         return List.of();
       }
-      cores -= a.job().spec().cores();
-      memory -= a.job().spec().memoryGb();
-      accelerators -= a.job().spec().accelerators();
-      if (a.status() == TaskStatus.RUNNING
-          && a.job().spec().checkpoints()
-          && a.job().urgency().compareTo(job.urgency()) > 0
-          && now - a.runningSinceMicros() > SETTLED_MICROS) {
-        candidates.add(a);
+      cores -= attempt.job().spec().cores();
+      memory -= attempt.job().spec().memoryGb();
+      accelerators -= attempt.job().spec().accelerators();
+      if (attempt.status() == TaskStatus.RUNNING
+          && attempt.job().spec().checkpoints()
+          && attempt.job().urgency().compareTo(job.urgency()) > 0
+          && now - attempt.runningSinceMicros() > SETTLED_MICROS) {
+        candidates.add(attempt);
       }
     }
     candidates.sort(
         Comparator.<Attempt>comparingInt(a -> harm.test(a, now) ? 1 : 0)
             .thenComparing(Comparator.comparingLong(Attempt::runningSinceMicros).reversed()));
     List<Attempt> stop = new ArrayList<>();
-    for (Attempt a : candidates) {
+    for (Attempt attempt : candidates) {
       if (fits(job, cores, memory, accelerators)) {
         break;
       }
-      cores += a.job().spec().cores();
-      memory += a.job().spec().memoryGb();
-      accelerators += a.job().spec().accelerators();
-      stop.add(a);
+      cores += attempt.job().spec().cores();
+      memory += attempt.job().spec().memoryGb();
+      accelerators += attempt.job().spec().accelerators();
+      stop.add(attempt);
     }
     return fits(job, cores, memory, accelerators) ? stop : List.of();
   }
--- a/src/main/java/plumlever/leader/Progress.java
+++ b/src/main/java/plumlever/leader/Progress.java
@@ -90,10 +90,10 @@
     jobs.packs()
         .forEach(
             (job, number) -> {
-              Pack p = packs.computeIfAbsent(number, Pack::new);
+              Pack pack = packs.computeIfAbsent(number, Pack::new);
               int bytes = context.layout().packedBytes(job.spec());
-              if (bytes >= 0 && p.bytes + bytes <= context.layout().packBytes()) {
-                enter(p, job);
+              if (bytes >= 0 && pack.bytes + bytes <= context.layout().packBytes()) {
+                enter(pack, job);
               } else {
                 moved.add(job);
               }
@@ -101,10 +101,10 @@
     moved.forEach(this::keep);
   }
 
-  private void enter(Pack p, Job job) {
-    p.jobs.add(job);
-    p.bytes += JobStore.packSize(job.spec());
-    packOf.put(job, p);
+  private void enter(Pack pack, Job job) {
+    pack.jobs.add(job);
+    pack.bytes += JobStore.packSize(job.spec());
+    packOf.put(job, pack);
   }
 
   /** Has the job's finished tasks written, wherever there is room. */
@@ -114,9 +114,9 @@
       job.done().stream().forEach(t -> dirtyChunk(job, t));
       return;
     }
-    Pack p = packWithRoom(bytes);
-    enter(p, job);
-    p.dirty = true;
+    Pack pack = packWithRoom(bytes);
+    enter(pack, job);
+    pack.dirty = true;
   }
 
   private void dirtyChunk(Job job, int task) {
@@ -131,9 +131,9 @@
       }
       return;
     }
-    Pack p = packOf.get(job);
-    if (p != null) {
-      p.dirty = true;
+    Pack pack = packOf.get(job);
+    if (pack != null) {
+      pack.dirty = true;
     } else if (context.layout().packedBytes(job.spec()) < 0) {
       dirtyChunk(job, task);
     } else {
@@ -142,18 +142,18 @@
   }
 
   private Pack packWithRoom(int bytes) {
-    for (Pack p : packs.values()) {
-      if (p.bytes + bytes <= context.layout().packBytes()) {
-        return p;
+    for (Pack pack : packs.values()) {
+      if (pack.bytes + bytes <= context.layout().packBytes()) {
+        return pack;
       }
     }
     int number = 0;
     while (packs.containsKey(number)) {
       number++;
     }
-    Pack p = new Pack(number);
-    packs.put(number, p);
-    return p;
+    Pack pack = new Pack(number);
+    packs.put(number, pack);
+    return pack;
   }
 
   private void end(Job job) {
@@ -229,30 +229,30 @@
     Set<String> keys = new LinkedHashSet<>();
     int room = context.layout().limits().txnOps();
     long bytes = 0;
-    for (Pack p : packs.values()) {
-      if (!p.dirty || room == 0 || bytes + p.bytes > MOST_BYTES) {
+    for (Pack pack : packs.values()) {
+      if (!pack.dirty || room == 0 || bytes + pack.bytes > MOST_BYTES) {
         continue;
       }
       room--;
-      bytes += p.bytes;
-      p.dirty = false;
-      sentPacks.add(p);
+      bytes += pack.bytes;
+      pack.dirty = false;
+      sentPacks.add(pack);
       Map<String, BitSet> done = new LinkedHashMap<>();
-      for (Job j : p.jobs) {
-        done.put(j.uid(), j.done());
-        snapshots.put(j, (BitSet) j.done().clone());
+      for (Job otherJob : pack.jobs) {
+        done.put(otherJob.uid(), otherJob.done());
+        snapshots.put(otherJob, (BitSet) otherJob.done().clone());
       }
-      String key = JobStore.packKey(p.number);
+      String key = JobStore.packKey(pack.number);
       keys.add(key);
       txn.guard(key, stamps.getOrDefault(key, 0L)).put(key, context.layout().pack(done));
     }
-    for (Map.Entry<Job, BitSet> e : dirty.entrySet()) {
-      Job job = e.getKey();
+    for (Map.Entry<Job, BitSet> entry : dirty.entrySet()) {
+      Job job = entry.getKey();
       int each = Math.min(context.layout().valueBytes(), job.spec().pieces() / 6 + 100);
       BitSet written = new BitSet();
-      for (int first = e.getValue().nextSetBit(0);
+      for (int first = entry.getValue().nextSetBit(0);
           first >= 0 && room > 0 && bytes + each <= MOST_BYTES;
-          first = e.getValue().nextSetBit(first + 1)) {
+          first = entry.getValue().nextSetBit(first + 1)) {
         room--;
         bytes += each;
         written.set(first);
@@ -344,24 +344,24 @@
           .filter(j -> !j.over())
           .forEach(j -> j.done().stream().forEach(t -> dirtyChunk(j, t)));
     }
-    for (Pack p : List.copyOf(packs.values())) {
-      if (p.bytes <= context.layout().packBytes()) {
+    for (Pack pack : List.copyOf(packs.values())) {
+      if (pack.bytes <= context.layout().packBytes()) {
         continue;
       }
-      List<Job> kept = new ArrayList<>(p.jobs);
-      p.jobs.clear();
-      p.bytes = 0;
+      List<Job> kept = new ArrayList<>(pack.jobs);
+      pack.jobs.clear();
+      pack.bytes = 0;
       List<Job> moved = new ArrayList<>();
-      for (Job j : kept) {
-        packOf.remove(j);
-        int bytes = context.layout().packedBytes(j.spec());
-        if (bytes >= 0 && p.bytes + bytes <= context.layout().packBytes()) {
-          enter(p, j);
+      for (Job job : kept) {
+        packOf.remove(job);
+        int bytes = context.layout().packedBytes(job.spec());
+        if (bytes >= 0 && pack.bytes + bytes <= context.layout().packBytes()) {
+          enter(pack, job);
         } else {
-          moved.add(j);
+          moved.add(job);
         }
       }
-      p.dirty = true;
+      pack.dirty = true;
       moved.forEach(this::keep);
     }
   }
@@ -377,11 +377,11 @@
               }
               return e.getKey().over();
             });
-    for (Pack p : packs.values()) {
-      p.jobs.removeIf(
+    for (Pack pack : packs.values()) {
+      pack.jobs.removeIf(
           j -> {
             if (j.over()) {
-              p.bytes -= JobStore.packSize(j.spec());
+              pack.bytes -= JobStore.packSize(j.spec());
               packOf.remove(j);
             }
             return j.over();
--- a/src/main/java/plumlever/leader/Reports.java
+++ b/src/main/java/plumlever/leader/Reports.java
@@ -51,9 +51,9 @@
 
   /** True if anything changed that placement cares for, since asked last. */
   boolean takeChanged() {
-    boolean c = changed;
+    boolean wasChanged = changed;
     changed = false;
-    return c;
+    return wasChanged;
   }
 
   /** What a report is worth. */
@@ -75,53 +75,56 @@
    * @param own sent by the worker itself; the body of a direct call proves nothing about an answer
    *     on its way
    */
-  News apply(Machine m, WorkerReport r, boolean own) {
+  News apply(Machine machine, WorkerReport report, boolean own) {
     long now = context.loop().nowMicros();
-    if ((m.tenure() > 0 || m.tick() > 0) && !r.newerThan(m.tenure(), m.tick())) {
-      if (own && r.tenure() == m.tenure() && r.tick() > m.ownTick()) {
-        m.overtaken(r.tick(), now);
+    if ((machine.tenure() > 0 || machine.tick() > 0)
+        && !report.newerThan(machine.tenure(), machine.tick())) {
+      if (own && report.tenure() == machine.tenure() && report.tick() > machine.ownTick()) {
+        machine.overtaken(report.tick(), now);
         return News.OVERTAKEN;
       }
       // Copies come seconds to minutes late. They must neither bring back what is gone nor count as
       // a sign of life.
       return News.COPY;
     }
-    boolean relapsed = m.tenure() > 0 && r.tenure() > m.tenure();
-    if (r.tenure() > m.tenure()) {
-      endSessionsBefore(m, r.tenure());
+    boolean relapsed = machine.tenure() > 0 && report.tenure() > machine.tenure();
+    if (report.tenure() > machine.tenure()) {
+      endSessionsBefore(machine, report.tenure());
     }
-    boolean first = !m.heard();
-    boolean noticed = r.noticed() && m.reclaimAtMicros() < 0;
-    m.heardAt(r, now, own);
+    boolean first = !machine.heard();
+    boolean noticed = report.noticed() && machine.reclaimAtMicros() < 0;
+    machine.heardAt(report, now, own);
     changed |= first && own;
     if (noticed) {
       changed = true;
       context.metrics().count("spot_notices");
-      log.info("{} will be taken in {} s", m.id(), r.reclaimInS());
+      log.info("{} will be taken in {} s", machine.id(), report.reclaimInS());
     }
     LongHashSet listed = new LongHashSet();
-    boolean current = Fleet.termOf(r.baton()) == term;
-    m.token(current ? r.baton() : 0);
+    boolean current = Fleet.termOf(report.baton()) == term;
+    machine.token(current ? report.baton() : 0);
     int foreign = 0;
-    for (WorkerReport.Piece p : r.pieces()) {
-      listed.add(p.attempt());
-      Attempt a = m.attempt(p.attempt());
-      if (a != null && a.task() == p.task().number() && a.job().uid().equals(p.task().job())) {
-        update(a, p, now);
-      } else if (a == null && current) {
-        unknown(m, p, now);
+    for (WorkerReport.Piece piece : report.pieces()) {
+      listed.add(piece.attempt());
+      Attempt attempt = machine.attempt(piece.attempt());
+      if (attempt != null
+          && attempt.task() == piece.task().number()
+          && attempt.job().uid().equals(piece.task().job())) {
+        update(attempt, piece, now);
+      } else if (attempt == null && current) {
+        unknown(machine, piece, now);
       }
-      if (p.status() != TaskStatus.ENDED && m.attempt(p.attempt()) == null) {
+      if (piece.status() != TaskStatus.ENDED && machine.attempt(piece.attempt()) == null) {
         foreign++;
       }
     }
-    takeover.foreign(m, foreign);
-    boolean lost = forgetGone(m, r, own, listed);
+    takeover.foreign(machine, foreign);
+    boolean lost = forgetGone(machine, report, own, listed);
     if (own) {
-      hears(m, r, lost || relapsed);
+      hears(machine, report, lost || relapsed);
     }
-    if (current && !m.accounted()) {
-      takeover.accounted(m, own ? "it reported" : "it answered");
+    if (current && !machine.accounted()) {
+      takeover.accounted(machine, own ? "it reported" : "it answered");
       changed = true;
     }
     return News.NEWS;
@@ -130,32 +133,33 @@
   /**
    * Ends the attempts that the report proves the machine does not have; true if an order was lost.
    */
-  private boolean forgetGone(Machine m, WorkerReport r, boolean own, LongHashSet listed) {
+  private boolean forgetGone(
+      Machine machine, WorkerReport report, boolean own, LongHashSet listed) {
     List<Attempt> gone = null;
-    for (Attempt a : m.attempts()) {
-      if (listed.contains(a.id())) {
+    for (Attempt attempt : machine.attempts()) {
+      if (listed.contains(attempt.id())) {
         continue;
       }
       // An order in an answer: the worker has taken it in or dropped it before it sent this. A
       // direct order: it may
       // be carried out late, until the worker has seen a higher token.
-      if (a.directToken() >= 0
-          ? r.baton() > a.directToken() || a.status() != null
-          : own && a.sentTick() < r.tick()) {
+      if (attempt.directToken() >= 0
+          ? report.baton() > attempt.directToken() || attempt.status() != null
+          : own && attempt.sentTick() < report.tick()) {
         if (gone == null) {
           gone = new ArrayList<>();
         }
-        gone.add(a);
+        gone.add(attempt);
       }
     }
     boolean lost = false;
-    for (Attempt a : gone == null ? List.<Attempt>of() : gone) {
-      if (!a.over()) {
+    for (Attempt attempt : gone == null ? List.<Attempt>of() : gone) {
+      if (!attempt.over()) {
         changed = true;
-        lost |= a.status() == null;
-        context.metrics().count(a.status() == null ? "runs_lost" : "attempts_vanished");
+        lost |= attempt.status() == null;
+        context.metrics().count(attempt.status() == null ? "runs_lost" : "attempts_vanished");
       }
-      fleet.forget(a);
+      fleet.forget(attempt);
     }
     return lost;
   }
@@ -164,23 +168,23 @@
    * Looks whether what was sent before arrives: a machine's reports may come through although
    * nothing reaches it.
    */
-  private void hears(Machine m, WorkerReport r, boolean lost) {
-    boolean wasDeaf = m.deaf();
-    if (m.answeredToken() > r.baton()) {
-      m.unheard();
+  private void hears(Machine machine, WorkerReport report, boolean lost) {
+    boolean wasDeaf = machine.deaf();
+    if (machine.answeredToken() > report.baton()) {
+      machine.unheard();
     } else if (lost) {
-      m.unheard();
+      machine.unheard();
       // The next report tells by its token whether the next answer arrives.
-      m.token(m.token() + 1);
+      machine.token(machine.token() + 1);
     } else {
-      m.heardAnswer();
+      machine.heardAnswer();
     }
-    if (m.deaf() != wasDeaf) {
+    if (machine.deaf() != wasDeaf) {
       changed = true;
       context.metrics().count(wasDeaf ? "machines_hear_again" : "machines_deaf");
       log.info(
           "{} {}",
-          m.id(),
+          machine.id(),
           wasDeaf ? "takes answers again" : "reports, but nothing seems to reach it");
     }
   }
@@ -190,129 +194,132 @@
    * session has moved on.
    */
   void refused(Iterable<Attempt> sent) {
-    for (Attempt a : sent) {
-      if (!a.over() && a.status() == null) {
+    for (Attempt attempt : sent) {
+      if (!attempt.over() && attempt.status() == null) {
         changed = true;
         context.metrics().count("runs_refused");
-        fleet.forget(a);
+        fleet.forget(attempt);
       }
     }
   }
 
   /** A worker that starts a new session has killed and forgotten everything of the ones before. */
-  void endSessionsBefore(Machine m, long tenure) {
-    takeover.foreign(m, 0);
+  void endSessionsBefore(Machine machine, long tenure) {
+    takeover.foreign(machine, 0);
     List<Attempt> ended = new ArrayList<>();
-    for (Attempt a : m.attempts()) {
-      if (a.tenure() < tenure) {
-        ended.add(a);
+    for (Attempt attempt : machine.attempts()) {
+      if (attempt.tenure() < tenure) {
+        ended.add(attempt);
       }
     }
-    for (Attempt a : ended) {
-      if (!a.over()) {
+    for (Attempt attempt : ended) {
+      if (!attempt.over()) {
         changed = true;
         context.metrics().count("attempts_lost");
       }
-      fleet.forget(a);
+      fleet.forget(attempt);
     }
   }
 
-  private void update(Attempt a, WorkerReport.Piece p, long now) {
-    if (a.over()) {
+  private void update(Attempt attempt, WorkerReport.Piece piece, long now) {
+    if (attempt.over()) {
       return;
     }
-    boolean started = p.status() == TaskStatus.RUNNING && a.status() != TaskStatus.RUNNING;
-    if (started && !a.job().begun()) {
-      context.metrics().time("begin", now - a.job().acceptedMicros());
+    boolean started =
+        piece.status() == TaskStatus.RUNNING && attempt.status() != TaskStatus.RUNNING;
+    if (started && !attempt.job().begun()) {
+      context.metrics().time("begin", now - attempt.job().acceptedMicros());
     }
-    a.see(p.status(), now);
+    attempt.see(piece.status(), now);
     if (started) {
-      a.machine().hasImage(a.job().spec().bundle(), a.job().spec().imageGb());
-      context.metrics().time("start", now - a.job().acceptedMicros());
-      if (!a.adopted()) {
+      attempt.machine().hasImage(attempt.job().spec().bundle(), attempt.job().spec().imageGb());
+      context.metrics().time("start", now - attempt.job().acceptedMicros());
+      if (!attempt.adopted()) {
         // What images cost: room that is held while a task waits for its own.
         context
             .metrics()
             .count(
                 "core_ms_fetching",
-                (long) (a.job().spec().cores() * (now - a.sentMicros()) / 1_000));
+                (long) (attempt.job().spec().cores() * (now - attempt.sentMicros()) / 1_000));
       }
       if (log.isDebugEnabled()) {
-        log.debug("{} runs on {}", a.name().wireName(), a.machine().id());
+        log.debug("{} runs on {}", attempt.name().wireName(), attempt.machine().id());
       }
     }
-    if (p.status() == TaskStatus.ENDED) {
-      ended(a, p.cause(), now);
+    if (piece.status() == TaskStatus.ENDED) {
+      ended(attempt, piece.cause(), now);
     }
   }
 
-  private void ended(Attempt a, ExitCause cause, long now) {
-    Job job = a.job();
-    Machine m = a.machine();
+  private void ended(Attempt attempt, ExitCause cause, long now) {
+    Job job = attempt.job();
+    Machine machine = attempt.machine();
     changed = true;
-    fleet.end(a, cause);
+    fleet.end(attempt, cause);
     switch (cause) {
       case DONE -> {
         job.noteSuccess();
-        m.noteSuccess();
-        if (a.runningSinceMicros() >= 0) {
+        machine.noteSuccess();
+        if (attempt.runningSinceMicros() >= 0) {
           context
               .metrics()
               .count(
                   "core_ms_running",
-                  (long) (job.spec().cores() * (now - a.runningSinceMicros()) / 1_000));
+                  (long) (job.spec().cores() * (now - attempt.runningSinceMicros()) / 1_000));
         }
-        observe(a, now);
+        observe(attempt, now);
         if (log.isDebugEnabled()) {
-          log.debug("{} done on {}", a.name().wireName(), m.id());
+          log.debug("{} done on {}", attempt.name().wireName(), machine.id());
         }
-        done(job, a.task());
+        done(job, attempt.task());
       }
       case ERROR, NO_SUCH -> {
         job.noteError(now);
         context.metrics().count("task_errors");
-        log.info("{} ended with {} on {}", a.name().wireName(), cause, m.id());
-        if (cause == ExitCause.ERROR && m.noteError(job.uid())) {
-          log.warn("{} fails the tasks of several jobs and is drained", m.id());
-          m.drain();
+        log.info("{} ended with {} on {}", attempt.name().wireName(), cause, machine.id());
+        if (cause == ExitCause.ERROR && machine.noteError(job.uid())) {
+          log.warn("{} fails the tasks of several jobs and is drained", machine.id());
+          machine.drain();
         }
       }
       case HALTED -> {
         context.metrics().count("tasks_halted");
-        if (a.runningSinceMicros() < 0 && !waitsFor(m, job.spec().bundle())) {
-          m.dropFetch(job.spec().bundle());
+        if (attempt.runningSinceMicros() < 0 && !waitsFor(machine, job.spec().bundle())) {
+          machine.dropFetch(job.spec().bundle());
         }
       }
       default -> {
         context.metrics().count("tasks_refused");
-        log.info("{} was refused by {}: {}", a.name().wireName(), m.id(), cause);
+        log.info("{} was refused by {}: {}", attempt.name().wireName(), machine.id(), cause);
       }
     }
   }
 
-  private static boolean waitsFor(Machine m, String image) {
-    for (Attempt a : m.attempts()) {
-      if (!a.over() && a.job().spec().bundle().equals(image)) {
+  private static boolean waitsFor(Machine machine, String image) {
+    for (Attempt attempt : machine.attempts()) {
+      if (!attempt.over() && attempt.job().spec().bundle().equals(image)) {
         return true;
       }
     }
     return false;
   }
 
-  private void observe(Attempt a, long now) {
-    if (a.runningSinceMicros() < 0 || a.adopted() || a.job().restarted(a.task())) {
+  private void observe(Attempt attempt, long now) {
+    if (attempt.runningSinceMicros() < 0
+        || attempt.adopted()
+        || attempt.job().restarted(attempt.task())) {
       return;
     }
-    double took = now - a.runningSinceMicros();
-    double estimate = a.job().spec().expectS() * 1e6;
+    double took = now - attempt.runningSinceMicros();
+    double estimate = attempt.job().spec().expectS() * 1e6;
     if (estimate <= 0 || took <= 0) {
       return;
     }
-    double planned = estimates.runMicros(a.job());
-    a.machine().observe(took / planned);
-    double ratio = took / a.machine().slowness() / estimate;
-    a.job().observe(ratio);
-    estimates.observe(a.job().spec().jobclass(), ratio);
+    double planned = estimates.runMicros(attempt.job());
+    attempt.machine().observe(took / planned);
+    double ratio = took / attempt.machine().slowness() / estimate;
+    attempt.job().observe(ratio);
+    estimates.observe(attempt.job().spec().jobclass(), ratio);
   }
 
   private void done(Job job, int task) {
@@ -325,14 +332,14 @@
   }
 
   /** A task this leader did not start there. */
-  private void unknown(Machine m, WorkerReport.Piece p, long now) {
-    Job job = jobs.get(p.task().job());
-    if (job == null || job.over() || p.task().number() >= job.spec().pieces()) {
+  private void unknown(Machine machine, WorkerReport.Piece piece, long now) {
+    Job job = jobs.get(piece.task().job());
+    if (job == null || job.over() || piece.task().number() >= job.spec().pieces()) {
       return;
     }
-    int task = p.task().number();
-    if (p.status() == TaskStatus.ENDED) {
-      if (p.cause() == ExitCause.DONE) {
+    int task = piece.task().number();
+    if (piece.status() == TaskStatus.ENDED) {
+      if (piece.cause() == ExitCause.DONE) {
         Attempt other = job.liveAttempt(task);
         if (other != null) {
           other.halt(0, now);
@@ -345,18 +352,21 @@
     // Only the report that accounts for a machine may bring attempts of earlier terms: one that was
     // held back until
     // after the lease had lapsed lists tasks that are dead.
-    if (!m.accounted()
-        && fleet.ofEarlierTerm(p.attempt())
+    if (!machine.accounted()
+        && fleet.ofEarlierTerm(piece.attempt())
         && job.inherited()
         && !job.done().get(task)
         && job.liveAttempt(task) == null) {
-      Attempt a = fleet.adopt(job, task, p.attempt(), m, now);
-      a.see(p.status(), now);
-      if (p.status() == TaskStatus.RUNNING) {
-        m.hasImage(job.spec().bundle(), job.spec().imageGb());
-      } else if (context.prices().flavor(m.flavor()) != null) {
-        m.useImage(
-            job.spec().bundle(), job.spec().imageGb(), context.prices().flavor(m.flavor()), now);
+      Attempt attempt = fleet.adopt(job, task, piece.attempt(), machine, now);
+      attempt.see(piece.status(), now);
+      if (piece.status() == TaskStatus.RUNNING) {
+        machine.hasImage(job.spec().bundle(), job.spec().imageGb());
+      } else if (context.prices().flavor(machine.flavor()) != null) {
+        machine.useImage(
+            job.spec().bundle(),
+            job.spec().imageGb(),
+            context.prices().flavor(machine.flavor()),
+            now);
       }
       changed = true;
       context.metrics().count("attempts_adopted");
@@ -365,8 +375,8 @@
       // in time.
       log.info(
           "{} is reported by {} and runs on {}",
-          p.task().wireName(),
-          m.id(),
+          piece.task().wireName(),
+          machine.id(),
           job.liveAttempt(task).machine().id());
     }
   }
@@ -375,9 +385,9 @@
    * True if the machine has tasks of jobs that are not known here to have ended; halts of the
    * others go with any answer.
    */
-  boolean holdsOpenTasks(WorkerReport r) {
-    for (WorkerReport.Piece p : r.pieces()) {
-      if (p.status() != TaskStatus.ENDED && jobs.get(p.task().job()) != null) {
+  boolean holdsOpenTasks(WorkerReport report) {
+    for (WorkerReport.Piece piece : report.pieces()) {
+      if (piece.status() != TaskStatus.ENDED && jobs.get(piece.task().job()) != null) {
         return true;
       }
     }
@@ -385,51 +395,57 @@
   }
 
   /** The orders that go without a plan: halts, and what the worker may forget. */
-  List<Order> standing(Machine m, WorkerReport r) {
+  List<Order> standing(Machine machine, WorkerReport report) {
     long now = context.loop().nowMicros();
     List<Order> orders = new ArrayList<>();
     // A worker that has forgotten an attempt would start it again from a late copy of a direct
     // order. So nothing is
     // reaped until the answer that says so also makes such copies void, which has to wait for one
     // still under way.
-    if (m.directOpen() && !m.calling()) {
-      m.voidDirect();
+    if (machine.directOpen() && !machine.calling()) {
+      machine.voidDirect();
     }
-    boolean mayReap = !m.directOpen();
-    for (Attempt a : m.attempts()) {
-      if (a.over()) {
+    boolean mayReap = !machine.directOpen();
+    for (Attempt attempt : machine.attempts()) {
+      if (attempt.over()) {
         if (mayReap
-            && a.cause() != null
-            && (a.cause() != ExitCause.DONE || a.job().over() || a.job().stored().get(a.task()))) {
-          orders.add(Order.reap(a.name(), a.id()));
+            && attempt.cause() != null
+            && (attempt.cause() != ExitCause.DONE
+                || attempt.job().over()
+                || attempt.job().stored().get(attempt.task()))) {
+          orders.add(Order.reap(attempt.name(), attempt.id()));
         }
       } else {
-        if (a.job().over() || a.job().calledOff() || a.job().done().get(a.task())) {
-          a.halt(0, now);
+        if (attempt.job().over()
+            || attempt.job().calledOff()
+            || attempt.job().done().get(attempt.task())) {
+          attempt.halt(0, now);
         }
-        if (a.halting()) {
-          orders.add(Order.halt(a.name(), a.id(), a.windDownS()));
+        if (attempt.halting()) {
+          orders.add(Order.halt(attempt.name(), attempt.id(), attempt.windDownS()));
         }
       }
     }
-    boolean current = Fleet.termOf(r.baton()) == term;
-    for (WorkerReport.Piece p : r.pieces()) {
-      if (m.attempt(p.attempt()) != null) {
+    boolean current = Fleet.termOf(report.baton()) == term;
+    for (WorkerReport.Piece piece : report.pieces()) {
+      if (machine.attempt(piece.attempt()) != null) {
         continue;
       }
-      Job job = jobs.get(p.task().job());
-      if (p.status() != TaskStatus.ENDED) {
+      Job job = jobs.get(piece.task().job());
+      if (piece.status() != TaskStatus.ENDED) {
         // A report that shows an earlier term does not account for its machine, but tasks of jobs
         // that have ended are
         // halted by the first answer: it renews their lease, and the machine may not hear another
         // one.
         if (current || job == null) {
-          orders.add(Order.halt(p.task(), p.attempt(), 0));
+          orders.add(Order.halt(piece.task(), piece.attempt(), 0));
         }
       } else if (current
           && mayReap
-          && (job == null || p.cause() != ExitCause.DONE || job.stored().get(p.task().number()))) {
-        orders.add(Order.reap(p.task(), p.attempt()));
+          && (job == null
+              || piece.cause() != ExitCause.DONE
+              || job.stored().get(piece.task().number()))) {
+        orders.add(Order.reap(piece.task(), piece.attempt()));
       }
     }
     return orders;
@@ -437,61 +453,61 @@
 
   /** Takes the tasks planned for the machine, each rule checked again as the order is written. */
   List<Attempt> start(
-      Machine m, Iterable<Round.Planned> planned, boolean direct, List<Order> orders) {
-    Flavor f = context.prices().flavor(m.flavor());
-    if (f == null
+      Machine machine, Iterable<Round.Planned> planned, boolean direct, List<Order> orders) {
+    Flavor flavor = context.prices().flavor(machine.flavor());
+    if (flavor == null
         || !jobs.mayRenew()
-        || m.draining()
-        || m.returning()
-        || m.enrolment() != Enrolment.STORED
-        || !m.accounted()
-        || m.deaf()) {
+        || machine.draining()
+        || machine.returning()
+        || machine.enrolment() != Enrolment.STORED
+        || !machine.accounted()
+        || machine.deaf()) {
       return List.of();
     }
     List<Attempt> started = new ArrayList<>();
-    double cores = f.cores();
-    double accelerators = f.accelerators();
-    double memory = f.memoryGb();
-    for (Attempt a : m.attempts()) {
-      if (!a.over()) {
-        cores -= a.job().spec().cores();
-        accelerators -= a.job().spec().accelerators();
-        memory -= a.job().spec().memoryGb();
+    double cores = flavor.cores();
+    double accelerators = flavor.accelerators();
+    double memory = flavor.memoryGb();
+    for (Attempt attempt : machine.attempts()) {
+      if (!attempt.over()) {
+        cores -= attempt.job().spec().cores();
+        accelerators -= attempt.job().spec().accelerators();
+        memory -= attempt.job().spec().memoryGb();
       }
     }
     long now = context.loop().nowMicros();
-    for (Round.Planned p : planned) {
-      Job job = p.job;
+    for (Round.Planned otherPlanned : planned) {
+      Job job = otherPlanned.job;
       if (job.over()
           || job.calledOff()
           || job.waiting()
           || job.enrolment() != Enrolment.STORED
           || takeover.blocks(job)
-          || !job.spec().allows(m.flavor(), m.site(), m.spot())) {
+          || !job.spec().allows(machine.flavor(), machine.site(), machine.spot())) {
         continue;
       }
       Zones zones = Round.zones(job);
-      for (int i = 0; i < p.tasks && job.hasFree(); i++) {
+      for (int i = 0; i < otherPlanned.tasks && job.hasFree(); i++) {
         if (cores + EPSILON < job.spec().cores()
             || memory + EPSILON < job.spec().memoryGb()
             || accelerators + EPSILON < job.spec().accelerators()
-            || !zones.allows(m.site())
+            || !zones.allows(machine.site())
             || takeover.quotaRoom(job) < 1) {
           break;
         }
         int task = job.firstFree();
-        Attempt a = fleet.start(job, task, m, direct, now);
-        started.add(a);
-        zones.add(m.site());
+        Attempt attempt = fleet.start(job, task, machine, direct, now);
+        started.add(attempt);
+        zones.add(machine.site());
         cores -= job.spec().cores();
         accelerators -= job.spec().accelerators();
         memory -= job.spec().memoryGb();
-        m.useImage(job.spec().bundle(), job.spec().imageGb(), f, now);
-        orders.add(Order.run(a.name(), a.id()));
+        machine.useImage(job.spec().bundle(), job.spec().imageGb(), flavor, now);
+        orders.add(Order.run(attempt.name(), attempt.id()));
         context.metrics().count("runs_ordered");
         context.metrics().time("wait", now - job.releasedMicros());
         if (log.isDebugEnabled()) {
-          log.debug("{} goes to {}", a.name().wireName(), m.id());
+          log.debug("{} goes to {}", attempt.name().wireName(), machine.id());
         }
       }
     }
--- a/src/main/java/plumlever/leader/Roster.java
+++ b/src/main/java/plumlever/leader/Roster.java
@@ -36,47 +36,47 @@
 
   /** Takes over what earlier leaders stored. */
   void load(List<StateClient.Item> items, Fleet fleet) {
-    for (StateClient.Item i : items) {
-      int number = JobStore.numberOf(i.key());
+    for (StateClient.Item item : items) {
+      int number = JobStore.numberOf(item.key());
       if (number < 0) {
-        log.error("{} is no record of machines", i.key());
+        log.error("{} is no record of machines", item.key());
         continue;
       }
       List<Machine> entries = new ArrayList<>();
-      JsonNode kinds = i.data().path(KINDS);
-      for (JsonNode h : i.data().path(HOSTS)) {
-        JsonNode kind = kinds.path(h.path(2).asInt());
-        String id = h.path(0).asText();
+      JsonNode kinds = item.data().path(KINDS);
+      for (JsonNode node : item.data().path(HOSTS)) {
+        JsonNode kind = kinds.path(node.path(2).asInt());
+        String id = node.path(0).asText();
         Machine known = fleet.machine(id);
-        Machine m =
+        Machine machine =
             known != null
                 ? known
                 : new Machine(
                     id,
-                    h.path(1).asText(),
+                    node.path(1).asText(),
                     kind.path(0).asText(),
                     kind.path(1).asText(),
                     kind.path(2).asBoolean(),
                     context.loop().nowMicros());
         if (known == null) {
-          fleet.add(m);
-          entries.add(m);
+          fleet.add(machine);
+          entries.add(machine);
         }
       }
-      records.load(number, i.stamp(), entries);
+      records.load(number, item.stamp(), entries);
     }
   }
 
   /** The machine is to be recorded; until its enrolment is stored it takes no orders. */
-  void enroll(Machine m) {
-    if (m.endpoint() != null) {
-      records.enroll(m);
+  void enroll(Machine machine) {
+    if (machine.endpoint() != null) {
+      records.enroll(machine);
     }
   }
 
   /** The machine is gone for good. */
-  void remove(Machine m) {
-    records.remove(m);
+  void remove(Machine machine) {
+    records.remove(machine);
   }
 
   long tidy() {
@@ -94,8 +94,8 @@
     }
 
     @Override
-    public int bytes(Machine m) {
-      return m.id().length() + m.endpoint().length() + 11;
+    public int bytes(Machine machine) {
+      return machine.id().length() + machine.endpoint().length() + 11;
     }
 
     @Override
@@ -105,21 +105,21 @@
 
     @Override
     public ObjectNode value(List<Machine> machines) {
-      ObjectNode o = Json.object();
-      ArrayNode kinds = o.putArray(KINDS);
-      ArrayNode hosts = o.putArray(HOSTS);
+      ObjectNode object = Json.object();
+      ArrayNode kinds = object.putArray(KINDS);
+      ArrayNode hosts = object.putArray(HOSTS);
       Map<String, Integer> numbers = new HashMap<>();
-      for (Machine m : machines) {
+      for (Machine machine : machines) {
         int kind =
             numbers.computeIfAbsent(
-                m.flavor() + "/" + m.site() + "/" + m.spot(),
+                machine.flavor() + "/" + machine.site() + "/" + machine.spot(),
                 k -> {
-                  kinds.addArray().add(m.flavor()).add(m.site()).add(m.spot());
+                  kinds.addArray().add(machine.flavor()).add(machine.site()).add(machine.spot());
                   return kinds.size() - 1;
                 });
-        hosts.addArray().add(m.id()).add(m.endpoint()).add(kind);
+        hosts.addArray().add(machine.id()).add(machine.endpoint()).add(kind);
       }
-      return o;
+      return object;
     }
   }
 }
--- a/src/main/java/plumlever/leader/Round.java
+++ b/src/main/java/plumlever/leader/Round.java
@@ -139,8 +139,8 @@
     return finishedMicros;
   }
 
-  private static long hedge(Context c) {
-    return c.moneyMatters() ? c.tunables().rentMicros() : 0;
+  private static long hedge(Context context) {
+    return context.moneyMatters() ? context.tunables().rentMicros() : 0;
   }
 
   /**
@@ -150,10 +150,10 @@
   long costMicros(Job job) {
     double fetch = 0;
     int types = 0;
-    for (Flavor f : context.prices().flavors()) {
-      if (f.fetchGbPerS() > 0
-          && (job.spec().flavors() == null || job.spec().flavors().contains(f.sku()))) {
-        fetch += job.spec().imageGb() / f.fetchGbPerS() * 1e6;
+    for (Flavor flavor : context.prices().flavors()) {
+      if (flavor.fetchGbPerS() > 0
+          && (job.spec().flavors() == null || job.spec().flavors().contains(flavor.sku()))) {
+        fetch += job.spec().imageGb() / flavor.fetchGbPerS() * 1e6;
         types++;
       }
     }
@@ -178,11 +178,13 @@
       Placer.Search search = search(ask, zones(job), picture);
       int want = Math.min(job.freeCount(), takeover.quotaRoom(job));
       for (int i = 0; i < want; i++) {
-        Placer.Choice c = search.next();
-        if (c.seat() < 0 || (!c.feasible() && rentalHelps(job, ask, now)) || i > MOST_BOOKED) {
+        Placer.Choice choice = search.next();
+        if (choice.seat() < 0
+            || (!choice.feasible() && rentalHelps(job, ask, now))
+            || i > MOST_BOOKED) {
           return false;
         }
-        search.commit(c);
+        search.commit(choice);
       }
     }
     return picture.spareCores() >= standby.cores(now);
@@ -193,26 +195,26 @@
     return lastDemands;
   }
 
-  Iterable<Planned> planned(Machine m) {
-    return plans.getOrDefault(m.id(), Map.of()).values();
+  Iterable<Planned> planned(Machine machine) {
+    return plans.getOrDefault(machine.id(), Map.of()).values();
   }
 
-  boolean hasPlan(Machine m) {
-    return plans.containsKey(m.id());
+  boolean hasPlan(Machine machine) {
+    return plans.containsKey(machine.id());
   }
 
   /** True if something of the plan can be ordered: its job is on record. */
-  boolean recorded(Machine m) {
-    for (Planned p : planned(m)) {
-      if (p.job.enrolment() == Enrolment.STORED) {
+  boolean recorded(Machine machine) {
+    for (Planned otherPlanned : planned(machine)) {
+      if (otherPlanned.job.enrolment() == Enrolment.STORED) {
         return true;
       }
     }
     return false;
   }
 
-  void dropPlan(Machine m) {
-    plans.remove(m.id());
+  void dropPlan(Machine machine) {
+    plans.remove(machine.id());
   }
 
   /** Goes through the jobs, most urgent first; true when it came to the end within its time. */
@@ -259,8 +261,8 @@
    * Asks for room that is missing for work that has not come yet but must start at once when it
    * does.
    */
-  private void standBy(Picture p) {
-    double missing = standby.cores(p.now) - p.spareCores();
+  private void standBy(Picture picture) {
+    double missing = standby.cores(picture.now) - picture.spareCores();
     JobSpec like = standby.typical();
     if (missing > 0 && like != null && like.cores() > 0) {
       demands.add(
@@ -280,11 +282,13 @@
   }
 
   /** By when its next task has to run; tasks that ran before have met any aim for a start. */
-  private long latestStart(Job j, long now) {
-    long finish = targets.finishBy(j, now);
-    long run = (long) (estimates.runMicros(j) * (1 + context.tunables().paddingShare()));
+  private long latestStart(Job job, long now) {
+    long finish = targets.finishBy(job, now);
+    long run = (long) (estimates.runMicros(job) * (1 + context.tunables().paddingShare()));
     long byFinish = finish == Long.MAX_VALUE ? Long.MAX_VALUE : finish - run;
-    return j.hasFreshFree() ? Math.min(byFinish, targets.startBy(j, guaranteed(j), now)) : byFinish;
+    return job.hasFreshFree()
+        ? Math.min(byFinish, targets.startBy(job, guaranteed(job), now))
+        : byFinish;
   }
 
   /**
@@ -298,8 +302,8 @@
    * Of lasting work that is more urgent or guaranteed there may be no end, so what has waited long
    * to begin goes first.
    */
-  private boolean mustBegin(Job j, long now) {
-    return !j.begun() && now - j.releasedMicros() > context.tunables().beginMicros();
+  private boolean mustBegin(Job job, long now) {
+    return !job.begun() && now - job.releasedMicros() > context.tunables().beginMicros();
   }
 
   /**
@@ -308,8 +312,8 @@
    */
   private List<Job> order(long now) {
     Map<String, Double> guaranteed = new HashMap<>();
-    for (Platform.Team t : context.platform().teams()) {
-      guaranteed.put(t.name(), t.cpus());
+    for (Platform.Team team : context.platform().teams()) {
+      guaranteed.put(team.name(), team.cpus());
     }
     List<Job> byAge = new ArrayList<>(jobs.all());
     byAge.sort(Comparator.comparingLong(Job::releasedMicros));
@@ -317,26 +321,26 @@
     seen.retainAll(within.keySet());
     Map<String, Double> used = new HashMap<>();
     List<Job> waiting = new ArrayList<>();
-    for (Job j : byAge) {
-      if (j.complete() || j.over() || j.calledOff() || j.waiting()) {
+    for (Job job : byAge) {
+      if (job.complete() || job.over() || job.calledOff() || job.waiting()) {
         continue;
       }
       double cores =
-          used.merge(j.spec().owner(), j.spec().pieces() * j.spec().cores(), Double::sum);
+          used.merge(job.spec().owner(), job.spec().pieces() * job.spec().cores(), Double::sum);
       // Decided once, when the job comes: what finishes later does not move a job that came beyond
       // the guarantee.
-      if (within.putIfAbsent(j, cores <= guaranteed.getOrDefault(j.spec().owner(), 0.0)) == null
-          && within.get(j)) {
+      if (within.putIfAbsent(job, cores <= guaranteed.getOrDefault(job.spec().owner(), 0.0)) == null
+          && within.get(job)) {
         context.metrics().count("jobs_guaranteed");
       }
-      if (seen.add(j)
-          && now - j.releasedMicros() < STANDBY_WINDOW_MICROS
-          && targets.startBy(j, guaranteed(j), j.releasedMicros()) - j.releasedMicros()
+      if (seen.add(job)
+          && now - job.releasedMicros() < STANDBY_WINDOW_MICROS
+          && targets.startBy(job, guaranteed(job), job.releasedMicros()) - job.releasedMicros()
               < context.tunables().rentMicros()) {
-        standby.arrived(now, j.spec());
+        standby.arrived(now, job.spec());
       }
-      if (j.hasFree() && j.notBeforeMicros() <= now && !takeover.blocks(j)) {
-        waiting.add(j);
+      if (job.hasFree() && job.notBeforeMicros() <= now && !takeover.blocks(job)) {
+        waiting.add(job);
       }
     }
     Map<Job, Long> latest = new HashMap<>();
@@ -351,32 +355,32 @@
     return waiting;
   }
 
-  private boolean usable(Machine m, long now) {
+  private boolean usable(Machine machine, long now) {
     // A new leader has the machines' answers to its direct calls before their own reports: without
     // those machines
     // everything would seem to lack room, and be rented for.
-    long sign = m.heard() ? m.lastReportMicros() : takeover.startedMicros();
+    long sign = machine.heard() ? machine.lastReportMicros() : takeover.startedMicros();
     // A machine that missed a report may be gone, and one with an unheard direct order may have
     // taken it.
-    return m.enrolment() == Enrolment.STORED
-        && m.accounted()
-        && !m.draining()
-        && !m.returning()
-        && !m.deaf()
-        && !m.unsettled()
+    return machine.enrolment() == Enrolment.STORED
+        && machine.accounted()
+        && !machine.draining()
+        && !machine.returning()
+        && !machine.deaf()
+        && !machine.unsettled()
         && now - sign < context.platform().workers().latestReportMicros();
   }
 
   /** Rented and not up yet, or up and not yet on record. */
-  private boolean coming(Machine m, long now) {
-    if (takeover.overdue(now) && takeover.open().contains(m)) {
+  private boolean coming(Machine machine, long now) {
+    if (takeover.overdue(now) && takeover.open().contains(machine)) {
       return false;
     }
-    return !m.returning()
-        && !m.failed()
-        && !m.draining()
-        && (!m.heard() || m.enrolment() != Enrolment.STORED)
-        && m.accounted() == m.heard();
+    return !machine.returning()
+        && !machine.failed()
+        && !machine.draining()
+        && (!machine.heard() || machine.enrolment() != Enrolment.STORED)
+        && machine.accounted() == machine.heard();
   }
 
   /** The machines as one round sees them, with what it gives away as it goes. */
@@ -387,155 +391,160 @@
 
     Picture(long now, Set<Machine> without, boolean withPlans) {
       this.now = now;
-      for (Machine m : fleet.machines()) {
-        Flavor f = context.prices().flavor(m.flavor());
-        if (f == null || without.contains(m)) {
+      for (Machine machine : fleet.machines()) {
+        Flavor flavor = context.prices().flavor(machine.flavor());
+        if (flavor == null || without.contains(machine)) {
           continue;
         }
-        if (coming(m, now)) {
-          long up = Math.max(now + 1_000_000, m.knownSinceMicros() + (long) (f.startupS() * 1.2e6));
-          Seat s = seat(m, f, 1, 0);
-          s.comesUp(up);
-          add(m, s);
-        } else if (usable(m, now)) {
-          Seat s = seat(m, f, m.slowness(), ORDER_MICROS);
-          for (Attempt a : m.attempts()) {
-            if (!a.over()) {
-              occupy(s, a.job(), endsAt(a, f, now));
+        if (coming(machine, now)) {
+          long up =
+              Math.max(
+                  now + 1_000_000, machine.knownSinceMicros() + (long) (flavor.startupS() * 1.2e6));
+          Seat otherSeat = seat(machine, flavor, 1, 0);
+          otherSeat.comesUp(up);
+          add(machine, otherSeat);
+        } else if (usable(machine, now)) {
+          Seat otherSeat = seat(machine, flavor, machine.slowness(), ORDER_MICROS);
+          for (Attempt attempt : machine.attempts()) {
+            if (!attempt.over()) {
+              occupy(otherSeat, attempt.job(), endsAt(attempt, flavor, now));
             }
           }
           if (withPlans) {
-            for (Planned p : planned(m)) {
-              for (int i = 0; i < p.tasks; i++) {
-                occupy(s, p.job, now + estimates.runMicros(p.job));
+            for (Planned otherPlanned : planned(machine)) {
+              for (int i = 0; i < otherPlanned.tasks; i++) {
+                occupy(otherSeat, otherPlanned.job, now + estimates.runMicros(otherPlanned.job));
               }
             }
           }
-          add(m, s);
+          add(machine, otherSeat);
         }
       }
     }
 
-    private Seat seat(Machine m, Flavor f, double slowness, long delay) {
+    private Seat seat(Machine machine, Flavor flavor, double slowness, long delay) {
       // Where only speed matters no machine is dearer than another for its size: what is left of
       // the score is the time
       // that a task holds its share, with the image if it has to be fetched.
       double price =
           context.moneyMatters()
-              ? context.prices().hourly(f, m.spot()) / 3600
-              : Math.max(f.cores(), f.memoryGb() / SPEED_GB_FOR_CORE);
+              ? context.prices().hourly(flavor, machine.spot()) / 3600
+              : Math.max(flavor.cores(), flavor.memoryGb() / SPEED_GB_FOR_CORE);
       return new Seat(
-          m.id(),
-          m.flavor(),
-          m.site(),
-          m.spot(),
-          f.cores(),
-          f.accelerators(),
-          f.memoryGb(),
+          machine.id(),
+          machine.flavor(),
+          machine.site(),
+          machine.spot(),
+          flavor.cores(),
+          flavor.accelerators(),
+          flavor.memoryGb(),
           price,
           slowness,
           delay);
     }
 
-    private void add(Machine m, Seat s) {
-      machines.add(m);
-      seats.add(s);
+    private void add(Machine machine, Seat seat) {
+      machines.add(machine);
+      seats.add(seat);
     }
 
     double spareCores() {
       double spare = 0;
-      for (Seat s : seats) {
-        spare += s.spareCores();
+      for (Seat seat : seats) {
+        spare += seat.spareCores();
       }
       return spare;
     }
 
-    private static void occupy(Seat s, Job j, long until) {
-      s.occupy(j.spec().cores(), j.spec().accelerators(), j.spec().memoryGb(), until);
+    private static void occupy(Seat seat, Job job, long until) {
+      seat.occupy(job.spec().cores(), job.spec().accelerators(), job.spec().memoryGb(), until);
     }
   }
 
-  private long endsAt(Attempt a, Flavor f, long now) {
-    if (a.halting()) {
-      return now + (long) (a.job().spec().snapshotS() * 1e6);
+  private long endsAt(Attempt attempt, Flavor flavor, long now) {
+    if (attempt.halting()) {
+      return now + (long) (attempt.job().spec().snapshotS() * 1e6);
     }
     long run =
         (long)
-            (estimates.runMicros(a.job())
-                * a.machine().slowness()
+            (estimates.runMicros(attempt.job())
+                * attempt.machine().slowness()
                 * (1 + context.tunables().paddingShare()));
-    if (a.status() == TaskStatus.RUNNING && a.runningSinceMicros() >= 0) {
-      long end = a.runningSinceMicros() + run;
+    if (attempt.status() == TaskStatus.RUNNING && attempt.runningSinceMicros() >= 0) {
+      long end = attempt.runningSinceMicros() + run;
       // A task past its estimate may take any time; the longer it has run, the longer it is
       // expected to.
-      return end > now ? end : now + (now - a.runningSinceMicros()) / 5 + 1_000_000;
+      return end > now ? end : now + (now - attempt.runningSinceMicros()) / 5 + 1_000_000;
     }
     long fetch =
-        f.fetchGbPerS() > 0 ? (long) (a.job().spec().imageGb() / f.fetchGbPerS() * 1e6) : 0;
-    return Math.max(now, a.sentMicros() + fetch) + run;
+        flavor.fetchGbPerS() > 0
+            ? (long) (attempt.job().spec().imageGb() / flavor.fetchGbPerS() * 1e6)
+            : 0;
+    return Math.max(now, attempt.sentMicros() + fetch) + run;
   }
 
-  private Ask ask(Job j, long now) {
-    return ask(j, now, targets.startBy(j, guaranteed(j), now));
+  private Ask ask(Job job, long now) {
+    return ask(job, now, targets.startBy(job, guaranteed(job), now));
   }
 
-  private Ask ask(Job j, long now, long startBy) {
+  private Ask ask(Job job, long now, long startBy) {
     return new Ask(
-        j.spec().cores(),
-        j.spec().accelerators(),
-        j.spec().memoryGb(),
-        j.spec().bundle(),
-        j.spec().imageGb(),
-        estimates.runMicros(j),
-        targets.finishBy(j, now),
+        job.spec().cores(),
+        job.spec().accelerators(),
+        job.spec().memoryGb(),
+        job.spec().bundle(),
+        job.spec().imageGb(),
+        estimates.runMicros(job),
+        targets.finishBy(job, now),
         startBy,
-        j.spec().flavors(),
-        j.spec().site(),
-        j.spec().loaners(),
-        j.spec().checkpoints());
+        job.spec().flavors(),
+        job.spec().site(),
+        job.spec().loaners(),
+        job.spec().checkpoints());
   }
 
-  private boolean guaranteed(Job j) {
-    return within.getOrDefault(j, false);
+  private boolean guaranteed(Job job) {
+    return within.getOrDefault(job, false);
   }
 
   /** The job's rules about zones, all its tasks counted that may still be on a machine. */
-  static Zones zones(Job j) {
-    if (!j.spec().oneZone() && !j.spec().spread()) {
+  static Zones zones(Job job) {
+    if (!job.spec().oneZone() && !job.spec().spread()) {
       return new Zones(false, Integer.MAX_VALUE);
     }
-    Zones z = new Zones(j.spec().oneZone(), j.spec().zoneLimit());
-    for (Attempt a : j.live()) {
-      z.add(a.machine().site());
+    Zones zones = new Zones(job.spec().oneZone(), job.spec().zoneLimit());
+    for (Attempt attempt : job.live()) {
+      zones.add(attempt.machine().site());
     }
-    return z;
+    return zones;
   }
 
   /**
    * True if stopping the attempt now would make its job miss an aim for its end that it can still
    * meet.
    */
-  private boolean harmed(Attempt a, long now) {
-    long finish = targets.finishBy(a.job(), now);
-    if (finish == Long.MAX_VALUE || a.runningSinceMicros() < 0) {
+  private boolean harmed(Attempt attempt, long now) {
+    long finish = targets.finishBy(attempt.job(), now);
+    if (finish == Long.MAX_VALUE || attempt.runningSinceMicros() < 0) {
       return false;
     }
-    long run = estimates.runMicros(a.job());
-    long left = Math.max(run / 10, run - (now - a.runningSinceMicros()));
+    long run = estimates.runMicros(attempt.job());
+    long left = Math.max(run / 10, run - (now - attempt.runningSinceMicros()));
     return now + left <= finish && now + left + RESTART_MICROS > finish;
   }
 
-  private Placer.Search search(Ask ask, Zones zones, Picture p) {
-    context.metrics().count("seats_evaluated", p.seats.size());
+  private Placer.Search search(Ask ask, Zones zones, Picture picture) {
+    context.metrics().count("seats_evaluated", picture.seats.size());
     return placer.search(
         ask,
-        p.seats,
+        picture.seats,
         zones,
         (seat, machine, image, gb) -> {
-          Machine m = p.machines.get(seat);
-          return m.fetchMicros(image, gb, context.prices().flavor(m.flavor()), p.now);
+          Machine otherMachine = picture.machines.get(seat);
+          return otherMachine.fetchMicros(
+              image, gb, context.prices().flavor(otherMachine.flavor()), picture.now);
         },
-        p.now);
+        picture.now);
   }
 
   private void place(Job job) {
@@ -573,9 +582,9 @@
     boolean mayPreempt = true;
     boolean relaxed = false;
     for (int i = 0; i < want; i++) {
-      Placer.Choice c = search.next();
-      if ((c.seat() < 0 || !c.feasible())
-          && c.startMicros() > now
+      Placer.Choice choice = search.next();
+      if ((choice.seat() < 0 || !choice.feasible())
+          && choice.startMicros() > now
           && mayPreempt
           && preempted < MOST_PREEMPTED) {
         if (room.makeRoom()) {
@@ -584,7 +593,7 @@
         }
         mayPreempt = false;
       }
-      if (!relaxed && !c.feasible() && c.startMicros() > now && context.moneyMatters()) {
+      if (!relaxed && !choice.feasible() && choice.startMicros() > now && context.moneyMatters()) {
         // No machine that is rented now would be up for this aim; what is booked or rented is for
         // the next one.
         relaxed = true;
@@ -596,7 +605,7 @@
           continue;
         }
       }
-      if (c.seat() < 0) {
+      if (choice.seat() < 0) {
         // Nowhere at all. With time to spare one machine is a start: the rest is booked on it, or
         // found short, then.
         boolean spare =
@@ -606,16 +615,16 @@
         waiting += spare ? 1 : want - i;
         break;
       }
-      search.commit(c);
-      if (c.startMicros() <= now) {
+      search.commit(choice);
+      if (choice.startMicros() <= now) {
         begun.enroll(job);
         plans
-            .computeIfAbsent(picture.seats.get(c.seat()).machine(), k -> new LinkedHashMap<>())
+            .computeIfAbsent(picture.seats.get(choice.seat()).machine(), k -> new LinkedHashMap<>())
             .computeIfAbsent(job, Planned::new)
             .tasks++;
         planned(job);
       } else {
-        boolean rent = needsRental(job, c, ask, now);
+        boolean rent = needsRental(job, choice, ask, now);
         if (rent) {
           waiting++;
         }
@@ -640,17 +649,17 @@
 
   /** What one task of the job takes of its team's limit is given away in this round. */
   private void planned(Job job) {
-    double[] t = plannedByTeam.computeIfAbsent(job.spec().owner(), k -> new double[2]);
-    t[0] += job.spec().cores();
-    t[1] += job.spec().accelerators();
+    double[] planned = plannedByTeam.computeIfAbsent(job.spec().owner(), k -> new double[2]);
+    planned[0] += job.spec().cores();
+    planned[1] += job.spec().accelerators();
   }
 
-  private boolean needsRental(Job job, Placer.Choice c, Ask ask, long now) {
+  private boolean needsRental(Job job, Placer.Choice choice, Ask ask, long now) {
     if (!context.moneyMatters()) {
-      return c.startMicros() - now > context.tunables().rentMicros();
+      return choice.startMicros() - now > context.tunables().rentMicros();
     }
-    return !c.feasible()
-        && (rentalHelps(job, ask, now) || c.startMicros() - now > LONG_WAIT_MICROS);
+    return !choice.feasible()
+        && (rentalHelps(job, ask, now) || choice.startMicros() - now > LONG_WAIT_MICROS);
   }
 
   /** True if a machine rented now could still serve the task in time. */
--- a/src/main/java/plumlever/leader/SharedRecords.java
+++ b/src/main/java/plumlever/leader/SharedRecords.java
@@ -95,20 +95,20 @@
    * missing.
    */
   void load(int number, long stamp, List<E> entries) {
-    Chunk<E> c = new Chunk<>(number, layout.baseBytes());
-    c.stamp = stamp;
-    c.writtenMicros = context.loop().nowMicros();
-    chunks.put(number, c);
-    for (E e : entries) {
-      e.enrolment(Enrolment.STORED);
-      enter(c, e);
+    Chunk<E> chunk = new Chunk<>(number, layout.baseBytes());
+    chunk.stamp = stamp;
+    chunk.writtenMicros = context.loop().nowMicros();
+    chunks.put(number, chunk);
+    for (E entry : entries) {
+      entry.enrolment(Enrolment.STORED);
+      enter(chunk, entry);
     }
   }
 
-  private void enter(Chunk<E> c, E entry) {
-    c.entries.add(entry);
-    c.bytes += layout.bytes(entry);
-    chunkOf.put(entry, c);
+  private void enter(Chunk<E> chunk, E entry) {
+    chunk.entries.add(entry);
+    chunk.bytes += layout.bytes(entry);
+    chunkOf.put(entry, chunk);
   }
 
   /** The entry is to be recorded, if it is not yet. */
@@ -124,53 +124,53 @@
   }
 
   private Chunk<E> withRoom(int bytes) {
-    for (Chunk<E> c : chunks.values()) {
-      if (c.bytes + bytes <= context.layout().valueBytes()) {
-        return c;
+    for (Chunk<E> chunk : chunks.values()) {
+      if (chunk.bytes + bytes <= context.layout().valueBytes()) {
+        return chunk;
       }
     }
     int number = 0;
     while (chunks.containsKey(number)) {
       number++;
     }
-    Chunk<E> c = new Chunk<>(number, layout.baseBytes());
-    chunks.put(number, c);
-    return c;
+    Chunk<E> chunk = new Chunk<>(number, layout.baseBytes());
+    chunks.put(number, chunk);
+    return chunk;
   }
 
   /**
    * Has what does not fit the value written to others; it stays in this one until that is stored.
    */
-  private void shed(Chunk<E> c) {
+  private void shed(Chunk<E> chunk) {
     Set<Chunk<E>> touched = new LinkedHashSet<>();
-    for (E e : List.copyOf(c.entries)) {
-      if (c.bytes - c.leaving <= context.layout().valueBytes()) {
+    for (E entry : List.copyOf(chunk.entries)) {
+      if (chunk.bytes - chunk.leaving <= context.layout().valueBytes()) {
         break;
       }
-      if (movingTo.containsKey(e)) {
+      if (movingTo.containsKey(entry)) {
         continue;
       }
-      Chunk<E> to = withRoom(layout.bytes(e));
-      to.entries.add(e);
-      to.bytes += layout.bytes(e);
+      Chunk<E> to = withRoom(layout.bytes(entry));
+      to.entries.add(entry);
+      to.bytes += layout.bytes(entry);
       to.due = true;
       touched.add(to);
-      movingTo.put(e, to);
-      c.leaving += layout.bytes(e);
+      movingTo.put(entry, to);
+      chunk.leaving += layout.bytes(entry);
     }
     touched.forEach(this::write);
   }
 
   /** An entry that was on its way is stored in its new value, and leaves the old one. */
-  private void moved(E e, Chunk<E> to) {
-    if (movingTo.get(e) != to) {
+  private void moved(E entry, Chunk<E> to) {
+    if (movingTo.get(entry) != to) {
       return;
     }
-    movingTo.remove(e);
-    Chunk<E> from = chunkOf.put(e, to);
-    if (from != null && from.entries.remove(e)) {
-      from.bytes -= layout.bytes(e);
-      from.leaving -= layout.bytes(e);
+    movingTo.remove(entry);
+    Chunk<E> from = chunkOf.put(entry, to);
+    if (from != null && from.entries.remove(entry)) {
+      from.bytes -= layout.bytes(entry);
+      from.leaving -= layout.bytes(entry);
       from.untidy = true;
     }
   }
@@ -184,61 +184,61 @@
       to.bytes -= layout.bytes(entry);
       to.untidy = true;
     }
-    Chunk<E> c = chunkOf.remove(entry);
-    if (c != null) {
-      c.leaving -= to == null ? 0 : layout.bytes(entry);
-      c.entries.remove(entry);
-      c.bytes -= layout.bytes(entry);
-      c.untidy = true;
+    Chunk<E> chunk = chunkOf.remove(entry);
+    if (chunk != null) {
+      chunk.leaving -= to == null ? 0 : layout.bytes(entry);
+      chunk.entries.remove(entry);
+      chunk.bytes -= layout.bytes(entry);
+      chunk.untidy = true;
     }
   }
 
   /** One turn of the duty. */
   long tidy() {
     long now = context.loop().nowMicros();
-    for (Chunk<E> c : List.copyOf(chunks.values())) {
-      if (c.bytes > context.layout().valueBytes()) {
-        shed(c);
-      } else if (c.untidy && now - c.writtenMicros > TIDY_MICROS) {
-        write(c);
+    for (Chunk<E> chunk : List.copyOf(chunks.values())) {
+      if (chunk.bytes > context.layout().valueBytes()) {
+        shed(chunk);
+      } else if (chunk.untidy && now - chunk.writtenMicros > TIDY_MICROS) {
+        write(chunk);
       }
     }
     return TIDY_MICROS / 4;
   }
 
-  private void write(Chunk<E> c) {
-    if (closed || c.writing || !(c.due || c.untidy)) {
+  private void write(Chunk<E> chunk) {
+    if (closed || chunk.writing || !(chunk.due || chunk.untidy)) {
       return;
     }
-    if (c.bytes > context.layout().valueBytes()) {
-      shed(c);
+    if (chunk.bytes > context.layout().valueBytes()) {
+      shed(chunk);
       return;
     }
-    c.writing = true;
-    long wait = Math.max(0, c.writtenMicros + pauseMicros - context.loop().nowMicros());
-    context.loop().after(c.writtenMicros == 0 ? 0 : wait, () -> send(c));
+    chunk.writing = true;
+    long wait = Math.max(0, chunk.writtenMicros + pauseMicros - context.loop().nowMicros());
+    context.loop().after(chunk.writtenMicros == 0 ? 0 : wait, () -> send(chunk));
   }
 
-  private void send(Chunk<E> c) {
+  private void send(Chunk<E> chunk) {
     if (closed || !context.term().mayAct()) {
-      c.writing = false;
+      chunk.writing = false;
       if (!closed) {
-        context.loop().after(RETRY_MICROS, () -> write(c));
+        context.loop().after(RETRY_MICROS, () -> write(chunk));
       }
       return;
     }
-    if (c.bytes > context.layout().valueBytes()) {
+    if (chunk.bytes > context.layout().valueBytes()) {
       // The limit has fallen since this was put off.
-      c.writing = false;
-      shed(c);
+      chunk.writing = false;
+      shed(chunk);
       return;
     }
-    c.due = false;
-    c.untidy = false;
-    c.writtenMicros = context.loop().nowMicros();
-    List<E> written = new ArrayList<>(c.entries);
-    String key = layout.key(c.number);
-    Txn txn = context.term().guard().guard(key, c.stamp);
+    chunk.due = false;
+    chunk.untidy = false;
+    chunk.writtenMicros = context.loop().nowMicros();
+    List<E> written = new ArrayList<>(chunk.entries);
+    String key = layout.key(chunk.number);
+    Txn txn = context.term().guard().guard(key, chunk.stamp);
     if (written.isEmpty()) {
       txn.drop(key);
     } else {
@@ -255,31 +255,31 @@
               }
               switch (result.outcome()) {
                 case APPLIED -> {
-                  c.stamp = written.isEmpty() ? 0 : result.epoch();
-                  c.writing = false;
+                  chunk.stamp = written.isEmpty() ? 0 : result.epoch();
+                  chunk.writing = false;
                   stored(written);
                   Set<Chunk<E>> left = new LinkedHashSet<>();
-                  for (E e : written) {
-                    Chunk<E> from = chunkOf.get(e);
-                    if (movingTo.get(e) == c) {
-                      moved(e, c);
+                  for (E entry : written) {
+                    Chunk<E> from = chunkOf.get(entry);
+                    if (movingTo.get(entry) == chunk) {
+                      moved(entry, chunk);
                       left.add(from);
                     }
                   }
                   left.forEach(this::write);
-                  write(c);
+                  write(chunk);
                 }
-                case REFUSED -> again(c);
-                default -> settle(c);
+                case REFUSED -> again(chunk);
+                default -> settle(chunk);
               }
             });
   }
 
   private void stored(List<E> written) {
     boolean news = false;
-    for (E e : written) {
-      if (e.enrolment() == Enrolment.WRITING) {
-        e.enrolment(Enrolment.STORED);
+    for (E entry : written) {
+      if (entry.enrolment() == Enrolment.WRITING) {
+        entry.enrolment(Enrolment.STORED);
         news = true;
       }
     }
@@ -288,32 +288,32 @@
     }
   }
 
-  private void again(Chunk<E> c) {
-    c.due = true;
+  private void again(Chunk<E> chunk) {
+    chunk.due = true;
     context
         .loop()
         .after(
             RETRY_MICROS,
             () -> {
-              c.writing = false;
-              write(c);
+              chunk.writing = false;
+              write(chunk);
             });
   }
 
   /** It may have been written, or may be yet: the next write is guarded by what is there now. */
-  private void settle(Chunk<E> c) {
+  private void settle(Chunk<E> chunk) {
     context
         .store()
         .get(
-            layout.key(c.number),
+            layout.key(chunk.number),
             StateClient.Class.ORDINARY,
             got -> {
               if (got.found()) {
-                c.stamp = got.item().stamp();
+                chunk.stamp = got.item().stamp();
               } else if (got.missing()) {
-                c.stamp = 0;
+                chunk.stamp = 0;
               }
-              again(c);
+              again(chunk);
             });
   }
 
--- a/src/main/java/plumlever/leader/Takeover.java
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -65,9 +65,9 @@
     loaded = true;
     unsureKnown = false;
     loadedMicros = context.loop().nowMicros();
-    for (Machine m : fleet.machines()) {
-      if (m.enrolment() == Enrolment.STORED && !m.accounted()) {
-        open.add(m);
+    for (Machine machine : fleet.machines()) {
+      if (machine.enrolment() == Enrolment.STORED && !machine.accounted()) {
+        open.add(machine);
       }
     }
     if (open.isEmpty()) {
@@ -92,26 +92,26 @@
   }
 
   /** Nothing that an earlier leader started on the machine is unknown any more, or it is gone. */
-  void accounted(Machine m, String how) {
-    m.account();
-    if (open.remove(m)) {
+  void accounted(Machine machine, String how) {
+    machine.account();
+    if (open.remove(machine)) {
       unsureKnown = false;
-      log.debug("{} accounted for: {}", m.id(), how);
+      log.debug("{} accounted for: {}", machine.id(), how);
       if (open.isEmpty()) {
         long took = context.loop().nowMicros() - startedMicros;
         context.metrics().time("takeover", took);
         log.info(
             "takeover complete after {} ms, the last machine was {}: {}",
             took / 1_000,
-            m.id(),
+            machine.id(),
             how);
       }
     }
   }
 
   /** The machine lists so many running tasks that this leader does not keep. */
-  void foreign(Machine m, int tasks) {
-    if (tasks > 0 ? foreign.add(m) : foreign.remove(m)) {
+  void foreign(Machine machine, int tasks) {
+    if (tasks > 0 ? foreign.add(machine) : foreign.remove(machine)) {
       unsureKnown = false;
     }
   }
@@ -158,13 +158,13 @@
     unsure.addAll(foreign);
     unsureCores = 0;
     unsureAccelerators = 0;
-    for (Machine m : unsure) {
-      Flavor f = context.prices().flavor(m.flavor());
-      if (f == null) {
+    for (Machine machine : unsure) {
+      Flavor flavor = context.prices().flavor(machine.flavor());
+      if (flavor == null) {
         return false;
       }
-      unsureCores += f.cores();
-      unsureAccelerators += f.accelerators();
+      unsureCores += flavor.cores();
+      unsureAccelerators += flavor.accelerators();
     }
     unsureKnown = true;
     return true;
--- a/src/main/java/plumlever/leader/Targets.java
+++ b/src/main/java/plumlever/leader/Targets.java
@@ -21,21 +21,22 @@
 
   Targets(List<Platform.Objective> objectives, long startTargetMicros) {
     this.startTargetMicros = startTargetMicros;
-    for (Platform.Objective o : objectives) {
-      long within = (long) (o.withinS() * 1e6);
-      if (o.jobclass() == null) {
-        if (o.kind().equals("guarantee")) {
+    for (Platform.Objective objective : objectives) {
+      long within = (long) (objective.withinS() * 1e6);
+      if (objective.jobclass() == null) {
+        if (objective.kind().equals("guarantee")) {
           guaranteedWithin = Math.min(guaranteedWithin, within);
         }
         continue;
       }
-      switch (o.kind()) {
-        case "wait" -> startWithin.merge(o.jobclass(), new long[] {within}, Targets::both);
-        case "finished" -> finishWithin.merge(o.jobclass(), new long[] {within}, Targets::both);
+      switch (objective.kind()) {
+        case "wait" -> startWithin.merge(objective.jobclass(), new long[] {within}, Targets::both);
+        case "finished" ->
+            finishWithin.merge(objective.jobclass(), new long[] {within}, Targets::both);
         case "deadline" ->
             deadlineTimes.merge(
-                o.jobclass(),
-                new double[] {o.times()},
+                objective.jobclass(),
+                new double[] {objective.times()},
                 (a, b) -> {
                   double[] all = Arrays.copyOf(a, a.length + 1);
                   all[a.length] = b[0];
@@ -47,9 +48,9 @@
     }
   }
 
-  private static long[] both(long[] a, long[] b) {
-    long[] all = Arrays.copyOf(a, a.length + 1);
-    all[a.length] = b[0];
+  private static long[] both(long[] first, long[] second) {
+    long[] all = Arrays.copyOf(first, first.length + 1);
+    all[first.length] = second[0];
     Arrays.sort(all);
     return all;
   }
@@ -68,16 +69,16 @@
    * By when it should start: of the aims for its start the soonest that is not missed yet.
    * Long.MAX_VALUE for a job that has only a deadline.
    */
-  long startBy(Job j, boolean withinGuarantee, long now) {
-    long[] aims = startWithin.get(j.spec().jobclass());
+  long startBy(Job job, boolean withinGuarantee, long now) {
+    long[] aims = startWithin.get(job.spec().jobclass());
     long by =
         aims != null
-            ? nextOf(aims, j.releasedMicros(), now)
-            : j.hasDeadline() ? Long.MAX_VALUE : j.releasedMicros() + startTargetMicros;
+            ? nextOf(aims, job.releasedMicros(), now)
+            : job.hasDeadline() ? Long.MAX_VALUE : job.releasedMicros() + startTargetMicros;
     if (withinGuarantee && guaranteedWithin != Long.MAX_VALUE) {
-      long guaranteed = j.releasedMicros() + guaranteedWithin;
+      long guaranteed = job.releasedMicros() + guaranteedWithin;
       // Once it is missed, the aims of the class are what is left to meet.
-      if (guaranteed >= now || (by == Long.MAX_VALUE && !j.hasDeadline())) {
+      if (guaranteed >= now || (by == Long.MAX_VALUE && !job.hasDeadline())) {
         by = Math.min(by, guaranteed);
       }
     }
@@ -88,11 +89,11 @@
    * By when it should be complete: its deadline or what that of a later job leaves it, as many
    * times over as the aims still allow, and the aims of its class.
    */
-  long finishBy(Job j, long now) {
+  long finishBy(Job job, long now) {
     long by = Long.MAX_VALUE;
-    if (j.hasDeadline()) {
-      by = j.deadlineMicros();
-      Chains.Aim aim = j.aim();
+    if (job.hasDeadline()) {
+      by = job.deadlineMicros();
+      Chains.Aim aim = job.aim();
       for (double times : deadlineTimes.getOrDefault(aim.jobclass(), new double[0])) {
         if (by >= now) {
           break;
@@ -103,8 +104,8 @@
                 - aim.tailMicros();
       }
     }
-    long[] aims = finishWithin.get(j.spec().jobclass());
-    return aims == null ? by : Math.min(by, nextOf(aims, j.releasedMicros(), now));
+    long[] aims = finishWithin.get(job.spec().jobclass());
+    return aims == null ? by : Math.min(by, nextOf(aims, job.releasedMicros(), now));
   }
 
   /** True if some start is asked for sooner than this: machines must stand by for it. */
--- a/src/main/java/plumlever/metrics/Logs.java
+++ b/src/main/java/plumlever/metrics/Logs.java
@@ -8,5 +8,5 @@
   /** The service's own lines. */
   Logs SERVICE = LoggerFactory::getLogger;
 
-  Logger of(Class<?> c);
+  Logger of(Class<?> owner);
 }
--- a/src/main/java/plumlever/metrics/Metrics.java
+++ b/src/main/java/plumlever/metrics/Metrics.java
@@ -27,8 +27,8 @@
     counters.merge(name, 1L, Long::sum);
   }
 
-  public synchronized void count(String name, long n) {
-    counters.merge(name, n, Long::sum);
+  public synchronized void count(String name, long count) {
+    counters.merge(name, count, Long::sum);
   }
 
   public synchronized long counted(String name) {
--- a/src/main/java/plumlever/peer/PeerStatus.java
+++ b/src/main/java/plumlever/peer/PeerStatus.java
@@ -43,9 +43,9 @@
       kryo.register(PeerStatus.class, new Form(), 100);
     }
 
-    public byte[] write(PeerStatus s) {
+    public byte[] write(PeerStatus peerStatus) {
       output.reset();
-      kryo.writeObject(output, s);
+      kryo.writeObject(output, peerStatus);
       return output.toBytes();
     }
 
@@ -64,27 +64,27 @@
 
   private static final class Form extends Serializer<PeerStatus> {
     @Override
-    public void write(Kryo kryo, Output out, PeerStatus s) {
-      out.writeString(s.label);
-      out.writeVarLong(s.term, true);
-      out.writeBoolean(s.leading);
-      out.writeVarLong(s.storeRefusedMicros, true);
-      out.writeVarLong(s.lateMicros, true);
-      out.writeVarInt(s.workers, true);
-      out.writeVarInt(Math.min(s.counts.size(), Codec.MOST_COUNTS), true);
-      int n = 0;
-      for (Map.Entry<String, int[]> e : s.counts.entrySet()) {
-        if (n++ >= Codec.MOST_COUNTS) {
+    public void write(Kryo kryo, Output out, PeerStatus peerStatus) {
+      out.writeString(peerStatus.label);
+      out.writeVarLong(peerStatus.term, true);
+      out.writeBoolean(peerStatus.leading);
+      out.writeVarLong(peerStatus.storeRefusedMicros, true);
+      out.writeVarLong(peerStatus.lateMicros, true);
+      out.writeVarInt(peerStatus.workers, true);
+      out.writeVarInt(Math.min(peerStatus.counts.size(), Codec.MOST_COUNTS), true);
+      int count = 0;
+      for (Map.Entry<String, int[]> entry : peerStatus.counts.entrySet()) {
+        if (count++ >= Codec.MOST_COUNTS) {
           break;
         }
-        out.writeString(e.getKey());
-        out.writeVarInt(e.getValue()[0], true);
-        out.writeVarInt(e.getValue()[1], true);
+        out.writeString(entry.getKey());
+        out.writeVarInt(entry.getValue()[0], true);
+        out.writeVarInt(entry.getValue()[1], true);
       }
       // Earlier versions read as far as here and leave the rest.
-      int m = Math.min(s.calledOff.size(), Codec.MOST_CALLED_OFF);
-      out.writeVarInt(m, true);
-      s.calledOff.stream().limit(m).forEach(out::writeString);
+      int size = Math.min(peerStatus.calledOff.size(), Codec.MOST_CALLED_OFF);
+      out.writeVarInt(size, true);
+      peerStatus.calledOff.stream().limit(size).forEach(out::writeString);
     }
 
     @Override
@@ -95,21 +95,21 @@
       long silent = in.readVarLong(true);
       long late = in.readVarLong(true);
       int workers = in.readVarInt(true);
-      int n = in.readVarInt(true);
-      if (n < 0 || n > Codec.MOST_COUNTS || label == null) {
+      int count = in.readVarInt(true);
+      if (count < 0 || count > Codec.MOST_COUNTS || label == null) {
         throw new KryoException("out of range");
       }
       Map<String, int[]> counts = new LinkedHashMap<>();
-      for (int i = 0; i < n; i++) {
+      for (int i = 0; i < count; i++) {
         counts.put(in.readString(), new int[] {in.readVarInt(true), in.readVarInt(true)});
       }
       List<String> calledOff = new ArrayList<>();
       if (in.position() < in.limit()) {
-        int m = in.readVarInt(true);
-        if (m < 0 || m > Codec.MOST_CALLED_OFF) {
+        int size = in.readVarInt(true);
+        if (size < 0 || size > Codec.MOST_CALLED_OFF) {
           throw new KryoException("out of range");
         }
-        for (int i = 0; i < m; i++) {
+        for (int i = 0; i < size; i++) {
           calledOff.add(in.readString());
         }
       }
--- a/src/main/java/plumlever/peer/Peers.java
+++ b/src/main/java/plumlever/peer/Peers.java
@@ -46,8 +46,8 @@
 
   private long tell() {
     byte[] body = codec.write(own.get());
-    for (Platform.Seed s : platform.seeds()) {
-      caller.call(s.endpoint(), "POST", PATH, body, TIMEOUT_MICROS, (status, data) -> {});
+    for (Platform.Seed seed : platform.seeds()) {
+      caller.call(seed.endpoint(), "POST", PATH, body, TIMEOUT_MICROS, (status, data) -> {});
     }
     return EVERY_MICROS;
   }
@@ -58,13 +58,14 @@
       out.error(404, "no such path");
       return;
     }
-    PeerStatus s = codec.read(body);
-    if (s == null || platform.seeds().stream().noneMatch(p -> p.label().equals(s.label()))) {
+    PeerStatus peerStatus = codec.read(body);
+    if (peerStatus == null
+        || platform.seeds().stream().noneMatch(p -> p.label().equals(peerStatus.label()))) {
       out.error(400, "not a peer's status");
       return;
     }
-    heard.put(s.label(), new Heard(s, loop.nowMicros()));
-    news.accept(s);
+    heard.put(peerStatus.label(), new Heard(peerStatus, loop.nowMicros()));
+    news.accept(peerStatus);
     out.send(200, "{}");
   }
 
--- a/src/main/java/plumlever/placement/Ask.java
+++ b/src/main/java/plumlever/placement/Ask.java
@@ -27,16 +27,16 @@
     boolean spot,
     boolean saves) {
 
-  boolean allows(Seat s) {
-    return (flavors == null || flavors.contains(s.flavor))
-        && (site == null || site.equals(s.zone))
-        && (spot || !s.spot);
+  boolean allows(Seat seat) {
+    return (flavors == null || flavors.contains(seat.flavor))
+        && (site == null || site.equals(seat.zone))
+        && (spot || !seat.spot);
   }
 
-  double share(Seat s) {
-    double share = Math.max(cores / s.totalCores, memoryGb / s.totalMemoryGb);
+  double share(Seat seat) {
+    double share = Math.max(cores / seat.totalCores, memoryGb / seat.totalMemoryGb);
     return accelerators > 0
-        ? Math.max(share, s.totalAccelerators > 0 ? accelerators / s.totalAccelerators : 2)
+        ? Math.max(share, seat.totalAccelerators > 0 ? accelerators / seat.totalAccelerators : 2)
         : share;
   }
 }
--- a/src/main/java/plumlever/placement/Placer.java
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -82,24 +82,25 @@
       run = new long[size];
       score = new double[size];
       long[] keys = new long[size];
-      int n = 0;
+      int count = 0;
       for (int i = 0; i < size; i++) {
-        Seat s = seats.get(i);
-        double share = ask.share(s);
-        if (share > 1 + 1e-9 || !ask.allows(s)) {
+        Seat seat = seats.get(i);
+        double share = ask.share(seat);
+        if (share > 1 + 1e-9 || !ask.allows(seat)) {
           continue;
         }
-        fetch[i] = s.delayMicros + fetchTimes.micros(i, s.machine, ask.image(), ask.imageGb());
-        run[i] = (long) (ask.runMicros() * s.slowness);
-        double risk = s.spot && !ask.saves() ? 1 + spotRisk : 1;
-        score[i] = s.pricePerS * share * risk * (fetch[i] + run[i]);
+        fetch[i] =
+            seat.delayMicros + fetchTimes.micros(i, seat.machine, ask.image(), ask.imageGb());
+        run[i] = (long) (ask.runMicros() * seat.slowness);
+        double risk = seat.spot && !ask.saves() ? 1 + spotRisk : 1;
+        score[i] = seat.pricePerS * share * risk * (fetch[i] + run[i]);
         // Scores are never negative, so their bits are in their order; the seat's number is in the
         // low half.
-        keys[n++] = (long) Float.floatToIntBits((float) score[i]) << 32 | i;
+        keys[count++] = (long) Float.floatToIntBits((float) score[i]) << 32 | i;
       }
-      Arrays.sort(keys, 0, n);
-      byScore = new int[n];
-      for (int i = 0; i < n; i++) {
+      Arrays.sort(keys, 0, count);
+      byScore = new int[count];
+      for (int i = 0; i < count; i++) {
         byScore[i] = (int) keys[i];
       }
       band.begin(kind);
@@ -123,31 +124,32 @@
     }
 
     /** The task goes there: now, or booked for later. */
-    public void commit(Choice c) {
-      Seat s = seats.get(c.seat);
-      long end = c.startMicros + fetch[c.seat] + (long) (run[c.seat] * (1 + padding));
-      if (c.startMicros <= nowMicros) {
-        s.take(ask);
-        s.release(ask, end);
+    public void commit(Choice choice) {
+      Seat seat = seats.get(choice.seat);
+      long end =
+          choice.startMicros + fetch[choice.seat] + (long) (run[choice.seat] * (1 + padding));
+      if (choice.startMicros <= nowMicros) {
+        seat.take(ask);
+        seat.release(ask, end);
       } else {
-        s.book(ask, c.startMicros, end);
+        seat.book(ask, choice.startMicros, end);
       }
-      zones.add(s.zone);
+      zones.add(seat.zone);
       if (kind < KINDS) {
         band.changed();
       }
     }
 
     private boolean suits(int seat, int asKind) {
-      Seat s = seats.get(seat);
-      if (!zones.allows(s.zone)) {
+      Seat otherSeat = seats.get(seat);
+      if (!zones.allows(otherSeat.zone)) {
         return false;
       }
       boolean later = (asKind & 1) == 1;
-      if (s.fitsNow(ask) == later) {
+      if (otherSeat.fitsNow(ask) == later) {
         return false;
       }
-      long start = s.earliest(ask, nowMicros);
+      long start = otherSeat.earliest(ask, nowMicros);
       if (start == Long.MAX_VALUE || (start > nowMicros) != later) {
         return false;
       }
@@ -155,7 +157,7 @@
       long runs = start + fetch[seat];
       // Room that others leave may come later than estimated; room on a machine that is booting
       // does not hang on that.
-      if (pad > 0 && later && start > s.upMicros()) {
+      if (pad > 0 && later && start > otherSeat.upMicros()) {
         runs += hedgeMicros;
       }
       return runs <= ask.startByMicros()
@@ -210,12 +212,12 @@
         if (size == heap.length) {
           heap = Arrays.copyOf(heap, size * 2);
         }
-        int i = size++;
-        while (i > 0 && before(seat, heap[(i - 1) / 2])) {
-          heap[i] = heap[(i - 1) / 2];
-          i = (i - 1) / 2;
+        int index = size++;
+        while (index > 0 && before(seat, heap[(index - 1) / 2])) {
+          heap[index] = heap[(index - 1) / 2];
+          index = (index - 1) / 2;
         }
-        heap[i] = seat;
+        heap[index] = seat;
       }
 
       private void sink() {
@@ -223,25 +225,25 @@
           return;
         }
         int seat = heap[0];
-        int i = 0;
-        while (2 * i + 1 < size) {
-          int child = 2 * i + 1;
+        int index = 0;
+        while (2 * index + 1 < size) {
+          int child = 2 * index + 1;
           if (child + 1 < size && before(heap[child + 1], heap[child])) {
             child++;
           }
           if (!before(heap[child], seat)) {
             break;
           }
-          heap[i] = heap[child];
-          i = child;
+          heap[index] = heap[child];
+          index = child;
         }
-        heap[i] = seat;
+        heap[index] = seat;
       }
 
-      private boolean before(int a, int b) {
-        Seat x = seats.get(a);
-        Seat y = seats.get(b);
-        return winsTie(x, y) || (!winsTie(y, x) && a < b);
+      private boolean before(int first, int second) {
+        Seat leftSeat = seats.get(first);
+        Seat rightSeat = seats.get(second);
+        return winsTie(leftSeat, rightSeat) || (!winsTie(rightSeat, leftSeat) && first < second);
       }
     }
 
@@ -296,21 +298,24 @@
    * and time as well.
    */
   public static boolean roomNow(Ask ask, List<Seat> seats, Zones zones) {
-    for (Seat s : seats) {
-      if (s.fitsNow(ask) && ask.allows(s) && zones.allows(s.zone) && ask.share(s) <= 1 + 1e-9) {
+    for (Seat seat : seats) {
+      if (seat.fitsNow(ask)
+          && ask.allows(seat)
+          && zones.allows(seat.zone)
+          && ask.share(seat) <= 1 + 1e-9) {
         return true;
       }
     }
     return false;
   }
 
-  private static boolean winsTie(Seat a, Seat b) {
-    if (a.busy != b.busy) {
-      return a.busy;
+  private static boolean winsTie(Seat first, Seat second) {
+    if (first.busy != second.busy) {
+      return first.busy;
     }
-    if (a.memoryGb != b.memoryGb) {
-      return a.memoryGb > b.memoryGb;
+    if (first.memoryGb != second.memoryGb) {
+      return first.memoryGb > second.memoryGb;
     }
-    return a.cores > b.cores;
+    return first.cores > second.cores;
   }
 }
--- a/src/main/java/plumlever/placement/Seat.java
+++ b/src/main/java/plumlever/placement/Seat.java
@@ -91,9 +91,9 @@
   /** Room now, or for a machine that is not up yet when it comes up, that nothing is booked for. */
   public double spareCores() {
     double spare = cores;
-    for (Release r : releases) {
-      if (r.atMicros <= upMicros) {
-        spare += r.cores;
+    for (Release release : releases) {
+      if (release.atMicros <= upMicros) {
+        spare += release.cores;
       }
     }
     return spare;
@@ -123,18 +123,18 @@
       return nowMicros;
     }
     sort();
-    double c = cores;
-    double a = accelerators;
-    double m = memoryGb;
-    for (Release r : releases) {
-      c += r.cores;
-      a += r.accelerators;
-      m += r.memoryGb;
-      if (c + EPSILON >= ask.cores()
-          && m + EPSILON >= ask.memoryGb()
-          && a + EPSILON >= ask.accelerators()) {
+    double otherCores = cores;
+    double otherAccelerators = accelerators;
+    double memory = memoryGb;
+    for (Release release : releases) {
+      otherCores += release.cores;
+      otherAccelerators += release.accelerators;
+      memory += release.memoryGb;
+      if (otherCores + EPSILON >= ask.cores()
+          && memory + EPSILON >= ask.memoryGb()
+          && otherAccelerators + EPSILON >= ask.accelerators()) {
         // Room that is due but has not been reported free is not room now.
-        return Math.max(nowMicros + 1, r.atMicros);
+        return Math.max(nowMicros + 1, release.atMicros);
       }
     }
     return Long.MAX_VALUE;
@@ -149,23 +149,25 @@
     double coresNow = cores;
     double acceleratorsNow = accelerators;
     double memoryNow = memoryGb;
-    int n = 0;
-    while (n < releases.size() && releases.get(n).atMicros <= fromMicros) {
-      Release r = releases.get(n++);
-      cores += r.cores;
-      accelerators += r.accelerators;
-      memoryGb += r.memoryGb;
+    int count = 0;
+    while (count < releases.size() && releases.get(count).atMicros <= fromMicros) {
+      Release otherRelease = releases.get(count++);
+      cores += otherRelease.cores;
+      accelerators += otherRelease.accelerators;
+      memoryGb += otherRelease.memoryGb;
     }
-    releases.subList(0, n).clear();
-    double c = cores - ask.cores();
-    double a = accelerators - ask.accelerators();
-    double m = memoryGb - ask.memoryGb();
+    releases.subList(0, count).clear();
+    double otherCores = cores - ask.cores();
+    double otherAccelerators = accelerators - ask.accelerators();
+    double memory = memoryGb - ask.memoryGb();
     // Room there is now stays usable as far as the booking leaves it; the rest is not there before
     // then.
-    cores = Math.min(coresNow, c);
-    accelerators = Math.min(acceleratorsNow, a);
-    memoryGb = Math.min(memoryNow, m);
-    releases.add(new Release(fromMicros, c - cores, a - accelerators, m - memoryGb));
+    cores = Math.min(coresNow, otherCores);
+    accelerators = Math.min(acceleratorsNow, otherAccelerators);
+    memoryGb = Math.min(memoryNow, memory);
+    releases.add(
+        new Release(
+            fromMicros, otherCores - cores, otherAccelerators - accelerators, memory - memoryGb));
     release(ask, untilMicros);
   }
 
--- a/src/main/java/plumlever/scaling/RentalPlan.java
+++ b/src/main/java/plumlever/scaling/RentalPlan.java
@@ -19,11 +19,11 @@
     // Written out for the same reason as in Endpoint: a new leader asks for it in its first
     // moments.
     @Override
-    public boolean equals(Object o) {
-      return o instanceof Kind k
-          && k.spot == spot
-          && k.flavor.equals(flavor)
-          && k.site.equals(site);
+    public boolean equals(Object object) {
+      return object instanceof Kind kind
+          && kind.spot == spot
+          && kind.flavor.equals(flavor)
+          && kind.site.equals(site);
     }
 
     @Override
@@ -41,28 +41,28 @@
     private double accelerators;
     private double memoryGb;
 
-    public Coming(Kind kind, Flavor f) {
+    public Coming(Kind kind, Flavor flavor) {
       this.kind = kind;
-      this.cores = f.cores();
-      this.accelerators = f.accelerators();
-      this.memoryGb = f.memoryGb();
+      this.cores = flavor.cores();
+      this.accelerators = flavor.accelerators();
+      this.memoryGb = flavor.memoryGb();
     }
 
     private int take(JobSpec job, int most) {
-      int n = most;
+      int count = most;
       if (job.cores() > 0) {
-        n = Math.min(n, (int) (cores / job.cores() + 1e-9));
+        count = Math.min(count, (int) (cores / job.cores() + 1e-9));
       }
       if (job.memoryGb() > 0) {
-        n = Math.min(n, (int) (memoryGb / job.memoryGb() + 1e-9));
+        count = Math.min(count, (int) (memoryGb / job.memoryGb() + 1e-9));
       }
       if (job.accelerators() > 0) {
-        n = Math.min(n, (int) (accelerators / job.accelerators() + 1e-9));
+        count = Math.min(count, (int) (accelerators / job.accelerators() + 1e-9));
       }
-      cores -= n * job.cores();
-      memoryGb -= n * job.memoryGb();
-      accelerators -= n * job.accelerators();
-      return n;
+      cores -= count * job.cores();
+      memoryGb -= count * job.memoryGb();
+      accelerators -= count * job.accelerators();
+      return count;
     }
   }
 
@@ -92,25 +92,25 @@
     Map<Kind, Integer> rent = new HashMap<>();
     List<Coming> fresh = new ArrayList<>(coming);
     int total = 0;
-    for (Demand d : demands) {
-      int left = d.tasks();
-      for (Coming c : fresh) {
-        if (left > 0 && allowed(d, c.kind)) {
-          left -= c.take(d.job(), left);
+    for (Demand demand : demands) {
+      int left = demand.tasks();
+      for (Coming otherComing : fresh) {
+        if (left > 0 && allowed(demand, otherComing.kind)) {
+          left -= otherComing.take(demand.job(), left);
         }
       }
       while (left > 0 && total < mostMachines) {
-        Kind kind = cheapest(d, left, available, rent);
+        Kind kind = cheapest(demand, left, available, rent);
         if (kind == null) {
           break;
         }
-        Coming c = new Coming(kind, prices.flavor(kind.flavor));
-        int got = c.take(d.job(), left);
+        Coming otherComing = new Coming(kind, prices.flavor(kind.flavor));
+        int got = otherComing.take(demand.job(), left);
         if (got == 0) {
           break;
         }
         left -= got;
-        fresh.add(c);
+        fresh.add(otherComing);
         rent.merge(kind, 1, Integer::sum);
         total++;
       }
@@ -120,40 +120,44 @@
     return out;
   }
 
-  private static boolean allowed(Demand d, Kind k) {
-    return d.job().allows(k.flavor, k.site, k.spot)
-        && (d.zone() == null || d.zone().equals(k.site));
+  private static boolean allowed(Demand demand, Kind kind) {
+    return demand.job().allows(kind.flavor, kind.site, kind.spot)
+        && (demand.zone() == null || demand.zone().equals(kind.site));
   }
 
   /**
    * The least cost for each task served; a machine too large for what is left costs its whole
    * price.
    */
-  private Kind cheapest(Demand d, int left, Predicate<Kind> available, Map<Kind, Integer> planned) {
+  private Kind cheapest(
+      Demand demand, int left, Predicate<Kind> available, Map<Kind, Integer> planned) {
     Kind best = null;
     double least = Double.MAX_VALUE;
-    for (Flavor f : prices.flavors()) {
-      double share = f.share(d.job());
+    for (Flavor flavor : prices.flavors()) {
+      double share = flavor.share(demand.job());
       if (share > 1 + 1e-9) {
         continue;
       }
-      for (String site : f.sites()) {
+      for (String site : flavor.sites()) {
         for (boolean spot : new boolean[] {true, false}) {
-          Kind k = new Kind(f.sku(), site, spot);
-          if (!allowed(d, k) || !available.test(k)) {
+          Kind kind = new Kind(flavor.sku(), site, spot);
+          if (!allowed(demand, kind) || !available.test(kind)) {
             continue;
           }
           int tasks = Math.max(1, Math.min(left, (int) (1 / Math.max(share, 1e-6) + 1e-9)));
-          double cost = prices.hourly(f, spot) / tasks;
+          double cost = prices.hourly(flavor, spot) / tasks;
           if (!moneyMatters) {
-            cost *= 1 + f.startupS() / 300;
+            cost *= 1 + flavor.startupS() / 300;
           }
           // Spreads requests over zones, so that one zone's trouble or shortage takes less at once.
           cost *=
-              1 + SPREAD * planned.getOrDefault(k, 0) / (SPREAD_HALF + planned.getOrDefault(k, 0));
+              1
+                  + SPREAD
+                      * planned.getOrDefault(kind, 0)
+                      / (SPREAD_HALF + planned.getOrDefault(kind, 0));
           if (cost < least) {
             least = cost;
-            best = k;
+            best = kind;
           }
         }
       }
--- a/src/main/java/plumlever/settings/Endpoint.java
+++ b/src/main/java/plumlever/settings/Endpoint.java
@@ -19,8 +19,10 @@
   // Written out: the generated ones link method handles at their first use, which a cold start
   // can't afford.
   @Override
-  public boolean equals(Object o) {
-    return o instanceof Endpoint e && e.port == port && e.host.equals(host);
+  public boolean equals(Object object) {
+    return object instanceof Endpoint endpoint
+        && endpoint.port == port
+        && endpoint.host.equals(host);
   }
 
   @Override
--- a/src/main/java/plumlever/settings/OperatorFile.java
+++ b/src/main/java/plumlever/settings/OperatorFile.java
@@ -35,8 +35,8 @@
           path + ": not YAML: " + e.getMessage().lines().findFirst().orElse(""));
     }
     Map<String, Object> values = new HashMap<>();
-    if (root instanceof Map<?, ?> m) {
-      m.forEach((k, v) -> values.put(String.valueOf(k), v));
+    if (root instanceof Map<?, ?> map) {
+      map.forEach((k, v) -> values.put(String.valueOf(k), v));
     } else if (root != null) {
       throw new SettingsException(path + ": must be a table of keys and values");
     }
@@ -44,69 +44,70 @@
   }
 
   private Tunables read() throws SettingsException {
-    Tunables d = Tunables.defaults();
-    Tunables t =
+    Tunables tunables = Tunables.defaults();
+    Tunables read =
         new Tunables(
-            number("padding_share", d.paddingShare(), 0, 1),
-            number("tie_share", d.tieShare(), 0, 1),
-            micros("start_target_s", d.startTargetMicros(), 0, 1e6),
-            micros("grant_ttl_s", d.grantTtlMicros(), 1, 600),
-            micros("touch_s", d.touchMicros(), 0.1, 100),
-            micros("act_margin_s", d.actMarginMicros(), 0.05, 10),
-            micros("progress_s", d.progressMicros(), 0.1, 60),
-            micros("round_budget_s", d.roundBudgetMicros(), 0.001, 1),
-            micros("silent_s", d.silentMicros(), 1, 600),
-            micros("idle_money_s", d.idleMoneyMicros(), 0, 1e6),
-            micros("idle_speed_s", d.idleSpeedMicros(), 0, 1e6),
-            number("boot_factor", d.bootFactor(), 1, 100),
-            micros("rent_s", d.rentMicros(), 0, 3600),
-            micros("begin_s", d.beginMicros(), 1, 1e6),
-            number("standby_spreads", d.standbySpreads(), 0, 100),
-            number("spot_risk", d.spotRisk(), 0, 100),
+            number("padding_share", tunables.paddingShare(), 0, 1),
+            number("tie_share", tunables.tieShare(), 0, 1),
+            micros("start_target_s", tunables.startTargetMicros(), 0, 1e6),
+            micros("grant_ttl_s", tunables.grantTtlMicros(), 1, 600),
+            micros("touch_s", tunables.touchMicros(), 0.1, 100),
+            micros("act_margin_s", tunables.actMarginMicros(), 0.05, 10),
+            micros("progress_s", tunables.progressMicros(), 0.1, 60),
+            micros("round_budget_s", tunables.roundBudgetMicros(), 0.001, 1),
+            micros("silent_s", tunables.silentMicros(), 1, 600),
+            micros("idle_money_s", tunables.idleMoneyMicros(), 0, 1e6),
+            micros("idle_speed_s", tunables.idleSpeedMicros(), 0, 1e6),
+            number("boot_factor", tunables.bootFactor(), 1, 100),
+            micros("rent_s", tunables.rentMicros(), 0, 3600),
+            micros("begin_s", tunables.beginMicros(), 1, 1e6),
+            number("standby_spreads", tunables.standbySpreads(), 0, 100),
+            number("spot_risk", tunables.spotRisk(), 0, 100),
             owned());
     if (!left.isEmpty()) {
       throw new SettingsException(file + ": " + left.keySet().iterator().next() + " is unknown");
     }
-    if (t.touchMicros() * 2 + t.actMarginMicros() > t.grantTtlMicros()) {
+    if (read.touchMicros() * 2 + read.actMarginMicros() > read.grantTtlMicros()) {
       throw new SettingsException(
           file + ": grant_ttl_s must exceed twice touch_s and act_margin_s");
     }
-    return t;
+    return read;
   }
 
   private Map<String, Double> owned() throws SettingsException {
-    Object v = left.remove("owned_hourly");
-    if (v == null) {
+    Object object = left.remove("owned_hourly");
+    if (object == null) {
       return Map.of();
     }
-    if (!(v instanceof Map<?, ?> m)) {
+    if (!(object instanceof Map<?, ?> map)) {
       throw new SettingsException(file + ": owned_hourly must be a table of type names and costs");
     }
     Map<String, Double> out = new HashMap<>();
-    for (Map.Entry<?, ?> e : m.entrySet()) {
-      if (!(e.getValue() instanceof Number n) || !(n.doubleValue() >= 0 && n.doubleValue() < 1e9)) {
+    for (Map.Entry<?, ?> entry : map.entrySet()) {
+      if (!(entry.getValue() instanceof Number number)
+          || !(number.doubleValue() >= 0 && number.doubleValue() < 1e9)) {
         throw new SettingsException(
-            file + ": owned_hourly." + e.getKey() + " must be a cost of at least 0");
+            file + ": owned_hourly." + entry.getKey() + " must be a cost of at least 0");
       }
-      out.put(String.valueOf(e.getKey()), n.doubleValue());
+      out.put(String.valueOf(entry.getKey()), number.doubleValue());
     }
     return Map.copyOf(out);
   }
 
   private double number(String key, double otherwise, double min, double max)
       throws SettingsException {
-    Object v = left.remove(key);
-    if (v == null) {
+    Object object = left.remove(key);
+    if (object == null) {
       return otherwise;
     }
-    if (!(v instanceof Number n)) {
+    if (!(object instanceof Number number)) {
       throw new SettingsException(file + ": " + key + " must be a number");
     }
-    double d = n.doubleValue();
-    if (!(d >= min && d <= max)) {
+    double amount = number.doubleValue();
+    if (!(amount >= min && amount <= max)) {
       throw new SettingsException(file + ": " + key + " must be from " + min + " to " + max);
     }
-    return d;
+    return amount;
   }
 
   private long micros(String key, long otherwise, double min, double max) throws SettingsException {
