--- a/src/main/java/plumlever/settings/Platform.java
+++ b/src/main/java/plumlever/settings/Platform.java
@@ -101,9 +101,9 @@
     }
   }
 
-  private static String firstLine(String s) {
-    int nl = s.indexOf('\n');
-    return nl < 0 ? s : s.substring(0, nl);
+  private static String firstLine(String text) {
+    int nl = text.indexOf('\n');
+    return nl < 0 ? text : text.substring(0, nl);
   }
 
   private static final class Reader {
@@ -119,11 +119,12 @@
       List<Seed> seeds = new ArrayList<>();
       Set<String> labels = new HashSet<>();
       labels.add(text(root, "", "label"));
-      int i = 0;
-      for (JsonNode s : list(root, "", "seeds")) {
-        String at = "seeds[" + i++ + "].";
+      int index = 0;
+      for (JsonNode node : list(root, "", "seeds")) {
+        String at = "seeds[" + index++ + "].";
         Seed seed =
-            new Seed(text(s, at, "label"), text(s, at, "area"), endpoint(s, at, "endpoint"));
+            new Seed(
+                text(node, at, "label"), text(node, at, "area"), endpoint(node, at, "endpoint"));
         if (!labels.add(seed.label())) {
           throw bad(at + "label", "is used twice");
         }
@@ -132,33 +133,33 @@
       JsonNode outside = table(root, "", "outside");
       JsonNode dep = table(root, "", "deployment");
       List<Team> teams = new ArrayList<>();
-      i = 0;
-      for (JsonNode t : list(dep, "deployment.", "teams")) {
-        String at = "deployment.teams[" + i++ + "].";
+      index = 0;
+      for (JsonNode team : list(dep, "deployment.", "teams")) {
+        String at = "deployment.teams[" + index++ + "].";
         teams.add(
             new Team(
-                text(t, at, "name"),
-                amount(t, at, "cpus", 0, 1e9),
-                amount(t, at, "cpus_max", 0, 1e9),
-                amount(t, at, "gpus", 0, 1e9),
-                amount(t, at, "gpus_max", 0, 1e9)));
+                text(team, at, "name"),
+                amount(team, at, "cpus", 0, 1e9),
+                amount(team, at, "cpus_max", 0, 1e9),
+                amount(team, at, "gpus", 0, 1e9),
+                amount(team, at, "gpus_max", 0, 1e9)));
       }
       List<Objective> objectives = new ArrayList<>();
-      i = 0;
-      for (JsonNode o : list(dep, "deployment.", "objectives")) {
-        String at = "deployment.objectives[" + i++ + "].";
+      index = 0;
+      for (JsonNode objective : list(dep, "deployment.", "objectives")) {
+        String at = "deployment.objectives[" + index++ + "].";
         objectives.add(
             new Objective(
-                text(o, at, "kind"),
-                o.hasNonNull("class") ? text(o, at, "class") : null,
-                o.hasNonNull("within_s") ? amount(o, at, "within_s", 0, 1e9) : 0,
-                o.hasNonNull("times") ? amount(o, at, "times", 0, 1e6) : 1,
-                o.hasNonNull("share") ? amount(o, at, "share", 0, 1) : 1));
+                text(objective, at, "kind"),
+                objective.hasNonNull("class") ? text(objective, at, "class") : null,
+                objective.hasNonNull("within_s") ? amount(objective, at, "within_s", 0, 1e9) : 0,
+                objective.hasNonNull("times") ? amount(objective, at, "times", 0, 1e6) : 1,
+                objective.hasNonNull("share") ? amount(objective, at, "share", 0, 1) : 1));
       }
-      JsonNode w = table(dep, "deployment.", "workers");
-      JsonNode s = table(dep, "deployment.", "state");
-      JsonNode c = table(dep, "deployment.", "cloud");
-      JsonNode q = table(dep, "deployment.", "quota");
+      JsonNode workers = table(dep, "deployment.", "workers");
+      JsonNode node = table(dep, "deployment.", "state");
+      JsonNode cloud = table(dep, "deployment.", "cloud");
+      JsonNode quota = table(dep, "deployment.", "quota");
       return new Platform(
           text(root, "", "label"),
           text(root, "", "area"),
@@ -170,37 +171,42 @@
           List.copyOf(teams),
           List.copyOf(objectives),
           new Workers(
-              micros(w, "deployment.workers.", "report_s"),
-              micros(w, "deployment.workers.", "lease_s"),
-              micros(w, "deployment.workers.", "cancel_s")),
-          stateLimits(s),
+              micros(workers, "deployment.workers.", "report_s"),
+              micros(workers, "deployment.workers.", "lease_s"),
+              micros(workers, "deployment.workers.", "cancel_s")),
+          stateLimits(node),
           new CloudLimits(
-              amount(c, "deployment.cloud.", "rps", 0.1, 1e9),
-              micros(c, "deployment.cloud.", "list_lag_s")),
-          (int) amount(q, "deployment.quota.", "fd_limit", 64, 1e7));
+              amount(cloud, "deployment.cloud.", "rps", 0.1, 1e9),
+              micros(cloud, "deployment.cloud.", "list_lag_s")),
+          (int) amount(quota, "deployment.quota.", "fd_limit", 64, 1e7));
     }
 
     /** What is announced for later may name some limits only; the others stay. */
-    private StateLimits stateLimits(JsonNode s) throws SettingsException {
-      StateLimits now = limits(s, "deployment.state.", null);
-      return s.has("next")
-          ? now.within(limits(table(s, "deployment.state.", "next"), "deployment.state.next.", now))
+    private StateLimits stateLimits(JsonNode node) throws SettingsException {
+      StateLimits now = limits(node, "deployment.state.", null);
+      return node.has("next")
+          ? now.within(
+              limits(table(node, "deployment.state.", "next"), "deployment.state.next.", now))
           : now;
     }
 
-    private StateLimits limits(JsonNode s, String at, StateLimits otherwise)
+    private StateLimits limits(JsonNode node, String at, StateLimits otherwise)
         throws SettingsException {
       boolean all = otherwise == null;
-      double rps = all || s.has("rps") ? amount(s, at, "rps", 1, 1e9) : otherwise.rps();
+      double rps = all || node.has("rps") ? amount(node, at, "rps", 1, 1e9) : otherwise.rps();
       double writeRps =
-          all || s.has("write_rps") ? amount(s, at, "write_rps", 1, 1e9) : otherwise.writeRps();
+          all || node.has("write_rps")
+              ? amount(node, at, "write_rps", 1, 1e9)
+              : otherwise.writeRps();
       // Less than this would hold neither a job's record nor an election.
       int valueBytes =
-          all || s.has("value_kb")
-              ? (int) (amount(s, at, "value_kb", 1, 1e6) * 1024)
+          all || node.has("value_kb")
+              ? (int) (amount(node, at, "value_kb", 1, 1e6) * 1024)
               : otherwise.valueBytes();
       int txnOps =
-          all || s.has("txn_ops") ? (int) amount(s, at, "txn_ops", 3, 1e6) : otherwise.txnOps();
+          all || node.has("txn_ops")
+              ? (int) amount(node, at, "txn_ops", 3, 1e6)
+              : otherwise.txnOps();
       return new StateLimits(rps, writeRps, valueBytes, txnOps);
     }
 
@@ -209,48 +215,48 @@
     }
 
     private JsonNode table(JsonNode in, String at, String key) throws SettingsException {
-      JsonNode n = in.get(key);
-      if (n == null || !n.isObject()) {
-        throw bad(at + key, n == null ? "is missing" : "must be a table");
+      JsonNode node = in.get(key);
+      if (node == null || !node.isObject()) {
+        throw bad(at + key, node == null ? "is missing" : "must be a table");
       }
-      return n;
+      return node;
     }
 
     private Iterable<JsonNode> list(JsonNode in, String at, String key) throws SettingsException {
-      JsonNode n = in.get(key);
-      if (n == null) {
+      JsonNode node = in.get(key);
+      if (node == null) {
         return List.of();
       }
-      if (!n.isArray()) {
+      if (!node.isArray()) {
         throw bad(at + key, "must be a list of tables");
       }
-      for (JsonNode x : n) {
-        if (!x.isObject()) {
+      for (JsonNode element : node) {
+        if (!element.isObject()) {
           throw bad(at + key, "must be a list of tables");
         }
       }
-      return n;
+      return node;
     }
 
     private String text(JsonNode in, String at, String key) throws SettingsException {
-      JsonNode n = in.get(key);
-      if (n == null || !n.isTextual() || n.textValue().isBlank()) {
-        throw bad(at + key, n == null ? "is missing" : "must be a text that is not empty");
+      JsonNode node = in.get(key);
+      if (node == null || !node.isTextual() || node.textValue().isBlank()) {
+        throw bad(at + key, node == null ? "is missing" : "must be a text that is not empty");
       }
-      return n.textValue();
+      return node.textValue();
     }
 
     private double amount(JsonNode in, String at, String key, double min, double max)
         throws SettingsException {
-      JsonNode n = in.get(key);
-      if (n == null || !n.isNumber()) {
-        throw bad(at + key, n == null ? "is missing" : "must be a number");
+      JsonNode node = in.get(key);
+      if (node == null || !node.isNumber()) {
+        throw bad(at + key, node == null ? "is missing" : "must be a number");
       }
-      double d = n.doubleValue();
-      if (!(d >= min && d <= max)) {
+      double amount = node.doubleValue();
+      if (!(amount >= min && amount <= max)) {
         throw bad(at + key, "must be from " + min + " to " + max);
       }
-      return d;
+      return amount;
     }
 
     private long micros(JsonNode in, String at, String key) throws SettingsException {
@@ -258,12 +264,12 @@
     }
 
     private Endpoint endpoint(JsonNode in, String at, String key) throws SettingsException {
-      String t = text(in, at, key);
-      Endpoint e = Endpoint.parse(t);
-      if (e == null) {
+      String otherText = text(in, at, key);
+      Endpoint endpoint = Endpoint.parse(otherText);
+      if (endpoint == null) {
         throw bad(at + key, "must be ADDRESS:PORT");
       }
-      return e;
+      return endpoint;
     }
   }
 }
--- a/src/main/java/plumlever/store/ChainBook.java
+++ b/src/main/java/plumlever/store/ChainBook.java
@@ -101,8 +101,8 @@
     ask(new Question(uid, TRIES, then));
   }
 
-  private void ask(Question q) {
-    gathered.add(q);
+  private void ask(Question question) {
+    gathered.add(question);
     if (gathered.size() == 1) {
       loop.after(GATHER_MICROS, this::turn);
     }
@@ -142,9 +142,9 @@
   /** Reads what is missing of the chains asked about, step by step away from them. */
   private void complete(List<Question> asked) {
     Set<String> unread = new LinkedHashSet<>();
-    for (Question q : asked) {
-      if (!whole.contains(q.uid)) {
-        unread.add(q.uid);
+    for (Question question : asked) {
+      if (!whole.contains(question.uid)) {
+        unread.add(question.uid);
       }
     }
     Chains into = chains;
@@ -240,17 +240,17 @@
       }
     }
 
-    private void active(StateClient.Item i, List<StateClient.Item> spilled) {
-      String uid = i.key().substring(JobStore.ACTIVE.length());
-      if (JobStore.waitsKeys(uid, i.data()).isEmpty()) {
-        enter(i, JobStore.waitsInline(i.data()));
+    private void active(StateClient.Item item, List<StateClient.Item> spilled) {
+      String uid = item.key().substring(JobStore.ACTIVE.length());
+      if (JobStore.waitsKeys(uid, item.data()).isEmpty()) {
+        enter(item, JobStore.waitsInline(item.data()));
       } else {
-        spilled.add(i);
+        spilled.add(item);
       }
     }
 
-    private void enter(StateClient.Item i, List<String> waitsOn) {
-      into.accepted(i.key().substring(JobStore.ACTIVE.length()), i.stamp(), waitsOn);
+    private void enter(StateClient.Item item, List<String> waitsOn) {
+      into.accepted(item.key().substring(JobStore.ACTIVE.length()), item.stamp(), waitsOn);
       name(waitsOn);
     }
 
@@ -325,24 +325,24 @@
             }
             return;
           }
-          for (StateClient.Change c : changes.log()) {
-            JobState how = c.data() == null ? null : JobStore.finalState(c.data());
+          for (StateClient.Change change : changes.log()) {
+            JobState how = change.data() == null ? null : JobStore.finalState(change.data());
             if (how != null) {
-              String uid = c.key().substring(JobStore.ENDED.length());
+              String uid = change.key().substring(JobStore.ENDED.length());
               // Also of jobs that are not in the book: one that was read before it ended may be on
               // its way into it.
               ends.ended(uid, how);
-              chains.ended(uid, how, JobStore.endedWallMicros(c.data()));
+              chains.ended(uid, how, JobStore.endedWallMicros(change.data()));
               whole.remove(uid);
             }
           }
           epoch = Math.max(epoch, changes.epoch());
           forgetNews();
-          for (Question q : asked) {
-            q.then.accept(
-                ends.known(q.uid) != null
+          for (Question question : asked) {
+            question.then.accept(
+                ends.known(question.uid) != null
                     ? Answer.ENDED
-                    : switch (chains.standing(q.uid)) {
+                    : switch (chains.standing(question.uid)) {
                       case WAITING -> Answer.WAITING;
                       case RELEASED -> Answer.RELEASED;
                       case ABORTED -> Answer.ABORTED;
@@ -354,17 +354,18 @@
   }
 
   private void again(List<Question> asked) {
-    for (Question q : asked) {
-      if (q.tries > 1) {
-        loop.after(AGAIN_MICROS, () -> ask(new Question(q.uid, q.tries - 1, q.then)));
+    for (Question question : asked) {
+      if (question.tries > 1) {
+        loop.after(
+            AGAIN_MICROS, () -> ask(new Question(question.uid, question.tries - 1, question.then)));
       } else {
-        q.then.accept(Answer.UNAVAILABLE);
+        question.then.accept(Answer.UNAVAILABLE);
       }
     }
   }
 
-  private static void answer(List<Question> asked, Answer a) {
-    asked.forEach(q -> q.then.accept(a));
+  private static void answer(List<Question> asked, Answer answer) {
+    asked.forEach(q -> q.then.accept(answer));
   }
 
   private void reset() {
--- a/src/main/java/plumlever/store/JobBook.java
+++ b/src/main/java/plumlever/store/JobBook.java
@@ -245,9 +245,9 @@
     gathered = new ArrayList<>();
     Txn txn = new Txn();
     Set<String> keys = new HashSet<>();
-    for (Question q : asked) {
-      if (keys.add(q.uid)) {
-        txn.guard(JobStore.activeKey(q.uid), q.stamp);
+    for (Question question : asked) {
+      if (keys.add(question.uid)) {
+        txn.guard(JobStore.activeKey(question.uid), question.stamp);
       }
     }
     metrics.count("looks_shared", asked.size());
@@ -260,25 +260,26 @@
                 asked.forEach(q -> q.then.accept(new Look(Standing.ACTIVE, q.stamp, null)));
             case CONFLICT -> {
               Set<String> failed = new HashSet<>(result.failed());
-              for (Question q : asked) {
+              for (Question question : asked) {
                 // Whether all that failed are named is not promised: the others are compared once
                 // more.
                 if (failed.isEmpty()
-                    || failed.contains(JobStore.activeKey(q.uid))
-                    || q.tries <= 1) {
-                  stamps.invalidate(q.uid);
-                  read(q.uid, TRIES, q.then);
+                    || failed.contains(JobStore.activeKey(question.uid))
+                    || question.tries <= 1) {
+                  stamps.invalidate(question.uid);
+                  read(question.uid, TRIES, question.then);
                 } else {
-                  look(q.uid, q.tries - 1, q.then);
+                  look(question.uid, question.tries - 1, question.then);
                 }
               }
             }
             default -> {
-              for (Question q : asked) {
-                if (result.status() == 429 && q.tries > 1) {
-                  loop.after(AGAIN_MICROS, () -> look(q.uid, q.tries - 1, q.then));
+              for (Question question : asked) {
+                if (result.status() == 429 && question.tries > 1) {
+                  loop.after(
+                      AGAIN_MICROS, () -> look(question.uid, question.tries - 1, question.then));
                 } else {
-                  q.then.accept(Look.UNAVAILABLE);
+                  question.then.accept(Look.UNAVAILABLE);
                 }
               }
             }
--- a/src/main/java/plumlever/store/JobFinder.java
+++ b/src/main/java/plumlever/store/JobFinder.java
@@ -66,9 +66,9 @@
           Map<String, Found> found = new HashMap<>();
           List<String> rest = new ArrayList<>();
           for (String uid : uids) {
-            StateClient.Item i = byUid.get(uid);
-            if (i != null) {
-              found.put(uid, new Found(i, null, 0));
+            StateClient.Item item = byUid.get(uid);
+            if (item != null) {
+              found.put(uid, new Found(item, null, 0));
             } else {
               rest.add(uid);
             }
@@ -94,15 +94,15 @@
           Map<String, StateClient.Item> byUid = new HashMap<>();
           ended.items().forEach(i -> byUid.put(i.key().substring(JobStore.ENDED.length()), i));
           for (String uid : uids) {
-            StateClient.Item i = byUid.get(uid);
-            found.put(uid, i == null ? Found.NONE : ended(i));
+            StateClient.Item item = byUid.get(uid);
+            found.put(uid, item == null ? Found.NONE : ended(item));
           }
           then.accept(found);
         });
   }
 
-  private static Found ended(StateClient.Item i) {
-    return new Found(null, JobStore.finalState(i.data()), JobStore.endedWallMicros(i.data()));
+  private static Found ended(StateClient.Item item) {
+    return new Found(null, JobStore.finalState(item.data()), JobStore.endedWallMicros(item.data()));
   }
 
   /** Reads of one key each, a few at a time. */
@@ -160,9 +160,9 @@
           });
     }
 
-    private void take(String uid, Found f) {
+    private void take(String uid, Found record) {
       underWay--;
-      found.put(uid, f);
+      found.put(uid, record);
       start();
     }
 
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -258,26 +258,26 @@
     return endedRecord.path(ENDED_MS).asLong(0) * 1_000;
   }
 
-  private static ObjectNode state(String s) {
-    return Json.object().put(STATE, s);
+  private static ObjectNode state(String text) {
+    return Json.object().put(STATE, text);
   }
 
   /** Null when it can't be read. */
   public static JobState finalState(JsonNode endedRecord) {
-    String s = endedRecord.path(STATE).asText();
-    for (JobState f : JobState.values()) {
-      if (f.isFinal() && f.wireName().equals(s)) {
-        return f;
+    String text = endedRecord.path(STATE).asText();
+    for (JobState jobState : JobState.values()) {
+      if (jobState.isFinal() && jobState.wireName().equals(text)) {
+        return jobState;
       }
     }
     return null;
   }
 
   public static JobSpec spec(JsonNode activeRecord) throws InvalidMessage {
-    if (!(activeRecord.get(SPEC) instanceof ObjectNode o)) {
+    if (!(activeRecord.get(SPEC) instanceof ObjectNode object)) {
       throw new InvalidMessage("the record holds no job");
     }
-    return JobSpec.parse(o);
+    return JobSpec.parse(object);
   }
 
   public static long acceptedWallMicros(JsonNode activeRecord) {
@@ -321,9 +321,9 @@
     ObjectNode packed = Json.object();
     doneByJob.forEach(
         (uid, done) -> packed.put(uid, Base64.getEncoder().encodeToString(done.toByteArray())));
-    ObjectNode o = Json.object();
-    o.set(PACKED, packed);
-    return o;
+    ObjectNode object = Json.object();
+    object.set(PACKED, packed);
+    return object;
   }
 
   /** The finished tasks by job; a job whose bitmap can't be read has none. */
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -125,9 +125,9 @@
     return refusedSinceMicros < 0 ? 0 : loop.nowMicros() - refusedSinceMicros;
   }
 
-  public void get(String key, Class c, Consumer<Got> then) {
+  public void get(String key, Class priority, Consumer<Got> then) {
     send(
-        c,
+        priority,
         0,
         "GET",
         "/keys/" + key,
@@ -155,21 +155,21 @@
   /**
    * @param then takes null when the keys could not all be read
    */
-  public void list(String prefix, Class c, Consumer<Listing> then) {
-    page(prefix, null, c, new ArrayList<>(), -1, then);
+  public void list(String prefix, Class priority, Consumer<Listing> then) {
+    page(prefix, null, priority, new ArrayList<>(), -1, then);
   }
 
   private void page(
       String prefix,
       String since,
-      Class c,
+      Class priority,
       List<Item> into,
       long firstEpoch,
       Consumer<Listing> then) {
     String path =
         "/keys?under=" + prefix + "&page=" + PAGE + (since == null ? "" : "&since=" + since);
     send(
-        c,
+        priority,
         0,
         "GET",
         path,
@@ -184,17 +184,20 @@
             return;
           }
           String last = null;
-          for (JsonNode n : o.get("items")) {
-            last = n.path("k").asText();
+          for (JsonNode node : o.get("items")) {
+            last = node.path("k").asText();
             into.add(
                 new Item(
-                    last, n.path("data"), n.path("stamp").asLong(), n.path("permit").asLong(0)));
+                    last,
+                    node.path("data"),
+                    node.path("stamp").asLong(),
+                    node.path("permit").asLong(0)));
           }
           // Pages are read at different revisions; following from the first one misses nothing in
           // between.
           long epoch = firstEpoch >= 0 ? firstEpoch : o.get("epoch").longValue();
           if (o.path("more").asBoolean(false) && last != null) {
-            page(prefix, last, c, into, epoch, then);
+            page(prefix, last, priority, into, epoch, then);
           } else {
             then.accept(new Listing(into, epoch));
           }
@@ -217,9 +220,9 @@
                     : -1L));
   }
 
-  public void txn(Txn txn, Class c, Consumer<Txn.Result> then) {
+  public void txn(Txn txn, Class priority, Consumer<Txn.Result> then) {
     send(
-        c,
+        priority,
         txn.changes(),
         "POST",
         "/txn",
@@ -295,11 +298,13 @@
             return;
           }
           List<Change> log = new ArrayList<>();
-          for (JsonNode n : o.path("log")) {
-            if (n.hasNonNull("put")) {
-              log.add(new Change(n.get("put").asText(), n.path("data"), n.path("stamp").asLong()));
-            } else if (n.hasNonNull("drop")) {
-              log.add(new Change(n.get("drop").asText(), null, n.path("stamp").asLong()));
+          for (JsonNode node : o.path("log")) {
+            if (node.hasNonNull("put")) {
+              log.add(
+                  new Change(
+                      node.get("put").asText(), node.path("data"), node.path("stamp").asLong()));
+            } else if (node.hasNonNull("drop")) {
+              log.add(new Change(node.get("drop").asText(), null, node.path("stamp").asLong()));
             }
           }
           then.accept(new Changes(200, o.get("epoch").longValue(), log));
@@ -311,7 +316,7 @@
   }
 
   private void send(
-      Class c,
+      Class priority,
       int changes,
       String method,
       String path,
@@ -319,7 +324,7 @@
       long timeoutMicros,
       Parsed then) {
     long now = loop.nowMicros();
-    if (c == Class.URGENT) {
+    if (priority == Class.URGENT) {
       requests.force(1, now);
       writes.force(changes, now);
     } else if (!requests.take(1, now) || (changes > 0 && !writes.take(changes, now))) {
--- a/src/main/java/plumlever/store/TokenBucket.java
+++ b/src/main/java/plumlever/store/TokenBucket.java
@@ -22,19 +22,19 @@
     tokens = Math.min(tokens, burst);
   }
 
-  public boolean take(double n, long nowMicros) {
+  public boolean take(double otherTokens, long nowMicros) {
     refill(nowMicros);
-    if (tokens < n) {
+    if (tokens < otherTokens) {
       return false;
     }
-    tokens -= n;
+    tokens -= otherTokens;
     return true;
   }
 
   /** For requests that must go whatever the rate; they are paid for by the ones that can wait. */
-  public void force(double n, long nowMicros) {
+  public void force(double otherTokens, long nowMicros) {
     refill(nowMicros);
-    tokens = Math.max(tokens - n, -burst);
+    tokens = Math.max(tokens - otherTokens, -burst);
   }
 
   private void refill(long nowMicros) {
--- a/src/main/java/plumlever/store/Txn.java
+++ b/src/main/java/plumlever/store/Txn.java
@@ -53,8 +53,8 @@
 
   public Txn put(String key, JsonNode data, long permit) {
     grant = true;
-    ObjectNode n = then.addObject().put("put", key).put("permit", permit);
-    n.set("data", data);
+    ObjectNode object = then.addObject().put("put", key).put("permit", permit);
+    object.set("data", data);
     return this;
   }
 
--- a/src/main/java/plumlever/warmup/Practice.java
+++ b/src/main/java/plumlever/warmup/Practice.java
@@ -89,9 +89,9 @@
             c -> LoggerFactory.getLogger("practice." + c.getSimpleName()));
     node.start();
     long apart = REPORT_MICROS / MACHINES;
-    int n = 0;
-    for (String m : outside.machines()) {
-      loop.after(n++ * apart, () -> report(life, m));
+    int count = 0;
+    for (String text : outside.machines()) {
+      loop.after(count++ * apart, () -> report(life, text));
     }
     for (int i = 0; i < JOBS; i++) {
       loop.after(500_000 + i * 1_500_000L, () -> submit(life));
@@ -150,7 +150,7 @@
 
   private void submit(int life) {
     Urgency urgency = Urgency.values()[submitted % Urgency.values().length];
-    JobSpec j =
+    JobSpec job =
         new JobSpec(
             "job-" + ++submitted,
             "c" + submitted % 3,
@@ -171,8 +171,8 @@
             submitted % 2 * 2,
             1,
             submitted % 2 == 0 ? 60 : JobSpec.NO_DEADLINE);
-    ask(life, "POST", "/submissions", Json.write(j.toJson()).getBytes(StandardCharsets.UTF_8));
-    poll(life, j.uid());
+    ask(life, "POST", "/submissions", Json.write(job.toJson()).getBytes(StandardCharsets.UTF_8));
+    poll(life, job.uid());
   }
 
   private void poll(int life, String uid) {
--- a/src/main/java/plumlever/warmup/PracticeLoop.java
+++ b/src/main/java/plumlever/warmup/PracticeLoop.java
@@ -20,13 +20,13 @@
 
   /** Plays the next thing that is due before then; false when there is none. */
   boolean step(long untilMicros) {
-    Event e = events.peek();
-    if (e == null || e.at > untilMicros) {
+    Event event = events.peek();
+    if (event == null || event.at > untilMicros) {
       return false;
     }
     events.poll();
-    now = Math.max(now, e.at);
-    e.action.run();
+    now = Math.max(now, event.at);
+    event.action.run();
     return true;
   }
 
--- a/src/main/java/plumlever/warmup/PracticeOutside.java
+++ b/src/main/java/plumlever/warmup/PracticeOutside.java
@@ -60,12 +60,12 @@
     long tick;
     long baton;
 
-    Host(int n, String endpoint) {
-      this.id = String.format("i-%06d", n);
+    Host(int number, String endpoint) {
+      this.id = String.format("i-%06d", number);
       this.endpoint = endpoint;
-      this.large = n % 2 == 0;
-      this.spot = n % 3 == 0;
-      this.site = n % 4 < 2 ? "a" : "b";
+      this.large = number % 2 == 0;
+      this.spot = number % 3 == 0;
+      this.site = number % 4 < 2 ? "a" : "b";
     }
   }
 
@@ -83,8 +83,8 @@
   public PracticeOutside(Loop loop, int machines, String endpoint) {
     this.loop = loop;
     for (int i = 1; i <= machines; i++) {
-      Host h = new Host(i, String.format(endpoint, i));
-      hosts.put(h.id, h);
+      Host host = new Host(i, String.format(endpoint, i));
+      hosts.put(host.id, host);
     }
   }
 
@@ -113,10 +113,12 @@
                 ? "{\"permit\":" + ++permits + "}"
                 : "{}");
       } else if (path.startsWith("/keys/")) {
-        Entry e = keys.get(path.substring(6));
+        Entry entry = keys.get(path.substring(6));
         reply.send(
-            e == null ? 404 : 200,
-            e == null ? "{\"epoch\":" + epoch + "}" : Json.write(item(path.substring(6), e)));
+            entry == null ? 404 : 200,
+            entry == null
+                ? "{\"epoch\":" + epoch + "}"
+                : Json.write(item(path.substring(6), entry)));
       } else if (path.startsWith("/keys?")) {
         list(parameter(path, "under"), reply);
       } else if (path.startsWith("/follow?")) {
@@ -141,26 +143,29 @@
     return to < 0 ? path.substring(from) : path.substring(from, to);
   }
 
-  private static ObjectNode item(String key, Entry e) {
-    ObjectNode o = Json.object().put("k", key).put("stamp", e.stamp).put("permit", e.permit);
-    o.set("data", e.data);
-    return o;
+  private static ObjectNode item(String key, Entry entry) {
+    ObjectNode object =
+        Json.object().put("k", key).put("stamp", entry.stamp).put("permit", entry.permit);
+    object.set("data", entry.data);
+    return object;
   }
 
-  private void txn(ObjectNode t, Reply reply) {
-    for (JsonNode g : t.path("guards")) {
-      Entry e = keys.get(g.path("k").asText());
-      if ((e == null ? 0 : e.stamp) != g.path("stamp").asLong()) {
-        reply.send(409, "{\"failed\":[" + Json.write(g.path("k")) + "],\"epoch\":" + epoch + "}");
+  private void txn(ObjectNode object, Reply reply) {
+    for (JsonNode node : object.path("guards")) {
+      Entry entry = keys.get(node.path("k").asText());
+      if ((entry == null ? 0 : entry.stamp) != node.path("stamp").asLong()) {
+        reply.send(
+            409, "{\"failed\":[" + Json.write(node.path("k")) + "],\"epoch\":" + epoch + "}");
         return;
       }
     }
     epoch++;
-    for (JsonNode c : t.path("then")) {
-      String key = c.hasNonNull("put") ? c.get("put").asText() : c.path("drop").asText();
-      if (c.hasNonNull("put")) {
-        keys.put(key, new Entry(c.path("data"), epoch, c.path("permit").asLong(0)));
-        log.add(new Change(epoch, key, c.path("data")));
+    for (JsonNode change : object.path("then")) {
+      String key =
+          change.hasNonNull("put") ? change.get("put").asText() : change.path("drop").asText();
+      if (change.hasNonNull("put")) {
+        keys.put(key, new Entry(change.path("data"), epoch, change.path("permit").asLong(0)));
+        log.add(new Change(epoch, key, change.path("data")));
       } else if (keys.remove(key) != null) {
         log.add(new Change(epoch, key, null));
       }
@@ -183,17 +188,20 @@
 
   private void follow(String under, long since, boolean mayWait, Reply reply) {
     ObjectNode out = Json.object().put("epoch", epoch);
-    ArrayNode a = out.putArray("log");
-    for (Change c : log) {
-      if (c.stamp > since && c.key.startsWith(under)) {
-        ObjectNode n =
-            a.addObject().put("stamp", c.stamp).put(c.data == null ? "drop" : "put", c.key);
-        if (c.data != null) {
-          n.set("data", c.data);
+    ArrayNode array = out.putArray("log");
+    for (Change change : log) {
+      if (change.stamp > since && change.key.startsWith(under)) {
+        ObjectNode answer =
+            array
+                .addObject()
+                .put("stamp", change.stamp)
+                .put(change.data == null ? "drop" : "put", change.key);
+        if (change.data != null) {
+          answer.set("data", change.data);
         }
       }
     }
-    if (a.isEmpty() && mayWait) {
+    if (array.isEmpty() && mayWait) {
       loop.after(MOST_WAIT_MICROS, () -> follow(under, since, false, reply));
     } else {
       reply.send(200, Json.write(out));
@@ -202,12 +210,13 @@
 
   private String listed() {
     ObjectNode out = Json.object().put("more", false);
-    ArrayNode a = out.putArray("hosts");
+    ArrayNode array = out.putArray("hosts");
     hosts
         .values()
         .forEach(
             h ->
-                a.addObject()
+                array
+                    .addObject()
                     .put("uid", h.id)
                     .put("endpoint", h.endpoint)
                     .put("flavor", h.large ? "large" : "small")
@@ -220,60 +229,63 @@
 
   /** The machine's report as it stands now. */
   public byte[] report(String host) {
-    Host h = hosts.get(host);
+    Host otherHost = hosts.get(host);
     long now = loop.nowMicros();
-    ObjectNode o =
+    ObjectNode object =
         Json.object()
-            .put("host", h.id)
-            .put("endpoint", h.endpoint)
-            .put("flavor", h.large ? "large" : "small")
-            .put("site", h.site)
-            .put("loaners", h.spot)
+            .put("host", otherHost.id)
+            .put("endpoint", otherHost.endpoint)
+            .put("flavor", otherHost.large ? "large" : "small")
+            .put("site", otherHost.site)
+            .put("loaners", otherHost.spot)
             .put("tenure", 1)
-            .put("tick", ++h.tick)
-            .put("baton", h.baton)
+            .put("tick", ++otherHost.tick)
+            .put("baton", otherHost.baton)
             .putNull("reclaim_in_s");
-    ArrayNode a = o.putArray("pieces");
-    for (Task t : h.tasks.values()) {
-      long age = now - t.sinceMicros;
-      if (t.exit == null && age > FETCH_MICROS + RUN_MICROS) {
-        t.exit = "done";
+    ArrayNode array = object.putArray("pieces");
+    for (Task task : otherHost.tasks.values()) {
+      long age = now - task.sinceMicros;
+      if (task.exit == null && age > FETCH_MICROS + RUN_MICROS) {
+        task.exit = "done";
       }
-      ObjectNode n =
-          a.addObject()
-              .put("piece", t.name)
-              .put("try", t.attempt)
-              .put("status", t.exit != null ? "ended" : age > FETCH_MICROS ? "running" : "pulling");
-      if (t.exit != null) {
-        n.put("exit_cause", t.exit);
+      ObjectNode answer =
+          array
+              .addObject()
+              .put("piece", task.name)
+              .put("try", task.attempt)
+              .put(
+                  "status",
+                  task.exit != null ? "ended" : age > FETCH_MICROS ? "running" : "pulling");
+      if (task.exit != null) {
+        answer.put("exit_cause", task.exit);
       }
     }
-    return Json.write(o).getBytes(java.nio.charset.StandardCharsets.UTF_8);
+    return Json.write(object).getBytes(java.nio.charset.StandardCharsets.UTF_8);
   }
 
   /** The machine carries out what an answer or a direct call says. */
   public void order(String host, String answer) {
-    Host h = hosts.get(host);
-    ObjectNode o;
+    Host otherHost = hosts.get(host);
+    ObjectNode object;
     try {
-      o = Json.parseObject(answer);
+      object = Json.parseObject(answer);
     } catch (InvalidMessage e) {
       throw new IllegalStateException("an answer that was just written can't be read", e);
     }
-    h.baton = Math.max(h.baton, o.path("baton").asLong());
-    for (JsonNode order : o.path("orders")) {
+    otherHost.baton = Math.max(otherHost.baton, object.path("baton").asLong());
+    for (JsonNode order : object.path("orders")) {
       long attempt = order.path("try").asLong();
-      Task t = h.tasks.get(attempt);
+      Task task = otherHost.tasks.get(attempt);
       switch (order.path("verb").asText()) {
         case "run" ->
-            h.tasks.putIfAbsent(
+            otherHost.tasks.putIfAbsent(
                 attempt, new Task(order.path("piece").asText(), attempt, loop.nowMicros()));
         case "halt" -> {
-          if (t != null && t.exit == null) {
-            t.exit = "halted";
+          if (task != null && task.exit == null) {
+            task.exit = "halted";
           }
         }
-        default -> h.tasks.remove(attempt);
+        default -> otherHost.tasks.remove(attempt);
       }
     }
   }
--- a/src/main/java/plumlever/wire/ExitCause.java
+++ b/src/main/java/plumlever/wire/ExitCause.java
@@ -24,9 +24,9 @@
   }
 
   public static ExitCause of(String name) {
-    for (ExitCause c : values()) {
-      if (c.wireName.equals(name)) {
-        return c;
+    for (ExitCause exitCause : values()) {
+      if (exitCause.wireName.equals(name)) {
+        return exitCause;
       }
     }
     return OTHER;
--- a/src/main/java/plumlever/wire/Flavor.java
+++ b/src/main/java/plumlever/wire/Flavor.java
@@ -24,24 +24,24 @@
       throw new InvalidMessage("flavors must be a list");
     }
     List<Flavor> out = new ArrayList<>();
-    for (JsonNode f : array) {
+    for (JsonNode node : array) {
       List<String> sites = new ArrayList<>();
-      JsonNode s = f.get("sites");
-      if (s != null && s.isArray()) {
-        s.forEach(x -> sites.add(x.asText()));
+      JsonNode site = node.get("sites");
+      if (site != null && site.isArray()) {
+        site.forEach(x -> sites.add(x.asText()));
       }
-      double hourly = Json.amount(f, "hourly", 0);
+      double hourly = Json.amount(node, "hourly", 0);
       out.add(
           new Flavor(
-              Json.text(f, "sku"),
-              Json.amount(f, "cores", 0),
-              Json.amount(f, "accelerators", 0),
-              Json.amount(f, "memory_gb", 0),
-              Json.amount(f, "cache_gb", 0),
-              Json.amount(f, "fetch_gb_per_s", 0),
+              Json.text(node, "sku"),
+              Json.amount(node, "cores", 0),
+              Json.amount(node, "accelerators", 0),
+              Json.amount(node, "memory_gb", 0),
+              Json.amount(node, "cache_gb", 0),
+              Json.amount(node, "fetch_gb_per_s", 0),
               hourly,
-              Json.absent(f, "low_price") ? hourly : Json.amount(f, "low_price", 0),
-              Json.amount(f, "startup_s", 0),
+              Json.absent(node, "low_price") ? hourly : Json.amount(node, "low_price", 0),
+              Json.amount(node, "startup_s", 0),
               List.copyOf(sites)));
     }
     return List.copyOf(out);
--- a/src/main/java/plumlever/wire/HostEntry.java
+++ b/src/main/java/plumlever/wire/HostEntry.java
@@ -11,14 +11,14 @@
     boolean loaners,
     String status,
     double ageS) {
-  public static HostEntry parse(JsonNode n) throws InvalidMessage {
+  public static HostEntry parse(JsonNode node) throws InvalidMessage {
     return new HostEntry(
-        Json.text(n, "uid"),
-        Json.text(n, "endpoint"),
-        Json.text(n, "flavor"),
-        Json.text(n, "site"),
-        Json.flag(n, "loaners"),
-        Json.text(n, "status"),
-        Json.absent(n, "age_s") ? 0 : Json.amount(n, "age_s", 0));
+        Json.text(node, "uid"),
+        Json.text(node, "endpoint"),
+        Json.text(node, "flavor"),
+        Json.text(node, "site"),
+        Json.flag(node, "loaners"),
+        Json.text(node, "status"),
+        Json.absent(node, "age_s") ? 0 : Json.amount(node, "age_s", 0));
   }
 }
--- a/src/main/java/plumlever/wire/JobSpec.java
+++ b/src/main/java/plumlever/wire/JobSpec.java
@@ -99,60 +99,60 @@
    * Reads and checks every field; {@code shape} other than a sweep is not something this service
    * runs.
    */
-  public static JobSpec parse(ObjectNode o) throws InvalidMessage {
-    String uid = Json.text(o, "uid");
+  public static JobSpec parse(ObjectNode object) throws InvalidMessage {
+    String uid = Json.text(object, "uid");
     if (!validUid(uid)) {
       throw new InvalidMessage("uid must be job- and digits");
     }
-    if (!"sweep".equals(Json.text(o, "shape"))) {
+    if (!"sweep".equals(Json.text(object, "shape"))) {
       throw new InvalidMessage("shape is unknown");
     }
     List<String> flavors = null;
-    JsonNode f = o.get("flavors");
-    if (f != null && !f.isNull()) {
-      if (!f.isArray() || f.isEmpty() || f.size() > 100) {
+    JsonNode node = object.get("flavors");
+    if (node != null && !node.isNull()) {
+      if (!node.isArray() || node.isEmpty() || node.size() > 100) {
         throw new InvalidMessage("flavors must be null or a list of 1 to 100 names");
       }
       flavors = new ArrayList<>();
-      for (JsonNode x : f) {
-        if (!x.isTextual() || x.textValue().isEmpty()) {
+      for (JsonNode element : node) {
+        if (!element.isTextual() || element.textValue().isEmpty()) {
           throw new InvalidMessage("flavors must hold names");
         }
-        flavors.add(x.textValue());
+        flavors.add(element.textValue());
       }
     }
-    double cores = Json.amount(o, "cores", 0);
-    double accelerators = Json.amount(o, "accelerators", 0);
-    double memory = Json.amount(o, "memory_gb", 0);
+    double cores = Json.amount(object, "cores", 0);
+    double accelerators = Json.amount(object, "accelerators", 0);
+    double memory = Json.amount(object, "memory_gb", 0);
     return new JobSpec(
         uid,
-        Json.text(o, "jobclass"),
-        Json.text(o, "owner"),
-        Urgency.of(Json.text(o, "urgency")),
-        (int) Json.whole(o, "pieces", 1, MAX_PIECES),
+        Json.text(object, "jobclass"),
+        Json.text(object, "owner"),
+        Urgency.of(Json.text(object, "urgency")),
+        (int) Json.whole(object, "pieces", 1, MAX_PIECES),
         cores,
         accelerators,
         memory,
-        Json.text(o, "bundle"),
-        Json.amount(o, "image_gb", 0),
+        Json.text(object, "bundle"),
+        Json.amount(object, "image_gb", 0),
         flavors == null ? null : List.copyOf(flavors),
-        Json.textOrNull(o, "site"),
-        Json.flag(o, "one_zone"),
-        Json.flag(o, "spread"),
-        Json.flag(o, "loaners"),
-        Json.amount(o, "expect_s", 0),
-        Json.amount(o, "snapshot_every_s", 0),
-        Json.amount(o, "snapshot_s", 0),
-        Json.absent(o, "due_s") ? NO_DEADLINE : Json.amount(o, "due_s", 0),
-        waitsOn(o));
+        Json.textOrNull(object, "site"),
+        Json.flag(object, "one_zone"),
+        Json.flag(object, "spread"),
+        Json.flag(object, "loaners"),
+        Json.amount(object, "expect_s", 0),
+        Json.amount(object, "snapshot_every_s", 0),
+        Json.amount(object, "snapshot_s", 0),
+        Json.absent(object, "due_s") ? NO_DEADLINE : Json.amount(object, "due_s", 0),
+        waitsOn(object));
   }
 
   /**
    * The jobs that have to be done before this one starts, each once; a body holds a few thousand at
    * most.
    */
-  private static List<String> waitsOn(ObjectNode o) throws InvalidMessage {
-    JsonNode list = o.get(WAITS_ON);
+  private static List<String> waitsOn(ObjectNode object) throws InvalidMessage {
+    JsonNode list = object.get(WAITS_ON);
     if (list == null || list.isNull()) {
       return List.of();
     }
@@ -160,11 +160,11 @@
       throw new InvalidMessage("waits_on must be a list of job ids");
     }
     Set<String> names = new LinkedHashSet<>();
-    for (JsonNode x : list) {
-      if (!x.isTextual() || !validUid(x.textValue())) {
+    for (JsonNode element : list) {
+      if (!element.isTextual() || !validUid(element.textValue())) {
         throw new InvalidMessage("waits_on must hold job ids");
       }
-      names.add(x.textValue());
+      names.add(element.textValue());
     }
     return List.copyOf(names);
   }
@@ -200,8 +200,9 @@
 
   /** The same fields again, for the state service. */
   public ObjectNode toJson() {
-    ObjectNode o = Json.object();
-    o.put("uid", uid)
+    ObjectNode object = Json.object();
+    object
+        .put("uid", uid)
         .put("jobclass", jobclass)
         .put("owner", owner)
         .put("shape", "sweep")
@@ -219,20 +220,20 @@
         .put("snapshot_every_s", snapshotEveryS)
         .put("snapshot_s", snapshotS);
     if (site != null) {
-      o.put("site", site);
+      object.put("site", site);
     }
     if (hasDeadline()) {
-      o.put("due_s", dueS);
+      object.put("due_s", dueS);
     }
     if (flavors != null) {
-      var a = o.putArray("flavors");
-      flavors.forEach(a::add);
+      var array = object.putArray("flavors");
+      flavors.forEach(array::add);
     }
     if (waits()) {
-      var a = o.putArray(WAITS_ON);
-      waitsOn.forEach(a::add);
+      var array = object.putArray(WAITS_ON);
+      waitsOn.forEach(array::add);
     }
-    return o;
+    return object;
   }
 
   public boolean allows(String flavor, String zone, boolean spot) {
--- a/src/main/java/plumlever/wire/Json.java
+++ b/src/main/java/plumlever/wire/Json.java
@@ -78,19 +78,19 @@
   }
 
   public static boolean absent(JsonNode object, String field) {
-    JsonNode v = object.get(field);
-    return v == null || v.isNull();
+    JsonNode node = object.get(field);
+    return node == null || node.isNull();
   }
 
   public static String text(JsonNode object, String field) throws InvalidMessage {
-    JsonNode v = object.get(field);
-    if (v == null
-        || !v.isTextual()
-        || v.textValue().isEmpty()
-        || v.textValue().length() > MOST_TEXT) {
+    JsonNode node = object.get(field);
+    if (node == null
+        || !node.isTextual()
+        || node.textValue().isEmpty()
+        || node.textValue().length() > MOST_TEXT) {
       throw new InvalidMessage(field + " must be a text of 1 to " + MOST_TEXT + " characters");
     }
-    return v.textValue();
+    return node.textValue();
   }
 
   public static String textOrNull(JsonNode object, String field) throws InvalidMessage {
@@ -98,40 +98,40 @@
   }
 
   public static boolean flag(JsonNode object, String field) throws InvalidMessage {
-    JsonNode v = object.get(field);
-    if (v == null || !v.isBoolean()) {
+    JsonNode node = object.get(field);
+    if (node == null || !node.isBoolean()) {
       throw new InvalidMessage(field + " must be true or false");
     }
-    return v.booleanValue();
+    return node.booleanValue();
   }
 
   /** A finite amount of at least {@code min}. */
   public static double amount(JsonNode object, String field, double min) throws InvalidMessage {
-    JsonNode v = object.get(field);
-    if (v == null || !v.isNumber()) {
+    JsonNode node = object.get(field);
+    if (node == null || !node.isNumber()) {
       throw new InvalidMessage(field + " must be a number");
     }
-    double d = v.doubleValue();
-    if (!inRange(d, min)) {
+    double value = node.doubleValue();
+    if (!inRange(value, min)) {
       throw new InvalidMessage(field + " is out of range");
     }
-    return d;
+    return value;
   }
 
-  static boolean inRange(double d, double min) {
-    return Double.isFinite(d) && d >= min && d <= 1e9;
+  static boolean inRange(double value, double min) {
+    return Double.isFinite(value) && value >= min && value <= 1e9;
   }
 
   public static long whole(JsonNode object, String field, long min, long max)
       throws InvalidMessage {
-    JsonNode v = object.get(field);
-    if (v == null
-        || !v.isIntegralNumber()
-        || !v.canConvertToLong()
-        || v.longValue() < min
-        || v.longValue() > max) {
+    JsonNode node = object.get(field);
+    if (node == null
+        || !node.isIntegralNumber()
+        || !node.canConvertToLong()
+        || node.longValue() < min
+        || node.longValue() > max) {
       throw new InvalidMessage(field + " must be a whole number from " + min + " to " + max);
     }
-    return v.longValue();
+    return node.longValue();
   }
 }
--- a/src/main/java/plumlever/wire/Order.java
+++ b/src/main/java/plumlever/wire/Order.java
@@ -44,25 +44,25 @@
 
   private static String body(long token, long tenure, List<Order> orders) {
     StringWriter out = new StringWriter(64);
-    try (JsonGenerator g = Json.generator(out)) {
-      g.writeStartObject();
-      g.writeNumberField("baton", token);
+    try (JsonGenerator jsonGenerator = Json.generator(out)) {
+      jsonGenerator.writeStartObject();
+      jsonGenerator.writeNumberField("baton", token);
       if (tenure > 0) {
-        g.writeNumberField("tenure", tenure);
+        jsonGenerator.writeNumberField("tenure", tenure);
       }
-      g.writeArrayFieldStart("orders");
-      for (Order o : orders) {
-        g.writeStartObject();
-        g.writeStringField("verb", o.verb.wireName);
-        g.writeStringField("piece", o.task.wireName());
-        g.writeNumberField("try", o.attempt);
-        if (o.verb == Verb.HALT) {
-          g.writeNumberField("wind_down_s", o.windDownS);
+      jsonGenerator.writeArrayFieldStart("orders");
+      for (Order order : orders) {
+        jsonGenerator.writeStartObject();
+        jsonGenerator.writeStringField("verb", order.verb.wireName);
+        jsonGenerator.writeStringField("piece", order.task.wireName());
+        jsonGenerator.writeNumberField("try", order.attempt);
+        if (order.verb == Verb.HALT) {
+          jsonGenerator.writeNumberField("wind_down_s", order.windDownS);
         }
-        g.writeEndObject();
+        jsonGenerator.writeEndObject();
       }
-      g.writeEndArray();
-      g.writeEndObject();
+      jsonGenerator.writeEndArray();
+      jsonGenerator.writeEndObject();
     } catch (IOException e) {
       throw new IllegalStateException("plain values could not be written to memory", e);
     }
--- a/src/main/java/plumlever/wire/TaskName.java
+++ b/src/main/java/plumlever/wire/TaskName.java
@@ -8,11 +8,11 @@
       throw new InvalidMessage("piece must be JOB/NUMBER");
     }
     try {
-      int n = Integer.parseInt(text, slash + 1, text.length(), 10);
-      if (n < 0) {
+      int number = Integer.parseInt(text, slash + 1, text.length(), 10);
+      if (number < 0) {
         throw new InvalidMessage("piece number is negative");
       }
-      return new TaskName(text.substring(0, slash), n);
+      return new TaskName(text.substring(0, slash), number);
     } catch (NumberFormatException e) {
       throw new InvalidMessage("piece must end in a number");
     }
--- a/src/main/java/plumlever/wire/TaskStatus.java
+++ b/src/main/java/plumlever/wire/TaskStatus.java
@@ -18,9 +18,9 @@
   }
 
   public static TaskStatus of(String name) throws InvalidMessage {
-    for (TaskStatus s : values()) {
-      if (s.wireName.equals(name)) {
-        return s;
+    for (TaskStatus taskStatus : values()) {
+      if (taskStatus.wireName.equals(name)) {
+        return taskStatus;
       }
     }
     throw new InvalidMessage("task status is unknown");
--- a/src/main/java/plumlever/wire/Urgency.java
+++ b/src/main/java/plumlever/wire/Urgency.java
@@ -18,9 +18,9 @@
   }
 
   public static Urgency of(String name) throws InvalidMessage {
-    for (Urgency u : values()) {
-      if (u.wireName.equals(name)) {
-        return u;
+    for (Urgency urgency : values()) {
+      if (urgency.wireName.equals(name)) {
+        return urgency;
       }
     }
     throw new InvalidMessage("urgency is unknown");
--- a/src/main/java/plumlever/wire/WorkerReport.java
+++ b/src/main/java/plumlever/wire/WorkerReport.java
@@ -28,8 +28,8 @@
 
   /** True if any task is on the machine, in whatever state before its end. */
   public boolean holdsTasks() {
-    for (Piece p : pieces) {
-      if (p.status() != TaskStatus.ENDED) {
+    for (Piece piece : pieces) {
+      if (piece.status() != TaskStatus.ENDED) {
         return true;
       }
     }
@@ -48,33 +48,35 @@
    * Read field by field: a leader takes hundreds a second, and nearly all of its JSON is in them.
    */
   public static WorkerReport parse(byte[] body) throws InvalidMessage {
-    try (JsonParser p = Json.parser(body)) {
-      if (p.nextToken() != JsonToken.START_OBJECT) {
+    try (JsonParser jsonParser = Json.parser(body)) {
+      if (jsonParser.nextToken() != JsonToken.START_OBJECT) {
         throw new InvalidMessage("not a JSON object");
       }
-      Fields f = new Fields();
-      while (p.nextToken() == JsonToken.FIELD_NAME) {
-        String name = p.currentName();
-        JsonToken t = p.nextToken();
+      Fields fields = new Fields();
+      while (jsonParser.nextToken() == JsonToken.FIELD_NAME) {
+        String name = jsonParser.currentName();
+        JsonToken jsonToken = jsonParser.nextToken();
         switch (name) {
-          case "host" -> f.host = text(p, name);
-          case "endpoint" -> f.endpoint = text(p, name);
-          case "flavor" -> f.flavor = text(p, name);
-          case "site" -> f.site = text(p, name);
-          case "loaners" -> f.loaners = flag(p, name);
-          case "tenure" -> f.tenure = whole(p, name);
-          case "tick" -> f.tick = whole(p, name);
-          case "baton" -> f.baton = whole(p, name);
+          case "host" -> fields.host = text(jsonParser, name);
+          case "endpoint" -> fields.endpoint = text(jsonParser, name);
+          case "flavor" -> fields.flavor = text(jsonParser, name);
+          case "site" -> fields.site = text(jsonParser, name);
+          case "loaners" -> fields.loaners = flag(jsonParser, name);
+          case "tenure" -> fields.tenure = whole(jsonParser, name);
+          case "tick" -> fields.tick = whole(jsonParser, name);
+          case "baton" -> fields.baton = whole(jsonParser, name);
           case "reclaim_in_s" ->
-              f.reclaimInS = t == JsonToken.VALUE_NULL ? NO_NOTICE : amount(p, name);
-          case "pieces" -> f.pieces = t == JsonToken.VALUE_NULL ? List.of() : pieces(p);
-          default -> p.skipChildren();
+              fields.reclaimInS =
+                  jsonToken == JsonToken.VALUE_NULL ? NO_NOTICE : amount(jsonParser, name);
+          case "pieces" ->
+              fields.pieces = jsonToken == JsonToken.VALUE_NULL ? List.of() : pieces(jsonParser);
+          default -> jsonParser.skipChildren();
         }
       }
-      if (p.currentToken() != JsonToken.END_OBJECT || p.nextToken() != null) {
+      if (jsonParser.currentToken() != JsonToken.END_OBJECT || jsonParser.nextToken() != null) {
         throw new InvalidMessage("not JSON");
       }
-      return f.report();
+      return fields.report();
     } catch (IOException e) {
       throw new InvalidMessage("not JSON");
     }
@@ -122,39 +124,39 @@
     return value;
   }
 
-  private static List<Piece> pieces(JsonParser p) throws IOException, InvalidMessage {
-    if (p.currentToken() != JsonToken.START_ARRAY) {
+  private static List<Piece> pieces(JsonParser jsonParser) throws IOException, InvalidMessage {
+    if (jsonParser.currentToken() != JsonToken.START_ARRAY) {
       throw new InvalidMessage("pieces must be a list");
     }
     List<Piece> pieces = new ArrayList<>();
-    while (p.nextToken() == JsonToken.START_OBJECT) {
-      pieces.add(piece(p));
+    while (jsonParser.nextToken() == JsonToken.START_OBJECT) {
+      pieces.add(piece(jsonParser));
     }
-    if (p.currentToken() != JsonToken.END_ARRAY) {
+    if (jsonParser.currentToken() != JsonToken.END_ARRAY) {
       throw new InvalidMessage("pieces must be a list of objects");
     }
     return pieces;
   }
 
-  private static Piece piece(JsonParser p) throws IOException, InvalidMessage {
+  private static Piece piece(JsonParser jsonParser) throws IOException, InvalidMessage {
     TaskName task = null;
     long attempt = -1;
     TaskStatus status = null;
     ExitCause cause = ExitCause.OTHER;
     boolean saved = false;
-    while (p.nextToken() == JsonToken.FIELD_NAME) {
-      String name = p.currentName();
-      JsonToken t = p.nextToken();
+    while (jsonParser.nextToken() == JsonToken.FIELD_NAME) {
+      String name = jsonParser.currentName();
+      JsonToken jsonToken = jsonParser.nextToken();
       switch (name) {
-        case "piece" -> task = TaskName.of(text(p, name));
-        case "try" -> attempt = whole(p, name);
-        case "status" -> status = TaskStatus.of(text(p, name));
+        case "piece" -> task = TaskName.of(text(jsonParser, name));
+        case "try" -> attempt = whole(jsonParser, name);
+        case "status" -> status = TaskStatus.of(text(jsonParser, name));
         case "exit_cause" -> {
-          cause = ExitCause.of(t == JsonToken.VALUE_STRING ? p.getText() : "");
-          p.skipChildren();
+          cause = ExitCause.of(jsonToken == JsonToken.VALUE_STRING ? jsonParser.getText() : "");
+          jsonParser.skipChildren();
         }
-        case "saved" -> saved = t != JsonToken.VALUE_NULL && flag(p, name);
-        default -> p.skipChildren();
+        case "saved" -> saved = jsonToken != JsonToken.VALUE_NULL && flag(jsonParser, name);
+        default -> jsonParser.skipChildren();
       }
     }
     return new Piece(
@@ -165,35 +167,38 @@
         saved);
   }
 
-  private static String text(JsonParser p, String name) throws IOException, InvalidMessage {
-    String s = p.currentToken() == JsonToken.VALUE_STRING ? p.getText() : "";
-    if (s.isEmpty() || s.length() > Json.MOST_TEXT) {
+  private static String text(JsonParser jsonParser, String name)
+      throws IOException, InvalidMessage {
+    String text = jsonParser.currentToken() == JsonToken.VALUE_STRING ? jsonParser.getText() : "";
+    if (text.isEmpty() || text.length() > Json.MOST_TEXT) {
       throw new InvalidMessage(name + " must be a text of 1 to " + Json.MOST_TEXT + " characters");
     }
-    return s;
+    return text;
   }
 
-  private static boolean flag(JsonParser p, String name) throws IOException, InvalidMessage {
-    if (!p.currentToken().isBoolean()) {
+  private static boolean flag(JsonParser jsonParser, String name)
+      throws IOException, InvalidMessage {
+    if (!jsonParser.currentToken().isBoolean()) {
       throw new InvalidMessage(name + " must be true or false");
     }
-    return p.getBooleanValue();
+    return jsonParser.getBooleanValue();
   }
 
-  private static long whole(JsonParser p, String name) throws IOException, InvalidMessage {
-    if (p.currentToken() != JsonToken.VALUE_NUMBER_INT
-        || p.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-        || p.getLongValue() < 0) {
+  private static long whole(JsonParser jsonParser, String name) throws IOException, InvalidMessage {
+    if (jsonParser.currentToken() != JsonToken.VALUE_NUMBER_INT
+        || jsonParser.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+        || jsonParser.getLongValue() < 0) {
       throw new InvalidMessage(name + " must be a whole number from 0 to " + Long.MAX_VALUE);
     }
-    return p.getLongValue();
+    return jsonParser.getLongValue();
   }
 
-  private static double amount(JsonParser p, String name) throws IOException, InvalidMessage {
-    double d = p.currentToken().isNumeric() ? p.getDoubleValue() : -1;
-    if (!Json.inRange(d, 0)) {
+  private static double amount(JsonParser jsonParser, String name)
+      throws IOException, InvalidMessage {
+    double amount = jsonParser.currentToken().isNumeric() ? jsonParser.getDoubleValue() : -1;
+    if (!Json.inRange(amount, 0)) {
       throw new InvalidMessage(name + " must be an amount from 0");
     }
-    return d;
+    return amount;
   }
 }
--- a/src/test/java/plumlever/fleet/ChainsTest.java
+++ b/src/test/java/plumlever/fleet/ChainsTest.java
@@ -59,14 +59,14 @@
     }
 
     Urgency urgency(String uid) {
-      Urgency u = own.get(uid).urgency();
+      Urgency otherUrgency = own.get(uid).urgency();
       for (String after : needs.keySet()) {
         if (needs.get(after).contains(uid) && ended.get(after) == null && !aborted(after)) {
           Urgency theirs = urgency(after);
-          u = theirs.compareTo(u) < 0 ? theirs : u;
+          otherUrgency = theirs.compareTo(otherUrgency) < 0 ? theirs : otherUrgency;
         }
       }
-      return u;
+      return otherUrgency;
     }
   }
 
@@ -78,20 +78,20 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void agreesWithThePlainModel(long seed) {
-    SplittableRandom r = new SplittableRandom(seed);
+    SplittableRandom random = new SplittableRandom(seed);
     Model model = new Model();
     Chains chains = new Chains();
     List<String> all = new ArrayList<>();
     Set<String> released = new HashSet<>();
     Set<String> aborted = new HashSet<>();
     for (int step = 0; step < 60; step++) {
-      if (all.size() < 14 && r.nextInt(3) > 0) {
-        accept(r, model, chains, all);
+      if (all.size() < 14 && random.nextInt(3) > 0) {
+        accept(random, model, chains, all);
       } else if (!all.isEmpty()) {
-        String uid = all.get(r.nextInt(all.size()));
+        String uid = all.get(random.nextInt(all.size()));
         if (model.ended.get(uid) == null) {
-          boolean done = model.released(uid) && !model.aborted(uid) && r.nextInt(3) > 0;
-          if (done || r.nextInt(4) == 0) {
+          boolean done = model.released(uid) && !model.aborted(uid) && random.nextInt(3) > 0;
+          if (done || random.nextInt(4) == 0) {
             model.ended.put(uid, done ? JobState.DONE : JobState.ABORTED);
             chains.ended(uid, model.ended.get(uid), step);
           }
@@ -99,9 +99,9 @@
           chains.ended(uid, model.ended.get(uid), step);
         }
       }
-      if (r.nextInt(5) == 0) {
+      if (random.nextInt(5) == 0) {
         for (String uid : all) {
-          model.cost.put(uid, 1 + r.nextLong(30));
+          model.cost.put(uid, 1 + random.nextLong(30));
         }
         chains.costs(model.cost::get);
       }
@@ -113,25 +113,26 @@
     assertTrue(!released.isEmpty() && all.size() > 5);
   }
 
-  private static void accept(SplittableRandom r, Model model, Chains chains, List<String> all) {
+  private static void accept(
+      SplittableRandom random, Model model, Chains chains, List<String> all) {
     String uid = "job-" + all.size();
     List<String> needs = new ArrayList<>();
     for (String before : all) {
-      if (r.nextInt(4) == 0) {
+      if (random.nextInt(4) == 0) {
         needs.add(before);
       }
     }
     all.add(uid);
     model.needs.put(uid, needs);
-    model.cost.put(uid, 1 + r.nextLong(30));
+    model.cost.put(uid, 1 + random.nextLong(30));
     model.own.put(
         uid,
         new Chains.Aim(
             all.size(),
-            r.nextInt(3) == 0 ? 100 + r.nextLong(200) : Long.MAX_VALUE,
+            random.nextInt(3) == 0 ? 100 + random.nextLong(200) : Long.MAX_VALUE,
             "c",
             0,
-            Urgency.values()[r.nextInt(4)]));
+            Urgency.values()[random.nextInt(4)]));
     List<String> unknown = chains.accepted(uid, 1 + all.size(), needs);
     for (String name : unknown) {
       JobState how = model.ended.get(name);
@@ -166,8 +167,8 @@
     }
   }
 
-  private static Chains.Aim aim(long due, Urgency u) {
-    return new Chains.Aim(0, due, "c", 0, u);
+  private static Chains.Aim aim(long due, Urgency urgency) {
+    return new Chains.Aim(0, due, "c", 0, urgency);
   }
 
   /**
@@ -176,42 +177,44 @@
   @Test
   void longAndWideChainsCostNoRecursion() {
     Chains chains = new Chains();
-    int n = 10_000;
-    for (int i = 0; i < n; i++) {
+    int count = 10_000;
+    for (int i = 0; i < count; i++) {
       chains.accepted("job-" + i, i + 1, i == 0 ? List.of() : List.of("job-" + (i - 1)));
       chains.aim(
           "job-" + i,
-          aim(i == n - 1 ? 1_000_000 : Long.MAX_VALUE, i == n - 1 ? Urgency.PROD : Urgency.IDLE),
+          aim(
+              i == count - 1 ? 1_000_000 : Long.MAX_VALUE,
+              i == count - 1 ? Urgency.PROD : Urgency.IDLE),
           10);
     }
     int[] changed = new int[1];
     chains.settleAims(uid -> changed[0]++);
-    assertEquals(n, changed[0], "each once");
-    assertEquals(1_000_000 - 10L * (n - 1), chains.aim("job-0").byMicros());
+    assertEquals(count, changed[0], "each once");
+    assertEquals(1_000_000 - 10L * (count - 1), chains.aim("job-0").byMicros());
     assertEquals(Urgency.PROD, chains.aim("job-0").urgency());
     chains.settleAims(uid -> changed[0]++);
-    assertEquals(n, changed[0], "nothing changed, nothing is done");
+    assertEquals(count, changed[0], "nothing changed, nothing is done");
     chains.takeReleased();
     chains.ended("job-0", JobState.ABORTED, 0);
-    assertEquals(n, chains.takeAborted().size());
-    assertEquals("job-0", chains.through("job-" + (n - 1)));
+    assertEquals(count, chains.takeAborted().size());
+    assertEquals("job-0", chains.through("job-" + (count - 1)));
 
     Chains wide = new Chains();
     wide.accepted("job-0", 1, List.of());
-    List<String> middle = IntStream.rangeClosed(1, n).mapToObj(i -> "job-" + i).toList();
-    for (int i = 1; i <= n; i++) {
+    List<String> middle = IntStream.rangeClosed(1, count).mapToObj(i -> "job-" + i).toList();
+    for (int i = 1; i <= count; i++) {
       wide.accepted("job-" + i, i + 1, List.of("job-0"));
     }
-    wide.accepted("job-last", n + 2, middle);
+    wide.accepted("job-last", count + 2, middle);
     wide.takeReleased();
     wide.ended("job-0", JobState.DONE, 5);
-    assertEquals(n, wide.takeReleased().size());
-    for (int i = 1; i <= n; i++) {
+    assertEquals(count, wide.takeReleased().size());
+    for (int i = 1; i <= count; i++) {
       assertEquals(Chains.Standing.WAITING, wide.standing("job-last"));
       wide.ended("job-" + i, JobState.DONE, i);
     }
     assertEquals(List.of("job-last"), wide.takeReleased());
-    assertEquals(n, wide.releasedMicros("job-last"));
+    assertEquals(count, wide.releasedMicros("job-last"));
   }
 
   /** A later job's deadline reaches back when it comes, and goes with it when it is aborted. */
--- a/src/test/java/plumlever/http/ServerTest.java
+++ b/src/test/java/plumlever/http/ServerTest.java
@@ -102,16 +102,17 @@
     List<Socket> open = new ArrayList<>();
     try {
       for (int i = 0; i < 46; i++) {
-        Socket s = new Socket("127.0.0.1", server.port());
-        open.add(s);
-        s.getOutputStream()
+        Socket socket = new Socket("127.0.0.1", server.port());
+        open.add(socket);
+        socket
+            .getOutputStream()
             .write("GET /a HTTP/1.1\r\nHost: a\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-        assertEquals('H', s.getInputStream().read());
+        assertEquals('H', socket.getInputStream().read());
       }
       assertEquals("200 true", call("GET", "/crowded", null, 5_000_000));
     } finally {
-      for (Socket s : open) {
-        s.close();
+      for (Socket socket : open) {
+        socket.close();
       }
     }
   }
--- a/src/test/java/plumlever/placement/PlacerTest.java
+++ b/src/test/java/plumlever/placement/PlacerTest.java
@@ -33,29 +33,29 @@
     boolean busy;
     final List<double[]> ends = new ArrayList<>();
 
-    long earliest(Ask a) {
-      double c = free;
-      double m = freeMemory;
-      if (c + EPSILON >= a.cores() && m + EPSILON >= a.memoryGb()) {
+    long earliest(Ask ask) {
+      double cores = free;
+      double memory = freeMemory;
+      if (cores + EPSILON >= ask.cores() && memory + EPSILON >= ask.memoryGb()) {
         return NOW;
       }
       List<double[]> sorted = new ArrayList<>(ends);
       sorted.sort((x, y) -> Double.compare(x[0], y[0]));
-      for (double[] e : sorted) {
-        c += e[1];
-        m += e[2];
-        if (c + EPSILON >= a.cores() && m + EPSILON >= a.memoryGb()) {
-          return Math.max(NOW + 1, (long) e[0]);
+      for (double[] otherEnds : sorted) {
+        cores += otherEnds[1];
+        memory += otherEnds[2];
+        if (cores + EPSILON >= ask.cores() && memory + EPSILON >= ask.memoryGb()) {
+          return Math.max(NOW + 1, (long) otherEnds[0]);
         }
       }
       return Long.MAX_VALUE;
     }
 
-    double score(Ask a) {
+    double score(Ask ask) {
       return price
-          * (spot && !a.saves() ? 1 + RISK : 1)
-          * Math.max(a.cores() / total, a.memoryGb() / totalMemory)
-          * (delay + fetch + a.runMicros());
+          * (spot && !ask.saves() ? 1 + RISK : 1)
+          * Math.max(ask.cores() / total, ask.memoryGb() / totalMemory)
+          * (delay + fetch + ask.runMicros());
     }
   }
 
@@ -63,34 +63,37 @@
    * Straight from the design: feasible before score, least score, ties to busy, free memory, free
    * processors.
    */
-  private static int model(Ask a, List<Plain> all, Zones zones, boolean[] feasible) {
+  private static int model(Ask ask, List<Plain> all, Zones zones, boolean[] feasible) {
     for (double pad : new double[] {PADDING, 0}) {
       for (boolean now : new boolean[] {true, false}) {
         List<Integer> able = new ArrayList<>();
         for (int i = 0; i < all.size(); i++) {
-          Plain p = all.get(i);
-          long start = allowed(a, p, zones) ? p.earliest(a) : Long.MAX_VALUE;
+          Plain plain = all.get(i);
+          long start = allowed(ask, plain, zones) ? plain.earliest(ask) : Long.MAX_VALUE;
           if (start == Long.MAX_VALUE || (start <= NOW) != now) {
             continue;
           }
-          long runs = start + p.delay + p.fetch + (pad > 0 && !now && start > p.up ? HEDGE : 0);
-          if (runs <= a.startByMicros()
-              && (a.deadlineMicros() == Long.MAX_VALUE
-                  || runs + (long) (a.runMicros() * (1 + pad)) <= a.deadlineMicros())) {
+          long runs =
+              start + plain.delay + plain.fetch + (pad > 0 && !now && start > plain.up ? HEDGE : 0);
+          if (runs <= ask.startByMicros()
+              && (ask.deadlineMicros() == Long.MAX_VALUE
+                  || runs + (long) (ask.runMicros() * (1 + pad)) <= ask.deadlineMicros())) {
             able.add(i);
           }
         }
         if (!able.isEmpty()) {
           feasible[0] = pad > 0;
-          double least = able.stream().mapToDouble(i -> all.get(i).score(a)).min().orElseThrow();
-          able.removeIf(i -> all.get(i).score(a) > least * (1 + TIE));
+          double least = able.stream().mapToDouble(i -> all.get(i).score(ask)).min().orElseThrow();
+          able.removeIf(i -> all.get(i).score(ask) > least * (1 + TIE));
           int best = able.get(0);
           for (int i : able) {
-            Plain x = all.get(i);
-            Plain y = all.get(best);
-            if (x.busy != y.busy
-                ? x.busy
-                : x.freeMemory != y.freeMemory ? x.freeMemory > y.freeMemory : x.free > y.free) {
+            Plain first = all.get(i);
+            Plain second = all.get(best);
+            if (first.busy != second.busy
+                ? first.busy
+                : first.freeMemory != second.freeMemory
+                    ? first.freeMemory > second.freeMemory
+                    : first.free > second.free) {
               best = i;
             }
           }
@@ -102,87 +105,99 @@
     int best = -1;
     long soonest = Long.MAX_VALUE;
     for (int i = 0; i < all.size(); i++) {
-      Plain p = all.get(i);
-      long start = allowed(a, p, zones) ? p.earliest(a) : Long.MAX_VALUE;
-      if (start != Long.MAX_VALUE && start + p.delay + p.fetch < soonest) {
-        soonest = start + p.delay + p.fetch;
+      Plain plain = all.get(i);
+      long start = allowed(ask, plain, zones) ? plain.earliest(ask) : Long.MAX_VALUE;
+      if (start != Long.MAX_VALUE && start + plain.delay + plain.fetch < soonest) {
+        soonest = start + plain.delay + plain.fetch;
         best = i;
       }
     }
     return best;
   }
 
-  private static boolean allowed(Ask a, Plain p, Zones zones) {
-    return (a.site() == null || a.site().equals(p.zone))
-        && (a.spot() || !p.spot)
-        && zones.allows(p.zone)
-        && a.cores() <= p.total
-        && a.memoryGb() <= p.totalMemory;
+  private static boolean allowed(Ask ask, Plain plain, Zones zones) {
+    return (ask.site() == null || ask.site().equals(plain.zone))
+        && (ask.spot() || !plain.spot)
+        && zones.allows(plain.zone)
+        && ask.cores() <= plain.total
+        && ask.memoryGb() <= plain.totalMemory;
   }
 
   @Test
   void agreesWithThePlainModelOnRandomFleets() {
-    SplittableRandom r = new SplittableRandom(7);
+    SplittableRandom random = new SplittableRandom(7);
     int placedNow = 0;
     int later = 0;
     int infeasible = 0;
     for (int round = 0; round < 3_000; round++) {
       List<Plain> plain = new ArrayList<>();
       List<Seat> seats = new ArrayList<>();
-      for (int i = 0; i < 1 + r.nextInt(8); i++) {
-        Plain p = new Plain();
-        p.zone = r.nextBoolean() ? "a" : "b";
-        p.spot = r.nextBoolean();
-        p.total = r.nextBoolean() ? 4 : 16;
-        p.totalMemory = p.total * 4;
-        p.price = (p.spot ? 1 : 3) * (p.total == 4 ? 1.0 : 4.1);
-        p.delay = r.nextInt(3) * 1_000_000L;
-        p.fetch = r.nextInt(3) * 5_000_000L;
-        Seat s =
-            new Seat("m" + i, "f", p.zone, p.spot, p.total, 0, p.totalMemory, p.price, 1, p.delay);
-        p.free = p.total;
-        p.freeMemory = p.totalMemory;
-        if (r.nextInt(5) == 0) {
-          p.up = NOW + (1 + r.nextInt(40)) * 1_000_000L;
-          s.comesUp(p.up);
-          p.ends.add(new double[] {p.up, p.total, p.totalMemory});
-          p.free = 0;
-          p.freeMemory = 0;
+      for (int i = 0; i < 1 + random.nextInt(8); i++) {
+        Plain otherPlain = new Plain();
+        otherPlain.zone = random.nextBoolean() ? "a" : "b";
+        otherPlain.spot = random.nextBoolean();
+        otherPlain.total = random.nextBoolean() ? 4 : 16;
+        otherPlain.totalMemory = otherPlain.total * 4;
+        otherPlain.price = (otherPlain.spot ? 1 : 3) * (otherPlain.total == 4 ? 1.0 : 4.1);
+        otherPlain.delay = random.nextInt(3) * 1_000_000L;
+        otherPlain.fetch = random.nextInt(3) * 5_000_000L;
+        Seat otherSeat =
+            new Seat(
+                "m" + i,
+                "f",
+                otherPlain.zone,
+                otherPlain.spot,
+                otherPlain.total,
+                0,
+                otherPlain.totalMemory,
+                otherPlain.price,
+                1,
+                otherPlain.delay);
+        otherPlain.free = otherPlain.total;
+        otherPlain.freeMemory = otherPlain.totalMemory;
+        if (random.nextInt(5) == 0) {
+          otherPlain.up = NOW + (1 + random.nextInt(40)) * 1_000_000L;
+          otherSeat.comesUp(otherPlain.up);
+          otherPlain.ends.add(
+              new double[] {otherPlain.up, otherPlain.total, otherPlain.totalMemory});
+          otherPlain.free = 0;
+          otherPlain.freeMemory = 0;
         }
-        while (p.free > 0 && r.nextInt(4) > 0) {
-          double c = Math.min(p.free, 1 + r.nextInt(4));
-          double m = Math.min(p.freeMemory, c * (1 + r.nextInt(4)));
-          long end = NOW + r.nextInt(90) * 1_000_000L;
-          Ask on = ask(c, m, 0, Long.MAX_VALUE, Long.MAX_VALUE, null, true);
-          s.occupy(c, 0, m, end);
-          p.free -= c;
-          p.freeMemory -= m;
-          p.busy = true;
-          p.ends.add(new double[] {end, c, m});
+        while (otherPlain.free > 0 && random.nextInt(4) > 0) {
+          double cores = Math.min(otherPlain.free, 1 + random.nextInt(4));
+          double memory = Math.min(otherPlain.freeMemory, cores * (1 + random.nextInt(4)));
+          long end = NOW + random.nextInt(90) * 1_000_000L;
+          Ask on = ask(cores, memory, 0, Long.MAX_VALUE, Long.MAX_VALUE, null, true);
+          otherSeat.occupy(cores, 0, memory, end);
+          otherPlain.free -= cores;
+          otherPlain.freeMemory -= memory;
+          otherPlain.busy = true;
+          otherPlain.ends.add(new double[] {end, cores, memory});
         }
-        plain.add(p);
-        seats.add(s);
+        plain.add(otherPlain);
+        seats.add(otherSeat);
       }
-      Zones zones = new Zones(r.nextInt(4) == 0, 1 + r.nextInt(5));
-      if (r.nextBoolean()) {
+      Zones zones = new Zones(random.nextInt(4) == 0, 1 + random.nextInt(5));
+      if (random.nextBoolean()) {
         zones.add("a");
       }
-      long deadline = r.nextBoolean() ? NOW + r.nextInt(120) * 1_000_000L : Long.MAX_VALUE;
-      Ask a =
+      long deadline =
+          random.nextBoolean() ? NOW + random.nextInt(120) * 1_000_000L : Long.MAX_VALUE;
+      Ask otherAsk =
           ask(
-              1 + r.nextInt(4),
-              1 + r.nextInt(8),
-              (5 + r.nextInt(60)) * 1_000_000L + r.nextInt(2),
+              1 + random.nextInt(4),
+              1 + random.nextInt(8),
+              (5 + random.nextInt(60)) * 1_000_000L + random.nextInt(2),
               deadline,
-              deadline == Long.MAX_VALUE ? NOW + r.nextInt(60) * 1_000_000L : Long.MAX_VALUE,
-              r.nextInt(4) == 0 ? "b" : null,
-              r.nextInt(3) > 0);
+              deadline == Long.MAX_VALUE ? NOW + random.nextInt(60) * 1_000_000L : Long.MAX_VALUE,
+              random.nextInt(4) == 0 ? "b" : null,
+              random.nextInt(3) > 0);
       boolean[] feasible = new boolean[1];
-      int want = model(a, plain, zones, feasible);
+      int want = model(otherAsk, plain, zones, feasible);
       Placer.Choice got =
           new Placer(PADDING, TIE, HEDGE, RISK)
               .search(
-                  a,
+                  otherAsk,
                   seats,
                   zones,
                   (seat, machine, image, gb) ->
@@ -192,7 +207,7 @@
       assertEquals(want, got.seat(), "round " + round);
       if (want >= 0) {
         assertEquals(feasible[0], got.feasible(), "round " + round);
-        assertEquals(plain.get(want).earliest(a), got.startMicros(), "round " + round);
+        assertEquals(plain.get(want).earliest(otherAsk), got.startMicros(), "round " + round);
       }
       placedNow += want >= 0 && got.startMicros() <= NOW ? 1 : 0;
       later += want >= 0 && got.startMicros() > NOW ? 1 : 0;
@@ -204,44 +219,45 @@
   /** A search goes on from task to task; each time it must choose as one begun anew would. */
   @Test
   void aSearchThatGoesOnChoosesAsAFreshOne() {
-    SplittableRandom r = new SplittableRandom(11);
+    SplittableRandom random = new SplittableRandom(11);
     Placer placer = new Placer(PADDING, TIE, HEDGE, RISK);
     int[] kinds = new int[3];
     for (int round = 0; round < 400; round++) {
       List<Seat> seats = new ArrayList<>();
-      for (int i = 0; i < 1 + r.nextInt(12); i++) {
-        double total = r.nextBoolean() ? 4 : 16;
-        Seat s =
+      for (int i = 0; i < 1 + random.nextInt(12); i++) {
+        double total = random.nextBoolean() ? 4 : 16;
+        Seat seat =
             new Seat(
                 "m" + i,
                 "f",
-                r.nextBoolean() ? "a" : "b",
-                r.nextBoolean(),
+                random.nextBoolean() ? "a" : "b",
+                random.nextBoolean(),
                 total,
                 0,
                 total * 4,
-                total * (1 + r.nextInt(3) * 0.015),
+                total * (1 + random.nextInt(3) * 0.015),
                 1,
                 0);
-        for (double free = total; free > 0 && r.nextInt(3) > 0; free--) {
-          s.occupy(1, 0, 4, NOW + 1 + r.nextInt(60) * 1_000_000L);
+        for (double free = total; free > 0 && random.nextInt(3) > 0; free--) {
+          seat.occupy(1, 0, 4, NOW + 1 + random.nextInt(60) * 1_000_000L);
         }
-        seats.add(s);
+        seats.add(seat);
       }
-      Zones zones = new Zones(r.nextInt(5) == 0, r.nextInt(3) == 0 ? 5 : Integer.MAX_VALUE);
-      Ask a =
+      Zones zones =
+          new Zones(random.nextInt(5) == 0, random.nextInt(3) == 0 ? 5 : Integer.MAX_VALUE);
+      Ask otherAsk =
           ask(
-              1 + r.nextInt(2),
-              1 + r.nextInt(6),
-              (5 + r.nextInt(40)) * 1_000_000L + r.nextInt(2),
-              r.nextBoolean() ? NOW + r.nextInt(120) * 1_000_000L : Long.MAX_VALUE,
-              r.nextBoolean() ? NOW + r.nextInt(60) * 1_000_000L : Long.MAX_VALUE,
+              1 + random.nextInt(2),
+              1 + random.nextInt(6),
+              (5 + random.nextInt(40)) * 1_000_000L + random.nextInt(2),
+              random.nextBoolean() ? NOW + random.nextInt(120) * 1_000_000L : Long.MAX_VALUE,
+              random.nextBoolean() ? NOW + random.nextInt(60) * 1_000_000L : Long.MAX_VALUE,
               null,
-              r.nextInt(3) > 0);
+              random.nextInt(3) > 0);
       Placer.Fetch fetch = (n, m, i, g) -> n % 3 * 4_000_000L;
-      Placer.Search going = placer.search(a, seats, zones, fetch, NOW);
+      Placer.Search going = placer.search(otherAsk, seats, zones, fetch, NOW);
       for (int task = 0; task < 25; task++) {
-        Placer.Choice fresh = placer.search(a, seats, zones, fetch, NOW).next();
+        Placer.Choice fresh = placer.search(otherAsk, seats, zones, fetch, NOW).next();
         Placer.Choice next = going.next();
         assertEquals(fresh, next, "round " + round + " task " + task);
         if (next.seat() < 0) {
@@ -270,12 +286,12 @@
 
   @Test
   void bookedRoomIsNotGivenAwayTwice() {
-    Seat s = new Seat("m", "f", "a", false, 4, 0, 16, 1, 1, 0);
-    s.occupy(4, 0, 4, NOW + 10_000_000);
+    Seat seat = new Seat("m", "f", "a", false, 4, 0, 16, 1, 1, 0);
+    seat.occupy(4, 0, 4, NOW + 10_000_000);
     Ask four = ask(4, 4, 20_000_000, Long.MAX_VALUE, Long.MAX_VALUE, null, true);
     Placer.Search search =
         new Placer(0, TIE, 0, 0)
-            .search(four, List.of(s), new Zones(false, 9), (n, m, i, g) -> 0, NOW);
+            .search(four, List.of(seat), new Zones(false, 9), (n, m, i, g) -> 0, NOW);
     Placer.Choice first = search.next();
     assertEquals(NOW + 10_000_000, first.startMicros());
     search.commit(first);
--- a/src/test/java/plumlever/settings/SettingsTest.java
+++ b/src/test/java/plumlever/settings/SettingsTest.java
@@ -63,10 +63,10 @@
 
   @Test
   void readsThePlatformsFileAndIgnoresUnknownFields() throws Exception {
-    Platform p = Platform.load(file(GOOD));
-    assertEquals(20_000_000, p.workers().leaseMicros());
-    assertEquals(new Endpoint("127.0.0.2", 8081), p.seeds().get(0).endpoint());
-    assertEquals(4096, p.stateLimits().valueBytes());
+    Platform platform = Platform.load(file(GOOD));
+    assertEquals(20_000_000, platform.workers().leaseMicros());
+    assertEquals(new Endpoint("127.0.0.2", 8081), platform.seeds().get(0).endpoint());
+    assertEquals(4096, platform.stateLimits().valueBytes());
   }
 
   @Test
@@ -101,10 +101,11 @@
 
   @Test
   void operatorsFileChangesTunablesAndRefusesUnknownKeys() throws Exception {
-    Tunables t = OperatorFile.load(file("padding_share: 0.1\nowned_hourly:\n  rack: 0.02\n"));
-    assertEquals(0.1, t.paddingShare());
-    assertEquals(0.02, t.ownedHourly().get("rack"));
-    assertEquals(Tunables.defaults().tieShare(), t.tieShare());
+    Tunables tunables =
+        OperatorFile.load(file("padding_share: 0.1\nowned_hourly:\n  rack: 0.02\n"));
+    assertEquals(0.1, tunables.paddingShare());
+    assertEquals(0.02, tunables.ownedHourly().get("rack"));
+    assertEquals(Tunables.defaults().tieShare(), tunables.tieShare());
     assertTrue(
         assertThrows(SettingsException.class, () -> OperatorFile.load(file("pading_share: 0.1")))
             .getMessage()
--- a/src/test/java/plumlever/sim/FakeCloud.java
+++ b/src/test/java/plumlever/sim/FakeCloud.java
@@ -62,15 +62,15 @@
 
   private void snapshot() {
     ArrayNode list = Json.object().putArray("hosts");
-    for (Vm v : machines.values()) {
+    for (Vm vm : machines.values()) {
       list.addObject()
-          .put("uid", v.id)
-          .put("endpoint", world.workerAt.apply(v.id).toString())
-          .put("flavor", v.flavor)
-          .put("site", v.site)
-          .put("loaners", v.spot)
-          .put("status", v.worker == null ? "booting" : "running")
-          .put("age_s", (world.now() - v.bornMicros) / 1e6);
+          .put("uid", vm.id)
+          .put("endpoint", world.workerAt.apply(vm.id).toString())
+          .put("flavor", vm.flavor)
+          .put("site", vm.site)
+          .put("loaners", vm.spot)
+          .put("status", vm.worker == null ? "booting" : "running")
+          .put("age_s", (world.now() - vm.bornMicros) / 1e6);
     }
     history.add(new Object[] {world.now(), list});
     history.removeIf(h -> (Long) h[0] < world.now() - 3 * LAG_MICROS);
@@ -90,9 +90,9 @@
         long then = world.now() - LAG_MICROS - world.random.nextLong(LAG_MICROS);
         ObjectNode out = Json.object().put("more", false);
         out.putArray("hosts");
-        for (Object[] h : history) {
-          if ((Long) h[0] <= then) {
-            out.set("hosts", (ArrayNode) h[1]);
+        for (Object[] host : history) {
+          if ((Long) host[0] <= then) {
+            out.set("hosts", (ArrayNode) host[1]);
           }
         }
         reply.send(200, Json.write(out));
@@ -109,28 +109,28 @@
     }
   }
 
-  private void rent(ObjectNode o, World.Reply reply) {
-    String name = o.path("rental").asText();
+  private void rent(ObjectNode object, World.Reply reply) {
+    String name = object.path("rental").asText();
     if (!rentals.containsKey(name)) {
       List<String> got = new ArrayList<>();
-      for (int i = 0; i < o.path("count").asInt() && has(o); i++) {
-        Vm v =
+      for (int i = 0; i < object.path("count").asInt() && has(object); i++) {
+        Vm vm =
             new Vm(
                 String.format("i-%06d", ++counter),
-                o.path("flavor").asText(),
-                o.path("site").asText(),
-                o.path("loaners").asBoolean(),
+                object.path("flavor").asText(),
+                object.path("site").asText(),
+                object.path("loaners").asBoolean(),
                 world.now());
-        machines.put(v.id, v);
-        got.add(v.id);
+        machines.put(vm.id, vm);
+        got.add(vm.id);
         if (world.random.nextInt(25) > 0) {
           world.at(
               bootsAtOnce
                   ? world.random.nextLong(2_000_000)
                   : 5_000_000 + world.random.nextLong(15_000_000),
               () -> {
-                if (machines.get(v.id) == v) {
-                  v.worker = new FakeWorker(world, v);
+                if (machines.get(vm.id) == vm) {
+                  vm.worker = new FakeWorker(world, vm);
                 }
               });
         }
@@ -142,20 +142,20 @@
       rentals.put(name, got);
     }
     ObjectNode out = Json.object();
-    ArrayNode a = out.putArray("hosts");
-    rentals.get(name).forEach(a::add);
+    ArrayNode array = out.putArray("hosts");
+    rentals.get(name).forEach(array::add);
     reply.send(200, Json.write(out));
   }
 
   /** What there is of a kind does not depend on how much of the others is rented. */
-  private boolean has(ObjectNode o) {
+  private boolean has(ObjectNode object) {
     long rented =
         machines.values().stream()
             .filter(
                 v ->
-                    v.flavor.equals(o.path("flavor").asText())
-                        && v.site.equals(o.path("site").asText())
-                        && v.spot == o.path("loaners").asBoolean())
+                    v.flavor.equals(object.path("flavor").asText())
+                        && v.site.equals(object.path("site").asText())
+                        && v.spot == object.path("loaners").asBoolean())
             .count();
     return rented < Math.max(1, Math.round(most / 8.0));
   }
@@ -170,9 +170,9 @@
 
   /** Gone with all that is on it. */
   void delete(String id) {
-    Vm v = machines.remove(id);
-    if (v != null && v.worker != null) {
-      v.worker.die();
+    Vm vm = machines.remove(id);
+    if (vm != null && vm.worker != null) {
+      vm.worker.die();
     }
   }
 }
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -98,9 +98,9 @@
 
   private void expire() {
     if (!outage) {
-      for (Long p : new ArrayList<>(grantEnds.keySet())) {
-        if (grantEnds.get(p) <= world.now()) {
-          end(p);
+      for (Long value : new ArrayList<>(grantEnds.keySet())) {
+        if (grantEnds.get(value) <= world.now()) {
+          end(value);
         }
       }
     }
@@ -129,9 +129,9 @@
   }
 
   private void wake() {
-    List<Runnable> w = new ArrayList<>(waiting);
+    List<Runnable> list = new ArrayList<>(waiting);
     waiting.clear();
-    w.forEach(r -> world.at(0, r));
+    list.forEach(r -> world.at(0, r));
   }
 
   /** Requests, and puts and drops, in the busiest second so far. */
@@ -165,8 +165,8 @@
 
   /** The term of the last leader elected. */
   long term() {
-    Entry e = keys.get("office/term");
-    return e == null ? 0 : e.data.path("term").asLong();
+    Entry entry = keys.get("office/term");
+    return entry == null ? 0 : entry.data.path("term").asLong();
   }
 
   /** Every key under the prefix with its value. */
@@ -184,9 +184,9 @@
   /** Replaces all keys under the prefix, as one who writes them would. */
   void rewrite(String prefix, Map<String, JsonNode> values) {
     epoch++;
-    for (String k : entries(prefix).keySet()) {
-      keys.remove(k);
-      log.add(new Change(epoch, k, null));
+    for (String text : entries(prefix).keySet()) {
+      keys.remove(text);
+      log.add(new Change(epoch, text, null));
     }
     values.forEach(
         (k, v) -> {
@@ -237,23 +237,23 @@
         reply.send(200, "{\"permit\":" + permits + "}");
       } else if (path.startsWith("/grants/")) {
         String[] parts = path.split("/");
-        long p = Long.parseLong(parts[2]);
-        if (!grantEnds.containsKey(p)) {
+        long permit = Long.parseLong(parts[2]);
+        if (!grantEnds.containsKey(permit)) {
           reply.send(404, "{}");
         } else if (method.equals("DELETE")) {
-          end(p);
+          end(permit);
           reply.send(200, "{}");
         } else {
-          grantEnds.put(p, world.now() + grantTtl.get(p));
+          grantEnds.put(permit, world.now() + grantTtl.get(permit));
           reply.send(200, "{}");
         }
       } else if (path.startsWith("/keys/")) {
-        String k = path.substring(6);
-        Entry e = keys.get(k);
-        if (e == null) {
+        String otherText = path.substring(6);
+        Entry entry = keys.get(otherText);
+        if (entry == null) {
           reply.send(404, "{\"epoch\":" + epoch + "}");
         } else {
-          reply.send(200, Json.write(item(k, e)));
+          reply.send(200, Json.write(item(otherText, entry)));
         }
       } else if (path.startsWith("/keys?")) {
         list(query(path), reply);
@@ -267,68 +267,69 @@
     }
   }
 
-  private static ObjectNode item(String k, Entry e) {
-    ObjectNode o = Json.object().put("k", k).put("stamp", e.stamp).put("permit", e.permit);
-    o.set("data", e.data);
-    return o;
+  private static ObjectNode item(String text, Entry entry) {
+    ObjectNode object =
+        Json.object().put("k", text).put("stamp", entry.stamp).put("permit", entry.permit);
+    object.set("data", entry.data);
+    return object;
   }
 
   private static Map<String, String> query(String path) {
-    Map<String, String> q = new HashMap<>();
-    for (String p : path.substring(path.indexOf('?') + 1).split("&")) {
-      int eq = p.indexOf('=');
-      q.put(p.substring(0, eq), p.substring(eq + 1));
+    Map<String, String> map = new HashMap<>();
+    for (String text : path.substring(path.indexOf('?') + 1).split("&")) {
+      int eq = text.indexOf('=');
+      map.put(text.substring(0, eq), text.substring(eq + 1));
     }
-    return q;
+    return map;
   }
 
-  private void list(Map<String, String> q, World.Reply reply) {
-    String under = q.get("under");
+  private void list(Map<String, String> map, World.Reply reply) {
+    String under = map.get("under");
     ObjectNode out = Json.object().put("epoch", epoch);
     ArrayNode items = out.putArray("items");
-    int page = Integer.parseInt(q.getOrDefault("page", "100"));
+    int page = Integer.parseInt(map.getOrDefault("page", "100"));
     boolean more = false;
     if (!under.equals(hidden)) {
-      for (Map.Entry<String, Entry> e :
-          keys.tailMap(q.getOrDefault("since", under), !q.containsKey("since")).entrySet()) {
-        if (!e.getKey().startsWith(under)) {
+      for (Map.Entry<String, Entry> entry :
+          keys.tailMap(map.getOrDefault("since", under), !map.containsKey("since")).entrySet()) {
+        if (!entry.getKey().startsWith(under)) {
           break;
         }
         if (items.size() == page) {
           more = true;
           break;
         }
-        items.add(item(e.getKey(), e.getValue()));
+        items.add(item(entry.getKey(), entry.getValue()));
       }
     }
     out.put("more", more);
     reply.send(200, Json.write(out));
   }
 
-  private void follow(Map<String, String> q, long since, World.Reply reply) {
-    String under = q.get("under");
-    long from = Long.parseLong(q.get("since"));
+  private void follow(Map<String, String> map, long since, World.Reply reply) {
+    String under = map.get("under");
+    long from = Long.parseLong(map.get("since"));
     ObjectNode out = Json.object().put("epoch", epoch);
-    ArrayNode a = out.putArray("log");
+    ArrayNode array = out.putArray("log");
     if (log.size() > remembered && log.get(log.size() - remembered).stamp > from) {
       reply.send(410, "{}");
       return;
     }
-    for (Change c : log) {
+    for (Change change : log) {
       if (under.equals(untold)) {
         break;
       }
-      if (c.stamp > from && c.key.startsWith(under)) {
-        ObjectNode n = a.addObject().put("stamp", c.stamp);
-        if (c.data == null) {
-          n.put("drop", c.key);
+      if (change.stamp > from && change.key.startsWith(under)) {
+        ObjectNode object = array.addObject().put("stamp", change.stamp);
+        if (change.data == null) {
+          object.put("drop", change.key);
         } else {
-          n.put("put", c.key).set("data", c.data);
+          object.put("put", change.key).set("data", change.data);
         }
       }
     }
-    long wait = Long.parseLong(q.getOrDefault("wait_ms", "0")) * 1_000;
-    if (!a.isEmpty() || world.now() >= since + wait) {
+    long wait = Long.parseLong(map.getOrDefault("wait_ms", "0")) * 1_000;
+    if (!array.isEmpty() || world.now() >= since + wait) {
       reply.send(200, Json.write(out));
       return;
     }
@@ -337,7 +338,7 @@
         () -> {
           if (!woken[0]) {
             woken[0] = true;
-            follow(q, since, reply);
+            follow(map, since, reply);
           }
         };
     waiting.add(again);
@@ -345,78 +346,79 @@
   }
 
   /** A transaction may go unanswered, and be carried out at once or after newer ones. */
-  private void write(String from, ObjectNode t, World.Reply reply) {
+  private void write(String from, ObjectNode object, World.Reply reply) {
     long number = ++sent;
-    boolean changes = !t.path("then").isEmpty();
-    if (unheardOnce != null && Json.write(t).contains("\"put\":\"" + unheardOnce)) {
+    boolean changes = !object.path("then").isEmpty();
+    if (unheardOnce != null && Json.write(object).contains("\"put\":\"" + unheardOnce)) {
       unheardOnce = null;
       carriedOutUnheard++;
-      txn(t, (status, text) -> {});
+      txn(object, (status, text) -> {});
     } else if (changes && world.random.nextDouble() < unheardWrites) {
       carriedOutUnheard++;
-      txn(t, (status, text) -> {});
+      txn(object, (status, text) -> {});
     } else if (changes && world.random.nextDouble() < lateWrites) {
       world.at(
           2_000_000 + world.random.nextLong(10_000_000),
           () -> {
             if (!outage && newestOf.getOrDefault(from, 0L) > number) {
               carriedOutAfterNewer++;
-              txn(t, (status, text) -> {});
+              txn(object, (status, text) -> {});
             }
           });
     } else {
       if (changes) {
         newestOf.put(from, number);
       }
-      txn(t, reply);
+      txn(object, reply);
     }
   }
 
-  private void txn(ObjectNode t, World.Reply reply) {
-    for (JsonNode g : t.path("guards")) {
-      Entry e = keys.get(g.path("k").asText());
-      if (!ignoreGuards && (e == null ? 0 : e.stamp) != g.path("stamp").asLong()) {
+  private void txn(ObjectNode object, World.Reply reply) {
+    for (JsonNode node : object.path("guards")) {
+      Entry entry = keys.get(node.path("k").asText());
+      if (!ignoreGuards && (entry == null ? 0 : entry.stamp) != node.path("stamp").asLong()) {
         reply.send(409, "{\"failed\":[],\"epoch\":" + epoch + "}");
         return;
       }
     }
-    for (JsonNode c : t.path("then")) {
-      if (c.hasNonNull("permit") && !grantEnds.containsKey(c.get("permit").asLong())) {
+    for (JsonNode change : object.path("then")) {
+      if (change.hasNonNull("permit") && !grantEnds.containsKey(change.get("permit").asLong())) {
         reply.send(400, "{\"error\":\"no such lease\"}");
         return;
       }
     }
-    if (!t.path("then").isEmpty()) {
-      tally(t.path("then").size());
+    if (!object.path("then").isEmpty()) {
+      tally(object.path("then").size());
     }
     boolean tooLarge = false;
-    for (JsonNode c : t.path("then")) {
-      tooLarge |= Json.write(c.path("data")).length() > valueBytes;
+    for (JsonNode change : object.path("then")) {
+      tooLarge |= Json.write(change.path("data")).length() > valueBytes;
     }
-    if (t.path("then").size() > txnOps
-        || t.path("guards").size() > 4 * txnOps
+    if (object.path("then").size() > txnOps
+        || object.path("guards").size() > 4 * txnOps
         || tooLarge
-        || Json.write(t).length() > 65_536) {
+        || Json.write(object).length() > 65_536) {
       malformed++;
       reply.send(400, "{\"error\":\"too many\"}");
       return;
     }
     epoch++;
-    for (JsonNode c : t.path("then")) {
-      if (c.hasNonNull("put")) {
-        largestValue = Math.max(largestValue, Json.write(c.path("data")).length());
-        if (c.get("put").asText().equals("office/term")) {
+    for (JsonNode change : object.path("then")) {
+      if (change.hasNonNull("put")) {
+        largestValue = Math.max(largestValue, Json.write(change.path("data")).length());
+        if (change.get("put").asText().equals("office/term")) {
           termSince = world.now();
           world.newTerm();
         }
-        if (lostField != null && c.path("data").path("job") instanceof ObjectNode job) {
+        if (lostField != null && change.path("data").path("job") instanceof ObjectNode job) {
           job.remove(lostField);
         }
         keys.put(
-            c.get("put").asText(), new Entry(c.path("data"), epoch, c.path("permit").asLong(0)));
-        log.add(new Change(epoch, c.get("put").asText(), c.path("data")));
-      } else if (keys.remove(c.path("drop").asText()) != null) {
-        log.add(new Change(epoch, c.get("drop").asText(), null));
+            change.get("put").asText(),
+            new Entry(change.path("data"), epoch, change.path("permit").asLong(0)));
+        log.add(new Change(epoch, change.get("put").asText(), change.path("data")));
+      } else if (keys.remove(change.path("drop").asText()) != null) {
+        log.add(new Change(epoch, change.get("drop").asText(), null));
       }
     }
     reply.send(200, "{\"epoch\":" + epoch + "}");
--- a/src/test/java/plumlever/sim/FakeUsers.java
+++ b/src/test/java/plumlever/sim/FakeUsers.java
@@ -116,7 +116,7 @@
   JobSpec submit(int pieces, double cores, double expectS, boolean cancel) {
     boolean oneZone = world.random.nextInt(4) == 0;
     boolean spread = !oneZone && world.random.nextInt(4) == 0;
-    JobSpec j =
+    JobSpec job =
         new JobSpec(
             nextUid(),
             "c" + next % 3,
@@ -137,44 +137,44 @@
             0,
             0,
             world.random.nextBoolean() ? 60 : JobSpec.NO_DEADLINE);
-    submit(j, cancel);
-    return j;
+    submit(job, cancel);
+    return job;
   }
 
-  void submit(JobSpec j, boolean cancel) {
-    world.rules.submitted.put(j.uid(), j);
-    world.rules.submittedAt.put(j.uid(), world.now());
-    trySubmit(j, cancel);
+  void submit(JobSpec job, boolean cancel) {
+    world.rules.submitted.put(job.uid(), job);
+    world.rules.submittedAt.put(job.uid(), world.now());
+    trySubmit(job, cancel);
   }
 
   String nextUid() {
     return String.format("job-%06d", ++next);
   }
 
-  private void trySubmit(JobSpec j, boolean cancel) {
-    specs.put(j.uid(), j);
+  private void trySubmit(JobSpec job, boolean cancel) {
+    specs.put(job.uid(), job);
     long asked = world.now();
     world.send(
         "user",
-        nodeOf(j.uid()),
+        nodeOf(job.uid()),
         "POST",
         "/submissions",
-        Json.write(j.toJson()),
+        Json.write(job.toJson()),
         5_000_000,
         a -> {
-          heard(j.uid(), a);
+          heard(job.uid(), a);
           int code = (Integer) a[0];
           if (code == 201 || code == 200) {
-            accepted.add(j.uid());
-            tell(j.uid(), (String) a[1], asked);
-            poll(j.uid());
+            accepted.add(job.uid());
+            tell(job.uid(), (String) a[1], asked);
+            poll(job.uid());
             if (cancel) {
-              world.at(5_000_000 + world.random.nextLong(30_000_000), () -> cancel(j.uid()));
+              world.at(5_000_000 + world.random.nextLong(30_000_000), () -> cancel(job.uid()));
             }
           } else if (code == 400 || code == 422) {
-            world.rules.broken.add("refused: " + j.uid() + " " + a[1]);
+            world.rules.broken.add("refused: " + job.uid() + " " + a[1]);
           } else {
-            world.at(1_000_000, () -> trySubmit(j, cancel));
+            world.at(1_000_000, () -> trySubmit(job, cancel));
           }
         });
   }
@@ -226,12 +226,12 @@
     int sent = 0;
     for (String uid : new ArrayList<>(accepted)) {
       String last = world.rules.lastTold.get(uid);
-      JobSpec j = specs.get(uid);
+      JobSpec job = specs.get(uid);
       if ("done".equals(last)) {
         expect("POST", "/submissions/" + uid + "/abort", "", 200, "\"done\"");
       } else if (last != null) {
-        expect("POST", "/submissions", Json.write(j.toJson().put("pieces", 0)), 200, uid);
-        expect("POST", "/submissions", Json.write(j.toJson().put("owner", "nobody")), 200, uid);
+        expect("POST", "/submissions", Json.write(job.toJson().put("pieces", 0)), 200, uid);
+        expect("POST", "/submissions", Json.write(job.toJson().put("owner", "nobody")), 200, uid);
       }
       sent++;
     }
@@ -266,16 +266,19 @@
         body,
         5_000_000,
         a -> {
-          int s = (Integer) a[0];
-          if (s != 0 && s != 503 && s != 429 && (s != status || !((String) a[1]).contains(part))) {
+          int seconds = (Integer) a[0];
+          if (seconds != 0
+              && seconds != 503
+              && seconds != 429
+              && (seconds != status || !((String) a[1]).contains(part))) {
             world.rules.broken.add(
-                "odd request: " + method + " " + path + " got " + s + " " + a[1]);
+                "odd request: " + method + " " + path + " got " + seconds + " " + a[1]);
           }
         });
   }
 
   private void lookClosely(String uid) {
-    for (String n : world.members.keySet()) {
+    for (String text : world.members.keySet()) {
       for (int i = 0; i < 2; i++) {
         world.at(
             1_000L + world.random.nextLong(20_000),
@@ -284,7 +287,7 @@
               boolean repeat = world.random.nextInt(3) == 0;
               world.send(
                   "close",
-                  new Endpoint(n, 1),
+                  new Endpoint(text, 1),
                   repeat ? "POST" : "GET",
                   repeat ? "/submissions" : "/submissions/" + uid,
                   repeat ? Json.write(specs.get(uid).toJson()) : null,
@@ -347,8 +350,8 @@
   }
 
   /** Cancelled by the test itself. */
-  void cancelled(JobSpec j) {
-    cancelled.add(j.uid());
+  void cancelled(JobSpec job) {
+    cancelled.add(job.uid());
   }
 
   /** Once, at this controller. */
@@ -399,8 +402,9 @@
       if (cancelled.contains(next)) {
         return true;
       }
-      JobSpec j = world.rules.submitted.get(next);
-      (j == null ? List.<String>of() : j.waitsOn()).stream().filter(seen::add).forEach(open::add);
+      JobSpec job = world.rules.submitted.get(next);
+      (job == null ? List.<String>of() : job.waitsOn())
+          .stream().filter(seen::add).forEach(open::add);
     }
     return false;
   }
@@ -411,13 +415,13 @@
    */
   void pipeline(List<JobSpec> stages, boolean lastLate) {
     for (int i = 0; i < stages.size(); i++) {
-      JobSpec j = stages.get(i);
-      world.rules.submitted.put(j.uid(), j);
+      JobSpec job = stages.get(i);
+      world.rules.submitted.put(job.uid(), job);
       boolean late = lastLate && i == stages.size() - 1;
       submitWhen(
-          j,
+          job,
           () ->
-              j.waitsOn().stream()
+              job.waitsOn().stream()
                   .allMatch(
                       n ->
                           accepted.contains(n)
@@ -427,11 +431,11 @@
     }
   }
 
-  private void submitWhen(JobSpec j, java.util.function.BooleanSupplier ready) {
+  private void submitWhen(JobSpec job, java.util.function.BooleanSupplier ready) {
     if (ready.getAsBoolean()) {
-      submit(j, false);
+      submit(job, false);
     } else {
-      world.at(50_000, () -> submitWhen(j, ready));
+      world.at(50_000, () -> submitWhen(job, ready));
     }
   }
 
--- a/src/test/java/plumlever/sim/FakeWorker.java
+++ b/src/test/java/plumlever/sim/FakeWorker.java
@@ -167,8 +167,8 @@
 
   private void answered(String body, long sent, long session) {
     try {
-      ObjectNode o = Json.parseObject(body);
-      long token = o.path("baton").asLong();
+      ObjectNode object = Json.parseObject(body);
+      long token = object.path("baton").asLong();
       if (session != tenure || token < baton) {
         return;
       }
@@ -177,36 +177,36 @@
         due = true;
       }
       leaseFrom = Math.max(leaseFrom, sent);
-      execute(o.path("orders"));
+      execute(object.path("orders"));
     } catch (InvalidMessage e) {
       throw new AssertionError("a node's answer can't be read: " + body);
     }
   }
 
   private void execute(JsonNode orders) {
-    for (JsonNode o : orders) {
-      String name = o.path("piece").asText();
-      long attempt = o.path("try").asLong();
-      Task t = tasks.get(attempt);
-      switch (o.path("verb").asText()) {
+    for (JsonNode node : orders) {
+      String name = node.path("piece").asText();
+      long attempt = node.path("try").asLong();
+      Task task = tasks.get(attempt);
+      switch (node.path("verb").asText()) {
         case "run" -> {
-          if (t == null) {
+          if (task == null) {
             run(name, attempt);
           }
         }
         case "halt" -> {
-          if (t != null && !t.status.equals("ended")) {
-            exit(t, "halted");
+          if (task != null && !task.status.equals("ended")) {
+            exit(task, "halted");
           }
         }
         case "reap" -> {
-          if (t != null && t.status.equals("ended")) {
+          if (task != null && task.status.equals("ended")) {
             tasks.remove(attempt);
             reaped.add(attempt);
             due = true;
           }
         }
-        default -> throw new AssertionError("unknown order " + o);
+        default -> throw new AssertionError("unknown order " + node);
       }
     }
   }
@@ -216,58 +216,58 @@
       // Not a rule of the protocol, but each order that comes too late like this may break one.
       world.rules.broken.add("started anew after it was reaped: " + name);
     }
-    Task t = new Task(name, attempt);
-    tasks.put(attempt, t);
+    Task task = new Task(name, attempt);
+    tasks.put(attempt, task);
     due = true;
     for (Task other : tasks.values()) {
-      if (other != t && other.name.equals(name) && !other.status.equals("ended")) {
-        t.status = "ended";
-        t.cause = "in_use";
+      if (other != task && other.name.equals(name) && !other.status.equals("ended")) {
+        task.status = "ended";
+        task.cause = "in_use";
         return;
       }
     }
-    world.at(300_000 + world.random.nextInt(2_000_000), () -> begin(t));
+    world.at(300_000 + world.random.nextInt(2_000_000), () -> begin(task));
   }
 
-  private void begin(Task t) {
-    if (dead || tasks.get(t.attempt) != t || !t.status.equals("pulling")) {
+  private void begin(Task task) {
+    if (dead || tasks.get(task.attempt) != task || !task.status.equals("pulling")) {
       return;
     }
     if (hung) {
-      world.at(500_000, () -> begin(t));
+      world.at(500_000, () -> begin(task));
       return;
     }
-    t.status = "running";
-    world.rules.started(t.name, this);
+    task.status = "running";
+    world.rules.started(task.name, this);
     change();
-    finishIn(t, world.rules.completed(t.name) ? 0 : world.rules.runMicros(t.name));
+    finishIn(task, world.rules.completed(task.name) ? 0 : world.rules.runMicros(task.name));
   }
 
-  private void finishIn(Task t, long micros) {
+  private void finishIn(Task task, long micros) {
     world.at(
         micros,
         () -> {
-          if (dead || tasks.get(t.attempt) != t || !t.status.equals("running")) {
+          if (dead || tasks.get(task.attempt) != task || !task.status.equals("running")) {
             return;
           }
           if (hung) {
-            finishIn(t, 500_000);
+            finishIn(task, 500_000);
             return;
           }
-          world.rules.complete(t.name);
-          exit(t, "done");
+          world.rules.complete(task.name);
+          exit(task, "done");
         });
   }
 
-  private void exit(Task t, String cause) {
-    t.status = "ended";
-    t.cause = cause;
-    world.rules.left(t.name, this);
+  private void exit(Task task, String cause) {
+    task.status = "ended";
+    task.cause = cause;
+    world.rules.left(task.name, this);
     change();
   }
 
   private ObjectNode status() {
-    ObjectNode o =
+    ObjectNode object =
         Json.object()
             .put("host", vm.id)
             .put("endpoint", world.workerAt.apply(vm.id).toString())
@@ -278,17 +278,21 @@
             .put("tick", ++tick)
             .put("baton", baton);
     if (notice >= 0) {
-      o.put("reclaim_in_s", notice);
+      object.put("reclaim_in_s", notice);
     }
-    ArrayNode a = o.putArray("pieces");
-    for (Task t : tasks.values()) {
-      ObjectNode n =
-          a.addObject().put("piece", t.name).put("try", t.attempt).put("status", t.status);
-      if (t.cause != null) {
-        n.put("exit_cause", t.cause);
+    ArrayNode array = object.putArray("pieces");
+    for (Task task : tasks.values()) {
+      ObjectNode status =
+          array
+              .addObject()
+              .put("piece", task.name)
+              .put("try", task.attempt)
+              .put("status", task.status);
+      if (task.cause != null) {
+        status.put("exit_cause", task.cause);
       }
     }
-    return o;
+    return object;
   }
 
   /** A report as it would send it now. */
@@ -310,16 +314,16 @@
       return;
     }
     try {
-      ObjectNode o = Json.parseObject(body);
-      if (o.path("baton").asLong() < baton || o.path("tenure").asLong() != tenure) {
+      ObjectNode object = Json.parseObject(body);
+      if (object.path("baton").asLong() < baton || object.path("tenure").asLong() != tenure) {
         reply.send(409, Json.write(status()));
         return;
       }
-      if (o.path("baton").asLong() > baton) {
-        baton = o.path("baton").asLong();
+      if (object.path("baton").asLong() > baton) {
+        baton = object.path("baton").asLong();
         change();
       }
-      execute(o.path("orders"));
+      execute(object.path("orders"));
       reply.send(200, Json.write(status()));
     } catch (InvalidMessage e) {
       reply.send(400, "{}");
--- a/src/test/java/plumlever/sim/FormerVersion.java
+++ b/src/test/java/plumlever/sim/FormerVersion.java
@@ -38,12 +38,12 @@
     Map<String, JsonNode> out = new LinkedHashMap<>();
     ArrayNode jobs = null;
     int bytes = 0;
-    for (JsonNode v : store.values("begun/")) {
-      for (JsonNode uid : v.path("jobs")) {
+    for (JsonNode node : store.values("begun/")) {
+      for (JsonNode uid : node.path("jobs")) {
         if (jobs == null || bytes + uid.asText().length() + 3 > valueBytes) {
-          ObjectNode o = Json.object();
-          jobs = o.putArray("jobs");
-          out.put("begun/" + out.size(), o);
+          ObjectNode object = Json.object();
+          jobs = object.putArray("jobs");
+          out.put("begun/" + out.size(), object);
           bytes = 32;
         }
         jobs.add(uid.asText());
@@ -59,27 +59,27 @@
     ArrayNode hosts = null;
     Map<String, Integer> numbers = new LinkedHashMap<>();
     int bytes = 0;
-    for (JsonNode v : store.values("fleet/")) {
-      for (JsonNode h : v.path("hosts")) {
-        int more = h.path(0).asText().length() + h.path(1).asText().length() + 11;
+    for (JsonNode node : store.values("fleet/")) {
+      for (JsonNode host : node.path("hosts")) {
+        int more = host.path(0).asText().length() + host.path(1).asText().length() + 11;
         if (hosts == null || bytes + more > valueBytes) {
-          ObjectNode o = Json.object();
-          kinds = o.putArray("kinds");
-          hosts = o.putArray("hosts");
+          ObjectNode object = Json.object();
+          kinds = object.putArray("kinds");
+          hosts = object.putArray("hosts");
           numbers = new LinkedHashMap<>();
-          out.put("fleet/" + out.size(), o);
+          out.put("fleet/" + out.size(), object);
           bytes = 500;
         }
-        JsonNode kind = v.path("kinds").path(h.path(2).asInt());
+        JsonNode kind = node.path("kinds").path(host.path(2).asInt());
         ArrayNode into = kinds;
-        int n =
+        int number =
             numbers.computeIfAbsent(
                 kind.toString(),
                 k -> {
                   into.add(kind);
                   return into.size() - 1;
                 });
-        hosts.addArray().add(h.path(0)).add(h.path(1)).add(n);
+        hosts.addArray().add(host.path(0)).add(host.path(1)).add(number);
         bytes += more;
       }
     }
@@ -94,20 +94,20 @@
     Map<String, JsonNode> chunks = new LinkedHashMap<>();
     ObjectNode pack = null;
     int bytes = 0;
-    for (Map.Entry<String, JsonNode> e : store.entries("progress/").entrySet()) {
-      if (!e.getKey().startsWith("progress/pack/")) {
-        chunks.put(e.getKey(), e.getValue());
+    for (Map.Entry<String, JsonNode> entry : store.entries("progress/").entrySet()) {
+      if (!entry.getKey().startsWith("progress/pack/")) {
+        chunks.put(entry.getKey(), entry.getValue());
         continue;
       }
-      for (Map.Entry<String, JsonNode> p : e.getValue().path("p").properties()) {
-        int more = p.getKey().length() + 8 + p.getValue().asText().length();
+      for (Map.Entry<String, JsonNode> packed : entry.getValue().path("p").properties()) {
+        int more = packed.getKey().length() + 8 + packed.getValue().asText().length();
         if (pack == null || bytes + more > valueBytes - 32) {
-          ObjectNode o = Json.object();
-          pack = o.putObject("p");
-          out.put("progress/pack/" + out.size(), o);
+          ObjectNode object = Json.object();
+          pack = object.putObject("p");
+          out.put("progress/pack/" + out.size(), object);
           bytes = 0;
         }
-        pack.set(p.getKey(), p.getValue());
+        pack.set(packed.getKey(), packed.getValue());
         bytes += more;
       }
     }
@@ -125,9 +125,9 @@
             (k, v) -> {
               try {
                 if (k.startsWith("progress/pack/")) {
-                  for (Map.Entry<String, JsonNode> p : v.path("p").properties()) {
-                    out.computeIfAbsent(p.getKey(), u -> new BitSet())
-                        .or(BitSet.valueOf(p.getValue().binaryValue()));
+                  for (Map.Entry<String, JsonNode> packed : v.path("p").properties()) {
+                    out.computeIfAbsent(packed.getKey(), u -> new BitSet())
+                        .or(BitSet.valueOf(packed.getValue().binaryValue()));
                   }
                   return;
                 }
--- a/src/test/java/plumlever/sim/GapTest.java
+++ b/src/test/java/plumlever/sim/GapTest.java
@@ -20,21 +20,21 @@
  * it, and their tasks must be gone in time all the same (safety notes, 49 and 50).
  */
 final class GapTest {
-  private World w;
+  private World world;
   private FakeUsers users;
   private final List<JobSpec> jobs = new ArrayList<>();
 
   private void deployment(long seed, long believedCancelMicros) {
-    w =
+    world =
         new World(
             seed,
             3,
             List.of(new Platform.Team("red", 16, 48, 0, 0), new Platform.Team("blue", 16, 0, 0, 0)),
             false,
             believedCancelMicros);
-    users = new FakeUsers(w);
+    users = new FakeUsers(world);
     for (int i = 0; i < 6; i++) {
-      JobSpec j =
+      JobSpec job =
           new JobSpec(
               users.nextUid(),
               "c0",
@@ -55,16 +55,16 @@
               0,
               0,
               JobSpec.NO_DEADLINE);
-      jobs.add(j);
-      users.submit(j, false);
+      jobs.add(job);
+      users.submit(job, false);
     }
-    w.play(45);
+    world.play(45);
     assertTrue(tasksOn() >= 30, "tasks run: " + tasksOn());
   }
 
   private int tasksOn() {
     return (int)
-        w.cloud.machines.values().stream()
+        world.cloud.machines.values().stream()
             .filter(v -> v.worker != null)
             .flatMap(v -> v.worker.tasks.values().stream())
             .filter(FakeWorker.Task::on)
@@ -72,12 +72,12 @@
   }
 
   private World.Member other(World.Member than) {
-    return w.members.values().stream().filter(m -> m != than).findFirst().orElseThrow();
+    return world.members.values().stream().filter(m -> m != than).findFirst().orElseThrow();
   }
 
   /** Cancels through the controller, and notes what the user was told when. */
-  private void cancelAt(World.Member m, JobSpec j, Consumer<Integer> status) {
-    users.cancelAt(new Endpoint(m.platform.label(), 1), j.uid(), status);
+  private void cancelAt(World.Member member, JobSpec job, Consumer<Integer> status) {
+    users.cancelAt(new Endpoint(member.platform.label(), 1), job.uid(), status);
   }
 
   /**
@@ -89,22 +89,22 @@
   @ValueSource(longs = {71, 72, 73, 74})
   void cancelledThroughAnotherControllerBeforeALongOutage(long seed) {
     deployment(seed, Rules.CANCEL_MICROS);
-    World.Member leader = w.leader();
+    World.Member leader = world.leader();
     String label = leader.platform.label();
-    w.store.refused.add(label);
+    world.store.refused.add(label);
     List<Integer> told = new ArrayList<>();
-    w.at(300_000, () -> jobs.subList(0, 4).forEach(j -> cancelAt(other(leader), j, told::add)));
-    w.at(1_200_000 + 200_000 * (seed % 4), () -> w.store.outage = true);
-    w.play(2);
+    world.at(300_000, () -> jobs.subList(0, 4).forEach(j -> cancelAt(other(leader), j, told::add)));
+    world.at(1_200_000 + 200_000 * (seed % 4), () -> world.store.outage = true);
+    world.play(2);
     assertEquals(List.of(200, 200, 200, 200), told, "confirmed before the outage");
-    assertTrue(w.store.refusals.getOrDefault(label, 0) > 0, "the leader alone was refused");
-    w.play(1);
-    assertTrue(w.cloud.reportingTo(label) > 0, "workers still report to the old leader");
-    w.at(55_000_000, w.store::endOutage);
-    w.at(60_000_000, () -> w.store.refused.clear());
-    w.play(Rules.CANCEL_MICROS / 1e6 + 90);
-    assertEquals(List.of(), w.rules.broken);
-    jobs.subList(0, 4).forEach(j -> assertEquals("aborted", w.rules.lastTold.get(j.uid())));
+    assertTrue(world.store.refusals.getOrDefault(label, 0) > 0, "the leader alone was refused");
+    world.play(1);
+    assertTrue(world.cloud.reportingTo(label) > 0, "workers still report to the old leader");
+    world.at(55_000_000, world.store::endOutage);
+    world.at(60_000_000, () -> world.store.refused.clear());
+    world.play(Rules.CANCEL_MICROS / 1e6 + 90);
+    assertEquals(List.of(), world.rules.broken);
+    jobs.subList(0, 4).forEach(j -> assertEquals("aborted", world.rules.lastTold.get(j.uid())));
     assertNotEquals(0, tasksOn(), "the others run again");
   }
 
@@ -114,26 +114,26 @@
    */
   private void withoutWatches(long believedCancelMicros) {
     deployment(75, believedCancelMicros);
-    World.Member leader = w.leader();
-    w.store.unwatched.add(leader.platform.label());
-    w.play(2);
+    World.Member leader = world.leader();
+    world.store.unwatched.add(leader.platform.label());
+    world.play(2);
     List<Integer> told = new ArrayList<>();
     // Its peers would tell it; here they can't.
-    w.members.keySet().stream()
+    world.members.keySet().stream()
         .filter(o -> !o.equals(leader.platform.label()))
-        .forEach(o -> w.cut(leader.platform.label(), o, true));
+        .forEach(o -> world.cut(leader.platform.label(), o, true));
     jobs.subList(0, 4).forEach(j -> cancelAt(other(leader), j, told::add));
-    w.play(1);
+    world.play(1);
     assertEquals(List.of(200, 200, 200, 200), told);
-    w.play(Rules.CANCEL_MICROS / 1e6 + 5);
+    world.play(Rules.CANCEL_MICROS / 1e6 + 5);
     assertTrue(leader.leads(), "it has kept its office all the time");
   }
 
   @Test
   void aLeaderThatHearsOfNoEndsLetsLeasesLapseInTime() {
     withoutWatches(Rules.CANCEL_MICROS);
-    assertEquals(List.of(), w.rules.broken);
-    assertTrue(w.leader().node().metrics().counted("renewals_refused") > 0, "by the bound");
+    assertEquals(List.of(), world.rules.broken);
+    assertTrue(world.leader().node().metrics().counted("renewals_refused") > 0, "by the bound");
   }
 
   /**
@@ -143,7 +143,7 @@
   void withoutTheBoundCancelledTasksOutliveTheirTime() {
     withoutWatches(3_600_000_000L);
     assertTrue(
-        w.rules.broken.stream().anyMatch(b -> b.startsWith("ran_cancelled")),
+        world.rules.broken.stream().anyMatch(b -> b.startsWith("ran_cancelled")),
         "the checks must see the missing bound");
   }
 
@@ -154,16 +154,16 @@
   @Test
   void peersTellWhatTheStateServiceDoesNot() {
     deployment(77, Rules.CANCEL_MICROS);
-    World.Member leader = w.leader();
-    w.store.unwatched.add(leader.platform.label());
-    w.play(2);
+    World.Member leader = world.leader();
+    world.store.unwatched.add(leader.platform.label());
+    world.play(2);
     List<Integer> told = new ArrayList<>();
     jobs.subList(0, 4).forEach(j -> cancelAt(other(leader), j, told::add));
-    w.play(8);
+    world.play(8);
     assertEquals(List.of(200, 200, 200, 200), told);
     assertTrue(leader.leads());
     long on =
-        w.cloud.machines.values().stream()
+        world.cloud.machines.values().stream()
             .filter(v -> v.worker != null)
             .flatMap(v -> v.worker.tasks.values().stream())
             .filter(
@@ -174,7 +174,7 @@
             .count();
     assertEquals(0, on, "halted long before any lease would have ended");
     assertTrue(tasksOn() > 0, "the others run on");
-    assertEquals(List.of(), w.rules.broken);
+    assertEquals(List.of(), world.rules.broken);
   }
 
   /**
@@ -183,18 +183,18 @@
   @Test
   void aLeaderThatHasNotReadItsJobsRenewsNothing() {
     deployment(76, Rules.CANCEL_MICROS);
-    w.store.slowPrefix = "active/";
-    w.leader().crash(20);
-    w.play(8);
-    World.Member next = w.leader();
+    world.store.slowPrefix = "active/";
+    world.leader().crash(20);
+    world.play(8);
+    World.Member next = world.leader();
     long[] sent = new long[1];
     int[] status = new int[1];
     FakeCloud.Vm busy =
-        w.cloud.machines.values().stream()
+        world.cloud.machines.values().stream()
             .filter(v -> v.worker != null && !v.worker.tasks.isEmpty())
             .findFirst()
             .orElseThrow();
-    sent[0] = w.now();
+    sent[0] = world.now();
     long[] answered = new long[1];
     next.node()
         .front()
@@ -204,13 +204,13 @@
             busy.worker.statusBytes(),
             (s, json, retry) -> {
               status[0] = s;
-              answered[0] = w.now();
+              answered[0] = world.now();
             });
-    w.play(3.5);
+    world.play(3.5);
     assertEquals(503, status[0], "not renewed while the jobs are not read");
     assertTrue(answered[0] - sent[0] <= 3_000_000, "and told within the time that a worker waits");
-    w.store.slowPrefix = null;
-    w.play(120);
-    assertEquals(List.of(), w.rules.broken);
+    world.store.slowPrefix = null;
+    world.play(120);
+    assertEquals(List.of(), world.rules.broken);
   }
 }
--- a/src/test/java/plumlever/sim/LargeDeploymentTest.java
+++ b/src/test/java/plumlever/sim/LargeDeploymentTest.java
@@ -22,7 +22,7 @@
 
   @Test
   void aThousandMachinesStayWithinEveryLimit() {
-    World w =
+    World world =
         new World(
             77,
             3,
@@ -30,84 +30,89 @@
                 new Platform.Team("red", 2000, 9000, 0, 0),
                 new Platform.Team("blue", 2000, 0, 0, 0)),
             false);
-    w.cloud.most = 1_000;
-    FakeUsers users = new FakeUsers(w);
+    world.cloud.most = 1_000;
+    FakeUsers users = new FakeUsers(world);
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < JOBS; i++) {
-      int n = i;
-      w.at(
-          n * 900_000L,
+      int count = i;
+      world.at(
+          count * 900_000L,
           () -> {
-            JobSpec j =
+            JobSpec job =
                 new JobSpec(
                     users.nextUid(),
-                    n % 3 == 0 ? "slow" : "quick",
-                    n % 2 == 0 ? "red" : "blue",
-                    n % 3 == 0 ? Urgency.IDLE : Urgency.STANDARD,
+                    count % 3 == 0 ? "slow" : "quick",
+                    count % 2 == 0 ? "red" : "blue",
+                    count % 3 == 0 ? Urgency.IDLE : Urgency.STANDARD,
                     TASKS,
                     2,
                     0,
                     4,
-                    "img-" + n % 12,
+                    "img-" + count % 12,
                     1,
                     null,
                     null,
                     false,
                     false,
                     true,
-                    40 + n % 5 * 10,
-                    n % 3 == 0 ? 15 : 0,
-                    n % 3 == 0 ? 2 : 0,
-                    n % 3 == 0 ? JobSpec.NO_DEADLINE : 150);
-            all.add(j);
-            users.submit(j, false);
+                    40 + count % 5 * 10,
+                    count % 3 == 0 ? 15 : 0,
+                    count % 3 == 0 ? 2 : 0,
+                    count % 3 == 0 ? JobSpec.NO_DEADLINE : 150);
+            all.add(job);
+            users.submit(job, false);
           });
     }
-    w.play(75);
-    int machines = w.cloud.machines.size();
+    world.play(75);
+    int machines = world.cloud.machines.size();
     assertTrue(machines > 450, "a large fleet is rented: " + machines);
-    assertTrue(w.store.count("fleet/") <= 14, "machines share records: " + w.store.count("fleet/"));
+    assertTrue(
+        world.store.count("fleet/") <= 14,
+        "machines share records: " + world.store.count("fleet/"));
     // A successor is told of the images on nearly all of them, however many values that takes.
     Set<String> hinted = new HashSet<>();
-    w.store
+    world
+        .store
         .values("hints/")
         .forEach(v -> v.path("machines").fieldNames().forEachRemaining(hinted::add));
     long working =
-        w.cloud.machines.values().stream()
+        world.cloud.machines.values().stream()
             .filter(v -> v.worker != null && !v.worker.tasks.isEmpty())
             .count();
     assertTrue(
         working > 300 && hinted.size() > 0.7 * working,
         hinted.size() + " machines with hints, " + working + " at work");
-    w.leader().crash(5);
-    w.play(12);
-    assertTrue(w.leader().node().leader().tookOver(), "a large fleet is taken over in seconds");
-    w.cloud.machines.values().stream()
+    world.leader().crash(5);
+    world.play(12);
+    assertTrue(world.leader().node().leader().tookOver(), "a large fleet is taken over in seconds");
+    world.cloud.machines.values().stream()
         .filter(v -> v.spot && v.worker != null)
         .map(v -> v.id)
         .toList()
         .stream()
-        .filter(h -> w.random.nextBoolean())
-        .forEach(w.cloud::delete);
-    w.play(10);
-    w.store.outage = true;
-    w.play(12);
-    w.store.endOutage();
-    w.calmSince = w.now();
-    w.play(360);
-    w.rules.checkServed();
-    assertEquals(List.of(), w.rules.broken);
+        .filter(h -> world.random.nextBoolean())
+        .forEach(world.cloud::delete);
+    world.play(10);
+    world.store.outage = true;
+    world.play(12);
+    world.store.endOutage();
+    world.calmSince = world.now();
+    world.play(360);
+    world.rules.checkServed();
+    assertEquals(List.of(), world.rules.broken);
     assertEquals(JOBS, all.size());
-    all.forEach(j -> assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid()));
-    assertTrue(w.rules.starts >= JOBS * TASKS, "thousands of tasks: " + w.rules.starts);
-    assertTrue(w.store.largestValue <= 4_096, "largest value: " + w.store.largestValue);
+    all.forEach(j -> assertEquals("done", world.rules.lastTold.get(j.uid()), j.uid()));
+    assertTrue(world.rules.starts >= JOBS * TASKS, "thousands of tasks: " + world.rules.starts);
+    assertTrue(world.store.largestValue <= 4_096, "largest value: " + world.store.largestValue);
     // Limits of the simulated state service: 200 requests and 25 changes a second, with a second's
     // burst.
     assertTrue(
-        w.store.mostRequests <= 250, "requests in the busiest second: " + w.store.mostRequests);
-    assertTrue(w.store.mostChanges <= 60, "changes in the busiest second: " + w.store.mostChanges);
+        world.store.mostRequests <= 250,
+        "requests in the busiest second: " + world.store.mostRequests);
+    assertTrue(
+        world.store.mostChanges <= 60, "changes in the busiest second: " + world.store.mostChanges);
     long seats =
-        w.members.values().stream()
+        world.members.values().stream()
             .mapToLong(m -> m.node().metrics().counted("seats_evaluated"))
             .sum();
     assertTrue(seats > 0 && seats < 3_000_000, "seats evaluated: " + seats);
@@ -119,25 +124,25 @@
    */
   @Test
   void roundsStayShortWhereHundredsOfJobsWait() {
-    World w =
+    World world =
         new World(
             78,
             3,
             List.of(new Platform.Team("red", 0, 0, 0, 0), new Platform.Team("blue", 0, 0, 0, 0)),
             false);
-    w.cloud.most = 80;
-    FakeUsers users = new FakeUsers(w);
+    world.cloud.most = 80;
+    FakeUsers users = new FakeUsers(world);
     for (int i = 0; i < 300; i++) {
-      w.at(i * 50_000L, () -> users.submit(40, 2, 60, false));
+      world.at(i * 50_000L, () -> users.submit(40, 2, 60, false));
     }
-    w.play(60);
-    long before = w.leader().node().metrics().counted("seats_evaluated");
-    w.play(10);
-    long seats = w.leader().node().metrics().counted("seats_evaluated") - before;
+    world.play(60);
+    long before = world.leader().node().metrics().counted("seats_evaluated");
+    world.play(10);
+    long seats = world.leader().node().metrics().counted("seats_evaluated") - before;
     long rounds = 10_000_000 / 150_000;
     assertTrue(
-        seats > 0 && seats < rounds * w.cloud.machines.size() * 30,
-        "seats evaluated: " + seats + " for " + w.cloud.machines.size() + " machines");
+        seats > 0 && seats < rounds * world.cloud.machines.size() * 30,
+        "seats evaluated: " + seats + " for " + world.cloud.machines.size() + " machines");
   }
 
   /**
@@ -148,7 +153,7 @@
    */
   @Test
   void sixteenHundredMachinesThroughFailuresOfMany() {
-    World w =
+    World world =
         new World(
             78,
             3,
@@ -156,97 +161,106 @@
                 new Platform.Team("red", 4000, 14_000, 0, 0),
                 new Platform.Team("blue", 4000, 0, 0, 0)),
             false);
-    w.cloud.most = 1_600;
-    FakeUsers users = new FakeUsers(w);
+    world.cloud.most = 1_600;
+    FakeUsers users = new FakeUsers(world);
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 110; i++) {
-      int n = i;
-      w.at(
-          n < 70 ? n * 300_000L : 21_000_000L + n * 700_000L,
+      int count = i;
+      world.at(
+          count < 70 ? count * 300_000L : 21_000_000L + count * 700_000L,
           () -> {
-            JobSpec j =
+            JobSpec job =
                 new JobSpec(
                     users.nextUid(),
-                    n % 3 == 0 ? "slow" : "quick",
-                    n % 2 == 0 ? "red" : "blue",
-                    n % 3 == 0 ? Urgency.IDLE : Urgency.STANDARD,
-                    n < 70 ? 140 : 40,
+                    count % 3 == 0 ? "slow" : "quick",
+                    count % 2 == 0 ? "red" : "blue",
+                    count % 3 == 0 ? Urgency.IDLE : Urgency.STANDARD,
+                    count < 70 ? 140 : 40,
                     2,
                     0,
                     4,
-                    "img-" + n % 12,
+                    "img-" + count % 12,
                     1,
                     null,
                     null,
                     false,
                     false,
                     true,
-                    40 + n % 5 * 10,
-                    n % 3 == 0 ? 15 : 0,
-                    n % 3 == 0 ? 2 : 0,
-                    n % 3 == 0 ? JobSpec.NO_DEADLINE : 150);
-            all.add(j);
-            users.submit(j, false);
+                    40 + count % 5 * 10,
+                    count % 3 == 0 ? 15 : 0,
+                    count % 3 == 0 ? 2 : 0,
+                    count % 3 == 0 ? JobSpec.NO_DEADLINE : 150);
+            all.add(job);
+            users.submit(job, false);
           });
     }
-    w.play(60);
-    assertTrue(w.cloud.machines.size() > 1_300, "a fleet of the size: " + w.cloud.machines.size());
-    for (World.Member m : List.copyOf(w.members.values())) {
-      m.crash(2);
-      w.play(7);
+    world.play(60);
+    assertTrue(
+        world.cloud.machines.size() > 1_300, "a fleet of the size: " + world.cloud.machines.size());
+    for (World.Member member : List.copyOf(world.members.values())) {
+      member.crash(2);
+      world.play(7);
     }
     List<String> running =
-        w.cloud.machines.values().stream().filter(v -> v.worker != null).map(v -> v.id).toList();
+        world.cloud.machines.values().stream()
+            .filter(v -> v.worker != null)
+            .map(v -> v.id)
+            .toList();
     running.stream()
-        .filter(h -> w.random.nextInt(12) == 0)
-        .forEach(h -> w.cloud.machines.get(h).worker.die());
-    w.play(4);
-    List.copyOf(w.members.values()).forEach(m -> m.crash(1 + w.random.nextDouble()));
-    w.play(10);
+        .filter(h -> world.random.nextInt(12) == 0)
+        .forEach(h -> world.cloud.machines.get(h).worker.die());
+    world.play(4);
+    List.copyOf(world.members.values()).forEach(m -> m.crash(1 + world.random.nextDouble()));
+    world.play(10);
     long hangS = 2 * FakeWorker.LEASE_MICROS / 1_000_000;
-    w.cloud.machines.values().stream()
-        .filter(v -> v.worker != null && w.random.nextInt(10) == 0)
+    world.cloud.machines.values().stream()
+        .filter(v -> v.worker != null && world.random.nextInt(10) == 0)
         .toList()
         .forEach(
             v -> {
               v.worker.hung = true;
-              w.at(hangS * 1_000_000, () -> v.worker.hung = false);
+              world.at(hangS * 1_000_000, () -> v.worker.hung = false);
             });
-    w.play(5);
-    w.leader().freeze(15);
-    w.play(hangS);
+    world.play(5);
+    world.leader().freeze(15);
+    world.play(hangS);
     List<String> behind =
-        w.cloud.machines.values().stream().filter(v -> v.site.equals("b")).map(v -> v.id).toList();
+        world.cloud.machines.values().stream()
+            .filter(v -> v.site.equals("b"))
+            .map(v -> v.id)
+            .toList();
     behind.forEach(
         h -> {
-          w.cuts.put("*>" + h, true);
-          w.cuts.put(h + ">*", true);
+          world.cuts.put("*>" + h, true);
+          world.cuts.put(h + ">*", true);
         });
-    w.play(1);
-    w.leader().crash(3);
-    w.play(FakeWorker.LEASE_MICROS / 1e6 + 10);
+    world.play(1);
+    world.leader().crash(3);
+    world.play(FakeWorker.LEASE_MICROS / 1e6 + 10);
     assertTrue(
-        w.leader().node().leader().tookOver(),
+        world.leader().node().leader().tookOver(),
         "a cut zone holds a takeover up for no longer than a lease");
-    w.cuts.clear();
-    w.calmSince = w.now();
-    w.play(400);
-    w.rules.checkServed();
-    assertEquals(List.of(), w.rules.broken);
-    all.forEach(j -> assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid()));
-    assertTrue(w.store.largestValue <= 4_096, "largest value: " + w.store.largestValue);
+    world.cuts.clear();
+    world.calmSince = world.now();
+    world.play(400);
+    world.rules.checkServed();
+    assertEquals(List.of(), world.rules.broken);
+    all.forEach(j -> assertEquals("done", world.rules.lastTold.get(j.uid()), j.uid()));
+    assertTrue(world.store.largestValue <= 4_096, "largest value: " + world.store.largestValue);
+    assertTrue(
+        world.store.mostRequests <= 250,
+        "requests in the busiest second: " + world.store.mostRequests);
     assertTrue(
-        w.store.mostRequests <= 250, "requests in the busiest second: " + w.store.mostRequests);
-    assertTrue(w.store.mostChanges <= 60, "changes in the busiest second: " + w.store.mostChanges);
+        world.store.mostChanges <= 60, "changes in the busiest second: " + world.store.mostChanges);
     // One for each worker, and calls that are under way; the users' own sites have room for 300
     // more.
-    assertTrue(w.mostSockets <= 1_600 + 112, "sockets in use: " + w.mostSockets);
+    assertTrue(world.mostSockets <= 1_600 + 112, "sockets in use: " + world.mostSockets);
     long seats =
-        w.members.values().stream()
+        world.members.values().stream()
             .mapToLong(m -> m.node().metrics().counted("seats_evaluated"))
             .sum();
     long reports =
-        w.members.values().stream().mapToLong(m -> m.node().metrics().counted("reports")).sum();
+        world.members.values().stream().mapToLong(m -> m.node().metrics().counted("reports")).sum();
     assertTrue(
         reports > 10_000 && seats / reports < 60, "work for each report: " + seats / reports);
   }
--- a/src/test/java/plumlever/sim/LittleProcessorTest.java
+++ b/src/test/java/plumlever/sim/LittleProcessorTest.java
@@ -22,47 +22,52 @@
   private static final double SLOW = 3;
 
   private static World world(long seed, boolean officeApart) {
-    World w = new World(seed, 3, TEAMS, false);
-    w.costs = Processor.Costs.little();
-    w.cloud.most = MACHINES;
-    for (World.Member m : w.members.values()) {
-      m.officeApart = officeApart;
-      m.kill();
-      m.start();
+    World world = new World(seed, 3, TEAMS, false);
+    world.costs = Processor.Costs.little();
+    world.cloud.most = MACHINES;
+    for (World.Member member : world.members.values()) {
+      member.officeApart = officeApart;
+      member.kill();
+      member.start();
     }
-    return w;
+    return world;
   }
 
-  private static FakeUsers busy(World w, int jobs, double everyS) {
-    FakeUsers users = new FakeUsers(w);
+  private static FakeUsers busy(World world, int jobs, double everyS) {
+    FakeUsers users = new FakeUsers(world);
     for (int i = 0; i < jobs; i++) {
-      w.at((long) (i * everyS * 1e6), () -> users.submit(90, 2, 10 + w.random.nextInt(30), false));
+      world.at(
+          (long) (i * everyS * 1e6),
+          () -> users.submit(90, 2, 10 + world.random.nextInt(30), false));
     }
     return users;
   }
 
-  private static void assertAllDone(World w, FakeUsers users, int jobs) {
-    w.rules.checkServed();
-    assertEquals(List.of(), w.rules.broken);
+  private static void assertAllDone(World world, FakeUsers users, int jobs) {
+    world.rules.checkServed();
+    assertEquals(List.of(), world.rules.broken);
     assertEquals(jobs, users.accepted().size(), "every job is accepted in the end");
     assertEquals(
         List.of(),
-        users.accepted().stream().filter(u -> !w.rules.lastTold.get(u).equals("done")).toList());
+        users.accepted().stream()
+            .filter(u -> !world.rules.lastTold.get(u).equals("done"))
+            .toList());
   }
 
   /**
    * All controllers end together, with all workers waiting for the first that is back: how much of
    * the time after that somebody leads, in parts of a hundred.
    */
-  private static int ledAfterACrashOfAll(World w) {
-    w.play(100);
-    assertTrue(w.cloud.machines.size() > MACHINES / 3, "machines: " + w.cloud.machines.size());
-    w.members.values().forEach(m -> m.crash(6));
-    w.play(10);
+  private static int ledAfterACrashOfAll(World world) {
+    world.play(100);
+    assertTrue(
+        world.cloud.machines.size() > MACHINES / 3, "machines: " + world.cloud.machines.size());
+    world.members.values().forEach(m -> m.crash(6));
+    world.play(10);
     int led = 0;
     for (int i = 0; i < 200; i++) {
-      w.play(0.1);
-      led += w.members.values().stream().anyMatch(m -> m.node().mayAct()) ? 1 : 0;
+      world.play(0.1);
+      led += world.members.values().stream().anyMatch(m -> m.node().mayAct()) ? 1 : 0;
     }
     return led / 2;
   }
@@ -75,31 +80,34 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void aCrowdAtAColdProcessCostsNobodyTheOffice(long seed) {
-    World w = world(seed, true);
-    FakeUsers users = busy(w, 60, 2);
-    int led = ledAfterACrashOfAll(w);
+    World otherWorld = world(seed, true);
+    FakeUsers users = busy(otherWorld, 60, 2);
+    int led = ledAfterACrashOfAll(otherWorld);
     assertTrue(led >= 90, "led " + led + "% of the time");
-    w.calmSince = w.now();
-    w.play(400);
-    assertAllDone(w, users, 60);
+    otherWorld.calmSince = otherWorld.now();
+    otherWorld.play(400);
+    assertAllDone(otherWorld, users, 60);
   }
 
   @Test
   void withoutAThreadOfItsOwnTheOfficeWaitsBehindTheCrowd() {
-    World w = world(1, false);
-    busy(w, 60, 2);
-    int led = ledAfterACrashOfAll(w);
+    World otherWorld = world(1, false);
+    busy(otherWorld, 60, 2);
+    int led = ledAfterACrashOfAll(otherWorld);
     assertTrue(led < 90, "the costs are such that the guard is needed: led " + led + "%");
   }
 
-  private static FakeUsers quiet(World w) {
-    FakeUsers users = new FakeUsers(w);
+  private static FakeUsers quiet(World world) {
+    FakeUsers users = new FakeUsers(world);
     for (int i = 0; i < 40; i++) {
-      w.at(
+      world.at(
           i * 3_000_000L,
           () ->
               users.submit(
-                  1 + w.random.nextInt(12), 1, 5 + w.random.nextInt(20), w.random.nextInt(4) == 0));
+                  1 + world.random.nextInt(12),
+                  1,
+                  5 + world.random.nextInt(20),
+                  world.random.nextInt(4) == 0));
     }
     return users;
   }
@@ -112,28 +120,28 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void whoStoodStillDoesNotTakeItsWorkersForLost(long seed) {
-    World w = world(seed, true);
-    busy(w, 60, 2);
-    w.play(60);
-    World.Member first = w.leader();
-    long term = w.store.term();
+    World otherWorld = world(seed, true);
+    busy(otherWorld, 60, 2);
+    otherWorld.play(60);
+    World.Member first = otherWorld.leader();
+    long term = otherWorld.store.term();
     first.stall(7);
     // What has come in meanwhile is worked off slowly, the peers' words among the first.
     first.slowDown(SLOW);
-    w.play(25);
-    assertEquals(term, w.store.term(), "nobody else was elected");
+    otherWorld.play(25);
+    assertEquals(term, otherWorld.store.term(), "nobody else was elected");
     first.slowDown(1);
-    w.calmSince = w.now();
-    w.play(400);
-    w.rules.checkServed();
-    assertEquals(List.of(), w.rules.broken);
+    otherWorld.calmSince = otherWorld.now();
+    otherWorld.play(400);
+    otherWorld.rules.checkServed();
+    assertEquals(List.of(), otherWorld.rules.broken);
   }
 
   /** Asks each controller whether it can take requests, and waits for what it says. */
-  private static List<Integer> up(World w) {
+  private static List<Integer> up(World world) {
     List<Integer> out = new ArrayList<>();
-    for (String node : w.members.keySet()) {
-      w.send(
+    for (String node : world.members.keySet()) {
+      world.send(
           "balancer",
           new Endpoint(node, 1),
           "GET",
@@ -141,7 +149,7 @@
           null,
           6_000_000,
           a -> out.add((Integer) a[0]));
-      w.play(6.1);
+      world.play(6.1);
     }
     return out;
   }
@@ -152,32 +160,32 @@
    */
   @Test
   void whoIsSecondsLateLeavesUsersToOthers() {
-    World w = world(2, true);
-    busy(w, 60, 2);
-    w.play(60);
-    int leads = List.copyOf(w.members.values()).indexOf(w.leader());
-    assertEquals(List.of(200, 200, 200), up(w));
-    w.leader().slowDown(SLOW);
-    w.play(8);
-    List<Integer> seen = up(w);
+    World otherWorld = world(2, true);
+    busy(otherWorld, 60, 2);
+    otherWorld.play(60);
+    int leads = List.copyOf(otherWorld.members.values()).indexOf(otherWorld.leader());
+    assertEquals(List.of(200, 200, 200), up(otherWorld));
+    otherWorld.leader().slowDown(SLOW);
+    otherWorld.play(8);
+    List<Integer> seen = up(otherWorld);
     assertEquals(503, seen.get(leads), "the late one: " + seen);
     assertEquals(2, seen.stream().filter(s -> s == 200).count(), "the others: " + seen);
-    w.members.values().forEach(m -> m.slowDown(1));
-    w.play(12);
-    assertEquals(List.of(200, 200, 200), up(w), "and back");
+    otherWorld.members.values().forEach(m -> m.slowDown(1));
+    otherWorld.play(12);
+    assertEquals(List.of(200, 200, 200), up(otherWorld), "and back");
   }
 
   @Test
   void aLateControllerThatIsAloneGoesOnTakingUsers() {
-    World w = world(2, true);
-    busy(w, 60, 2);
-    w.play(60);
-    World.Member leader = w.leader();
-    w.members.values().stream().filter(m -> m != leader).forEach(World.Member::kill);
+    World otherWorld = world(2, true);
+    busy(otherWorld, 60, 2);
+    otherWorld.play(60);
+    World.Member leader = otherWorld.leader();
+    otherWorld.members.values().stream().filter(m -> m != leader).forEach(World.Member::kill);
     leader.slowDown(3);
-    w.play(8);
+    otherWorld.play(8);
     boolean[] took = new boolean[1];
-    w.send(
+    otherWorld.send(
         "balancer",
         leader.platform.bind(),
         "GET",
@@ -185,7 +193,7 @@
         null,
         30_000_000,
         a -> took[0] = (Integer) a[0] == 200);
-    w.play(31);
+    otherWorld.play(31);
     assertTrue(took[0]);
   }
 
@@ -195,18 +203,18 @@
    */
   @Test
   void anOfficeWhoseDecisionsStandStillIsGivenUp() {
-    World w = new World(5, 3, TEAMS, false);
-    quiet(w);
-    w.play(40);
-    World.Member first = w.leader();
-    long term = w.store.term();
+    World world = new World(5, 3, TEAMS, false);
+    quiet(world);
+    world.play(40);
+    World.Member first = world.leader();
+    long term = world.store.term();
     first.stall(40);
-    w.play(20);
-    assertTrue(w.store.term() > term, "another leads");
+    world.play(20);
+    assertTrue(world.store.term() > term, "another leads");
     // The others end, so that it may be elected once more before its decisions go on.
-    w.members.values().stream().filter(m -> m != first).forEach(m -> m.crash(60));
-    w.play(240);
-    w.rules.checkServed();
-    assertEquals(List.of(), w.rules.broken);
+    world.members.values().stream().filter(m -> m != first).forEach(m -> m.crash(60));
+    world.play(240);
+    world.rules.checkServed();
+    assertEquals(List.of(), world.rules.broken);
   }
 }
--- a/src/test/java/plumlever/sim/LoadStand.java
+++ b/src/test/java/plumlever/sim/LoadStand.java
@@ -106,7 +106,7 @@
   }
 
   private Server listen(Endpoint at, World.Service service) {
-    Server s =
+    Server server =
         new Server(
             worker,
             at,
@@ -120,8 +120,8 @@
                     path,
                     body.length == 0 ? null : new String(body, StandardCharsets.UTF_8),
                     (status, text) -> out.send(status, text)));
-    s.start();
-    return s;
+    server.start();
+    return server;
   }
 
   private void turn() {
@@ -130,16 +130,16 @@
     for (submitted += jobsPerS * TURN_MICROS / 1e6; submitted >= 1; submitted--) {
       users.submit(20, 2, 20, false);
     }
-    for (Endpoint e : List.copyOf(world.services.keySet())) {
-      if (e.port() == port + WORKERS && !listeners.containsKey(e)) {
+    for (Endpoint endpoint : List.copyOf(world.services.keySet())) {
+      if (endpoint.port() == port + WORKERS && !listeners.containsKey(endpoint)) {
         listeners.put(
-            e,
+            endpoint,
             listen(
-                e,
+                endpoint,
                 (from, method, path, body, reply) -> {
-                  World.Service s = world.services.get(e);
-                  if (s != null) {
-                    s.handle(from, method, path, body, reply);
+                  World.Service service = world.services.get(endpoint);
+                  if (service != null) {
+                    service.handle(from, method, path, body, reply);
                   }
                 }));
       }
@@ -155,7 +155,7 @@
   }
 
   private static String settings(int node, int nodes, int port) {
-    StringBuilder s =
+    StringBuilder stringBuilder =
         new StringBuilder(
             "label = \"n"
                 + node
@@ -166,14 +166,16 @@
                 + "\"\n");
     for (int j = 0; j < nodes; j++) {
       if (j != node) {
-        s.append("[[seeds]]\nlabel = \"n")
+        stringBuilder
+            .append("[[seeds]]\nlabel = \"n")
             .append(j)
             .append("\"\narea = \"z\"\nendpoint = \"127.0.0.1:")
             .append(port + BACK + j)
             .append("\"\n");
       }
     }
-    s.append("[outside]\ncloud = \"127.0.0.1:")
+    stringBuilder
+        .append("[outside]\ncloud = \"127.0.0.1:")
         .append(port + CLOUD)
         .append("\"\nstate = \"127.0.0.1:")
         .append(port + STATE)
@@ -181,11 +183,12 @@
         .append(nodes)
         .append("\nzones = [\"a\", \"b\"]\nskew_ms = 25.0\n");
     for (String team : List.of("red", "blue")) {
-      s.append("[[deployment.teams]]\nname = \"")
+      stringBuilder
+          .append("[[deployment.teams]]\nname = \"")
           .append(team)
           .append("\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n");
     }
-    return s
+    return stringBuilder
         + """
         [[deployment.objectives]]
         kind = "wait"
--- a/src/test/java/plumlever/sim/MeetingsTest.java
+++ b/src/test/java/plumlever/sim/MeetingsTest.java
@@ -29,15 +29,15 @@
   enum Meeting {
     SLOW_ANSWERS_THEN_A_LONG_OUTAGE(
         d -> {
-          d.w.store.slowMicros = 700_000;
-          d.w.at(3_000_000, () -> d.w.store.refused.add(d.leaderLabel()));
-          d.w.at(4_000_000, () -> d.users.cancelNow(3, 0, 0));
-          d.w.at(6_000_000, () -> d.w.store.outage = true);
-          d.w.play(8);
+          d.world.store.slowMicros = 700_000;
+          d.world.at(3_000_000, () -> d.world.store.refused.add(d.leaderLabel()));
+          d.world.at(4_000_000, () -> d.users.cancelNow(3, 0, 0));
+          d.world.at(6_000_000, () -> d.world.store.outage = true);
+          d.world.play(8);
           int told = d.told("aborted");
-          d.w.play(CANCEL_S + 6);
+          d.world.play(CANCEL_S + 6);
           d.endOfTrouble();
-          return () -> told > 0 && d.w.store.refusals.size() == 3;
+          return () -> told > 0 && d.world.store.refusals.size() == 3;
         }),
     A_ZONE_WITH_A_CONTROLLER_IS_CUT_OFF_FOR_OVER_A_LEASE(
         d -> {
@@ -45,80 +45,80 @@
           List<String> zone = d.machinesIn("a");
           for (String other : List.of("n0", "n1", "n2", "state", "cloud")) {
             if (!other.equals(inside)) {
-              d.w.cut(inside, other, true);
+              d.world.cut(inside, other, true);
             }
           }
           zone.forEach(
               h ->
-                  d.w.members.keySet().stream()
+                  d.world.members.keySet().stream()
                       .filter(n -> !n.equals(inside))
-                      .forEach(n -> d.w.cut(n, h, true)));
-          d.w.at(4_000_000, () -> d.users.cancelNow(2, 0, 0));
-          d.w.play(LEASE_S + 12);
+                      .forEach(n -> d.world.cut(n, h, true)));
+          d.world.at(4_000_000, () -> d.users.cancelNow(2, 0, 0));
+          d.world.play(LEASE_S + 12);
           boolean anotherLeads = !d.leaderLabel().equals(inside);
           d.endOfTrouble();
           return () -> anotherLeads && zone.size() >= 2;
         }),
     NEW_MACHINES_AT_ONCE_WHILE_WRITES_LAG_AND_THE_LEADER_ENDS(
         d -> {
-          d.w.cloud.bootsAtOnce = true;
-          d.w.cloud.most = 30;
-          d.w.store.lateWrites = 0.3;
-          int before = d.w.cloud.machines.size();
+          d.world.cloud.bootsAtOnce = true;
+          d.world.cloud.most = 30;
+          d.world.store.lateWrites = 0.3;
+          int before = d.world.cloud.machines.size();
           d.stream(10, 0.3, 6, 20);
-          d.w.play(3.5);
-          boolean rented = d.w.cloud.machines.size() > before;
-          d.w.leader().crash(4);
-          d.w.play(25);
+          d.world.play(3.5);
+          boolean rented = d.world.cloud.machines.size() > before;
+          d.world.leader().crash(4);
+          d.world.play(25);
           d.endOfTrouble();
-          return () -> rented && d.w.store.carriedOutAfterNewer > 0;
+          return () -> rented && d.world.store.carriedOutAfterNewer > 0;
         }),
     ONE_TASK_JOBS_FOUR_A_SECOND_A_QUARTER_CANCELLED(
         d -> {
           int before = d.all.size();
           for (int i = 0; i < 360; i++) {
             boolean cancel = i % 4 == 0;
-            d.w.at(
+            d.world.at(
                 i * 250_000L,
                 () -> {
-                  JobSpec j = d.submit("blue", 1, 1, 6, false);
+                  JobSpec job = d.submit("blue", 1, 1, 6, false);
                   if (cancel) {
-                    d.w.at(
-                        100_000 + d.w.random.nextLong(3_000_000),
-                        () -> d.users.cancelOnceAccepted(j.uid()));
+                    d.world.at(
+                        100_000 + d.world.random.nextLong(3_000_000),
+                        () -> d.users.cancelOnceAccepted(job.uid()));
                   }
                 });
           }
-          d.w.at(40_000_000, () -> d.w.leader().crash(0.3));
-          d.w.play(95);
+          d.world.at(40_000_000, () -> d.world.leader().crash(0.3));
+          d.world.play(95);
           d.endOfTrouble();
           return () -> d.all.size() - before == 360 && d.told("aborted") > 20;
         }),
     ALL_CONTROLLERS_ARE_AWAY_FOR_OVER_A_LEASE(
         d -> {
-          d.w.members.values().forEach(m -> m.crash(LEASE_S + 4));
-          d.w.play(LEASE_S + 3);
+          d.world.members.values().forEach(m -> m.crash(LEASE_S + 4));
+          d.world.play(LEASE_S + 3);
           boolean nobody =
-              d.w.members.values().stream().noneMatch(m -> m.node() != null)
+              d.world.members.values().stream().noneMatch(m -> m.node() != null)
                   && d.running(1).stream().noneMatch(d::isOn);
-          d.w.play(10);
+          d.world.play(10);
           d.endOfTrouble();
           return () -> nobody;
         }),
     COMMANDS_ARE_HELD_UP_FOR_SECONDS_BY_MACHINES_THAT_GO_ON(
         d -> {
-          d.w.slowOrdersMicros = 3_000_000;
-          d.w.cloud.machines.values().stream()
+          d.world.slowOrdersMicros = 3_000_000;
+          d.world.cloud.machines.values().stream()
               .filter(v -> v.worker != null)
               .limit(4)
               .forEach(
                   v -> {
                     v.worker.hung = true;
-                    d.w.at(12_000_000, () -> v.worker.hung = false);
+                    d.world.at(12_000_000, () -> v.worker.hung = false);
                   });
           d.stream(8, 1, 6, 8);
-          d.w.at(5_000_000, () -> d.users.cancelNow(3, 0, 0));
-          d.w.play(25);
+          d.world.at(5_000_000, () -> d.users.cancelNow(3, 0, 0));
+          d.world.play(25);
           d.endOfTrouble();
           return () -> d.metric("direct_unheard") > 0;
         }),
@@ -127,100 +127,100 @@
           String alone = d.leaderLabel();
           List.of("n0", "n1", "n2", "state").stream()
               .filter(n -> !n.equals(alone))
-              .forEach(n -> d.w.cut(alone, n, true));
-          int reporting = d.w.cloud.reportingTo(alone);
-          d.w.play(5);
+              .forEach(n -> d.world.cut(alone, n, true));
+          int reporting = d.world.cloud.reportingTo(alone);
+          d.world.play(5);
           String next = d.leaderLabel();
           List<Integer> told = new ArrayList<>();
           d.running(3).forEach(uid -> d.users.cancelAt(new Endpoint(next, 1), uid, told::add));
-          d.w.play(LEASE_S + 10);
+          d.world.play(LEASE_S + 10);
           d.endOfTrouble();
           return () -> reporting > 0 && !next.equals(alone) && told.contains(200);
         }),
     WORKERS_REACH_NO_CONTROLLER_WHILE_COMMANDS_REACH_THEM(
         d -> {
-          d.machinesIn("a").forEach(d.w.mute::add);
-          d.w.at(3_000_000, () -> d.users.cancelNow(2, 0, 0));
+          d.machinesIn("a").forEach(d.world.mute::add);
+          d.world.at(3_000_000, () -> d.users.cancelNow(2, 0, 0));
           d.stream(6, 2, 4, 10);
-          d.w.at(8_000_000, () -> d.w.leader().crash(2));
-          d.w.play(LEASE_S + 15);
-          boolean muted = !d.w.mute.isEmpty();
+          d.world.at(8_000_000, () -> d.world.leader().crash(2));
+          d.world.play(LEASE_S + 15);
+          boolean muted = !d.world.mute.isEmpty();
           d.endOfTrouble();
           return () -> muted;
         }),
     TRANSACTIONS_CARRIED_OUT_UNHEARD_WHILE_OTHERS_READ(
         d -> {
-          d.w.store.unheardWrites = 0.4;
+          d.world.store.unheardWrites = 0.4;
           d.users.closeLooks = true;
           d.stream(10, 2, 4, 6);
-          d.w.at(6_000_000, () -> d.users.cancelNow(3, 0, 0));
-          d.w.play(40);
+          d.world.at(6_000_000, () -> d.users.cancelNow(3, 0, 0));
+          d.world.play(40);
           d.endOfTrouble();
-          return () -> d.w.store.carriedOutUnheard > 10 && d.users.looks > 20;
+          return () -> d.world.store.carriedOutUnheard > 10 && d.users.looks > 20;
         }),
     JOBS_BOUND_TO_ONE_ZONE_LOSE_MACHINES(
         d -> {
           for (int i = 0; i < 5; i++) {
             d.oneZone(8, 25);
           }
-          d.w.play(14);
+          d.world.play(14);
           List<String> lost = d.machinesIn("a").subList(0, d.machinesIn("a").size() / 2);
-          lost.forEach(d.w.cloud::delete);
-          d.w.play(4);
-          d.w.leader().crash(0.2);
-          d.w.play(20);
+          lost.forEach(d.world.cloud::delete);
+          d.world.play(4);
+          d.world.leader().crash(0.2);
+          d.world.play(20);
           d.endOfTrouble();
           return () -> !lost.isEmpty();
         }),
     TASKS_END_FAR_APART_ACROSS_A_CHANGE_OF_LEADER(
         d -> {
-          d.w.cloud.most = 3;
+          d.world.cloud.most = 3;
           for (int i = 0; i < 8; i++) {
             d.submit("blue", 2 + i % 2, 4, 25, false);
           }
-          d.w.play(30);
-          d.w.leader().crash(2);
-          d.w.play(40);
-          int spread = d.w.rules.starts;
+          d.world.play(30);
+          d.world.leader().crash(2);
+          d.world.play(40);
+          int spread = d.world.rules.starts;
           d.endOfTrouble();
           return () -> spread > 8;
         }),
     AN_OLD_REPORT_REACHES_EVERY_CONTROLLER_AS_A_LEADER_BEGINS(
         d -> {
-          d.w.copyReportsForNext = 0.3;
+          d.world.copyReportsForNext = 0.3;
           d.stream(8, 2, 5, 10);
-          d.w.play(20);
-          d.w.leader().crash(1);
-          d.w.play(15);
-          d.w.leader().crash(0.2);
-          d.w.play(20);
+          d.world.play(20);
+          d.world.leader().crash(1);
+          d.world.play(15);
+          d.world.leader().crash(0.2);
+          d.world.play(20);
           d.endOfTrouble();
-          return () -> d.w.copiesAtNext > 20;
+          return () -> d.world.copiesAtNext > 20;
         }),
     JOBS_ARE_CANCELLED_WHILE_WORK_CHANGES_HANDS(
         d -> {
-          d.w.leader().crash(0.15);
+          d.world.leader().crash(0.15);
           int[] asked = new int[1];
           for (int i = 0; i < 5; i++) {
-            d.w.at(200_000 + 900_000L * i, () -> asked[0] += d.users.cancelNow(1, 0, 0).size());
+            d.world.at(200_000 + 900_000L * i, () -> asked[0] += d.users.cancelNow(1, 0, 0).size());
           }
-          d.w.play(8);
+          d.world.play(8);
           d.endOfTrouble();
           return () -> asked[0] >= 3;
         }),
     CONTROLLERS_HAND_OVER_AND_BACK_ALL_END_AND_ONE_RETURNS(
         d -> {
           String first = d.leaderLabel();
-          d.w.leader().crash(0.4);
-          d.w.play(6);
-          d.w.leader().crash(0.4);
-          d.w.play(6);
-          d.w.members.values().forEach(World.Member::kill);
-          d.w.at(500_000, () -> d.w.members.get(first).start());
-          d.w.at(900_000, () -> d.w.members.get(first).crash(0.1));
-          d.w.play(12);
+          d.world.leader().crash(0.4);
+          d.world.play(6);
+          d.world.leader().crash(0.4);
+          d.world.play(6);
+          d.world.members.values().forEach(World.Member::kill);
+          d.world.at(500_000, () -> d.world.members.get(first).start());
+          d.world.at(900_000, () -> d.world.members.get(first).crash(0.1));
+          d.world.play(12);
           boolean leads = d.leaderLabel().equals(first);
-          d.w
+          d.world
               .members
               .values()
               .forEach(
@@ -230,143 +230,146 @@
                     }
                   });
           d.endOfTrouble();
-          return () -> leads && d.w.store.term() >= 3;
+          return () -> leads && d.world.store.term() >= 3;
         }),
     MORE_WORK_THAN_ROOM_URGENT_AND_NOT_OVER_SLOW_LINKS(
         d -> {
-          d.w.cloud.most = 5;
-          d.w.slowOrdersMicros = 900_000;
-          d.w.store.slowMicros = 300_000;
+          d.world.cloud.most = 5;
+          d.world.slowOrdersMicros = 900_000;
+          d.world.store.slowMicros = 300_000;
           for (int i = 0; i < 30; i++) {
-            Urgency u = Urgency.values()[i % 4];
-            d.w.at(i * 1_500_000L, () -> d.submit("blue", u, 6, 2, 15, false, false));
+            Urgency urgency = Urgency.values()[i % 4];
+            d.world.at(i * 1_500_000L, () -> d.submit("blue", urgency, 6, 2, 15, false, false));
           }
-          d.w.at(20_000_000, () -> d.users.cancelNow(4, 6, 3));
-          d.w.play(50);
-          boolean full = d.all.stream().anyMatch(j -> !d.w.rules.began(j.uid()));
+          d.world.at(20_000_000, () -> d.users.cancelNow(4, 6, 3));
+          d.world.play(50);
+          boolean full = d.all.stream().anyMatch(j -> !d.world.rules.began(j.uid()));
           d.endOfTrouble();
           return () -> full;
         }),
     A_REPORT_IS_HELD_BACK_UNTIL_A_NEW_LEADER_HAS_ACTED(
         d -> {
           List<String> held = d.machinesIn("b");
-          d.w.members.keySet().forEach(n -> held.forEach(h -> d.w.cuts.put(h + ">" + n, true)));
-          d.w.play(1.5);
-          d.w.leader().crash(3);
+          d.world
+              .members
+              .keySet()
+              .forEach(n -> held.forEach(h -> d.world.cuts.put(h + ">" + n, true)));
+          d.world.play(1.5);
+          d.world.leader().crash(3);
           d.stream(5, 1, 4, 10);
-          d.w.play(12);
-          boolean acts = d.w.members.values().stream().anyMatch(World.Member::leads);
+          d.world.play(12);
+          boolean acts = d.world.members.values().stream().anyMatch(World.Member::leads);
           d.endOfTrouble();
           return () -> acts && !held.isEmpty();
         }),
     USERS_LOOK_CLOSELY_AND_SOME_CANCEL_AT_ONCE(
         d -> {
           d.users.closeLooks = true;
-          d.w.loseAnswer = 0.05;
+          d.world.loseAnswer = 0.05;
           for (int i = 0; i < 20; i++) {
             boolean cancel = i % 3 == 0;
-            d.w.at(
+            d.world.at(
                 i * 1_500_000L,
                 () -> {
-                  JobSpec j = d.submit("blue", 2, 1, 4, false);
+                  JobSpec job = d.submit("blue", 2, 1, 4, false);
                   if (cancel) {
-                    d.w.at(30_000, () -> d.users.cancelOnceAccepted(j.uid()));
+                    d.world.at(30_000, () -> d.users.cancelOnceAccepted(job.uid()));
                   }
                 });
           }
-          d.w.at(12_000_000, () -> d.w.leader().crash(0.2));
-          d.w.play(45);
+          d.world.at(12_000_000, () -> d.world.leader().crash(0.2));
+          d.world.play(45);
           d.endOfTrouble();
           return () -> d.users.looks > 100 && d.told("aborted") > 3;
         }),
     LEADERS_CHANGE_TEN_TIMES_IN_TWO_MINUTES_ALSO_INSIDE_AN_OUTAGE(
         d -> {
-          long before = d.w.store.term();
+          long before = d.world.store.term();
           for (int i = 0; i < 11; i++) {
-            d.w.at(
+            d.world.at(
                 i * 10_500_000L,
                 () ->
-                    d.w.members.values().stream()
+                    d.world.members.values().stream()
                         .filter(World.Member::leads)
                         .findFirst()
                         .ifPresent(m -> m.crash(0.3)));
           }
-          d.w.at(50_000_000, () -> d.w.store.outage = true);
-          d.w.at(62_000_000, d.w.store::endOutage);
+          d.world.at(50_000_000, () -> d.world.store.outage = true);
+          d.world.at(62_000_000, d.world.store::endOutage);
           d.stream(10, 10, 4, 15);
-          d.w.play(122);
-          long records = d.w.store.count("fleet/") + d.w.store.count("begun/");
+          d.world.play(122);
+          long records = d.world.store.count("fleet/") + d.world.store.count("begun/");
           d.endOfTrouble();
-          return () -> d.w.store.term() - before >= 8 && records < 20;
+          return () -> d.world.store.term() - before >= 8 && records < 20;
         }),
     A_LEADER_ENDS_WHILE_MACHINES_WITH_LONG_TASKS_DO_NOT_HEAR(
         d -> {
           List<String> far = d.machinesIn("a");
-          far.subList(0, far.size() / 2).forEach(h -> d.w.cuts.put("*>" + h, true));
+          far.subList(0, far.size() / 2).forEach(h -> d.world.cuts.put("*>" + h, true));
           far.subList(far.size() / 2, far.size())
               .forEach(
                   h -> {
-                    d.w.cuts.put("*>" + h, true);
-                    d.w.cuts.put(h + ">*", true);
+                    d.world.cuts.put("*>" + h, true);
+                    d.world.cuts.put(h + ">*", true);
                   });
-          d.w.leader().crash(5);
-          d.w.at(6_000_000, () -> d.users.cancelNow(2, 0, 0));
-          d.w.play(LEASE_S + 25);
+          d.world.leader().crash(5);
+          d.world.at(6_000_000, () -> d.users.cancelNow(2, 0, 0));
+          d.world.play(LEASE_S + 25);
           d.endOfTrouble();
           return () -> far.size() >= 2;
         }),
     A_TRANSACTION_IS_CARRIED_OUT_AFTER_NEWER_ONES(
         d -> {
-          d.w.store.lateWrites = 0.35;
+          d.world.store.lateWrites = 0.35;
           d.stream(14, 2, 5, 6);
-          d.w.at(10_000_000, () -> d.users.cancelNow(3, 0, 0));
-          d.w.at(20_000_000, () -> d.w.leader().crash(1));
-          d.w.play(55);
+          d.world.at(10_000_000, () -> d.users.cancelNow(3, 0, 0));
+          d.world.at(20_000_000, () -> d.world.leader().crash(1));
+          d.world.play(55);
           d.endOfTrouble();
-          return () -> d.w.store.carriedOutAfterNewer > 10;
+          return () -> d.world.store.carriedOutAfterNewer > 10;
         }),
     AN_OLD_REPORT_ARRIVES_AFTER_NEWER_ONES_ALSO_OF_EARLIER_SESSIONS(
         d -> {
-          d.w.copyReports = 0.6;
+          d.world.copyReports = 0.6;
           d.machinesIn("a").stream()
               .limit(2)
               .forEach(
                   h -> {
-                    d.w.cuts.put(h + ">*", true);
-                    d.w.cuts.put("*>" + h, true);
-                    d.w.at(
+                    d.world.cuts.put(h + ">*", true);
+                    d.world.cuts.put("*>" + h, true);
+                    d.world.at(
                         (long) ((LEASE_S + 5) * 1e6),
                         () -> {
-                          d.w.cuts.remove(h + ">*");
-                          d.w.cuts.remove("*>" + h);
+                          d.world.cuts.remove(h + ">*");
+                          d.world.cuts.remove("*>" + h);
                         });
                   });
           d.stream(8, 4, 4, 8);
-          d.w.play(60);
+          d.world.play(60);
           d.endOfTrouble();
           return () -> d.metric("report_copies") > 20;
         }),
     A_TEAM_AT_ITS_LIMIT_AND_A_CANCELLATION_AT_A_CHANGE_OF_LEADER(
         d -> {
           d.fill("red");
-          boolean full = d.w.rules.coresOf("red") > Deployment.LIMIT * 0.8;
+          boolean full = d.world.rules.coresOf("red") > Deployment.LIMIT * 0.8;
           String hidden = d.busy("red");
-          d.w.cuts.put(hidden + ">*", true);
-          d.w.cuts.put("*>" + hidden, true);
-          d.w.leader().crash(3);
-          d.w.at(1_000_000, () -> d.users.cancelNow(2, 0, 0));
-          d.w.play(LEASE_S);
+          d.world.cuts.put(hidden + ">*", true);
+          d.world.cuts.put("*>" + hidden, true);
+          d.world.leader().crash(3);
+          d.world.at(1_000_000, () -> d.users.cancelNow(2, 0, 0));
+          d.world.play(LEASE_S);
           d.endOfTrouble();
           return () -> full;
         }),
     EVERY_TEAM_AT_ITS_LIMIT_AND_CANCELLED_JOBS_ON_HUNG_MACHINES(
         d -> {
           d.fill("red");
-          boolean full = d.w.rules.coresOf("red") > Deployment.LIMIT * 0.8;
+          boolean full = d.world.rules.coresOf("red") > Deployment.LIMIT * 0.8;
           int[] called = new int[1];
-          d.w.at(100_000, () -> called[0] = d.users.cancelNow(4, 14, 6).size());
-          d.w.at(400_000, () -> d.w.leader().crash(2));
-          d.w.play(LEASE_S + 10);
+          d.world.at(100_000, () -> called[0] = d.users.cancelNow(4, 14, 6).size());
+          d.world.at(400_000, () -> d.world.leader().crash(2));
+          d.world.play(LEASE_S + 10);
           d.endOfTrouble();
           return () -> full && called[0] >= 2;
         }),
@@ -375,7 +378,7 @@
           d.users.meetEnds(0.8);
           d.users.closeLooks = true;
           d.stream(25, 1.2, 2, 5);
-          d.w.play(60);
+          d.world.play(60);
           d.endOfTrouble();
           return () -> d.told("aborted") > 0 && d.told("done") > 0 && d.users.looks > 50;
         }),
@@ -383,18 +386,18 @@
         d -> {
           int[] sent = new int[1];
           for (int i = 0; i < 8; i++) {
-            d.w.at(i * 4_000_000L, () -> sent[0] += d.users.oddRequests());
+            d.world.at(i * 4_000_000L, () -> sent[0] += d.users.oddRequests());
           }
           d.stream(5, 3, 2, 5);
-          d.w.at(10_000_000, () -> d.w.leader().crash(1));
-          d.w.play(40);
+          d.world.at(10_000_000, () -> d.world.leader().crash(1));
+          d.world.play(40);
           d.endOfTrouble();
           return () -> sent[0] > 30;
         });
 
     interface Play {
       /** Brings the meeting about; tells whether it took place. */
-      BooleanSupplier in(Deployment d);
+      BooleanSupplier in(Deployment deployment);
     }
 
     final Play play;
@@ -407,12 +410,12 @@
   /** A small deployment with work, some of it long, when the meeting begins. */
   static final class Deployment {
     static final double LIMIT = 48;
-    final World w;
+    final World world;
     final FakeUsers users;
     final List<JobSpec> all = new ArrayList<>();
 
     Deployment(long seed) {
-      w =
+      world =
           new World(
               seed,
               3,
@@ -420,12 +423,12 @@
                   new Platform.Team("red", 16, LIMIT, 0, 0),
                   new Platform.Team("blue", 16, 0, 0, 0)),
               seed % 2 == 0);
-      users = new FakeUsers(w);
+      users = new FakeUsers(world);
       for (int i = 0; i < 8; i++) {
         submit("blue", 5, 2, 30 + 20 * (i % 4), false);
       }
-      w.play(45);
-      assertTrue(w.rules.starts >= 20, "tasks run: " + w.rules.starts);
+      world.play(45);
+      assertTrue(world.rules.starts >= 20, "tasks run: " + world.rules.starts);
     }
 
     JobSpec submit(String owner, int pieces, double cores, double runS, boolean cancel) {
@@ -434,18 +437,18 @@
 
     JobSpec submit(
         String owner,
-        Urgency u,
+        Urgency urgency,
         int pieces,
         double cores,
         double runS,
         boolean oneZone,
         boolean cancel) {
-      JobSpec j =
+      JobSpec job =
           new JobSpec(
               users.nextUid(),
-              "c" + u.ordinal() % 2,
+              "c" + urgency.ordinal() % 2,
               owner,
-              u,
+              urgency,
               pieces,
               cores,
               0,
@@ -461,9 +464,9 @@
               0,
               0,
               JobSpec.NO_DEADLINE);
-      all.add(j);
-      users.submit(j, cancel);
-      return j;
+      all.add(job);
+      users.submit(job, cancel);
+      return job;
     }
 
     void oneZone(int pieces, double runS) {
@@ -473,7 +476,7 @@
     /** Jobs that go on coming. */
     void stream(int jobs, double everyS, int pieces, double runS) {
       for (int i = 0; i < jobs; i++) {
-        w.at((long) (i * everyS * 1e6), () -> submit("blue", pieces, 1, runS, false));
+        world.at((long) (i * everyS * 1e6), () -> submit("blue", pieces, 1, runS, false));
       }
     }
 
@@ -482,22 +485,22 @@
       for (int i = 0; i < 6; i++) {
         submit(team, 12, 2, 40, false);
       }
-      w.play(40);
+      world.play(40);
     }
 
     String leaderLabel() {
-      return w.leader().platform.label();
+      return world.leader().platform.label();
     }
 
     List<String> machinesIn(String site) {
-      return w.cloud.machines.values().stream()
+      return world.cloud.machines.values().stream()
           .filter(v -> v.site.equals(site) && v.worker != null)
           .map(v -> v.id)
           .toList();
     }
 
     String busy(String team) {
-      return w.cloud.machines.values().stream()
+      return world.cloud.machines.values().stream()
           .filter(
               v ->
                   v.worker != null
@@ -505,7 +508,8 @@
                           .anyMatch(
                               t ->
                                   t.on()
-                                      && w.rules
+                                      && world
+                                          .rules
                                           .submitted
                                           .get(t.name.substring(0, t.name.indexOf('/')))
                                           .owner()
@@ -518,24 +522,24 @@
     List<String> running(int most) {
       return all.stream()
           .map(JobSpec::uid)
-          .filter(u -> w.rules.began(u) && !w.rules.allDone(u))
+          .filter(u -> world.rules.began(u) && !world.rules.allDone(u))
           .limit(most)
           .toList();
     }
 
     boolean isOn(String uid) {
-      return w.cloud.machines.values().stream()
+      return world.cloud.machines.values().stream()
           .filter(v -> v.worker != null)
           .flatMap(v -> v.worker.tasks.values().stream())
           .anyMatch(t -> t.on() && t.name.startsWith(uid + "/"));
     }
 
     int told(String status) {
-      return (int) w.rules.lastTold.values().stream().filter(status::equals).count();
+      return (int) world.rules.lastTold.values().stream().filter(status::equals).count();
     }
 
     long metric(String name) {
-      return w.members.values().stream()
+      return world.members.values().stream()
           .filter(m -> m.node() != null)
           .mapToLong(m -> m.node().metrics().counted(name))
           .sum();
@@ -543,40 +547,40 @@
 
     /** From here on everything works, and everybody must be served. */
     void endOfTrouble() {
-      w.loseAnswer = 0;
-      w.executeLate = 0;
-      w.copyReports = 0;
-      w.copyReportsForNext = 0;
-      w.slowOrdersMicros = 0;
-      w.mute.clear();
-      w.cuts.clear();
-      w.store.slowMicros = 0;
-      w.store.lateWrites = 0;
-      w.store.unheardWrites = 0;
-      w.store.refused.clear();
-      w.store.endOutage();
-      w.cloud.machines.values().stream()
+      world.loseAnswer = 0;
+      world.executeLate = 0;
+      world.copyReports = 0;
+      world.copyReportsForNext = 0;
+      world.slowOrdersMicros = 0;
+      world.mute.clear();
+      world.cuts.clear();
+      world.store.slowMicros = 0;
+      world.store.lateWrites = 0;
+      world.store.unheardWrites = 0;
+      world.store.refused.clear();
+      world.store.endOutage();
+      world.cloud.machines.values().stream()
           .filter(v -> v.worker != null)
           .forEach(v -> v.worker.hung = false);
-      w.cloud.most = Math.max(w.cloud.most, 14);
-      w.calmSince = w.now();
-      w.play(260);
+      world.cloud.most = Math.max(world.cloud.most, 14);
+      world.calmSince = world.now();
+      world.play(260);
     }
   }
 
   @ParameterizedTest
   @EnumSource(Meeting.class)
-  void noRuleBreaks(Meeting m) {
-    Deployment d = new Deployment(900 + m.ordinal());
-    BooleanSupplier tookPlace = m.play.in(d);
-    d.w.rules.checkServed();
-    assertEquals(List.of(), d.w.rules.broken);
+  void noRuleBreaks(Meeting meeting) {
+    Deployment deployment = new Deployment(900 + meeting.ordinal());
+    BooleanSupplier tookPlace = meeting.play.in(deployment);
+    deployment.world.rules.checkServed();
+    assertEquals(List.of(), deployment.world.rules.broken);
     assertTrue(tookPlace.getAsBoolean(), "the meeting took place");
     List<String> open = new ArrayList<>();
-    for (JobSpec j : d.all) {
-      String told = d.w.rules.lastTold.get(j.uid());
+    for (JobSpec job : deployment.all) {
+      String told = deployment.world.rules.lastTold.get(job.uid());
       if (!"done".equals(told) && !"aborted".equals(told)) {
-        open.add(j.uid() + " " + told);
+        open.add(job.uid() + " " + told);
       }
     }
     assertEquals(List.of(), open, "every job comes to its end");
@@ -594,17 +598,17 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void severalInARow(long seed) {
-    Deployment d = new Deployment(2_000 + seed);
-    d.users.closeLooks = seed % 2 == 0;
+    Deployment deployment = new Deployment(2_000 + seed);
+    deployment.users.closeLooks = seed % 2 == 0;
     for (int i = 0; i < 3; i++) {
-      Meeting m = Meeting.values()[d.w.random.nextInt(Meeting.values().length)];
-      m.play.in(d);
+      Meeting meeting = Meeting.values()[deployment.world.random.nextInt(Meeting.values().length)];
+      meeting.play.in(deployment);
       // Calm is over with the next.
-      d.w.calmSince = Long.MAX_VALUE;
+      deployment.world.calmSince = Long.MAX_VALUE;
     }
-    d.endOfTrouble();
-    d.w.rules.checkServed();
-    assertEquals(List.of(), d.w.rules.broken);
+    deployment.endOfTrouble();
+    deployment.world.rules.checkServed();
+    assertEquals(List.of(), deployment.world.rules.broken);
   }
 
   /**
@@ -612,36 +616,36 @@
    */
   @Test
   void withoutGuardsLateTransactionsBreakRules() {
-    Deployment d = new Deployment(3_003);
-    d.w.store.ignoreGuards = true;
-    d.w.store.lateWrites = 0.5;
-    Meeting.CANCELLATIONS_QUESTIONS_AND_REPEATS_MEET_THE_LAST_TASKS_END.play.in(d);
-    assertTrue(!d.w.rules.broken.isEmpty(), "the checks must see the missing guards");
+    Deployment deployment = new Deployment(3_003);
+    deployment.world.store.ignoreGuards = true;
+    deployment.world.store.lateWrites = 0.5;
+    Meeting.CANCELLATIONS_QUESTIONS_AND_REPEATS_MEET_THE_LAST_TASKS_END.play.in(deployment);
+    assertTrue(!deployment.world.rules.broken.isEmpty(), "the checks must see the missing guards");
   }
 
   /** The checks can fail: an answer older than one given before, at another node, is seen. */
   @Test
   void theChecksSeeAnOlderAnswer() {
-    Deployment d = new Deployment(3_001);
-    String uid = d.all.get(0).uid();
-    d.w.rules.toldAnywhere(uid, "aborted", d.w.now());
-    d.w.rules.toldAnywhere(uid, "running", d.w.now() - 1);
-    assertEquals(List.of(), d.w.rules.broken, "asked before");
-    d.w.rules.toldAnywhere(uid, "running", d.w.now());
-    assertTrue(d.w.rules.broken.stream().anyMatch(b -> b.startsWith("went_back")));
-    d.w.rules.toldAnywhere(uid, null, d.w.now());
-    assertTrue(d.w.rules.broken.stream().anyMatch(b -> b.startsWith("forgotten")));
+    Deployment deployment = new Deployment(3_001);
+    String uid = deployment.all.get(0).uid();
+    deployment.world.rules.toldAnywhere(uid, "aborted", deployment.world.now());
+    deployment.world.rules.toldAnywhere(uid, "running", deployment.world.now() - 1);
+    assertEquals(List.of(), deployment.world.rules.broken, "asked before");
+    deployment.world.rules.toldAnywhere(uid, "running", deployment.world.now());
+    assertTrue(deployment.world.rules.broken.stream().anyMatch(b -> b.startsWith("went_back")));
+    deployment.world.rules.toldAnywhere(uid, null, deployment.world.now());
+    assertTrue(deployment.world.rules.broken.stream().anyMatch(b -> b.startsWith("forgotten")));
   }
 
   /** The checks can fail: a job that waits although there is room is seen. */
   @Test
   void theChecksSeeAJobThatWaitsBesideRoom() {
-    Deployment d = new Deployment(3_002);
-    d.w.play(120);
-    d.w.calmSince = d.w.now();
-    JobSpec j =
+    Deployment deployment = new Deployment(3_002);
+    deployment.world.play(120);
+    deployment.world.calmSince = deployment.world.now();
+    JobSpec job =
         new JobSpec(
-            d.users.nextUid(),
+            deployment.users.nextUid(),
             "c0",
             "blue",
             Urgency.STANDARD,
@@ -660,14 +664,15 @@
             0,
             0,
             JobSpec.NO_DEADLINE);
-    d.w.rules.submitted.put(j.uid(), j);
-    d.w.rules.toldAnywhere(j.uid(), "pending", d.w.now());
+    deployment.world.rules.submitted.put(job.uid(), job);
+    deployment.world.rules.toldAnywhere(job.uid(), "pending", deployment.world.now());
     for (int i = 0; i < 20; i++) {
-      d.submit("blue", 4, 1, 8, false);
-      d.w.play(6);
+      deployment.submit("blue", 4, 1, 8, false);
+      deployment.world.play(6);
     }
     assertTrue(
-        d.w.rules.broken.stream().anyMatch(b -> b.startsWith("waiting") && b.contains(j.uid())),
-        "" + d.w.rules.broken);
+        deployment.world.rules.broken.stream()
+            .anyMatch(b -> b.startsWith("waiting") && b.contains(job.uid())),
+        "" + deployment.world.rules.broken);
   }
 }
