--- a/src/test/java/plumlever/sim/PipelinesTest.java
+++ b/src/test/java/plumlever/sim/PipelinesTest.java
@@ -26,7 +26,7 @@
 
 /** Jobs that wait for others, through all that may happen meanwhile. */
 final class PipelinesTest {
-  private World w;
+  private World world;
   private FakeUsers users;
 
   @BeforeEach
@@ -35,7 +35,7 @@
   }
 
   private void deployment(long seed, Platform.StateLimits limits) {
-    w =
+    world =
         new World(
             seed,
             3,
@@ -43,16 +43,16 @@
             false,
             Rules.CANCEL_MICROS,
             limits);
-    users = new FakeUsers(w);
-    w.play(5);
+    users = new FakeUsers(world);
+    world.play(5);
   }
 
-  private JobSpec job(int pieces, double runS, double dueS, Urgency u, List<String> waitsOn) {
+  private JobSpec job(int pieces, double runS, double dueS, Urgency urgency, List<String> waitsOn) {
     return new JobSpec(
             users.nextUid(),
-            "c" + u.ordinal(),
+            "c" + urgency.ordinal(),
             "blue",
-            u,
+            urgency,
             pieces,
             1,
             0,
@@ -94,14 +94,14 @@
     users.pipeline(List.of(jobs), false);
   }
 
-  private String told(JobSpec j) {
-    return w.rules.lastTold.get(j.uid());
+  private String told(JobSpec job) {
+    return world.rules.lastTold.get(job.uid());
   }
 
   private void assertTold(String status, JobSpec... jobs) {
-    assertEquals(List.of(), w.rules.broken);
-    for (JobSpec j : jobs) {
-      assertEquals(status, told(j), j.uid());
+    assertEquals(List.of(), world.rules.broken);
+    for (JobSpec job : jobs) {
+      assertEquals(status, told(job), job.uid());
     }
   }
 
@@ -109,7 +109,8 @@
 
   private Answer ask(String node, String method, String path, String body) {
     Answer[] got = new Answer[1];
-    w.members
+    world
+        .members
         .get(node)
         .node()
         .front()
@@ -119,28 +120,28 @@
             body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8),
             (s, json, retry) -> got[0] = new Answer(s, json, retry));
     for (int i = 0; i < 400 && got[0] == null; i++) {
-      w.play(0.05);
+      world.play(0.05);
     }
     return got[0];
   }
 
-  private Answer submitAt(String node, JobSpec j) {
-    w.rules.submitted.put(j.uid(), j);
-    w.rules.submittedAt.put(j.uid(), w.now());
-    return ask(node, "POST", "/submissions", Json.write(j.toJson()));
+  private Answer submitAt(String node, JobSpec job) {
+    world.rules.submitted.put(job.uid(), job);
+    world.rules.submittedAt.put(job.uid(), world.now());
+    return ask(node, "POST", "/submissions", Json.write(job.toJson()));
   }
 
   @Test
   void stagesRunOneAfterTheOther() {
-    List<JobSpec> p = pipeline();
-    users.pipeline(p, false);
-    w.play(10);
-    assertEquals("pending", told(p.get(4)));
-    w.play(120);
-    assertTold("done", p.toArray(new JobSpec[0]));
+    List<JobSpec> list = pipeline();
+    users.pipeline(list, false);
+    world.play(10);
+    assertEquals("pending", told(list.get(4)));
+    world.play(120);
+    assertTold("done", list.toArray(new JobSpec[0]));
     List<JobSpec> late = pipeline();
     users.pipeline(late, true);
-    w.play(120);
+    world.play(120);
     assertTold("done", late.toArray(new JobSpec[0]));
   }
 
@@ -171,7 +172,7 @@
                 JobSpec.NO_DEADLINE)
             .waitingOn(List.of(first.uid()));
     submit(first, large);
-    w.play(15);
+    world.play(15);
     JobSpec other =
         new JobSpec(
             users.nextUid(),
@@ -194,10 +195,10 @@
             0,
             JobSpec.NO_DEADLINE);
     users.submit(other, false);
-    w.play(50);
+    world.play(50);
     assertEquals("pending", told(large));
     assertTold("done", other);
-    w.play(100);
+    world.play(100);
     assertTold("done", large);
   }
 
@@ -205,7 +206,7 @@
   void badInputIsToldAsWhatItIs() {
     JobSpec known = idle(1, 300);
     assertEquals(201, submitAt("n0", known).status);
-    w.play(1);
+    world.play(1);
     String like = Json.write(idle(1, 5).toJson());
     String uid = like.substring(like.indexOf("job-"), like.indexOf("job-") + 10);
     String head = like.substring(0, like.length() - 1);
@@ -232,12 +233,12 @@
                 head + ",\"waits_on\":[\"" + known.uid() + "\",\"job-777\"]}")
             .status,
         "one of two");
-    w.store.outage = true;
+    world.store.outage = true;
     Answer out = ask("n1", "POST", "/submissions", head + ",\"waits_on\":[\"job-777\"]}");
     assertEquals(503, out.status, "what can't be read is not called unknown");
     assertTrue(out.retryAfterS > 0);
-    w.store.endOutage();
-    w.play(3);
+    world.store.endOutage();
+    world.play(3);
     assertEquals(404, ask("n2", "GET", "/submissions/" + uid, null).status);
     for (String none : List.of("null", "[]")) {
       assertEquals(
@@ -270,27 +271,33 @@
     assertEquals(201, submitAt("n1", middle).status);
     assertEquals(201, submitAt("n0", other).status);
     assertEquals(201, submitAt("n2", last).status);
-    for (String n : w.members.keySet()) {
-      assertTrue(ask(n, "GET", "/submissions/" + last.uid(), null).body.contains("pending"));
+    for (String text : world.members.keySet()) {
+      assertTrue(ask(text, "GET", "/submissions/" + last.uid(), null).body.contains("pending"));
     }
     assertTrue(
         ask("n1", "POST", "/submissions/" + root.uid() + "/abort", "").body.contains("aborted"));
-    for (String n : w.members.keySet()) {
-      for (JobSpec j : List.of(middle, last, root)) {
-        Answer a = ask(n, "GET", "/submissions/" + j.uid(), null);
-        assertTrue(a.status == 200 && a.body.contains("\"aborted\""), n + " says " + a.body);
+    for (String text : world.members.keySet()) {
+      for (JobSpec otherJob : List.of(middle, last, root)) {
+        Answer answer = ask(text, "GET", "/submissions/" + otherJob.uid(), null);
         assertTrue(
-            ask(n, "POST", "/submissions", Json.write(j.toJson())).body.contains("\"aborted\""));
+            answer.status == 200 && answer.body.contains("\"aborted\""),
+            text + " says " + answer.body);
+        assertTrue(
+            ask(text, "POST", "/submissions", Json.write(otherJob.toJson()))
+                .body
+                .contains("\"aborted\""));
       }
     }
     JobSpec after = idle(1, 5, middle);
     Answer accepted = submitAt("n0", after);
     assertEquals(201, accepted.status, "accepted all the same");
     assertTrue(accepted.body.contains("\"aborted\""), accepted.body);
-    w.play(30);
+    world.play(30);
     assertEquals(
         0,
-        w.store.entries("active/").keySet().stream().filter(k -> !k.endsWith(other.uid())).count(),
+        world.store.entries("active/").keySet().stream()
+            .filter(k -> !k.endsWith(other.uid()))
+            .count(),
         "stored for all of them");
   }
 
@@ -300,10 +307,10 @@
     JobSpec root = idle(1, 400);
     JobSpec last = idle(1, 5, root);
     submit(root, last);
-    w.play(10);
-    World.Member leader = w.leader();
+    world.play(10);
+    World.Member leader = world.leader();
     String other =
-        w.members.keySet().stream()
+        world.members.keySet().stream()
             .filter(n -> !n.equals(leader.platform.label()))
             .findFirst()
             .orElseThrow();
@@ -312,9 +319,9 @@
     assertTrue(
         ask(other, "POST", "/submissions/" + root.uid() + "/abort", "").body.contains("aborted"));
     assertTrue(ask(other, "GET", "/submissions/" + last.uid(), null).body.contains("\"aborted\""));
-    assertTrue(w.members.values().stream().noneMatch(World.Member::leads), "nobody leads yet");
-    w.play(60);
-    assertEquals(List.of(), w.rules.broken);
+    assertTrue(world.members.values().stream().noneMatch(World.Member::leads), "nobody leads yet");
+    world.play(60);
+    assertEquals(List.of(), world.rules.broken);
   }
 
   /** If the cancellation came too late, what comes after goes on. */
@@ -323,12 +330,12 @@
     JobSpec root = idle(1, 3);
     JobSpec last = idle(1, 3, root);
     submit(root);
-    w.play(40);
+    world.play(40);
     assertTold("done", root);
     submit(last);
     assertTrue(
         ask("n2", "POST", "/submissions/" + root.uid() + "/abort", "").body.contains("\"done\""));
-    w.play(40);
+    world.play(40);
     assertTold("done", last);
   }
 
@@ -338,18 +345,18 @@
   void aChainGoesOnAcrossAChangeOfLeader(double backAfterS) {
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
-      List<JobSpec> p = pipeline();
-      all.addAll(p);
-      users.pipeline(p, i % 2 == 0);
+      List<JobSpec> list = pipeline();
+      all.addAll(list);
+      users.pipeline(list, i % 2 == 0);
     }
-    long term = w.store.term();
+    long term = world.store.term();
     for (int i = 0; i < 5; i++) {
-      w.play(9);
-      w.leader().crash(backAfterS);
-      w.play(5);
+      world.play(9);
+      world.leader().crash(backAfterS);
+      world.play(5);
     }
-    w.play(150);
-    assertTrue(w.store.term() - term >= 5, "leaders changed");
+    world.play(150);
+    assertTrue(world.store.term() - term >= 5, "leaders changed");
     assertTold("done", all.toArray(new JobSpec[0]));
   }
 
@@ -363,33 +370,33 @@
     JobSpec next = idle(2, 5, root);
     JobSpec last = job(1, 5, 90, Urgency.HIGH, List.of(next.uid()));
     submit(root, next, last);
-    w.play(30);
-    assertTrue(w.rules.began(root.uid()));
+    world.play(30);
+    assertTrue(world.rules.began(root.uid()));
     List<Integer> status = new ArrayList<>();
     users.cancelAt(
         new Endpoint("n0", 1),
         root.uid(),
         s -> {
           status.add(s);
-          w.store.outage = true;
+          world.store.outage = true;
         });
-    w.play(1);
+    world.play(1);
     assertEquals(List.of(200), status);
-    assertTrue(w.store.outage);
-    w.at(Rules.CANCEL_MICROS + 12_000_000, w.store::endOutage);
-    w.play(Rules.CANCEL_MICROS / 1e6 + 40);
+    assertTrue(world.store.outage);
+    world.at(Rules.CANCEL_MICROS + 12_000_000, world.store::endOutage);
+    world.play(Rules.CANCEL_MICROS / 1e6 + 40);
     assertTold("aborted", root, next, last);
   }
 
   /** The transaction that ends a predecessor is carried out, and nobody is told. */
   @Test
   void anEndWithoutAnAnswerReleasesAllTheSame() {
-    List<JobSpec> p = pipeline();
-    w.store.unheardOnce = "ended/" + p.get(0).uid();
-    users.pipeline(p, false);
-    w.play(120);
-    assertEquals(1, w.store.carriedOutUnheard);
-    assertTold("done", p.toArray(new JobSpec[0]));
+    List<JobSpec> list = pipeline();
+    world.store.unheardOnce = "ended/" + list.get(0).uid();
+    users.pipeline(list, false);
+    world.play(120);
+    assertEquals(1, world.store.carriedOutUnheard);
+    assertTold("done", list.toArray(new JobSpec[0]));
   }
 
   /**
@@ -404,12 +411,12 @@
     users.meetEnds(0.9);
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 12; i++) {
-      List<JobSpec> p = pipeline();
-      all.addAll(p);
-      w.at(i * 5_000_000L, () -> users.pipeline(p, false));
+      List<JobSpec> list = pipeline();
+      all.addAll(list);
+      world.at(i * 5_000_000L, () -> users.pipeline(list, false));
     }
-    w.play(240);
-    assertEquals(List.of(), w.rules.broken);
+    world.play(240);
+    assertEquals(List.of(), world.rules.broken);
     Map<String, Long> ends =
         all.stream().collect(Collectors.groupingBy(this::told, Collectors.counting()));
     assertEquals(
@@ -426,14 +433,14 @@
     for (int i = 0; i < 25; i++) {
       JobSpec root = idle(1, 300);
       users.submit(root, false);
-      w.play(1);
+      world.play(1);
       JobSpec next = idle(1, 5, root);
       after.add(next);
-      w.at(w.random.nextInt(20_000), () -> users.cancel(root.uid()));
-      w.at(w.random.nextInt(20_000), () -> users.submit(next, false));
-      w.play(1);
+      world.at(world.random.nextInt(20_000), () -> users.cancel(root.uid()));
+      world.at(world.random.nextInt(20_000), () -> users.submit(next, false));
+      world.play(1);
     }
-    w.play(20);
+    world.play(20);
     assertTold("aborted", after.toArray(new JobSpec[0]));
   }
 
@@ -444,35 +451,35 @@
   @Test
   void anyLegalListIsTaken() {
     deployment(6, new Platform.StateLimits(200, 25, 2048, 4, 4096));
-    w.store.valueBytes = 2048;
-    w.store.txnOps = 4;
+    world.store.valueBytes = 2048;
+    world.store.txnOps = 4;
     List<JobSpec> roots = new ArrayList<>();
     for (int i = 0; i < 60; i++) {
-      JobSpec j = job(1, 2, JobSpec.NO_DEADLINE, Urgency.STANDARD, List.of());
-      roots.add(j);
-      users.submit(j, false);
-      w.play(0.3);
+      JobSpec otherJob = job(1, 2, JobSpec.NO_DEADLINE, Urgency.STANDARD, List.of());
+      roots.add(otherJob);
+      users.submit(otherJob, false);
+      world.play(0.3);
     }
-    w.play(60);
+    world.play(60);
     // Most have ended, some not; the list names each, and as many more as the body takes.
     JobSpec running = idle(1, 60);
     users.submit(running, false);
-    w.play(10);
+    world.play(10);
     Map<String, com.fasterxml.jackson.databind.JsonNode> more =
-        new TreeMap<>(w.store.entries("ended/"));
+        new TreeMap<>(world.store.entries("ended/"));
     List<String> names = new ArrayList<>(roots.stream().map(JobSpec::uid).toList());
     for (int i = 0; i < 4_800; i++) {
       names.add("job-5" + (10_000 + i));
       more.put("ended/job-5" + (10_000 + i), Json.object().put("s", "done"));
     }
-    w.store.rewrite("ended/", more);
+    world.store.rewrite("ended/", more);
     names.add(running.uid());
     JobSpec last = job(1, 3, JobSpec.NO_DEADLINE, Urgency.HIGH, names);
     String body = Json.write(last.toJson());
     assertTrue(body.length() > 60_000 && body.length() <= 65_536, "" + body.length());
     names.forEach(
         n ->
-            w.rules.submitted.computeIfAbsent(
+            world.rules.submitted.computeIfAbsent(
                 n,
                 k ->
                     new JobSpec(
@@ -495,34 +502,34 @@
                         0,
                         0,
                         JobSpec.NO_DEADLINE)));
-    names.stream().filter(n -> n.startsWith("job-5")).forEach(n -> w.rules.complete(n + "/0"));
-    Answer a = null;
-    for (int tries = 0; tries < 12 && (a == null || a.status == 503); tries++) {
-      a = submitAt("n" + tries % 3, last);
-      w.play(1);
+    names.stream().filter(n -> n.startsWith("job-5")).forEach(n -> world.rules.complete(n + "/0"));
+    Answer answer = null;
+    for (int tries = 0; tries < 12 && (answer == null || answer.status == 503); tries++) {
+      answer = submitAt("n" + tries % 3, last);
+      world.play(1);
     }
-    assertEquals(201, a.status, a.body);
-    assertEquals(0, w.store.malformed, "nothing too large was written");
+    assertEquals(201, answer.status, answer.body);
+    assertEquals(0, world.store.malformed, "nothing too large was written");
     assertTrue(ask("n2", "GET", "/submissions/" + last.uid(), null).body.contains("pending"));
-    w.leader().crash(1);
-    w.play(15);
-    assertFalse(w.rules.began(last.uid()), "one that it names still runs");
-    w.play(120);
+    world.leader().crash(1);
+    world.play(15);
+    assertFalse(world.rules.began(last.uid()), "one that it names still runs");
+    world.play(120);
     assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body.contains("\"done\""));
-    assertEquals(List.of(), w.rules.broken);
+    assertEquals(List.of(), world.rules.broken);
   }
 
   /** Watches that have fallen too far behind read the chains anew. */
   @Test
   void aBookThatIsTooOldIsReadAnew() {
-    w.store.remembered = 3;
+    world.store.remembered = 3;
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 4; i++) {
-      List<JobSpec> p = pipeline();
-      all.addAll(p);
-      users.pipeline(p, false);
+      List<JobSpec> list = pipeline();
+      all.addAll(list);
+      users.pipeline(list, false);
     }
-    w.play(200);
+    world.play(200);
     assertTold("done", all.toArray(new JobSpec[0]));
   }
 
@@ -531,26 +538,27 @@
   void questionsAboutALongChainAreFew() {
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 300; i++) {
-      JobSpec j = i == 0 ? idle(1, 900) : idle(1, 5, all.get(i - 1));
-      all.add(j);
-      assertEquals(201, submitAt("n0", j).status);
+      JobSpec job = i == 0 ? idle(1, 900) : idle(1, 5, all.get(i - 1));
+      all.add(job);
+      assertEquals(201, submitAt("n0", job).status);
     }
     JobSpec last = all.get(299);
     assertEquals(200, ask("n1", "GET", "/submissions/" + last.uid(), null).status);
-    w.store.requestsSeen = 0;
+    world.store.requestsSeen = 0;
     for (int i = 0; i < 10; i++) {
       assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body.contains("pending"));
     }
     assertTrue(
-        w.store.requestsSeen < 60, "for ten questions, all else included: " + w.store.requestsSeen);
+        world.store.requestsSeen < 60,
+        "for ten questions, all else included: " + world.store.requestsSeen);
     assertTrue(
         ask("n2", "POST", "/submissions/" + all.get(0).uid() + "/abort", "")
             .body
             .contains("aborted"));
     assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body.contains("\"aborted\""));
-    w.play(120);
-    assertEquals(0, w.store.count("active/"), "the leader has stored the rest");
-    assertEquals(List.of(), w.rules.broken);
+    world.play(120);
+    assertEquals(0, world.store.count("active/"), "the leader has stored the rest");
+    assertEquals(List.of(), world.rules.broken);
   }
 
   static LongStream seeds() {
@@ -566,51 +574,55 @@
   @MethodSource("seeds")
   void troubledDayWithPipelines(long seed) {
     deployment(4_000 + seed, new Platform.StateLimits(200, 25, 2048, 4, 4096));
-    w.store.valueBytes = seed % 2 == 0 ? 2048 : 4096;
-    w.store.txnOps = seed % 2 == 0 ? 4 : 8;
+    world.store.valueBytes = seed % 2 == 0 ? 2048 : 4096;
+    world.store.txnOps = seed % 2 == 0 ? 4 : 8;
     users.closeLooks = seed % 2 == 0;
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 14; i++) {
-      List<JobSpec> p = pipeline();
-      all.addAll(p);
+      List<JobSpec> list = pipeline();
+      all.addAll(list);
       boolean late = i % 4 == 0;
-      w.at(i * 15_000_000L, () -> users.pipeline(p, late));
+      world.at(i * 15_000_000L, () -> users.pipeline(list, late));
       if (i % 5 == 0) {
-        JobSpec off = p.get(w.random.nextInt(p.size()));
-        w.at(
-            i * 15_000_000L + 3_000_000 + w.random.nextLong(25_000_000),
+        JobSpec off = list.get(world.random.nextInt(list.size()));
+        world.at(
+            i * 15_000_000L + 3_000_000 + world.random.nextLong(25_000_000),
             () -> users.cancelOnceAccepted(off.uid()));
       }
-      w.at(
+      world.at(
           i * 15_000_000L,
           () ->
               users.submit(
-                  1 + w.random.nextInt(8), 1, 3 + w.random.nextInt(20), w.random.nextInt(5) == 0));
+                  1 + world.random.nextInt(8),
+                  1,
+                  3 + world.random.nextInt(20),
+                  world.random.nextInt(5) == 0));
     }
-    w.loseAnswer = 0.01;
-    w.repeat = 0.02;
-    w.copyReports = 0.02;
-    w.store.lateWrites = 0.02;
-    w.store.unheardWrites = 0.02;
+    world.loseAnswer = 0.01;
+    world.repeat = 0.02;
+    world.copyReports = 0.02;
+    world.store.lateWrites = 0.02;
+    world.store.unheardWrites = 0.02;
     for (int i = 0; i < 12; i++) {
-      w.at(20_000_000L + w.random.nextLong(200_000_000L), () -> SimulationTest.trouble(w));
+      world.at(
+          20_000_000L + world.random.nextLong(200_000_000L), () -> SimulationTest.trouble(world));
     }
-    w.at(
+    world.at(
         120_000_000,
         () -> {
-          w.store.valueBytes = 2048;
-          w.store.txnOps = 4;
+          world.store.valueBytes = 2048;
+          world.store.txnOps = 4;
         });
-    w.play(240);
-    w.store.lateWrites = 0;
-    w.store.unheardWrites = 0;
-    SimulationTest.calm(w);
-    w.play(300);
-    w.rules.checkServed();
-    assertEquals(List.of(), w.rules.broken);
-    assertEquals(0, w.store.malformed, "nothing too large was written");
-    for (JobSpec j : all) {
-      assertTrue(List.of("done", "aborted").contains(told(j)), j.uid() + " " + told(j));
+    world.play(240);
+    world.store.lateWrites = 0;
+    world.store.unheardWrites = 0;
+    SimulationTest.calm(world);
+    world.play(300);
+    world.rules.checkServed();
+    assertEquals(List.of(), world.rules.broken);
+    assertEquals(0, world.store.malformed, "nothing too large was written");
+    for (JobSpec job : all) {
+      assertTrue(List.of("done", "aborted").contains(told(job)), job.uid() + " " + told(job));
     }
     assertNotEquals(0, all.stream().filter(j -> told(j).equals("done")).count());
   }
@@ -618,11 +630,12 @@
   /** The check can fail: records that lose what a job waits on let it start too early. */
   @Test
   void withoutTheRecordJobsStartTooEarly() {
-    w.store.lostField = "waits_on";
+    world.store.lostField = "waits_on";
     users.pipeline(pipeline(), false);
-    w.play(80);
+    world.play(80);
     assertTrue(
-        w.rules.broken.stream().anyMatch(b -> b.startsWith("too_early")), "the checks must see it");
+        world.rules.broken.stream().anyMatch(b -> b.startsWith("too_early")),
+        "the checks must see it");
   }
 
   /**
@@ -634,27 +647,29 @@
     JobSpec root = idle(1, 400);
     JobSpec last = idle(1, 5, root);
     submit(root, last);
-    w.play(10);
-    w.members
+    world.play(10);
+    world
+        .members
         .keySet()
         .forEach(
             n ->
                 assertTrue(
                     ask(n, "GET", "/submissions/" + last.uid(), null).body.contains("pending")));
-    w.store.untold = "ended/";
+    world.store.untold = "ended/";
     List<Integer> status = new ArrayList<>();
-    World.Member leader = w.leader();
+    World.Member leader = world.leader();
     leader.stall(60);
     List<String> others =
-        w.members.keySet().stream().filter(n -> !n.equals(leader.platform.label())).toList();
+        world.members.keySet().stream().filter(n -> !n.equals(leader.platform.label())).toList();
     users.cancelAt(new Endpoint(others.get(0), 1), root.uid(), status::add);
-    w.play(0.1);
+    world.play(0.1);
     assertEquals(List.of(200), status);
-    long asked = w.now();
-    Answer a = ask(others.get(1), "GET", "/submissions/" + last.uid(), null);
-    w.rules.toldAnywhere(last.uid(), a.body.contains("pending") ? "pending" : "aborted", asked);
+    long asked = world.now();
+    Answer answer = ask(others.get(1), "GET", "/submissions/" + last.uid(), null);
+    world.rules.toldAnywhere(
+        last.uid(), answer.body.contains("pending") ? "pending" : "aborted", asked);
     assertTrue(
-        w.rules.broken.stream().anyMatch(b -> b.startsWith("orphaned")),
+        world.rules.broken.stream().anyMatch(b -> b.startsWith("orphaned")),
         "the checks must see it: " + told(last));
   }
 
@@ -664,24 +679,24 @@
     JobSpec first = idle(1, 300);
     JobSpec last = job(1, 10, 400, Urgency.HIGH, List.of(first.uid()));
     submit(first, last);
-    w.play(10);
+    world.play(10);
     for (int i = 0; i < 2; i++) {
-      plumlever.fleet.Job j = w.leader().node().leader().job(first.uid());
-      w.play(1);
-      assertEquals(Urgency.HIGH, j.urgency());
-      long left = j.deadlineMicros() - j.acceptedMicros();
+      plumlever.fleet.Job otherJob = world.leader().node().leader().job(first.uid());
+      world.play(1);
+      assertEquals(Urgency.HIGH, otherJob.urgency());
+      long left = otherJob.deadlineMicros() - otherJob.acceptedMicros();
       assertTrue(
           left > 370_000_000L && left < 390_000_000L, "400 s less what the last takes: " + left);
-      w.leader().crash(1);
-      w.play(15);
+      world.leader().crash(1);
+      world.play(15);
     }
     assertEquals(200, ask("n0", "POST", "/submissions/" + last.uid() + "/abort", "").status);
-    w.play(2);
+    world.play(2);
     assertEquals(
         Urgency.IDLE,
-        w.leader().node().leader().job(first.uid()).urgency(),
+        world.leader().node().leader().job(first.uid()).urgency(),
         "undone with the job that had it");
-    assertEquals(List.of(), w.rules.broken);
+    assertEquals(List.of(), world.rules.broken);
   }
 
   /** What was accepted before names of it were known may be named by any number. */
@@ -691,7 +706,7 @@
     assertEquals(201, submitAt("n0", root).status);
     List<JobSpec> all = IntStream.range(0, 120).mapToObj(i -> idle(1, 1, root)).toList();
     all.forEach(j -> users.submit(j, false));
-    w.play(150);
+    world.play(150);
     assertTold("done", all.toArray(new JobSpec[0]));
   }
 }
--- a/src/test/java/plumlever/sim/Processor.java
+++ b/src/test/java/plumlever/sim/Processor.java
@@ -77,15 +77,15 @@
   }
 
   private void next() {
-    Item i = line.poll();
-    if (i == null) {
+    Item item = line.poll();
+    if (item == null) {
       running = false;
       return;
     }
-    i.action.run();
+    item.action.run();
     long seatsNow = seats.getAsLong();
     double plain =
-        switch (i.work) {
+        switch (item.work) {
               case REPORT -> costs.reportMicros;
               case REQUEST -> costs.requestMicros;
               case ANSWER -> costs.answerMicros;
--- a/src/test/java/plumlever/sim/Rules.java
+++ b/src/test/java/plumlever/sim/Rules.java
@@ -86,52 +86,54 @@
     }
   }
 
-  void started(String task, FakeWorker w) {
+  void started(String task, FakeWorker worker) {
     starts++;
     if (abortedAt.containsKey(job(task))) {
       startsAfterCancel++;
     }
-    JobSpec j = submitted.get(job(task));
-    beganAt.putIfAbsent(j.uid(), world.now());
-    for (String name : j.waitsOn()) {
+    JobSpec otherJob = submitted.get(job(task));
+    beganAt.putIfAbsent(otherJob.uid(), world.now());
+    for (String name : otherJob.waitsOn()) {
       if (!allDone(name)) {
         broke("too_early", task + " starts before " + name + " is done");
       }
     }
     Set<FakeWorker> at = on.computeIfAbsent(task, k -> new HashSet<>());
     if (!at.isEmpty()) {
-      broke("ran_twice", task + " on " + w.vm.id + " and " + at.iterator().next().vm.id);
+      broke("ran_twice", task + " on " + worker.vm.id + " and " + at.iterator().next().vm.id);
     }
-    boolean joins = at.add(w);
-    if (!j.allows(w.vm.flavor, w.vm.site, w.vm.spot)) {
-      broke("wrong_place", task + " on " + w.vm.id);
+    boolean joins = at.add(worker);
+    if (!otherJob.allows(worker.vm.flavor, worker.vm.site, worker.vm.spot)) {
+      broke("wrong_place", task + " on " + worker.vm.id);
     }
     int here = 0;
-    for (int i = 0; i < j.pieces(); i++) {
-      for (FakeWorker o : on.getOrDefault(j.uid() + "/" + i, Set.of())) {
-        if (o.vm.site.equals(w.vm.site)) {
+    for (int i = 0; i < otherJob.pieces(); i++) {
+      for (FakeWorker other : on.getOrDefault(otherJob.uid() + "/" + i, Set.of())) {
+        if (other.vm.site.equals(worker.vm.site)) {
           here++;
-        } else if (j.oneZone()) {
-          broke("wrong_place", task + " in " + w.vm.site + " while another is in " + o.vm.site);
+        } else if (otherJob.oneZone()) {
+          broke(
+              "wrong_place",
+              task + " in " + worker.vm.site + " while another is in " + other.vm.site);
         }
       }
     }
-    if (here > j.zoneLimit()) {
-      broke("wrong_place", task + " is one too many in " + w.vm.site);
+    if (here > otherJob.zoneLimit()) {
+      broke("wrong_place", task + " is one too many in " + worker.vm.site);
     }
-    double used = held.merge(j.owner(), joins ? j.cores() : 0, Double::sum);
-    double limit = teams.get(j.owner()).cpusMax();
+    double used = held.merge(otherJob.owner(), joins ? otherJob.cores() : 0, Double::sum);
+    double limit = teams.get(otherJob.owner()).cpusMax();
     if (limit > 0 && used > limit + 1e-6) {
-      broke("quota", j.owner() + " uses " + used);
+      broke("quota", otherJob.owner() + " uses " + used);
     }
   }
 
-  void left(String task, FakeWorker w) {
+  void left(String task, FakeWorker worker) {
     Set<FakeWorker> at = on.get(task);
     if (at != null) {
-      if (at.remove(w)) {
-        JobSpec j = submitted.get(job(task));
-        held.merge(j.owner(), -j.cores(), Double::sum);
+      if (at.remove(worker)) {
+        JobSpec otherJob = submitted.get(job(task));
+        held.merge(otherJob.owner(), -otherJob.cores(), Double::sum);
       }
       if (at.isEmpty()) {
         on.remove(task);
@@ -140,11 +142,11 @@
   }
 
   void check() {
-    for (Map.Entry<String, Long> a : abortedAt.entrySet()) {
-      if (world.now() > a.getValue() + CANCEL_MICROS) {
-        for (String t : on.keySet()) {
-          if (job(t).equals(a.getKey())) {
-            broke("ran_cancelled", t);
+    for (Map.Entry<String, Long> entry : abortedAt.entrySet()) {
+      if (world.now() > entry.getValue() + CANCEL_MICROS) {
+        for (String text : on.keySet()) {
+          if (job(text).equals(entry.getKey())) {
+            broke("ran_cancelled", text);
             return;
           }
         }
@@ -184,10 +186,10 @@
    */
   void checkServed() {
     Map<String, List<JobSpec>> groups = new HashMap<>();
-    for (JobSpec j : submitted.values()) {
-      if (answeredAt.containsKey(j.uid()) && !abortedAt.containsKey(j.uid())) {
-        groups.computeIfAbsent("class " + j.jobclass(), k -> new ArrayList<>()).add(j);
-        groups.computeIfAbsent("team " + j.owner(), k -> new ArrayList<>()).add(j);
+    for (JobSpec job : submitted.values()) {
+      if (answeredAt.containsKey(job.uid()) && !abortedAt.containsKey(job.uid())) {
+        groups.computeIfAbsent("class " + job.jobclass(), k -> new ArrayList<>()).add(job);
+        groups.computeIfAbsent("team " + job.owner(), k -> new ArrayList<>()).add(job);
       }
     }
     Map<String, List<JobSpec>> largest = new HashMap<>();
@@ -269,8 +271,8 @@
     Set<String> seen = new HashSet<>();
     java.util.ArrayDeque<String> open = new java.util.ArrayDeque<>(List.of(uid));
     while (!open.isEmpty()) {
-      JobSpec j = submitted.get(open.poll());
-      for (String name : j == null ? List.<String>of() : j.waitsOn()) {
+      JobSpec job = submitted.get(open.poll());
+      for (String name : job == null ? List.<String>of() : job.waitsOn()) {
         if ("aborted".equals(finalState.get(name)) && finalAt.get(name) <= askedMicros) {
           return name;
         }
@@ -283,9 +285,9 @@
   }
 
   /** From when waiting counts: submitted, and all that it waits on done. */
-  private long waitsFrom(JobSpec j) {
-    long from = submittedAt.getOrDefault(j.uid(), 0L);
-    for (String name : j.waitsOn()) {
+  private long waitsFrom(JobSpec job) {
+    long from = submittedAt.getOrDefault(job.uid(), 0L);
+    for (String name : job.waitsOn()) {
       from =
           Math.max(from, allDone(name) ? completedAt.getOrDefault(name, 0L) : Long.MAX_VALUE / 2);
     }
@@ -300,51 +302,51 @@
     if (world.calmSince == Long.MAX_VALUE) {
       return;
     }
-    for (JobSpec j : submitted.values()) {
+    for (JobSpec job : submitted.values()) {
       boolean waits =
-          j != null
-              && acceptedSeen.contains(j.uid())
-              && !finalState.containsKey(j.uid())
-              && !abortedAt.containsKey(j.uid())
-              && !allDone(j.uid())
-              && waitsFrom(j) <= world.now()
-              && nothingOn(j)
-              && teamHasRoom(j)
-              && machineHasRoom(j);
+          job != null
+              && acceptedSeen.contains(job.uid())
+              && !finalState.containsKey(job.uid())
+              && !abortedAt.containsKey(job.uid())
+              && !allDone(job.uid())
+              && waitsFrom(job) <= world.now()
+              && nothingOn(job)
+              && teamHasRoom(job)
+              && machineHasRoom(job);
       if (!waits) {
-        waitsSince.remove(j == null ? "" : j.uid());
-      } else if (world.now() - waitsSince.computeIfAbsent(j.uid(), k -> world.now())
+        waitsSince.remove(job == null ? "" : job.uid());
+      } else if (world.now() - waitsSince.computeIfAbsent(job.uid(), k -> world.now())
           > WAITING_MICROS) {
-        broke("waiting", j.uid() + " waits although there is room");
-        waitsSince.remove(j.uid());
+        broke("waiting", job.uid() + " waits although there is room");
+        waitsSince.remove(job.uid());
       }
     }
   }
 
-  private boolean nothingOn(JobSpec j) {
-    for (int i = 0; i < j.pieces(); i++) {
-      if (on.containsKey(j.uid() + "/" + i)) {
+  private boolean nothingOn(JobSpec job) {
+    for (int i = 0; i < job.pieces(); i++) {
+      if (on.containsKey(job.uid() + "/" + i)) {
         return false;
       }
     }
     return true;
   }
 
-  private boolean teamHasRoom(JobSpec j) {
-    double limit = teams.get(j.owner()).cpusMax();
-    return limit <= 0 || held.getOrDefault(j.owner(), 0.0) + j.cores() <= limit + 1e-6;
+  private boolean teamHasRoom(JobSpec job) {
+    double limit = teams.get(job.owner()).cpusMax();
+    return limit <= 0 || held.getOrDefault(job.owner(), 0.0) + job.cores() <= limit + 1e-6;
   }
 
-  private boolean machineHasRoom(JobSpec j) {
-    for (FakeCloud.Vm v : world.cloud.machines.values()) {
-      if (v.worker == null || !j.allows(v.flavor, v.site, v.spot)) {
+  private boolean machineHasRoom(JobSpec otherJob) {
+    for (FakeCloud.Vm vm : world.cloud.machines.values()) {
+      if (vm.worker == null || !otherJob.allows(vm.flavor, vm.site, vm.spot)) {
         continue;
       }
-      double cores = FakeCloud.coresOf(v.flavor);
-      for (FakeWorker.Task t : v.worker.tasks.values()) {
-        cores -= t.status.equals("ended") ? 0 : submitted.get(job(t.name)).cores();
+      double cores = FakeCloud.coresOf(vm.flavor);
+      for (FakeWorker.Task task : vm.worker.tasks.values()) {
+        cores -= task.status.equals("ended") ? 0 : submitted.get(job(task.name)).cores();
       }
-      if (cores + 1e-6 >= j.cores()) {
+      if (cores + 1e-6 >= otherJob.cores()) {
         return true;
       }
     }
--- a/src/test/java/plumlever/sim/SimulationTest.java
+++ b/src/test/java/plumlever/sim/SimulationTest.java
@@ -28,41 +28,41 @@
     return new World(seed, 3, TEAMS, seed % 2 == 0);
   }
 
-  private static void submitOverTime(World w, FakeUsers users, int jobs, double everyS) {
+  private static void submitOverTime(World world, FakeUsers users, int jobs, double everyS) {
     for (int i = 0; i < jobs; i++) {
-      w.at(
+      world.at(
           (long) (i * everyS * 1e6),
           () ->
               users.submit(
-                  1 + w.random.nextInt(12),
-                  1 + w.random.nextInt(3),
-                  3 + w.random.nextInt(30),
-                  w.random.nextInt(5) == 0));
+                  1 + world.random.nextInt(12),
+                  1 + world.random.nextInt(3),
+                  3 + world.random.nextInt(30),
+                  world.random.nextInt(5) == 0));
     }
   }
 
-  private static void assertAllServed(World w, FakeUsers users, int jobs) {
-    w.rules.checkServed();
-    assertEquals(List.of(), w.rules.broken);
+  private static void assertAllServed(World world, FakeUsers users, int jobs) {
+    world.rules.checkServed();
+    assertEquals(List.of(), world.rules.broken);
     assertEquals(jobs, users.accepted().size(), "every job is accepted in the end");
     List<String> open = new ArrayList<>();
     for (String uid : users.accepted()) {
-      String told = w.rules.lastTold.get(uid);
+      String told = world.rules.lastTold.get(uid);
       if (!told.equals("done") && !told.equals("aborted")) {
         open.add(uid + " " + told);
       }
     }
     assertEquals(List.of(), open, "every job comes to its end");
-    assertTrue(w.rules.starts > jobs, "tasks were started");
+    assertTrue(world.rules.starts > jobs, "tasks were started");
   }
 
   @Test
   void quietDay() {
-    World w = world(1);
-    FakeUsers users = new FakeUsers(w);
-    submitOverTime(w, users, 20, 3);
-    w.play(400);
-    assertAllServed(w, users, 20);
+    World otherWorld = world(1);
+    FakeUsers users = new FakeUsers(otherWorld);
+    submitOverTime(otherWorld, users, 20, 3);
+    otherWorld.play(400);
+    assertAllServed(otherWorld, users, 20);
   }
 
   /** A dozen seeds as a rule; {@code -Dplumlever.first=F -Dplumlever.seeds=N} plays others. */
@@ -81,97 +81,99 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void troubledDay(long seed) {
-    World w = world(seed);
-    FakeUsers users = new FakeUsers(w);
-    submitOverTime(w, users, 40, 5);
-    w.loseAnswer = 0.01;
-    w.executeLate = 0.005;
-    w.repeat = 0.02;
-    w.copyReports = 0.02;
+    World otherWorld = world(seed);
+    FakeUsers users = new FakeUsers(otherWorld);
+    submitOverTime(otherWorld, users, 40, 5);
+    otherWorld.loseAnswer = 0.01;
+    otherWorld.executeLate = 0.005;
+    otherWorld.repeat = 0.02;
+    otherWorld.copyReports = 0.02;
     for (int i = 0; i < 16; i++) {
-      w.at(20_000_000L + w.random.nextLong(240_000_000L), () -> trouble(w));
+      otherWorld.at(
+          20_000_000L + otherWorld.random.nextLong(240_000_000L), () -> trouble(otherWorld));
     }
-    w.play(300);
-    calm(w);
-    w.play(400);
-    assertAllServed(w, users, 40);
+    otherWorld.play(300);
+    calm(otherWorld);
+    otherWorld.play(400);
+    assertAllServed(otherWorld, users, 40);
   }
 
-  static void trouble(World w) {
-    List<World.Member> all = new ArrayList<>(w.members.values());
-    World.Member one = all.get(w.random.nextInt(all.size()));
+  static void trouble(World world) {
+    List<World.Member> all = new ArrayList<>(world.members.values());
+    World.Member one = all.get(world.random.nextInt(all.size()));
     World.Member leader = all.stream().filter(World.Member::leads).findFirst().orElse(one);
-    long time = 5_000_000L + w.random.nextLong(40_000_000L);
-    switch (w.random.nextInt(16)) {
-      case 0 -> leader.crash(0.2 + w.random.nextInt(8));
-      case 1 -> all.forEach(m -> m.crash(0.3 + w.random.nextDouble() * 6));
+    long time = 5_000_000L + world.random.nextLong(40_000_000L);
+    switch (world.random.nextInt(16)) {
+      case 0 -> leader.crash(0.2 + world.random.nextInt(8));
+      case 1 -> all.forEach(m -> m.crash(0.3 + world.random.nextDouble() * 6));
       case 2 -> {
-        w.store.outage = true;
-        w.at(time / 2, w.store::endOutage);
+        world.store.outage = true;
+        world.at(time / 2, world.store::endOutage);
       }
       case 3 -> {
-        w.store.refused.add(leader.platform.label());
-        w.at(time, () -> w.store.refused.remove(leader.platform.label()));
+        world.store.refused.add(leader.platform.label());
+        world.at(time, () -> world.store.refused.remove(leader.platform.label()));
       }
-      case 4 -> hold(w, leader.platform.label() + ">*", "*>" + leader.platform.label(), time);
+      case 4 -> hold(world, leader.platform.label() + ">*", "*>" + leader.platform.label(), time);
       case 5 ->
-          hold(w, leader.platform.label() + ">state", "state>" + leader.platform.label(), time);
+          hold(world, leader.platform.label() + ">state", "state>" + leader.platform.label(), time);
       case 6 -> {
-        w.cloud.outage = true;
-        w.at(time, () -> w.cloud.outage = false);
+        world.cloud.outage = true;
+        world.at(time, () -> world.cloud.outage = false);
       }
       case 7 ->
-          w.cloud.machines.values().stream()
+          world.cloud.machines.values().stream()
               .filter(v -> v.worker != null)
               .limit(3)
               .forEach(
                   v -> {
                     v.worker.hung = true;
-                    w.at(time, () -> v.worker.hung = false);
+                    world.at(time, () -> v.worker.hung = false);
                   });
       case 8 ->
-          new ArrayList<>(w.cloud.machines.keySet())
-              .stream().filter(h -> w.random.nextInt(3) == 0).forEach(w.cloud::delete);
+          new ArrayList<>(world.cloud.machines.keySet())
+              .stream().filter(h -> world.random.nextInt(3) == 0).forEach(world.cloud::delete);
       case 9 ->
-          w.cloud.machines.values().stream()
+          world.cloud.machines.values().stream()
               .filter(v -> v.worker != null && v.spot)
               .forEach(
                   v -> {
                     v.worker.notice(8);
-                    w.at(8_000_000, () -> w.cloud.delete(v.id));
+                    world.at(8_000_000, () -> world.cloud.delete(v.id));
                   });
       case 10 ->
-          w.cloud.machines.values().stream()
+          world.cloud.machines.values().stream()
               .filter(v -> v.worker != null)
               .limit(2)
-              .forEach(v -> deafen(w, v.id, 2 * time));
-      case 11 -> loseAllButWorkers(w, leader, time);
-      case 12 -> loseAllButWorkers(w, one, time);
+              .forEach(v -> deafen(world, v.id, 2 * time));
+      case 11 -> loseAllButWorkers(world, leader, time);
+      case 12 -> loseAllButWorkers(world, one, time);
       case 14 ->
-          w.cloud
+          world
+              .cloud
               .machines
               .keySet()
               .forEach(
                   h ->
                       hold(
-                          w,
+                          world,
                           h + ">" + leader.platform.label(),
                           leader.platform.label() + ">" + h,
                           time));
       case 13 -> {
         // Back at once, and once more in the middle of the election that follows.
-        leader.crash(0.1 + w.random.nextDouble() / 10);
-        w.at(
-            500_000 + w.random.nextLong(3_000_000),
-            () -> all.get(w.random.nextInt(all.size())).crash(0.15));
+        leader.crash(0.1 + world.random.nextDouble() / 10);
+        world.at(
+            500_000 + world.random.nextLong(3_000_000),
+            () -> all.get(world.random.nextInt(all.size())).crash(0.15));
       }
       default ->
-          w.cloud.machines.values().stream()
+          world.cloud.machines.values().stream()
               .filter(v -> v.site.equals("a"))
               .forEach(
                   v ->
                       hold(
-                          w,
+                          world,
                           v.id + ">" + leader.platform.label(),
                           leader.platform.label() + ">" + v.id,
                           time));
@@ -179,41 +181,42 @@
   }
 
   /** Its reports arrive; answers and commands to it don't, and come late if at all. */
-  private static void deafen(World w, String host, long time) {
-    w.cuts.put("*>" + host, true);
-    w.at(time, () -> w.cuts.remove("*>" + host));
+  private static void deafen(World world, String host, long time) {
+    world.cuts.put("*>" + host, true);
+    world.at(time, () -> world.cuts.remove("*>" + host));
   }
 
-  private static void loseAllButWorkers(World w, World.Member m, long time) {
-    String label = m.platform.label();
-    hold(w, label + ">state", "state>" + label, time);
-    w.members.keySet().stream()
+  private static void loseAllButWorkers(World world, World.Member member, long time) {
+    String label = member.platform.label();
+    hold(world, label + ">state", "state>" + label, time);
+    world.members.keySet().stream()
         .filter(o -> !o.equals(label))
-        .forEach(o -> hold(w, label + ">" + o, o + ">" + label, time));
+        .forEach(o -> hold(world, label + ">" + o, o + ">" + label, time));
   }
 
-  private static void hold(World w, String there, String back, long time) {
-    w.cuts.put(there, true);
-    w.cuts.put(back, true);
-    w.at(
+  private static void hold(World world, String there, String back, long time) {
+    world.cuts.put(there, true);
+    world.cuts.put(back, true);
+    world.at(
         time,
         () -> {
-          w.cuts.remove(there);
-          w.cuts.remove(back);
+          world.cuts.remove(there);
+          world.cuts.remove(back);
         });
   }
 
-  static void calm(World w) {
-    w.loseAnswer = 0;
-    w.executeLate = 0;
-    w.repeat = 0;
-    w.copyReports = 0;
-    w.calmSince = w.now();
-    w.cuts.clear();
-    w.store.refused.clear();
-    w.cloud.outage = false;
-    w.store.endOutage();
-    w.cloud
+  static void calm(World world) {
+    world.loseAnswer = 0;
+    world.executeLate = 0;
+    world.repeat = 0;
+    world.copyReports = 0;
+    world.calmSince = world.now();
+    world.cuts.clear();
+    world.store.refused.clear();
+    world.cloud.outage = false;
+    world.store.endOutage();
+    world
+        .cloud
         .machines
         .values()
         .forEach(
@@ -229,22 +232,26 @@
    * room elsewhere.
    */
   private static World takeoverWithAHiddenMachine(Consumer<World> beforeTheCrash) {
-    World w = world(21);
-    FakeUsers users = new FakeUsers(w);
+    World otherWorld = world(21);
+    FakeUsers users = new FakeUsers(otherWorld);
     for (int i = 0; i < 8; i++) {
       users.submit(10, 1, 5, false);
     }
-    w.at(40_000_000, () -> users.submit(6, 1, 120, false));
-    w.at(40_000_000, () -> users.submit(6, 1, 120, false));
-    w.play(70);
-    beforeTheCrash.accept(w);
-    w.cloud.machines.values().stream()
+    otherWorld.at(40_000_000, () -> users.submit(6, 1, 120, false));
+    otherWorld.at(40_000_000, () -> users.submit(6, 1, 120, false));
+    otherWorld.play(70);
+    beforeTheCrash.accept(otherWorld);
+    otherWorld.cloud.machines.values().stream()
         .filter(v -> v.worker != null && !v.worker.tasks.isEmpty())
         .limit(1)
-        .forEach(v -> hold(w, v.id + ">*", "*>" + v.id, 15_000_000));
-    w.members.values().stream().filter(World.Member::leads).findFirst().orElseThrow().crash(5);
-    w.play(60);
-    return w;
+        .forEach(v -> hold(otherWorld, v.id + ">*", "*>" + v.id, 15_000_000));
+    otherWorld.members.values().stream()
+        .filter(World.Member::leads)
+        .findFirst()
+        .orElseThrow()
+        .crash(5);
+    otherWorld.play(60);
+    return otherWorld;
   }
 
   /**
@@ -253,11 +260,11 @@
    */
   @Test
   void withoutTheRecordOfBegunJobsTasksRunTwice() {
-    World w =
+    World world =
         takeoverWithAHiddenMachine(
             v -> v.store.forge("begun/", Json.object().set("jobs", Json.object().arrayNode())));
     assertTrue(
-        w.rules.broken.stream().anyMatch(b -> b.startsWith("ran_twice")),
+        world.rules.broken.stream().anyMatch(b -> b.startsWith("ran_twice")),
         "the checks must see the missing guard");
   }
 
@@ -267,16 +274,16 @@
    */
   @Test
   void withoutTheRecordOfMachinesTasksRunTwice() {
-    World w = takeoverWithAHiddenMachine(v -> v.store.hidden = "fleet/");
+    World world = takeoverWithAHiddenMachine(v -> v.store.hidden = "fleet/");
     assertTrue(
-        w.rules.broken.stream().anyMatch(b -> b.startsWith("ran_twice")),
+        world.rules.broken.stream().anyMatch(b -> b.startsWith("ran_twice")),
         "the checks must see the missing guard");
   }
 
   @Test
   void withTheRecordOfMachinesNoTaskRunsTwice() {
-    World w = takeoverWithAHiddenMachine(v -> {});
-    assertEquals(List.of(), w.rules.broken);
+    World world = takeoverWithAHiddenMachine(v -> {});
+    assertEquals(List.of(), world.rules.broken);
   }
 
   /**
@@ -285,16 +292,16 @@
    */
   @Test
   void aShortCutOfAZoneCostsNoMachine() {
-    World w = world(41);
-    FakeUsers users = new FakeUsers(w);
+    World otherWorld = world(41);
+    FakeUsers users = new FakeUsers(otherWorld);
     for (int i = 0; i < 8; i++) {
       users.submit(8, 1, 100, false);
     }
-    w.play(60);
+    otherWorld.play(60);
     World.Member leader =
-        w.members.values().stream().filter(World.Member::leads).findFirst().orElseThrow();
+        otherWorld.members.values().stream().filter(World.Member::leads).findFirst().orElseThrow();
     List<String> behind =
-        w.cloud.machines.values().stream()
+        otherWorld.cloud.machines.values().stream()
             .filter(v -> v.site.equals("a") && v.worker != null && !v.worker.tasks.isEmpty())
             .map(v -> v.id)
             .toList();
@@ -302,13 +309,13 @@
     behind.forEach(
         h ->
             hold(
-                w,
+                otherWorld,
                 h + ">" + leader.platform.label(),
                 leader.platform.label() + ">" + h,
                 16_000_000));
-    w.play(30);
-    assertTrue(w.cloud.machines.keySet().containsAll(behind), "no machine was returned");
-    assertEquals(List.of(), w.rules.broken);
+    otherWorld.play(30);
+    assertTrue(otherWorld.cloud.machines.keySet().containsAll(behind), "no machine was returned");
+    assertEquals(List.of(), otherWorld.rules.broken);
   }
 
   /**
@@ -317,25 +324,29 @@
    */
   @Test
   void aVanishedMachineHoldsUpATakeoverOnlyShortly() {
-    World w = world(43);
-    FakeUsers users = new FakeUsers(w);
+    World otherWorld = world(43);
+    FakeUsers users = new FakeUsers(otherWorld);
     for (int i = 0; i < 8; i++) {
       users.submit(8, 1, 100, false);
     }
-    w.play(60);
+    otherWorld.play(60);
     String gone =
-        w.cloud.machines.values().stream()
+        otherWorld.cloud.machines.values().stream()
             .filter(v -> v.worker != null && !v.worker.tasks.isEmpty())
             .map(v -> v.id)
             .findFirst()
             .orElseThrow();
-    w.cloud.delete(gone);
-    w.members.values().stream().filter(World.Member::leads).findFirst().orElseThrow().crash(30);
-    w.play(8);
+    otherWorld.cloud.delete(gone);
+    otherWorld.members.values().stream()
+        .filter(World.Member::leads)
+        .findFirst()
+        .orElseThrow()
+        .crash(30);
+    otherWorld.play(8);
     World.Member next =
-        w.members.values().stream().filter(World.Member::leads).findFirst().orElseThrow();
+        otherWorld.members.values().stream().filter(World.Member::leads).findFirst().orElseThrow();
     assertTrue(next.node().leader().tookOver(), "the takeover is complete");
-    assertEquals(List.of(), w.rules.broken);
+    assertEquals(List.of(), otherWorld.rules.broken);
   }
 
   /**
@@ -344,22 +355,22 @@
    */
   @Test
   void whatNoLeaderBeganDoesNotWaitForACutZone() {
-    World w = world(51);
-    FakeUsers users = new FakeUsers(w);
+    World otherWorld = world(51);
+    FakeUsers users = new FakeUsers(otherWorld);
     for (int i = 0; i < 8; i++) {
       users.submit(10, 1, 5, false);
     }
-    w.at(40_000_000, () -> users.submit(6, 1, 200, false));
-    w.play(60);
-    for (String h :
-        w.cloud.machines.values().stream()
+    otherWorld.at(40_000_000, () -> users.submit(6, 1, 200, false));
+    otherWorld.play(60);
+    for (String text :
+        otherWorld.cloud.machines.values().stream()
             .filter(v -> v.site.equals("a"))
             .map(v -> v.id)
             .toList()) {
-      hold(w, h + ">*", "*>" + h, 60_000_000);
+      hold(otherWorld, text + ">*", "*>" + text, 60_000_000);
     }
-    w.leader().crash(60);
-    w.play(2);
+    otherWorld.leader().crash(60);
+    otherWorld.play(2);
     JobSpec late =
         new JobSpec(
             users.nextUid(),
@@ -382,28 +393,29 @@
             0,
             JobSpec.NO_DEADLINE);
     users.submit(late, false);
-    w.play(16);
-    assertFalse(w.leader().node().leader().tookOver(), "the cut zone is not accounted for yet");
+    otherWorld.play(16);
+    assertFalse(
+        otherWorld.leader().node().leader().tookOver(), "the cut zone is not accounted for yet");
     assertTrue(
-        w.cloud.machines.values().stream()
+        otherWorld.cloud.machines.values().stream()
             .filter(v -> v.worker != null)
             .flatMap(v -> v.worker.tasks.values().stream())
             .anyMatch(t -> t.on() && t.name.startsWith(late.uid())),
         "it runs before that");
-    w.play(300);
-    assertEquals(List.of(), w.rules.broken);
-    assertEquals("done", w.rules.lastTold.get(late.uid()));
+    otherWorld.play(300);
+    assertEquals(List.of(), otherWorld.rules.broken);
+    assertEquals("done", otherWorld.rules.lastTold.get(late.uid()));
   }
 
   /** One survivor of three goes on serving. */
   @Test
   void oneNodeSuffices() {
-    World w = world(31);
-    FakeUsers users = new FakeUsers(w);
-    submitOverTime(w, users, 15, 4);
-    w.play(20);
-    w.members.values().stream().skip(1).forEach(World.Member::kill);
-    w.play(400);
-    assertAllServed(w, users, 15);
+    World otherWorld = world(31);
+    FakeUsers users = new FakeUsers(otherWorld);
+    submitOverTime(otherWorld, users, 15, 4);
+    otherWorld.play(20);
+    otherWorld.members.values().stream().skip(1).forEach(World.Member::kill);
+    otherWorld.play(400);
+    assertAllServed(otherWorld, users, 15);
   }
 }
--- a/src/test/java/plumlever/sim/TroublesTest.java
+++ b/src/test/java/plumlever/sim/TroublesTest.java
@@ -20,14 +20,14 @@
 final class TroublesTest {
   private static final double LIMIT = 48;
 
-  private final World w =
+  private final World world =
       new World(
           61,
           3,
           List.of(
               new Platform.Team("red", 16, LIMIT, 0, 0), new Platform.Team("blue", 16, 0, 0, 0)),
           false);
-  private final FakeUsers users = new FakeUsers(w);
+  private final FakeUsers users = new FakeUsers(world);
 
   private JobSpec job(
       String owner, Urgency urgency, int pieces, double cores, double expectS, boolean oneZone) {
@@ -53,40 +53,40 @@
         JobSpec.NO_DEADLINE);
   }
 
-  private JobSpec submit(JobSpec j) {
-    users.submit(j, false);
-    return j;
+  private JobSpec submit(JobSpec job) {
+    users.submit(job, false);
+    return job;
   }
 
   private void assertDone(JobSpec... jobs) {
-    assertEquals(List.of(), w.rules.broken);
-    for (JobSpec j : jobs) {
-      assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid());
+    assertEquals(List.of(), world.rules.broken);
+    for (JobSpec job : jobs) {
+      assertEquals("done", world.rules.lastTold.get(job.uid()), job.uid());
     }
   }
 
   /** Reports of the machine arrive, nothing reaches it. */
   private String deafen(double seconds) {
     String host =
-        w.cloud.machines.values().stream()
+        world.cloud.machines.values().stream()
             .filter(v -> v.worker != null && !v.worker.tasks.isEmpty())
             .map(v -> v.id)
             .findFirst()
             .orElseThrow();
-    w.cuts.put("*>" + host, true);
-    w.at((long) (seconds * 1e6), () -> w.cuts.remove("*>" + host));
+    world.cuts.put("*>" + host, true);
+    world.at((long) (seconds * 1e6), () -> world.cuts.remove("*>" + host));
     return host;
   }
 
   @Test
   void aMachineThatNothingReachesLosesItsTasksToOthers() {
-    JobSpec j = submit(job("blue", Urgency.STANDARD, 12, 2, 30, false));
-    w.play(35);
+    JobSpec otherJob = submit(job("blue", Urgency.STANDARD, 12, 2, 30, false));
+    world.play(35);
     deafen(400);
-    w.play(150);
-    assertDone(j);
+    world.play(150);
+    assertDone(otherJob);
     JobSpec next = submit(job("blue", Urgency.STANDARD, 12, 2, 10, false));
-    w.play(60);
+    world.play(60);
     assertDone(next);
   }
 
@@ -97,16 +97,16 @@
    */
   @Test
   void aLeaderThatStoodStillAnswersNobody() {
-    JobSpec j = submit(job("blue", Urgency.STANDARD, 40, 2, 40, false));
-    w.play(40);
-    World.Member stands = w.leader();
+    JobSpec otherJob = submit(job("blue", Urgency.STANDARD, 40, 2, 40, false));
+    world.play(40);
+    World.Member stands = world.leader();
     stands.freeze(12);
-    w.play(11.9);
+    world.play(11.9);
     assertTrue(
-        w.members.values().stream().anyMatch(m -> m != stands && m.leads()),
+        world.members.values().stream().anyMatch(m -> m != stands && m.leads()),
         "another leads by then");
-    w.play(120);
-    assertDone(j);
+    world.play(120);
+    assertDone(otherJob);
   }
 
   /**
@@ -117,14 +117,14 @@
   void aMachineThatNothingReachesHoldsUpNoTakeoverForLong() {
     JobSpec full = submit(job("red", Urgency.STANDARD, 24, 2, 60, false));
     JobSpec waiting = submit(job("red", Urgency.STANDARD, 10, 2, 10, false));
-    w.play(45);
+    world.play(45);
     deafen(500);
     // The cloud can't take it back meanwhile.
-    w.cloud.outage = true;
-    w.leader().crash(3);
-    w.play(75);
-    assertTrue(w.leader().node().leader().tookOver(), "all machines are accounted for");
-    w.play(150);
+    world.cloud.outage = true;
+    world.leader().crash(3);
+    world.play(75);
+    assertTrue(world.leader().node().leader().tookOver(), "all machines are accounted for");
+    world.play(150);
     assertDone(full, waiting);
   }
 
@@ -134,40 +134,44 @@
    */
   @Test
   void lateCopiesOfReportsChangeNothing() {
-    w.copyReports = 0.5;
+    world.copyReports = 0.5;
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 8; i++) {
-      w.at(
+      world.at(
           i * 15_000_000L,
           () -> all.add(submit(job("blue", Urgency.STANDARD, 10, 2, 20, i(all) % 2 == 0))));
     }
-    w.play(50);
-    w.leader().crash(0.2);
-    w.play(20);
-    w.cloud.machines.keySet().stream().limit(3).toList().forEach(w.cloud::delete);
-    w.play(10);
-    w.leader().crash(6);
-    w.play(250);
+    world.play(50);
+    world.leader().crash(0.2);
+    world.play(20);
+    world.cloud.machines.keySet().stream().limit(3).toList().forEach(world.cloud::delete);
+    world.play(10);
+    world.leader().crash(6);
+    world.play(250);
     assertEquals(8, all.size());
     assertDone(all.toArray(new JobSpec[0]));
   }
 
-  private static int i(List<?> l) {
-    return l.size();
+  private static int i(List<?> list) {
+    return list.size();
   }
 
   /** Asked the same again, the node neither renews a lease nor gives work. */
   @Test
   void aCopyAtTheLeaderIsNotAnswered() {
-    w.play(20);
+    world.play(20);
     byte[] report =
         ("{\"host\":\"i-900000\",\"endpoint\":\"h:9\",\"flavor\":\"small\",\"site\":\"a\",\"loaners\":false,"
              + "\"tenure\":1,\"tick\":7,\"baton\":0,\"pieces\":[]}")
             .getBytes(StandardCharsets.UTF_8);
     int[] status = new int[2];
     for (int i = 0; i < 2; i++) {
-      int n = i;
-      w.leader().node().front().handle("POST", "/hello", report, (s, json, retry) -> status[n] = s);
+      int count = i;
+      world
+          .leader()
+          .node()
+          .front()
+          .handle("POST", "/hello", report, (s, json, retry) -> status[count] = s);
     }
     assertEquals(200, status[0]);
     assertEquals(503, status[1]);
@@ -183,19 +187,19 @@
     for (int i = 0; i < 9; i++) {
       all.add(submit(job("blue", Urgency.STANDARD, 6, 2, 60, false)));
     }
-    w.play(50);
-    String alone = w.leader().platform.label();
+    world.play(50);
+    String alone = world.leader().platform.label();
     for (String other : List.of("state", "n0", "n1", "n2")) {
       if (!other.equals(alone)) {
-        w.cut(alone, other, true);
+        world.cut(alone, other, true);
       }
     }
-    w.calmSince = w.now();
-    w.play(12);
-    assertNotEquals(alone, w.leader().platform.label(), "another leads");
+    world.calmSince = world.now();
+    world.play(12);
+    assertNotEquals(alone, world.leader().platform.label(), "another leads");
     int[] up = new int[1];
     boolean[] closed = new boolean[1];
-    w.send(
+    world.send(
         "probe",
         new plumlever.settings.Endpoint(alone, 1),
         "GET",
@@ -203,7 +207,7 @@
         null,
         2_000_000,
         a -> up[0] = (Integer) a[0]);
-    w.send(
+    world.send(
         "probe",
         new plumlever.settings.Endpoint(alone, 1),
         "GET",
@@ -211,10 +215,10 @@
         null,
         5_000_000,
         a -> closed[0] = (Integer) a[0] == 503 && (Boolean) a[2]);
-    w.play(5);
+    world.play(5);
     assertEquals(503, up[0], "silence alone makes it unhealthy too");
     assertTrue(closed[0], "its users' connections end");
-    w.play(250);
+    world.play(250);
     assertDone(all.toArray(new JobSpec[0]));
   }
 
@@ -228,12 +232,12 @@
     for (int i = 0; i < 6; i++) {
       all.add(submit(job("blue", Urgency.STANDARD, 6, 2, 60, false)));
     }
-    w.play(50);
-    String alone = w.leader().platform.label();
-    w.cloud.machines.keySet().forEach(h -> w.cut(alone, h, true));
-    w.play(22);
-    assertNotEquals(alone, w.leader().platform.label(), "another leads");
-    w.play(250);
+    world.play(50);
+    String alone = world.leader().platform.label();
+    world.cloud.machines.keySet().forEach(h -> world.cut(alone, h, true));
+    world.play(22);
+    assertNotEquals(alone, world.leader().platform.label(), "another leads");
+    world.play(250);
     assertDone(all.toArray(new JobSpec[0]));
   }
 
@@ -250,28 +254,28 @@
     }
     JobSpec cancelled = job("blue", Urgency.STANDARD, 12, 2, 200, false);
     users.submit(cancelled, false);
-    w.play(45);
-    String leader = w.leader().platform.label();
+    world.play(45);
+    String leader = world.leader().platform.label();
     List<String> behind =
-        w.cloud.machines.values().stream()
+        world.cloud.machines.values().stream()
             .filter(v -> v.site.equals("a") && v.worker != null)
             .map(v -> v.id)
             .toList();
     assertTrue(behind.size() >= 4, "the zone has machines");
-    behind.forEach(h -> w.cut(leader, h, true));
-    w.at(5_000_000, () -> users.cancel(cancelled.uid()));
-    w.at(45_000_000, () -> behind.forEach(h -> w.cut(leader, h, false)));
-    w.play(60);
+    behind.forEach(h -> world.cut(leader, h, true));
+    world.at(5_000_000, () -> users.cancel(cancelled.uid()));
+    world.at(45_000_000, () -> behind.forEach(h -> world.cut(leader, h, false)));
+    world.play(60);
     long renewed =
-        w.members.values().stream()
+        world.members.values().stream()
             .mapToLong(m -> m.node().metrics().counted("leases_renewed_for_leader"))
             .sum();
     assertTrue(renewed > 20, "leases were renewed: " + renewed);
-    assertEquals(0, w.leader().node().metrics().counted("attempts_lost"), "no task was lost");
-    assertEquals(leader, w.leader().platform.label());
-    w.play(150);
+    assertEquals(0, world.leader().node().metrics().counted("attempts_lost"), "no task was lost");
+    assertEquals(leader, world.leader().platform.label());
+    world.play(150);
     assertDone(all.toArray(new JobSpec[0]));
-    assertEquals("aborted", w.rules.lastTold.get(cancelled.uid()));
+    assertEquals("aborted", world.rules.lastTold.get(cancelled.uid()));
   }
 
   /**
@@ -283,14 +287,15 @@
     for (int i = 0; i < 10; i++) {
       all.add(submit(job("blue", Urgency.STANDARD, 8, 2, 60, false)));
     }
-    w.play(45);
-    w.cloud.machines.values().stream()
+    world.play(45);
+    world.cloud.machines.values().stream()
         .filter(v -> v.site.equals("a") && v.worker != null)
-        .forEach(v -> w.cuts.put(v.id + ">*", true));
-    w.play(48);
+        .forEach(v -> world.cuts.put(v.id + ">*", true));
+    world.play(48);
     assertTrue(
-        w.leader().node().metrics().counted("attempts_lost") > 0, "the tasks there are free again");
-    w.play(200);
+        world.leader().node().metrics().counted("attempts_lost") > 0,
+        "the tasks there are free again");
+    world.play(200);
     assertDone(all.toArray(new JobSpec[0]));
   }
 
@@ -304,40 +309,41 @@
     for (int i = 0; i < 10; i++) {
       all.add(submit(job("blue", Urgency.STANDARD, 8, 2, 60, i % 2 == 0)));
     }
-    w.play(45);
-    String leader = w.leader().platform.label();
+    world.play(45);
+    String leader = world.leader().platform.label();
     List<String> behind =
-        w.cloud.machines.values().stream()
+        world.cloud.machines.values().stream()
             .filter(v -> v.site.equals("a") && v.worker != null)
             .map(v -> v.id)
             .toList();
-    behind.forEach(h -> w.cut(leader, h, true));
-    w.cloud.outage = true;
-    w.play(20);
+    behind.forEach(h -> world.cut(leader, h, true));
+    world.cloud.outage = true;
+    world.play(20);
     // Now the others lose the zone as well.
-    behind.forEach(h -> w.members.keySet().forEach(n -> w.cut(n, h, true)));
-    w.leader().crash(1);
-    w.at(
-        60_000_000, () -> behind.forEach(h -> w.members.keySet().forEach(n -> w.cut(n, h, false))));
-    w.play(90);
-    w.cloud.outage = false;
-    w.play(200);
+    behind.forEach(h -> world.members.keySet().forEach(n -> world.cut(n, h, true)));
+    world.leader().crash(1);
+    world.at(
+        60_000_000,
+        () -> behind.forEach(h -> world.members.keySet().forEach(n -> world.cut(n, h, false))));
+    world.play(90);
+    world.cloud.outage = false;
+    world.play(200);
     assertDone(all.toArray(new JobSpec[0]));
   }
 
   /** A common outage, by refusals or by silence, leaves every node healthy. */
   @Test
   void aCommonOutageMakesNoNodeUnhealthy() {
-    w.play(10);
-    for (String n : List.of("n0", "n1", "n2")) {
-      w.cut(n, "state", true);
+    world.play(10);
+    for (String text : List.of("n0", "n1", "n2")) {
+      world.cut(text, "state", true);
     }
     List<Integer> seen = new ArrayList<>();
     for (int i = 0; i < 30; i++) {
-      for (World.Member m : w.members.values()) {
-        m.node().front().handle("GET", "/up", new byte[0], (s, json, retry) -> seen.add(s));
+      for (World.Member member : world.members.values()) {
+        member.node().front().handle("GET", "/up", new byte[0], (s, json, retry) -> seen.add(s));
       }
-      w.play(1);
+      world.play(1);
     }
     assertEquals(List.of(200), seen.stream().distinct().toList());
   }
@@ -348,20 +354,20 @@
    */
   @Test
   void processesBackAtOnceStartNothingTwice() {
-    w.repeat = 0.05;
+    world.repeat = 0.05;
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 8; i++) {
       all.add(submit(job("blue", Urgency.STANDARD, 6, 2, 40, i % 2 == 0)));
     }
-    w.play(40);
+    world.play(40);
     for (int round = 0; round < 6; round++) {
-      w.leader().crash(0.15);
-      for (World.Member m : w.members.values()) {
-        w.at(300_000L * (round + 1), () -> m.crash(0.1));
+      world.leader().crash(0.15);
+      for (World.Member member : world.members.values()) {
+        world.at(300_000L * (round + 1), () -> member.crash(0.1));
       }
-      w.play(20);
+      world.play(20);
     }
-    w.play(200);
+    world.play(200);
     assertDone(all.toArray(new JobSpec[0]));
   }
 
@@ -371,62 +377,62 @@
    */
   @Test
   void aLateCopyOfADirectOrderStartsNothing() {
-    w.copyOrders = 1;
+    world.copyOrders = 1;
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
-      JobSpec j = job("blue", Urgency.STANDARD, 6, 2, 90, false);
-      all.add(j);
-      users.submit(j, true);
+      JobSpec otherJob = job("blue", Urgency.STANDARD, 6, 2, 90, false);
+      all.add(otherJob);
+      users.submit(otherJob, true);
     }
-    w.play(240);
-    assertEquals(List.of(), w.rules.broken);
-    all.forEach(j -> assertEquals("aborted", w.rules.lastTold.get(j.uid())));
+    world.play(240);
+    assertEquals(List.of(), world.rules.broken);
+    all.forEach(j -> assertEquals("aborted", world.rules.lastTold.get(j.uid())));
   }
 
   /** The answers to direct orders are lost, and with them the word whether the tasks run. */
   @Test
   void anUnheardDirectOrderHoldsItsTaskUntilTheTokenIsRaised() {
     JobSpec first = submit(job("blue", Urgency.STANDARD, 8, 2, 5, false));
-    w.play(40);
+    world.play(40);
     assertDone(first);
-    w.loseOrderAnswers = 0.7;
+    world.loseOrderAnswers = 0.7;
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
       all.add(submit(job("blue", Urgency.STANDARD, 10, 2, 8, false)));
-      w.play(10);
+      world.play(10);
     }
-    w.play(120);
+    world.play(120);
     assertDone(all.toArray(new JobSpec[0]));
   }
 
   /** While an order is under way, reports that were sent before it arrived don't list its task. */
   @Test
   void aReportThatCrossesADirectOrderProvesNothing() {
-    w.slowOrdersMicros = 1_200_000;
+    world.slowOrdersMicros = 1_200_000;
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 10; i++) {
       all.add(submit(job("blue", Urgency.STANDARD, 10, 2, 8, false)));
-      w.play(8);
+      world.play(8);
     }
-    w.play(120);
+    world.play(120);
     assertDone(all.toArray(new JobSpec[0]));
     assertEquals(
-        0, w.leader().node().metrics().counted("runs_lost"), "no order was taken for lost");
-    assertTrue(w.leader().node().metrics().counted("runs_ordered") >= 100);
+        0, world.leader().node().metrics().counted("runs_lost"), "no order was taken for lost");
+    assertTrue(world.leader().node().metrics().counted("runs_ordered") >= 100);
   }
 
   /** Nor may it while another order to the same machine is still under way, with the same token. */
   @Test
   void nothingIsReapedWhileALateCopyCouldStartItAnew() {
-    w.slowOrdersMicros = 1_200_000;
-    w.copyOrders = 1;
-    w.cloud.most = 2;
+    world.slowOrdersMicros = 1_200_000;
+    world.copyOrders = 1;
+    world.cloud.most = 2;
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 30; i++) {
       all.add(submit(job("blue", Urgency.STANDARD, 3 + i % 4, 1, 3 + i % 5, false)));
-      w.play(3);
+      world.play(3);
     }
-    w.play(120);
+    world.play(120);
     assertDone(all.toArray(new JobSpec[0]));
   }
 
@@ -436,30 +442,31 @@
    */
   @Test
   void theLargestOfTheLeastUrgentBeginsWithinFourMinutes() {
-    w.cloud.most = 6;
+    world.cloud.most = 6;
     for (int i = 0; i < 150; i++) {
-      w.at(i * 2_000_000L, () -> submit(job("red", Urgency.PROD, 6, 2, 20, false)));
+      world.at(i * 2_000_000L, () -> submit(job("red", Urgency.PROD, 6, 2, 20, false)));
     }
-    w.play(30);
+    world.play(30);
     JobSpec large = submit(job("red", Urgency.IDLE, 40, 4, 20, true));
-    w.play(245);
-    assertTrue(w.rules.began(large.uid()), "it has begun");
-    assertEquals(List.of(), w.rules.broken);
+    world.play(245);
+    assertTrue(world.rules.began(large.uid()), "it has begun");
+    assertEquals(List.of(), world.rules.broken);
   }
 
   /** The checks can fail: questions left unanswered, and a job that never begins, are seen. */
   @Test
   void theChecksSeeForgottenAndUnservedJobs() {
-    JobSpec j = submit(job("blue", Urgency.STANDARD, 4, 2, 400, false));
-    w.play(20);
-    assertFalse(w.rules.lastTold.isEmpty());
-    w.members.values().forEach(World.Member::kill);
-    w.calmSince = w.now();
-    w.play(300);
-    w.rules.checkServed();
+    JobSpec otherJob = submit(job("blue", Urgency.STANDARD, 4, 2, 400, false));
+    world.play(20);
+    assertFalse(world.rules.lastTold.isEmpty());
+    world.members.values().forEach(World.Member::kill);
+    world.calmSince = world.now();
+    world.play(300);
+    world.rules.checkServed();
     assertTrue(
-        w.rules.broken.stream().anyMatch(b -> b.startsWith("forgotten")),
-        "forgotten: " + w.rules.broken);
-    assertTrue(w.rules.broken.stream().anyMatch(b -> b.startsWith("half")), "half: " + j.uid());
+        world.rules.broken.stream().anyMatch(b -> b.startsWith("forgotten")),
+        "forgotten: " + world.rules.broken);
+    assertTrue(
+        world.rules.broken.stream().anyMatch(b -> b.startsWith("half")), "half: " + otherJob.uid());
   }
 }
--- a/src/test/java/plumlever/sim/UpgradeTest.java
+++ b/src/test/java/plumlever/sim/UpgradeTest.java
@@ -69,19 +69,19 @@
   @Test
   void readsItsRecordsOfEveryKind() throws InvalidMessage {
     Set<String> kinds = new HashSet<>();
-    for (Map.Entry<String, JsonNode> e : records().entrySet()) {
-      kinds.add(e.getKey().substring(0, Math.max(0, e.getKey().indexOf('/'))));
-      if (e.getKey().startsWith(JobStore.ACTIVE)) {
-        JobSpec spec = JobStore.spec(e.getValue());
+    for (Map.Entry<String, JsonNode> entry : records().entrySet()) {
+      kinds.add(entry.getKey().substring(0, Math.max(0, entry.getKey().indexOf('/'))));
+      if (entry.getKey().startsWith(JobStore.ACTIVE)) {
+        JobSpec spec = JobStore.spec(entry.getValue());
         assertEquals(
-            e.getValue().path("job"),
+            entry.getValue().path("job"),
             Json.parseObject(Json.write(spec.toJson())),
             "nothing is read otherwise than it was written");
-        assertTrue(JobStore.acceptedWallMicros(e.getValue()) > 0);
+        assertTrue(JobStore.acceptedWallMicros(entry.getValue()) > 0);
         assertEquals(List.of(), spec.waitsOn());
-      } else if (e.getKey().startsWith(JobStore.ENDED)) {
-        assertTrue(JobStore.finalState(e.getValue()) != null);
-        assertEquals(0, JobStore.endedWallMicros(e.getValue()), "when it ended is not told");
+      } else if (entry.getKey().startsWith(JobStore.ENDED)) {
+        assertTrue(JobStore.finalState(entry.getValue()) != null);
+        assertEquals(0, JobStore.endedWallMicros(entry.getValue()), "when it ended is not told");
       }
     }
     assertEquals(
@@ -94,38 +94,44 @@
    */
   @Test
   void takesOverWhatItLeft() throws InvalidMessage {
-    World w = world(1);
+    World otherWorld = world(1);
     Map<String, JsonNode> left = records();
     left.keySet().removeIf(k -> k.startsWith("office/leader"));
-    w.store.rewrite("", left);
-    w.cloud.outage = true;
-    w.play(4);
-    for (Map.Entry<String, JsonNode> e : left.entrySet()) {
-      if (e.getKey().startsWith(JobStore.ACTIVE)) {
+    otherWorld.store.rewrite("", left);
+    otherWorld.cloud.outage = true;
+    otherWorld.play(4);
+    for (Map.Entry<String, JsonNode> entry : left.entrySet()) {
+      if (entry.getKey().startsWith(JobStore.ACTIVE)) {
         assertTrue(
-            w.leader().node().leader().job(e.getKey().substring(JobStore.ACTIVE.length())) != null,
-            e.getKey());
+            otherWorld
+                    .leader()
+                    .node()
+                    .leader()
+                    .job(entry.getKey().substring(JobStore.ACTIVE.length()))
+                != null,
+            entry.getKey());
       }
     }
     BitSet packed = JobStore.readPack(left.get("progress/pack/0")).get("job-000030");
-    Job small = w.leader().node().leader().job("job-000030");
+    Job small = otherWorld.leader().node().leader().job("job-000030");
     if (small != null) {
       assertEquals(packed, small.done());
     }
-    Job large = w.leader().node().leader().job("job-900001");
+    Job large = otherWorld.leader().node().leader().job("job-900001");
     assertEquals(
-        FormerVersion.progressItReads(w.store, NOW_BYTES).get("job-900001"),
+        FormerVersion.progressItReads(otherWorld.store, NOW_BYTES).get("job-900001"),
         large.done(),
         "by its own size of chunks");
     assertTrue(large.doneCount() > 1000 && large.inherited());
     int machines = left.get("fleet/0").path("hosts").size();
     assertTrue(machines > 5);
-    assertEquals(200, status(w, "job-000003", "aborted"));
+    assertEquals(200, status(otherWorld, "job-000003", "aborted"));
   }
 
-  private static int status(World w, String uid, String part) {
+  private static int status(World world, String uid, String part) {
     int[] status = new int[1];
-    w.members
+    world
+        .members
         .get("n1")
         .node()
         .front()
@@ -137,7 +143,7 @@
               status[0] = s;
               assertTrue(json.contains(part), json);
             });
-    w.play(1);
+    world.play(1);
     return status[0];
   }
 
@@ -186,13 +192,13 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void leadsInTurnsWithIt(long seed) {
-    World w = world(300 + seed);
-    FakeUsers users = new FakeUsers(w);
-    FormerVersion former = new FormerVersion(w.store, NOW_BYTES);
+    World otherWorld = world(300 + seed);
+    FakeUsers users = new FakeUsers(otherWorld);
+    FormerVersion former = new FormerVersion(otherWorld.store, NOW_BYTES);
     List<JobSpec> all = new ArrayList<>();
-    w.cloud.most = 60;
+    otherWorld.cloud.most = 60;
     for (int i = 0; i < 110; i++) {
-      JobSpec j =
+      JobSpec job =
           new JobSpec(
               users.nextUid(),
               "c0",
@@ -213,8 +219,8 @@
               0,
               0,
               JobSpec.NO_DEADLINE);
-      all.add(j);
-      w.at(i * 300_000L, () -> users.submit(j, false));
+      all.add(job);
+      otherWorld.at(i * 300_000L, () -> users.submit(job, false));
     }
     JobSpec large =
         new JobSpec(
@@ -241,48 +247,49 @@
     users.submit(large, false);
     int largest = 0;
     long limitsFall = 60_000_000 + seed * 15_000_000;
-    w.at(
+    otherWorld.at(
         limitsFall,
         () -> {
-          w.store.valueBytes = NEXT_BYTES;
-          w.store.txnOps = 4;
+          otherWorld.store.valueBytes = NEXT_BYTES;
+          otherWorld.store.txnOps = 4;
         });
     for (int turn = 0; turn < 8; turn++) {
-      w.play(18);
-      largest = Math.max(largest, w.store.largestValue);
-      if (w.store.valueBytes > NEXT_BYTES && turn % 2 == (seed & 1)) {
-        w.members.values().stream().filter(World.Member::leads).forEach(m -> m.crash(2));
-        w.play(0.1);
+      otherWorld.play(18);
+      largest = Math.max(largest, otherWorld.store.largestValue);
+      if (otherWorld.store.valueBytes > NEXT_BYTES && turn % 2 == (seed & 1)) {
+        otherWorld.members.values().stream().filter(World.Member::leads).forEach(m -> m.crash(2));
+        otherWorld.play(0.1);
         former.leads();
       } else {
-        w.members.values().stream().filter(World.Member::leads).forEach(m -> m.crash(1));
+        otherWorld.members.values().stream().filter(World.Member::leads).forEach(m -> m.crash(1));
       }
-      noProgressIsMistaken(w);
+      noProgressIsMistaken(otherWorld);
     }
-    w.calmSince = w.now();
-    w.play(400);
+    otherWorld.calmSince = otherWorld.now();
+    otherWorld.play(400);
     assertTrue(largest <= NEXT_BYTES, "written by this version: " + largest);
-    assertEquals(0, w.store.malformed);
-    assertEquals(List.of(), w.rules.broken);
-    for (JobSpec j : all) {
-      assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid());
+    assertEquals(0, otherWorld.store.malformed);
+    assertEquals(List.of(), otherWorld.rules.broken);
+    for (JobSpec job : all) {
+      assertEquals("done", otherWorld.rules.lastTold.get(job.uid()), job.uid());
     }
-    for (JsonNode v : w.store.values("fleet/")) {
+    for (JsonNode node : otherWorld.store.values("fleet/")) {
       assertTrue(
-          Json.write(v).length() <= NEXT_BYTES, "rewritten in parts: " + Json.write(v).length());
+          Json.write(node).length() <= NEXT_BYTES,
+          "rewritten in parts: " + Json.write(node).length());
     }
   }
 
   /** What the old version would take for done is done. */
-  private static void noProgressIsMistaken(World w) {
-    FormerVersion.progressItReads(w.store, NOW_BYTES)
+  private static void noProgressIsMistaken(World world) {
+    FormerVersion.progressItReads(world.store, NOW_BYTES)
         .forEach(
             (uid, done) ->
                 done.stream()
                     .forEach(
                         t ->
                             assertTrue(
-                                w.rules.completed(uid + "/" + t),
+                                world.rules.completed(uid + "/" + t),
                                 "it would take " + uid + "/" + t + " for done")));
   }
 
@@ -292,9 +299,9 @@
    */
   @Test
   void aSharedRecordThatDoesNotFitLosesNothing() {
-    World w = world(77);
-    FakeUsers users = new FakeUsers(w);
-    w.cloud.most = 200;
+    World otherWorld = world(77);
+    FakeUsers users = new FakeUsers(otherWorld);
+    otherWorld.cloud.most = 200;
     for (int i = 0; i < 60; i++) {
       users.submit(
           new JobSpec(
@@ -319,45 +326,48 @@
               JobSpec.NO_DEADLINE),
           false);
     }
-    w.play(60);
-    Set<String> hosts = hosts(w);
+    otherWorld.play(60);
+    Set<String> hosts = hosts(otherWorld);
     assertTrue(hosts.size() > 60, "machines on record: " + hosts.size());
-    w.leader().crash(1);
-    w.play(0.05);
-    new FormerVersion(w.store, NOW_BYTES).leads();
+    otherWorld.leader().crash(1);
+    otherWorld.play(0.05);
+    new FormerVersion(otherWorld.store, NOW_BYTES).leads();
     assertTrue(
-        w.store.values("fleet/").stream().anyMatch(v -> Json.write(v).length() > NEXT_BYTES),
+        otherWorld.store.values("fleet/").stream()
+            .anyMatch(v -> Json.write(v).length() > NEXT_BYTES),
         "too large to be written now");
-    w.store.valueBytes = NEXT_BYTES;
-    w.store.txnOps = 4;
+    otherWorld.store.valueBytes = NEXT_BYTES;
+    otherWorld.store.txnOps = 4;
     int[] looks = new int[1];
     for (int i = 0; i < 1_200; i++) {
-      w.at(
+      otherWorld.at(
           i * 20_000L,
           () -> {
-            Set<String> now = hosts(w);
-            for (String h : hosts) {
-              if (!now.contains(h) && w.cloud.machines.containsKey(h)) {
-                w.rules.broken.add(h + " is on no record");
+            Set<String> now = hosts(otherWorld);
+            for (String text : hosts) {
+              if (!now.contains(text) && otherWorld.cloud.machines.containsKey(text)) {
+                otherWorld.rules.broken.add(text + " is on no record");
               }
             }
             looks[0]++;
           });
     }
     // The new leader ends while it is at it, so that the next goes on with what it left.
-    w.at(4_300_000, () -> w.leader().crash(1));
-    w.play(26);
+    otherWorld.at(4_300_000, () -> otherWorld.leader().crash(1));
+    otherWorld.play(26);
     assertEquals(1_200, looks[0]);
-    assertEquals(List.of(), w.rules.broken);
-    assertEquals(0, w.store.malformed);
+    assertEquals(List.of(), otherWorld.rules.broken);
+    assertEquals(0, otherWorld.store.malformed);
     assertTrue(
-        w.store.values("fleet/").stream().allMatch(v -> Json.write(v).length() <= NEXT_BYTES),
+        otherWorld.store.values("fleet/").stream()
+            .allMatch(v -> Json.write(v).length() <= NEXT_BYTES),
         "all in parts by now");
   }
 
-  private static Set<String> hosts(World w) {
+  private static Set<String> hosts(World world) {
     Set<String> out = new HashSet<>();
-    w.store
+    world
+        .store
         .values("fleet/")
         .forEach(v -> v.path("hosts").forEach(h -> out.add(h.path(0).asText())));
     return out;
@@ -369,7 +379,7 @@
    */
   @Test
   void limitsThatFallUnannouncedAreKeptAfterTheFirstRefusals() {
-    World w =
+    World world =
         new World(
             78,
             3,
@@ -377,11 +387,11 @@
             false,
             Rules.CANCEL_MICROS,
             new Platform.StateLimits(200, 25, NOW_BYTES, 8));
-    FakeUsers users = new FakeUsers(w);
-    w.cloud.most = 200;
+    FakeUsers users = new FakeUsers(world);
+    world.cloud.most = 200;
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 70; i++) {
-      JobSpec j =
+      JobSpec job =
           new JobSpec(
               users.nextUid(),
               "c0",
@@ -402,25 +412,25 @@
               0,
               0,
               JobSpec.NO_DEADLINE);
-      all.add(j);
-      w.at(i * 900_000L, () -> users.submit(j, false));
+      all.add(job);
+      world.at(i * 900_000L, () -> users.submit(job, false));
     }
-    w.play(45);
-    assertTrue(w.store.largestValue > NEXT_BYTES);
-    w.store.valueBytes = NEXT_BYTES;
-    w.store.txnOps = 4;
+    world.play(45);
+    assertTrue(world.store.largestValue > NEXT_BYTES);
+    world.store.valueBytes = NEXT_BYTES;
+    world.store.txnOps = 4;
     // A machine that goes has the record that it shares with dozens written anew.
-    w.cloud.machines.keySet().stream().limit(4).toList().forEach(w.cloud::delete);
-    w.play(60);
-    int refused = w.store.malformed;
+    world.cloud.machines.keySet().stream().limit(4).toList().forEach(world.cloud::delete);
+    world.play(60);
+    int refused = world.store.malformed;
     assertTrue(refused > 0 && refused < 40, "told by refusals: " + refused);
-    w.leader().crash(2);
-    w.play(250);
+    world.leader().crash(2);
+    world.play(250);
     assertTrue(
-        w.store.malformed - refused < 40,
-        "and again by a new leader: " + (w.store.malformed - refused));
-    assertEquals(List.of(), w.rules.broken);
-    all.forEach(j -> assertEquals("done", w.rules.lastTold.get(j.uid()), j.uid()));
+        world.store.malformed - refused < 40,
+        "and again by a new leader: " + (world.store.malformed - refused));
+    assertEquals(List.of(), world.rules.broken);
+    all.forEach(j -> assertEquals("done", world.rules.lastTold.get(j.uid()), j.uid()));
   }
 
   /**
@@ -429,8 +439,8 @@
    */
   @Test
   void anEndStoredByTheOldVersionReleases() {
-    World w = world(79);
-    FakeUsers users = new FakeUsers(w);
+    World otherWorld = world(79);
+    FakeUsers users = new FakeUsers(otherWorld);
     JobSpec first =
         new JobSpec(
             users.nextUid(),
@@ -452,11 +462,11 @@
             0,
             0,
             JobSpec.NO_DEADLINE);
-    w.play(5);
+    otherWorld.play(5);
     users.submit(first, false);
-    w.play(40);
-    new FormerVersion(w.store, NOW_BYTES).leads();
-    w.leader().crash(1);
+    otherWorld.play(40);
+    new FormerVersion(otherWorld.store, NOW_BYTES).leads();
+    otherWorld.leader().crash(1);
     JobSpec next =
         new JobSpec(
                 users.nextUid(),
@@ -480,9 +490,9 @@
                 JobSpec.NO_DEADLINE)
             .waitingOn(List.of(first.uid()));
     users.submit(next, false);
-    w.play(60);
-    assertEquals(List.of(), w.rules.broken);
-    assertEquals("done", w.rules.lastTold.get(next.uid()));
-    assertEquals(JobState.DONE.wireName(), w.rules.lastTold.get(first.uid()));
+    otherWorld.play(60);
+    assertEquals(List.of(), otherWorld.rules.broken);
+    assertEquals("done", otherWorld.rules.lastTold.get(next.uid()));
+    assertEquals(JobState.DONE.wireName(), otherWorld.rules.lastTold.get(first.uid()));
   }
 }
--- a/src/test/java/plumlever/sim/UsersTest.java
+++ b/src/test/java/plumlever/sim/UsersTest.java
@@ -96,13 +96,13 @@
   @Test
   void anOutageIsToldAtOnceWithTheTimeToComeBack() {
     world.store.outage = true;
-    for (String[] r :
+    for (String[] received :
         new String[][] {
           {"POST", "/submissions", JOB},
           {"GET", "/submissions/job-1", null},
           {"POST", "/submissions/job-1/abort", ""}
         }) {
-      assertEquals(503, ask(r[0], r[1], r[2]));
+      assertEquals(503, ask(received[0], received[1], received[2]));
       assertTrue(retryAfter > 0, "Retry-After");
       assertTrue(took < 100_000, "answered at once, not held back: " + took);
     }
@@ -127,8 +127,9 @@
   @Test
   void aQuietNodeStaysHealthy() {
     for (int i = 0; i < 100; i++) {
-      for (World.Member m : world.members.values()) {
-        m.node()
+      for (World.Member member : world.members.values()) {
+        member
+            .node()
             .front()
             .handle("GET", "/up", new byte[0], (s, json, retry) -> assertEquals(200, s));
       }
--- a/src/test/java/plumlever/sim/World.java
+++ b/src/test/java/plumlever/sim/World.java
@@ -152,7 +152,7 @@
           money
               ? List.of(new Platform.Objective("price", null, 0, 1, 1))
               : List.of(new Platform.Objective("wait", "c0", 5, 1, 0.9));
-      Platform p =
+      Platform platform =
           new Platform(
               "n" + i,
               "z" + i,
@@ -167,7 +167,7 @@
               limits,
               new Platform.CloudLimits(6, FakeCloud.LAG_MICROS),
               1000);
-      members.put(p.label(), new Member(p));
+      members.put(platform.label(), new Member(platform));
     }
   }
 
@@ -183,11 +183,11 @@
   public void play(double seconds) {
     long end = now + (long) (seconds * 1e6);
     while (!events.isEmpty() && events.peek().at <= end) {
-      Event e = events.poll();
-      now = e.at;
-      e.action.run();
+      Event event = events.poll();
+      now = event.at;
+      event.action.run();
       rules.check();
-      if (e.seq % 64 == 0) {
+      if (event.seq % 64 == 0) {
         rules.checkForgotten();
         rules.checkWaiting();
       }
@@ -211,9 +211,9 @@
   /** Plays all that is due by then, without the checks of every step. */
   void turnTo(long micros) {
     while (!events.isEmpty() && events.peek().at <= micros) {
-      Event e = events.poll();
-      now = Math.max(now, e.at);
-      e.action.run();
+      Event event = events.poll();
+      now = Math.max(now, event.at);
+      event.action.run();
     }
     now = Math.max(now, micros);
   }
@@ -221,8 +221,8 @@
   /** Not a rule of the protocol, but what the proof of the others starts from. */
   private void checkOneLeader() {
     int acting = 0;
-    for (Member m : members.values()) {
-      if (m.node != null && m.node.mayAct()) {
+    for (Member member : members.values()) {
+      if (member.node != null && member.node.mayAct()) {
         acting++;
       }
     }
@@ -258,11 +258,11 @@
     List<String> copies = new ArrayList<>(keptReports);
     keptReports.clear();
     for (String body : copies) {
-      for (String n : members.keySet()) {
+      for (String text : members.keySet()) {
         copiesAtNext++;
         deliver(
             "copy",
-            new Endpoint(n, 1),
+            new Endpoint(text, 1),
             "POST",
             "/hello",
             body,
@@ -276,9 +276,9 @@
     return members.values().stream().filter(Member::leads).findFirst().orElseThrow();
   }
 
-  void cut(String a, String b, boolean on) {
-    cuts.put(a + ">" + b, on);
-    cuts.put(b + ">" + a, on);
+  void cut(String text, String other, boolean on) {
+    cuts.put(text + ">" + other, on);
+    cuts.put(other + ">" + text, on);
   }
 
   private boolean isCut(String from, String to) {
@@ -380,9 +380,9 @@
             deliver(from, to, method, path, body, reply, 500_000);
             return;
           }
-          Service s = services.get(to);
-          if (s != null) {
-            s.handle(from, method, path, body, reply);
+          Service service = services.get(to);
+          if (service != null) {
+            service.handle(from, method, path, body, reply);
           }
         });
   }
@@ -621,7 +621,7 @@
     }
   }
 
-  private static byte[] bytes(String s) {
-    return s == null ? new byte[0] : s.getBytes(StandardCharsets.ISO_8859_1);
+  private static byte[] bytes(String text) {
+    return text == null ? new byte[0] : text.getBytes(StandardCharsets.ISO_8859_1);
   }
 }
--- a/src/test/java/plumlever/store/JobStoreTest.java
+++ b/src/test/java/plumlever/store/JobStoreTest.java
@@ -35,17 +35,17 @@
   @ParameterizedTest
   @ValueSource(ints = {1024, 2048, 4096, 16384})
   void chunksHoldTheLargestJob(int valueBytes) throws InvalidMessage {
-    JobStore s = layout(valueBytes, 16384);
+    JobStore jobStore = layout(valueBytes, 16384);
     BitSet done = new BitSet();
-    SplittableRandom r = new SplittableRandom(3);
+    SplittableRandom random = new SplittableRandom(3);
     for (int i = 0; i < 100_000; i++) {
-      done.set(i, r.nextBoolean());
+      done.set(i, random.nextBoolean());
     }
     done.set(99_999);
     BitSet back = new BitSet();
     int chunks = 0;
-    for (int first = 0; first < 100_000; first += s.tasksPerChunk()) {
-      JsonNode chunk = s.chunk(done, first, s.tasksPerChunk());
+    for (int first = 0; first < 100_000; first += jobStore.tasksPerChunk()) {
+      JsonNode chunk = jobStore.chunk(done, first, jobStore.tasksPerChunk());
       assertTrue(Json.write(chunk).length() <= valueBytes);
       String key = JobStore.progressKey("job-1", first);
       // By whatever size it was cut up, it is read the same.
@@ -53,7 +53,7 @@
       chunks++;
     }
     assertEquals(done, back);
-    assertEquals((100_000 + s.tasksPerChunk() - 1) / s.tasksPerChunk(), chunks);
+    assertEquals((100_000 + jobStore.tasksPerChunk() - 1) / jobStore.tasksPerChunk(), chunks);
   }
 
   /**
@@ -94,7 +94,7 @@
   @ParameterizedTest
   @ValueSource(ints = {1024, 2048, 16384})
   void namesThatDoNotFitAreStoredInParts(int valueBytes) {
-    JobStore s = layout(valueBytes, 16384);
+    JobStore jobStore = layout(valueBytes, 16384);
     List<String> names = IntStream.range(0, 5_000).mapToObj(i -> "job-" + i * 7L).toList();
     JobSpec spec =
         new JobSpec(
@@ -118,18 +118,18 @@
                 0,
                 JobSpec.NO_DEADLINE)
             .waitingOn(names);
-    JobStore.Acceptance a = s.accept(spec, 5_000);
-    JsonNode active = a.txn().body().path("then").get(0).path("data");
+    JobStore.Acceptance acceptance = jobStore.accept(spec, 5_000);
+    JsonNode active = acceptance.txn().body().path("then").get(0).path("data");
     assertTrue(Json.write(active).length() <= valueBytes);
     List<String> back = new ArrayList<>();
     for (String key : JobStore.waitsKeys("job-99", active)) {
-      assertTrue(Json.write(a.parts().get(key)).length() <= valueBytes);
-      back.addAll(JobStore.names(a.parts().get(key)));
+      assertTrue(Json.write(acceptance.parts().get(key)).length() <= valueBytes);
+      back.addAll(JobStore.names(acceptance.parts().get(key)));
     }
     assertEquals(names, back);
     assertEquals(List.of(), JobStore.waitsInline(active));
     assertTrue(JobStore.waits(active));
-    JobStore.Acceptance small = s.accept(spec.waitingOn(List.of("job-1", "job-2")), 5_000);
+    JobStore.Acceptance small = jobStore.accept(spec.waitingOn(List.of("job-1", "job-2")), 5_000);
     assertEquals(Map.of(), small.parts());
     assertEquals(
         List.of("job-1", "job-2"),
@@ -141,42 +141,45 @@
    */
   @Test
   void limitsThatFallWithoutNoticeAreLearnt() {
-    WriteLimits l = new WriteLimits(new Platform.StateLimits(100, 20, 16384, 12, 16384));
-    Txn t = new Txn().put("a", Json.object().put("x", "y".repeat(9_000)));
-    l.refused(t);
-    assertTrue(l.valueBytes() < 9_000 && l.valueBytes() >= 4_000, "" + l.valueBytes());
-    assertEquals(12, l.txnOps(), "one change is not too many");
+    WriteLimits writeLimits = new WriteLimits(new Platform.StateLimits(100, 20, 16384, 12, 16384));
+    Txn txn = new Txn().put("a", Json.object().put("x", "y".repeat(9_000)));
+    writeLimits.refused(txn);
+    assertTrue(
+        writeLimits.valueBytes() < 9_000 && writeLimits.valueBytes() >= 4_000,
+        "" + writeLimits.valueBytes());
+    assertEquals(12, writeLimits.txnOps(), "one change is not too many");
     Txn many = new Txn();
     for (int i = 0; i < 10; i++) {
       many.drop("k" + i);
     }
-    l.refused(many);
-    assertEquals(5, l.txnOps());
+    writeLimits.refused(many);
+    assertEquals(5, writeLimits.txnOps());
     for (int i = 0; i < 20; i++) {
-      l.refused(t);
-      l.refused(many);
+      writeLimits.refused(txn);
+      writeLimits.refused(many);
     }
     assertTrue(
-        l.valueBytes() >= WriteLimits.LEAST_VALUE_BYTES && l.txnOps() >= WriteLimits.LEAST_OPS);
+        writeLimits.valueBytes() >= WriteLimits.LEAST_VALUE_BYTES
+            && writeLimits.txnOps() >= WriteLimits.LEAST_OPS);
     assertTrue(new Txn().put("a", Json.object(), 7).hangsOnGrant());
-    assertFalse(t.hangsOnGrant());
+    assertFalse(txn.hangsOnGrant());
   }
 
   @Test
   void aBucketKeepsTheRateAndLetsUrgentOnesBorrow() {
-    TokenBucket b = new TokenBucket(10, 0);
+    TokenBucket tokenBucket = new TokenBucket(10, 0);
     int taken = 0;
     for (int i = 0; i < 100; i++) {
-      taken += b.take(1, i * 10_000L) ? 1 : 0;
+      taken += tokenBucket.take(1, i * 10_000L) ? 1 : 0;
     }
     assertTrue(taken >= 18 && taken <= 20, "a burst of ten and ten in the second: " + taken);
-    b.rate(20, 1_000_000);
+    tokenBucket.rate(20, 1_000_000);
     int more = 0;
     for (int i = 100; i < 200; i++) {
-      more += b.take(1, i * 10_000L) ? 1 : 0;
+      more += tokenBucket.take(1, i * 10_000L) ? 1 : 0;
     }
     assertTrue(more >= 19 && more <= 21, "twice as many in the next: " + more);
-    b.force(5, 1_000_000);
-    assertFalse(b.take(1, 1_100_000), "what was borrowed is paid back first");
+    tokenBucket.force(5, 1_000_000);
+    assertFalse(tokenBucket.take(1, 1_100_000), "what was borrowed is paid back first");
   }
 }
--- a/src/test/java/plumlever/wire/WireTest.java
+++ b/src/test/java/plumlever/wire/WireTest.java
@@ -19,10 +19,10 @@
 
   @Test
   void readsASubmissionAndWritesItBack() throws InvalidMessage {
-    JobSpec j = JobSpec.parse(Json.parseObject(GOOD));
-    assertEquals(16, j.pieces());
-    assertNull(j.site());
-    assertEquals(j, JobSpec.parse(j.toJson()));
+    JobSpec job = JobSpec.parse(Json.parseObject(GOOD));
+    assertEquals(16, job.pieces());
+    assertNull(job.site());
+    assertEquals(job, JobSpec.parse(job.toJson()));
     assertEquals(
         5,
         JobSpec.parse(
@@ -63,21 +63,25 @@
 
   @Test
   void refusesWhatIsNoObject() {
-    for (String s : List.of("", "[]", "7", "{", "{}{}", "null")) {
-      assertThrows(InvalidMessage.class, () -> Json.parseObject(s));
+    for (String text : List.of("", "[]", "7", "{", "{}{}", "null")) {
+      assertThrows(InvalidMessage.class, () -> Json.parseObject(text));
     }
   }
 
   @Test
   void readsAReportAndWritesOrders() throws InvalidMessage {
-    WorkerReport r =
+    WorkerReport report =
         WorkerReport.parse(
             ("{\"host\":\"i-1\",\"endpoint\":\"h:1\",\"flavor\":\"g8\",\"site\":\"a\",\"loaners\":true,"
                  + "\"tenure\":1,\"tick\":88,\"baton\":41,\"reclaim_in_s\":null,\"pieces\":[{\"piece\":\"job-1/3\",\"try\":2,\"status\":\"ended\",\"exit_cause\":\"something"
                  + " new\"}]}")
                 .getBytes(java.nio.charset.StandardCharsets.UTF_8));
-    assertEquals(ExitCause.OTHER, r.pieces().get(0).cause());
-    assertTrue(!r.noticed() && r.newerThan(1, 87) && !r.newerThan(2, 1) && !r.newerThan(1, 88));
+    assertEquals(ExitCause.OTHER, report.pieces().get(0).cause());
+    assertTrue(
+        !report.noticed()
+            && report.newerThan(1, 87)
+            && !report.newerThan(2, 1)
+            && !report.newerThan(1, 88));
     assertEquals(
         "{\"baton\":41,\"orders\":[{\"verb\":\"halt\",\"piece\":\"job-1/3\",\"try\":2,\"wind_down_s\":10.0}]}",
         Order.answer(41, List.of(Order.halt(new TaskName("job-1", 3), 2, 10))));
@@ -100,7 +104,7 @@
    */
   @Test
   void readsAReportWhateverElseIsInIt() throws InvalidMessage {
-    WorkerReport r = report(REPORT);
+    WorkerReport otherReport = report(REPORT);
     assertEquals(
         new WorkerReport(
             "i-1",
@@ -117,7 +121,7 @@
                     new TaskName("job-1", 3), 2, TaskStatus.RUNNING, null, false),
                 new WorkerReport.Piece(
                     new TaskName("job-1", 4), 3, TaskStatus.ENDED, ExitCause.HALTED, true))),
-        r);
+        otherReport);
     assertEquals(
         3.5, report(REPORT.replace("\"reclaim_in_s\":null", "\"reclaim_in_s\":3.5")).reclaimInS());
     assertEquals(List.of(), report(REPORT.replaceAll(",\"pieces\".*", "}")).pieces());
@@ -155,7 +159,7 @@
 
   @Test
   void refusesWhatIsNoReport() {
-    for (String s :
+    for (String text :
         List.of(
             "",
             "[]",
@@ -166,7 +170,7 @@
             REPORT.substring(0, REPORT.length() - 2),
             "null",
             "{}")) {
-      assertThrows(InvalidMessage.class, () -> report(s), s);
+      assertThrows(InvalidMessage.class, () -> report(text), text);
     }
   }
 }
