--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -1,16 +1,14 @@
 package plumlever.http;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 import plumlever.cloud.PriceBook;
 import plumlever.concurrent.Loop;
 import plumlever.metrics.Metrics;
 import plumlever.settings.Platform;
+import plumlever.store.DependencyLists;
 import plumlever.store.JobBook;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
@@ -42,12 +40,6 @@
   private static final long AGAIN_MICROS = 150_000;
   private static final int TRIES = 4;
 
-  /** Of a transaction's 64 KiB. */
-  private static final int MOST_TXN_BYTES = 48 * 1024;
-
-  /** A user waits 5 s for an answer, and goes on with the next try where this one stopped. */
-  private static final long PARTS_MICROS = 4_000_000;
-
   private final Loop loop;
   private final StateClient store;
   private final JobStore layout;
@@ -57,6 +49,7 @@
   private final Set<String> teams = new HashSet<>();
   private final List<Platform.Team> limits;
   private final JobBook book;
+  private final DependencyLists lists;
   private int open;
 
   public UserApi(
@@ -72,6 +65,7 @@
     this.store = store;
     this.book = book;
     this.layout = layout;
+    this.lists = new DependencyLists(loop, store, layout);
     this.prices = prices;
     this.metrics = metrics;
     this.desk = desk;
@@ -197,79 +191,31 @@
                         "waits_on names a job that was never accepted: "
                             + unknown.iterator().next()));
           } else {
-            storeParts(
-                new ArrayList<>(acceptance.parts().entrySet()),
-                loop.nowMicros(),
-                stored -> {
-                  if (stored) {
-                    accept(spec, acceptance.txn(), out, TRIES);
-                  } else {
-                    unavailable(out);
-                  }
-                });
-          }
-        });
-  }
-
-  /**
-   * Stores what must be there before the job is. The values are named by what they hold, so
-   * whatever is there already is right, and a submission that is repeated goes on where the last
-   * one stopped.
-   */
-  private void storeParts(
-      List<Map.Entry<String, ObjectNode>> parts, long sinceMicros, Consumer<Boolean> then) {
-    if (parts.isEmpty()) {
-      then.accept(true);
-      return;
-    }
-    String first = parts.get(0).getKey();
-    store.list(
-        first.substring(0, first.lastIndexOf('/') + 1),
-        StateClient.Class.ORDINARY,
-        listing -> {
-          if (listing == null) {
-            then.accept(false);
-            return;
+            storeList(spec, acceptance, out);
           }
-          Set<String> there = new HashSet<>();
-          listing.items().forEach(i -> there.add(i.key()));
-          parts.removeIf(p -> there.contains(p.getKey()));
-          storeNext(parts, sinceMicros, then);
         });
   }
 
-  private void storeNext(
-      List<Map.Entry<String, ObjectNode>> parts, long sinceMicros, Consumer<Boolean> then) {
-    if (parts.isEmpty()) {
-      then.accept(true);
+  /** Stores the names that do not fit the job's record, then accepts it. */
+  private void storeList(JobSpec spec, JobStore.Acceptance acceptance, Responder out) {
+    if (!acceptance.hasList()) {
+      accept(spec, acceptance.txn(), out, TRIES);
       return;
     }
-    Txn txn = new Txn();
-    int bytes = 0;
-    int count = 0;
-    for (Map.Entry<String, ObjectNode> entry : parts) {
-      bytes += layout.valueBytes();
-      if (count == layout.limits().txnOps() || (count > 0 && bytes > MOST_TXN_BYTES)) {
-        break;
-      }
-      txn.guard(entry.getKey(), 0).put(entry.getKey(), entry.getValue());
-      count++;
-    }
-    int sent = count;
-    store.txn(
-        txn,
-        StateClient.Class.ORDINARY,
-        result -> {
-          if (result.applied()) {
-            parts.subList(0, sent).clear();
-            storeNext(parts, sinceMicros, then);
-          } else if (loop.nowMicros() - sinceMicros > PARTS_MICROS
-              || (result.outcome() == Txn.Outcome.REFUSED && result.status() != 429)) {
-            then.accept(false);
-          } else {
-            loop.after(AGAIN_MICROS, () -> storeParts(parts, sinceMicros, then));
-          }
-        });
+    // Nothing is stored for the repeat of a known job, whose list may be another or removed.
+    ifUnknown(
+        spec.uid(),
+        out,
+        () ->
+            lists.store(
+                acceptance,
+                anchorStamp -> {
+                  if (anchorStamp.isPresent()) {
+                    accept(spec, acceptance.anchoredAt(anchorStamp.getAsLong()), out, TRIES);
+                  } else {
+                    unavailable(out);
+                  }
+                }));
   }
 
   private boolean overLimit(JobSpec spec) {
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -54,6 +54,7 @@
   private final Direct direct;
   private final Duty rounds;
   private final EarlyReports early;
+  private final DependencyListCleanup lists;
   private boolean loaded;
   private boolean due = true;
 
@@ -76,6 +77,7 @@
         new Machines(context, fleet, roster, round, reports, direct, takeover, this::changed);
     this.hints = new Hints(context, fleet, estimates);
     this.early = new EarlyReports(context.loop());
+    this.lists = new DependencyListCleanup(context, jobs);
     this.rounds = new Duty("rounds", context.loop(), this::roundTurn);
   }
 
@@ -115,12 +117,16 @@
     scope.own(machines::close);
     scope.own(direct::close);
     scope.own(roster::close);
+    scope.own(lists::close);
     scope.own(new Duty("roster", context.loop(), roster::tidy)).start();
     scope.own(new Duty("begun", context.loop(), begun::tidy)).start();
     scope.own(new Duty("progress", context.loop(), progress::write)).start();
     scope.own(new Duty("machines", context.loop(), machines::turn)).start();
     scope.own(new Duty("hints", context.loop(), hints::write)).start();
     scope.own(new Duty("raise", context.loop(), this::raise)).start();
+    scope
+        .own(new Duty("dependency lists", context.loop(), lists::run))
+        .wakeIn(DependencyListCleanup.EVERY_MICROS);
     scope.own(rounds).start();
   }
 
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -12,6 +12,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.JobSpec;
 import plumlever.wire.JobState;
@@ -60,7 +61,10 @@
   private static final String BITS = "b";
   private static final String FIRST = "f";
   private static final String FROM = "from-";
-  private static final String WAITS = "waits/";
+
+  /** Lists of names that do not fit their jobs' records. */
+  public static final String WAITS = "waits/";
+
   private static final String WAITS_AT = "waits";
   private static final String DIGEST = "digest";
   private static final String PARTS = "parts";
@@ -139,10 +143,26 @@
   /**
    * How a job is accepted.
    *
-   * @param parts what has to be stored before the transaction, by key: the names that it waits on,
-   *     if they do not fit
+   * @param parts what has to be stored before the transaction, by key: the names that it depends
+   *     on, if they do not fit; the anchor of the list first
+   * @param txn creates the job's record
    */
-  public record Acceptance(Map<String, ObjectNode> parts, Txn txn) {}
+  public record Acceptance(Map<String, ObjectNode> parts, Txn txn) {
+    /** True if the names that the job depends on have to be stored first. */
+    public boolean hasList() {
+      return !parts.isEmpty();
+    }
+
+    /** The key of the first part. */
+    String anchor() {
+      return parts.keySet().iterator().next();
+    }
+
+    /** The transaction, which fails if the list has been removed since its anchor was seen. */
+    public Txn anchoredAt(long anchorStamp) {
+      return txn.guard(anchor(), anchorStamp);
+    }
+  }
 
   /** Null when the record is too long to store, whatever it waits on. */
   public Acceptance accept(JobSpec spec, long wallMicros) {
@@ -224,6 +244,44 @@
     return keys;
   }
 
+  /**
+   * A stored list of names.
+   *
+   * @param uid the job that it was stored for, whether or not that was accepted
+   * @param prefix of the keys of its parts
+   */
+  public record ListName(String uid, String prefix) {}
+
+  /** Which list a key belongs to; nothing for a key that is no part of one. */
+  public static Optional<ListName> listOf(String key) {
+    int end = key.lastIndexOf('/');
+    int uidEnd = key.indexOf('/', WAITS.length());
+    if (!key.startsWith(WAITS) || uidEnd < 0 || end <= uidEnd) {
+      return Optional.empty();
+    }
+    return Optional.of(
+        new ListName(key.substring(WAITS.length(), uidEnd), key.substring(0, end + 1)));
+  }
+
+  /** The key of a list's first part. */
+  public static String anchorOf(ListName list) {
+    return list.prefix() + 0;
+  }
+
+  /**
+   * Removes parts of a list that no job uses: its job has no active record, and the anchor is as it
+   * was seen. What is left without an anchor is not counted by whoever stores the list anew.
+   *
+   * @param anchorStamp of the anchor as listed, 0 where it is gone
+   * @param keys parts that were listed, as many as one transaction drops, the anchor among the
+   *     first
+   */
+  public Txn removeList(Txn guarded, ListName list, long anchorStamp, List<String> keys) {
+    guarded.guard(activeKey(list.uid()), 0).guard(anchorOf(list), anchorStamp);
+    keys.stream().limit(limits.txnOps()).forEach(guarded::drop);
+    return guarded;
+  }
+
   /** The names that a part holds. */
   public static List<String> names(JsonNode part) {
     List<String> names = new ArrayList<>();
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -63,6 +63,9 @@
     ORDINARY
   }
 
+  /** The status of a request beyond the rate limits. */
+  static final int TOO_MANY_REQUESTS = 429;
+
   private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
   private static final long TIMEOUT_MICROS = 1_800_000;
 
--- /dev/null
+++ b/src/test/java/plumlever/sim/DependencyAcceptanceTest.java
@@ -0,0 +1,321 @@
+package plumlever.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import plumlever.fleet.Job;
+import plumlever.settings.Platform;
+import plumlever.wire.JobSpec;
+import plumlever.wire.Json;
+import plumlever.wire.Urgency;
+
+/** What the users' page asks of jobs that depend on others, sentence by sentence. */
+final class DependencyAcceptanceTest extends DependencyScenario {
+  private static final List<String> NODES = List.of("n0", "n1", "n2");
+  private static final double REMOVED_WITHIN_S = 1_600;
+
+  private JobSpec ofTeam(String team, Urgency urgency, int tasks, double runS, JobSpec... names) {
+    return new JobSpec(
+            users.nextUid(),
+            "c1",
+            team,
+            urgency,
+            tasks,
+            1,
+            0,
+            2,
+            "img",
+            1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            runS,
+            0,
+            0,
+            JobSpec.NO_DEADLINE)
+        .waitingOn(List.of(names).stream().map(JobSpec::uid).toList());
+  }
+
+  /** A job with so many names that they do not fit its record: most of them have ended. */
+  private JobSpec withLongList(JobSpec running) {
+    Map<String, JsonNode> ended = new TreeMap<>(world.store.entries("ended/"));
+    List<String> names = new ArrayList<>();
+    for (int i = 0; i < 600; i++) {
+      String uid = "job-6" + (10_000 + i);
+      names.add(uid);
+      ended.put("ended/" + uid, Json.object().put("s", "done"));
+      world.rules.submitted.put(uid, idle(1, 1));
+      world.rules.complete(uid + "/0");
+    }
+    world.store.rewrite("ended/", ended);
+    names.add(running.uid());
+    return job(1, 2, JobSpec.NO_DEADLINE, Urgency.STANDARD, names);
+  }
+
+  private void smallValues() {
+    deployment(7, new Platform.StateLimits(200, 25, 2048, 4, 4096));
+    world.store.valueBytes = 2048;
+    world.store.txnOps = 4;
+  }
+
+  @Test
+  void namesMayBeInAnyStateAndOfAnotherTeam() {
+    JobSpec done = ofTeam("red", Urgency.IDLE, 1, 2);
+    JobSpec cancelled = ofTeam("red", Urgency.IDLE, 1, 300);
+    JobSpec running = ofTeam("red", Urgency.IDLE, 1, 90);
+    submit(done, cancelled, running);
+    world.play(45);
+    assertTold("done", done);
+    users.cancelled(cancelled);
+    assertEquals(200, ask("n1", "POST", "/submissions/" + cancelled.uid() + "/abort", "").status());
+    JobSpec after = ofTeam("blue", Urgency.HIGH, 1, 2, done, running);
+    JobSpec doomed = ofTeam("blue", Urgency.HIGH, 1, 2, done, cancelled, running);
+    assertEquals(201, submitAt("n2", after).status());
+    Answer answer = submitAt("n0", doomed);
+    assertEquals(201, answer.status(), "accepted all the same");
+    assertTrue(answer.body().contains("\"aborted\""), answer.body());
+    world.play(100);
+    assertTrue(ask("n1", "GET", "/submissions/" + after.uid(), null).body().contains("\"done\""));
+    JobSpec longAfter = ofTeam("blue", Urgency.HIGH, 1, 2, cancelled);
+    assertTrue(submitAt("n1", longAfter).body().contains("\"aborted\""));
+    assertEquals(List.of(), world.rules.broken);
+  }
+
+  @Test
+  void aJobReleasedAfterItsDeadlineStillRuns() {
+    JobSpec first = idle(1, 90);
+    JobSpec last = job(2, 3, 20, Urgency.HIGH, List.of(first.uid()));
+    submit(first, last);
+    world.play(140);
+    assertTold("done", first, last);
+  }
+
+  /**
+   * Minutes of waiting count for nothing: no machine is rented for it, nobody takes it for
+   * neglected, and once it is released it starts like a job that has just come, also under a new
+   * leader.
+   */
+  @Test
+  void aJobThatWaitsForMinutesCountsFromItsRelease() {
+    JobSpec first = ofTeam("blue", Urgency.IDLE, 1, 330);
+    JobSpec last = ofTeam("red", Urgency.IDLE, 40, 4, first);
+    submit(first, last);
+    world.play(60);
+    int machines = world.cloud.machines.size();
+    assertTrue(machines <= 2, "for one task: " + machines);
+    world.play(200);
+    Job waiting = world.leader().node().leader().job(last.uid());
+    assertTrue(waiting.waiting());
+    assertEquals("pending", told(last));
+    assertTrue(world.cloud.machines.size() <= machines, "none for a job that waits");
+    world.leader().crash(1);
+    world.play(20);
+    JobSpec urgent = ofTeam("red", Urgency.HIGH, 40, 30);
+    submit(urgent);
+    world.play(30);
+    assertTrue(world.rules.began(urgent.uid()), "its age takes no precedence while it waits");
+    world.play(130);
+    assertTold("done", first, urgent, last);
+  }
+
+  /** Cancelled in the middle of a diamond, asked in every way at every node right after that. */
+  @Test
+  void whatNeedsACancelledJobIsCancelledAndNothingElse() {
+    JobSpec root = idle(1, 60);
+    JobSpec left = idle(1, 400, root);
+    JobSpec right = idle(1, 5, root);
+    JobSpec joined = idle(1, 5, left, right);
+    JobSpec last = idle(1, 5, joined);
+    JobSpec beside = idle(1, 5, right);
+    submit(root, left, right, joined, last, beside);
+    world.play(10);
+    NODES.forEach(n -> ask(n, "GET", "/submissions/" + last.uid(), null));
+    users.cancelled(left);
+    assertTrue(
+        ask("n2", "POST", "/submissions/" + left.uid() + "/abort", "")
+            .body()
+            .contains("\"aborted\""));
+    for (String node : NODES) {
+      assertTrue(
+          ask(node, "GET", "/submissions/" + joined.uid(), null).body().contains("\"aborted\""));
+      assertTrue(submitAt(node, last).body().contains("\"aborted\""), "a repeat");
+      assertTrue(
+          ask(node, "POST", "/submissions/" + last.uid() + "/abort", "")
+              .body()
+              .contains("\"aborted\""));
+    }
+    world.play(140);
+    assertTold("done", root, right, beside);
+    assertFalse(world.rules.began(joined.uid()) || world.rules.began(last.uid()));
+  }
+
+  /** The transaction of the cancellation is carried out and its answer lost. */
+  @Test
+  void aCancellationWithoutAnAnswerIsSettledAlongTheChain() {
+    JobSpec root = idle(1, 400);
+    JobSpec last = idle(1, 5, root);
+    submit(root, last);
+    world.play(10);
+    world.store.unheardOnce = "ended/" + root.uid();
+    users.cancelled(root);
+    Answer answer = ask("n1", "POST", "/submissions/" + root.uid() + "/abort", "");
+    assertEquals(1, world.store.carriedOutUnheard);
+    assertTrue(answer.body().contains("\"aborted\""), answer.body());
+    for (String node : NODES) {
+      assertTrue(
+          ask(node, "GET", "/submissions/" + last.uid(), null).body().contains("\"aborted\""));
+    }
+    assertEquals(List.of(), world.rules.broken);
+  }
+
+  /** A node that no longer hears what ends refuses to answer instead of telling what it knew. */
+  @Test
+  void aNodeWithAnOldViewTellsNothingOlder() {
+    JobSpec root = idle(1, 400);
+    JobSpec last = idle(1, 5, root);
+    submit(root, last);
+    world.play(10);
+    assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body().contains("pending"));
+    world.store.unwatched.add("n1");
+    users.cancelled(root);
+    assertEquals(200, ask("n2", "POST", "/submissions/" + root.uid() + "/abort", "").status());
+    Answer answer = ask("n1", "GET", "/submissions/" + last.uid(), null);
+    assertNotEquals(200, answer.status(), answer.body());
+    assertTrue(answer.retryAfterS() > 0);
+    world.store.unwatched.clear();
+    world.play(10);
+    assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body().contains("\"aborted\""));
+    assertEquals(List.of(), world.rules.broken);
+  }
+
+  /** A stage that two pipelines need has the sooner deadline, until that pipeline is cancelled. */
+  @Test
+  void aSharedStageServesThePipelineThatIsDueFirst() {
+    JobSpec shared = idle(1, 200);
+    JobSpec soon = job(1, 5, 300, Urgency.HIGH, List.of(shared.uid()));
+    JobSpec later = job(1, 5, 900, Urgency.STANDARD, List.of(shared.uid()));
+    submit(shared, later, soon);
+    world.play(10);
+    Job stage = world.leader().node().leader().job(shared.uid());
+    long dueForSoon = stage.deadlineMicros();
+    assertEquals(Urgency.HIGH, stage.urgency());
+    users.cancelled(soon);
+    assertEquals(200, ask("n0", "POST", "/submissions/" + soon.uid() + "/abort", "").status());
+    world.play(5);
+    assertEquals(Urgency.STANDARD, stage.urgency());
+    assertTrue(stage.deadlineMicros() - dueForSoon > 500_000_000L);
+    world.play(250);
+    assertTold("done", shared, later);
+  }
+
+  /** The lists of jobs that have ended go; that of a job which still waits stays. */
+  @Test
+  void listsThatNoJobUsesAreRemoved() {
+    smallValues();
+    JobSpec short1 = idle(1, 20);
+    JobSpec long1 = idle(1, 2_500);
+    submit(short1, long1);
+    world.play(5);
+    JobSpec ends = withLongList(short1);
+    JobSpec waits = withLongList(long1);
+    assertEquals(201, submitAt("n0", ends).status());
+    assertEquals(201, submitAt("n1", waits).status());
+    // What a submission leaves that is given up on before it is accepted, with and without anchor.
+    Map<String, JsonNode> lists = new TreeMap<>(world.store.entries("waits/"));
+    int ofWaiting = world.store.count("waits/" + waits.uid() + "/");
+    for (int i = 0; i < 9; i++) {
+      lists.put("waits/job-700001/abc/" + i, Json.object());
+      lists.put("waits/job-700002/abc/" + (i + 1), Json.object());
+    }
+    assertTrue(ofWaiting > 2 && lists.size() > 20 + ofWaiting);
+    world.store.rewrite("waits/", lists);
+    world.play(600);
+    assertTrue(ask("n0", "GET", "/submissions/" + ends.uid(), null).body().contains("\"done\""));
+    assertEquals(lists.size(), world.store.count("waits/"), "left alone for a while");
+    world.play(REMOVED_WITHIN_S - 600);
+    assertEquals(ofWaiting, world.store.count("waits/"));
+    assertEquals(ofWaiting, world.store.count("waits/" + waits.uid() + "/"));
+    world.play(1_000);
+    assertTrue(ask("n0", "GET", "/submissions/" + waits.uid(), null).body().contains("\"done\""));
+    assertEquals(0, world.store.malformed);
+  }
+
+  /**
+   * The list is removed between its storing and the acceptance, which then fails: the record never
+   * refers to a list of which a part is missing.
+   */
+  @Test
+  void aListRemovedMeanwhileIsStoredAnew() {
+    smallValues();
+    JobSpec running = idle(1, 30);
+    submit(running);
+    world.play(5);
+    JobSpec job = withLongList(running);
+    world.store.interveneBefore = "active/" + job.uid();
+    int[] removed = new int[1];
+    world.store.intervention =
+        () -> {
+          removed[0] = world.store.count("waits/");
+          world.store.rewrite("waits/", Map.of());
+        };
+    Answer answer = submitAt("n0", job);
+    assertTrue(removed[0] > 2, "removed " + removed[0]);
+    assertEquals(503, answer.status(), answer.body());
+    assertEquals(404, ask("n1", "GET", "/submissions/" + job.uid(), null).status());
+    world.play(2);
+    assertEquals(201, submitAt("n1", job).status());
+    world.play(60);
+    assertTrue(ask("n2", "GET", "/submissions/" + job.uid(), null).body().contains("\"done\""));
+  }
+
+  /**
+   * Parts that were listed without the anchor may be removed at any moment, and count as missing.
+   */
+  @Test
+  void partsSeenWithoutTheAnchorCountForNothing() {
+    smallValues();
+    JobSpec running = idle(1, 30);
+    submit(running);
+    world.play(5);
+    JobSpec job = withLongList(running);
+    assertEquals(201, submitAt("n0", job).status());
+    Map<String, JsonNode> rest = new TreeMap<>(world.store.entries("waits/"));
+    String anchor = rest.keySet().iterator().next();
+    rest.remove(anchor);
+    Map<String, JsonNode> active = new TreeMap<>(world.store.entries("active/"));
+    active.remove("active/" + job.uid());
+    world.store.rewrite("active/", active);
+    world.store.rewrite("waits/", rest);
+    world.store.interveneBefore = anchor;
+    world.store.intervention = () -> world.store.rewrite("waits/", Map.of());
+    assertEquals(201, submitAt("n2", job).status());
+    assertEquals(rest.size() + 1, world.store.count("waits/"), "all parts are there");
+    world.play(60);
+    assertTrue(ask("n2", "GET", "/submissions/" + job.uid(), null).body().contains("\"done\""));
+  }
+
+  /** A repeat of a known job stores nothing, whatever it names. */
+  @Test
+  void aRepeatWithAnotherListStoresNothing() {
+    smallValues();
+    JobSpec running = idle(1, 30);
+    submit(running);
+    world.play(5);
+    JobSpec known = idle(1, 200);
+    assertEquals(201, submitAt("n0", known).status());
+    JobSpec other = withLongList(running);
+    String body = Json.write(other.toJson()).replace(other.uid(), known.uid());
+    assertEquals(200, ask("n1", "POST", "/submissions", body).status());
+    assertEquals(0, world.store.count("waits/"));
+  }
+}
--- /dev/null
+++ b/src/test/java/plumlever/sim/DependencyScenario.java
@@ -0,0 +1,120 @@
+package plumlever.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import plumlever.settings.Platform;
+import plumlever.wire.JobSpec;
+import plumlever.wire.Json;
+import plumlever.wire.Urgency;
+
+/** A small deployment, and jobs in it that depend on others. */
+abstract class DependencyScenario {
+  World world;
+  FakeUsers users;
+
+  @BeforeEach
+  void begin() {
+    deployment(5, new Platform.StateLimits(200, 25, 4096, 8));
+  }
+
+  void deployment(long seed, Platform.StateLimits limits) {
+    world =
+        new World(
+            seed,
+            3,
+            List.of(new Platform.Team("red", 16, 48, 0, 0), new Platform.Team("blue", 16, 0, 0, 0)),
+            false,
+            Rules.CANCEL_MICROS,
+            limits);
+    users = new FakeUsers(world);
+    world.play(5);
+  }
+
+  JobSpec job(int pieces, double runS, double dueS, Urgency urgency, List<String> waitsOn) {
+    return new JobSpec(
+            users.nextUid(),
+            "c" + urgency.ordinal(),
+            "blue",
+            urgency,
+            pieces,
+            1,
+            0,
+            2,
+            "img-" + pieces % 3,
+            1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            runS,
+            0,
+            0,
+            dueS)
+        .waitingOn(waitsOn);
+  }
+
+  JobSpec idle(int pieces, double runS, JobSpec... waitsOn) {
+    return job(
+        pieces,
+        runS,
+        JobSpec.NO_DEADLINE,
+        Urgency.IDLE,
+        List.of(waitsOn).stream().map(JobSpec::uid).toList());
+  }
+
+  /** Ingest, some checks, merge, publish: as the users' pipelines are. */
+  List<JobSpec> pipeline() {
+    JobSpec ingest = idle(3, 4);
+    JobSpec check = idle(8, 6, ingest);
+    JobSpec checkToo = idle(5, 9, ingest);
+    JobSpec merge = idle(2, 5, check, checkToo);
+    JobSpec publish = job(2, 2, 120, Urgency.HIGH, List.of(merge.uid()));
+    return List.of(ingest, check, checkToo, merge, publish);
+  }
+
+  void submit(JobSpec... jobs) {
+    users.pipeline(List.of(jobs), false);
+  }
+
+  String told(JobSpec job) {
+    return world.rules.lastTold.get(job.uid());
+  }
+
+  void assertTold(String status, JobSpec... jobs) {
+    assertEquals(List.of(), world.rules.broken);
+    for (JobSpec job : jobs) {
+      assertEquals(status, told(job), job.uid());
+    }
+  }
+
+  /** What a node answered to one request. */
+  record Answer(int status, String body, int retryAfterS) {}
+
+  Answer ask(String node, String method, String path, String body) {
+    Answer[] got = new Answer[1];
+    world
+        .members
+        .get(node)
+        .node()
+        .front()
+        .handle(
+            method,
+            path,
+            body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8),
+            (s, json, retry) -> got[0] = new Answer(s, json, retry));
+    for (int i = 0; i < 400 && got[0] == null; i++) {
+      world.play(0.05);
+    }
+    return got[0];
+  }
+
+  Answer submitAt(String node, JobSpec job) {
+    world.rules.submitted.put(job.uid(), job);
+    world.rules.submittedAt.put(job.uid(), world.now());
+    return ask(node, "POST", "/submissions", Json.write(job.toJson()));
+  }
+}
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -52,6 +52,11 @@
   /** The next transaction that puts a key under this prefix is carried out and gets no answer. */
   String unheardOnce;
 
+  /** What happens right before the next transaction that puts a key under this prefix. */
+  String interveneBefore;
+
+  Runnable intervention;
+
   /**
    * Shares of transactions with changes that get no answer: carried out seconds later, or at once.
    */
@@ -349,6 +354,10 @@
   private void write(String from, ObjectNode object, World.Reply reply) {
     long number = ++sent;
     boolean changes = !object.path("then").isEmpty();
+    if (interveneBefore != null && Json.write(object).contains("\"put\":\"" + interveneBefore)) {
+      interveneBefore = null;
+      intervention.run();
+    }
     if (unheardOnce != null && Json.write(object).contains("\"put\":\"" + unheardOnce)) {
       unheardOnce = null;
       carriedOutUnheard++;
--- a/src/test/java/plumlever/sim/PipelinesTest.java
+++ b/src/test/java/plumlever/sim/PipelinesTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,7 +12,6 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -25,112 +23,7 @@
 import plumlever.wire.Urgency;
 
 /** Jobs that wait for others, through all that may happen meanwhile. */
-final class PipelinesTest {
-  private World world;
-  private FakeUsers users;
-
-  @BeforeEach
-  void begin() {
-    deployment(5, new Platform.StateLimits(200, 25, 4096, 8));
-  }
-
-  private void deployment(long seed, Platform.StateLimits limits) {
-    world =
-        new World(
-            seed,
-            3,
-            List.of(new Platform.Team("red", 16, 48, 0, 0), new Platform.Team("blue", 16, 0, 0, 0)),
-            false,
-            Rules.CANCEL_MICROS,
-            limits);
-    users = new FakeUsers(world);
-    world.play(5);
-  }
-
-  private JobSpec job(int pieces, double runS, double dueS, Urgency urgency, List<String> waitsOn) {
-    return new JobSpec(
-            users.nextUid(),
-            "c" + urgency.ordinal(),
-            "blue",
-            urgency,
-            pieces,
-            1,
-            0,
-            2,
-            "img-" + pieces % 3,
-            1,
-            null,
-            null,
-            false,
-            false,
-            true,
-            runS,
-            0,
-            0,
-            dueS)
-        .waitingOn(waitsOn);
-  }
-
-  private JobSpec idle(int pieces, double runS, JobSpec... waitsOn) {
-    return job(
-        pieces,
-        runS,
-        JobSpec.NO_DEADLINE,
-        Urgency.IDLE,
-        List.of(waitsOn).stream().map(JobSpec::uid).toList());
-  }
-
-  /** Ingest, some checks, merge, publish: as the users' pipelines are. */
-  private List<JobSpec> pipeline() {
-    JobSpec ingest = idle(3, 4);
-    JobSpec check = idle(8, 6, ingest);
-    JobSpec checkToo = idle(5, 9, ingest);
-    JobSpec merge = idle(2, 5, check, checkToo);
-    JobSpec publish = job(2, 2, 120, Urgency.HIGH, List.of(merge.uid()));
-    return List.of(ingest, check, checkToo, merge, publish);
-  }
-
-  private void submit(JobSpec... jobs) {
-    users.pipeline(List.of(jobs), false);
-  }
-
-  private String told(JobSpec job) {
-    return world.rules.lastTold.get(job.uid());
-  }
-
-  private void assertTold(String status, JobSpec... jobs) {
-    assertEquals(List.of(), world.rules.broken);
-    for (JobSpec job : jobs) {
-      assertEquals(status, told(job), job.uid());
-    }
-  }
-
-  private record Answer(int status, String body, int retryAfterS) {}
-
-  private Answer ask(String node, String method, String path, String body) {
-    Answer[] got = new Answer[1];
-    world
-        .members
-        .get(node)
-        .node()
-        .front()
-        .handle(
-            method,
-            path,
-            body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8),
-            (s, json, retry) -> got[0] = new Answer(s, json, retry));
-    for (int i = 0; i < 400 && got[0] == null; i++) {
-      world.play(0.05);
-    }
-    return got[0];
-  }
-
-  private Answer submitAt(String node, JobSpec job) {
-    world.rules.submitted.put(job.uid(), job);
-    world.rules.submittedAt.put(job.uid(), world.now());
-    return ask(node, "POST", "/submissions", Json.write(job.toJson()));
-  }
-
+final class PipelinesTest extends DependencyScenario {
   @Test
   void stagesRunOneAfterTheOther() {
     List<JobSpec> list = pipeline();
@@ -205,7 +98,7 @@
   @Test
   void badInputIsToldAsWhatItIs() {
     JobSpec known = idle(1, 300);
-    assertEquals(201, submitAt("n0", known).status);
+    assertEquals(201, submitAt("n0", known).status());
     world.play(1);
     String like = Json.write(idle(1, 5).toJson());
     String uid = like.substring(like.indexOf("job-"), like.indexOf("job-") + 10);
@@ -214,15 +107,15 @@
         List.of(
             "\"job-1\"", "7", "{}", "[7]", "[null]", "[\"job-\"]", "[\"x\"]", "[[\"job-1\"]]")) {
       assertEquals(
-          400, ask("n1", "POST", "/submissions", head + ",\"waits_on\":" + bad + "}").status, bad);
+          400, ask("n1", "POST", "/submissions", head + ",\"waits_on\":" + bad + "}").status(), bad);
     }
     assertEquals(
         422,
-        ask("n1", "POST", "/submissions", head + ",\"waits_on\":[\"job-777\"]}").status,
+        ask("n1", "POST", "/submissions", head + ",\"waits_on\":[\"job-777\"]}").status(),
         "never accepted");
     assertEquals(
         422,
-        ask("n1", "POST", "/submissions", head + ",\"waits_on\":[\"" + uid + "\"]}").status,
+        ask("n1", "POST", "/submissions", head + ",\"waits_on\":[\"" + uid + "\"]}").status(),
         "itself");
     assertEquals(
         422,
@@ -231,30 +124,30 @@
                 "POST",
                 "/submissions",
                 head + ",\"waits_on\":[\"" + known.uid() + "\",\"job-777\"]}")
-            .status,
+            .status(),
         "one of two");
     world.store.outage = true;
     Answer out = ask("n1", "POST", "/submissions", head + ",\"waits_on\":[\"job-777\"]}");
-    assertEquals(503, out.status, "what can't be read is not called unknown");
-    assertTrue(out.retryAfterS > 0);
+    assertEquals(503, out.status(), "what can't be read is not called unknown");
+    assertTrue(out.retryAfterS() > 0);
     world.store.endOutage();
     world.play(3);
-    assertEquals(404, ask("n2", "GET", "/submissions/" + uid, null).status);
+    assertEquals(404, ask("n2", "GET", "/submissions/" + uid, null).status());
     for (String none : List.of("null", "[]")) {
       assertEquals(
           none.equals("null") ? 201 : 200,
-          ask("n1", "POST", "/submissions", head + ",\"waits_on\":" + none + "}").status);
+          ask("n1", "POST", "/submissions", head + ",\"waits_on\":" + none + "}").status());
     }
     assertEquals(
         200,
-        ask("n2", "POST", "/submissions", head + ",\"waits_on\":[\"job-777\"]}").status,
+        ask("n2", "POST", "/submissions", head + ",\"waits_on\":[\"job-777\"]}").status(),
         "known, whatever it names");
     assertEquals(
         200,
-        ask("n2", "POST", "/submissions", head + ",\"waits_on\":7}").status,
+        ask("n2", "POST", "/submissions", head + ",\"waits_on\":7}").status(),
         "known, whatever it names");
     JobSpec twice = idle(1, 1, known, known);
-    assertEquals(201, submitAt("n2", twice).status, "a name that is repeated counts once");
+    assertEquals(201, submitAt("n2", twice).status(), "a name that is repeated counts once");
   }
 
   /**
@@ -267,31 +160,31 @@
     JobSpec middle = idle(1, 5, root);
     JobSpec other = idle(1, 5);
     JobSpec last = job(1, 5, 60, Urgency.HIGH, List.of(middle.uid(), other.uid()));
-    assertEquals(201, submitAt("n0", root).status);
-    assertEquals(201, submitAt("n1", middle).status);
-    assertEquals(201, submitAt("n0", other).status);
-    assertEquals(201, submitAt("n2", last).status);
+    assertEquals(201, submitAt("n0", root).status());
+    assertEquals(201, submitAt("n1", middle).status());
+    assertEquals(201, submitAt("n0", other).status());
+    assertEquals(201, submitAt("n2", last).status());
     for (String text : world.members.keySet()) {
-      assertTrue(ask(text, "GET", "/submissions/" + last.uid(), null).body.contains("pending"));
+      assertTrue(ask(text, "GET", "/submissions/" + last.uid(), null).body().contains("pending"));
     }
     assertTrue(
-        ask("n1", "POST", "/submissions/" + root.uid() + "/abort", "").body.contains("aborted"));
+        ask("n1", "POST", "/submissions/" + root.uid() + "/abort", "").body().contains("aborted"));
     for (String text : world.members.keySet()) {
       for (JobSpec otherJob : List.of(middle, last, root)) {
         Answer answer = ask(text, "GET", "/submissions/" + otherJob.uid(), null);
         assertTrue(
-            answer.status == 200 && answer.body.contains("\"aborted\""),
-            text + " says " + answer.body);
+            answer.status() == 200 && answer.body().contains("\"aborted\""),
+            text + " says " + answer.body());
         assertTrue(
             ask(text, "POST", "/submissions", Json.write(otherJob.toJson()))
-                .body
+                .body()
                 .contains("\"aborted\""));
       }
     }
     JobSpec after = idle(1, 5, middle);
     Answer accepted = submitAt("n0", after);
-    assertEquals(201, accepted.status, "accepted all the same");
-    assertTrue(accepted.body.contains("\"aborted\""), accepted.body);
+    assertEquals(201, accepted.status(), "accepted all the same");
+    assertTrue(accepted.body().contains("\"aborted\""), accepted.body());
     world.play(30);
     assertEquals(
         0,
@@ -317,8 +210,8 @@
     leader.crash(60);
     users.cancelled(root);
     assertTrue(
-        ask(other, "POST", "/submissions/" + root.uid() + "/abort", "").body.contains("aborted"));
-    assertTrue(ask(other, "GET", "/submissions/" + last.uid(), null).body.contains("\"aborted\""));
+        ask(other, "POST", "/submissions/" + root.uid() + "/abort", "").body().contains("aborted"));
+    assertTrue(ask(other, "GET", "/submissions/" + last.uid(), null).body().contains("\"aborted\""));
     assertTrue(world.members.values().stream().noneMatch(World.Member::leads), "nobody leads yet");
     world.play(60);
     assertEquals(List.of(), world.rules.broken);
@@ -334,7 +227,7 @@
     assertTold("done", root);
     submit(last);
     assertTrue(
-        ask("n2", "POST", "/submissions/" + root.uid() + "/abort", "").body.contains("\"done\""));
+        ask("n2", "POST", "/submissions/" + root.uid() + "/abort", "").body().contains("\"done\""));
     world.play(40);
     assertTold("done", last);
   }
@@ -504,18 +397,18 @@
                         JobSpec.NO_DEADLINE)));
     names.stream().filter(n -> n.startsWith("job-5")).forEach(n -> world.rules.complete(n + "/0"));
     Answer answer = null;
-    for (int tries = 0; tries < 12 && (answer == null || answer.status == 503); tries++) {
+    for (int tries = 0; tries < 12 && (answer == null || answer.status() == 503); tries++) {
       answer = submitAt("n" + tries % 3, last);
       world.play(1);
     }
-    assertEquals(201, answer.status, answer.body);
+    assertEquals(201, answer.status(), answer.body());
     assertEquals(0, world.store.malformed, "nothing too large was written");
-    assertTrue(ask("n2", "GET", "/submissions/" + last.uid(), null).body.contains("pending"));
+    assertTrue(ask("n2", "GET", "/submissions/" + last.uid(), null).body().contains("pending"));
     world.leader().crash(1);
     world.play(15);
     assertFalse(world.rules.began(last.uid()), "one that it names still runs");
     world.play(120);
-    assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body.contains("\"done\""));
+    assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body().contains("\"done\""));
     assertEquals(List.of(), world.rules.broken);
   }
 
@@ -540,22 +433,22 @@
     for (int i = 0; i < 300; i++) {
       JobSpec job = i == 0 ? idle(1, 900) : idle(1, 5, all.get(i - 1));
       all.add(job);
-      assertEquals(201, submitAt("n0", job).status);
+      assertEquals(201, submitAt("n0", job).status());
     }
     JobSpec last = all.get(299);
-    assertEquals(200, ask("n1", "GET", "/submissions/" + last.uid(), null).status);
+    assertEquals(200, ask("n1", "GET", "/submissions/" + last.uid(), null).status());
     world.store.requestsSeen = 0;
     for (int i = 0; i < 10; i++) {
-      assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body.contains("pending"));
+      assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body().contains("pending"));
     }
     assertTrue(
         world.store.requestsSeen < 60,
         "for ten questions, all else included: " + world.store.requestsSeen);
     assertTrue(
         ask("n2", "POST", "/submissions/" + all.get(0).uid() + "/abort", "")
-            .body
+            .body()
             .contains("aborted"));
-    assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body.contains("\"aborted\""));
+    assertTrue(ask("n1", "GET", "/submissions/" + last.uid(), null).body().contains("\"aborted\""));
     world.play(120);
     assertEquals(0, world.store.count("active/"), "the leader has stored the rest");
     assertEquals(List.of(), world.rules.broken);
@@ -654,7 +547,7 @@
         .forEach(
             n ->
                 assertTrue(
-                    ask(n, "GET", "/submissions/" + last.uid(), null).body.contains("pending")));
+                    ask(n, "GET", "/submissions/" + last.uid(), null).body().contains("pending")));
     world.store.untold = "ended/";
     List<Integer> status = new ArrayList<>();
     World.Member leader = world.leader();
@@ -667,7 +560,7 @@
     long asked = world.now();
     Answer answer = ask(others.get(1), "GET", "/submissions/" + last.uid(), null);
     world.rules.toldAnywhere(
-        last.uid(), answer.body.contains("pending") ? "pending" : "aborted", asked);
+        last.uid(), answer.body().contains("pending") ? "pending" : "aborted", asked);
     assertTrue(
         world.rules.broken.stream().anyMatch(b -> b.startsWith("orphaned")),
         "the checks must see it: " + told(last));
@@ -690,7 +583,7 @@
       world.leader().crash(1);
       world.play(15);
     }
-    assertEquals(200, ask("n0", "POST", "/submissions/" + last.uid() + "/abort", "").status);
+    assertEquals(200, ask("n0", "POST", "/submissions/" + last.uid() + "/abort", "").status());
     world.play(2);
     assertEquals(
         Urgency.IDLE,
@@ -703,7 +596,7 @@
   @Test
   void aThousandMayWaitOnOne() {
     JobSpec root = idle(1, 30);
-    assertEquals(201, submitAt("n0", root).status);
+    assertEquals(201, submitAt("n0", root).status());
     List<JobSpec> all = IntStream.range(0, 120).mapToObj(i -> idle(1, 1, root)).toList();
     all.forEach(j -> users.submit(j, false));
     world.play(150);
