--- a/src/test/java/plumlever/sim/PipelinesTest.java
+++ b/src/test/java/plumlever/sim/PipelinesTest.java
@@ -107,7 +107,9 @@
         List.of(
             "\"job-1\"", "7", "{}", "[7]", "[null]", "[\"job-\"]", "[\"x\"]", "[[\"job-1\"]]")) {
       assertEquals(
-          400, ask("n1", "POST", "/submissions", head + ",\"waits_on\":" + bad + "}").status(), bad);
+          400,
+          ask("n1", "POST", "/submissions", head + ",\"waits_on\":" + bad + "}").status(),
+          bad);
     }
     assertEquals(
         422,
@@ -211,7 +213,8 @@
     users.cancelled(root);
     assertTrue(
         ask(other, "POST", "/submissions/" + root.uid() + "/abort", "").body().contains("aborted"));
-    assertTrue(ask(other, "GET", "/submissions/" + last.uid(), null).body().contains("\"aborted\""));
+    assertTrue(
+        ask(other, "GET", "/submissions/" + last.uid(), null).body().contains("\"aborted\""));
     assertTrue(world.members.values().stream().noneMatch(World.Member::leads), "nobody leads yet");
     world.play(60);
     assertEquals(List.of(), world.rules.broken);
