Samples of the records and peer messages of both former versions pin the formats

Written by those versions themselves in simulated deployments: the production version's gain the two records of delegated renewal, and the first version that landed with dependencies gets a full set, a long list among them.

--- /dev/null
+++ b/src/test/java/plumlever/sim/FormatSamplesTest.java
@@ -0,0 +1,282 @@
+package plumlever.sim;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import plumlever.fleet.Job;
+import plumlever.peer.PeerStatus;
+import plumlever.settings.Platform;
+import plumlever.store.JobStore;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.JobSpec;
+import plumlever.wire.JobState;
+import plumlever.wire.Json;
+import plumlever.wire.Urgency;
+
+/**
+ * What former versions stored and sent, written by those versions themselves: {@code production/}
+ * by the version that deploy/service.toml names, {@code first-with-dependencies/} by the first that
+ * landed with jobs that depend on others. A rename or a move of code that changes a format fails
+ * here.
+ */
+final class FormatSamplesTest {
+  private static final String PRODUCTION = "production";
+  private static final String FIRST_WITH_DEPENDENCIES = "first-with-dependencies";
+  private static final int NOW_BYTES = 4096;
+  private static final int NEXT_BYTES = 2048;
+
+  private static byte[] sample(String version, String name) {
+    try (InputStream in = FormatSamplesTest.class.getResourceAsStream("/" + version + "/" + name)) {
+      return in.readAllBytes();
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static Map<String, JsonNode> records(String version) throws InvalidMessage {
+    Map<String, JsonNode> records = new LinkedHashMap<>();
+    ObjectNode all = Json.parseObject(sample(version, "records.json"));
+    all.fieldNames().forEachRemaining(key -> records.put(key, all.get(key).path("data")));
+    return records;
+  }
+
+  private static World world(long seed) {
+    return new World(
+        seed,
+        3,
+        List.of(new Platform.Team("red", 16, 48, 0, 0), new Platform.Team("blue", 16, 0, 0, 0)),
+        false,
+        Rules.CANCEL_MICROS,
+        new Platform.StateLimits(200, 25, NEXT_BYTES, 4, NOW_BYTES));
+  }
+
+  /** The samples hold every kind of record that the version writes. */
+  @Test
+  void samplesOfEveryKindAreThere() throws InvalidMessage {
+    Set<String> common =
+        Set.of(
+            "active",
+            "ended",
+            "progress",
+            "fleet",
+            "begun",
+            "hints",
+            "catalog",
+            "office/leader",
+            "office/term",
+            "office/mandate",
+            "office/stand-in");
+    assertEquals(common, kinds(PRODUCTION));
+    Set<String> withLists = new HashSet<>(common);
+    withLists.add("waits");
+    assertEquals(withLists, kinds(FIRST_WITH_DEPENDENCIES));
+  }
+
+  private static Set<String> kinds(String version) throws InvalidMessage {
+    Set<String> kinds = new HashSet<>();
+    for (String key : records(version).keySet()) {
+      int slash = key.indexOf('/');
+      kinds.add(slash < 0 || key.startsWith("office/") ? key : key.substring(0, slash));
+    }
+    return kinds;
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {PRODUCTION, FIRST_WITH_DEPENDENCIES})
+  void submissionsAreReadAsTheyWereWritten(String version) throws InvalidMessage {
+    int read = 0;
+    for (Map.Entry<String, JsonNode> record : records(version).entrySet()) {
+      if (record.getKey().startsWith(JobStore.ACTIVE)) {
+        JobSpec spec = JobStore.spec(record.getValue());
+        assertEquals(record.getValue().path("job"), Json.parseObject(Json.write(spec.toJson())));
+        assertTrue(JobStore.acceptedWallMicros(record.getValue()) > 0);
+        read++;
+      }
+    }
+    assertTrue(read > 3);
+  }
+
+  @Test
+  void endsTellWhenSinceTheFirstVersionWithDependencies() throws InvalidMessage {
+    Map<String, JsonNode> records = records(FIRST_WITH_DEPENDENCIES);
+    JsonNode done = records.get("ended/job-000001");
+    assertEquals(JobState.DONE, JobStore.finalState(done));
+    assertEquals(done.path("at_ms").asLong() * 1_000, JobStore.endedWallMicros(done));
+    assertTrue(JobStore.endedWallMicros(done) > 0);
+    assertEquals(JobState.ABORTED, JobStore.finalState(records.get("ended/job-000005")));
+  }
+
+  /** A new leader goes on with chains that the former version left, a long list among them. */
+  @Test
+  void chainsOfTheFormerVersionGoOn() throws InvalidMessage {
+    World world = world(21);
+    Map<String, JsonNode> left = records(FIRST_WITH_DEPENDENCIES);
+    left.remove("office/leader");
+    // The sample keeps a tenth of the ended jobs that the long list names; all had ended.
+    for (String key : List.copyOf(left.keySet())) {
+      if (key.startsWith("waits/")) {
+        JobStore.names(left.get(key))
+            .forEach(name -> left.putIfAbsent("ended/" + name, Json.object().put("s", "done")));
+      }
+    }
+    left.remove("ended/job-000002");
+    world.store.rewrite("", left);
+    world.cloud.outage = true;
+    world.play(4);
+    Job slow = job(world, "job-000002");
+    Job next = job(world, "job-000003");
+    Job last = job(world, "job-000004");
+    Job large = job(world, "job-000006");
+    Job many = job(world, "job-000007");
+    assertFalse(slow.waiting());
+    assertTrue(slow.inherited() && large.inherited(), "on record as started");
+    assertTrue(next.waiting() && last.waiting() && many.waiting());
+    assertEquals(Urgency.HIGH, slow.urgency(), "its last job's priority reaches back to it");
+    assertTrue(large.doneCount() > 10, "progress " + large.doneCount());
+    assertTrue(answer(world, "job-000005").contains("\"aborted\""));
+    assertTrue(answer(world, "job-000004").contains("\"pending\""));
+    end(world, "job-000002");
+    world.play(4);
+    assertFalse(next.waiting() || many.waiting(), "released by the end of the last one");
+    assertTrue(last.waiting());
+  }
+
+  private static Job job(World world, String uid) {
+    Job job = world.leader().node().leader().job(uid);
+    assertNotNull(job, uid);
+    return job;
+  }
+
+  private static void end(World world, String uid) {
+    String body =
+        """
+        {"guards":[],"then":[{"put":"ended/%s","data":{"s":"done"}},{"drop":"active/%s"}]}\
+        """
+            .formatted(uid, uid);
+    world.store.handle("test", "POST", "/txn", body, (status, text) -> assertEquals(200, status));
+  }
+
+  private static String answer(World world, String uid) {
+    StringBuilder answer = new StringBuilder();
+    world
+        .members
+        .get("n1")
+        .node()
+        .front()
+        .handle(
+            "GET",
+            "/submissions/" + uid,
+            new byte[0],
+            (status, json, retryAfterS) -> answer.append(status).append(json));
+    world.play(1);
+    return answer.toString();
+  }
+
+  @Test
+  void peerMessagesAreReadAndWrittenAlike() {
+    byte[] theirs =
+        HexFormat.of()
+            .parseHex(
+                new String(
+                        sample(FIRST_WITH_DEPENDENCIES, "peer-status.hex"),
+                        StandardCharsets.US_ASCII)
+                    .trim());
+    PeerStatus.Codec codec = new PeerStatus.Codec();
+    PeerStatus read = codec.read(theirs);
+    assertEquals("lever-1", read.label());
+    assertEquals(41, read.term());
+    assertTrue(read.leading());
+    assertEquals(610, read.workers());
+    assertArrayEquals(new int[] {3, 1}, read.counts().get("job-12"));
+    assertArrayEquals(new int[] {0, 70_000}, read.counts().get("job-7"));
+    assertEquals(List.of("job-000412", "job-5"), read.calledOff());
+    assertArrayEquals(theirs, codec.write(read));
+  }
+
+  /**
+   * Behind a partition this version's controllers renew leases by a former version's record, and
+   * their own records have the same form.
+   */
+  @ParameterizedTest
+  @ValueSource(strings = {PRODUCTION, FIRST_WITH_DEPENDENCIES})
+  void leasesAreRenewedByTheFormerVersionsRecord(String version) throws InvalidMessage {
+    World world = world(11);
+    FakeUsers users = new FakeUsers(world);
+    world.play(5);
+    for (int i = 0; i < 10; i++) {
+      users.submit(
+          new JobSpec(
+              users.nextUid(),
+              "c0",
+              "blue",
+              Urgency.STANDARD,
+              8,
+              2,
+              0,
+              2,
+              "img",
+              1,
+              null,
+              null,
+              false,
+              false,
+              true,
+              90,
+              0,
+              0,
+              JobSpec.NO_DEADLINE),
+          false);
+    }
+    world.play(45);
+    String leader = world.leader().platform.label();
+    List<String> behind = new ArrayList<>();
+    for (FakeCloud.Vm machine : world.cloud.machines.values()) {
+      if (machine.site.equals("a") && machine.worker != null) {
+        behind.add(machine.id);
+      }
+    }
+    behind.forEach(machine -> world.cut(leader, machine, true));
+    world.play(25);
+    Map<String, JsonNode> samples = records(version);
+    for (String key : List.of("office/mandate", "office/stand-in")) {
+      assertEquals(
+          fields(samples.get(key)),
+          fields(world.store.entries(key).get(key)),
+          "the form of " + key);
+    }
+    long before = renewed(world);
+    world.store.forge("office/mandate", samples.get("office/mandate"));
+    world.play(15);
+    assertTrue(renewed(world) - before > 5, "renewed " + (renewed(world) - before));
+  }
+
+  private static List<String> fields(JsonNode record) {
+    List<String> fields = new ArrayList<>();
+    record.fieldNames().forEachRemaining(fields::add);
+    return fields;
+  }
+
+  private static long renewed(World world) {
+    return world.members.values().stream()
+        .mapToLong(member -> member.node().metrics().counted("leases_renewed_for_leader"))
+        .sum();
+  }
+}
