Every package says what it owns; a test holds which may use which

package-info.java for all packages; PackageDependenciesTest (ArchUnit) holds the allowed dependencies and that placement, scaling and fleet are pure, and shows that the check of purity fails for a package that does I/O.

--- /dev/null
+++ b/src/main/java/plumlever/cli/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The command line: arguments, logging, and the process with its sockets.
+ *
+ * <p>Nothing else depends on it.
+ */
+package plumlever.cli;
--- /dev/null
+++ b/src/main/java/plumlever/leader/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * One term of the leader: takeover, reports, scheduling passes, preemption, machines, progress,
+ * hints.
+ *
+ * <p>Nothing of it outlives its term but what is stored. Nobody but the node makes one.
+ */
+package plumlever.leader;
--- /dev/null
+++ b/src/main/java/plumlever/package-info.java
@@ -0,0 +1,6 @@
+/**
+ * The node: one controller process, put together from the parts that the other packages own.
+ *
+ * <p>It decides nothing about jobs itself.
+ */
+package plumlever;
--- /dev/null
+++ b/src/test/java/plumlever/architecture/PackageDependenciesTest.java
@@ -0,0 +1,143 @@
+package plumlever.architecture;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
+
+/** Which package may use which other of the project. */
+final class PackageDependenciesTest {
+  private static final String ROOT = "plumlever";
+
+  /** By package, the others that it may use. A line here only gets shorter. */
+  private static final Map<String, List<String>> ALLOWED =
+      new TreeMap<>(
+          Map.ofEntries(
+              Map.entry("wire", List.of()),
+              Map.entry("concurrent", List.of()),
+              Map.entry("metrics", List.of()),
+              Map.entry("settings", List.of()),
+              Map.entry("placement", List.of()),
+              Map.entry("fleet", List.of("wire")),
+              Map.entry("scaling", List.of("cloud", "wire")),
+              Map.entry("peer", List.of("concurrent", "http", "settings")),
+              Map.entry(
+                  "store", List.of("concurrent", "fleet", "http", "metrics", "settings", "wire")),
+              Map.entry(
+                  "cloud", List.of("concurrent", "http", "metrics", "settings", "store", "wire")),
+              Map.entry(
+                  "election",
+                  List.of("concurrent", "fleet", "metrics", "settings", "store", "wire")),
+              Map.entry(
+                  "http",
+                  List.of(
+                      "cloud",
+                      "concurrent",
+                      "election",
+                      "leader",
+                      "metrics",
+                      "settings",
+                      "store",
+                      "wire")),
+              Map.entry(
+                  "leader",
+                  List.of(
+                      "cloud",
+                      "concurrent",
+                      "election",
+                      "fleet",
+                      "http",
+                      "metrics",
+                      "placement",
+                      "scaling",
+                      "settings",
+                      "store",
+                      "wire")),
+              Map.entry("warmup", List.of("", "concurrent", "http", "metrics", "settings", "wire")),
+              Map.entry("cli", List.of("", "concurrent", "http", "metrics", "settings", "warmup")),
+              Map.entry(
+                  "",
+                  List.of(
+                      "cloud",
+                      "concurrent",
+                      "election",
+                      "http",
+                      "leader",
+                      "metrics",
+                      "peer",
+                      "settings",
+                      "store",
+                      "wire"))));
+
+  /** Packages that are functions of their arguments: no I/O, no threads, no clock. */
+  private static final List<String> PURE = List.of("placement", "scaling", "fleet");
+
+  private static JavaClasses project() {
+    return new ClassFileImporter()
+        .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+        .importPackages(ROOT);
+  }
+
+  @Test
+  void packagesUseOnlyWhatTheyMay() {
+    List<String> broken = new ArrayList<>();
+    for (JavaClass user : project()) {
+      String from = nameOf(user);
+      user.getDirectDependenciesFromSelf().stream()
+          .map(dependency -> dependency.getTargetClass().getBaseComponentType())
+          .filter(PackageDependenciesTest::ofProject)
+          .map(PackageDependenciesTest::nameOf)
+          .filter(to -> !to.equals(from) && !ALLOWED.get(from).contains(to))
+          .forEach(to -> broken.add(user.getSimpleName() + " of " + from + " uses " + to));
+    }
+    assertEquals(new TreeSet<>(), new TreeSet<>(broken));
+  }
+
+  private static boolean ofProject(JavaClass type) {
+    return type.getPackageName().equals(ROOT) || type.getPackageName().startsWith(ROOT + ".");
+  }
+
+  private static String nameOf(JavaClass type) {
+    String name = type.getPackageName();
+    return name.equals(ROOT) ? "" : name.substring(ROOT.length() + 1);
+  }
+
+  private static ArchRule pure(String name) {
+    return classes()
+        .that()
+        .resideInAPackage(ROOT + "." + name)
+        .should()
+        .onlyDependOnClassesThat()
+        .resideInAnyPackage(
+            ROOT + "." + name,
+            ROOT + ".wire",
+            ROOT + ".cloud",
+            "java.lang..",
+            "java.util",
+            "java.util.function",
+            "java.util.stream",
+            "org.agrona..");
+  }
+
+  @Test
+  void decisionsArePure() {
+    PURE.forEach(name -> pure(name).check(project()));
+  }
+
+  /** The check can fail: the leader does I/O. */
+  @Test
+  void theCheckOfPurityFailsWhereItShould() {
+    assertThrows(AssertionError.class, () -> pure("leader").check(project()));
+  }
+}
--- /dev/null
+++ b/src/test/java/plumlever/architecture/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of how the packages depend on each other. */
+package plumlever.architecture;
