--- a/src/test/java/plumlever/sim/DependencyAcceptanceTest.java
+++ b/src/test/java/plumlever/sim/DependencyAcceptanceTest.java
@@ -124,10 +124,33 @@
     submit(urgent);
     world.play(30);
     assertTrue(world.rules.began(urgent.uid()), "its age takes no precedence while it waits");
-    world.play(130);
+    long released = 0;
+    for (int i = 0; i < 1_300 && released == 0; i++) {
+      world.play(0.1);
+      Job job = world.leader().node().leader().job(last.uid());
+      released = job != null && !job.waiting() ? job.releasedMicros() : 0;
+    }
+    assertTrue(world.now() - released < 10_000_000, "its times begin with its release");
+    world.play(60);
     assertTold("done", first, urgent, last);
   }
 
+  /** A leader that takes over a released job knows when that was, not when it was submitted. */
+  @Test
+  void aNewLeaderKnowsWhenAJobWasReleased() {
+    JobSpec first = idle(1, 60);
+    JobSpec last = idle(2, 300, first);
+    submit(first, last);
+    world.play(130);
+    assertTold("done", first);
+    long released = world.leader().node().leader().job(last.uid()).releasedMicros();
+    world.leader().crash(1);
+    world.play(20);
+    Job job = world.leader().node().leader().job(last.uid());
+    assertTrue(released - job.acceptedMicros() > 50_000_000);
+    assertEquals(released / 1e6, job.releasedMicros() / 1e6, 2);
+  }
+
   /** Cancelled in the middle of a diamond, asked in every way at every node right after that. */
   @Test
   void whatNeedsACancelledJobIsCancelledAndNothingElse() {
