--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -215,7 +215,8 @@
                   fleet.add(machine);
                 }
                 machine.learnEndpoint(hostEntry.endpoint());
-                machine.listed(now, hostEntry.status().equals("failed"));
+                machine.listed(
+                    now, hostEntry.status().equals("failed"), (long) (hostEntry.ageS() * 1e6));
               }
             });
   }
--- a/src/test/java/plumlever/settings/SettingsTest.java
+++ b/src/test/java/plumlever/settings/SettingsTest.java
@@ -10,6 +10,8 @@
 import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 final class SettingsTest {
   private static final String GOOD =
@@ -99,6 +101,55 @@
             .contains("cannot be read"));
   }
 
+  private static String withNext(String next) {
+    return GOOD.replace("txn_ops = 8\n", "txn_ops = 8\n[deployment.state.next]\n" + next + "\n");
+  }
+
+  /** Of each limit the smaller of now and next holds from the start; what is not named stays. */
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "rps = 50.0; write_rps = 15.0; value_kb = 2.0; txn_ops = 4 | 50 | 15 | 2048 | 4",
+        "rps = 900.0; write_rps = 90.0; value_kb = 64.0; txn_ops = 80 | 100 | 20 | 4096 | 8",
+        "write_rps = 5.0 | 100 | 5 | 4096 | 8",
+        "value_kb = 1.0 | 100 | 20 | 1024 | 8",
+        "txn_ops = 3; sparkle = true | 100 | 20 | 4096 | 3",
+        "'' | 100 | 20 | 4096 | 8"
+      })
+  void writesWithinTheSmallerOfNowAndNext(
+      String next, double rps, double writeRps, int valueBytes, int txnOps) throws Exception {
+    Platform.StateLimits limits =
+        Platform.load(file(withNext(next.replace("; ", "\n")))).stateLimits();
+    assertEquals(new Platform.StateLimits(rps, writeRps, valueBytes, txnOps, 4096), limits);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "value_kb = 0.5 | deployment.state.next.value_kb must be from 1.0 to 1000000.0",
+        "txn_ops = 2 | deployment.state.next.txn_ops must be from 3.0 to 1000000.0",
+        "write_rps = 0 | deployment.state.next.write_rps must be from 1.0 to 1.0E9",
+        "rps = \"many\" | deployment.state.next.rps must be a number"
+      })
+  void limitsThatCannotWorkEndTheStart(String next, String reason) {
+    assertEquals(
+        dir.resolve("s") + ": " + reason,
+        assertThrows(SettingsException.class, () -> Platform.load(file(withNext(next))))
+            .getMessage());
+  }
+
+  @Test
+  void nextMustBeATable() {
+    assertEquals(
+        dir.resolve("s") + ": deployment.state.next must be a table",
+        assertThrows(
+                SettingsException.class,
+                () -> Platform.load(file(GOOD.replace("txn_ops = 8", "txn_ops = 8\nnext = 7"))))
+            .getMessage());
+  }
+
   @Test
   void operatorsFileChangesTunablesAndRefusesUnknownKeys() throws Exception {
     Tunables tunables =
--- a/src/test/java/plumlever/sim/FormatSamplesTest.java
+++ b/src/test/java/plumlever/sim/FormatSamplesTest.java
@@ -12,6 +12,7 @@
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.LinkedHashMap;
@@ -52,8 +53,12 @@
   }
 
   private static Map<String, JsonNode> records(String version) throws InvalidMessage {
+    return records(version, "records.json");
+  }
+
+  private static Map<String, JsonNode> records(String version, String name) throws InvalidMessage {
     Map<String, JsonNode> records = new LinkedHashMap<>();
-    ObjectNode all = Json.parseObject(sample(version, "records.json"));
+    ObjectNode all = Json.parseObject(sample(version, name));
     all.fieldNames().forEachRemaining(key -> records.put(key, all.get(key).path("data")));
     return records;
   }
@@ -159,6 +164,22 @@
     assertTrue(last.waiting());
   }
 
+  /**
+   * The production version cut the progress of large jobs up by the limit of its time: read by
+   * another, what it wrote of the later tasks would be taken for other tasks.
+   */
+  @Test
+  void progressInSeveralPartsIsReadByTheLimitItWasCutUpBy() throws InvalidMessage {
+    World world = world(22);
+    Map<String, JsonNode> left = records(PRODUCTION, "large-progress.json");
+    world.store.rewrite("", left);
+    world.cloud.outage = true;
+    world.play(4);
+    BitSet done = job(world, "job-000001").done();
+    assertEquals(FormerVersion.progressItReads(world.store, NOW_BYTES).get("job-000001"), done);
+    assertTrue(done.length() > 24_192, "in the second part, too: " + done.length());
+  }
+
   private static Job job(World world, String uid) {
     Job job = world.leader().node().leader().job(uid);
     assertNotNull(job, uid);
