--- a/src/main/java/plumlever/cli/Check.java
+++ b/src/main/java/plumlever/cli/Check.java
@@ -4,71 +4,76 @@
 import plumlever.settings.Platform;
 import plumlever.settings.Tunables;
 
-/** Tells what would run with the given settings. */
+/** What would run with the settings given, for {@code --check}. */
 final class Check {
+  private static final double MICROS_PER_SECOND = 1e6;
+
   private Check() {}
 
   static String describe(Platform platform, Tunables tunables) {
-    StringBuilder stringBuilder = new StringBuilder();
-    stringBuilder
-        .append(platform.label())
-        .append(" in ")
-        .append(platform.area())
-        .append(" would serve users and workers at ")
-        .append(platform.bind())
-        .append(" and controllers at ")
-        .append(platform.back())
-        .append('\n');
-    stringBuilder
-        .append("other controllers: ")
-        .append(
-            platform.seeds().stream()
-                .map(x -> x.label() + " at " + x.endpoint())
-                .collect(Collectors.joining(", ", "", "")))
-        .append('\n');
-    stringBuilder
-        .append("state service at ")
-        .append(platform.state())
-        .append(", cloud at ")
-        .append(platform.cloud())
-        .append('\n');
-    Platform.StateLimits stateLimits = platform.stateLimits();
-    stringBuilder
-        .append("writes to the state service, within the limits now and next: values of ")
-        .append(stateLimits.valueBytes())
-        .append(" bytes (now ")
-        .append(stateLimits.formerValueBytes())
-        .append("), ")
-        .append(stateLimits.txnOps())
-        .append(" changes a transaction, ")
-        .append(stateLimits.writeRps())
-        .append(" changes and ")
-        .append(stateLimits.rps())
-        .append(" requests a second\n");
-    stringBuilder
-        .append("teams: ")
-        .append(
-            platform.teams().stream().map(Platform.Team::name).collect(Collectors.joining(", ")))
-        .append('\n');
-    stringBuilder
-        .append(
-            platform.moneyMatters(tunables.rentMicros())
-                ? "money is saved where the aims leave time: idle machines are returned after "
-                    + tunables.idleMoneyMicros() / 1e6
-                    + " s"
-                : "machines stand by, since an aim leaves no time to rent one: idle machines are"
-                    + " returned after "
-                    + tunables.idleSpeedMicros() / 1e6
-                    + " s")
-        .append('\n');
-    stringBuilder
-        .append("padding ")
-        .append(tunables.paddingShare())
-        .append(", tie band ")
-        .append(tunables.tieShare())
-        .append(", start target ")
-        .append(tunables.startTargetMicros() / 1e6)
-        .append(" s");
-    return stringBuilder.toString();
+    return String.join(
+        "\n",
+        addresses(platform),
+        limits(platform.stateLimits()),
+        "teams: "
+            + platform.teams().stream().map(Platform.Team::name).collect(Collectors.joining(", ")),
+        money(platform, tunables),
+        placement(tunables));
+  }
+
+  private static String addresses(Platform platform) {
+    String others =
+        platform.seeds().stream()
+            .map(seed -> seed.label() + " at " + seed.endpoint())
+            .collect(Collectors.joining(", "));
+    return """
+    %s in %s would serve users and workers at %s and controllers at %s
+    other controllers: %s
+    state service at %s, cloud at %s\
+    """
+        .formatted(
+            platform.label(),
+            platform.area(),
+            platform.bind(),
+            platform.back(),
+            others,
+            platform.state(),
+            platform.cloud());
+  }
+
+  private static String limits(Platform.StateLimits limits) {
+    return "writes to the state service, within the limits now and next: values of "
+        + limits.valueBytes()
+        + " bytes (now "
+        + limits.formerValueBytes()
+        + "), "
+        + limits.txnOps()
+        + " changes a transaction, "
+        + limits.writeRps()
+        + " changes and "
+        + limits.rps()
+        + " requests a second";
+  }
+
+  private static String money(Platform platform, Tunables tunables) {
+    return platform.moneyMatters(tunables.rentMicros())
+        ? "money is saved where the aims leave time: idle machines are returned after "
+            + seconds(tunables.idleMoneyMicros())
+        : "machines stand by, since an aim leaves no time to rent one: idle machines are returned"
+            + " after "
+            + seconds(tunables.idleSpeedMicros());
+  }
+
+  private static String placement(Tunables tunables) {
+    return "padding "
+        + tunables.paddingShare()
+        + ", tie band "
+        + tunables.tieShare()
+        + ", start target "
+        + seconds(tunables.startTargetMicros());
+  }
+
+  private static String seconds(long micros) {
+    return micros / MICROS_PER_SECOND + " s";
   }
 }
--- /dev/null
+++ b/src/test/java/plumlever/cli/CheckTest.java
@@ -0,0 +1,42 @@
+package plumlever.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import plumlever.settings.Endpoint;
+import plumlever.settings.Platform;
+import plumlever.settings.Tunables;
+
+/** What {@code --check} tells. */
+final class CheckTest {
+  @Test
+  void tellsWhatWouldRunAndWithinWhichLimits() {
+    Platform platform =
+        new Platform(
+            "lever-0",
+            "a",
+            new Endpoint("127.0.0.1", 8080),
+            new Endpoint("127.0.0.1", 8081),
+            List.of(new Platform.Seed("lever-1", "b", new Endpoint("127.0.0.2", 8081))),
+            new Endpoint("127.0.0.1", 1),
+            new Endpoint("127.0.0.1", 2),
+            List.of(new Platform.Team("t", 1, 2, 0, 0), new Platform.Team("u", 1, 2, 0, 0)),
+            List.of(),
+            new Platform.Workers(3_000_000, 20_000_000, 40_000_000),
+            new Platform.StateLimits(100, 15, 2048, 4, 4096),
+            new Platform.CloudLimits(5, 3_000_000),
+            256);
+    assertEquals(
+        """
+        lever-0 in a would serve users and workers at 127.0.0.1:8080 and controllers at 127.0.0.1:8081
+        other controllers: lever-1 at 127.0.0.2:8081
+        state service at 127.0.0.1:2, cloud at 127.0.0.1:1
+        writes to the state service, within the limits now and next: values of 2048 bytes (now 4096), 4 changes a transaction, 15.0 changes and 100.0 requests a second
+        teams: t, u
+        money is saved where the aims leave time: idle machines are returned after 20.0 s
+        padding 0.05, tie band 0.02, start target 30.0 s\
+        """,
+        Check.describe(platform, Tunables.defaults()));
+  }
+}
