--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -15,7 +15,7 @@
   private final String flavor;
   private final String site;
   private final boolean spot;
-  private long knownSinceMicros;
+  private final long knownSinceMicros;
 
   private Enrolment enrolment = Enrolment.NONE;
   private long tenure;
@@ -294,16 +294,9 @@
     return listedMicros;
   }
 
-  /**
-   * The cloud's list shows it.
-   *
-   * @param ageMicros since it was rented, as of the list; a leader that took it over learns of that
-   *     only here
-   */
-  public void listed(long nowMicros, boolean asFailed, long ageMicros) {
+  public void listed(long nowMicros, boolean asFailed) {
     listedMicros = nowMicros;
     failed |= asFailed;
-    knownSinceMicros = Math.min(knownSinceMicros, nowMicros - ageMicros);
   }
 
   public boolean failed() {
--- a/src/main/java/plumlever/leader/Machines.java
+++ b/src/main/java/plumlever/leader/Machines.java
@@ -215,8 +215,7 @@
                   fleet.add(machine);
                 }
                 machine.learnEndpoint(hostEntry.endpoint());
-                machine.listed(
-                    now, hostEntry.status().equals("failed"), (long) (hostEntry.ageS() * 1e6));
+                machine.listed(now, hostEntry.status().equals("failed"));
               }
             });
   }
