--- a/src/main/java/plumlever/cloud/CloudClient.java
+++ b/src/main/java/plumlever/cloud/CloudClient.java
@@ -19,6 +19,7 @@
 import plumlever.store.TokenBucket;
 import plumlever.wire.Flavor;
 import plumlever.wire.HostEntry;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
 
@@ -71,7 +72,7 @@
         null,
         (status, o) -> {
           List<Flavor> flavors = null;
-          if (status == 200 && o != null) {
+          if (status == HttpStatus.OK && o != null) {
             try {
               flavors = Flavor.parseCatalog(o);
             } catch (InvalidMessage e) {
@@ -95,7 +96,7 @@
         "/hosts?page=" + PAGE + (since == null ? "" : "&since=" + since),
         null,
         (status, o) -> {
-          if (status != 200 || o == null || !o.path("hosts").isArray()) {
+          if (status != HttpStatus.OK || o == null || !o.path("hosts").isArray()) {
             then.accept(null);
             return;
           }
@@ -134,12 +135,16 @@
         body,
         (status, o) -> {
           List<String> hosts = new ArrayList<>();
-          if (status == 200 && o != null && o.path("hosts").isArray()) {
+          if (status == HttpStatus.OK && o != null && o.path("hosts").isArray()) {
             o.get("hosts").forEach(h -> hosts.add(h.asText()));
             then.take(Rent.RENTED, hosts);
-          } else if (status == 503 && o != null && o.path("error").asText().contains("capacity")) {
+          } else if (status == HttpStatus.UNAVAILABLE
+              && o != null
+              && o.path("error").asText().contains("capacity")) {
             then.take(Rent.NO_CAPACITY, hosts);
-          } else if (status == 503 || status == 429 || status == 400) {
+          } else if (status == HttpStatus.UNAVAILABLE
+              || status == HttpStatus.TOO_MANY_REQUESTS
+              || status == HttpStatus.BAD_REQUEST) {
             then.take(Rent.NOT_NOW, hosts);
           } else {
             then.take(Rent.UNKNOWN, hosts);
@@ -154,7 +159,7 @@
     ObjectNode body = Json.object();
     ArrayNode names = body.putArray("hosts");
     hosts.forEach(names::add);
-    send("POST", "/hosts/return", body, (status, o) -> then.accept(status == 200));
+    send("POST", "/hosts/return", body, (status, o) -> then.accept(status == HttpStatus.OK));
   }
 
   private interface Parsed {
@@ -163,8 +168,8 @@
 
   private void send(String method, String path, JsonNode body, Parsed then) {
     if (!requests.take(1, loop.nowMicros())) {
-      metrics.outside("cloud", 429);
-      loop.after(0, () -> then.take(429, null));
+      metrics.outside("cloud", HttpStatus.TOO_MANY_REQUESTS);
+      loop.after(0, () -> then.take(HttpStatus.TOO_MANY_REQUESTS, null));
       return;
     }
     byte[] bytes = body == null ? null : Json.write(body).getBytes(StandardCharsets.UTF_8);
@@ -177,14 +182,14 @@
         (status, data) -> {
           metrics.outside("cloud", status);
           ObjectNode parsed = null;
-          if (data.length > 0 && (status == 200 || status == 503)) {
+          if (data.length > 0 && (status == HttpStatus.OK || status == HttpStatus.UNAVAILABLE)) {
             try {
               parsed = Json.parseObject(data);
             } catch (InvalidMessage e) {
               surprise(path, e.getMessage());
             }
           }
-          if (status == 400) {
+          if (status == HttpStatus.BAD_REQUEST) {
             surprise(path, new String(data, StandardCharsets.UTF_8));
           }
           then.take(status, parsed);
--- a/src/main/java/plumlever/election/LeaderElection.java
+++ b/src/main/java/plumlever/election/LeaderElection.java
@@ -10,6 +10,7 @@
 import plumlever.settings.Tunables;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.Json;
 
 /**
@@ -208,11 +209,11 @@
         epoch,
         FOLLOW_MICROS,
         changes -> {
-          if (changes.status() == 410) {
+          if (changes.status() == HttpStatus.GONE) {
             read();
             return;
           }
-          if (changes.status() != 200) {
+          if (changes.status() != HttpStatus.OK) {
             // Refused or cut off: what is known grows old, so it is read anew before anything is
             // built on it.
             loop.after(RETRY_MICROS + random.nextInt(200_000), this::read);
--- a/src/main/java/plumlever/http/RequestRouter.java
+++ b/src/main/java/plumlever/http/RequestRouter.java
@@ -6,6 +6,7 @@
 import plumlever.election.RenewalLimit;
 import plumlever.leader.Leader;
 import plumlever.metrics.Metrics;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
 import plumlever.wire.Order;
@@ -96,12 +97,12 @@
           users.abort(rest.substring(0, rest.length() - ABORT.length()), out);
         }
       } else if (rest.indexOf('/') >= 0) {
-        out.error(404, "no such path");
+        out.error(HttpStatus.NOT_FOUND, "no such path");
       } else if (allowed(method, "GET", out)) {
         users.poll(rest, out);
       }
     } else {
-      out.error(404, "no such path");
+      out.error(HttpStatus.NOT_FOUND, "no such path");
     }
   }
 
@@ -109,15 +110,15 @@
     if (method.equals(want)) {
       return true;
     }
-    out.error(405, "only " + want + " is served here");
+    out.error(HttpStatus.METHOD_NOT_ALLOWED, "only " + want + " is served here");
     return false;
   }
 
   private void up(Responder out) {
     if (house.canTakeRequests()) {
-      out.send(200, "{}");
+      out.send(HttpStatus.OK, "{}");
     } else {
-      out.later(503, "can't take requests", 1);
+      out.later(HttpStatus.UNAVAILABLE, "can't take requests", 1);
     }
   }
 
@@ -127,7 +128,7 @@
       report = WorkerReport.parse(body);
     } catch (InvalidMessage e) {
       metrics.count("reports_unreadable");
-      out.error(400, e.getMessage());
+      out.error(HttpStatus.BAD_REQUEST, e.getMessage());
       return;
     }
     metrics.count("reports");
@@ -153,14 +154,16 @@
                 && limit.mayRenew(clock.nowMicros(), found.knownMicros())) {
               metrics.count("leases_renewed_for_leader");
               house.renewed();
-              out.send(200, Order.answer(report.baton(), found.halts()));
+              out.send(HttpStatus.OK, Order.answer(report.baton(), found.halts()));
             } else {
-              out.later(503, "can't stand in", 1);
+              out.later(HttpStatus.UNAVAILABLE, "can't stand in", 1);
             }
           });
       return;
     }
     String label = house.leaderLabel();
-    out.send(421, Json.write(label == null ? Json.object() : Json.object().put("foreman", label)));
+    out.send(
+        HttpStatus.MISDIRECTED_REQUEST,
+        Json.write(label == null ? Json.object() : Json.object().put("foreman", label)));
   }
 }
--- a/src/main/java/plumlever/http/Server.java
+++ b/src/main/java/plumlever/http/Server.java
@@ -14,6 +14,7 @@
 import org.xnio.Options;
 import org.xnio.XnioWorker;
 import plumlever.settings.Endpoint;
+import plumlever.wire.HttpStatus;
 
 /** Undertow listeners that hand whole requests to a handler on the loop. */
 public final class Server implements AutoCloseable {
@@ -95,7 +96,7 @@
   private void receive(HttpServerExchange exchange, Handler handler) {
     if (exchange.getRequestContentLength() > exchange.getMaxEntitySize()) {
       exchange.setPersistent(false);
-      new ExchangeResponder(exchange).error(413, "the body is too long");
+      new ExchangeResponder(exchange).error(HttpStatus.PAYLOAD_TOO_LARGE, "the body is too long");
       return;
     }
     exchange
@@ -117,13 +118,17 @@
                             responder);
                       } catch (RuntimeException e) {
                         LOG.error("{} {} failed", ex.getRequestMethod(), ex.getRequestPath(), e);
-                        responder.later(503, "internal error", 1);
+                        responder.later(HttpStatus.UNAVAILABLE, "internal error", 1);
                       }
                     }),
             (ex, e) -> {
               ex.setPersistent(false);
               new ExchangeResponder(ex)
-                  .error(e instanceof RequestTooBigException ? 413 : 400, "the body can't be read");
+                  .error(
+                      e instanceof RequestTooBigException
+                          ? HttpStatus.PAYLOAD_TOO_LARGE
+                          : HttpStatus.BAD_REQUEST,
+                      "the body can't be read");
             });
   }
 
--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -13,6 +13,7 @@
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.JobSpec;
 import plumlever.wire.JobState;
@@ -77,7 +78,7 @@
   private Responder admit(String kind, Responder out) {
     if (open >= MOST_AT_ONCE) {
       metrics.count("users_turned_away");
-      out.later(503, "too many requests", RETRY_AFTER_S);
+      out.later(HttpStatus.UNAVAILABLE, "too many requests", RETRY_AFTER_S);
       return null;
     }
     open++;
@@ -87,7 +88,7 @@
       public void send(int status, String json, int retryAfterS) {
         open--;
         metrics.time(kind, loop.nowMicros() - since);
-        if (status >= 500 || status == 429) {
+        if (status >= 500 || status == HttpStatus.TOO_MANY_REQUESTS) {
           metrics.count(kind + "_refused");
         }
         out.send(status, json, retryAfterS);
@@ -109,7 +110,7 @@
       metrics.count("users_sent_away");
       out.closing();
     }
-    out.later(503, "the state service can't be reached", RETRY_AFTER_S);
+    out.later(HttpStatus.UNAVAILABLE, "the state service can't be reached", RETRY_AFTER_S);
   }
 
   public void submit(byte[] body, Responder raw) {
@@ -122,7 +123,7 @@
         throw new InvalidMessage("uid must be job- and digits");
       }
     } catch (InvalidMessage e) {
-      raw.error(400, e.getMessage());
+      raw.error(HttpStatus.BAD_REQUEST, e.getMessage());
       return;
     }
     Responder out = admit("submit", raw);
@@ -134,29 +135,39 @@
       spec = JobSpec.parse(object);
     } catch (InvalidMessage e) {
       // A known job is told its state whatever is wrong with the repeat.
-      ifUnknown(uid, out, () -> out.error(400, e.getMessage()));
+      ifUnknown(uid, out, () -> out.error(HttpStatus.BAD_REQUEST, e.getMessage()));
       return;
     }
     if (!teams.contains(spec.owner())) {
-      ifUnknown(uid, out, () -> out.error(422, "owner is unknown"));
+      ifUnknown(uid, out, () -> out.error(HttpStatus.UNPROCESSABLE, "owner is unknown"));
       return;
     }
     if (overLimit(spec)) {
-      ifUnknown(uid, out, () -> out.error(422, "a task needs more than its team's limit"));
+      ifUnknown(
+          uid,
+          out,
+          () -> out.error(HttpStatus.UNPROCESSABLE, "a task needs more than its team's limit"));
       return;
     }
     if (!prices.known()) {
       ifUnknown(
-          uid, out, () -> out.later(503, "the machine types are not known yet", RETRY_AFTER_S));
+          uid,
+          out,
+          () ->
+              out.later(
+                  HttpStatus.UNAVAILABLE, "the machine types are not known yet", RETRY_AFTER_S));
       return;
     }
     if (!prices.fits(spec)) {
-      ifUnknown(uid, out, () -> out.error(422, "a task fits no allowed machine type"));
+      ifUnknown(
+          uid,
+          out,
+          () -> out.error(HttpStatus.UNPROCESSABLE, "a task fits no allowed machine type"));
       return;
     }
     JobStore.Acceptance acceptance = layout.accept(spec, loop.wallMicros());
     if (acceptance == null) {
-      ifUnknown(uid, out, () -> out.error(400, "the submission is too long"));
+      ifUnknown(uid, out, () -> out.error(HttpStatus.BAD_REQUEST, "the submission is too long"));
       return;
     }
     if (spec.waits()) {
@@ -173,7 +184,10 @@
    */
   private void afterOthers(JobSpec spec, JobStore.Acceptance acceptance, Responder out) {
     if (spec.waitsOn().contains(spec.uid())) {
-      ifUnknown(spec.uid(), out, () -> out.error(422, "waits_on names the job itself"));
+      ifUnknown(
+          spec.uid(),
+          out,
+          () -> out.error(HttpStatus.UNPROCESSABLE, "waits_on names the job itself"));
       return;
     }
     jobRecords.unknownOf(
@@ -187,7 +201,7 @@
                 out,
                 () ->
                     out.error(
-                        422,
+                        HttpStatus.UNPROCESSABLE,
                         "waits_on names a job that was never accepted: "
                             + unknown.iterator().next()));
           } else {
@@ -248,7 +262,7 @@
                     spec.waitsOn(),
                     look -> {
                       if (look.found()) {
-                        out.send(201, describe(uid, look));
+                        out.send(HttpStatus.CREATED, describe(uid, look));
                       } else {
                         unavailable(out);
                       }
@@ -256,7 +270,7 @@
                 return;
               }
               jobRecords.accepted(uid, result.epoch());
-              out.send(201, state(uid, JobState.PENDING, null));
+              out.send(HttpStatus.CREATED, state(uid, JobState.PENDING, null));
             }
             // Without an answer it is not known either whether this request or an earlier one made
             // the record.
@@ -282,7 +296,7 @@
         uid,
         look -> {
           if (look.found()) {
-            out.send(200, describe(uid, look));
+            out.send(HttpStatus.OK, describe(uid, look));
           } else {
             unavailable(out);
           }
@@ -294,7 +308,7 @@
         uid,
         look -> {
           switch (look.standing()) {
-            case ACTIVE, ENDED -> out.send(200, describe(uid, look));
+            case ACTIVE, ENDED -> out.send(HttpStatus.OK, describe(uid, look));
             case MISSING -> refuse.run();
             case UNAVAILABLE -> unavailable(out);
           }
@@ -321,7 +335,7 @@
   public void poll(String uid, Responder raw) {
     Responder out = admitKnown("poll", uid, raw);
     if (out != null) {
-      ifUnknown(uid, out, () -> out.error(404, "no such job"));
+      ifUnknown(uid, out, () -> out.error(HttpStatus.NOT_FOUND, "no such job"));
     }
   }
 
@@ -330,12 +344,12 @@
    */
   private Responder admitKnown(String kind, String uid, Responder raw) {
     if (!JobSpec.validUid(uid)) {
-      raw.error(404, "no such job");
+      raw.error(HttpStatus.NOT_FOUND, "no such job");
       return null;
     }
     JobState how = jobRecords.known(uid);
     if (how != null) {
-      raw.send(200, state(uid, how, null));
+      raw.send(HttpStatus.OK, state(uid, how, null));
       return null;
     }
     return admit(kind, raw);
@@ -353,13 +367,13 @@
         uid,
         look -> {
           switch (look.standing()) {
-            case MISSING -> out.error(404, "no such job");
+            case MISSING -> out.error(HttpStatus.NOT_FOUND, "no such job");
             case UNAVAILABLE -> unavailable(out);
             case ENDED -> {
               if (look.how() == JobState.ABORTED) {
                 leaderView.aborted(uid);
               }
-              out.send(200, describe(uid, look));
+              out.send(HttpStatus.OK, describe(uid, look));
             }
             case ACTIVE -> {
               if (tries == 0) {
@@ -382,7 +396,7 @@
               jobRecords.ended(uid, JobState.ABORTED);
               metrics.count("jobs_aborted");
               leaderView.aborted(uid);
-              out.send(200, state(uid, JobState.ABORTED, null));
+              out.send(HttpStatus.OK, state(uid, JobState.ABORTED, null));
             }
             case REFUSED -> unavailable(out);
             // The stored state decides, whatever became of this transaction.
--- a/src/main/java/plumlever/leader/ActiveJobs.java
+++ b/src/main/java/plumlever/leader/ActiveJobs.java
@@ -19,6 +19,7 @@
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.JobState;
 
@@ -442,11 +443,11 @@
               if (closed) {
                 return;
               }
-              if (changes.status() == 410) {
+              if (changes.status() == HttpStatus.GONE) {
                 relist();
                 return;
               }
-              if (changes.status() != 200) {
+              if (changes.status() != HttpStatus.OK) {
                 context.loop().after(RETRY_MICROS, this::follow);
                 return;
               }
--- a/src/main/java/plumlever/leader/CommandSender.java
+++ b/src/main/java/plumlever/leader/CommandSender.java
@@ -8,6 +8,7 @@
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
 import plumlever.settings.Endpoint;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
@@ -95,9 +96,9 @@
           if (r != null) {
             reports.apply(machine, r, false);
           }
-          if (status == 409) {
+          if (status == HttpStatus.CONFLICT) {
             reports.refused(sent);
-          } else if (status != 200 || r == null) {
+          } else if (status != HttpStatus.OK || r == null) {
             context.metrics().count("direct_unheard");
             machine.voidDirect();
           }
@@ -134,7 +135,7 @@
           if (r == null) {
             return;
           }
-          boolean otherSession = status == 409 && r.tenure() != machine.tenure();
+          boolean otherSession = status == HttpStatus.CONFLICT && r.tenure() != machine.tenure();
           reports.apply(machine, r, false);
           if (otherSession && !machine.accounted()) {
             raise(machine);
@@ -172,7 +173,7 @@
             timeoutMicros,
             (status, data) -> {
               WorkerReport report = null;
-              if (status == 200 || status == 409) {
+              if (status == HttpStatus.OK || status == HttpStatus.CONFLICT) {
                 try {
                   report = WorkerReport.parse(data);
                 } catch (InvalidMessage e) {
--- a/src/main/java/plumlever/leader/EarlyReports.java
+++ b/src/main/java/plumlever/leader/EarlyReports.java
@@ -7,6 +7,7 @@
 import java.util.function.BiConsumer;
 import plumlever.concurrent.Loop;
 import plumlever.http.Responder;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.WorkerReport;
 
 /**
@@ -71,10 +72,10 @@
   }
 
   void close() {
-    release((r, out) -> out.later(503, "not in office", 1));
+    release((r, out) -> out.later(HttpStatus.UNAVAILABLE, "not in office", 1));
   }
 
   private static void refuse(Early early) {
-    early.out.later(503, "which jobs have ended is not known yet", 1);
+    early.out.later(HttpStatus.UNAVAILABLE, "which jobs have ended is not known yet", 1);
   }
 }
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -15,6 +15,7 @@
 import plumlever.fleet.RegistrationState;
 import plumlever.http.Responder;
 import plumlever.store.JobStore;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.JobState;
 import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
@@ -211,7 +212,7 @@
   /** Answers a worker's report; the caller has checked that this node leads. */
   public void report(WorkerReport report, Responder out) {
     if (!context.term().mayAct()) {
-      out.later(503, "not in office", 1);
+      out.later(HttpStatus.UNAVAILABLE, "not in office", 1);
       return;
     }
     if (Fleet.termOf(report.baton()) > term) {
@@ -220,11 +221,11 @@
           .election()
           .resign(
               context.term(), "a worker has seen term " + Fleet.termOf(report.baton()), 1_000_000);
-      out.later(503, "not in office", 1);
+      out.later(HttpStatus.UNAVAILABLE, "not in office", 1);
       return;
     }
     if (machines.isDeleted(report.host())) {
-      out.later(503, "this machine was returned", 1);
+      out.later(HttpStatus.UNAVAILABLE, "this machine was returned", 1);
       return;
     }
     if (!loaded && report.holdsTasks()) {
@@ -234,7 +235,7 @@
     if (!loaded) {
       // Nothing runs there that could have been cancelled; the lease is renewed, and the term
       // shown.
-      out.send(200, Order.answer(Fleet.firstToken(term), List.of()));
+      out.send(HttpStatus.OK, Order.answer(Fleet.firstToken(term), List.of()));
       return;
     }
     long now = context.loop().nowMicros();
@@ -257,13 +258,13 @@
     }
     if (news == ReportHandler.News.COPY) {
       context.metrics().count("report_copies");
-      out.later(503, "a newer report is known", 1);
+      out.later(HttpStatus.UNAVAILABLE, "a newer report is known", 1);
       return;
     }
     if (machine.deaf()) {
       // Were it answered, its lease would count as renewed for ever, and nobody else could have its
       // tasks.
-      out.later(503, "answers do not arrive", 1);
+      out.later(HttpStatus.UNAVAILABLE, "answers do not arrive", 1);
       return;
     }
     if (machine.enrolment() == RegistrationState.NONE
@@ -280,7 +281,7 @@
       // A cancellation confirmed by another controller may not be known here, and would be outlived
       // by the lease.
       context.metrics().count("renewals_refused");
-      out.later(503, "which jobs have ended is not known", 1);
+      out.later(HttpStatus.UNAVAILABLE, "which jobs have ended is not known", 1);
       return;
     }
     List<Order> orders = reports.standing(machine, report);
@@ -294,11 +295,11 @@
     }
     // Checked once more: a turn that ran late may have outlived the right to act.
     if (!context.term().mayAct()) {
-      out.later(503, "not in office", 1);
+      out.later(HttpStatus.UNAVAILABLE, "not in office", 1);
       return;
     }
     machine.answered(context.loop().nowMicros());
-    out.send(200, Order.answer(machine.token(), orders));
+    out.send(HttpStatus.OK, Order.answer(machine.token(), orders));
   }
 
   /**
--- a/src/main/java/plumlever/peer/Peers.java
+++ b/src/main/java/plumlever/peer/Peers.java
@@ -9,6 +9,7 @@
 import plumlever.http.Caller;
 import plumlever.http.Responder;
 import plumlever.settings.Platform;
+import plumlever.wire.HttpStatus;
 
 /** The links between controllers: each tells the others its status, over HTTP with Kryo bodies. */
 public final class Peers {
@@ -55,18 +56,18 @@
   /** Takes a request on the peers' listener. */
   public void handle(String method, String path, byte[] body, Responder out) {
     if (!path.equals(PATH) || !method.equals("POST")) {
-      out.error(404, "no such path");
+      out.error(HttpStatus.NOT_FOUND, "no such path");
       return;
     }
     PeerStatus peerStatus = codec.read(body);
     if (peerStatus == null
         || platform.seeds().stream().noneMatch(p -> p.label().equals(peerStatus.label()))) {
-      out.error(400, "not a peer's status");
+      out.error(HttpStatus.BAD_REQUEST, "not a peer's status");
       return;
     }
     heard.put(peerStatus.label(), new Heard(peerStatus, loop.nowMicros()));
     news.accept(peerStatus);
-    out.send(200, "{}");
+    out.send(HttpStatus.OK, "{}");
   }
 
   /** Statuses not older than this. */
--- a/src/main/java/plumlever/store/DependencyLists.java
+++ b/src/main/java/plumlever/store/DependencyLists.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import plumlever.concurrent.Loop;
+import plumlever.wire.HttpStatus;
 
 /**
  * Stores the names that a job depends on where they do not fit its own record. They are cut up into
@@ -127,7 +128,7 @@
 
     private boolean isFinal(Txn.Result result) {
       return result.outcome() == Txn.Outcome.REFUSED
-          && result.status() != StateClient.TOO_MANY_REQUESTS;
+          && result.status() != HttpStatus.TOO_MANY_REQUESTS;
     }
 
     private void giveUp() {
--- a/src/main/java/plumlever/store/DependencyRecordCache.java
+++ b/src/main/java/plumlever/store/DependencyRecordCache.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import plumlever.concurrent.Loop;
 import plumlever.fleet.DependencyGraph;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.JobState;
 
 /**
@@ -312,13 +313,13 @@
             answer(asked, Answer.UNAVAILABLE);
             return;
           }
-          if (changes.status() == 410) {
+          if (changes.status() == HttpStatus.GONE) {
             reset();
             again(asked);
             return;
           }
-          if (changes.status() != 200) {
-            if (changes.status() == 429) {
+          if (changes.status() != HttpStatus.OK) {
+            if (changes.status() == HttpStatus.TOO_MANY_REQUESTS) {
               again(asked);
             } else {
               answer(asked, Answer.UNAVAILABLE);
--- a/src/main/java/plumlever/store/JobFinder.java
+++ b/src/main/java/plumlever/store/JobFinder.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import plumlever.concurrent.Loop;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.JobState;
 
 /**
@@ -167,7 +168,7 @@
     }
 
     private void again(int status, int tries, Runnable retry) {
-      if (status == 429 && tries > 1 && !over) {
+      if (status == HttpStatus.TOO_MANY_REQUESTS && tries > 1 && !over) {
         loop.after(AGAIN_MICROS, retry);
       } else {
         finish(null);
--- a/src/main/java/plumlever/store/JobRecordCache.java
+++ b/src/main/java/plumlever/store/JobRecordCache.java
@@ -14,6 +14,7 @@
 import org.slf4j.LoggerFactory;
 import plumlever.concurrent.Loop;
 import plumlever.metrics.Metrics;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.JobState;
 
 /**
@@ -276,7 +277,7 @@
             }
             default -> {
               for (Question question : asked) {
-                if (result.status() == 429 && question.tries > 1) {
+                if (result.status() == HttpStatus.TOO_MANY_REQUESTS && question.tries > 1) {
                   loop.after(
                       AGAIN_MICROS, () -> look(question.uid, question.tries - 1, question.then));
                 } else {
@@ -384,7 +385,7 @@
 
   /** A read that was refused by a rate limit is tried again shortly; an outage is told at once. */
   private void again(int status, int tries, Consumer<JobStatus> then, Runnable retry) {
-    if (status == 429 && tries > 1) {
+    if (status == HttpStatus.TOO_MANY_REQUESTS && tries > 1) {
       loop.after(AGAIN_MICROS, retry);
     } else {
       then.accept(JobStatus.UNAVAILABLE);
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -15,6 +15,7 @@
 import plumlever.metrics.Metrics;
 import plumlever.settings.Endpoint;
 import plumlever.settings.Platform;
+import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
 
@@ -31,11 +32,11 @@
    */
   public record Got(int status, Item item) {
     public boolean found() {
-      return status == 200;
+      return status == HttpStatus.OK;
     }
 
     public boolean missing() {
-      return status == 404;
+      return status == HttpStatus.NOT_FOUND;
     }
   }
 
@@ -63,9 +64,6 @@
     ORDINARY
   }
 
-  /** The status of a request beyond the rate limits. */
-  static final int TOO_MANY_REQUESTS = 429;
-
   private static final Logger LOG = LoggerFactory.getLogger(StateClient.class);
   private static final long TIMEOUT_MICROS = 1_800_000;
 
@@ -137,20 +135,20 @@
         null,
         TIMEOUT_MICROS,
         (status, o) -> {
-          if (status == 200
+          if (status == HttpStatus.OK
               && o != null
               && o.hasNonNull("data")
               && o.path("stamp").isIntegralNumber()) {
             then.accept(
                 new Got(
-                    200,
+                    HttpStatus.OK,
                     new Item(
                         key,
                         o.get("data"),
                         o.get("stamp").longValue(),
                         o.path("permit").asLong(0))));
           } else {
-            then.accept(new Got(status == 200 ? 0 : status, null));
+            then.accept(new Got(status == HttpStatus.OK ? 0 : status, null));
           }
         });
   }
@@ -179,7 +177,7 @@
         null,
         TIMEOUT_MICROS,
         (status, o) -> {
-          if (status != 200
+          if (status != HttpStatus.OK
               || o == null
               || !o.path("items").isArray()
               || !o.path("epoch").isIntegralNumber()) {
@@ -218,7 +216,7 @@
         TIMEOUT_MICROS,
         (status, o) ->
             then.accept(
-                status == 200 && o != null && o.path("epoch").isIntegralNumber()
+                status == HttpStatus.OK && o != null && o.path("epoch").isIntegralNumber()
                     ? o.get("epoch").longValue()
                     : -1L));
   }
@@ -232,14 +230,19 @@
         txn.body(),
         TIMEOUT_MICROS,
         (status, o) -> {
-          if (status == 413 || (status == 400 && !txn.hangsOnGrant())) {
+          if (status == HttpStatus.PAYLOAD_TOO_LARGE
+              || (status == HttpStatus.BAD_REQUEST && !txn.hangsOnGrant())) {
             limits.refused(txn);
           }
           Txn.Outcome outcome =
               switch (status) {
-                case 200 -> Txn.Outcome.APPLIED;
-                case 409 -> Txn.Outcome.CONFLICT;
-                case 400, 413, 429, 503 -> Txn.Outcome.REFUSED;
+                case HttpStatus.OK -> Txn.Outcome.APPLIED;
+                case HttpStatus.CONFLICT -> Txn.Outcome.CONFLICT;
+                case HttpStatus.BAD_REQUEST,
+                    HttpStatus.PAYLOAD_TOO_LARGE,
+                    HttpStatus.TOO_MANY_REQUESTS,
+                    HttpStatus.UNAVAILABLE ->
+                    Txn.Outcome.REFUSED;
                 default -> Txn.Outcome.UNKNOWN;
               };
           List<String> failed = new ArrayList<>();
@@ -264,7 +267,7 @@
         TIMEOUT_MICROS,
         (status, o) ->
             then.accept(
-                status == 200 && o != null && o.path("permit").isIntegralNumber()
+                status == HttpStatus.OK && o != null && o.path("permit").isIntegralNumber()
                     ? o.get("permit").longValue()
                     : -1L));
   }
@@ -279,7 +282,9 @@
         TIMEOUT_MICROS,
         (status, o) ->
             then.accept(
-                status == 200 ? Touch.RENEWED : status == 404 ? Touch.ENDED : Touch.UNKNOWN));
+                status == HttpStatus.OK
+                    ? Touch.RENEWED
+                    : status == HttpStatus.NOT_FOUND ? Touch.ENDED : Touch.UNKNOWN));
   }
 
   public void endGrant(long permit) {
@@ -296,8 +301,8 @@
         null,
         waitMicros + TIMEOUT_MICROS,
         (status, o) -> {
-          if (status != 200 || o == null || !o.path("epoch").isIntegralNumber()) {
-            then.accept(new Changes(status == 200 ? 0 : status, since, List.of()));
+          if (status != HttpStatus.OK || o == null || !o.path("epoch").isIntegralNumber()) {
+            then.accept(new Changes(status == HttpStatus.OK ? 0 : status, since, List.of()));
             return;
           }
           List<Change> log = new ArrayList<>();
@@ -310,7 +315,7 @@
               log.add(new Change(node.get("drop").asText(), null, node.path("stamp").asLong()));
             }
           }
-          then.accept(new Changes(200, o.get("epoch").longValue(), log));
+          then.accept(new Changes(HttpStatus.OK, o.get("epoch").longValue(), log));
         });
   }
 
@@ -331,8 +336,8 @@
       requests.force(1, now);
       writes.force(changes, now);
     } else if (!requests.take(1, now) || (changes > 0 && !writes.take(changes, now))) {
-      metrics.outside("state", 429);
-      loop.after(0, () -> then.take(429, null));
+      metrics.outside("state", HttpStatus.TOO_MANY_REQUESTS);
+      loop.after(0, () -> then.take(HttpStatus.TOO_MANY_REQUESTS, null));
       return;
     }
     byte[] bytes = body == null ? null : Json.write(body).getBytes(StandardCharsets.UTF_8);
@@ -344,22 +349,22 @@
         timeoutMicros,
         (status, data) -> {
           metrics.outside("state", status);
-          if (status != 0 && status != 503) {
+          if (status != 0 && status != HttpStatus.UNAVAILABLE) {
             lastServedMicros = loop.nowMicros();
             refusedSinceMicros = -1;
           } else if (refusedSinceMicros < 0) {
             refusedSinceMicros = loop.nowMicros();
           }
           ObjectNode parsed = null;
-          if ((status == 200 || status == 409) && data.length > 0) {
+          if ((status == HttpStatus.OK || status == HttpStatus.CONFLICT) && data.length > 0) {
             try {
               parsed = Json.parseObject(data);
             } catch (InvalidMessage e) {
               surprise(method + " " + kind(path), e.getMessage());
-              then.take(status == 200 ? 0 : status, null);
+              then.take(status == HttpStatus.OK ? 0 : status, null);
               return;
             }
-          } else if (status == 400) {
+          } else if (status == HttpStatus.BAD_REQUEST) {
             surprise(method + " " + kind(path), new String(data, StandardCharsets.UTF_8));
           }
           then.take(status, parsed);
--- a/src/test/java/plumlever/architecture/PackageDependenciesTest.java
+++ b/src/test/java/plumlever/architecture/PackageDependenciesTest.java
@@ -31,7 +31,7 @@
               Map.entry("placement", List.of()),
               Map.entry("fleet", List.of("wire")),
               Map.entry("scaling", List.of("cloud", "wire")),
-              Map.entry("peer", List.of("concurrent", "http", "settings")),
+              Map.entry("peer", List.of("concurrent", "http", "settings", "wire")),
               Map.entry(
                   "store", List.of("concurrent", "fleet", "http", "metrics", "settings", "wire")),
               Map.entry(
