--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -273,6 +273,7 @@
     };
   }
 
+  /** Starts serving: the election, the watch on peers, and all recurring tasks. */
   public void start() {
     scope.own(election);
     election.start();
--- a/src/main/java/plumlever/cli/Main.java
+++ b/src/main/java/plumlever/cli/Main.java
@@ -23,6 +23,7 @@
 
   private Main() {}
 
+  /** Runs the command line; the process ends with its exit code. */
   public static void main(String[] args) {
     Logging.configure(System.getenv("LOG_LEVEL"));
     int code = args.length == 1 && args[0].equals(REHEARSE) ? ArchiveTrainingRun.run() : run(args);
--- a/src/main/java/plumlever/cloud/CloudClient.java
+++ b/src/main/java/plumlever/cloud/CloudClient.java
@@ -53,6 +53,7 @@
   private final TokenBucket requests;
   private final Map<String, Long> surprises = new HashMap<>();
 
+  /** A client that keeps within the cloud's rate limit. */
   public CloudClient(
       Loop loop, Caller caller, Endpoint at, Platform.CloudLimits limits, Metrics metrics) {
     this.metrics = metrics;
@@ -120,6 +121,7 @@
         });
   }
 
+  /** Rents machines of one kind under a request name that is never used for anything else. */
   public void rent(
       String name, String flavor, String site, boolean spot, int count, RentAnswer then) {
     ObjectNode body =
--- a/src/main/java/plumlever/cloud/PriceBook.java
+++ b/src/main/java/plumlever/cloud/PriceBook.java
@@ -17,6 +17,7 @@
     this.ownedHourly = tunables.ownedHourly();
   }
 
+  /** Takes in the machine types as the cloud lists them now. */
   public void update(List<Flavor> catalog) {
     for (Flavor flavor : catalog) {
       if (flavor.cores() > 0 && flavor.memoryGb() > 0) {
--- a/src/main/java/plumlever/concurrent/RecurringTask.java
+++ b/src/main/java/plumlever/concurrent/RecurringTask.java
@@ -23,6 +23,7 @@
   private boolean cancelled;
   private boolean running;
 
+  /** A task that does nothing until it is started. */
   public RecurringTask(String name, Loop loop, Turn turn) {
     this.name = name;
     this.loop = loop;
--- a/src/main/java/plumlever/concurrent/Scope.java
+++ b/src/main/java/plumlever/concurrent/Scope.java
@@ -12,6 +12,7 @@
   private final Deque<AutoCloseable> children = new ArrayDeque<>();
   private boolean closed;
 
+  /** Closes the child with this scope, in reverse order of owning. */
   public <T extends AutoCloseable> T own(T child) {
     if (closed) {
       closeOne(child);
--- a/src/main/java/plumlever/election/DelegatedRenewal.java
+++ b/src/main/java/plumlever/election/DelegatedRenewal.java
@@ -35,6 +35,7 @@
   private long announced = -1;
   private Set<String> sites = Set.of();
 
+  /** Reads the leader's delegation by this client. */
   public DelegatedRenewal(Loop loop, StateClient store, LeaderElection election, Logs logs) {
     this.log = logs.of(DelegatedRenewal.class);
     this.loop = loop;
--- a/src/main/java/plumlever/election/LeaderElection.java
+++ b/src/main/java/plumlever/election/LeaderElection.java
@@ -86,6 +86,7 @@
   private volatile long turnedMicros;
   private int lost;
 
+  /** A candidate that stands once it is started. */
   public LeaderElection(
       String label,
       Loop loop,
--- a/src/main/java/plumlever/election/RenewalLimit.java
+++ b/src/main/java/plumlever/election/RenewalLimit.java
@@ -29,6 +29,7 @@
 
   private final long slackMicros;
 
+  /** The bound that follows from these lease and cancellation times. */
   public RenewalLimit(Platform.Workers workers) {
     this.slackMicros =
         (long) (workers.cancelMicros() * (1 - DRIFT))
--- a/src/main/java/plumlever/fleet/Attempt.java
+++ b/src/main/java/plumlever/fleet/Attempt.java
@@ -95,6 +95,7 @@
     return runningSinceMicros;
   }
 
+  /** A report shows the attempt in this state. */
   public void see(TaskStatus now, long nowMicros) {
     if (now == TaskStatus.RUNNING && runningSinceMicros < 0) {
       runningSinceMicros = nowMicros;
--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -216,6 +216,7 @@
     over = true;
   }
 
+  /** The task has completed; repeated calls change nothing. */
   public void markDone(int task) {
     if (task < spec.pieces() && !done.get(task)) {
       done.set(task);
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -55,6 +55,7 @@
   /** Images it should have or is fetching, the most recently used last. */
   private final LinkedHashMap<String, Image> images = new LinkedHashMap<>(8, 0.75f, true);
 
+  /** A machine that is known by name and has not reported yet. */
   public Machine(
       String id, String endpoint, String flavor, String site, boolean spot, long nowMicros) {
     this.id = id;
@@ -74,6 +75,7 @@
     return endpoint;
   }
 
+  /** Its address, if none was known. */
   public void learnEndpoint(String at) {
     if (endpoint == null) {
       endpoint = at;
@@ -247,6 +249,7 @@
     accounted = true;
   }
 
+  /** A report of the machine arrived. */
   public void heardAt(WorkerReport report, long nowMicros, boolean own) {
     if (report.tenure() > tenure) {
       ownTick = 0;
@@ -358,6 +361,7 @@
     return erringJobs >= 2 && errorStreak >= 3;
   }
 
+  /** A task completed on it, so earlier errors count for less. */
   public void noteSuccess() {
     errorStreak = 0;
     erringJobs = 0;
--- a/src/main/java/plumlever/http/RequestRouter.java
+++ b/src/main/java/plumlever/http/RequestRouter.java
@@ -59,6 +59,7 @@
   private final Metrics metrics;
   private final RenewalLimit limit;
 
+  /** Routes requests to the parts of this node. */
   public RequestRouter(
       Loop clock, UserApi users, House house, RenewalLimit limit, Metrics metrics) {
     this.limit = limit;
--- a/src/main/java/plumlever/http/UndertowCaller.java
+++ b/src/main/java/plumlever/http/UndertowCaller.java
@@ -55,6 +55,7 @@
   /** Kept connections with the pool of each, the one kept longest first. */
   private final LinkedHashMap<ClientConnection, Pool> idle = new LinkedHashMap<>();
 
+  /** A client whose connections belong to this thread. */
   public UndertowCaller(Loop loop, XnioIoThread thread, ByteBufferPool buffers) {
     this.loop = loop;
     this.thread = thread;
--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -53,6 +53,7 @@
   private final DependencyLists lists;
   private int open;
 
+  /** Answers users from these records, and within these limits of teams. */
   public UserApi(
       Loop loop,
       StateClient store,
@@ -113,6 +114,7 @@
     out.later(HttpStatus.UNAVAILABLE, "the state service can't be reached", RETRY_AFTER_S);
   }
 
+  /** Answers a submission: accepted once it is stored, refused, or to be repeated later. */
   public void submit(byte[] body, Responder raw) {
     ObjectNode object;
     String uid;
@@ -332,6 +334,7 @@
     return Json.write(object);
   }
 
+  /** Answers how a job stands. */
   public void poll(String uid, Responder raw) {
     Responder out = admitKnown("poll", uid, raw);
     if (out != null) {
@@ -355,6 +358,7 @@
     return admit(kind, raw);
   }
 
+  /** Cancels a job, unless it is done already. */
   public void abort(String uid, Responder raw) {
     Responder out = admitKnown("abort", uid, raw);
     if (out != null) {
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -59,6 +59,7 @@
   private boolean loaded;
   private boolean due = true;
 
+  /** A leader for one term, which does nothing until it is started. */
   public Leader(Context context) {
     this.context = context;
     this.log = context.logs().of(Leader.class);
@@ -339,6 +340,7 @@
     return job == null ? null : new int[] {job.doneCount(), job.liveCount()};
   }
 
+  /** Adds the finished and running tasks of each job, for display at other controllers. */
   public java.util.Map<String, int[]> allCounts(java.util.Map<String, int[]> into) {
     if (loaded) {
       jobs.all().forEach(j -> into.put(j.uid(), new int[] {j.doneCount(), j.liveCount()}));
--- a/src/main/java/plumlever/metrics/Metrics.java
+++ b/src/main/java/plumlever/metrics/Metrics.java
@@ -35,6 +35,7 @@
     return counters.getOrDefault(name, 0L);
   }
 
+  /** Records how long one thing took. */
   public synchronized void time(String name, long micros) {
     times
         .computeIfAbsent(name, k -> new Histogram(1, MOST_MICROS, 2))
@@ -66,6 +67,7 @@
     }
   }
 
+  /** Logs all counters and times since the last summary, and begins anew. */
   public synchronized void logSummary() {
     if (!log.isInfoEnabled() || (counters.isEmpty() && times.isEmpty())) {
       return;
--- a/src/main/java/plumlever/peer/PeerStatus.java
+++ b/src/main/java/plumlever/peer/PeerStatus.java
@@ -43,6 +43,7 @@
       kryo.register(PeerStatus.class, new Form(), 100);
     }
 
+    /** The status as it is sent. */
     public byte[] write(PeerStatus peerStatus) {
       output.reset();
       kryo.writeObject(output, peerStatus);
--- a/src/main/java/plumlever/peer/Peers.java
+++ b/src/main/java/plumlever/peer/Peers.java
@@ -28,6 +28,7 @@
   private final PeerStatus.Codec codec = new PeerStatus.Codec();
   private final Map<String, Heard> heard = new HashMap<>();
 
+  /** Exchanges status with these controllers. */
   public Peers(
       Loop loop,
       Caller caller,
--- a/src/main/java/plumlever/placement/PlacementCandidate.java
+++ b/src/main/java/plumlever/placement/PlacementCandidate.java
@@ -32,6 +32,7 @@
   private final List<Release> releases = new ArrayList<>();
   private boolean sorted = true;
 
+  /** A machine with all its room free from now on. */
   public PlacementCandidate(
       String machine,
       String flavor,
--- a/src/main/java/plumlever/placement/Zones.java
+++ b/src/main/java/plumlever/placement/Zones.java
@@ -21,6 +21,7 @@
     tasks.merge(zone, 1, Integer::sum);
   }
 
+  /** True if one more task of the job may be in the zone. */
   public boolean allows(String zone) {
     if (!oneZone && limit == Integer.MAX_VALUE) {
       return true;
--- a/src/main/java/plumlever/scaling/RentalPlan.java
+++ b/src/main/java/plumlever/scaling/RentalPlan.java
@@ -32,6 +32,7 @@
     }
   }
 
+  /** How many machines of a kind to rent. */
   public record Rental(Kind kind, int count) {}
 
   /** Room on a machine that is coming up. */
@@ -41,6 +42,7 @@
     private double accelerators;
     private double memoryGb;
 
+    /** A machine of this kind with all its room. */
     public Coming(Kind kind, Flavor flavor) {
       this.kind = kind;
       this.cores = flavor.cores();
--- a/src/main/java/plumlever/scaling/Standby.java
+++ b/src/main/java/plumlever/scaling/Standby.java
@@ -26,6 +26,7 @@
     this.spreads = spreads;
   }
 
+  /** A job came whose start can't wait for a rental. */
   public void arrived(long atMicros, JobSpec job) {
     double cores = job.pieces() * job.cores();
     arrivals.add(new Arrival(atMicros, cores, job));
--- a/src/main/java/plumlever/settings/OperatorFile.java
+++ b/src/main/java/plumlever/settings/OperatorFile.java
@@ -24,6 +24,7 @@
     this.left = values;
   }
 
+  /** Reads the operators' file; an unknown key or a value out of range is an error. */
   public static Tunables load(Path path) throws SettingsException {
     Object root;
     try (Reader in = Files.newBufferedReader(path)) {
--- a/src/main/java/plumlever/settings/Platform.java
+++ b/src/main/java/plumlever/settings/Platform.java
@@ -40,6 +40,7 @@
   public record Objective(
       String kind, String jobclass, double withinS, double times, double share) {}
 
+  /** Times of the workers: between reports, of a lease, and for a cancellation. */
   public record Workers(long reportMicros, long leaseMicros, long cancelMicros) {
     /**
      * Reports come every so often, plus or minus a quarter; one that takes longer than this has
@@ -73,6 +74,7 @@
     }
   }
 
+  /** The cloud's request rate, and how far its list lags. */
   public record CloudLimits(double rps, long listLagMicros) {}
 
   /**
@@ -87,6 +89,7 @@
             .noneMatch(o -> o.kind().equals("wait") && o.withinS() * 1e6 < rentMicros);
   }
 
+  /** Reads the platform's file; what is missing or wrong is told with file, key and reason. */
   public static Platform load(Path file) throws SettingsException {
     String text;
     try {
--- a/src/main/java/plumlever/settings/Tunables.java
+++ b/src/main/java/plumlever/settings/Tunables.java
@@ -49,6 +49,7 @@
     double spotRisk,
     java.util.Map<String, Double> ownedHourly) {
 
+  /** The values that hold where operators say nothing. */
   public static Tunables defaults() {
     return new Tunables(
         0.05,
--- a/src/main/java/plumlever/store/DependencyRecordCache.java
+++ b/src/main/java/plumlever/store/DependencyRecordCache.java
@@ -59,6 +59,7 @@
 
   private List<Question> gathered = new ArrayList<>();
 
+  /** What is known of ended jobs beside this cache. */
   interface Ends {
     void ended(String uid, JobState how);
 
--- a/src/main/java/plumlever/store/JobRecordCache.java
+++ b/src/main/java/plumlever/store/JobRecordCache.java
@@ -72,6 +72,7 @@
 
   private List<Question> gathered = new ArrayList<>();
 
+  /** An empty cache over this client. */
   public JobRecordCache(Loop loop, StateClient store, JobStore layout, Metrics metrics) {
     this.loop = loop;
     this.store = store;
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -331,6 +331,7 @@
     return null;
   }
 
+  /** The submission that an active record holds. */
   public static JobSpec spec(JsonNode activeRecord) throws InvalidMessage {
     if (!(activeRecord.get(SPEC) instanceof ObjectNode object)) {
       throw new InvalidMessage("the record holds no job");
@@ -375,6 +376,7 @@
     return valueBytes() - 32;
   }
 
+  /** The record that holds the finished tasks of these jobs. */
   public JsonNode pack(Map<String, BitSet> doneByJob) {
     ObjectNode packed = Json.object();
     doneByJob.forEach(
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -90,6 +90,7 @@
   private long lastServedMicros;
   private long refusedSinceMicros = -1;
 
+  /** A client that keeps within its part of the limits. */
   public StateClient(
       Loop loop, Caller caller, Endpoint at, Platform.StateLimits limits, Metrics metrics) {
     this.limits = new WriteLimits(limits);
@@ -126,6 +127,7 @@
     return refusedSinceMicros < 0 ? 0 : loop.nowMicros() - refusedSinceMicros;
   }
 
+  /** Reads one key. */
   public void get(String key, Class priority, Consumer<Got> then) {
     send(
         priority,
@@ -221,6 +223,7 @@
                     : -1L));
   }
 
+  /** Sends a transaction; without an answer it may have been carried out, or may be later. */
   public void txn(Txn txn, Class priority, Consumer<Txn.Result> then) {
     send(
         priority,
@@ -272,6 +275,7 @@
                     : -1L));
   }
 
+  /** Renews a grant. */
   public void touch(long permit, Consumer<Touch> then) {
     send(
         Class.URGENT,
@@ -291,6 +295,10 @@
     send(Class.URGENT, 0, "DELETE", "/grants/" + permit, null, TIMEOUT_MICROS, (status, o) -> {});
   }
 
+  /**
+   * Asks for the changes under a prefix since a revision, waiting for the first if there is none
+   * yet.
+   */
   public void follow(String prefix, long since, long waitMicros, Consumer<Changes> then) {
     String path = "/follow?under=" + prefix + "&since=" + since + "&wait_ms=" + waitMicros / 1_000;
     send(
--- a/src/main/java/plumlever/store/TokenBucket.java
+++ b/src/main/java/plumlever/store/TokenBucket.java
@@ -7,6 +7,7 @@
   private double tokens;
   private long lastMicros;
 
+  /** A bucket that is full and holds one second's worth. */
   public TokenBucket(double perSecond, long nowMicros) {
     this.perMicro = perSecond / 1e6;
     this.burst = Math.max(1, perSecond);
@@ -22,6 +23,7 @@
     tokens = Math.min(tokens, burst);
   }
 
+  /** Takes tokens if there are enough. */
   public boolean take(double otherTokens, long nowMicros) {
     refill(nowMicros);
     if (tokens < otherTokens) {
--- a/src/main/java/plumlever/store/Txn.java
+++ b/src/main/java/plumlever/store/Txn.java
@@ -51,6 +51,7 @@
     return this;
   }
 
+  /** Puts a value that is deleted when the grant ends. */
   public Txn put(String key, JsonNode data, long permit) {
     grant = true;
     ObjectNode object = then.addObject().put("put", key).put("permit", permit);
--- a/src/main/java/plumlever/store/WriteLimits.java
+++ b/src/main/java/plumlever/store/WriteLimits.java
@@ -24,6 +24,7 @@
   private int valueBytes;
   private int txnOps;
 
+  /** The limits that the settings state. */
   public WriteLimits(Platform.StateLimits settings) {
     this.valueBytes = settings.valueBytes();
     this.txnOps = settings.txnOps();
--- a/src/main/java/plumlever/wire/ExitCause.java
+++ b/src/main/java/plumlever/wire/ExitCause.java
@@ -23,6 +23,7 @@
     return wireName;
   }
 
+  /** By its name in reports. */
   public static ExitCause of(String name) {
     for (ExitCause exitCause : values()) {
       if (exitCause.wireName.equals(name)) {
--- a/src/main/java/plumlever/wire/Flavor.java
+++ b/src/main/java/plumlever/wire/Flavor.java
@@ -18,6 +18,7 @@
     double startupS,
     List<String> sites) {
 
+  /** Reads the cloud's machine types. */
   public static List<Flavor> parseCatalog(ObjectNode body) throws InvalidMessage {
     JsonNode array = body.get("flavors");
     if (array == null || !array.isArray()) {
--- a/src/main/java/plumlever/wire/HostEntry.java
+++ b/src/main/java/plumlever/wire/HostEntry.java
@@ -11,6 +11,7 @@
     boolean loaners,
     String status,
     double ageS) {
+  /** Reads one entry of the cloud's list. */
   public static HostEntry parse(JsonNode node) throws InvalidMessage {
     return new HostEntry(
         Json.text(node, "uid"),
--- a/src/main/java/plumlever/wire/JobSpec.java
+++ b/src/main/java/plumlever/wire/JobSpec.java
@@ -236,6 +236,7 @@
     return object;
   }
 
+  /** True if a task may run on such a machine; rules about several tasks aside. */
   public boolean allows(String flavor, String zone, boolean spot) {
     return (flavors == null || flavors.contains(flavor))
         && (site == null || site.equals(zone))
--- a/src/main/java/plumlever/wire/Json.java
+++ b/src/main/java/plumlever/wire/Json.java
@@ -69,6 +69,7 @@
     return MAPPER.getFactory().createGenerator(to);
   }
 
+  /** The value as text, on one line. */
   public static String write(JsonNode node) {
     try {
       return MAPPER.writeValueAsString(node);
@@ -82,6 +83,7 @@
     return node == null || node.isNull();
   }
 
+  /** A field that must be a text that is not empty. */
   public static String text(JsonNode object, String field) throws InvalidMessage {
     JsonNode node = object.get(field);
     if (node == null
@@ -97,6 +99,7 @@
     return absent(object, field) ? null : text(object, field);
   }
 
+  /** A field that must be true or false. */
   public static boolean flag(JsonNode object, String field) throws InvalidMessage {
     JsonNode node = object.get(field);
     if (node == null || !node.isBoolean()) {
@@ -122,6 +125,7 @@
     return Double.isFinite(value) && value >= min && value <= 1e9;
   }
 
+  /** A field that must be a whole number within these bounds. */
   public static long whole(JsonNode object, String field, long min, long max)
       throws InvalidMessage {
     JsonNode node = object.get(field);
--- a/src/main/java/plumlever/wire/TaskName.java
+++ b/src/main/java/plumlever/wire/TaskName.java
@@ -2,6 +2,7 @@
 
 /** Task {@code number} of job {@code job}; on the wire {@code job-000412/3}. */
 public record TaskName(String job, int number) {
+  /** Reads a task's name, such as {@code job-000412/3}. */
   public static TaskName of(String text) throws InvalidMessage {
     int slash = text.lastIndexOf('/');
     if (slash <= 0 || slash == text.length() - 1) {
--- a/src/main/java/plumlever/wire/TaskStatus.java
+++ b/src/main/java/plumlever/wire/TaskStatus.java
@@ -17,6 +17,7 @@
     return wireName;
   }
 
+  /** By its name in reports. */
   public static TaskStatus of(String name) throws InvalidMessage {
     for (TaskStatus taskStatus : values()) {
       if (taskStatus.wireName.equals(name)) {
--- a/src/main/java/plumlever/wire/Urgency.java
+++ b/src/main/java/plumlever/wire/Urgency.java
@@ -17,6 +17,7 @@
     return wireName;
   }
 
+  /** By its name in submissions. */
   public static Urgency of(String name) throws InvalidMessage {
     for (Urgency urgency : values()) {
       if (urgency.wireName.equals(name)) {
--- a/src/test/java/plumlever/settings/SettingsTest.java
+++ b/src/test/java/plumlever/settings/SettingsTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** Settings files: what is read, and how errors are told. */
 final class SettingsTest {
   private static final String GOOD =
       """
--- a/src/test/java/plumlever/sim/FaultCombinationTest.java
+++ b/src/test/java/plumlever/sim/FaultCombinationTest.java
@@ -397,6 +397,7 @@
           return () -> sent[0] > 30;
         });
 
+    /** What happens in one combination. */
     interface Play {
       /** Brings the meeting about; tells whether it took place. */
       BooleanSupplier in(Deployment deployment);
--- a/src/test/java/plumlever/sim/Processor.java
+++ b/src/test/java/plumlever/sim/Processor.java
@@ -8,6 +8,7 @@
  * takes its time, far longer while the process is cold. Without costs everything is done at once.
  */
 final class Processor {
+  /** Kinds of work that are charged for. */
   enum Work {
     REPORT,
     REQUEST,
--- a/src/test/java/plumlever/store/JobStoreTest.java
+++ b/src/test/java/plumlever/store/JobStoreTest.java
@@ -22,6 +22,7 @@
 import plumlever.wire.Json;
 import plumlever.wire.Urgency;
 
+/** The layout of records. */
 final class JobStoreTest {
   private static JobStore layout(int valueBytes, int formerValueBytes) {
     return new JobStore(
--- a/src/test/java/plumlever/wire/WireTest.java
+++ b/src/test/java/plumlever/wire/WireTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+/** Messages: what is read, and what is refused. */
 final class WireTest {
   static final String GOOD =
       "{\"uid\":\"job-000412\",\"jobclass\":\"train\",\"owner\":\"vision\",\"shape\":\"sweep\","
