--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -189,9 +189,9 @@
   /** Replaces all keys under the prefix, as one who writes them would. */
   void rewrite(String prefix, Map<String, JsonNode> values) {
     epoch++;
-    for (String text : entries(prefix).keySet()) {
-      keys.remove(text);
-      log.add(new Change(epoch, text, null));
+    for (String key : entries(prefix).keySet()) {
+      keys.remove(key);
+      log.add(new Change(epoch, key, null));
     }
     values.forEach(
         (k, v) -> {
@@ -254,12 +254,12 @@
           reply.send(200, "{}");
         }
       } else if (path.startsWith("/keys/")) {
-        String otherText = path.substring(6);
-        Entry entry = keys.get(otherText);
+        String key = path.substring(6);
+        Entry entry = keys.get(key);
         if (entry == null) {
           reply.send(404, "{\"epoch\":" + epoch + "}");
         } else {
-          reply.send(200, Json.write(item(otherText, entry)));
+          reply.send(200, Json.write(item(key, entry)));
         }
       } else if (path.startsWith("/keys?")) {
         list(query(path), reply);
@@ -282,9 +282,9 @@
 
   private static Map<String, String> query(String path) {
     Map<String, String> map = new HashMap<>();
-    for (String text : path.substring(path.indexOf('?') + 1).split("&")) {
-      int eq = text.indexOf('=');
-      map.put(text.substring(0, eq), text.substring(eq + 1));
+    for (String parameter : path.substring(path.indexOf('?') + 1).split("&")) {
+      int eq = parameter.indexOf('=');
+      map.put(parameter.substring(0, eq), parameter.substring(eq + 1));
     }
     return map;
   }
--- a/src/test/java/plumlever/sim/FakeUsers.java
+++ b/src/test/java/plumlever/sim/FakeUsers.java
@@ -278,7 +278,7 @@
   }
 
   private void lookClosely(String uid) {
-    for (String text : cluster.members.keySet()) {
+    for (String node : cluster.members.keySet()) {
       for (int i = 0; i < 2; i++) {
         cluster.at(
             1_000L + cluster.random.nextLong(20_000),
@@ -287,7 +287,7 @@
               boolean repeat = cluster.random.nextInt(3) == 0;
               cluster.send(
                   "close",
-                  new Endpoint(text, 1),
+                  new Endpoint(node, 1),
                   repeat ? "POST" : "GET",
                   repeat ? "/submissions" : "/submissions/" + uid,
                   repeat ? Json.write(specs.get(uid).toJson()) : null,
--- a/src/test/java/plumlever/sim/FaultTest.java
+++ b/src/test/java/plumlever/sim/FaultTest.java
@@ -335,8 +335,8 @@
   @Test
   void aCommonOutageMakesNoNodeUnhealthy() {
     cluster.play(10);
-    for (String text : List.of("n0", "n1", "n2")) {
-      cluster.cut(text, "state", true);
+    for (String node : List.of("n0", "n1", "n2")) {
+      cluster.cut(node, "state", true);
     }
     List<Integer> seen = new ArrayList<>();
     for (int i = 0; i < 30; i++) {
--- a/src/test/java/plumlever/sim/InvariantChecker.java
+++ b/src/test/java/plumlever/sim/InvariantChecker.java
@@ -144,9 +144,9 @@
   void check() {
     for (Map.Entry<String, Long> entry : abortedAt.entrySet()) {
       if (cluster.now() > entry.getValue() + CANCEL_MICROS) {
-        for (String text : on.keySet()) {
-          if (job(text).equals(entry.getKey())) {
-            broke("ran_cancelled", text);
+        for (String task : on.keySet()) {
+          if (job(task).equals(entry.getKey())) {
+            broke("ran_cancelled", task);
             return;
           }
         }
--- a/src/test/java/plumlever/sim/LittleProcessorTest.java
+++ b/src/test/java/plumlever/sim/LittleProcessorTest.java
@@ -80,20 +80,20 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void aCrowdAtAColdProcessCostsNobodyTheOffice(long seed) {
-    SimulatedCluster otherWorld = cluster(seed, true);
-    FakeUsers users = busy(otherWorld, 60, 2);
-    int led = ledAfterACrashOfAll(otherWorld);
+    SimulatedCluster cluster = cluster(seed, true);
+    FakeUsers users = busy(cluster, 60, 2);
+    int led = ledAfterACrashOfAll(cluster);
     assertTrue(led >= 90, "led " + led + "% of the time");
-    otherWorld.calmSince = otherWorld.now();
-    otherWorld.play(400);
-    assertAllDone(otherWorld, users, 60);
+    cluster.calmSince = cluster.now();
+    cluster.play(400);
+    assertAllDone(cluster, users, 60);
   }
 
   @Test
   void withoutAThreadOfItsOwnTheOfficeWaitsBehindTheCrowd() {
-    SimulatedCluster otherWorld = cluster(1, false);
-    busy(otherWorld, 60, 2);
-    int led = ledAfterACrashOfAll(otherWorld);
+    SimulatedCluster cluster = cluster(1, false);
+    busy(cluster, 60, 2);
+    int led = ledAfterACrashOfAll(cluster);
     assertTrue(led < 90, "the costs are such that the guard is needed: led " + led + "%");
   }
 
@@ -120,21 +120,21 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void whoStoodStillDoesNotTakeItsWorkersForLost(long seed) {
-    SimulatedCluster otherWorld = cluster(seed, true);
-    busy(otherWorld, 60, 2);
-    otherWorld.play(60);
-    SimulatedCluster.Member first = otherWorld.leader();
-    long term = otherWorld.store.term();
+    SimulatedCluster cluster = cluster(seed, true);
+    busy(cluster, 60, 2);
+    cluster.play(60);
+    SimulatedCluster.Member first = cluster.leader();
+    long term = cluster.store.term();
     first.stall(7);
     // What has come in meanwhile is worked off slowly, the peers' words among the first.
     first.slowDown(SLOW);
-    otherWorld.play(25);
-    assertEquals(term, otherWorld.store.term(), "nobody else was elected");
+    cluster.play(25);
+    assertEquals(term, cluster.store.term(), "nobody else was elected");
     first.slowDown(1);
-    otherWorld.calmSince = otherWorld.now();
-    otherWorld.play(400);
-    otherWorld.invariants.checkServed();
-    assertEquals(List.of(), otherWorld.invariants.broken);
+    cluster.calmSince = cluster.now();
+    cluster.play(400);
+    cluster.invariants.checkServed();
+    assertEquals(List.of(), cluster.invariants.broken);
   }
 
   /** Asks each controller whether it can take requests, and waits for what it says. */
@@ -160,34 +160,34 @@
    */
   @Test
   void whoIsSecondsLateLeavesUsersToOthers() {
-    SimulatedCluster otherWorld = cluster(2, true);
-    busy(otherWorld, 60, 2);
-    otherWorld.play(60);
-    int leads = List.copyOf(otherWorld.members.values()).indexOf(otherWorld.leader());
-    assertEquals(List.of(200, 200, 200), up(otherWorld));
-    otherWorld.leader().slowDown(SLOW);
-    otherWorld.play(8);
-    List<Integer> seen = up(otherWorld);
+    SimulatedCluster cluster = cluster(2, true);
+    busy(cluster, 60, 2);
+    cluster.play(60);
+    int leads = List.copyOf(cluster.members.values()).indexOf(cluster.leader());
+    assertEquals(List.of(200, 200, 200), up(cluster));
+    cluster.leader().slowDown(SLOW);
+    cluster.play(8);
+    List<Integer> seen = up(cluster);
     assertEquals(503, seen.get(leads), "the late one: " + seen);
     assertEquals(2, seen.stream().filter(s -> s == 200).count(), "the others: " + seen);
-    otherWorld.members.values().forEach(m -> m.slowDown(1));
-    otherWorld.play(12);
-    assertEquals(List.of(200, 200, 200), up(otherWorld), "and back");
+    cluster.members.values().forEach(m -> m.slowDown(1));
+    cluster.play(12);
+    assertEquals(List.of(200, 200, 200), up(cluster), "and back");
   }
 
   @Test
   void aLateControllerThatIsAloneGoesOnTakingUsers() {
-    SimulatedCluster otherWorld = cluster(2, true);
-    busy(otherWorld, 60, 2);
-    otherWorld.play(60);
-    SimulatedCluster.Member leader = otherWorld.leader();
-    otherWorld.members.values().stream()
+    SimulatedCluster cluster = cluster(2, true);
+    busy(cluster, 60, 2);
+    cluster.play(60);
+    SimulatedCluster.Member leader = cluster.leader();
+    cluster.members.values().stream()
         .filter(m -> m != leader)
         .forEach(SimulatedCluster.Member::kill);
     leader.slowDown(3);
-    otherWorld.play(8);
+    cluster.play(8);
     boolean[] took = new boolean[1];
-    otherWorld.send(
+    cluster.send(
         "balancer",
         leader.platform.bind(),
         "GET",
@@ -195,7 +195,7 @@
         null,
         30_000_000,
         a -> took[0] = (Integer) a[0] == 200);
-    otherWorld.play(31);
+    cluster.play(31);
     assertTrue(took[0]);
   }
 
--- a/src/test/java/plumlever/sim/LoadStand.java
+++ b/src/test/java/plumlever/sim/LoadStand.java
@@ -155,7 +155,7 @@
   }
 
   private static String settings(int node, int nodes, int port) {
-    StringBuilder stringBuilder =
+    StringBuilder request =
         new StringBuilder(
             "label = \"n"
                 + node
@@ -166,7 +166,7 @@
                 + "\"\n");
     for (int j = 0; j < nodes; j++) {
       if (j != node) {
-        stringBuilder
+        request
             .append("[[seeds]]\nlabel = \"n")
             .append(j)
             .append("\"\narea = \"z\"\nendpoint = \"127.0.0.1:")
@@ -174,7 +174,7 @@
             .append("\"\n");
       }
     }
-    stringBuilder
+    request
         .append("[outside]\ncloud = \"127.0.0.1:")
         .append(port + CLOUD)
         .append("\"\nstate = \"127.0.0.1:")
@@ -183,12 +183,12 @@
         .append(nodes)
         .append("\nzones = [\"a\", \"b\"]\nskew_ms = 25.0\n");
     for (String team : List.of("red", "blue")) {
-      stringBuilder
+      request
           .append("[[deployment.teams]]\nname = \"")
           .append(team)
           .append("\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n");
     }
-    return stringBuilder
+    return request
         + """
         [[deployment.objectives]]
         kind = "wait"
--- a/src/test/java/plumlever/sim/PipelinesTest.java
+++ b/src/test/java/plumlever/sim/PipelinesTest.java
@@ -166,19 +166,19 @@
     assertEquals(201, submitAt("n1", middle).status());
     assertEquals(201, submitAt("n0", other).status());
     assertEquals(201, submitAt("n2", last).status());
-    for (String text : cluster.members.keySet()) {
-      assertTrue(ask(text, "GET", "/submissions/" + last.uid(), null).body().contains("pending"));
+    for (String node : cluster.members.keySet()) {
+      assertTrue(ask(node, "GET", "/submissions/" + last.uid(), null).body().contains("pending"));
     }
     assertTrue(
         ask("n1", "POST", "/submissions/" + root.uid() + "/abort", "").body().contains("aborted"));
-    for (String text : cluster.members.keySet()) {
+    for (String node : cluster.members.keySet()) {
       for (JobSpec otherJob : List.of(middle, last, root)) {
-        Answer answer = ask(text, "GET", "/submissions/" + otherJob.uid(), null);
+        Answer answer = ask(node, "GET", "/submissions/" + otherJob.uid(), null);
         assertTrue(
             answer.status() == 200 && answer.body().contains("\"aborted\""),
-            text + " says " + answer.body());
+            node + " says " + answer.body());
         assertTrue(
-            ask(text, "POST", "/submissions", Json.write(otherJob.toJson()))
+            ask(node, "POST", "/submissions", Json.write(otherJob.toJson()))
                 .body()
                 .contains("\"aborted\""));
       }
--- a/src/test/java/plumlever/sim/SimulatedCluster.java
+++ b/src/test/java/plumlever/sim/SimulatedCluster.java
@@ -260,11 +260,11 @@
     List<String> copies = new ArrayList<>(keptReports);
     keptReports.clear();
     for (String body : copies) {
-      for (String text : members.keySet()) {
+      for (String node : members.keySet()) {
         copiesAtNext++;
         deliver(
             "copy",
-            new Endpoint(text, 1),
+            new Endpoint(node, 1),
             "POST",
             "/hello",
             body,
--- a/src/test/java/plumlever/sim/SimulationTest.java
+++ b/src/test/java/plumlever/sim/SimulationTest.java
@@ -59,11 +59,11 @@
 
   @Test
   void quietDay() {
-    SimulatedCluster otherWorld = cluster(1);
-    FakeUsers users = new FakeUsers(otherWorld);
-    submitOverTime(otherWorld, users, 20, 3);
-    otherWorld.play(400);
-    assertAllServed(otherWorld, users, 20);
+    SimulatedCluster cluster = cluster(1);
+    FakeUsers users = new FakeUsers(cluster);
+    submitOverTime(cluster, users, 20, 3);
+    cluster.play(400);
+    assertAllServed(cluster, users, 20);
   }
 
   /** A dozen seeds as a rule; {@code -Dplumlever.first=F -Dplumlever.seeds=N} plays others. */
@@ -82,21 +82,20 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void troubledDay(long seed) {
-    SimulatedCluster otherWorld = cluster(seed);
-    FakeUsers users = new FakeUsers(otherWorld);
-    submitOverTime(otherWorld, users, 40, 5);
-    otherWorld.loseAnswer = 0.01;
-    otherWorld.executeLate = 0.005;
-    otherWorld.repeat = 0.02;
-    otherWorld.copyReports = 0.02;
+    SimulatedCluster cluster = cluster(seed);
+    FakeUsers users = new FakeUsers(cluster);
+    submitOverTime(cluster, users, 40, 5);
+    cluster.loseAnswer = 0.01;
+    cluster.executeLate = 0.005;
+    cluster.repeat = 0.02;
+    cluster.copyReports = 0.02;
     for (int i = 0; i < 16; i++) {
-      otherWorld.at(
-          20_000_000L + otherWorld.random.nextLong(240_000_000L), () -> trouble(otherWorld));
+      cluster.at(20_000_000L + cluster.random.nextLong(240_000_000L), () -> trouble(cluster));
     }
-    otherWorld.play(300);
-    calm(otherWorld);
-    otherWorld.play(400);
-    assertAllServed(otherWorld, users, 40);
+    cluster.play(300);
+    calm(cluster);
+    cluster.play(400);
+    assertAllServed(cluster, users, 40);
   }
 
   static void trouble(SimulatedCluster cluster) {
@@ -240,26 +239,26 @@
    */
   private static SimulatedCluster takeoverWithAHiddenMachine(
       Consumer<SimulatedCluster> beforeTheCrash) {
-    SimulatedCluster otherWorld = cluster(21);
-    FakeUsers users = new FakeUsers(otherWorld);
+    SimulatedCluster cluster = cluster(21);
+    FakeUsers users = new FakeUsers(cluster);
     for (int i = 0; i < 8; i++) {
       users.submit(10, 1, 5, false);
     }
-    otherWorld.at(40_000_000, () -> users.submit(6, 1, 120, false));
-    otherWorld.at(40_000_000, () -> users.submit(6, 1, 120, false));
-    otherWorld.play(70);
-    beforeTheCrash.accept(otherWorld);
-    otherWorld.cloud.machines.values().stream()
+    cluster.at(40_000_000, () -> users.submit(6, 1, 120, false));
+    cluster.at(40_000_000, () -> users.submit(6, 1, 120, false));
+    cluster.play(70);
+    beforeTheCrash.accept(cluster);
+    cluster.cloud.machines.values().stream()
         .filter(v -> v.worker != null && !v.worker.tasks.isEmpty())
         .limit(1)
-        .forEach(v -> hold(otherWorld, v.id + ">*", "*>" + v.id, 15_000_000));
-    otherWorld.members.values().stream()
+        .forEach(v -> hold(cluster, v.id + ">*", "*>" + v.id, 15_000_000));
+    cluster.members.values().stream()
         .filter(SimulatedCluster.Member::leads)
         .findFirst()
         .orElseThrow()
         .crash(5);
-    otherWorld.play(60);
-    return otherWorld;
+    cluster.play(60);
+    return cluster;
   }
 
   /**
@@ -300,19 +299,19 @@
    */
   @Test
   void aShortCutOfAZoneCostsNoMachine() {
-    SimulatedCluster otherWorld = cluster(41);
-    FakeUsers users = new FakeUsers(otherWorld);
+    SimulatedCluster cluster = cluster(41);
+    FakeUsers users = new FakeUsers(cluster);
     for (int i = 0; i < 8; i++) {
       users.submit(8, 1, 100, false);
     }
-    otherWorld.play(60);
+    cluster.play(60);
     SimulatedCluster.Member leader =
-        otherWorld.members.values().stream()
+        cluster.members.values().stream()
             .filter(SimulatedCluster.Member::leads)
             .findFirst()
             .orElseThrow();
     List<String> behind =
-        otherWorld.cloud.machines.values().stream()
+        cluster.cloud.machines.values().stream()
             .filter(v -> v.site.equals("a") && v.worker != null && !v.worker.tasks.isEmpty())
             .map(v -> v.id)
             .toList();
@@ -320,13 +319,13 @@
     behind.forEach(
         h ->
             hold(
-                otherWorld,
+                cluster,
                 h + ">" + leader.platform.label(),
                 leader.platform.label() + ">" + h,
                 16_000_000));
-    otherWorld.play(30);
-    assertTrue(otherWorld.cloud.machines.keySet().containsAll(behind), "no machine was returned");
-    assertEquals(List.of(), otherWorld.invariants.broken);
+    cluster.play(30);
+    assertTrue(cluster.cloud.machines.keySet().containsAll(behind), "no machine was returned");
+    assertEquals(List.of(), cluster.invariants.broken);
   }
 
   /**
@@ -335,32 +334,32 @@
    */
   @Test
   void aVanishedMachineHoldsUpATakeoverOnlyShortly() {
-    SimulatedCluster otherWorld = cluster(43);
-    FakeUsers users = new FakeUsers(otherWorld);
+    SimulatedCluster cluster = cluster(43);
+    FakeUsers users = new FakeUsers(cluster);
     for (int i = 0; i < 8; i++) {
       users.submit(8, 1, 100, false);
     }
-    otherWorld.play(60);
+    cluster.play(60);
     String gone =
-        otherWorld.cloud.machines.values().stream()
+        cluster.cloud.machines.values().stream()
             .filter(v -> v.worker != null && !v.worker.tasks.isEmpty())
             .map(v -> v.id)
             .findFirst()
             .orElseThrow();
-    otherWorld.cloud.delete(gone);
-    otherWorld.members.values().stream()
+    cluster.cloud.delete(gone);
+    cluster.members.values().stream()
         .filter(SimulatedCluster.Member::leads)
         .findFirst()
         .orElseThrow()
         .crash(30);
-    otherWorld.play(8);
+    cluster.play(8);
     SimulatedCluster.Member next =
-        otherWorld.members.values().stream()
+        cluster.members.values().stream()
             .filter(SimulatedCluster.Member::leads)
             .findFirst()
             .orElseThrow();
     assertTrue(next.node().leader().tookOver(), "the takeover is complete");
-    assertEquals(List.of(), otherWorld.invariants.broken);
+    assertEquals(List.of(), cluster.invariants.broken);
   }
 
   /**
@@ -369,22 +368,22 @@
    */
   @Test
   void whatNoLeaderBeganDoesNotWaitForACutZone() {
-    SimulatedCluster otherWorld = cluster(51);
-    FakeUsers users = new FakeUsers(otherWorld);
+    SimulatedCluster cluster = cluster(51);
+    FakeUsers users = new FakeUsers(cluster);
     for (int i = 0; i < 8; i++) {
       users.submit(10, 1, 5, false);
     }
-    otherWorld.at(40_000_000, () -> users.submit(6, 1, 200, false));
-    otherWorld.play(60);
+    cluster.at(40_000_000, () -> users.submit(6, 1, 200, false));
+    cluster.play(60);
     for (String text :
-        otherWorld.cloud.machines.values().stream()
+        cluster.cloud.machines.values().stream()
             .filter(v -> v.site.equals("a"))
             .map(v -> v.id)
             .toList()) {
-      hold(otherWorld, text + ">*", "*>" + text, 60_000_000);
+      hold(cluster, text + ">*", "*>" + text, 60_000_000);
     }
-    otherWorld.leader().crash(60);
-    otherWorld.play(2);
+    cluster.leader().crash(60);
+    cluster.play(2);
     JobSpec late =
         new JobSpec(
             users.nextUid(),
@@ -407,29 +406,29 @@
             0,
             JobSpec.NO_DEADLINE);
     users.submit(late, false);
-    otherWorld.play(16);
+    cluster.play(16);
     assertFalse(
-        otherWorld.leader().node().leader().tookOver(), "the cut zone is not accounted for yet");
+        cluster.leader().node().leader().tookOver(), "the cut zone is not accounted for yet");
     assertTrue(
-        otherWorld.cloud.machines.values().stream()
+        cluster.cloud.machines.values().stream()
             .filter(v -> v.worker != null)
             .flatMap(v -> v.worker.tasks.values().stream())
             .anyMatch(t -> t.on() && t.name.startsWith(late.uid())),
         "it runs before that");
-    otherWorld.play(300);
-    assertEquals(List.of(), otherWorld.invariants.broken);
-    assertEquals("done", otherWorld.invariants.lastTold.get(late.uid()));
+    cluster.play(300);
+    assertEquals(List.of(), cluster.invariants.broken);
+    assertEquals("done", cluster.invariants.lastTold.get(late.uid()));
   }
 
   /** One survivor of three goes on serving. */
   @Test
   void oneNodeSuffices() {
-    SimulatedCluster otherWorld = cluster(31);
-    FakeUsers users = new FakeUsers(otherWorld);
-    submitOverTime(otherWorld, users, 15, 4);
-    otherWorld.play(20);
-    otherWorld.members.values().stream().skip(1).forEach(SimulatedCluster.Member::kill);
-    otherWorld.play(400);
-    assertAllServed(otherWorld, users, 15);
+    SimulatedCluster cluster = cluster(31);
+    FakeUsers users = new FakeUsers(cluster);
+    submitOverTime(cluster, users, 15, 4);
+    cluster.play(20);
+    cluster.members.values().stream().skip(1).forEach(SimulatedCluster.Member::kill);
+    cluster.play(400);
+    assertAllServed(cluster, users, 15);
   }
 }
--- a/src/test/java/plumlever/sim/UpgradeTest.java
+++ b/src/test/java/plumlever/sim/UpgradeTest.java
@@ -90,38 +90,34 @@
    */
   @Test
   void takesOverWhatItLeft() throws InvalidMessage {
-    SimulatedCluster otherWorld = cluster(1);
+    SimulatedCluster cluster = cluster(1);
     Map<String, JsonNode> left = records();
     left.keySet().removeIf(k -> k.startsWith("office/leader"));
-    otherWorld.store.rewrite("", left);
-    otherWorld.cloud.outage = true;
-    otherWorld.play(4);
+    cluster.store.rewrite("", left);
+    cluster.cloud.outage = true;
+    cluster.play(4);
     for (Map.Entry<String, JsonNode> entry : left.entrySet()) {
       if (entry.getKey().startsWith(JobStore.ACTIVE)) {
         assertTrue(
-            otherWorld
-                    .leader()
-                    .node()
-                    .leader()
-                    .job(entry.getKey().substring(JobStore.ACTIVE.length()))
+            cluster.leader().node().leader().job(entry.getKey().substring(JobStore.ACTIVE.length()))
                 != null,
             entry.getKey());
       }
     }
     BitSet packed = JobStore.readPack(left.get("progress/pack/0")).get("job-000030");
-    Job small = otherWorld.leader().node().leader().job("job-000030");
+    Job small = cluster.leader().node().leader().job("job-000030");
     if (small != null) {
       assertEquals(packed, small.done());
     }
-    Job large = otherWorld.leader().node().leader().job("job-900001");
+    Job large = cluster.leader().node().leader().job("job-900001");
     assertEquals(
-        FormerVersion.progressItReads(otherWorld.store, NOW_BYTES).get("job-900001"),
+        FormerVersion.progressItReads(cluster.store, NOW_BYTES).get("job-900001"),
         large.done(),
         "by its own size of chunks");
     assertTrue(large.doneCount() > 1000 && large.inherited());
     int machines = left.get("fleet/0").path("hosts").size();
     assertTrue(machines > 5);
-    assertEquals(200, status(otherWorld, "job-000003", "aborted"));
+    assertEquals(200, status(cluster, "job-000003", "aborted"));
   }
 
   private static int status(SimulatedCluster cluster, String uid, String part) {
@@ -188,11 +184,11 @@
   @ParameterizedTest
   @MethodSource("seeds")
   void leadsInTurnsWithIt(long seed) {
-    SimulatedCluster otherWorld = cluster(300 + seed);
-    FakeUsers users = new FakeUsers(otherWorld);
-    FormerVersion former = new FormerVersion(otherWorld.store, NOW_BYTES);
+    SimulatedCluster cluster = cluster(300 + seed);
+    FakeUsers users = new FakeUsers(cluster);
+    FormerVersion former = new FormerVersion(cluster.store, NOW_BYTES);
     List<JobSpec> all = new ArrayList<>();
-    otherWorld.cloud.most = 60;
+    cluster.cloud.most = 60;
     for (int i = 0; i < 110; i++) {
       JobSpec job =
           new JobSpec(
@@ -216,7 +212,7 @@
               0,
               JobSpec.NO_DEADLINE);
       all.add(job);
-      otherWorld.at(i * 300_000L, () -> users.submit(job, false));
+      cluster.at(i * 300_000L, () -> users.submit(job, false));
     }
     JobSpec large =
         new JobSpec(
@@ -243,37 +239,37 @@
     users.submit(large, false);
     int largest = 0;
     long limitsFall = 60_000_000 + seed * 15_000_000;
-    otherWorld.at(
+    cluster.at(
         limitsFall,
         () -> {
-          otherWorld.store.valueBytes = NEXT_BYTES;
-          otherWorld.store.txnOps = 4;
+          cluster.store.valueBytes = NEXT_BYTES;
+          cluster.store.txnOps = 4;
         });
     for (int turn = 0; turn < 8; turn++) {
-      otherWorld.play(18);
-      largest = Math.max(largest, otherWorld.store.largestValue);
-      if (otherWorld.store.valueBytes > NEXT_BYTES && turn % 2 == (seed & 1)) {
-        otherWorld.members.values().stream()
+      cluster.play(18);
+      largest = Math.max(largest, cluster.store.largestValue);
+      if (cluster.store.valueBytes > NEXT_BYTES && turn % 2 == (seed & 1)) {
+        cluster.members.values().stream()
             .filter(SimulatedCluster.Member::leads)
             .forEach(m -> m.crash(2));
-        otherWorld.play(0.1);
+        cluster.play(0.1);
         former.leads();
       } else {
-        otherWorld.members.values().stream()
+        cluster.members.values().stream()
             .filter(SimulatedCluster.Member::leads)
             .forEach(m -> m.crash(1));
       }
-      noProgressIsMistaken(otherWorld);
+      noProgressIsMistaken(cluster);
     }
-    otherWorld.calmSince = otherWorld.now();
-    otherWorld.play(400);
+    cluster.calmSince = cluster.now();
+    cluster.play(400);
     assertTrue(largest <= NEXT_BYTES, "written by this version: " + largest);
-    assertEquals(0, otherWorld.store.malformed);
-    assertEquals(List.of(), otherWorld.invariants.broken);
+    assertEquals(0, cluster.store.malformed);
+    assertEquals(List.of(), cluster.invariants.broken);
     for (JobSpec job : all) {
-      assertEquals("done", otherWorld.invariants.lastTold.get(job.uid()), job.uid());
+      assertEquals("done", cluster.invariants.lastTold.get(job.uid()), job.uid());
     }
-    for (JsonNode node : otherWorld.store.values("fleet/")) {
+    for (JsonNode node : cluster.store.values("fleet/")) {
       assertTrue(
           Json.write(node).length() <= NEXT_BYTES,
           "rewritten in parts: " + Json.write(node).length());
@@ -299,9 +295,9 @@
    */
   @Test
   void aSharedRecordThatDoesNotFitLosesNothing() {
-    SimulatedCluster otherWorld = cluster(77);
-    FakeUsers users = new FakeUsers(otherWorld);
-    otherWorld.cloud.most = 200;
+    SimulatedCluster cluster = cluster(77);
+    FakeUsers users = new FakeUsers(cluster);
+    cluster.cloud.most = 200;
     for (int i = 0; i < 60; i++) {
       users.submit(
           new JobSpec(
@@ -326,41 +322,39 @@
               JobSpec.NO_DEADLINE),
           false);
     }
-    otherWorld.play(60);
-    Set<String> hosts = hosts(otherWorld);
+    cluster.play(60);
+    Set<String> hosts = hosts(cluster);
     assertTrue(hosts.size() > 60, "machines on record: " + hosts.size());
-    otherWorld.leader().crash(1);
-    otherWorld.play(0.05);
-    new FormerVersion(otherWorld.store, NOW_BYTES).leads();
+    cluster.leader().crash(1);
+    cluster.play(0.05);
+    new FormerVersion(cluster.store, NOW_BYTES).leads();
     assertTrue(
-        otherWorld.store.values("fleet/").stream()
-            .anyMatch(v -> Json.write(v).length() > NEXT_BYTES),
+        cluster.store.values("fleet/").stream().anyMatch(v -> Json.write(v).length() > NEXT_BYTES),
         "too large to be written now");
-    otherWorld.store.valueBytes = NEXT_BYTES;
-    otherWorld.store.txnOps = 4;
+    cluster.store.valueBytes = NEXT_BYTES;
+    cluster.store.txnOps = 4;
     int[] looks = new int[1];
     for (int i = 0; i < 1_200; i++) {
-      otherWorld.at(
+      cluster.at(
           i * 20_000L,
           () -> {
-            Set<String> now = hosts(otherWorld);
-            for (String text : hosts) {
-              if (!now.contains(text) && otherWorld.cloud.machines.containsKey(text)) {
-                otherWorld.invariants.broken.add(text + " is on no record");
+            Set<String> now = hosts(cluster);
+            for (String host : hosts) {
+              if (!now.contains(host) && cluster.cloud.machines.containsKey(host)) {
+                cluster.invariants.broken.add(host + " is on no record");
               }
             }
             looks[0]++;
           });
     }
     // The new leader ends while it is at it, so that the next goes on with what it left.
-    otherWorld.at(4_300_000, () -> otherWorld.leader().crash(1));
-    otherWorld.play(26);
+    cluster.at(4_300_000, () -> cluster.leader().crash(1));
+    cluster.play(26);
     assertEquals(1_200, looks[0]);
-    assertEquals(List.of(), otherWorld.invariants.broken);
-    assertEquals(0, otherWorld.store.malformed);
+    assertEquals(List.of(), cluster.invariants.broken);
+    assertEquals(0, cluster.store.malformed);
     assertTrue(
-        otherWorld.store.values("fleet/").stream()
-            .allMatch(v -> Json.write(v).length() <= NEXT_BYTES),
+        cluster.store.values("fleet/").stream().allMatch(v -> Json.write(v).length() <= NEXT_BYTES),
         "all in parts by now");
   }
 
@@ -439,8 +433,8 @@
    */
   @Test
   void anEndStoredByTheOldVersionReleases() {
-    SimulatedCluster otherWorld = cluster(79);
-    FakeUsers users = new FakeUsers(otherWorld);
+    SimulatedCluster cluster = cluster(79);
+    FakeUsers users = new FakeUsers(cluster);
     JobSpec first =
         new JobSpec(
             users.nextUid(),
@@ -462,11 +456,11 @@
             0,
             0,
             JobSpec.NO_DEADLINE);
-    otherWorld.play(5);
+    cluster.play(5);
     users.submit(first, false);
-    otherWorld.play(40);
-    new FormerVersion(otherWorld.store, NOW_BYTES).leads();
-    otherWorld.leader().crash(1);
+    cluster.play(40);
+    new FormerVersion(cluster.store, NOW_BYTES).leads();
+    cluster.leader().crash(1);
     JobSpec next =
         new JobSpec(
                 users.nextUid(),
@@ -490,9 +484,9 @@
                 JobSpec.NO_DEADLINE)
             .waitingOn(List.of(first.uid()));
     users.submit(next, false);
-    otherWorld.play(60);
-    assertEquals(List.of(), otherWorld.invariants.broken);
-    assertEquals("done", otherWorld.invariants.lastTold.get(next.uid()));
-    assertEquals(JobState.DONE.wireName(), otherWorld.invariants.lastTold.get(first.uid()));
+    cluster.play(60);
+    assertEquals(List.of(), cluster.invariants.broken);
+    assertEquals("done", cluster.invariants.lastTold.get(next.uid()));
+    assertEquals(JobState.DONE.wireName(), cluster.invariants.lastTold.get(first.uid()));
   }
 }
