No fixed limit below 4,000 machines

Need: the operators now also run about 4,000 machines. Gone through: sockets, queues, lists, records, buffers, numbers.

Mended: the machine list of more than about 2,400 machines was never read whole (its pages outran the cloud's rate, and the whole list was given up and begun anew, which also used up what rentals need): a page over the rate now waits, and two requests are left to others. Early reports of a takeover were kept for 4,000 machines at most; now as many as there are sockets. Names of returned machines: 20,000 (4,000). Accept queue 8,192 (1,024).

--- a/src/main/java/plumlever/cloud/CloudClient.java
+++ b/src/main/java/plumlever/cloud/CloudClient.java
@@ -46,6 +46,15 @@
   private static final int PAGE = 500;
   private static final double PART = 0.8;
 
+  /**
+   * Pause before the next page of a list goes out that was over the rate: a list of thousands of
+   * machines has more pages than the rate allows at once.
+   */
+  private static final long PAGE_PAUSE_MICROS = 400_000;
+
+  /** Requests left to rentals and returns while a list is read. */
+  private static final double LEFT_TO_OTHERS = 2;
+
   private final Loop loop;
   private final Caller caller;
   private final Endpoint at;
@@ -92,6 +101,10 @@
   }
 
   private void page(String since, List<HostEntry> into, Consumer<List<HostEntry>> then) {
+    if (since != null && !requests.has(1 + LEFT_TO_OTHERS, loop.nowMicros())) {
+      loop.after(PAGE_PAUSE_MICROS, () -> page(since, into, then));
+      return;
+    }
     send(
         "GET",
         "/hosts?page=" + PAGE + (since == null ? "" : "&since=" + since),
--- a/src/main/java/plumlever/fleet/Fleet.java
+++ b/src/main/java/plumlever/fleet/Fleet.java
@@ -25,13 +25,27 @@
   private static final int TERM_SHIFT = 24;
   private static final int TOKEN_SHIFT = 20;
 
+  /** Numbers of a term that are left when it has to end: more than are given out in a second. */
+  private static final long RESERVE = 1 << 16;
+
+  private static final long LAST_ATTEMPT = (1L << TERM_SHIFT) - RESERVE;
+  private static final long LAST_TOKEN = (1L << TOKEN_SHIFT) - RESERVE;
+
   private final Map<String, Machine> machines = new LinkedHashMap<>();
   private final Map<String, Held> heldByTeam = new HashMap<>();
   private final long term;
   private long counter;
 
   public Fleet(long term) {
+    this(term, 0);
+  }
+
+  /**
+   * @param given attempt numbers of the term that count as given out
+   */
+  Fleet(long term, long given) {
     this.term = term;
+    this.counter = given;
   }
 
   public Collection<Machine> machines() {
@@ -78,6 +92,19 @@
     return enter(new Attempt(job, task, id, machine, machine.tenure(), -1, -1, nowMicros));
   }
 
+  /**
+   * True when attempt numbers come near those of the next term: with thousands of machines a term
+   * that lasts for days gets there.
+   */
+  public boolean numbersRunOut() {
+    return counter >= LAST_ATTEMPT;
+  }
+
+  /** The same of the tokens of one machine, which are raised with each direct order. */
+  public boolean tokensRunOut(Machine machine) {
+    return machine.token() >= firstToken(term) + LAST_TOKEN;
+  }
+
   public boolean ofEarlierTerm(long attemptId) {
     return attemptId >>> TERM_SHIFT < term;
   }
--- a/src/main/java/plumlever/http/Server.java
+++ b/src/main/java/plumlever/http/Server.java
@@ -28,7 +28,7 @@
   private static final Logger LOG = LoggerFactory.getLogger(Server.class);
 
   /** All workers of a controller that ends come over within a second or two. */
-  private static final int BACKLOG = 1024;
+  private static final int BACKLOG = 8 * 1024;
 
   /** From this part of the connections on they are short. */
   private static final double CROWDED = 0.9;
--- a/src/main/java/plumlever/leader/EarlyReports.java
+++ b/src/main/java/plumlever/leader/EarlyReports.java
@@ -19,16 +19,18 @@
   /** A worker gives up after 4 s, and what it hears must still get to it. */
   private static final long MOST_MICROS = 2_500_000;
 
-  /** More machines than any deployment has; beyond it they are sent on at once. */
-  private static final int MOST = 4_000;
-
   private record Early(WorkerReport report, Responder out, long atMicros) {}
 
   private final Loop loop;
+
+  /** Each report holds a connection, so there are never more than sockets. */
+  private final int most;
+
   private final Map<String, Early> byHost = new LinkedHashMap<>();
 
-  EarlyReports(Loop loop) {
+  EarlyReports(Loop loop, int socketLimit) {
     this.loop = loop;
+    this.most = socketLimit;
   }
 
   void keep(WorkerReport report, Responder out) {
@@ -38,7 +40,7 @@
       refuse(before);
     }
     Early early = new Early(report, out, now);
-    if (byHost.size() >= MOST) {
+    if (byHost.size() >= most) {
       refuse(early);
       return;
     }
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -79,7 +79,7 @@
         new MachineManager(
             context, fleet, registry, pass, reports, commands, takeover, this::changed);
     this.hints = new SuccessorHints(context, fleet, estimates);
-    this.early = new EarlyReports(context.loop());
+    this.early = new EarlyReports(context.loop(), context.platform().socketLimit());
     this.lists = new DependencyListCleanup(context, jobs);
     this.rounds = new RecurringTask("rounds", context.loop(), this::roundTurn);
   }
@@ -194,6 +194,10 @@
     if (!due || !context.term().mayAct()) {
       return ROUND_EVERY_MICROS;
     }
+    if (fleet.numbersRunOut()) {
+      endTermForNumbers();
+      return ROUND_EVERY_MICROS;
+    }
     long since = context.loop().nowMicros();
     boolean finished = pass.run();
     long placed = context.loop().nowMicros();
@@ -210,6 +214,11 @@
     return Math.max(ROUND_EVERY_MICROS, Math.min(ROUND_PAUSE_MOST_MICROS, pause));
   }
 
+  /** A new term starts all numbers anew; this node may take it itself. */
+  private void endTermForNumbers() {
+    context.election().resign(context.term(), "the numbers of this term run out", 0);
+  }
+
   /** Answers a worker's report; the caller has checked that this node leads. */
   public void report(WorkerReport report, Responder out) {
     if (!context.term().mayAct()) {
@@ -253,6 +262,9 @@
       fleet.add(machine);
     }
     machine.learnEndpoint(report.endpoint());
+    if (fleet.tokensRunOut(machine)) {
+      endTermForNumbers();
+    }
     ReportHandler.News news = reports.apply(machine, report, true);
     if (reports.takeChanged()) {
       due = true;
--- a/src/main/java/plumlever/leader/MachineManager.java
+++ b/src/main/java/plumlever/leader/MachineManager.java
@@ -55,7 +55,9 @@
   private static final long LATE_MICROS = 1_000_000;
 
   private static final int PROBES = 3;
-  private static final int REMEMBERED = 4_000;
+
+  /** Names of returned machines kept, so that late copies of their reports bring none back. */
+  private static final int REMEMBERED = 20_000;
 
   private static final class Open {
     final String name;
@@ -198,6 +200,7 @@
               }
               long now = context.loop().nowMicros();
               listedMicros = now;
+              context.metrics().count("lists_read");
               for (HostEntry hostEntry : hosts) {
                 if (deleted.contains(hostEntry.uid())) {
                   continue;
--- a/src/main/java/plumlever/store/TokenBucket.java
+++ b/src/main/java/plumlever/store/TokenBucket.java
@@ -23,6 +23,12 @@
     tokens = Math.min(tokens, burst);
   }
 
+  /** True if so many could be taken now. */
+  public boolean has(double wanted, long nowMicros) {
+    refill(nowMicros);
+    return tokens >= Math.min(wanted, burst);
+  }
+
   /** Takes tokens if there are enough. */
   public boolean take(double otherTokens, long nowMicros) {
     refill(nowMicros);
--- /dev/null
+++ b/src/test/java/plumlever/fleet/FleetNumbersTest.java
@@ -0,0 +1,32 @@
+package plumlever.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/**
+ * The numbers of a term are bounded. Guards against a term of a large fleet that lasts for days and
+ * gives out numbers of the next one.
+ */
+final class FleetNumbersTest {
+  private static final long TERM = 7;
+
+  @Test
+  void attemptNumbersRunOutBeforeThoseOfTheNextTerm() {
+    assertFalse(new Fleet(TERM, 16_000_000).numbersRunOut());
+    assertTrue(new Fleet(TERM, 16_720_000).numbersRunOut());
+  }
+
+  @Test
+  void tokensRunOutBeforeThoseOfTheNextTerm() {
+    Fleet fleet = new Fleet(TERM);
+    Machine machine = new Machine("i-000001", "i-000001:9", "small", "a", false, 0);
+    fleet.add(machine);
+    assertFalse(fleet.tokensRunOut(machine));
+    machine.token(Fleet.firstToken(TERM) + 1_000_000);
+    assertTrue(fleet.tokensRunOut(machine));
+    assertEquals(TERM, Fleet.termOf(machine.token()));
+  }
+}
--- a/src/test/java/plumlever/sim/FakeCloud.java
+++ b/src/test/java/plumlever/sim/FakeCloud.java
@@ -1,5 +1,6 @@
 package plumlever.sim;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
@@ -7,12 +8,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
 
 /** The cloud, by its protocol: two types, two zones, a list that lags. */
 final class FakeCloud implements SimulatedCluster.Service {
   static final long LAG_MICROS = 3_000_000;
+  private static final double RPS = 6;
+  private static final int PAGE = 500;
+  private static final Pattern SINCE = Pattern.compile("since=([^&]+)");
   private static final String CATALOG =
       """
       {"flavors":[
@@ -50,6 +56,13 @@
   private int counter;
   boolean outage;
 
+  /** Requests beyond the rate are refused, and counted. */
+  boolean limitsRate;
+
+  int refused;
+  private double tokens = 2 * RPS;
+  private long refilledMicros;
+
   /** Machines are up within two seconds. */
   boolean bootsAtOnce;
 
@@ -85,18 +98,27 @@
       return;
     }
     try {
+      if (cluster.now() > refilledMicros) {
+        tokens = Math.min(2 * RPS, tokens + (cluster.now() - refilledMicros) * RPS / 1e6);
+        refilledMicros = cluster.now();
+      }
+      if (limitsRate && tokens < 1) {
+        refused++;
+        reply.send(429, "{}");
+        return;
+      }
+      tokens--;
       if (path.equals("/catalog")) {
         reply.send(200, CATALOG);
       } else if (path.startsWith("/hosts?")) {
         long then = cluster.now() - LAG_MICROS - cluster.random.nextLong(LAG_MICROS);
-        ObjectNode out = Json.object().put("more", false);
-        out.putArray("hosts");
+        ArrayNode listed = Json.object().putArray("hosts");
         for (Object[] host : history) {
           if ((Long) host[0] <= then) {
-            out.set("hosts", (ArrayNode) host[1]);
+            listed = (ArrayNode) host[1];
           }
         }
-        reply.send(200, Json.write(out));
+        reply.send(200, Json.write(page(listed, path)));
       } else if (path.equals("/hosts")) {
         rent(Json.parseObject(body), reply);
       } else if (path.equals("/hosts/return")) {
@@ -110,6 +132,40 @@
     }
   }
 
+  private static ObjectNode page(ArrayNode listed, String path) {
+    Matcher since = SINCE.matcher(path);
+    String from = since.find() ? since.group(1) : "";
+    ObjectNode out = Json.object();
+    ArrayNode hosts = out.putArray("hosts");
+    boolean more = false;
+    for (JsonNode host : listed) {
+      if (host.path("uid").asText().compareTo(from) > 0) {
+        more = hosts.size() == PAGE;
+        if (more) {
+          break;
+        }
+        hosts.add(host);
+      }
+    }
+    return out.put("more", more);
+  }
+
+  /** Machines that are up before the controllers start. */
+  void provide(int count) {
+    for (int i = 0; i < count; i++) {
+      String id = String.format("i-%06d", ++counter);
+      Vm vm =
+          new Vm(
+              id,
+              i % 4 == 0 ? "large" : "small",
+              i % 2 == 0 ? "a" : "b",
+              i % 3 == 0,
+              cluster.now() - 60_000_000);
+      machines.put(id, vm);
+      vm.worker = new FakeWorker(cluster, vm);
+    }
+  }
+
   private void rent(ObjectNode object, SimulatedCluster.Reply reply) {
     String name = object.path("rental").asText();
     if (!rentals.containsKey(name)) {
--- /dev/null
+++ b/src/test/java/plumlever/sim/FourThousandMachinesTest.java
@@ -0,0 +1,58 @@
+package plumlever.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import plumlever.settings.Platform;
+
+/**
+ * No fixed limit stands below 4,000 machines: all of them are listed within the cloud's rate, kept
+ * on record, and taken over by the next leader with the reports that come before it knows its jobs.
+ */
+final class FourThousandMachinesTest {
+  private static final int MACHINES = 4_200;
+
+  private static Set<String> recorded(SimulatedCluster cluster) {
+    Set<String> names = new HashSet<>();
+    cluster
+        .store
+        .values("fleet/")
+        .forEach(value -> value.path("hosts").forEach(host -> names.add(host.path(0).asText())));
+    return names;
+  }
+
+  @Test
+  void allAreListedRecordedAndTakenOver() {
+    SimulatedCluster cluster =
+        new SimulatedCluster(
+            79,
+            3,
+            List.of(new Platform.Team("red", 0, 0, 0, 0), new Platform.Team("blue", 0, 0, 0, 0)),
+            false);
+    cluster.cloud.limitsRate = true;
+    cluster.cloud.provide(MACHINES);
+    FakeUsers users = new FakeUsers(cluster);
+    for (int i = 0; i < 12; i++) {
+      cluster.at(5_000_000L + i * 300_000L, () -> users.submit(400, 2, 40, false));
+    }
+    cluster.play(30);
+    assertEquals(MACHINES, recorded(cluster).size());
+    assertTrue(
+        cluster.leader().node().metrics().counted("lists_read") >= 2, "whole lists were read");
+    assertEquals(0, cluster.cloud.refused, "requests over the cloud's rate");
+    cluster.leader().crash(3);
+    cluster.play(12);
+    assertTrue(cluster.leader().node().leader().tookOver(), "taken over in seconds");
+    cluster.calmSince = cluster.now();
+    cluster.play(120);
+    cluster.invariants.checkServed();
+    assertEquals(List.of(), cluster.invariants.broken);
+    assertTrue(cluster.invariants.starts >= 12 * 400, "starts: " + cluster.invariants.starts);
+    assertFalse(cluster.mostSockets < MACHINES, "sockets: " + cluster.mostSockets);
+  }
+}
