--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -20,9 +21,12 @@
 import plumlever.concurrent.Scope;
 import plumlever.election.DelegatedRenewal;
 import plumlever.election.LeaderElection;
+import plumlever.election.PoolTerms;
 import plumlever.election.RenewalLimit;
 import plumlever.election.Term;
 import plumlever.http.Caller;
+import plumlever.http.JobForwarder;
+import plumlever.http.PoolRequests;
 import plumlever.http.RequestRouter;
 import plumlever.http.Responder;
 import plumlever.http.UserApi;
@@ -32,10 +36,14 @@
 import plumlever.metrics.Metrics;
 import plumlever.peer.PeerStatus;
 import plumlever.peer.Peers;
+import plumlever.settings.OperatorSettings;
 import plumlever.settings.Platform;
+import plumlever.settings.SharingSettings;
 import plumlever.settings.Tunables;
+import plumlever.sharing.PoolView;
 import plumlever.store.JobRecordCache;
 import plumlever.store.JobStore;
+import plumlever.store.KeySpace;
 import plumlever.store.StateClient;
 import plumlever.wire.Flavor;
 import plumlever.wire.InvalidMessage;
@@ -67,6 +75,7 @@
   private static final long PULSE_MICROS = 500_000;
 
   private final Loop loop;
+  private final Optional<SharingSettings> sharing;
   private final Platform platform;
   private final Metrics metrics;
   private final Scope scope = new Scope();
@@ -90,7 +99,15 @@
 
   /** A node that does everything on one loop. */
   public Node(Loop loop, Caller caller, Platform platform, Tunables tunables, long seed) {
-    this(loop, caller, loop, caller, platform, tunables, seed, Logs.SERVICE);
+    this(
+        loop,
+        caller,
+        loop,
+        caller,
+        platform,
+        new OperatorSettings(tunables, Optional.empty()),
+        seed,
+        Logs.SERVICE);
   }
 
   /**
@@ -102,20 +119,35 @@
       Loop officeLoop,
       Caller officeCaller,
       Platform platform,
-      Tunables tunables,
+      OperatorSettings settings,
       long seed,
       Logs logs) {
+    Tunables tunables = settings.tunables();
+    this.sharing = settings.sharing();
+    KeySpace keySpace =
+        sharing.map(pool -> KeySpace.under(pool.own().prefix())).orElse(KeySpace.ROOT);
     this.loop = loop;
     this.platform = platform;
     this.metrics = new Metrics(logs);
     Caller caller = metered(bare);
-    this.store = new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics);
+    this.store =
+        new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics, keySpace);
     this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
     this.prices = new PriceBook(tunables);
-    JobStore layout = new JobStore(store.limits());
+    JobStore layout =
+        new JobStore(
+            store.limits(),
+            sharing
+                .map(pool -> pool.others().stream().map(SharingSettings.Cell::prefix).toList())
+                .orElse(List.of()));
     StateClient officeStore =
         new StateClient(
-            officeLoop, officeCaller, platform.state(), platform.stateLimits(), metrics);
+            officeLoop, officeCaller, platform.state(), platform.stateLimits(), metrics, keySpace);
+    Optional<PoolTerms> poolTerms =
+        sharing.map(
+            pool ->
+                new PoolTerms(
+                    officeStore, PoolView.COUNTER, PoolView.leaderKey(pool.own().name())));
     this.election =
         new LeaderElection(
             platform.label(),
@@ -138,6 +170,7 @@
                 loop.execute(action);
               }
             },
+            poolTerms,
             seed,
             logs);
     boolean moneyMatters = platform.moneyMatters(tunables.rentMicros());
@@ -165,7 +198,8 @@
                                 listing -> loop.execute(() -> then.accept(listing)))),
                 this::latenessMicros,
                 logs,
-                moneyMatters);
+                moneyMatters,
+                sharing);
     this.peers =
         new Peers(
             loop,
@@ -206,7 +240,13 @@
               public boolean alone() {
                 return Node.this.alone();
               }
-            });
+
+              @Override
+              public boolean barred() {
+                return election.barred();
+              }
+            },
+            sharing.map(pool -> new JobForwarder(loop, store, caller, platform, pool)));
     this.router =
         new RequestRouter(
             loop,
@@ -224,7 +264,7 @@
 
               @Override
               public boolean canTakeRequests() {
-                return !alone() && !othersAreSooner();
+                return !election.barred() && !alone() && !othersAreSooner();
               }
 
               @Override
@@ -319,8 +359,15 @@
     return router;
   }
 
+  /** Takes a request of another controller. */
   public void peer(String method, String path, byte[] body, Responder out) {
-    peers.handle(method, path, body, out);
+    if (sharing.isPresent() && path.equals(PoolRequests.RELAY)) {
+      PoolRequests.relay(body, leader, out);
+    } else if (sharing.isPresent() && path.equals(PoolRequests.FORWARD)) {
+      PoolRequests.forwarded(body, router, out);
+    } else {
+      peers.handle(method, path, body, out);
+    }
   }
 
   public Leader leader() {
@@ -509,11 +556,18 @@
   private int workersElsewhere() {
     int most = 0;
     for (PeerStatus peerStatus : peers.lately(PEER_FRESH_MICROS)) {
+      if (!ofOwnCell(peerStatus.label())) {
+        continue;
+      }
       most = Math.max(most, peerStatus.workers());
     }
     return most;
   }
 
+  private boolean ofOwnCell(String label) {
+    return sharing.isEmpty() || sharing.get().own().controllers().contains(label);
+  }
+
   private PeerStatus status() {
     long now = loop.nowMicros();
     strays.values().removeIf(at -> now - at > STRAY_MICROS);
--- a/src/main/java/plumlever/cli/ArchiveTrainingRun.java
+++ b/src/main/java/plumlever/cli/ArchiveTrainingRun.java
@@ -16,6 +16,7 @@
 import plumlever.http.UndertowCaller;
 import plumlever.http.XnioLoop;
 import plumlever.settings.Endpoint;
+import plumlever.settings.OperatorSettings;
 import plumlever.settings.Platform;
 import plumlever.settings.SettingsException;
 import plumlever.settings.Tunables;
@@ -81,7 +82,7 @@
       Main.run(new String[] {"--config", file.toString(), "--check"});
       loadOwnClasses();
       Platform platform = Platform.load(file);
-      Service service = new Service(platform, Tunables.defaults());
+      Service service = new Service(platform, OperatorSettings.defaults());
       try (service) {
         service.start();
         String base = "http://127.0.0.1:" + service.port();
--- a/src/main/java/plumlever/cli/Check.java
+++ b/src/main/java/plumlever/cli/Check.java
@@ -1,7 +1,10 @@
 package plumlever.cli;
 
 import java.util.stream.Collectors;
+import plumlever.http.Server;
+import plumlever.settings.OperatorSettings;
 import plumlever.settings.Platform;
+import plumlever.settings.SharingSettings;
 import plumlever.settings.Tunables;
 
 /** What would run with the settings given, for {@code --check}. */
@@ -10,10 +13,13 @@
 
   private Check() {}
 
-  static String describe(Platform platform, Tunables tunables) {
+  static String describe(Platform platform, OperatorSettings settings) {
+    Tunables tunables = settings.tunables();
     return String.join(
         "\n",
         addresses(platform),
+        settings.sharing().map(Check::cells).orElse("one cell, all machines are its own"),
+        connections(platform),
         limits(platform.stateLimits()),
         "teams: "
             + platform.teams().stream().map(Platform.Team::name).collect(Collectors.joining(", ")),
@@ -41,6 +47,37 @@
             platform.cloud());
   }
 
+  private static String cells(SharingSettings sharing) {
+    return "cell "
+        + sharing.own().name()
+        + " of a pool of "
+        + sharing.machines()
+        + " machines, with sharing file "
+        + sharing.digest()
+        + ": "
+        + sharing.cells().stream()
+            .map(
+                cell ->
+                    cell.name()
+                        + " (floor "
+                        + cell.floor()
+                        + ", weight "
+                        + cell.weight()
+                        + ", keys under "
+                        + (cell.prefix().isEmpty() ? "the root" : cell.prefix())
+                        + ")")
+            .collect(Collectors.joining(", "));
+  }
+
+  private static String connections(Platform platform) {
+    int shared = Service.sharedConnections(platform);
+    return "connections: "
+        + shared
+        + " for users and workers; beyond "
+        + (int) (shared * Server.CROWDED)
+        + " each worker gets one for each report";
+  }
+
   private static String limits(Platform.StateLimits limits) {
     return "writes to the state service, within the limits now and next: values of "
         + limits.valueBytes()
--- a/src/main/java/plumlever/cli/Main.java
+++ b/src/main/java/plumlever/cli/Main.java
@@ -9,9 +9,9 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import plumlever.settings.OperatorFile;
+import plumlever.settings.OperatorSettings;
 import plumlever.settings.Platform;
 import plumlever.settings.SettingsException;
-import plumlever.settings.Tunables;
 
 /** The command line. */
 public final class Main {
@@ -80,22 +80,22 @@
       return wrong("Missing required option: --config FILE");
     }
     Platform platform;
-    Tunables tunables;
+    OperatorSettings settings;
     try {
       platform = Platform.load(Path.of(line.getOptionValue("config")));
-      tunables =
+      settings =
           line.hasOption("settings")
-              ? OperatorFile.load(Path.of(line.getOptionValue("settings")))
-              : Tunables.defaults();
+              ? OperatorFile.load(Path.of(line.getOptionValue("settings")), platform)
+              : OperatorSettings.defaults();
     } catch (SettingsException e) {
       System.err.println(NAME + ": " + e.getMessage());
       return BAD_SETTINGS;
     }
     if (line.hasOption("check")) {
-      System.out.println(Check.describe(platform, tunables));
+      System.out.println(Check.describe(platform, settings));
       return 0;
     }
-    return new Service(platform, tunables).run();
+    return new Service(platform, settings).run();
   }
 
   private static int wrong(String what) {
--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -17,8 +17,8 @@
 import plumlever.http.UndertowCaller;
 import plumlever.http.XnioLoop;
 import plumlever.metrics.Logs;
+import plumlever.settings.OperatorSettings;
 import plumlever.settings.Platform;
-import plumlever.settings.Tunables;
 import plumlever.warmup.WarmUp;
 
 /**
@@ -40,13 +40,14 @@
    */
   private static final int RESERVED = 280;
 
+  private static final int LEAST_SHARED = 32;
   private static final long LEAST_IDLE_MICROS = 12_000_000;
   private static final int IDLE_REPORTS = 3;
   private static final long PEER_BODY = 512 * 1024;
   private static final int STOP_S = 3;
 
   private final Platform platform;
-  private final Tunables tunables;
+  private final OperatorSettings settings;
   private XnioWorker worker;
   private XnioWorker officeWorker;
   private XnioLoop loop;
@@ -55,9 +56,9 @@
   private Server front;
   private Server back;
 
-  Service(Platform platform, Tunables tunables) {
+  Service(Platform platform, OperatorSettings settings) {
     this.platform = platform;
-    this.tunables = tunables;
+    this.settings = settings;
   }
 
   int run() {
@@ -93,10 +94,10 @@
             officeLoop,
             officeCaller,
             platform,
-            tunables,
+            settings,
             new SplittableRandom().nextLong(),
             Logs.SERVICE);
-    int users = Math.max(32, platform.socketLimit() - RESERVED);
+    int users = sharedConnections(platform);
     long idleMicros = Math.max(LEAST_IDLE_MICROS, IDLE_REPORTS * platform.workers().reportMicros());
     front =
         new Server(
@@ -123,7 +124,8 @@
             "heap_mb",
             () -> (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
     WarmUp warmUp =
-        new WarmUp(loop, platform, tunables, node::latenessMicros, () -> node.leader() != null);
+        new WarmUp(
+            loop, platform, settings.tunables(), node::latenessMicros, () -> node.leader() != null);
     node.metrics()
         .gauge(
             "cpu_ms",
@@ -158,6 +160,11 @@
                 .getMap());
   }
 
+  /** Connections that users and workers share. */
+  static int sharedConnections(Platform platform) {
+    return Math.max(LEAST_SHARED, platform.socketLimit() - RESERVED);
+  }
+
   int port() {
     return front.port();
   }
--- a/src/main/java/plumlever/election/LeaderElection.java
+++ b/src/main/java/plumlever/election/LeaderElection.java
@@ -1,6 +1,7 @@
 package plumlever.election;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import plumlever.concurrent.Loop;
@@ -33,7 +34,7 @@
     void whenTurning(Runnable action);
   }
 
-  private static final String PREFIX = "office/";
+  static final String PREFIX = "office/";
 
   /** A stand-in's word that it renews leases under a mandate. */
   static final String STAND_IN = PREFIX + "stand-in";
@@ -41,8 +42,12 @@
   /** Allows the other controllers to renew leases for the leader, see {@link DelegatedRenewal}. */
   public static final String MANDATE = PREFIX + "mandate";
 
-  private static final String LEADER = PREFIX + "leader";
-  static final String TERM = PREFIX + "term";
+  /** Hangs on the leader's lease. */
+  public static final String LEADER = PREFIX + "leader";
+
+  /** The last term; every write of a leader is guarded by it. */
+  public static final String TERM = PREFIX + "term";
+
   private static final long FOLLOW_MICROS = 5_000_000;
   private static final long RETRY_MICROS = 400_000;
 
@@ -67,6 +72,12 @@
   private final RecurringTask standing;
   private final String nonce;
 
+  /** Where terms come from if this is one cell of a pool. */
+  private final Optional<PoolTerms> poolTerms;
+
+  /** The state service holds a pool, of which this controller knows nothing. */
+  private volatile boolean barred;
+
   private boolean known;
   private long epoch = -1;
   private long leaderStamp;
@@ -93,8 +104,10 @@
       StateClient store,
       Tunables tunables,
       Holder holder,
+      Optional<PoolTerms> poolTerms,
       long seed,
       Logs logs) {
+    this.poolTerms = poolTerms;
     this.log = logs.of(LeaderElection.class);
     this.label = label;
     this.loop = loop;
@@ -131,6 +144,14 @@
     return mandateSeen;
   }
 
+  /**
+   * True where the state service holds a pool of cells and this controller has no sharing file: it
+   * neither stands nor answers, for it would take the pool's machines for its own.
+   */
+  public boolean barred() {
+    return barred;
+  }
+
   /** True while this node may act for the controllers, in whatever term. */
   public boolean mayAct() {
     Term term = current;
@@ -175,6 +196,7 @@
           leaderLabel = null;
           termStamp = 0;
           mandateSeen = listing.items().stream().anyMatch(i -> i.key().equals(MANDATE));
+          seePool(listing.items().stream().anyMatch(i -> i.key().equals(PoolTerms.MARKER)));
           long newTerm = 0;
           for (StateClient.Item item : listing.items()) {
             if (item.key().equals(LEADER)) {
@@ -194,6 +216,14 @@
         });
   }
 
+  private void seePool(boolean found) {
+    boolean nowBarred = found && poolTerms.isEmpty();
+    if (nowBarred && !barred) {
+      log.error("the state service holds a pool of cells: this controller needs its sharing file");
+    }
+    barred = nowBarred;
+  }
+
   private void seeLeader(com.fasterxml.jackson.databind.JsonNode data, long stamp) {
     leaderStamp = stamp;
     leaderLabel = data.path("label").asText();
@@ -231,6 +261,8 @@
               }
             } else if (change.key().equals(STAND_IN) && change.data() != null) {
               standInFor = change.data().path("mandate").asLong(-1);
+            } else if (change.key().equals(PoolTerms.MARKER)) {
+              seePool(change.data() != null);
             } else if (change.key().equals(MANDATE)) {
               mandateSeen = change.data() != null;
             } else if (change.key().equals(TERM)
@@ -268,7 +300,11 @@
   }
 
   private long stand() {
-    if (current != null || busy || !known || !(leaderStamp == 0 || label.equals(leaderLabel))) {
+    if (current != null
+        || busy
+        || !known
+        || barred
+        || !(leaderStamp == 0 || label.equals(leaderLabel))) {
       return -1;
     }
     long now = loop.nowMicros();
@@ -281,7 +317,27 @@
     // a guard on the newest stamp would depose a leader elected in between.
     long seenLeader = leaderStamp;
     long seenTerm = termStamp;
-    long newTerm = term + 1;
+    if (poolTerms.isEmpty()) {
+      stand(now, seenLeader, seenTerm, new PoolTerms.Next(term + 1, 0));
+      return -1;
+    }
+    poolTerms
+        .get()
+        .next(
+            term,
+            next -> {
+              if (next.isEmpty()) {
+                busy = false;
+                standing.wakeIn(RETRY_MICROS + random.nextInt(400_000));
+              } else {
+                stand(loop.nowMicros(), seenLeader, seenTerm, next.get());
+              }
+            });
+    return -1;
+  }
+
+  private void stand(long now, long seenLeader, long seenTerm, PoolTerms.Next next) {
+    long newTerm = next.term();
     store.grant(
         tunables.grantTtlMicros(),
         p -> {
@@ -298,8 +354,12 @@
                   .guard(LEADER, seenLeader)
                   .guard(TERM, seenTerm)
                   .put(LEADER, leader, p)
-                  .put(TERM, Json.object().put("term", newTerm))
-                  .drop(MANDATE);
+                  .put(TERM, Json.object().put("term", newTerm));
+          if (poolTerms.isPresent()) {
+            poolTerms.get().addTo(txn, next, label, p);
+          } else {
+            txn.drop(MANDATE);
+          }
           store.txn(
               txn,
               StateClient.Class.URGENT,
@@ -311,7 +371,6 @@
                 }
               });
         });
-    return -1;
   }
 
   /** An uncertain answer is settled by reading, never by assuming. */
--- a/src/main/java/plumlever/election/Term.java
+++ b/src/main/java/plumlever/election/Term.java
@@ -27,6 +27,11 @@
     return number;
   }
 
+  /** The revision at which the term was taken. */
+  public long stamp() {
+    return stamp;
+  }
+
   /** The grant that the office hangs on. */
   public long permit() {
     return permit;
--- a/src/main/java/plumlever/fleet/Fleet.java
+++ b/src/main/java/plumlever/fleet/Fleet.java
@@ -32,6 +32,10 @@
   private static final long LAST_TOKEN = (1L << TOKEN_SHIFT) - RESERVE;
 
   private final Map<String, Machine> machines = new LinkedHashMap<>();
+
+  /** Machines of other cells that may hold tasks of this one. */
+  private final Map<String, Machine> away = new LinkedHashMap<>();
+
   private final Map<String, Held> heldByTeam = new HashMap<>();
   private final long term;
   private long counter;
@@ -56,8 +60,9 @@
     return machines.get(id);
   }
 
+  /** The machine is this cell's from now on. */
   public void add(Machine machine) {
-    machine.token(firstToken(term));
+    machine.tokenTerm(Math.max(term, machine.tokenTerm()));
     machines.put(machine.id(), machine);
   }
 
@@ -70,6 +75,32 @@
     return token >>> TOKEN_SHIFT;
   }
 
+  /** A machine of another cell that may hold tasks of this one, or null. */
+  public Machine away(String id) {
+    return away.get(id);
+  }
+
+  /** All machines of other cells that may hold tasks of this one. */
+  public Collection<Machine> away() {
+    return away.values();
+  }
+
+  /**
+   * The machine is another cell's, and may hold tasks of this one.
+   *
+   * @param number of its transfer, whose tokens are newer than any used here
+   */
+  public void sendAway(Machine machine, long number) {
+    machines.remove(machine.id(), machine);
+    machine.tokenTerm(number);
+    away.put(machine.id(), machine);
+  }
+
+  /** No task of this cell is on the other's machine any more, or it comes back. */
+  public void forgetAway(Machine machine) {
+    away.remove(machine.id(), machine);
+  }
+
   /** Replaces what a rental told by what the machine itself or the list tells. */
   public void remove(Machine machine) {
     machines.remove(machine.id(), machine);
@@ -102,7 +133,7 @@
 
   /** The same of the tokens of one machine, which are raised with each direct order. */
   public boolean tokensRunOut(Machine machine) {
-    return machine.token() >= firstToken(term) + LAST_TOKEN;
+    return machine.token() >= firstToken(machine.tokenTerm()) + LAST_TOKEN;
   }
 
   public boolean ofEarlierTerm(long attemptId) {
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -22,6 +22,7 @@
   private long tick;
   private long ownTick;
   private long token;
+  private long tokenTerm;
   private long answeredToken;
   private long directToken = -1;
   private boolean calling;
@@ -31,10 +32,13 @@
   private long lastReportMicros = -1;
   private long lastSeenMicros = -1;
   private long lastAnswerMicros = -1;
+  private long renewedElsewhereMicros = Long.MIN_VALUE / 4;
   private boolean accounted;
   private long reclaimAtMicros = -1;
   private boolean draining;
   private boolean returning;
+  private boolean offered;
+  private GuestLoad guests = GuestLoad.NONE;
   private long idleSinceMicros = -1;
   private long listedMicros = -1;
   private boolean failed;
@@ -132,6 +136,22 @@
     token = Math.max(token, now);
   }
 
+  /** The term, or the number of its transfer, that its tokens belong to. */
+  public long tokenTerm() {
+    return tokenTerm;
+  }
+
+  /** From now on its tokens are those of this number, which is higher than any before. */
+  public void tokenTerm(long number) {
+    tokenTerm = number;
+    token = Math.max(token, Fleet.firstToken(number));
+  }
+
+  /** True if whoever reported has seen a token that this leader gave out for the machine. */
+  public boolean hasSeen(long reportedToken) {
+    return Fleet.termOf(reportedToken) == tokenTerm;
+  }
+
   /**
    * A direct order carries the present token; until the token is raised a copy of it may be carried
    * out late.
@@ -223,6 +243,17 @@
     return lastAnswerMicros;
   }
 
+  /**
+   * Until when a former owner may have let it renew its lease; far in the past if there was none.
+   */
+  public long renewedElsewhereMicros() {
+    return renewedElsewhereMicros;
+  }
+
+  public void renewedElsewhere(long untilMicros) {
+    renewedElsewhereMicros = Math.max(renewedElsewhereMicros, untilMicros);
+  }
+
   public void answered(long nowMicros) {
     lastAnswerMicros = nowMicros;
     answeredToken = token;
@@ -249,6 +280,29 @@
     accounted = true;
   }
 
+  /** It has changed hands: what may run on it has to be found out anew. */
+  public void unaccount() {
+    accounted = false;
+  }
+
+  /** True while it is being given to another cell: nothing is started on it. */
+  public boolean offered() {
+    return offered;
+  }
+
+  public void offered(boolean now) {
+    offered = now;
+  }
+
+  /** What tasks of other cells hold of it. */
+  public GuestLoad guests() {
+    return guests;
+  }
+
+  public void guests(GuestLoad now) {
+    guests = now;
+  }
+
   /** A report of the machine arrived. */
   public void heardAt(WorkerReport report, long nowMicros, boolean own) {
     if (report.tenure() > tenure) {
@@ -264,6 +318,11 @@
     reclaimAtMicros = report.noticed() ? nowMicros + (long) (report.reclaimInS() * 1e6) : -1;
   }
 
+  /** The session in which it was last known to another leader. */
+  public void session(long tenureThen) {
+    tenure = Math.max(tenure, tenureThen);
+  }
+
   /** When the cloud takes it away, or -1. */
   public long reclaimAtMicros() {
     return reclaimAtMicros;
@@ -334,8 +393,19 @@
     attempts.remove(attempt.id());
   }
 
+  /** True while a task may be on it, also one of another cell. */
   public boolean running() {
-    return live > 0;
+    return live > 0 || guests.tasks() > 0;
+  }
+
+  /** How many tasks of this cell may be on it. */
+  public int liveAttempts() {
+    return live;
+  }
+
+  /** True once every attempt that was ever on it has been forgotten. */
+  public boolean hasNoAttempts() {
+    return attempts.isEmpty();
   }
 
   /** Observed run time over the planned one; 1 for a machine as fast as its type. */
--- /dev/null
+++ b/src/main/java/plumlever/http/PoolRequests.java
@@ -0,0 +1,61 @@
+package plumlever.http;
+
+import java.nio.charset.StandardCharsets;
+import plumlever.leader.Leader;
+import plumlever.wire.ForwardedRequest;
+import plumlever.wire.HttpStatus;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.RelayedReport;
+
+/** Requests that controllers of different cells of a pool make of each other. */
+public final class PoolRequests {
+  /** Where reports of machines are passed on to the cells whose tasks are on them. */
+  public static final String RELAY = "/relay";
+
+  public static final String FORWARD = ForwardedRequest.PATH;
+
+  private PoolRequests() {}
+
+  /**
+   * Takes what another cell's leader passes on.
+   *
+   * @param leader null where this controller does not lead
+   */
+  public static void relay(byte[] body, Leader leader, Responder out) {
+    if (leader == null) {
+      out.later(HttpStatus.UNAVAILABLE, "does not lead", 1);
+      return;
+    }
+    try {
+      leader.relayed(RelayedReport.parse(body), out);
+    } catch (InvalidMessage e) {
+      out.error(HttpStatus.BAD_REQUEST, e.getMessage());
+    }
+  }
+
+  /** Answers a user of another cell's controller; such a request goes no further. */
+  public static void forwarded(byte[] body, RequestRouter router, Responder out) {
+    ForwardedRequest request;
+    try {
+      request = ForwardedRequest.parse(body);
+    } catch (InvalidMessage e) {
+      out.error(HttpStatus.BAD_REQUEST, e.getMessage());
+      return;
+    }
+    router.handle(
+        request.method(),
+        request.path(),
+        request.body().getBytes(StandardCharsets.UTF_8),
+        new Responder() {
+          @Override
+          public void send(int status, String json, int retryAfterS) {
+            out.send(status, json, retryAfterS);
+          }
+
+          @Override
+          public boolean forwarded() {
+            return true;
+          }
+        });
+  }
+}
--- a/src/main/java/plumlever/http/RequestRouter.java
+++ b/src/main/java/plumlever/http/RequestRouter.java
@@ -50,8 +50,8 @@
    */
   public record StandInHalts(List<Order> halts, long knownMicros) {}
 
-  private static final String JOBS = "/submissions";
-  private static final String ABORT = "/abort";
+  static final String JOBS = "/submissions";
+  static final String ABORT = "/abort";
 
   private final Loop clock;
   private final UserApi users;
--- a/src/main/java/plumlever/http/Responder.java
+++ b/src/main/java/plumlever/http/Responder.java
@@ -7,6 +7,11 @@
    */
   void send(int status, String json, int retryAfterS);
 
+  /** True for a request that another cell's controller passed on: it is answered here or not. */
+  default boolean forwarded() {
+    return false;
+  }
+
   /** The connection ends with the answer, so that its user finds another node. */
   default void closing() {}
 
--- a/src/main/java/plumlever/http/Server.java
+++ b/src/main/java/plumlever/http/Server.java
@@ -31,7 +31,7 @@
   private static final int BACKLOG = 8 * 1024;
 
   /** From this part of the connections on they are short. */
-  private static final double CROWDED = 0.9;
+  public static final double CROWDED = 0.9;
 
   private static final int PARSE_MS = 10_000;
 
--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -1,8 +1,10 @@
 package plumlever.http;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import plumlever.cloud.PriceBook;
 import plumlever.concurrent.Loop;
@@ -13,6 +15,7 @@
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
+import plumlever.wire.ForwardedRequest;
 import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.JobSpec;
@@ -34,8 +37,12 @@
 
     /** True when the state service serves others but not this node. */
     boolean alone();
+
+    /** True when this node may not answer for the jobs in the state service. */
+    boolean barred();
   }
 
+  private static final String JOBS = RequestRouter.JOBS;
   private static final int MOST_AT_ONCE = 256;
   private static final int RETRY_AFTER_S = 1;
   private static final long AGAIN_MICROS = 150_000;
@@ -50,6 +57,7 @@
   private final Set<String> teams = new HashSet<>();
   private final List<Platform.Team> limits;
   private final JobRecordCache jobRecords;
+  private final Optional<JobForwarder> otherCells;
   private final DependencyLists lists;
   private int open;
 
@@ -62,7 +70,9 @@
       PriceBook prices,
       Platform platform,
       Metrics metrics,
-      LeaderView leaderView) {
+      LeaderView leaderView,
+      Optional<JobForwarder> otherCells) {
+    this.otherCells = otherCells;
     this.loop = loop;
     this.store = store;
     this.jobRecords = jobRecords;
@@ -75,31 +85,53 @@
     limits.forEach(t -> teams.add(t.name()));
   }
 
+  /** A request that is being answered, as it came in. */
+  private final class Admitted implements Responder {
+    private final String kind;
+    private final ForwardedRequest request;
+    private final Responder out;
+    private final long sinceMicros = loop.nowMicros();
+
+    Admitted(String kind, ForwardedRequest request, Responder out) {
+      this.kind = kind;
+      this.request = request;
+      this.out = out;
+    }
+
+    @Override
+    public void send(int status, String json, int retryAfterS) {
+      open--;
+      metrics.time(kind, loop.nowMicros() - sinceMicros);
+      if (status >= HttpStatus.SERVER_ERRORS || status == HttpStatus.TOO_MANY_REQUESTS) {
+        metrics.count(kind + "_refused");
+      }
+      out.send(status, json, retryAfterS);
+    }
+
+    @Override
+    public void closing() {
+      out.closing();
+    }
+
+    @Override
+    public boolean forwarded() {
+      return out.forwarded();
+    }
+  }
+
   /** Counts a request while it is open; too many at once are turned away. */
-  private Responder admit(String kind, Responder out) {
+  private Admitted admit(String kind, ForwardedRequest request, Responder out) {
+    if (leaderView.barred()) {
+      out.later(HttpStatus.UNAVAILABLE, "this controller lacks the sharing file", RETRY_AFTER_S);
+      return null;
+    }
     if (open >= MOST_AT_ONCE) {
       metrics.count("users_turned_away");
       out.later(HttpStatus.UNAVAILABLE, "too many requests", RETRY_AFTER_S);
       return null;
     }
     open++;
-    long since = loop.nowMicros();
-    return new Responder() {
-      @Override
-      public void send(int status, String json, int retryAfterS) {
-        open--;
-        metrics.time(kind, loop.nowMicros() - since);
-        if (status >= 500 || status == HttpStatus.TOO_MANY_REQUESTS) {
-          metrics.count(kind + "_refused");
-        }
-        out.send(status, json, retryAfterS);
-      }
-
-      @Override
-      public void closing() {
-        out.closing();
-      }
-    };
+    return new Admitted(kind, request, out);
   }
 
   /**
@@ -128,7 +160,8 @@
       raw.error(HttpStatus.BAD_REQUEST, e.getMessage());
       return;
     }
-    Responder out = admit("submit", raw);
+    String text = new String(body, StandardCharsets.UTF_8);
+    Admitted out = admit("submit", new ForwardedRequest("POST", JOBS, text), raw);
     if (out == null) {
       return;
     }
@@ -184,7 +217,7 @@
    * guarded for it; and whether one of them is cancelled meanwhile is found out after this one is
    * stored, from the records of all that it waits on.
    */
-  private void afterOthers(JobSpec spec, JobStore.Acceptance acceptance, Responder out) {
+  private void afterOthers(JobSpec spec, JobStore.Acceptance acceptance, Admitted out) {
     if (spec.waitsOn().contains(spec.uid())) {
       ifUnknown(
           spec.uid(),
@@ -198,14 +231,18 @@
           if (unknown == null) {
             unavailable(out);
           } else if (!unknown.isEmpty()) {
+            String name = unknown.iterator().next();
             ifUnknown(
                 spec.uid(),
                 out,
                 () ->
-                    out.error(
-                        HttpStatus.UNPROCESSABLE,
-                        "waits_on names a job that was never accepted: "
-                            + unknown.iterator().next()));
+                    ifNowhere(
+                        name,
+                        out,
+                        () ->
+                            out.error(
+                                HttpStatus.UNPROCESSABLE,
+                                "waits_on names a job that was never accepted: " + name)));
           } else {
             storeList(spec, acceptance, out);
           }
@@ -213,7 +250,7 @@
   }
 
   /** Stores the names that do not fit the job's record, then accepts it. */
-  private void storeList(JobSpec spec, JobStore.Acceptance acceptance, Responder out) {
+  private void storeList(JobSpec spec, JobStore.Acceptance acceptance, Admitted out) {
     if (!acceptance.hasList()) {
       accept(spec, acceptance.txn(), out, TRIES);
       return;
@@ -248,7 +285,7 @@
    * Accepted means stored: 201 only once the transaction that creates the record has been carried
    * out.
    */
-  private void accept(JobSpec spec, Txn txn, Responder out, int tries) {
+  private void accept(JobSpec spec, Txn txn, Admitted out, int tries) {
     String uid = spec.uid();
     store.txn(
         txn,
@@ -293,25 +330,48 @@
   }
 
   /** The record decides; if it can't be read or is not there yet, the user asks again. */
-  private void known(String uid, Responder out) {
+  private void known(String uid, Admitted out) {
     jobRecords.look(
         uid,
         look -> {
           if (look.found()) {
             out.send(HttpStatus.OK, describe(uid, look));
+          } else if (look.standing() == JobRecordCache.Presence.MISSING) {
+            ifNowhere(uid, out, () -> unavailable(out));
           } else {
             unavailable(out);
           }
         });
   }
 
-  private void ifUnknown(String uid, Responder out, Runnable refuse) {
+  /** Where another cell has the job, that cell answers the request. */
+  private void ifNowhere(String uid, Admitted out, Runnable refuse) {
+    if (otherCells.isEmpty() || out.forwarded()) {
+      refuse.run();
+      return;
+    }
+    JobForwarder forwarder = otherCells.get();
+    forwarder.find(
+        uid,
+        location -> {
+          switch (location.presence()) {
+            case NOWHERE -> refuse.run();
+            case UNAVAILABLE -> unavailable(out);
+            case IN_CELL -> {
+              metrics.count("users_forwarded");
+              forwarder.forward(location.cell().orElseThrow(), out.request, out);
+            }
+          }
+        });
+  }
+
+  private void ifUnknown(String uid, Admitted out, Runnable refuse) {
     jobRecords.look(
         uid,
         look -> {
           switch (look.standing()) {
             case ACTIVE, ENDED -> out.send(HttpStatus.OK, describe(uid, look));
-            case MISSING -> refuse.run();
+            case MISSING -> ifNowhere(uid, out, refuse);
             case UNAVAILABLE -> unavailable(out);
           }
         });
@@ -336,7 +396,7 @@
 
   /** Answers how a job stands. */
   public void poll(String uid, Responder raw) {
-    Responder out = admitKnown("poll", uid, raw);
+    Admitted out = admitKnown("poll", new ForwardedRequest("GET", JOBS + "/" + uid, ""), uid, raw);
     if (out != null) {
       ifUnknown(uid, out, () -> out.error(HttpStatus.NOT_FOUND, "no such job"));
     }
@@ -345,7 +405,7 @@
   /**
    * Null when the answer has been given: no such id, an end that is known, or too many requests.
    */
-  private Responder admitKnown(String kind, String uid, Responder raw) {
+  private Admitted admitKnown(String kind, ForwardedRequest request, String uid, Responder raw) {
     if (!JobSpec.validUid(uid)) {
       raw.error(HttpStatus.NOT_FOUND, "no such job");
       return null;
@@ -355,23 +415,26 @@
       raw.send(HttpStatus.OK, state(uid, how, null));
       return null;
     }
-    return admit(kind, raw);
+    return admit(kind, request, raw);
   }
 
   /** Cancels a job, unless it is done already. */
   public void abort(String uid, Responder raw) {
-    Responder out = admitKnown("abort", uid, raw);
+    ForwardedRequest request =
+        new ForwardedRequest("POST", JOBS + "/" + uid + RequestRouter.ABORT, "");
+    Admitted out = admitKnown("abort", request, uid, raw);
     if (out != null) {
       abort(uid, out, TRIES);
     }
   }
 
-  private void abort(String uid, Responder out, int tries) {
+  private void abort(String uid, Admitted out, int tries) {
     jobRecords.look(
         uid,
         look -> {
           switch (look.standing()) {
-            case MISSING -> out.error(HttpStatus.NOT_FOUND, "no such job");
+            case MISSING ->
+                ifNowhere(uid, out, () -> out.error(HttpStatus.NOT_FOUND, "no such job"));
             case UNAVAILABLE -> unavailable(out);
             case ENDED -> {
               if (look.how() == JobState.ABORTED) {
@@ -390,7 +453,7 @@
         });
   }
 
-  private void end(String uid, long stamp, Responder out, int tries) {
+  private void end(String uid, long stamp, Admitted out, int tries) {
     store.txn(
         layout.end(uid, stamp, JobState.ABORTED, loop.wallMicros(), List.of()),
         StateClient.Class.URGENT,
--- a/src/main/java/plumlever/leader/Context.java
+++ b/src/main/java/plumlever/leader/Context.java
@@ -1,5 +1,6 @@
 package plumlever.leader;
 
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -12,6 +13,7 @@
 import plumlever.metrics.Logs;
 import plumlever.metrics.Metrics;
 import plumlever.settings.Platform;
+import plumlever.settings.SharingSettings;
 import plumlever.settings.Tunables;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
@@ -24,6 +26,7 @@
  * @param latenessMicros how late this thread was lately: what can wait makes way
  * @param moneyMatters whether to save money where the aims leave time; asked for each machine of
  *     each round
+ * @param sharing how the machines of a pool are shared, if this is one of its cells
  * @param workersElsewhere how many workers report to another controller, by what the others tell
  */
 public record Context(
@@ -42,7 +45,8 @@
     Reader reader,
     LongSupplier latenessMicros,
     Logs logs,
-    boolean moneyMatters) {
+    boolean moneyMatters,
+    Optional<SharingSettings> sharing) {
 
   /** Lists keys on another thread than the one that decides. */
   public interface Reader {
--- /dev/null
+++ b/src/main/java/plumlever/leader/GuestBook.java
@@ -0,0 +1,306 @@
+package plumlever.leader;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.slf4j.Logger;
+import plumlever.fleet.GuestLoad;
+import plumlever.fleet.Machine;
+import plumlever.settings.Endpoint;
+import plumlever.settings.Platform;
+import plumlever.settings.SharingSettings;
+import plumlever.sharing.GuestTask;
+import plumlever.sharing.PoolView;
+import plumlever.sharing.TransferRecord;
+import plumlever.wire.HttpStatus;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Order;
+import plumlever.wire.RelayedReport;
+import plumlever.wire.TaskStatus;
+import plumlever.wire.WorkerReport;
+
+/**
+ * Tasks of other cells on this cell's machines. Their home alone decides about them: what the
+ * machine tells of them is passed on to it, and what it answers is carried out with the next answer
+ * to the machine. While the home is silent they run on, and their ends stay with the worker.
+ */
+final class GuestBook {
+  /** Where controllers take what is passed on to them. */
+  static final String PATH = "/relay";
+
+  private static final long TIMEOUT_MICROS = 2_000_000;
+  private static final long LEAST_PAUSE_MICROS = 900_000;
+
+  /** The guests of one home on one machine. */
+  private static final class Guests {
+    /** All attempts that the home may have on the machine, also those that are over. */
+    private final Map<Long, GuestTask> tasks = new LinkedHashMap<>();
+
+    private boolean calling;
+    private long calledMicros = Long.MIN_VALUE / 4;
+    private WorkerReport lastReport;
+    private boolean lapsed;
+    private boolean lapseTold;
+  }
+
+  /** All guests of one machine. */
+  private static final class Lodging {
+    private final Machine machine;
+    private final Map<String, Guests> byHome = new LinkedHashMap<>();
+    private final Map<Long, Order> orders = new HashMap<>();
+    private final Set<Long> ended = new HashSet<>();
+
+    Lodging(Machine machine) {
+      this.machine = machine;
+    }
+  }
+
+  private final Logger log;
+  private final Context context;
+  private final SharingSettings sharing;
+  private final PoolView view;
+  private final Map<String, Lodging> lodgings = new LinkedHashMap<>();
+  private final Map<String, HomeWatch> homes = new HashMap<>();
+  private boolean closed;
+
+  GuestBook(Context context, SharingSettings sharing, PoolView view) {
+    this.context = context;
+    this.log = context.logs().of(GuestBook.class);
+    this.sharing = sharing;
+    this.view = view;
+  }
+
+  /** The record of a machine of this cell: homes come with a transfer and leave when settled. */
+  void update(Machine machine, TransferRecord record) {
+    Lodging lodging = lodgings.computeIfAbsent(machine.id(), id -> new Lodging(machine));
+    record
+        .homes()
+        .forEach(
+            (home, tasks) -> {
+              if (!home.equals(sharing.own().name()) && !lodging.byHome.containsKey(home)) {
+                Guests guests = new Guests();
+                tasks.forEach(task -> guests.tasks.put(task.attempt(), task));
+                lodging.byHome.put(home, guests);
+                tasks.forEach(task -> watch(home).watch(task.task().job()));
+              }
+            });
+    lodging.byHome.keySet().retainAll(record.homes().keySet());
+    settleLoad(lodging);
+    if (lodging.byHome.isEmpty()) {
+      remove(machine);
+    }
+  }
+
+  /** The machine has no guests any more, or is not this cell's. */
+  void remove(Machine machine) {
+    if (lodgings.remove(machine.id()) != null) {
+      machine.guests(GuestLoad.NONE);
+      tidyWatches();
+    }
+  }
+
+  private HomeWatch watch(String home) {
+    return homes.computeIfAbsent(home, name -> new HomeWatch(context, sharing.cell(name).prefix()));
+  }
+
+  private void tidyWatches() {
+    homes.forEach(
+        (home, watch) ->
+            watch.keepOnly(
+                lodgings.values().stream()
+                    .filter(lodging -> lodging.byHome.containsKey(home))
+                    .flatMap(lodging -> lodging.byHome.get(home).tasks.values().stream())
+                    .map(task -> task.task().job())
+                    .collect(Collectors.toSet())));
+  }
+
+  boolean isGuest(Machine machine, long attempt) {
+    Lodging lodging = lodgings.get(machine.id());
+    return lodging != null
+        && lodging.byHome.values().stream().anyMatch(guests -> guests.tasks.containsKey(attempt));
+  }
+
+  /** A report of the machine was taken in. */
+  void reported(Machine machine, WorkerReport report) {
+    Lodging lodging = lodgings.get(machine.id());
+    if (lodging == null) {
+      return;
+    }
+    Set<Long> listed = new HashSet<>();
+    lodging.ended.clear();
+    for (WorkerReport.Piece piece : report.pieces()) {
+      listed.add(piece.attempt());
+      if (piece.status() == TaskStatus.ENDED) {
+        lodging.ended.add(piece.attempt());
+      }
+    }
+    if (machine.hasSeen(report.baton())) {
+      // What a former owner ordered can't come any more: what is not on the machine is over.
+      lodging.byHome.values().forEach(guests -> guests.tasks.keySet().retainAll(listed));
+    }
+    lodging.orders.keySet().retainAll(listed);
+    settleLoad(lodging);
+    if (machine.hasSeen(report.baton())) {
+      lodging.byHome.forEach((home, guests) -> relay(lodging, home, guests, report, false));
+    }
+  }
+
+  private static void settleLoad(Lodging lodging) {
+    int count = 0;
+    double cores = 0;
+    double accelerators = 0;
+    double memoryGb = 0;
+    for (Guests guests : lodging.byHome.values()) {
+      for (GuestTask task : guests.tasks.values()) {
+        if (!guests.lapsed && !lodging.ended.contains(task.attempt())) {
+          count++;
+          cores += task.cores();
+          accelerators += task.accelerators();
+          memoryGb += task.memoryGb();
+        }
+      }
+    }
+    lodging.machine.guests(new GuestLoad(count, cores, accelerators, memoryGb));
+  }
+
+  /** The machine's lease has surely lapsed, so its tasks are dead: their homes are told. */
+  void lapsed(Machine machine) {
+    Lodging lodging = lodgings.get(machine.id());
+    if (lodging == null) {
+      return;
+    }
+    lodging.byHome.forEach(
+        (home, guests) -> {
+          guests.lapsed = true;
+          if (guests.lastReport != null && !guests.lapseTold) {
+            relay(lodging, home, guests, guests.lastReport, true);
+          }
+        });
+    settleLoad(lodging);
+  }
+
+  private void relay(
+      Lodging lodging, String home, Guests guests, WorkerReport report, boolean lapsed) {
+    long now = context.loop().nowMicros();
+    guests.lastReport = report;
+    guests.lapsed = lapsed;
+    Optional<Endpoint> leader = leaderOf(home);
+    if (closed
+        || guests.calling
+        || leader.isEmpty()
+        || now - guests.calledMicros < LEAST_PAUSE_MICROS
+        || !context.term().mayAct()) {
+      return;
+    }
+    guests.calling = true;
+    guests.calledMicros = now;
+    List<WorkerReport.Piece> pieces =
+        report.pieces().stream()
+            .filter(piece -> guests.tasks.containsKey(piece.attempt()))
+            .toList();
+    RelayedReport message =
+        new RelayedReport(
+            sharing.own().name(),
+            home,
+            lodging.machine.tokenTerm(),
+            lapsed,
+            RelayedReport.only(report, lapsed ? List.of() : pieces));
+    context
+        .caller()
+        .call(
+            leader.get(),
+            "POST",
+            PATH,
+            message.write(),
+            TIMEOUT_MICROS,
+            (status, body) -> {
+              guests.calling = false;
+              if (!closed && status == HttpStatus.OK) {
+                guests.lapseTold = lapsed;
+                take(lodging, guests, body);
+              }
+            });
+  }
+
+  private Optional<Endpoint> leaderOf(String home) {
+    return view.leader(home)
+        .flatMap(
+            label ->
+                context.platform().seeds().stream()
+                    .filter(seed -> seed.label().equals(label))
+                    .findFirst())
+        .map(Platform.Seed::endpoint);
+  }
+
+  private void take(Lodging lodging, Guests guests, byte[] body) {
+    try {
+      for (Order order : Order.parseAnswer(body)) {
+        if (order.verb() != Order.Verb.RUN && guests.tasks.containsKey(order.attempt())) {
+          lodging.orders.put(order.attempt(), order);
+        }
+      }
+    } catch (InvalidMessage e) {
+      log.warn(
+          "a home's answer can't be read: {}: {}",
+          new String(body, StandardCharsets.UTF_8),
+          e.getMessage());
+    }
+  }
+
+  /** True unless a cancellation could be outlived that the home of a running guest confirmed. */
+  boolean mayRenew(Machine machine) {
+    Lodging lodging = lodgings.get(machine.id());
+    if (lodging == null) {
+      return true;
+    }
+    for (Map.Entry<String, Guests> entry : lodging.byHome.entrySet()) {
+      boolean running =
+          entry.getValue().tasks.keySet().stream()
+              .anyMatch(attempt -> !lodging.ended.contains(attempt));
+      if (running && !watch(entry.getKey()).mayRenew()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** What the homes want, and halts of jobs whose end is on record. */
+  List<Order> orders(Machine machine, WorkerReport report) {
+    Lodging lodging = lodgings.get(machine.id());
+    if (lodging == null) {
+      return List.of();
+    }
+    List<Order> orders = new ArrayList<>();
+    boolean current = machine.hasSeen(report.baton());
+    for (WorkerReport.Piece piece : report.pieces()) {
+      Order order = lodging.orders.get(piece.attempt());
+      boolean over = piece.status() == TaskStatus.ENDED;
+      if (!over && jobHasEnded(lodging, piece)) {
+        orders.add(Order.halt(piece.task(), piece.attempt(), 0));
+      } else if (order != null && (order.verb() == Order.Verb.REAP ? over && current : !over)) {
+        orders.add(order);
+      }
+    }
+    return orders;
+  }
+
+  private boolean jobHasEnded(Lodging lodging, WorkerReport.Piece piece) {
+    return lodging.byHome.entrySet().stream()
+        .anyMatch(
+            entry ->
+                entry.getValue().tasks.containsKey(piece.attempt())
+                    && watch(entry.getKey()).hasEnded(piece.task().job()));
+  }
+
+  void close() {
+    closed = true;
+    homes.values().forEach(HomeWatch::close);
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/leader/HomeWatch.java
@@ -0,0 +1,161 @@
+package plumlever.leader;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.slf4j.Logger;
+import plumlever.election.RenewalLimit;
+import plumlever.store.JobStore;
+import plumlever.store.KeySpace;
+import plumlever.store.StateClient;
+import plumlever.wire.HttpStatus;
+
+/**
+ * Which jobs of another cell have ended whose tasks are guests here, read from the state service:
+ * the leases of their machines are renewed only while a cancellation confirmed by that cell would
+ * be known in time.
+ */
+final class HomeWatch {
+  private static final long RETRY_MICROS = 300_000;
+
+  private final Logger log;
+  private final Context context;
+  private final String prefix;
+  private final RenewalLimit limit;
+  private final Set<String> watched = new HashSet<>();
+  private final Set<String> unread = new HashSet<>();
+  private final Set<String> ended = new HashSet<>();
+  private long epoch = -1;
+  private long knownMicros = Long.MIN_VALUE / 4;
+  private boolean following;
+  private boolean closed;
+
+  /**
+   * @param cellPrefix of the other cell's keys
+   */
+  HomeWatch(Context context, String cellPrefix) {
+    this.context = context;
+    this.log = context.logs().of(HomeWatch.class);
+    this.prefix = KeySpace.absolute(cellPrefix, JobStore.ACTIVE);
+    this.limit = new RenewalLimit(context.platform().workers());
+  }
+
+  /** Tasks of the job are guests here. */
+  void watch(String uid) {
+    if (!watched.add(uid)) {
+      return;
+    }
+    unread.add(uid);
+    if (!following) {
+      following = true;
+      begin();
+    } else if (epoch >= 0) {
+      readJob(uid);
+    }
+  }
+
+  /** No task of these jobs is a guest any more. */
+  void keepOnly(Set<String> uids) {
+    watched.retainAll(uids);
+    unread.retainAll(uids);
+    ended.retainAll(uids);
+  }
+
+  /** True once the record says that the job has ended. */
+  boolean hasEnded(String uid) {
+    return ended.contains(uid);
+  }
+
+  /** True while an end that is not known here can't come to its limit before a lease does. */
+  boolean mayRenew() {
+    return unread.isEmpty() && limit.mayRenew(context.loop().nowMicros(), knownMicros);
+  }
+
+  /** The revision is asked for first: what ends after it is followed, what ended before is read. */
+  private void begin() {
+    if (closed) {
+      return;
+    }
+    long sent = context.loop().nowMicros();
+    context
+        .store()
+        .epoch(
+            now -> {
+              if (closed) {
+                return;
+              }
+              if (now < 0) {
+                context.loop().after(RETRY_MICROS, this::begin);
+                return;
+              }
+              epoch = now;
+              knownMicros = sent;
+              unread.addAll(watched);
+              Set.copyOf(unread).forEach(this::readJob);
+              follow();
+            });
+  }
+
+  private void readJob(String uid) {
+    context
+        .store()
+        .get(
+            prefix + uid,
+            StateClient.Class.ORDINARY,
+            got -> {
+              if (closed || !unread.contains(uid)) {
+                return;
+              }
+              if (got.found()) {
+                unread.remove(uid);
+              } else if (got.missing()) {
+                unread.remove(uid);
+                ended.add(uid);
+              } else {
+                context.loop().after(RETRY_MICROS, () -> readJob(uid));
+              }
+            });
+  }
+
+  private void follow() {
+    if (closed) {
+      return;
+    }
+    if (watched.isEmpty()) {
+      following = false;
+      epoch = -1;
+      return;
+    }
+    long sent = context.loop().nowMicros();
+    context
+        .store()
+        .follow(
+            prefix,
+            epoch,
+            limit.watchMicros(),
+            changes -> {
+              if (closed) {
+                return;
+              }
+              if (changes.status() == HttpStatus.GONE) {
+                log.debug("changes of {} were missed, all guests' jobs are read anew", prefix);
+                begin();
+              } else if (changes.status() != HttpStatus.OK) {
+                context.loop().after(RETRY_MICROS, this::follow);
+              } else {
+                epoch = Math.max(epoch, changes.epoch());
+                knownMicros = sent;
+                for (StateClient.Change change : changes.log()) {
+                  String uid = change.key().substring(prefix.length());
+                  if (change.data() == null && watched.contains(uid)) {
+                    ended.add(uid);
+                  }
+                }
+                follow();
+              }
+            });
+  }
+
+  void close() {
+    closed = true;
+  }
+}
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -14,10 +14,12 @@
 import plumlever.fleet.Machine;
 import plumlever.fleet.RegistrationState;
 import plumlever.http.Responder;
+import plumlever.sharing.PoolView;
 import plumlever.store.JobStore;
 import plumlever.wire.HttpStatus;
 import plumlever.wire.JobState;
 import plumlever.wire.Order;
+import plumlever.wire.RelayedReport;
 import plumlever.wire.WorkerReport;
 
 /**
@@ -56,6 +58,7 @@
   private final RecurringTask rounds;
   private final EarlyReports early;
   private final DependencyListCleanup lists;
+  private final MachineSharing sharing;
   private boolean loaded;
   private boolean due = true;
 
@@ -68,22 +71,44 @@
     this.startedJobs = new StartedJobIndex(context, this::recorded);
     this.jobs = new ActiveJobs(context, startedJobs, this::changed);
     this.records = new StoredRecords(context);
-    this.takeover = new Takeover(context, fleet);
+    this.takeover = new Takeover(context, fleet, this::sharing);
     this.progress = new ProgressWriter(context, jobs);
-    this.reports = new ReportHandler(context, fleet, jobs, estimates, takeover, progress, term);
+    this.reports =
+        new ReportHandler(context, fleet, jobs, estimates, takeover, progress, this::sharing);
     this.pass = new SchedulingPass(context, fleet, jobs, startedJobs, estimates, takeover);
     jobs.costs(pass::costMicros);
     this.commands = new CommandSender(context, pass, reports, this::changed);
     this.registry = new MachineRegistry(context, this::changed);
+    this.sharing =
+        context
+            .sharing()
+            .<MachineSharing>map(
+                settings ->
+                    new PoolSharing(
+                        context,
+                        settings,
+                        fleet,
+                        jobs,
+                        registry,
+                        reports,
+                        pass,
+                        takeover,
+                        commands,
+                        this::changed))
+            .orElse(MachineSharing.NONE);
     this.machines =
         new MachineManager(
-            context, fleet, registry, pass, reports, commands, takeover, this::changed);
+            context, fleet, registry, pass, reports, commands, takeover, sharing, this::changed);
     this.hints = new SuccessorHints(context, fleet, estimates);
     this.early = new EarlyReports(context.loop(), context.platform().socketLimit());
     this.lists = new DependencyListCleanup(context, jobs);
     this.rounds = new RecurringTask("rounds", context.loop(), this::roundTurn);
   }
 
+  private MachineSharing sharing() {
+    return sharing;
+  }
+
   /** True while this leader's own term lasts. */
   public boolean mayAct() {
     return context.term().mayAct();
@@ -97,6 +122,9 @@
     registry.load(found.under(JobStore.FLEET).items(), fleet);
     hints.load(found.under(JobStore.HINTS).items());
     jobs.load(found);
+    if (sharing.inPool()) {
+      sharing.loaded(found.under(PoolView.PREFIX), found.askedMicros());
+    }
     loaded = true;
     takeover.loaded();
     progress.loaded();
@@ -114,6 +142,7 @@
         takeover.open().size(),
         (context.loop().nowMicros() - takeover.startedMicros()) / 1_000);
     early.release(this::report);
+    scope.own(sharing::close);
     scope.own(jobs::close);
     scope.own(startedJobs::close);
     scope.own(progress::close);
@@ -225,7 +254,10 @@
       out.later(HttpStatus.UNAVAILABLE, "not in office", 1);
       return;
     }
-    if (Fleet.termOf(report.baton()) > term) {
+    if (sharing.answered(report, out)) {
+      return;
+    }
+    if (!sharing.inPool() && Fleet.termOf(report.baton()) > term) {
       // Somebody holds a later term, so this one is over whatever this node believes.
       context
           .election()
@@ -290,7 +322,9 @@
     if (news == ReportHandler.News.NEWS) {
       notice(machine, report, now);
     }
-    if (!jobs.mayRenew() && reports.holdsOpenTasks(report)) {
+    sharing.reported(machine, report);
+    boolean endsKnown = jobs.mayRenew() || !reports.holdsOpenTasks(report);
+    if (!endsKnown || !sharing.mayRenew(machine)) {
       // A cancellation confirmed by another controller may not be known here, and would be outlived
       // by the lease.
       context.metrics().count("renewals_refused");
@@ -298,8 +332,9 @@
       return;
     }
     List<Order> orders = reports.standing(machine, report);
+    orders.addAll(sharing.guestOrders(machine, report));
     if (news == ReportHandler.News.NEWS
-        && Fleet.termOf(report.baton()) == term
+        && machine.hasSeen(report.baton())
         && pass.hasPlan(machine)
         && pass.recorded(machine)
         && !machine.unsettled()) {
@@ -336,6 +371,11 @@
     }
   }
 
+  /** Another cell's leader passes on what a machine of its tells of this cell's tasks. */
+  public void relayed(RelayedReport relayed, Responder out) {
+    sharing.relayed(relayed, out);
+  }
+
   /** True once nothing that earlier leaders started is unknown. */
   public boolean tookOver() {
     return takeover.complete();
--- a/src/main/java/plumlever/leader/MachineManager.java
+++ b/src/main/java/plumlever/leader/MachineManager.java
@@ -82,6 +82,7 @@
   private final CommandSender commands;
   private final RenewalDelegation delegation;
   private final Takeover takeover;
+  private final MachineSharing sharing;
   private final RentalPlan plan;
   private final Runnable changed;
   private final Map<RentalPlan.Kind, Long> shortUntil = new HashMap<>();
@@ -120,7 +121,9 @@
       ReportHandler reports,
       CommandSender commands,
       Takeover takeover,
+      MachineSharing sharing,
       Runnable changed) {
+    this.sharing = sharing;
     this.context = context;
     this.log = context.logs().of(MachineManager.class);
     this.fleet = fleet;
@@ -202,7 +205,7 @@
               listedMicros = now;
               context.metrics().count("lists_read");
               for (HostEntry hostEntry : hosts) {
-                if (deleted.contains(hostEntry.uid())) {
+                if (deleted.contains(hostEntry.uid()) || !sharing.isOwn(hostEntry)) {
                   continue;
                 }
                 Machine machine = fleet.machine(hostEntry.uid());
@@ -215,6 +218,7 @@
                           hostEntry.site(),
                           hostEntry.loaners(),
                           now - (long) (hostEntry.ageS() * 1e6));
+                  machine.returning(sharing.mustReturn(hostEntry.uid()));
                   fleet.add(machine);
                 }
                 machine.learnEndpoint(hostEntry.endpoint());
@@ -233,7 +237,8 @@
     long stoodIn =
         Math.max(takeover.loadedMicros(), delegation.endedMicros(machine.site()))
             + DelegatedRenewal.VALID_MICROS;
-    long renewed = Math.max(stoodIn, machine.lastAnswerMicros());
+    long renewed =
+        Math.max(Math.max(stoodIn, machine.renewedElsewhereMicros()), machine.lastAnswerMicros());
     return renewed
         + (long) (context.platform().workers().leaseMicros() * (1 + DRIFT))
         + LAPSE_MARGIN_MICROS;
@@ -279,6 +284,7 @@
       if (now >= lapsesAt(machine)) {
         boolean lost = machine.running();
         reports.endSessionsBefore(machine, Long.MAX_VALUE);
+        sharing.lapsed(machine);
         if (lost) {
           log.info("the lease of {} has lapsed", machine.id());
           changed.run();
@@ -440,6 +446,14 @@
       return;
     }
     returningNow = true;
+    sharing.retire(out, () -> giveBack(out));
+  }
+
+  private void giveBack(List<Machine> out) {
+    if (closed || !context.term().mayAct()) {
+      returningNow = false;
+      return;
+    }
     context
         .cloud()
         .giveBack(
@@ -456,6 +470,7 @@
                 takeover.accounted(machine, "it was returned");
                 registry.remove(machine);
               }
+              sharing.returned(out);
               changed.run();
             });
   }
@@ -567,7 +582,8 @@
     // not rented for twice.
     if (!context.prices().known()
         || !(takeover.complete() || takeover.overdue(now))
-        || pass.finishedMicros() <= sizeChangedMicros) {
+        || pass.finishedMicros() <= sizeChangedMicros
+        || !sharing.mayRent()) {
       return;
     }
     // Machines that are booting are booked already; these are not known by name yet.
@@ -578,6 +594,12 @@
         coming.add(new RentalPlan.Coming(otherOpen.kind, flavor));
       }
     }
+    for (RentalPlan.Kind kind : sharing.coming()) {
+      Flavor flavor = context.prices().flavor(kind.flavor());
+      if (flavor != null) {
+        coming.add(new RentalPlan.Coming(kind, flavor));
+      }
+    }
     for (RentalPlan.Rental rental :
         plan.plan(
             pass.demands(),
@@ -629,18 +651,7 @@
                   context.metrics().count("machines_rented", hosts.size());
                   sizeChangedMicros = now;
                   changed.run();
-                  for (String text : hosts) {
-                    if (fleet.machine(text) == null && !deleted.contains(text)) {
-                      fleet.add(
-                          new Machine(
-                              text,
-                              null,
-                              otherOpen.kind.flavor(),
-                              otherOpen.kind.site(),
-                              otherOpen.kind.spot(),
-                              now));
-                    }
-                  }
+                  sharing.claim(hosts, host -> rented(host, otherOpen.kind, now));
                 }
                 case NO_CAPACITY -> {
                   open.remove(otherOpen);
@@ -657,6 +668,12 @@
             });
   }
 
+  private void rented(String host, RentalPlan.Kind kind, long now) {
+    if (fleet.machine(host) == null && !deleted.contains(host)) {
+      fleet.add(new Machine(host, null, kind.flavor(), kind.site(), kind.spot(), now));
+    }
+  }
+
   void close() {
     closed = true;
   }
--- /dev/null
+++ b/src/main/java/plumlever/leader/MachineSharing.java
@@ -0,0 +1,107 @@
+package plumlever.leader;
+
+import java.util.List;
+import java.util.function.Consumer;
+import plumlever.fleet.Machine;
+import plumlever.http.Responder;
+import plumlever.scaling.RentalPlan;
+import plumlever.settings.Platform;
+import plumlever.sharing.LimitParts;
+import plumlever.store.StateClient;
+import plumlever.wire.HostEntry;
+import plumlever.wire.Order;
+import plumlever.wire.RelayedReport;
+import plumlever.wire.WorkerReport;
+
+/**
+ * What a leader has to know of the pool that its machines belong to. Without a pool all machines
+ * are its own, and nothing is asked or stored.
+ */
+interface MachineSharing {
+  /** A leader that has all machines for itself. */
+  MachineSharing NONE = new MachineSharing() {};
+
+  /** True where this is one cell of a pool. */
+  default boolean inPool() {
+    return false;
+  }
+
+  /** The records of the pool were read after the term had been taken. */
+  default void loaded(StateClient.Listing pool, long askedMicros) {}
+
+  /** True if a machine that the cloud lists is this cell's. */
+  default boolean isOwn(HostEntry listed) {
+    return true;
+  }
+
+  /** True for a machine of this cell that is on record as one to be returned. */
+  default boolean mustReturn(String machine) {
+    return false;
+  }
+
+  /**
+   * Answers the report of a machine that is not this cell's, or that it may not answer now.
+   *
+   * @return true if it has been answered
+   */
+  default boolean answered(WorkerReport report, Responder out) {
+    return false;
+  }
+
+  /** Makes rented machines this cell's own; each is handed on once that is on record. */
+  default void claim(List<String> machines, Consumer<String> own) {
+    machines.forEach(own);
+  }
+
+  /** Has it recorded that these machines are to be returned; then nobody else can own them. */
+  default void retire(List<Machine> machines, Runnable recorded) {
+    recorded.run();
+  }
+
+  /** The machines do not exist any more. */
+  default void returned(List<Machine> machines) {}
+
+  /** True for an attempt of another cell that may be on the machine. */
+  default boolean isGuest(Machine machine, long attempt) {
+    return false;
+  }
+
+  /** A report of the machine was taken in. */
+  default void reported(Machine machine, WorkerReport report) {}
+
+  /**
+   * True unless an answer to the machine could outlive a cancellation that another cell may have
+   * confirmed of one of its tasks there.
+   */
+  default boolean mayRenew(Machine machine) {
+    return true;
+  }
+
+  /** What the cells whose tasks are on the machine want done with them. */
+  default List<Order> guestOrders(Machine machine, WorkerReport report) {
+    return List.of();
+  }
+
+  /** The lease of the machine has surely lapsed. */
+  default void lapsed(Machine machine) {}
+
+  /** Another cell's leader passes on what a machine of its tells of this cell's tasks. */
+  default void relayed(RelayedReport relayed, Responder out) {}
+
+  /** False while what is lacking may still come from other cells. */
+  default boolean mayRent() {
+    return true;
+  }
+
+  /** Machines that are being given to this cell. */
+  default List<RentalPlan.Kind> coming() {
+    return List.of();
+  }
+
+  /** What this cell may use of the team's limit; a resource without a limit has 0. */
+  default LimitParts.Part limit(Platform.Team team) {
+    return new LimitParts.Part(team.cpusMax(), team.gpusMax());
+  }
+
+  default void close() {}
+}
--- /dev/null
+++ b/src/main/java/plumlever/leader/PoolSharing.java
@@ -0,0 +1,285 @@
+package plumlever.leader;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import plumlever.concurrent.RecurringTask;
+import plumlever.concurrent.Scope;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Machine;
+import plumlever.http.Responder;
+import plumlever.scaling.RentalPlan;
+import plumlever.settings.Platform;
+import plumlever.settings.SharingSettings;
+import plumlever.sharing.LimitParts;
+import plumlever.sharing.PoolView;
+import plumlever.sharing.TransferRecord;
+import plumlever.store.StateClient;
+import plumlever.wire.HostEntry;
+import plumlever.wire.HttpStatus;
+import plumlever.wire.Json;
+import plumlever.wire.Order;
+import plumlever.wire.RelayedReport;
+import plumlever.wire.WorkerReport;
+
+/** One cell's part in a pool, for one term of its leader. */
+final class PoolSharing implements MachineSharing {
+  private static final long TURN_MICROS = 500_000;
+
+  private final Logger log;
+  private final Context context;
+  private final SharingSettings sharing;
+  private final Fleet fleet;
+  private final MachineRegistry registry;
+  private final ReportHandler reports;
+  private final Runnable changed;
+  private final Scope scope = new Scope();
+  private final PoolLink link;
+  private final PoolView view;
+  private final PoolWriter writer;
+  private final OwnerClaims claims;
+  private final GuestBook guests;
+  private final TransferDuty transfers;
+  private final LimitDuty limits;
+  private final ShareDuty share;
+  private boolean loaded;
+
+  PoolSharing(
+      Context context,
+      SharingSettings sharing,
+      Fleet fleet,
+      ActiveJobs jobs,
+      MachineRegistry registry,
+      ReportHandler reports,
+      SchedulingPass pass,
+      Takeover takeover,
+      CommandSender commands,
+      Runnable changed) {
+    this.context = context;
+    this.log = context.logs().of(PoolSharing.class);
+    this.sharing = sharing;
+    this.fleet = fleet;
+    this.registry = registry;
+    this.reports = reports;
+    this.changed = changed;
+    this.link = new PoolLink(context, this::recordsChanged);
+    this.view = link.view();
+    this.writer = new PoolWriter(context, link, this::recordsChanged);
+    this.claims = new OwnerClaims(context, sharing, view, writer);
+    this.guests = new GuestBook(context, sharing, view);
+    this.transfers =
+        new TransferDuty(
+            context,
+            sharing,
+            fleet,
+            jobs,
+            reports,
+            registry,
+            pass,
+            link,
+            writer,
+            guests,
+            commands::raise);
+    this.limits = new LimitDuty(context, sharing, jobs, takeover, view, writer);
+    this.share = new ShareDuty(context, sharing, fleet, pass, takeover, view, transfers, limits);
+  }
+
+  @Override
+  public boolean inPool() {
+    return true;
+  }
+
+  @Override
+  public void loaded(StateClient.Listing pool, long askedMicros) {
+    link.load(pool, askedMicros);
+    loaded = true;
+    List<String> unclaimed = new ArrayList<>();
+    for (Machine machine : List.copyOf(fleet.machines())) {
+      Optional<String> holder = view.holder(machine.id());
+      if (holder.isEmpty()) {
+        unclaimed.add(machine.id());
+      } else if (claims.isRetired(machine.id())) {
+        machine.returning(true);
+      } else if (!transfers.owns(machine.id())) {
+        registry.remove(machine);
+        fleet.remove(machine);
+      }
+    }
+    transfers.reconcile();
+    if (!unclaimed.isEmpty()) {
+      claims.claim(unclaimed, claimed -> log.info("{} is claimed, it was on record here", claimed));
+    }
+    scope.own(writer::close);
+    scope.own(link::close);
+    scope.own(guests::close);
+    scope.own(new RecurringTask("sharing", context.loop(), this::turn)).start();
+  }
+
+  private void recordsChanged() {
+    if (loaded) {
+      transfers.reconcile();
+      changed.run();
+    }
+  }
+
+  private long turn() {
+    if (context.term().mayAct()) {
+      transfers.watchLeaders();
+      transfers.reconcile();
+      limits.turn();
+      share.turn();
+    }
+    return TURN_MICROS;
+  }
+
+  @Override
+  public boolean isOwn(HostEntry listed) {
+    if (transfers.owns(listed.uid()) || claims.isRetired(listed.uid())) {
+      return true;
+    }
+    claims.found(listed.uid());
+    transfers.listed(listed);
+    return false;
+  }
+
+  @Override
+  public boolean mustReturn(String machine) {
+    return claims.isRetired(machine);
+  }
+
+  @Override
+  public boolean answered(WorkerReport report, Responder out) {
+    String machine = report.host();
+    if (!loaded) {
+      out.later(HttpStatus.UNAVAILABLE, "whose machine this is is not known yet", 1);
+      return true;
+    }
+    if (transfers.owns(machine)) {
+      return answeredOwn(report, out);
+    }
+    Optional<String> holder = view.holder(machine);
+    if (holder.isEmpty()) {
+      claims.found(machine);
+    }
+    Optional<String> leader = holder.flatMap(view::leader);
+    if (leader.isPresent() && !leader.get().equals(context.platform().label())) {
+      out.send(
+          HttpStatus.MISDIRECTED_REQUEST, Json.write(Json.object().put("foreman", leader.get())));
+    } else {
+      out.later(HttpStatus.UNAVAILABLE, "nobody answers for this machine now", 1);
+    }
+    return true;
+  }
+
+  private boolean answeredOwn(WorkerReport report, Responder out) {
+    Machine machine = fleet.machine(report.host());
+    if (machine != null && Fleet.termOf(report.baton()) > machine.tokenTerm()) {
+      // The machine has seen a newer owner or leader than this one knows of.
+      out.later(HttpStatus.UNAVAILABLE, "a newer owner is known to the machine", 1);
+      return true;
+    }
+    boolean viewIsOld =
+        context.loop().nowMicros() - link.knownMicros() > TransferDuty.OFFER_VIEW_MICROS;
+    if (machine != null && machine.offered() && viewIsOld) {
+      out.later(HttpStatus.UNAVAILABLE, "the machine may have another owner by now", 1);
+      return true;
+    }
+    return false;
+  }
+
+  @Override
+  public void claim(List<String> machines, Consumer<String> own) {
+    claims.claim(machines, own);
+  }
+
+  @Override
+  public void retire(List<Machine> machines, Runnable recorded) {
+    claims.retire(machines, recorded);
+  }
+
+  @Override
+  public void returned(List<Machine> machines) {
+    machines.forEach(guests::remove);
+    claims.returned(machines);
+  }
+
+  @Override
+  public boolean isGuest(Machine machine, long attempt) {
+    return guests.isGuest(machine, attempt);
+  }
+
+  @Override
+  public void reported(Machine machine, WorkerReport report) {
+    guests.reported(machine, report);
+  }
+
+  @Override
+  public boolean mayRenew(Machine machine) {
+    return guests.mayRenew(machine);
+  }
+
+  @Override
+  public List<Order> guestOrders(Machine machine, WorkerReport report) {
+    return guests.orders(machine, report);
+  }
+
+  @Override
+  public void lapsed(Machine machine) {
+    guests.lapsed(machine);
+  }
+
+  @Override
+  public void relayed(RelayedReport relayed, Responder out) {
+    String id = relayed.report().host();
+    Optional<TransferRecord> record =
+        loaded ? view.transfer(id).map(PoolView.Stamped::value) : Optional.empty();
+    Machine machine = loaded ? fleet.away(id) : null;
+    boolean fits =
+        record.isPresent()
+            && record.get().isHome(sharing.own().name())
+            && record.get().owner().equals(relayed.from())
+            && relayed.number() >= record.get().number();
+    if (machine == null || !fits || !context.term().mayAct()) {
+      out.later(HttpStatus.UNAVAILABLE, "tasks on this machine are not known here now", 1);
+      return;
+    }
+    machine.tokenTerm(relayed.number());
+    boolean news;
+    if (relayed.lapsed()) {
+      reports.endSessionsBefore(machine, Long.MAX_VALUE);
+      news = true;
+    } else {
+      news = reports.applyRelayed(machine, relayed.report());
+    }
+    if (news && relayed.report().pieces().isEmpty()) {
+      transfers.seenEmpty(machine);
+    }
+    List<Order> orders = relayed.lapsed() ? List.of() : reports.standing(machine, relayed.report());
+    if (reports.takeChanged()) {
+      changed.run();
+    }
+    out.send(HttpStatus.OK, Order.answer(0, orders));
+  }
+
+  @Override
+  public boolean mayRent() {
+    return share.mayRent();
+  }
+
+  @Override
+  public List<RentalPlan.Kind> coming() {
+    return share.coming();
+  }
+
+  @Override
+  public LimitParts.Part limit(Platform.Team team) {
+    return limits.limit(team);
+  }
+
+  @Override
+  public void close() {
+    scope.close();
+  }
+}
--- a/src/main/java/plumlever/leader/RenewalDelegation.java
+++ b/src/main/java/plumlever/leader/RenewalDelegation.java
@@ -71,7 +71,10 @@
       given.forEach(s -> barredUntil.put(s, now + BARRED_MICROS));
       sites.clear();
     }
-    if (writing || sites.equals(given) || context.platform().seeds().isEmpty()) {
+    if (writing
+        || sites.equals(given)
+        || context.platform().seeds().isEmpty()
+        || context.sharing().isPresent()) {
       return;
     }
     // A zone that is wanted no more stays covered until the whole mandate has ended: others may not
--- a/src/main/java/plumlever/leader/ReportHandler.java
+++ b/src/main/java/plumlever/leader/ReportHandler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Supplier;
 import org.agrona.collections.LongHashSet;
 import org.slf4j.Logger;
 import plumlever.fleet.Attempt;
@@ -28,7 +29,7 @@
   private final Estimates estimates;
   private final Takeover takeover;
   private final ProgressWriter progress;
-  private final long term;
+  private final Supplier<MachineSharing> sharing;
   private boolean changed;
 
   ReportHandler(
@@ -38,7 +39,7 @@
       Estimates estimates,
       Takeover takeover,
       ProgressWriter progress,
-      long term) {
+      Supplier<MachineSharing> sharing) {
     this.context = context;
     this.log = context.logs().of(ReportHandler.class);
     this.fleet = fleet;
@@ -46,7 +47,7 @@
     this.estimates = estimates;
     this.takeover = takeover;
     this.progress = progress;
-    this.term = term;
+    this.sharing = sharing;
   }
 
   /** True if anything changed that placement cares for, since asked last. */
@@ -101,10 +102,13 @@
       log.info("{} will be taken in {} s", machine.id(), report.reclaimInS());
     }
     LongHashSet listed = new LongHashSet();
-    boolean current = Fleet.termOf(report.baton()) == term;
+    boolean current = machine.hasSeen(report.baton());
     machine.token(current ? report.baton() : 0);
     int foreign = 0;
     for (WorkerReport.Piece piece : report.pieces()) {
+      if (sharing.get().isGuest(machine, piece.attempt())) {
+        continue;
+      }
       listed.add(piece.attempt());
       Attempt attempt = machine.attempt(piece.attempt());
       if (attempt != null
@@ -130,6 +134,35 @@
     return News.NEWS;
   }
 
+  /**
+   * Takes what the owner of another cell's machine passes on of it.
+   *
+   * @return false for a copy, which proves nothing
+   */
+  boolean applyRelayed(Machine machine, WorkerReport report) {
+    boolean known = machine.tenure() > 0 || machine.tick() > 0;
+    if (known && !report.newerThan(machine.tenure(), machine.tick())) {
+      return false;
+    }
+    if (report.tenure() > machine.tenure()) {
+      endSessionsBefore(machine, report.tenure());
+    }
+    long now = context.loop().nowMicros();
+    machine.heardAt(report, now, true);
+    LongHashSet listed = new LongHashSet();
+    for (WorkerReport.Piece piece : report.pieces()) {
+      listed.add(piece.attempt());
+      Attempt attempt = machine.attempt(piece.attempt());
+      if (attempt != null) {
+        update(attempt, piece, now);
+      } else if (piece.status() == TaskStatus.ENDED) {
+        unknown(machine, piece, now);
+      }
+    }
+    forgetGone(machine, report, true, listed);
+    return true;
+  }
+
   /**
    * Ends the attempts that the report proves the machine does not have; true if an order was lost.
    */
@@ -205,7 +238,9 @@
 
   /** A worker that starts a new session has killed and forgotten everything of the ones before. */
   void endSessionsBefore(Machine machine, long tenure) {
-    takeover.foreign(machine, 0);
+    if (fleet.away(machine.id()) != machine) {
+      takeover.foreign(machine, 0);
+    }
     List<Attempt> ended = new ArrayList<>();
     for (Attempt attempt : machine.attempts()) {
       if (attempt.tenure() < tenure) {
@@ -426,9 +461,10 @@
         }
       }
     }
-    boolean current = Fleet.termOf(report.baton()) == term;
+    boolean current = machine.hasSeen(report.baton());
     for (WorkerReport.Piece piece : report.pieces()) {
-      if (machine.attempt(piece.attempt()) != null) {
+      if (machine.attempt(piece.attempt()) != null
+          || sharing.get().isGuest(machine, piece.attempt())) {
         continue;
       }
       Job job = jobs.get(piece.task().job());
@@ -462,15 +498,16 @@
         || !jobs.mayRenew()
         || machine.draining()
         || machine.returning()
+        || machine.offered()
         || machine.enrolment() != RegistrationState.STORED
         || !machine.accounted()
         || machine.deaf()) {
       return List.of();
     }
     List<Attempt> started = new ArrayList<>();
-    double cores = flavor.cores();
-    double accelerators = flavor.accelerators();
-    double memory = flavor.memoryGb();
+    double cores = flavor.cores() - machine.guests().cores();
+    double accelerators = flavor.accelerators() - machine.guests().accelerators();
+    double memory = flavor.memoryGb() - machine.guests().memoryGb();
     for (Attempt attempt : machine.attempts()) {
       if (!attempt.over()) {
         cores -= attempt.job().spec().cores();
--- a/src/main/java/plumlever/leader/SchedulingPass.java
+++ b/src/main/java/plumlever/leader/SchedulingPass.java
@@ -13,6 +13,7 @@
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Estimates;
 import plumlever.fleet.Fleet;
+import plumlever.fleet.GuestLoad;
 import plumlever.fleet.Job;
 import plumlever.fleet.Machine;
 import plumlever.fleet.RegistrationState;
@@ -67,6 +68,9 @@
 
   private static final long COSTS_EVERY_MICROS = 10_000_000;
 
+  /** How long other cells' tasks are taken to stay from any moment on. */
+  private static final long GUESTS_STAY_MICROS = 60_000_000;
+
   /** Some tasks of a job that go to a machine with its next answer. */
   static final class PlannedTasks {
     final Job job;
@@ -214,6 +218,19 @@
     return false;
   }
 
+  /** When the last task that runs on the machine should end. */
+  long lastEndMicros(Machine machine) {
+    long now = context.loop().nowMicros();
+    Flavor flavor = context.prices().flavor(machine.flavor());
+    long last = machine.guests().tasks() > 0 ? now + GUESTS_STAY_MICROS : now;
+    for (Attempt attempt : machine.attempts()) {
+      if (!attempt.over() && flavor != null) {
+        last = Math.max(last, endsAt(attempt, flavor, now));
+      }
+    }
+    return last;
+  }
+
   void dropPlan(Machine machine) {
     plans.remove(machine.id());
   }
@@ -367,6 +384,7 @@
         && machine.accounted()
         && !machine.draining()
         && !machine.returning()
+        && !machine.offered()
         && !machine.deaf()
         && !machine.unsettled()
         && now - sign < context.platform().workers().latestReportMicros();
@@ -412,6 +430,7 @@
               occupy(otherSeat, attempt.job(), endsAt(attempt, flavor, now));
             }
           }
+          occupyByGuests(otherSeat, machine.guests());
           if (withPlans) {
             for (PlannedTasks otherPlanned : planned(machine)) {
               for (int i = 0; i < otherPlanned.tasks; i++) {
@@ -459,6 +478,14 @@
       return spare;
     }
 
+    /** When other cells' tasks end is not known here. */
+    private void occupyByGuests(PlacementCandidate candidate, GuestLoad guests) {
+      if (guests.tasks() > 0) {
+        candidate.occupy(
+            guests.cores(), guests.accelerators(), guests.memoryGb(), now + GUESTS_STAY_MICROS);
+      }
+    }
+
     private static void occupy(PlacementCandidate candidate, Job job, long until) {
       candidate.occupy(job.spec().cores(), job.spec().accelerators(), job.spec().memoryGb(), until);
     }
--- /dev/null
+++ b/src/main/java/plumlever/leader/ShareDuty.java
@@ -0,0 +1,259 @@
+package plumlever.leader;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.slf4j.Logger;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Machine;
+import plumlever.scaling.RentalPlan;
+import plumlever.settings.SharingSettings;
+import plumlever.sharing.CellDemand;
+import plumlever.sharing.PoolView;
+import plumlever.sharing.SharePolicy;
+import plumlever.sharing.TransferRecord;
+import plumlever.store.StateClient;
+import plumlever.wire.Flavor;
+
+/**
+ * Tells the other cells what this one has and lacks, and offers them the machines that the policy
+ * says: idle ones first, then those whose tasks end soonest, none that a deadline here needs.
+ */
+final class ShareDuty {
+  private static final long TELL_MICROS = 2_000_000;
+  private static final long TELL_ANYHOW_MICROS = 30_000_000;
+
+  /** How long a rental waits for what others can do without. */
+  private static final long HOLD_RENTAL_MICROS = 5_000_000;
+
+  /** What was given to a cell since it last told what it lacks. */
+  private record Given(long stamp, int machines) {}
+
+  private final Logger log;
+  private final Context context;
+  private final SharingSettings sharing;
+  private final String own;
+  private final Fleet fleet;
+  private final SchedulingPass pass;
+  private final Takeover takeover;
+  private final PoolView view;
+  private final TransferDuty transfers;
+  private final LimitDuty limits;
+  private final Map<String, Given> given = new HashMap<>();
+  private CellDemand told;
+  private long toldMicros = Long.MIN_VALUE / 4;
+  private long lackingSinceMicros = -1;
+  private boolean telling;
+  private boolean digestsDiffer;
+
+  ShareDuty(
+      Context context,
+      SharingSettings sharing,
+      Fleet fleet,
+      SchedulingPass pass,
+      Takeover takeover,
+      PoolView view,
+      TransferDuty transfers,
+      LimitDuty limits) {
+    this.context = context;
+    this.log = context.logs().of(ShareDuty.class);
+    this.sharing = sharing;
+    this.own = sharing.own().name();
+    this.fleet = fleet;
+    this.pass = pass;
+    this.takeover = takeover;
+    this.view = view;
+    this.transfers = transfers;
+    this.limits = limits;
+  }
+
+  /** One look at what this cell has, lacks and can give. */
+  void turn() {
+    if (!takeover.complete() || !context.prices().known()) {
+      return;
+    }
+    long now = context.loop().nowMicros();
+    CellDemand demand = demand();
+    if (demand.wanted() == 0) {
+      lackingSinceMicros = -1;
+    } else if (lackingSinceMicros < 0) {
+      lackingSinceMicros = now;
+    }
+    tell(demand, now);
+    offer(demand);
+  }
+
+  private CellDemand demand() {
+    int machines = 0;
+    int idle = 0;
+    for (Machine machine : fleet.machines()) {
+      if (!machine.returning() && !machine.offered()) {
+        machines++;
+        idle += isIdle(machine) ? 1 : 0;
+      }
+    }
+    int wanted = machinesLacking();
+    return new CellDemand(
+        machines, wanted > 0 ? 0 : idle, wanted, sharing.digest(), limits.coresWanted());
+  }
+
+  private boolean isIdle(Machine machine) {
+    return !machine.running() && !pass.hasPlan(machine) && transfers.canOffer(machine);
+  }
+
+  /** Machines of the usual size that would hold what waits. */
+  private int machinesLacking() {
+    double cores = 0;
+    for (RentalPlan.Demand demand : pass.demands()) {
+      cores += demand.tasks() * demand.job().cores();
+    }
+    return (int) Math.min(sharing.machines(), Math.ceil(cores / usualCores()));
+  }
+
+  private double usualCores() {
+    double cores = 0;
+    int count = 0;
+    for (Machine machine : fleet.machines()) {
+      Flavor flavor = context.prices().flavor(machine.flavor());
+      if (flavor != null) {
+        cores += flavor.cores();
+        count++;
+      }
+    }
+    if (count > 0) {
+      return cores / count;
+    }
+    return context.prices().flavors().stream().mapToDouble(Flavor::cores).average().orElse(1);
+  }
+
+  private void tell(CellDemand demand, long now) {
+    boolean due = demand.equals(told) ? TELL_ANYHOW_MICROS < now - toldMicros : !telling;
+    if (telling || !due || now - toldMicros < TELL_MICROS) {
+      return;
+    }
+    telling = true;
+    toldMicros = now;
+    String key = CellDemand.keyOf(own);
+    context
+        .store()
+        .txn(
+            context.term().guard().put(key, demand.toJson()),
+            StateClient.Class.ORDINARY,
+            result -> {
+              telling = false;
+              told = result.applied() ? demand : null;
+            });
+  }
+
+  private void offer(CellDemand demand) {
+    int free = sharing.mostMoving() - transfers.underWay();
+    if (free <= 0) {
+      return;
+    }
+    List<SharePolicy.CellState> cells = new ArrayList<>();
+    cells.add(
+        new SharePolicy.CellState(
+            own,
+            sharing.own().floor(),
+            sharing.own().weight(),
+            demand.machines(),
+            demand.idle(),
+            demand.wanted()));
+    for (SharingSettings.Cell cell : sharing.others()) {
+      other(cell).ifPresent(cells::add);
+    }
+    for (SharePolicy.Move move : SharePolicy.plan(cells, sharing.mostMoving())) {
+      if (move.from().equals(own) && free > 0) {
+        free -= give(move.to(), Math.min(free, move.machines()));
+      }
+    }
+  }
+
+  /** A cell as it last told of itself; nothing of one that has no leader or another file. */
+  private Optional<SharePolicy.CellState> other(SharingSettings.Cell cell) {
+    Optional<CellDemand> said = view.demand(cell.name());
+    if (said.isEmpty() || view.leader(cell.name()).isEmpty()) {
+      return Optional.empty();
+    }
+    CellDemand demand = said.get();
+    if (!demand.digest().equals(sharing.digest())) {
+      if (!digestsDiffer) {
+        digestsDiffer = true;
+        log.warn("{} has another sharing file: no machine is given to it", cell.name());
+      }
+      return Optional.empty();
+    }
+    long stamp = view.stampOf(CellDemand.keyOf(cell.name()));
+    Given before = given.get(cell.name());
+    int already = before != null && before.stamp() == stamp ? before.machines() : 0;
+    int wanted = Math.max(0, demand.wanted() - already - transfers.offeredTo(cell.name()));
+    return Optional.of(
+        new SharePolicy.CellState(
+            cell.name(), cell.floor(), cell.weight(), demand.machines(), demand.idle(), wanted));
+  }
+
+  private int give(String to, int most) {
+    List<Machine> able = new ArrayList<>();
+    for (Machine machine : fleet.machines()) {
+      if (transfers.canOffer(machine) && !pass.hasPlan(machine)) {
+        able.add(machine);
+      }
+    }
+    able.sort(
+        Comparator.<Machine>comparingInt(machine -> machine.running() ? 1 : 0)
+            .thenComparingLong(pass::lastEndMicros)
+            .thenComparing(Machine::id));
+    int count = 0;
+    Set<Machine> without = new HashSet<>(pass.closed());
+    for (Machine machine : able) {
+      if (count == most) {
+        break;
+      }
+      without.add(machine);
+      if (!pass.canDoWithout(without)) {
+        break;
+      }
+      transfers.offer(machine, to);
+      count++;
+    }
+    if (count > 0) {
+      long stamp = view.stampOf(CellDemand.keyOf(to));
+      Given before = given.get(to);
+      int already = before != null && before.stamp() == stamp ? before.machines() : 0;
+      given.put(to, new Given(stamp, already + count));
+    }
+    return count;
+  }
+
+  /** False while others can do without machines, for a few seconds after something is lacking. */
+  boolean mayRent() {
+    if (lackingSinceMicros < 0
+        || context.loop().nowMicros() - lackingSinceMicros > HOLD_RENTAL_MICROS) {
+      return true;
+    }
+    return sharing.others().stream()
+        .noneMatch(
+            cell ->
+                other(cell)
+                    .filter(state -> state.idle() > 0 && state.machines() > state.floor())
+                    .isPresent());
+  }
+
+  /** Machines that are offered to this cell. */
+  List<RentalPlan.Kind> coming() {
+    List<RentalPlan.Kind> kinds = new ArrayList<>();
+    for (PoolView.Stamped<TransferRecord> stamped : view.transfers().values()) {
+      TransferRecord record = stamped.value();
+      if (record.offer().filter(offer -> offer.to().equals(own)).isPresent()) {
+        TransferRecord.Details details = record.machine();
+        kinds.add(new RentalPlan.Kind(details.flavor(), details.site(), details.spot()));
+      }
+    }
+    return kinds;
+  }
+}
--- a/src/main/java/plumlever/leader/StoredRecords.java
+++ b/src/main/java/plumlever/leader/StoredRecords.java
@@ -1,9 +1,11 @@
 package plumlever.leader;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import plumlever.sharing.PoolView;
 import plumlever.store.JobStore;
 import plumlever.store.StateClient;
 
@@ -15,8 +17,11 @@
  */
 final class StoredRecords {
   private static final long RETRY_MICROS = 500_000;
-  private static final List<String> PREFIXES =
-      List.of(JobStore.FLEET, JobStore.HINTS, JobStore.BEGUN, JobStore.ACTIVE, JobStore.PROGRESS);
+
+  private final List<String> prefixes =
+      new ArrayList<>(
+          List.of(
+              JobStore.FLEET, JobStore.HINTS, JobStore.BEGUN, JobStore.ACTIVE, JobStore.PROGRESS));
 
   private final Context context;
   private final Map<String, StateClient.Listing> read = new HashMap<>();
@@ -32,7 +37,10 @@
    */
   void read(Consumer<StoredRecords> whenRead) {
     then = whenRead;
-    PREFIXES.forEach(this::read);
+    if (context.sharing().isPresent()) {
+      prefixes.add(PoolView.PREFIX);
+    }
+    prefixes.forEach(this::read);
   }
 
   private void read(String prefix) {
@@ -52,7 +60,7 @@
                 return;
               }
               read.put(prefix, listing);
-              if (read.size() == PREFIXES.size()) {
+              if (read.size() == prefixes.size()) {
                 Consumer<StoredRecords> whole = then;
                 then = null;
                 whole.accept(this);
--- a/src/main/java/plumlever/leader/Takeover.java
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -5,12 +5,14 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
 import plumlever.fleet.Machine;
 import plumlever.fleet.RegistrationState;
 import plumlever.settings.Platform;
+import plumlever.sharing.LimitParts;
 import plumlever.wire.Flavor;
 
 /**
@@ -27,6 +29,7 @@
   private final Logger log;
   private final Context context;
   private final Fleet fleet;
+  private final Supplier<MachineSharing> sharing;
   private final long startedMicros;
   private final Map<String, Platform.Team> teams = new HashMap<>();
   private final Set<Machine> open = new LinkedHashSet<>();
@@ -40,7 +43,8 @@
   private double unsureAccelerators;
   private long loadedMicros;
 
-  Takeover(Context context, Fleet fleet) {
+  Takeover(Context context, Fleet fleet, Supplier<MachineSharing> sharing) {
+    this.sharing = sharing;
     this.context = context;
     this.log = context.logs().of(Takeover.class);
     this.fleet = fleet;
@@ -66,7 +70,9 @@
     unsureKnown = false;
     loadedMicros = context.loop().nowMicros();
     for (Machine machine : fleet.machines()) {
-      if (machine.enrolment() == RegistrationState.STORED && !machine.accounted()) {
+      if (machine.enrolment() == RegistrationState.STORED
+          && !machine.accounted()
+          && machine.tokenTerm() == context.term().number()) {
         open.add(machine);
       }
     }
@@ -138,9 +144,15 @@
     }
     cores += unsureCores;
     accelerators += unsureAccelerators;
+    LimitParts.Part limit = sharing.get().limit(team);
     return Math.min(
-        room(team.cpusMax(), cores, job.spec().cores()),
-        room(team.gpusMax(), accelerators, job.spec().accelerators()));
+        room(limit.cores(), cores, job.spec().cores()),
+        room(limit.accelerators(), accelerators, job.spec().accelerators()));
+  }
+
+  /** Processors that the team's tasks may be using, wherever they are. */
+  double coresHeld(String team) {
+    return fleet.held(team).cores() + (countUnsure() ? unsureCores : 0);
   }
 
   /**
--- /dev/null
+++ b/src/main/java/plumlever/leader/TransferDuty.java
@@ -0,0 +1,591 @@
+package plumlever.leader;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import plumlever.election.LeaderElection;
+import plumlever.fleet.Attempt;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Job;
+import plumlever.fleet.Machine;
+import plumlever.settings.SharingSettings;
+import plumlever.sharing.GuestTask;
+import plumlever.sharing.OwnerRecord;
+import plumlever.sharing.PoolView;
+import plumlever.sharing.TransferRecord;
+import plumlever.store.KeySpace;
+import plumlever.wire.Flavor;
+import plumlever.wire.HostEntry;
+import plumlever.wire.Json;
+
+/**
+ * Carries transfers on, from whatever state the records show: offers this cell's machines, takes
+ * what others offer, and settles what is left of its tasks on machines that others own. Each state
+ * can be taken up by the next leader of either cell.
+ */
+final class TransferDuty {
+  /** An offer that nobody takes is withdrawn after this. */
+  private static final long OFFER_MICROS = 8_000_000;
+
+  /**
+   * A machine on offer is answered only while what is known of its record is not older, so that the
+   * taker knows how long the former owner may have renewed its lease.
+   */
+  static final long OFFER_VIEW_MICROS = 5_000_000;
+
+  private static final double BOOT_MARGIN = 1.3;
+
+  /** Beyond a lease: the drift of clocks, and the time that an answer is under way. */
+  private static final long LAPSE_SLACK_MICROS = 10_000_000;
+
+  private final Logger log;
+  private final Context context;
+  private final SharingSettings sharing;
+  private final String own;
+  private final Fleet fleet;
+  private final ActiveJobs jobs;
+  private final ReportHandler reports;
+  private final MachineRegistry registry;
+  private final SchedulingPass pass;
+  private final PoolLink link;
+  private final PoolView view;
+  private final PoolWriter writer;
+  private final GuestBook guests;
+  private final Consumer<Machine> raiseToken;
+  private final Map<String, Long> offeredMicros = new HashMap<>();
+  private final Set<String> stepping = new HashSet<>();
+
+  /** Machines of other cells that were seen without any task of this one. */
+  private final Set<String> empty = new HashSet<>();
+
+  private final Map<String, Long> leaderlessSince = new HashMap<>();
+  private boolean digestMismatchLogged;
+
+  TransferDuty(
+      Context context,
+      SharingSettings sharing,
+      Fleet fleet,
+      ActiveJobs jobs,
+      ReportHandler reports,
+      MachineRegistry registry,
+      SchedulingPass pass,
+      PoolLink link,
+      PoolWriter writer,
+      GuestBook guests,
+      Consumer<Machine> raiseToken) {
+    this.raiseToken = raiseToken;
+    this.context = context;
+    this.log = context.logs().of(TransferDuty.class);
+    this.sharing = sharing;
+    this.own = sharing.own().name();
+    this.fleet = fleet;
+    this.jobs = jobs;
+    this.reports = reports;
+    this.registry = registry;
+    this.pass = pass;
+    this.link = link;
+    this.view = link.view();
+    this.writer = writer;
+    this.guests = guests;
+  }
+
+  private long now() {
+    return context.loop().nowMicros();
+  }
+
+  /** True while the records show the machine as this cell's. */
+  boolean owns(String machine) {
+    return view.holder(machine).equals(Optional.of(own));
+  }
+
+  /** Transfers that this cell has offered and nobody has taken yet. */
+  int underWay() {
+    return offeredMicros.size();
+  }
+
+  /** Offers to the cell that it has not taken yet. */
+  int offeredTo(String cell) {
+    return (int)
+        offeredMicros.keySet().stream()
+            .filter(
+                machine ->
+                    view.transfer(machine)
+                        .flatMap(stamped -> stamped.value().offer())
+                        .filter(offer -> offer.to().equals(cell))
+                        .isPresent())
+            .count();
+  }
+
+  /**
+   * Brings machines and records in line: run whenever the records have changed, and now and then.
+   */
+  void reconcile() {
+    for (Map.Entry<String, PoolView.Stamped<TransferRecord>> entry :
+        List.copyOf(view.transfers().entrySet())) {
+      TransferRecord record = entry.getValue().value();
+      if (record.state() == TransferRecord.State.GONE) {
+        gone(record);
+      } else if (record.owner().equals(own)) {
+        if (owns(entry.getKey())) {
+          mine(record);
+        }
+      } else if (record.isHome(own)) {
+        away(record);
+      } else {
+        lost(record);
+      }
+      if (record.state() == TransferRecord.State.OFFERED) {
+        offered(record);
+      }
+    }
+  }
+
+  /** A machine of this cell: taken from another, or on offer. */
+  private void mine(TransferRecord record) {
+    Machine machine = fleet.machine(record.machine().id());
+    if (machine == null) {
+      machine = gain(record);
+    } else if (machine.tokenTerm() < record.number()) {
+      // It went and came back before this was seen.
+      machine.tokenTerm(record.number());
+      machine.unaccount();
+      machine.renewedElsewhere(now() + OFFER_VIEW_MICROS);
+      raiseToken.accept(machine);
+    } else if (!machine.accounted() && machine.renewedElsewhereMicros() < 0) {
+      machine.renewedElsewhere(now() + OFFER_VIEW_MICROS);
+    }
+    if (record.state() == TransferRecord.State.TAKEN && !stepping.contains(machine.id())) {
+      machine.offered(false);
+      offeredMicros.remove(machine.id());
+    } else {
+      machine.offered(true);
+    }
+    guests.update(machine, record);
+    if (record.isSettled()) {
+      settle(record.machine().id());
+    }
+  }
+
+  private Machine gain(TransferRecord record) {
+    TransferRecord.Details details = record.machine();
+    Machine machine = fleet.away(details.id());
+    empty.remove(details.id());
+    if (machine != null) {
+      fleet.forgetAway(machine);
+      machine.unaccount();
+    } else {
+      machine =
+          new Machine(
+              details.id(),
+              details.endpoint(),
+              details.flavor(),
+              details.site(),
+              details.spot(),
+              now() - bootMicros(details.flavor()));
+    }
+    machine.tokenTerm(record.number());
+    machine.renewedElsewhere(now() + OFFER_VIEW_MICROS);
+    fleet.add(machine);
+    registry.enroll(machine);
+    raiseToken.accept(machine);
+    context.metrics().count("machines_taken");
+    log.info(
+        "{} is this cell's now, {} cells have tasks on it", details.id(), record.homes().size());
+    return machine;
+  }
+
+  /** It is up already, so it is known for at least as long as it takes to boot. */
+  private long bootMicros(String flavor) {
+    Flavor known = context.prices().flavor(flavor);
+    return known == null ? 0 : (long) (known.startupS() * BOOT_MARGIN * 1e6);
+  }
+
+  /** Another cell's machine on which tasks of this one may be. */
+  private void away(TransferRecord record) {
+    Machine machine = fleet.away(record.machine().id());
+    if (machine == null) {
+      Machine former = fleet.machine(record.machine().id());
+      machine = former == null ? lodge(record) : former;
+      if (former != null) {
+        release(former);
+      }
+      fleet.sendAway(machine, record.number());
+    }
+    machine.tokenTerm(record.number());
+    clearIfOver(machine);
+  }
+
+  /** What an earlier leader of this cell left running there. */
+  private Machine lodge(TransferRecord record) {
+    TransferRecord.Details details = record.machine();
+    Machine machine =
+        new Machine(
+            details.id(),
+            details.endpoint(),
+            details.flavor(),
+            details.site(),
+            details.spot(),
+            now());
+    machine.session(record.session());
+    machine.account();
+    for (GuestTask guest : record.homes().get(own)) {
+      Job job = jobs.get(guest.task().job());
+      int task = guest.task().number();
+      boolean open =
+          job != null && !job.over() && task < job.spec().pieces() && !job.done().get(task);
+      if (open && job.liveAttempt(task) == null) {
+        fleet.adopt(job, task, guest.attempt(), machine, now());
+      }
+    }
+    return machine;
+  }
+
+  private void release(Machine machine) {
+    offeredMicros.remove(machine.id());
+    machine.offered(false);
+    pass.dropPlan(machine);
+    registry.remove(machine);
+    guests.remove(machine);
+    context.metrics().count("machines_given");
+    log.info("{} is another cell's now, {} tasks stay on it", machine.id(), machine.liveAttempts());
+  }
+
+  /** Another cell's machine without tasks of this one. */
+  private void lost(TransferRecord record) {
+    Machine machine = fleet.machine(record.machine().id());
+    if (machine != null && !owns(machine.id())) {
+      release(machine);
+      fleet.remove(machine);
+    }
+  }
+
+  private void gone(TransferRecord record) {
+    Machine machine = fleet.away(record.machine().id());
+    if (machine != null) {
+      reports.endSessionsBefore(machine, Long.MAX_VALUE);
+      empty.add(machine.id());
+    }
+    if (record.isHome(own)) {
+      if (machine == null) {
+        clear(record.machine().id());
+      } else {
+        clearIfOver(machine);
+      }
+    }
+  }
+
+  /** The owner has passed on a report of the machine that lists no task of this cell. */
+  void seenEmpty(Machine machine) {
+    empty.add(machine.id());
+    clearIfOver(machine);
+  }
+
+  /** Once none of this cell's tasks can be on the other's machine, the record says so. */
+  private void clearIfOver(Machine machine) {
+    boolean nothingThere =
+        empty.contains(machine.id())
+            || record(machine.id())
+                .filter(record -> record.homes().getOrDefault(own, List.of()).isEmpty())
+                .isPresent();
+    if (nothingThere && machine.hasNoAttempts()) {
+      clear(machine.id());
+    }
+  }
+
+  private void clear(String machine) {
+    step(
+        machine,
+        () ->
+            record(machine)
+                .filter(record -> record.isHome(own))
+                .map(record -> replaced(machine, record.withoutHome(own))),
+        () -> {
+          Machine away = fleet.away(machine);
+          if (away != null && record(machine).filter(record -> record.isHome(own)).isEmpty()) {
+            fleet.forgetAway(away);
+            empty.remove(machine);
+          }
+        });
+  }
+
+  private void settle(String machine) {
+    step(
+        machine,
+        () ->
+            record(machine)
+                .filter(record -> record.owner().equals(own) && record.isSettled())
+                .map(record -> transaction().drop(TransferRecord.keyOf(machine))),
+        () -> {
+          Machine settled = fleet.machine(machine);
+          if (settled != null && view.transfer(machine).isEmpty()) {
+            guests.remove(settled);
+          }
+        });
+  }
+
+  private Optional<TransferRecord> record(String machine) {
+    return view.transfer(machine).map(PoolView.Stamped::value);
+  }
+
+  private PoolTransaction transaction() {
+    return new PoolTransaction(view, context.term().guard());
+  }
+
+  private PoolTransaction replaced(String machine, TransferRecord record) {
+    String key = TransferRecord.keyOf(machine);
+    return record.isSettled() ? transaction().drop(key) : transaction().put(key, record.toJson());
+  }
+
+  /** What builds the next transaction of a machine; nothing when there is none to send. */
+  private interface Builder {
+    Optional<PoolTransaction> build();
+  }
+
+  /** One step of a machine at a time. */
+  private void step(String machine, Builder builder, Runnable finished) {
+    if (!stepping.add(machine)) {
+      return;
+    }
+    boolean taken =
+        writer.submit(
+            new PoolWriter.Step() {
+              @Override
+              public Optional<PoolTransaction> build() {
+                return builder.build();
+              }
+
+              @Override
+              public void finished() {
+                stepping.remove(machine);
+                finished.run();
+              }
+            });
+    if (!taken) {
+      stepping.remove(machine);
+    }
+  }
+
+  /** True if the machine can be given away as it is. */
+  boolean canOffer(Machine machine) {
+    return owns(machine.id())
+        && machine.heard()
+        && machine.accounted()
+        && machine.endpoint() != null
+        && !machine.offered()
+        && !machine.draining()
+        && !machine.returning()
+        && !machine.failed()
+        && !machine.deaf()
+        && !machine.calling()
+        && !machine.unsettled()
+        && !stepping.contains(machine.id());
+  }
+
+  /** Gives the machine up to that cell; nothing is started on it from here on. */
+  void offer(Machine machine, String to) {
+    machine.offered(true);
+    pass.dropPlan(machine);
+    offeredMicros.put(machine.id(), now());
+    context.metrics().count("machines_offered");
+    log.info("{} is offered to {}, {} tasks run on it", machine.id(), to, machine.liveAttempts());
+    step(
+        machine.id(),
+        () -> buildOffer(machine, to),
+        () -> {
+          if (record(machine.id()).flatMap(TransferRecord::offer).isEmpty()) {
+            machine.offered(false);
+            offeredMicros.remove(machine.id());
+          }
+        });
+  }
+
+  private Optional<PoolTransaction> buildOffer(Machine machine, String to) {
+    Optional<TransferRecord> before = record(machine.id());
+    if (!owns(machine.id()) || before.flatMap(TransferRecord::offer).isPresent()) {
+      return Optional.empty();
+    }
+    Map<String, List<GuestTask>> homes =
+        new TreeMap<>(before.map(TransferRecord::homes).orElse(Map.of()));
+    homes.put(own, guestsOf(machine));
+    TransferRecord offer =
+        TransferRecord.offered(
+            new TransferRecord.Details(
+                machine.id(), machine.endpoint(), machine.flavor(), machine.site(), machine.spot()),
+            machine.tenure(),
+            own,
+            Math.max(machine.tokenTerm(), before.map(TransferRecord::number).orElse(0L)),
+            new TransferRecord.Offer(to, context.term().stamp(), sharing.digest()),
+            homes);
+    int bytes = Json.write(offer.toJson()).getBytes(StandardCharsets.UTF_8).length;
+    if (bytes > context.layout().valueBytes()) {
+      log.info("{} holds too many tasks for one record and is not offered", machine.id());
+      return Optional.empty();
+    }
+    return Optional.of(
+        transaction()
+            .guard(OwnerRecord.keyOf(machine.id()))
+            .put(TransferRecord.keyOf(machine.id()), offer.toJson()));
+  }
+
+  private static List<GuestTask> guestsOf(Machine machine) {
+    List<GuestTask> tasks = new ArrayList<>();
+    for (Attempt attempt : machine.attempts()) {
+      tasks.add(
+          new GuestTask(
+              attempt.name(),
+              attempt.id(),
+              attempt.job().spec().cores(),
+              attempt.job().spec().accelerators(),
+              attempt.job().spec().memoryGb()));
+    }
+    return tasks;
+  }
+
+  /** An offer stands: its giver sees to it that it ends, its taker takes it. */
+  private void offered(TransferRecord record) {
+    String machine = record.machine().id();
+    TransferRecord.Offer offer = record.offer().orElseThrow();
+    if (record.owner().equals(own)) {
+      long since = offeredMicros.getOrDefault(machine, Long.MIN_VALUE / 2);
+      boolean ofThisTerm = offer.termStamp() == context.term().stamp();
+      if (!ofThisTerm || now() - since > OFFER_MICROS) {
+        withdraw(machine);
+      }
+    } else if (offer.to().equals(own)) {
+      if (offer.digest().equals(sharing.digest())) {
+        take(machine);
+      } else if (!digestMismatchLogged) {
+        digestMismatchLogged = true;
+        log.warn(
+            "{} offers machines under another sharing file: none is taken until all are the same",
+            record.owner());
+      }
+    }
+  }
+
+  private void withdraw(String machine) {
+    step(
+        machine,
+        () ->
+            record(machine)
+                .filter(record -> record.owner().equals(own) && record.offer().isPresent())
+                .map(record -> replaced(machine, record.withdrawn())),
+        () -> {
+          Machine kept = fleet.machine(machine);
+          if (kept != null && record(machine).flatMap(TransferRecord::offer).isEmpty()) {
+            kept.offered(false);
+            offeredMicros.remove(machine);
+          }
+        });
+  }
+
+  private void take(String machine) {
+    step(machine, () -> buildTake(machine), () -> {});
+  }
+
+  private Optional<PoolTransaction> buildTake(String machine) {
+    Optional<TransferRecord> found =
+        record(machine)
+            .filter(
+                record ->
+                    record.offer().filter(offer -> offer.to().equals(own)).isPresent()
+                        && view.holder(machine).equals(Optional.of(record.owner())));
+    if (found.isEmpty()) {
+      return Optional.empty();
+    }
+    TransferRecord record = found.get();
+    String giversTerm =
+        KeySpace.absolute(sharing.cell(record.owner()).prefix(), LeaderElection.TERM);
+    return Optional.of(
+        owned(machine, record).guard(giversTerm, record.offer().orElseThrow().termStamp()));
+  }
+
+  /** The machine is this cell's, under a number newer than any other. */
+  private PoolTransaction owned(String machine, TransferRecord record) {
+    long number = view.counter() + 1;
+    return transaction()
+        .put(PoolView.COUNTER, Json.object().put("term", number))
+        .put(OwnerRecord.keyOf(machine), view.owners(machine).with(machine, own).toJson())
+        .put(TransferRecord.keyOf(machine), record.taken(own, number).toJson());
+  }
+
+  /**
+   * The cloud lists a machine of another cell. If that has had no leader for long, all leases there
+   * have lapsed, and the machine is adopted.
+   */
+  void listed(HostEntry host) {
+    Optional<String> holder = view.holder(host.uid());
+    if (holder.isEmpty() || host.endpoint() == null || offeredMicros.size() >= limit()) {
+      return;
+    }
+    Optional<SharingSettings.Cell> cell =
+        sharing.others().stream().filter(other -> other.name().equals(holder.get())).findFirst();
+    if (cell.isPresent() && isDead(cell.get())) {
+      adopt(host, cell.get());
+    }
+  }
+
+  private int limit() {
+    return sharing.mostMoving();
+  }
+
+  /** Watches which cells have a leader; only what is fresh counts. */
+  void watchLeaders() {
+    boolean fresh = now() - link.knownMicros() < OFFER_VIEW_MICROS;
+    for (SharingSettings.Cell cell : sharing.others()) {
+      if (!fresh || view.leader(cell.name()).isPresent()) {
+        leaderlessSince.remove(cell.name());
+      } else {
+        leaderlessSince.putIfAbsent(cell.name(), now());
+      }
+    }
+  }
+
+  private boolean isDead(SharingSettings.Cell cell) {
+    long patience =
+        Math.max(
+            sharing.adoptAfterMicros(),
+            2 * context.platform().workers().leaseMicros() + LAPSE_SLACK_MICROS);
+    long since = leaderlessSince.getOrDefault(cell.name(), Long.MAX_VALUE);
+    return since != Long.MAX_VALUE && now() - since > patience;
+  }
+
+  private void adopt(HostEntry host, SharingSettings.Cell dead) {
+    String machine = host.uid();
+    step(
+        machine,
+        () -> {
+          if (!view.holder(machine).equals(Optional.of(dead.name())) || !isDead(dead)) {
+            return Optional.empty();
+          }
+          TransferRecord before = record(machine).orElseGet(() -> unmoved(host, dead));
+          String office = KeySpace.absolute(dead.prefix(), LeaderElection.LEADER);
+          return Optional.of(owned(machine, before.withoutHome(dead.name())).guard(office, 0));
+        },
+        () -> {
+          if (owns(machine)) {
+            log.warn("{} is adopted, {} has had no leader for long", machine, dead.name());
+          }
+        });
+  }
+
+  private static TransferRecord unmoved(HostEntry host, SharingSettings.Cell owner) {
+    return new TransferRecord(
+        TransferRecord.State.TAKEN,
+        new TransferRecord.Details(
+            host.uid(), host.endpoint(), host.flavor(), host.site(), host.loaners()),
+        0,
+        owner.name(),
+        0,
+        Optional.empty(),
+        Map.of());
+  }
+}
--- a/src/main/java/plumlever/settings/OperatorFile.java
+++ b/src/main/java/plumlever/settings/OperatorFile.java
@@ -6,6 +6,7 @@
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import org.yaml.snakeyaml.LoaderOptions;
 import org.yaml.snakeyaml.Yaml;
 import org.yaml.snakeyaml.constructor.SafeConstructor;
@@ -25,7 +26,7 @@
   }
 
   /** Reads the operators' file; an unknown key or a value out of range is an error. */
-  public static Tunables load(Path path) throws SettingsException {
+  public static OperatorSettings load(Path path, Platform platform) throws SettingsException {
     Object root;
     try (Reader in = Files.newBufferedReader(path)) {
       root = new Yaml(new SafeConstructor(new LoaderOptions())).load(in);
@@ -41,7 +42,20 @@
     } else if (root != null) {
       throw new SettingsException(path + ": must be a table of keys and values");
     }
-    return new OperatorFile(path.toString(), values).read();
+    OperatorFile operatorFile = new OperatorFile(path.toString(), values);
+    Optional<SharingSettings> sharing = operatorFile.sharing(platform);
+    return new OperatorSettings(operatorFile.read(), sharing);
+  }
+
+  private Optional<SharingSettings> sharing(Platform platform) throws SettingsException {
+    Object table = left.remove("sharing");
+    if (table == null) {
+      return Optional.empty();
+    }
+    if (!(table instanceof Map<?, ?> map)) {
+      throw new SettingsException(file + ": sharing must be a table");
+    }
+    return Optional.of(SharingSettings.read(file, map, platform));
   }
 
   private Tunables read() throws SettingsException {
--- /dev/null
+++ b/src/main/java/plumlever/settings/OperatorSettings.java
@@ -0,0 +1,15 @@
+package plumlever.settings;
+
+import java.util.Optional;
+
+/**
+ * All that the operators' file holds.
+ *
+ * @param sharing how machines are shared among cells, where they are
+ */
+public record OperatorSettings(Tunables tunables, Optional<SharingSettings> sharing) {
+  /** What holds without a file. */
+  public static OperatorSettings defaults() {
+    return new OperatorSettings(Tunables.defaults(), Optional.empty());
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/sharing/GuestTask.java
@@ -0,0 +1,37 @@
+package plumlever.sharing;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.TaskName;
+
+/**
+ * An attempt of one cell on a machine that another owns.
+ *
+ * @param attempt its number, unique in the pool
+ * @param cores what it takes of the machine
+ */
+public record GuestTask(
+    TaskName task, long attempt, double cores, double accelerators, double memoryGb) {
+  private static final int TASK = 0;
+  private static final int ATTEMPT = 1;
+  private static final int CORES = 2;
+  private static final int ACCELERATORS = 3;
+  private static final int MEMORY = 4;
+
+  void writeTo(ArrayNode array) {
+    array.addArray().add(task.wireName()).add(attempt).add(cores).add(accelerators).add(memoryGb);
+  }
+
+  static GuestTask parse(JsonNode node) throws InvalidMessage {
+    if (!node.path(TASK).isTextual() || !node.path(ATTEMPT).isIntegralNumber()) {
+      throw new InvalidMessage("no guest task");
+    }
+    return new GuestTask(
+        TaskName.of(node.path(TASK).asText()),
+        node.path(ATTEMPT).asLong(),
+        node.path(CORES).asDouble(),
+        node.path(ACCELERATORS).asDouble(),
+        node.path(MEMORY).asDouble());
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/sharing/LimitParts.java
@@ -0,0 +1,98 @@
+package plumlever.sharing;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import java.util.TreeMap;
+import plumlever.wire.Json;
+
+/**
+ * One team's limit, held in parts by the cells: no cell may use more than its part, and the parts
+ * together never exceed the limit. Immutable.
+ *
+ * @param byCell what each cell may use
+ */
+public record LimitParts(Map<String, Part> byCell) {
+  /** What one cell may use. */
+  public record Part(double cores, double accelerators) {
+    /** Nothing. */
+    public static final Part NONE = new Part(0, 0);
+  }
+
+  private static final String PREFIX = "/pool/limits/";
+
+  /** The key of the team's record. */
+  public static String keyOf(String team) {
+    return PREFIX + team;
+  }
+
+  static boolean isKey(String key) {
+    return key.startsWith(PREFIX);
+  }
+
+  static String teamOf(String key) {
+    return key.substring(PREFIX.length());
+  }
+
+  /** The limit cut up by the cells' weights, in whole processors; the first cell has the rest. */
+  public static LimitParts split(
+      double cores, double accelerators, Map<String, Double> weightByCell) {
+    double all = weightByCell.values().stream().mapToDouble(Double::doubleValue).sum();
+    Map<String, Part> parts = new TreeMap<>();
+    double coresLeft = cores;
+    double acceleratorsLeft = accelerators;
+    for (Map.Entry<String, Double> entry : weightByCell.entrySet()) {
+      Part part =
+          new Part(
+              Math.floor(cores * entry.getValue() / all),
+              Math.floor(accelerators * entry.getValue() / all));
+      coresLeft -= part.cores();
+      acceleratorsLeft -= part.accelerators();
+      parts.put(entry.getKey(), part);
+    }
+    String first = weightByCell.keySet().iterator().next();
+    Part part = parts.get(first);
+    parts.put(first, new Part(part.cores() + coresLeft, part.accelerators() + acceleratorsLeft));
+    return new LimitParts(parts);
+  }
+
+  /** The cell's part. */
+  public Part of(String cell) {
+    return byCell.getOrDefault(cell, Part.NONE);
+  }
+
+  /** The parts after one cell has given some of its own to another. */
+  public LimitParts moved(String from, String to, double cores, double accelerators) {
+    Part giver = of(from);
+    Part taker = of(to);
+    if (cores > giver.cores() || accelerators > giver.accelerators()) {
+      throw new IllegalArgumentException(from + " can't give more than its part");
+    }
+    Map<String, Part> parts = new TreeMap<>(byCell);
+    parts.put(from, new Part(giver.cores() - cores, giver.accelerators() - accelerators));
+    parts.put(to, new Part(taker.cores() + cores, taker.accelerators() + accelerators));
+    return new LimitParts(parts);
+  }
+
+  /** The record as it is stored. */
+  public ObjectNode toJson() {
+    ObjectNode object = Json.object();
+    ObjectNode parts = object.putObject("parts");
+    byCell.forEach((cell, part) -> parts.putArray(cell).add(part.cores()).add(part.accelerators()));
+    return object;
+  }
+
+  /** Reads a stored record. */
+  static LimitParts parse(JsonNode data) {
+    Map<String, Part> parts = new TreeMap<>();
+    data.path("parts")
+        .properties()
+        .forEach(
+            entry ->
+                parts.put(
+                    entry.getKey(),
+                    new Part(
+                        entry.getValue().path(0).asDouble(), entry.getValue().path(1).asDouble())));
+    return new LimitParts(parts);
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/sharing/PoolView.java
@@ -0,0 +1,164 @@
+package plumlever.sharing;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import plumlever.wire.InvalidMessage;
+
+/**
+ * What the records of the pool say together, as of the last change applied. Changes may come more
+ * than once and out of order: the newer revision of each key stays.
+ */
+public final class PoolView {
+  /** All records of the pool are under it. */
+  public static final String PREFIX = "/pool/";
+
+  /** The pool's counter of terms and transfers. */
+  public static final String COUNTER = PREFIX + "term";
+
+  private static final String LEADERS = PREFIX + "leaders/";
+  private static final String NUMBER = "term";
+
+  /** A record with its revision. */
+  public record Stamped<T>(T value, long stamp) {}
+
+  /** Dropped keys remembered, far more than change while one transaction is under way. */
+  private static final int MOST_DROPPED = 2_000;
+
+  private final Map<String, Long> stamps = new HashMap<>();
+
+  /** Revisions of drops: an older put of the key that comes later must not bring it back. */
+  private final Map<String, Long> dropped = new HashMap<>();
+
+  private final Map<String, OwnerRecord> owners = new HashMap<>();
+  private final Map<String, Stamped<TransferRecord>> transfers = new TreeMap<>();
+  private final Map<String, String> leaders = new HashMap<>();
+  private final Map<String, CellDemand> demands = new TreeMap<>();
+  private final Map<String, LimitParts> limits = new TreeMap<>();
+  private long counter;
+
+  /** The key that tells who leads the cell; it hangs on the leader's lease. */
+  public static String leaderKey(String cell) {
+    return LEADERS + cell;
+  }
+
+  /** A record is stored, or was dropped if {@code data} is null. */
+  public void apply(String key, JsonNode data, long stamp) throws InvalidMessage {
+    if (stamp <= stamps.getOrDefault(key, 0L)) {
+      return;
+    }
+    stamps.put(key, stamp);
+    if (OwnerRecord.isKey(key)) {
+      set(owners, key, data == null ? null : OwnerRecord.parse(data));
+    } else if (TransferRecord.isKey(key)) {
+      String machine = TransferRecord.machineOf(key);
+      set(
+          transfers,
+          machine,
+          data == null ? null : new Stamped<>(TransferRecord.parse(machine, data), stamp));
+    } else if (key.startsWith(LEADERS)) {
+      set(
+          leaders,
+          key.substring(LEADERS.length()),
+          data == null ? null : data.path("label").asText());
+    } else if (CellDemand.isKey(key)) {
+      set(demands, CellDemand.cellOf(key), data == null ? null : CellDemand.parse(data));
+    } else if (LimitParts.isKey(key)) {
+      set(limits, LimitParts.teamOf(key), data == null ? null : LimitParts.parse(data));
+    } else if (key.equals(COUNTER) && data != null) {
+      counter = data.path(NUMBER).asLong();
+    }
+    if (data != null) {
+      dropped.remove(key);
+      return;
+    }
+    dropped.put(key, stamp);
+    if (dropped.size() > MOST_DROPPED) {
+      stamps.keySet().removeAll(dropped.keySet());
+      dropped.clear();
+    }
+  }
+
+  private static <T> void set(Map<String, T> map, String key, T value) {
+    if (value == null) {
+      map.remove(key);
+    } else {
+      map.put(key, value);
+    }
+  }
+
+  /**
+   * A read has shown that there is no such record.
+   *
+   * @param stampBefore what was known when the read was sent: a record stored since stays
+   */
+  public void absent(String key, long stampBefore) throws InvalidMessage {
+    if (stampBefore != 0 && stampOf(key) == stampBefore) {
+      apply(key, null, stampBefore + 1);
+    }
+  }
+
+  /** Everything was read anew: what is not among these keys is gone. */
+  public void retain(Collection<String> keys, long epoch) throws InvalidMessage {
+    for (String key : List.copyOf(stamps.keySet())) {
+      if (!keys.contains(key) && !dropped.containsKey(key)) {
+        apply(key, null, epoch);
+      }
+    }
+  }
+
+  /** The revision of a key to guard a transaction with; 0 while there is none. */
+  public long stampOf(String key) {
+    return dropped.containsKey(key) ? 0 : stamps.getOrDefault(key, 0L);
+  }
+
+  /** Who owns the machine. */
+  public Optional<String> holder(String machine) {
+    return owners(machine).holder(machine);
+  }
+
+  /** The record that tells who owns the machine. */
+  public OwnerRecord owners(String machine) {
+    return owners.getOrDefault(OwnerRecord.keyOf(machine), OwnerRecord.EMPTY);
+  }
+
+  /** How many machines the holder owns. */
+  public int count(String holder) {
+    return owners.values().stream().mapToInt(owned -> owned.count(holder)).sum();
+  }
+
+  /** Where the machine's transfer stands. */
+  public Optional<Stamped<TransferRecord>> transfer(String machine) {
+    return Optional.ofNullable(transfers.get(machine));
+  }
+
+  /** All machines with a transfer that is not settled. */
+  public Map<String, Stamped<TransferRecord>> transfers() {
+    return Collections.unmodifiableMap(transfers);
+  }
+
+  /** Label of the cell's leader, if it has one. */
+  public Optional<String> leader(String cell) {
+    return Optional.ofNullable(leaders.get(cell));
+  }
+
+  /** What the cell last told of its share. */
+  public Optional<CellDemand> demand(String cell) {
+    return Optional.ofNullable(demands.get(cell));
+  }
+
+  /** The parts of the team's limit, once they have been cut up. */
+  public Optional<LimitParts> limit(String team) {
+    return Optional.ofNullable(limits.get(team));
+  }
+
+  /** The last number given out. */
+  public long counter() {
+    return counter;
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/sharing/TransferRecord.java
@@ -0,0 +1,196 @@
+package plumlever.sharing;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
+
+/**
+ * The state of one machine that changes its owner, or that holds tasks of others than its owner. It
+ * goes through these states, each step one guarded transaction:
+ *
+ * <ul>
+ *   <li>{@link State#OFFERED}: the owner gives it up; it starts nothing on it from before the
+ *       transaction is sent.
+ *   <li>{@link State#TAKEN}: the taker owns it, and uses a number that is newer than any that the
+ *       former owner could have used. Homes are the cells whose tasks may still be on it.
+ *   <li>{@link State#GONE}: the machine does not exist any more; its homes have still to see that
+ *       their tasks are over.
+ * </ul>
+ *
+ * <p>Each home leaves the record once none of its tasks can be on the machine. A record without
+ * homes is dropped, and what the machine was is in the record of owners only.
+ *
+ * @param session of the worker when it was offered
+ * @param number from the pool's counter, by which the present owner's commands are ordered
+ * @param homes guest tasks by cell
+ */
+public record TransferRecord(
+    State state,
+    Details machine,
+    long session,
+    String owner,
+    long number,
+    Optional<Offer> offer,
+    Map<String, List<GuestTask>> homes) {
+  /** Where the transfer stands. */
+  public enum State {
+    OFFERED,
+    TAKEN,
+    GONE
+  }
+
+  /** What a machine is, for an owner that has never heard of it. */
+  public record Details(String id, String endpoint, String flavor, String site, boolean spot) {}
+
+  /**
+   * To whom a machine is offered.
+   *
+   * @param termStamp revision of the offering cell's term: the offer holds as long as it does
+   * @param digest of the sharing file of the offering controller
+   */
+  public record Offer(String to, long termStamp, String digest) {}
+
+  private static final String PREFIX = "/pool/transfers/";
+
+  /** The key of the machine's record. */
+  public static String keyOf(String machine) {
+    return PREFIX + machine;
+  }
+
+  static boolean isKey(String key) {
+    return key.startsWith(PREFIX);
+  }
+
+  static String machineOf(String key) {
+    return key.substring(PREFIX.length());
+  }
+
+  /** True if tasks of the cell may be on the machine, which is not its own. */
+  public boolean isHome(String cell) {
+    return homes.containsKey(cell) && !(state != State.GONE && owner.equals(cell));
+  }
+
+  /** The first record of a machine that its owner offers, or the next of one that has guests. */
+  public static TransferRecord offered(
+      Details machine,
+      long session,
+      String owner,
+      long number,
+      Offer offer,
+      Map<String, List<GuestTask>> homes) {
+    return new TransferRecord(
+        State.OFFERED, machine, session, owner, number, Optional.of(offer), homes);
+  }
+
+  /** The taker owns it from here on; its own tasks there are guests no more. */
+  public TransferRecord taken(String taker, long newNumber) {
+    Map<String, List<GuestTask>> left = new TreeMap<>(homes);
+    left.remove(taker);
+    return new TransferRecord(
+        State.TAKEN, machine, session, taker, newNumber, Optional.empty(), left);
+  }
+
+  /** The offer is taken back; the owner's own tasks need not be listed any more. */
+  public TransferRecord withdrawn() {
+    Map<String, List<GuestTask>> left = new TreeMap<>(homes);
+    left.remove(owner);
+    return new TransferRecord(State.TAKEN, machine, session, owner, number, Optional.empty(), left);
+  }
+
+  /** The machine does not exist any more. */
+  public TransferRecord gone() {
+    return new TransferRecord(State.GONE, machine, session, owner, number, Optional.empty(), homes);
+  }
+
+  /** None of the cell's tasks can be on it any more. */
+  public TransferRecord withoutHome(String cell) {
+    Map<String, List<GuestTask>> left = new TreeMap<>(homes);
+    left.remove(cell);
+    return new TransferRecord(state, machine, session, owner, number, offer, left);
+  }
+
+  /** True when nothing is left to be settled. */
+  public boolean isSettled() {
+    return homes.isEmpty() && offer.isEmpty();
+  }
+
+  /** The record as it is stored. */
+  public ObjectNode toJson() {
+    ObjectNode object =
+        Json.object()
+            .put("state", state.name())
+            .put("endpoint", machine.endpoint())
+            .put("flavor", machine.flavor())
+            .put("site", machine.site())
+            .put("spot", machine.spot())
+            .put("session", session)
+            .put("owner", owner)
+            .put("number", number);
+    offer.ifPresent(
+        made ->
+            object
+                .putObject("offer")
+                .put("to", made.to())
+                .put("term_stamp", made.termStamp())
+                .put("digest", made.digest()));
+    ObjectNode stored = object.putObject("homes");
+    homes.forEach(
+        (cell, guests) -> {
+          ArrayNode array = stored.putArray(cell);
+          guests.forEach(guest -> guest.writeTo(array));
+        });
+    return object;
+  }
+
+  /** Reads a stored record. */
+  public static TransferRecord parse(String machine, JsonNode data) throws InvalidMessage {
+    State state;
+    try {
+      state = State.valueOf(data.path("state").asText());
+    } catch (IllegalArgumentException e) {
+      throw new InvalidMessage("the transfer of " + machine + " is in a state that is unknown");
+    }
+    Details details =
+        new Details(
+            machine,
+            Json.text(data, "endpoint"),
+            Json.text(data, "flavor"),
+            Json.text(data, "site"),
+            Json.flag(data, "spot"));
+    Optional<Offer> offer = Optional.empty();
+    if (data.path("offer") instanceof ObjectNode made) {
+      offer =
+          Optional.of(
+              new Offer(
+                  Json.text(made, "to"),
+                  Json.whole(made, "term_stamp", 0, Long.MAX_VALUE),
+                  Json.text(made, "digest")));
+    }
+    if (!(data.path("homes") instanceof ObjectNode stored)) {
+      throw new InvalidMessage("the transfer of " + machine + " names no homes");
+    }
+    Map<String, List<GuestTask>> homes = new TreeMap<>();
+    for (Map.Entry<String, JsonNode> entry : stored.properties()) {
+      List<GuestTask> guests = new ArrayList<>();
+      for (JsonNode node : entry.getValue()) {
+        guests.add(GuestTask.parse(node));
+      }
+      homes.put(entry.getKey(), guests);
+    }
+    return new TransferRecord(
+        state,
+        details,
+        Json.whole(data, "session", 0, Long.MAX_VALUE),
+        Json.text(data, "owner"),
+        Json.whole(data, "number", 0, Long.MAX_VALUE),
+        offer,
+        homes);
+  }
+}
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -75,9 +75,18 @@
   private static final int NAMES_BASE_BYTES = 32;
 
   private final WriteLimits limits;
+  private final List<String> otherCells;
   private final int statedValueBytes;
 
   public JobStore(WriteLimits limits) {
+    this(limits, List.of());
+  }
+
+  /**
+   * @param otherCells prefixes of other cells' keys, in none of which a job may be that is accepted
+   */
+  public JobStore(WriteLimits limits, List<String> otherCells) {
+    this.otherCells = otherCells;
     this.limits = limits;
     this.statedValueBytes = limits.valueBytes();
   }
@@ -183,6 +192,10 @@
             .guard(activeKey(spec.uid()), 0)
             .guard(endedKey(spec.uid()), 0)
             .put(activeKey(spec.uid()), active);
+    for (String prefix : otherCells) {
+      txn.guard(KeySpace.absolute(prefix, activeKey(spec.uid())), 0)
+          .guard(KeySpace.absolute(prefix, endedKey(spec.uid())), 0);
+    }
     return new Acceptance(parts, txn);
   }
 
--- /dev/null
+++ b/src/main/java/plumlever/store/KeySpace.java
@@ -0,0 +1,78 @@
+package plumlever.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import plumlever.wire.Json;
+
+/**
+ * Where the keys of this controller's records are in the state service: under a prefix, or at the
+ * root. A key that begins with a slash is taken from the root whatever the prefix, without that
+ * slash; it is how records are named that cells share.
+ */
+public final class KeySpace {
+  /** Keys as they are. */
+  public static final KeySpace ROOT = new KeySpace("");
+
+  private static final String ABSOLUTE = "/";
+
+  private final String prefix;
+
+  private KeySpace(String prefix) {
+    this.prefix = prefix;
+  }
+
+  /** Keys under this prefix, which ends with a slash or is empty. */
+  public static KeySpace under(String prefix) {
+    return prefix.isEmpty() ? ROOT : new KeySpace(prefix);
+  }
+
+  /** The key of another key space, by that one's prefix. */
+  public static String absolute(String prefix, String key) {
+    return ABSOLUTE + prefix + key;
+  }
+
+  String stored(String key) {
+    return key.startsWith(ABSOLUTE) ? key.substring(1) : prefix + key;
+  }
+
+  /**
+   * The name of a stored key as whoever asked knows it.
+   *
+   * @param asked the key or prefix that was asked for
+   */
+  String known(String stored, String asked) {
+    return asked.startsWith(ABSOLUTE) ? ABSOLUTE + stored : stored.substring(prefix.length());
+  }
+
+  /** The name of a stored key that a transaction named. */
+  String known(String stored) {
+    return !prefix.isEmpty() && stored.startsWith(prefix)
+        ? stored.substring(prefix.length())
+        : ABSOLUTE + stored;
+  }
+
+  boolean isRoot() {
+    return prefix.isEmpty();
+  }
+
+  /** The body of a transaction with all keys as they are stored. */
+  ObjectNode stored(ObjectNode body) {
+    ObjectNode out = Json.object();
+    ArrayNode guards = out.putArray("guards");
+    for (JsonNode guard : body.path("guards")) {
+      guards.add(renamed(guard, "k"));
+    }
+    ArrayNode then = out.putArray("then");
+    for (JsonNode change : body.path("then")) {
+      then.add(renamed(change, change.has("put") ? "put" : "drop"));
+    }
+    return out;
+  }
+
+  private ObjectNode renamed(JsonNode node, String field) {
+    ObjectNode copy = Json.object();
+    node.properties().forEach(entry -> copy.set(entry.getKey(), entry.getValue()));
+    return copy.put(field, stored(node.get(field).asText()));
+  }
+}
--- a/src/main/java/plumlever/store/StateClient.java
+++ b/src/main/java/plumlever/store/StateClient.java
@@ -82,6 +82,7 @@
   private final Caller caller;
   private final Endpoint at;
   private final Metrics metrics;
+  private final KeySpace keySpace;
   private final TokenBucket requests;
   private final TokenBucket writes;
   private final double writesPerS;
@@ -93,6 +94,18 @@
   /** A client that keeps within its part of the limits. */
   public StateClient(
       Loop loop, Caller caller, Endpoint at, Platform.StateLimits limits, Metrics metrics) {
+    this(loop, caller, at, limits, metrics, KeySpace.ROOT);
+  }
+
+  /** A client whose keys are in that space. */
+  public StateClient(
+      Loop loop,
+      Caller caller,
+      Endpoint at,
+      Platform.StateLimits limits,
+      Metrics metrics,
+      KeySpace keySpace) {
+    this.keySpace = keySpace;
     this.limits = new WriteLimits(limits);
     this.metrics = metrics;
     this.loop = loop;
@@ -133,7 +146,7 @@
         priority,
         0,
         "GET",
-        "/keys/" + key,
+        "/keys/" + keySpace.stored(key),
         null,
         TIMEOUT_MICROS,
         (status, o) -> {
@@ -170,7 +183,11 @@
       long firstEpoch,
       Consumer<Listing> then) {
     String path =
-        "/keys?under=" + prefix + "&page=" + PAGE + (since == null ? "" : "&since=" + since);
+        "/keys?under="
+            + keySpace.stored(prefix)
+            + "&page="
+            + PAGE
+            + (since == null ? "" : "&since=" + since);
     send(
         priority,
         0,
@@ -191,7 +208,7 @@
             last = node.path("k").asText();
             into.add(
                 new Item(
-                    last,
+                    keySpace.known(last, prefix),
                     node.path("data"),
                     node.path("stamp").asLong(),
                     node.path("permit").asLong(0)));
@@ -230,7 +247,7 @@
         txn.changes(),
         "POST",
         "/txn",
-        txn.body(),
+        keySpace.isRoot() && !txn.namesAbsolute() ? txn.body() : keySpace.stored(txn.body()),
         TIMEOUT_MICROS,
         (status, o) -> {
           if (status == HttpStatus.PAYLOAD_TOO_LARGE
@@ -250,7 +267,9 @@
               };
           List<String> failed = new ArrayList<>();
           if (o != null) {
-            o.path("failed").forEach(k -> failed.add(k.asText()));
+            o.path("failed")
+                .forEach(
+                    k -> failed.add(keySpace.isRoot() ? k.asText() : keySpace.known(k.asText())));
           }
           then.accept(
               new Txn.Result(outcome, status, o == null ? -1 : o.path("epoch").asLong(-1), failed));
@@ -300,7 +319,13 @@
    * yet.
    */
   public void follow(String prefix, long since, long waitMicros, Consumer<Changes> then) {
-    String path = "/follow?under=" + prefix + "&since=" + since + "&wait_ms=" + waitMicros / 1_000;
+    String path =
+        "/follow?under="
+            + keySpace.stored(prefix)
+            + "&since="
+            + since
+            + "&wait_ms="
+            + waitMicros / 1_000;
     send(
         Class.URGENT,
         0,
@@ -318,9 +343,15 @@
             if (node.hasNonNull("put")) {
               log.add(
                   new Change(
-                      node.get("put").asText(), node.path("data"), node.path("stamp").asLong()));
+                      keySpace.known(node.get("put").asText(), prefix),
+                      node.path("data"),
+                      node.path("stamp").asLong()));
             } else if (node.hasNonNull("drop")) {
-              log.add(new Change(node.get("drop").asText(), null, node.path("stamp").asLong()));
+              log.add(
+                  new Change(
+                      keySpace.known(node.get("drop").asText(), prefix),
+                      null,
+                      node.path("stamp").asLong()));
             }
           }
           then.accept(new Changes(HttpStatus.OK, o.get("epoch").longValue(), log));
--- a/src/main/java/plumlever/store/Txn.java
+++ b/src/main/java/plumlever/store/Txn.java
@@ -37,16 +37,19 @@
   private final ArrayNode guards = body.putArray("guards");
   private final ArrayNode then = body.putArray("then");
   private boolean grant;
+  private boolean absolute;
 
   /**
    * @param stamp 0: the key must not exist
    */
   public Txn guard(String key, long stamp) {
+    absolute |= key.charAt(0) == '/';
     guards.addObject().put("k", key).put("stamp", stamp);
     return this;
   }
 
   public Txn put(String key, JsonNode data) {
+    absolute |= key.charAt(0) == '/';
     then.addObject().put("put", key).set("data", data);
     return this;
   }
@@ -54,17 +57,24 @@
   /** Puts a value that is deleted when the grant ends. */
   public Txn put(String key, JsonNode data, long permit) {
     grant = true;
+    absolute |= key.charAt(0) == '/';
     ObjectNode object = then.addObject().put("put", key).put("permit", permit);
     object.set("data", data);
     return this;
   }
 
+  /** True if a key is named from the root of the state service. */
+  boolean namesAbsolute() {
+    return absolute;
+  }
+
   /** True if it puts a key on a grant: such a transaction is malformed once the grant has ended. */
   boolean hangsOnGrant() {
     return grant;
   }
 
   public Txn drop(String key) {
+    absolute |= key.charAt(0) == '/';
     then.addObject().put("drop", key);
     return this;
   }
--- a/src/main/java/plumlever/warmup/WarmUpTerms.java
+++ b/src/main/java/plumlever/warmup/WarmUpTerms.java
@@ -2,11 +2,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import org.slf4j.LoggerFactory;
 import plumlever.Node;
 import plumlever.http.Caller;
 import plumlever.http.Responder;
 import plumlever.settings.Endpoint;
+import plumlever.settings.OperatorSettings;
 import plumlever.settings.Platform;
 import plumlever.settings.Tunables;
 import plumlever.wire.JobSpec;
@@ -84,7 +86,7 @@
             loop,
             caller(life),
             platform,
-            tunables,
+            new OperatorSettings(tunables, Optional.empty()),
             life,
             c -> LoggerFactory.getLogger("practice." + c.getSimpleName()));
     node.start();
--- /dev/null
+++ b/src/main/java/plumlever/wire/ForwardedRequest.java
@@ -0,0 +1,30 @@
+package plumlever.wire;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+
+/** A user's request that a controller of another cell is to answer. */
+public record ForwardedRequest(String method, String path, String body) {
+  /** Where controllers take such requests. */
+  public static final String PATH = "/forward";
+
+  private static final String METHOD = "method";
+  private static final String TARGET = "path";
+  private static final String BODY = "body";
+
+  /** The body in which it is sent. */
+  public byte[] write() {
+    ObjectNode object = Json.object().put(METHOD, method).put(TARGET, path).put(BODY, body);
+    return Json.write(object).getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Reads the body in which it was sent. */
+  public static ForwardedRequest parse(byte[] sent) throws InvalidMessage {
+    ObjectNode object = Json.parseObject(sent);
+    if (!object.path(BODY).isTextual()) {
+      throw new InvalidMessage(BODY + " is missing");
+    }
+    return new ForwardedRequest(
+        Json.text(object, METHOD), Json.text(object, TARGET), object.get(BODY).textValue());
+  }
+}
--- a/src/main/java/plumlever/wire/HttpStatus.java
+++ b/src/main/java/plumlever/wire/HttpStatus.java
@@ -15,5 +15,8 @@
   public static final int TOO_MANY_REQUESTS = 429;
   public static final int UNAVAILABLE = 503;
 
+  /** The least status that tells of a failure of the server. */
+  public static final int SERVER_ERRORS = 500;
+
   private HttpStatus() {}
 }
--- a/src/main/java/plumlever/wire/Order.java
+++ b/src/main/java/plumlever/wire/Order.java
@@ -1,8 +1,10 @@
 package plumlever.wire;
 
 import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.util.ArrayList;
 import java.util.List;
 
 /** A command to a worker. */
@@ -42,6 +44,26 @@
     return body(token, tenure, orders);
   }
 
+  /** The commands that an answer holds. */
+  public static List<Order> parseAnswer(byte[] body) throws InvalidMessage {
+    List<Order> orders = new ArrayList<>();
+    for (JsonNode node : Json.parseObject(body).path("orders")) {
+      TaskName task = TaskName.of(Json.text(node, "piece"));
+      long attempt = Json.whole(node, "try", 0, Long.MAX_VALUE);
+      String verb = Json.text(node, "verb");
+      if (verb.equals(Verb.HALT.wireName)) {
+        orders.add(halt(task, attempt, Json.amount(node, "wind_down_s", 0)));
+      } else if (verb.equals(Verb.REAP.wireName)) {
+        orders.add(reap(task, attempt));
+      } else if (verb.equals(Verb.RUN.wireName)) {
+        orders.add(run(task, attempt));
+      } else {
+        throw new InvalidMessage("verb is unknown: " + verb);
+      }
+    }
+    return orders;
+  }
+
   private static String body(long token, long tenure, List<Order> orders) {
     StringWriter out = new StringWriter(64);
     try (JsonGenerator jsonGenerator = Json.generator(out)) {
--- a/src/test/java/plumlever/architecture/PackageDependenciesTest.java
+++ b/src/test/java/plumlever/architecture/PackageDependenciesTest.java
@@ -29,6 +29,7 @@
               Map.entry("metrics", List.of()),
               Map.entry("settings", List.of()),
               Map.entry("placement", List.of()),
+              Map.entry("sharing", List.of("wire")),
               Map.entry("fleet", List.of("wire")),
               Map.entry("scaling", List.of("cloud", "wire")),
               Map.entry("peer", List.of("concurrent", "http", "settings", "wire")),
@@ -62,6 +63,7 @@
                       "placement",
                       "scaling",
                       "settings",
+                      "sharing",
                       "store",
                       "wire")),
               Map.entry("warmup", List.of("", "concurrent", "http", "metrics", "settings", "wire")),
@@ -77,6 +79,7 @@
                       "metrics",
                       "peer",
                       "settings",
+                      "sharing",
                       "store",
                       "wire"))));
 
--- /dev/null
+++ b/src/test/java/plumlever/sharing/SharePolicyTest.java
@@ -0,0 +1,150 @@
+package plumlever.sharing;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import plumlever.sharing.SharePolicy.CellState;
+import plumlever.sharing.SharePolicy.Move;
+
+/** The policy held against a slow plain model, and against what it promises. */
+final class SharePolicyTest {
+  private static CellState random(String name, SplittableRandom random) {
+    int machines = random.nextInt(40);
+    int wanted = random.nextBoolean() ? random.nextInt(20) : 0;
+    return new CellState(
+        name,
+        random.nextInt(12),
+        1 + random.nextInt(3),
+        machines,
+        wanted > 0 ? 0 : random.nextInt(machines + 1),
+        wanted);
+  }
+
+  /** One machine at a time, with everything worked out anew for each. */
+  private static List<Move> plain(List<CellState> cells, int most) {
+    Map<String, CellState> state = new HashMap<>();
+    List<String> names = new ArrayList<>();
+    cells.forEach(cell -> state.put(cell.name(), cell));
+    cells.stream().map(CellState::name).sorted().forEach(names::add);
+    Map<String, Double> share = new HashMap<>();
+    cells.forEach(cell -> share.put(cell.name(), SharePolicy.shareOf(cell, cells)));
+    List<String> takers = new ArrayList<>(names);
+    takers.sort(
+        (one, other) -> {
+          double first = share.get(one) - state.get(one).machines();
+          double second = share.get(other) - state.get(other).machines();
+          return first == second ? one.compareTo(other) : Double.compare(second, first);
+        });
+    List<Move> moves = new ArrayList<>();
+    for (String taker : takers) {
+      for (String giver : names) {
+        int count = 0;
+        for (int i = 0; i < most && !giver.equals(taker); i++) {
+          CellState from = state.get(giver);
+          CellState to = state.get(taker);
+          boolean idle = from.idle() > 0 && from.machines() > from.floor();
+          boolean used =
+              to.machines() < share.get(taker)
+                  && from.machines() > from.floor()
+                  && from.machines() - 1 >= share.get(giver)
+                  && from.machines() > 1.1 * share.get(giver);
+          if (to.wanted() == 0 || !(idle || used)) {
+            break;
+          }
+          state.put(giver, changed(from, -1, idle ? -1 : 0, 0));
+          state.put(taker, changed(to, 1, 0, -1));
+          count++;
+        }
+        if (count > 0) {
+          moves.add(new Move(giver, taker, count));
+        }
+      }
+    }
+    return moves;
+  }
+
+  private static CellState changed(CellState cell, int machines, int idle, int wanted) {
+    return new CellState(
+        cell.name(),
+        cell.floor(),
+        cell.weight(),
+        cell.machines() + machines,
+        cell.idle() + idle,
+        cell.wanted() + wanted);
+  }
+
+  @Test
+  void decidesLikeThePlainModelWhateverTheOrderOfCells() {
+    SplittableRandom random = new SplittableRandom(7);
+    int moving = 0;
+    for (int round = 0; round < 3_000; round++) {
+      List<CellState> cells = new ArrayList<>();
+      for (String name : List.of("a", "b", "c", "d").subList(0, 2 + random.nextInt(3))) {
+        cells.add(random(name, random));
+      }
+      int most = 1 + random.nextInt(10);
+      List<Move> planned = SharePolicy.plan(cells, most);
+      assertEquals(plain(cells, most), planned, cells.toString());
+      Collections.shuffle(cells, new Random(round));
+      assertEquals(planned, SharePolicy.plan(cells, most), cells.toString());
+      moving += planned.isEmpty() ? 0 : 1;
+    }
+    assertTrue(moving > 500, "rounds with moves: " + moving);
+  }
+
+  @Test
+  void nobodyGoesBelowItsFloorOrGetsMoreThanItLacks() {
+    SplittableRandom random = new SplittableRandom(8);
+    for (int round = 0; round < 3_000; round++) {
+      List<CellState> cells =
+          List.of(random("a", random), random("b", random), random("c", random));
+      Map<String, Integer> change = new HashMap<>();
+      for (Move move : SharePolicy.plan(cells, 50)) {
+        change.merge(move.from(), -move.machines(), Integer::sum);
+        change.merge(move.to(), move.machines(), Integer::sum);
+      }
+      for (CellState cell : cells) {
+        int moved = change.getOrDefault(cell.name(), 0);
+        assertTrue(moved <= cell.wanted(), cells + " " + change);
+        assertTrue(moved >= 0 || cell.machines() + moved >= cell.floor(), cells + " " + change);
+      }
+    }
+  }
+
+  @Test
+  void machinesInUseMoveOnlyFromAboveTheShareByMoreThanTheHysteresis() {
+    CellState taker = new CellState("b", 0, 1, 9, 0, 5);
+    assertEquals(
+        List.of(), SharePolicy.plan(List.of(new CellState("a", 0, 1, 10, 0, 0), taker), 5));
+    CellState small = new CellState("b", 0, 1, 4, 0, 5);
+    assertEquals(
+        List.of(new Move("a", "b", 5)),
+        SharePolicy.plan(List.of(new CellState("a", 0, 1, 20, 0, 3), small), 5));
+  }
+
+  @Test
+  void limitPartsNeverExceedTheLimitAndMoveWhole() {
+    Map<String, Double> weights = Map.of("a", 1.0, "b", 2.0, "c", 0.5);
+    LimitParts parts = LimitParts.split(100, 3, weights);
+    double cores = parts.byCell().values().stream().mapToDouble(LimitParts.Part::cores).sum();
+    assertEquals(100, cores);
+    assertEquals(
+        3, parts.byCell().values().stream().mapToDouble(LimitParts.Part::accelerators).sum());
+    LimitParts moved = parts.moved("b", "a", 10, 0);
+    assertEquals(parts.of("b").cores() - 10, moved.of("b").cores());
+    assertEquals(parts.of("a").cores() + 10, moved.of("a").cores());
+    assertEquals(
+        new LimitPolicy.Gift("c", 6),
+        LimitPolicy.gift(6.5, Map.of("a", 2.0, "c", 9.0)).orElseThrow());
+    assertTrue(LimitPolicy.gift(0.5, Map.of("a", 2.0)).isEmpty());
+    assertTrue(LimitPolicy.gift(8, Map.of()).isEmpty());
+  }
+}
--- /dev/null
+++ b/src/test/java/plumlever/sharing/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the pool's records and policies. */
+package plumlever.sharing;
--- a/src/test/java/plumlever/sim/FakeUsers.java
+++ b/src/test/java/plumlever/sim/FakeUsers.java
@@ -39,6 +39,11 @@
     cluster.at(500_000, this::probe);
   }
 
+  /** The next request about the job goes to that controller. */
+  void connect(String uid, String node) {
+    connected.put(uid, new Endpoint(node, 1));
+  }
+
   Set<String> accepted() {
     return accepted;
   }
