--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -363,6 +363,8 @@
   public void peer(String method, String path, byte[] body, Responder out) {
     if (sharing.isPresent() && path.equals(PoolRequests.RELAY)) {
       PoolRequests.relay(body, leader, out);
+    } else if (sharing.isPresent() && path.equals(PoolRequests.TRANSFER)) {
+      PoolRequests.transfer(body, leader, out);
     } else if (sharing.isPresent() && path.equals(PoolRequests.FORWARD)) {
       PoolRequests.forwarded(body, router, out);
     } else {
--- a/src/main/java/plumlever/http/PoolRequests.java
+++ b/src/main/java/plumlever/http/PoolRequests.java
@@ -1,10 +1,12 @@
 package plumlever.http;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import plumlever.leader.Leader;
 import plumlever.wire.ForwardedRequest;
 import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
 import plumlever.wire.RelayedReport;
 
 /** Requests that controllers of different cells of a pool make of each other. */
@@ -12,6 +14,9 @@
   /** Where reports of machines are passed on to the cells whose tasks are on them. */
   public static final String RELAY = "/relay";
 
+  /** Where an operator has a machine given to another cell. */
+  public static final String TRANSFER = "/transfer";
+
   public static final String FORWARD = ForwardedRequest.PATH;
 
   private PoolRequests() {}
@@ -33,6 +38,25 @@
     }
   }
 
+  /**
+   * An operator gives a machine to another cell.
+   *
+   * @param leader null where this controller does not lead
+   */
+  public static void transfer(byte[] body, Leader leader, Responder out) {
+    try {
+      ObjectNode request = Json.parseObject(body);
+      String machine = Json.text(request, "machine");
+      if (leader == null || !leader.transfer(machine, Json.text(request, "to"))) {
+        out.later(HttpStatus.UNAVAILABLE, machine + " can't be given from here now", 1);
+      } else {
+        out.send(HttpStatus.OK, "{}");
+      }
+    } catch (InvalidMessage e) {
+      out.error(HttpStatus.BAD_REQUEST, e.getMessage());
+    }
+  }
+
   /** Answers a user of another cell's controller; such a request goes no further. */
   public static void forwarded(byte[] body, RequestRouter router, Responder out) {
     ForwardedRequest request;
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -371,6 +371,15 @@
     }
   }
 
+  /**
+   * Gives a machine to another cell at an operator's wish.
+   *
+   * @return false if it is not one that can be given now
+   */
+  public boolean transfer(String machine, String cell) {
+    return sharing.offer(machine, cell);
+  }
+
   /** Another cell's leader passes on what a machine of its tells of this cell's tasks. */
   public void relayed(RelayedReport relayed, Responder out) {
     sharing.relayed(relayed, out);
--- a/src/main/java/plumlever/leader/MachineSharing.java
+++ b/src/main/java/plumlever/leader/MachineSharing.java
@@ -88,6 +88,15 @@
   /** Another cell's leader passes on what a machine of its tells of this cell's tasks. */
   default void relayed(RelayedReport relayed, Responder out) {}
 
+  /**
+   * Gives a machine to another cell, whatever the policy says.
+   *
+   * @return false if it is not one that can be given now
+   */
+  default boolean offer(String machine, String cell) {
+    return false;
+  }
+
   /** False while what is lacking may still come from other cells. */
   default boolean mayRent() {
     return true;
--- a/src/main/java/plumlever/leader/PoolSharing.java
+++ b/src/main/java/plumlever/leader/PoolSharing.java
@@ -263,6 +263,17 @@
     out.send(HttpStatus.OK, Order.answer(0, orders));
   }
 
+  @Override
+  public boolean offer(String machine, String cell) {
+    Machine found = loaded ? fleet.machine(machine) : null;
+    boolean known = sharing.others().stream().anyMatch(other -> other.name().equals(cell));
+    if (found == null || !known || !context.term().mayAct() || !transfers.canOffer(found)) {
+      return false;
+    }
+    transfers.offer(found, cell);
+    return true;
+  }
+
   @Override
   public boolean mayRent() {
     return share.mayRent();
--- a/src/main/java/plumlever/leader/SharedRecords.java
+++ b/src/main/java/plumlever/leader/SharedRecords.java
@@ -179,6 +179,8 @@
    * The entry is of no use any more; it goes with the next write, or when there is time for one.
    */
   void remove(E entry) {
+    // It may come back, and is not on record then.
+    entry.enrolment(RegistrationState.NONE);
     Chunk<E> to = movingTo.remove(entry);
     if (to != null && to.entries.remove(entry)) {
       to.bytes -= layout.bytes(entry);
@@ -257,7 +259,7 @@
                 case APPLIED -> {
                   chunk.stamp = written.isEmpty() ? 0 : result.epoch();
                   chunk.writing = false;
-                  stored(written);
+                  stored(chunk, written);
                   Set<Chunk<E>> left = new LinkedHashSet<>();
                   for (E entry : written) {
                     Chunk<E> from = chunkOf.get(entry);
@@ -275,10 +277,11 @@
             });
   }
 
-  private void stored(List<E> written) {
+  private void stored(Chunk<E> chunk, List<E> written) {
     boolean news = false;
     for (E entry : written) {
-      if (entry.enrolment() == RegistrationState.WRITING) {
+      boolean stillHere = chunkOf.get(entry) == chunk || movingTo.get(entry) == chunk;
+      if (stillHere && entry.enrolment() == RegistrationState.WRITING) {
         entry.enrolment(RegistrationState.STORED);
         news = true;
       }
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -208,6 +208,11 @@
         .toList();
   }
 
+  /** How often the key was written. */
+  int changesOf(String key) {
+    return (int) log.stream().filter(change -> change.key.equals(key)).count();
+  }
+
   int count(String prefix) {
     return (int) keys.keySet().stream().filter(k -> k.startsWith(prefix)).count();
   }
--- a/src/test/java/plumlever/sim/SharingTest.java
+++ b/src/test/java/plumlever/sim/SharingTest.java
@@ -14,7 +14,7 @@
 
 /** Three cells of two controllers each share machines, through failures of several of them. */
 final class SharingTest {
-  private static final List<SharingSettings.Cell> CELLS =
+  static final List<SharingSettings.Cell> CELLS =
       List.of(
           new SharingSettings.Cell("east", "east/", Set.of("n0", "n1"), 2, 1),
           new SharingSettings.Cell("north", "north/", Set.of("n2", "n3"), 2, 1),
--- a/src/test/java/plumlever/sim/SimulationTest.java
+++ b/src/test/java/plumlever/sim/SimulationTest.java
@@ -28,8 +28,7 @@
     return new SimulatedCluster(seed, 3, TEAMS, seed % 2 == 0);
   }
 
-  private static void submitOverTime(
-      SimulatedCluster cluster, FakeUsers users, int jobs, double everyS) {
+  static void submitOverTime(SimulatedCluster cluster, FakeUsers users, int jobs, double everyS) {
     for (int i = 0; i < jobs; i++) {
       cluster.at(
           (long) (i * everyS * 1e6),
@@ -42,7 +41,7 @@
     }
   }
 
-  private static void assertAllServed(SimulatedCluster cluster, FakeUsers users, int jobs) {
+  static void assertAllServed(SimulatedCluster cluster, FakeUsers users, int jobs) {
     cluster.invariants.checkServed();
     assertEquals(List.of(), cluster.invariants.broken);
     assertEquals(jobs, users.accepted().size(), "every job is accepted in the end");
@@ -101,8 +100,12 @@
   static void trouble(SimulatedCluster cluster) {
     List<SimulatedCluster.Member> all = new ArrayList<>(cluster.members.values());
     SimulatedCluster.Member one = all.get(cluster.random.nextInt(all.size()));
+    List<SimulatedCluster.Member> leaders =
+        all.stream().filter(SimulatedCluster.Member::leads).toList();
     SimulatedCluster.Member leader =
-        all.stream().filter(SimulatedCluster.Member::leads).findFirst().orElse(one);
+        leaders.isEmpty()
+            ? one
+            : leaders.get(leaders.size() == 1 ? 0 : cluster.random.nextInt(leaders.size()));
     long time = 5_000_000L + cluster.random.nextLong(40_000_000L);
     switch (cluster.random.nextInt(16)) {
       case 0 -> leader.crash(0.2 + cluster.random.nextInt(8));
