--- a/src/test/java/plumlever/sim/FakeWorker.java
+++ b/src/test/java/plumlever/sim/FakeWorker.java
@@ -72,6 +72,40 @@
     return !dead && at.equals(node);
   }
 
+  /** One of its running tasks saves for so long, and goes on. */
+  void saveOne(double seconds) {
+    tasks.values().stream()
+        .filter(task -> task.status.equals("running"))
+        .findFirst()
+        .ifPresent(
+            task -> {
+              task.status = "flushing";
+              change();
+              cluster.at(
+                  (long) (seconds * 1e6),
+                  () -> {
+                    if (task.status.equals("flushing")) {
+                      task.status = "running";
+                      change();
+                    }
+                  });
+            });
+  }
+
+  /** One of its running tasks ends now. */
+  void endOne(String cause) {
+    tasks.values().stream()
+        .filter(task -> task.status.equals("running"))
+        .findFirst()
+        .ifPresent(
+            task -> {
+              if (cause.equals("done")) {
+                cluster.invariants.complete(task.name);
+              }
+              exit(task, cause);
+            });
+  }
+
   void notice(double seconds) {
     notice = seconds;
     change();
--- /dev/null
+++ b/src/test/java/plumlever/sim/PoolScenario.java
@@ -0,0 +1,186 @@
+package plumlever.sim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import plumlever.settings.Endpoint;
+import plumlever.settings.Platform;
+import plumlever.settings.SharingSettings;
+import plumlever.sharing.OwnerRecord;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.JobSpec;
+import plumlever.wire.Urgency;
+
+/** Three cells of two controllers each, with tasks of one cell running on its machines. */
+final class PoolScenario {
+  static final String GIVER = "east";
+  static final String TAKER = "north";
+  static final String THIRD = "west";
+
+  static final List<SharingSettings.Cell> CELLS =
+      List.of(
+          new SharingSettings.Cell(GIVER, "east/", Set.of("n0", "n1"), 0, 1),
+          new SharingSettings.Cell(TAKER, "north/", Set.of("n2", "n3"), 0, 1),
+          new SharingSettings.Cell(THIRD, "west/", Set.of("n4", "n5"), 0, 1));
+
+  private static final double CLAIMED_S = 40;
+
+  final SimulatedCluster cluster;
+  final FakeUsers users;
+  final List<JobSpec> jobs = new ArrayList<>();
+
+  /**
+   * @param redLimit processors that the first team may use; 0 for no limit
+   * @param machines up at the start; the cloud has hardly any more
+   */
+  PoolScenario(long seed, double redLimit, int machines) {
+    this(seed, redLimit, machines, InvariantChecker.CANCEL_MICROS);
+  }
+
+  /**
+   * @param cancelMicros what the controllers believe to have for a cancellation
+   */
+  PoolScenario(long seed, double redLimit, int machines, long cancelMicros) {
+    cluster =
+        new SimulatedCluster(
+            seed,
+            6,
+            List.of(
+                new Platform.Team("red", 20, redLimit, 0, 0),
+                new Platform.Team("blue", 20, 0, 0, 0)),
+            false,
+            cancelMicros,
+            new Platform.StateLimits(400, 60, 4096, 8),
+            CELLS);
+    cluster.cloud.most = 1;
+    cluster.cloud.provide(machines);
+    users = new FakeUsers(cluster);
+    cluster.play(CLAIMED_S);
+  }
+
+  /** A job of the cell of that controller, one processor a task. */
+  JobSpec submit(String node, int tasks, double seconds) {
+    return submit(node, jobs.size() % 2 == 0 ? "red" : "blue", tasks, seconds);
+  }
+
+  JobSpec submit(String node, String team, int tasks, double seconds) {
+    JobSpec job =
+        new JobSpec(
+            users.nextUid(),
+            "c1",
+            team,
+            Urgency.STANDARD,
+            tasks,
+            1,
+            0,
+            2,
+            "img-1",
+            1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            seconds,
+            5,
+            1,
+            JobSpec.NO_DEADLINE);
+    jobs.add(job);
+    users.connect(job.uid(), node);
+    users.submit(job, false);
+    return job;
+  }
+
+  /** Who owns the machine by the records in the state service. */
+  String ownerOf(String machine) {
+    for (Map.Entry<String, com.fasterxml.jackson.databind.JsonNode> entry :
+        cluster.store.entries("pool/owners/").entrySet()) {
+      if (("/" + entry.getKey()).equals(OwnerRecord.keyOf(machine))) {
+        try {
+          return OwnerRecord.parse(entry.getValue()).holder(machine).orElse("");
+        } catch (InvalidMessage e) {
+          throw new AssertionError(e);
+        }
+      }
+    }
+    return "";
+  }
+
+  /** Machines of the cell on which tasks run, by how many. */
+  List<String> busy(String cell) {
+    return cluster.cloud.machines.values().stream()
+        .filter(vm -> vm.worker != null && running(vm.id) > 0 && ownerOf(vm.id).equals(cell))
+        .sorted((one, other) -> Integer.compare(running(other.id), running(one.id)))
+        .map(vm -> vm.id)
+        .toList();
+  }
+
+  int running(String machine) {
+    FakeCloud.Vm vm = cluster.cloud.machines.get(machine);
+    return vm == null || vm.worker == null
+        ? 0
+        : (int) vm.worker.tasks.values().stream().filter(FakeWorker.Task::on).count();
+  }
+
+  FakeWorker worker(String machine) {
+    return cluster.cloud.machines.get(machine).worker;
+  }
+
+  void give(String from, String machine, String to) {
+    assertTrue(
+        cluster.leader(from).node().leader().transfer(machine, to),
+        machine + " can be given by " + from);
+  }
+
+  /** Gives it as soon as that is possible. */
+  void giveSoon(String from, String machine, String to) {
+    cluster.at(
+        0,
+        () -> {
+          boolean given =
+              cluster.cell(from).stream()
+                  .filter(SimulatedCluster.Member::leads)
+                  .anyMatch(leader -> leader.node().leader().transfer(machine, to));
+          if (!given) {
+            cluster.at(200_000, () -> giveSoon(from, machine, to));
+          }
+        });
+  }
+
+  /** What happens right before the transaction of a transfer that is the n-th from now. */
+  void beforeStep(int number, Runnable action) {
+    cluster.store.interveneBefore = "pool/transfers/";
+    cluster.store.intervention =
+        number == 1 ? action : () -> cluster.at(0, () -> beforeStep(number - 1, action));
+  }
+
+  void cancel(String node, JobSpec job, Consumer<Integer> status) {
+    users.cancelAt(new Endpoint(node, 1), job.uid(), status);
+  }
+
+  /** All jobs but those cancelled are done, nothing broke, and no transfer is left open. */
+  void endsWell(double seconds) {
+    cluster.cuts.clear();
+    cluster.store.refused.clear();
+    cluster.store.unwatched.clear();
+    cluster.calmSince = cluster.now();
+    cluster.play(seconds);
+    assertEquals(List.of(), cluster.invariants.broken);
+    for (JobSpec job : jobs) {
+      String expected = cluster.invariants.abortedAt.containsKey(job.uid()) ? "aborted" : "done";
+      assertEquals(expected, cluster.invariants.lastTold.get(job.uid()), job.uid());
+    }
+    assertEquals(Map.of(), cluster.store.entries("pool/transfers/"), "all transfers are settled");
+  }
+
+  /** No task was started a second time. */
+  void nothingWasStartedAnew() {
+    int tasks = jobs.stream().mapToInt(JobSpec::pieces).sum();
+    assertEquals(tasks, cluster.invariants.starts, "starts");
+  }
+}
