Rehearsal kit: stand-ins over HTTP and plumlever drill sharing

Three controllers of three cells, stand-ins for state service, cloud and workers; load that goes from cell to cell, moves of machines with tasks, controllers killed and paused.

--- a/src/main/java/plumlever/cli/ArchiveTrainingRun.java
+++ b/src/main/java/plumlever/cli/ArchiveTrainingRun.java
@@ -181,7 +181,10 @@
     try (JarFile jarFile = new JarFile(jar.toFile())) {
       for (JarEntry jarEntry : Collections.list(jarFile.entries())) {
         String name = jarEntry.getName();
-        if (name.startsWith("plumlever/") && name.endsWith(".class")) {
+        if (name.startsWith("plumlever/")
+            && !name.startsWith("plumlever/rehearsal/")
+            && !name.startsWith("plumlever/sharing/")
+            && name.endsWith(".class")) {
           try {
             Class.forName(name.substring(0, name.length() - 6).replace('/', '.'));
           } catch (ClassNotFoundException x) {
--- a/src/main/java/plumlever/cli/Main.java
+++ b/src/main/java/plumlever/cli/Main.java
@@ -26,7 +26,14 @@
   /** Runs the command line; the process ends with its exit code. */
   public static void main(String[] args) {
     Logging.configure(System.getenv("LOG_LEVEL"));
-    int code = args.length == 1 && args[0].equals(REHEARSE) ? ArchiveTrainingRun.run() : run(args);
+    int code;
+    if (args.length == 1 && args[0].equals(REHEARSE)) {
+      code = ArchiveTrainingRun.run();
+    } else if (args.length > 0 && args[0].equals(DrillCommand.NAME)) {
+      code = DrillCommand.run(args);
+    } else {
+      code = run(args);
+    }
     if (code != Service.RUNNING) {
       System.exit(code);
     }
--- /dev/null
+++ b/src/main/java/plumlever/rehearsal/CloudStandIn.java
@@ -0,0 +1,98 @@
+package plumlever.rehearsal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import plumlever.http.Responder;
+import plumlever.wire.HttpStatus;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
+
+/** A cloud by its protocol that has no more machines than those that are up. */
+final class CloudStandIn {
+  /** The only type of machine. */
+  static final String TYPE = "plain-4";
+
+  private static final String CATALOG =
+      """
+      {"flavors":[{"sku":"plain-4","cores":4,"accelerators":0,"memory_gb":16,"cache_gb":40,
+      "fetch_gb_per_s":1.0,"hourly":0.2,"low_price":0.06,"startup_s":12,"sites":["a","b"]}]}
+      """;
+
+  private static final double AGE_S = 600;
+  private static final int MOST_HOSTS = 500;
+
+  private record Host(String endpoint, String zone) {}
+
+  private final TreeMap<String, Host> hosts = new TreeMap<>();
+  private final Consumer<String> onReturn;
+  private int returned;
+
+  /**
+   * @param onReturn told of each machine that is returned
+   */
+  CloudStandIn(Consumer<String> onReturn) {
+    this.onReturn = onReturn;
+  }
+
+  void add(String machine, String endpoint, String zone) {
+    hosts.put(machine, new Host(endpoint, zone));
+  }
+
+  /** Machines that were returned. */
+  int returned() {
+    return returned;
+  }
+
+  void handle(String method, String target, byte[] body, Responder out) {
+    if (target.equals("/catalog")) {
+      out.send(HttpStatus.OK, CATALOG);
+    } else if (target.startsWith("/hosts?")) {
+      out.send(HttpStatus.OK, list(Query.of(target)));
+    } else if (target.equals("/hosts")) {
+      out.send(HttpStatus.UNAVAILABLE, "{\"error\":\"no capacity\"}");
+    } else if (target.equals("/hosts/return")) {
+      giveBack(body, out);
+    } else {
+      out.error(HttpStatus.NOT_FOUND, "no such path");
+    }
+  }
+
+  private void giveBack(byte[] body, Responder out) {
+    try {
+      for (JsonNode host : Json.parseObject(body).path("hosts")) {
+        if (hosts.remove(host.asText()) != null) {
+          returned++;
+          onReturn.accept(host.asText());
+        }
+      }
+      out.send(HttpStatus.OK, "{}");
+    } catch (InvalidMessage e) {
+      out.error(HttpStatus.BAD_REQUEST, e.getMessage());
+    }
+  }
+
+  private String list(Query query) {
+    ObjectNode answer = Json.object();
+    ArrayNode listed = answer.putArray("hosts");
+    boolean more = false;
+    for (var entry : hosts.tailMap(query.text("since"), false).entrySet()) {
+      more = listed.size() == query.number("page", MOST_HOSTS);
+      if (more) {
+        break;
+      }
+      listed
+          .addObject()
+          .put("uid", entry.getKey())
+          .put("endpoint", entry.getValue().endpoint())
+          .put("flavor", TYPE)
+          .put("site", entry.getValue().zone())
+          .put("loaners", false)
+          .put("status", "running")
+          .put("age_s", AGE_S);
+    }
+    return Json.write(answer.put("more", more));
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/rehearsal/ControllerProcess.java
@@ -0,0 +1,104 @@
+package plumlever.rehearsal;
+
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import plumlever.settings.Endpoint;
+
+/** One controller as a process of its own, which can be killed, paused and started again. */
+final class ControllerProcess {
+  private static final String MAIN = "plumlever.cli.Main";
+  private static final long END_S = 5;
+
+  private final String label;
+  private final Endpoint users;
+  private final Endpoint peers;
+  private final Path directory;
+  private Process process;
+
+  /**
+   * @param directory holds its settings, and gets its log
+   */
+  ControllerProcess(String label, Endpoint users, Endpoint peers, Path directory) {
+    this.label = label;
+    this.users = users;
+    this.peers = peers;
+    this.directory = directory;
+  }
+
+  String label() {
+    return label;
+  }
+
+  Endpoint users() {
+    return users;
+  }
+
+  Endpoint peers() {
+    return peers;
+  }
+
+  Path platformFile() {
+    return directory.resolve(label + ".toml");
+  }
+
+  Path operatorsFile() {
+    return directory.resolve("sharing.yaml");
+  }
+
+  Path log() {
+    return directory.resolve(label + ".log");
+  }
+
+  void start() throws IOException {
+    List<String> command =
+        List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC",
+            "-XX:TieredStopAtLevel=1",
+            "-Xmx96m",
+            "-cp",
+            System.getProperty("java.class.path"),
+            MAIN,
+            "--config",
+            platformFile().toString(),
+            "--settings",
+            operatorsFile().toString());
+    ProcessBuilder builder = new ProcessBuilder(command);
+    builder.redirectErrorStream(true);
+    builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log().toString())));
+    process = builder.start();
+  }
+
+  boolean runs() {
+    return process != null && process.isAlive();
+  }
+
+  /** Ends it without a signal that it could act on. */
+  void kill() {
+    process.destroyForcibly();
+  }
+
+  /** It stands still while its clocks run on. */
+  void pause() throws IOException {
+    signal("-STOP");
+  }
+
+  void goOn() throws IOException {
+    signal("-CONT");
+  }
+
+  private void signal(String signal) throws IOException {
+    new ProcessBuilder("kill", signal, Long.toString(process.pid())).start();
+  }
+
+  /** Ends it for good. */
+  void end() throws InterruptedException {
+    if (process != null) {
+      process.destroyForcibly();
+      process.waitFor(END_S, TimeUnit.SECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/rehearsal/DrillFiles.java
@@ -0,0 +1,103 @@
+package plumlever.rehearsal;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** The settings files of a drill's controllers. */
+final class DrillFiles {
+  private static final double MICROS_PER_S = 1e6;
+
+  private static final String PLATFORM =
+      """
+      label = "%s"
+      area = "a"
+      bind = "%s"
+      back = "%s"
+      %s
+      [outside]
+      cloud = "127.0.0.1:%d"
+      state = "127.0.0.1:%d"
+      [deployment]
+      count = %d
+      %s
+      [[deployment.objectives]]
+      kind = "wait"
+      class = "regrid"
+      within_s = 5.0
+      share = 0.9
+      [deployment.workers]
+      report_s = %s
+      lease_s = %s
+      cancel_s = 60.0
+      [deployment.state]
+      rps = 1000.0
+      write_rps = 200.0
+      value_kb = 16.0
+      txn_ops = 12
+      [deployment.cloud]
+      rps = 20.0
+      list_lag_s = 1.0
+      [deployment.quota]
+      fd_limit = 4000
+      """;
+
+  private DrillFiles() {}
+
+  static String platform(
+      ControllerProcess controller,
+      List<ControllerProcess> all,
+      int statePort,
+      int cloudPort,
+      List<JobShape> shapes,
+      long reportMicros,
+      long leaseMicros) {
+    String seeds =
+        all.stream()
+            .filter(other -> other != controller)
+            .map(
+                other ->
+                    "[[seeds]]\nlabel = \"%s\"\narea = \"a\"\nendpoint = \"%s\"\n"
+                        .formatted(other.label(), other.peers()))
+            .collect(Collectors.joining());
+    String teams =
+        shapes.stream()
+            .map(JobShape::team)
+            .distinct()
+            .map(
+                team ->
+                    """
+                    [[deployment.teams]]
+                    name = "%s"
+                    cpus = 30.0
+                    cpus_max = 90.0
+                    gpus = 0.0
+                    gpus_max = 0.0
+                    """
+                        .formatted(team))
+            .collect(Collectors.joining());
+    return PLATFORM.formatted(
+        controller.label(),
+        controller.users(),
+        controller.peers(),
+        seeds,
+        cloudPort,
+        statePort,
+        all.size(),
+        teams,
+        reportMicros / MICROS_PER_S,
+        leaseMicros / MICROS_PER_S);
+  }
+
+  /** One cell for each controller; machines are never returned for being idle. */
+  static String sharing(List<String> cells, List<ControllerProcess> controllers, int machines) {
+    StringBuilder text =
+        new StringBuilder("idle_speed_s: 1000000\nsharing:\n  machines: " + machines + "\n");
+    text.append("  cells:\n");
+    for (int i = 0; i < cells.size(); i++) {
+      text.append("    - name: ").append(cells.get(i)).append('\n');
+      text.append("      controllers: [").append(controllers.get(i).label()).append("]\n");
+      text.append("      floor: 2\n");
+    }
+    return text.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/rehearsal/JobShape.java
@@ -0,0 +1,86 @@
+package plumlever.rehearsal;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.JobSpec;
+import plumlever.wire.Json;
+
+/**
+ * A kind of job that a drill submits, from a file with one submission a line; its id is replaced.
+ *
+ * @param submission as a user would send it
+ */
+record JobShape(ObjectNode submission) {
+  private static final String ARRAY =
+      """
+      {"uid":"job-1","jobclass":"regrid","owner":"first","shape":"sweep","urgency":"standard","pieces":24,
+      "cores":1.0,"accelerators":0.0,"memory_gb":2.0,"bundle":"grid","image_gb":1.0,"flavors":null,"site":null,
+      "one_zone":false,"spread":false,"loaners":true,"expect_s":8.0,"snapshot_every_s":5.0,"snapshot_s":1.0,"due_s":60.0}
+      """;
+  private static final String PLAN =
+      """
+      {"uid":"job-1","jobclass":"sort-plan","owner":"second","shape":"sweep","urgency":"high","pieces":6,
+      "cores":2.0,"accelerators":0.0,"memory_gb":4.0,"bundle":"plan","image_gb":1.0,"flavors":null,"site":null,
+      "one_zone":false,"spread":false,"loaners":true,"expect_s":25.0,"snapshot_every_s":0.0,"snapshot_s":0.0,"due_s":120.0}
+      """;
+
+  /** Wide arrays of short tasks, and plans of a few long ones. */
+  static List<JobShape> builtIn() {
+    try {
+      return List.of(read(ARRAY), read(PLAN));
+    } catch (InvalidMessage e) {
+      throw new IllegalStateException("the built-in shapes are well formed", e);
+    }
+  }
+
+  /** Reads a file of shapes; each must be a submission that a controller would take. */
+  static List<JobShape> load(Path file) throws IOException, InvalidMessage {
+    List<JobShape> shapes = new ArrayList<>();
+    int line = 0;
+    for (String text : Files.readAllLines(file)) {
+      line++;
+      if (!text.isBlank()) {
+        try {
+          shapes.add(read(text));
+        } catch (InvalidMessage e) {
+          throw new InvalidMessage(file + ": line " + line + ": " + e.getMessage());
+        }
+      }
+    }
+    if (shapes.isEmpty()) {
+      throw new InvalidMessage(file + ": holds no job");
+    }
+    return shapes;
+  }
+
+  private static JobShape read(String text) throws InvalidMessage {
+    ObjectNode submission = Json.parseObject(text);
+    JobSpec.parse(submission);
+    return new JobShape(submission);
+  }
+
+  String text(String uid) {
+    return Json.write(submission.deepCopy().put("uid", uid));
+  }
+
+  int tasks() {
+    return submission.path("pieces").asInt();
+  }
+
+  double cores() {
+    return tasks() * submission.path("cores").asDouble();
+  }
+
+  String team() {
+    return submission.path("owner").asText();
+  }
+
+  long runMicros() {
+    return (long) (submission.path("expect_s").asDouble() * 1e6);
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/rehearsal/Query.java
@@ -0,0 +1,27 @@
+package plumlever.rehearsal;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/** The parameters of a request's target. */
+record Query(Map<String, String> parameters) {
+  static Query of(String target) {
+    Map<String, String> parameters = new HashMap<>();
+    for (String parameter : target.substring(target.indexOf('?') + 1).split("&")) {
+      int equals = parameter.indexOf('=');
+      if (equals > 0) {
+        parameters.put(parameter.substring(0, equals), parameter.substring(equals + 1));
+      }
+    }
+    return new Query(parameters);
+  }
+
+  String text(String name) {
+    return parameters.getOrDefault(name, "");
+  }
+
+  long number(String name, long otherwise) {
+    String text = text(name);
+    return text.isEmpty() ? otherwise : Long.parseLong(text);
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/rehearsal/SharingDrill.java
@@ -0,0 +1,411 @@
+package plumlever.rehearsal;
+
+import io.undertow.server.DefaultByteBufferPool;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+import plumlever.http.Server;
+import plumlever.http.UndertowCaller;
+import plumlever.http.XnioLoop;
+import plumlever.settings.Endpoint;
+import plumlever.sharing.OwnerRecord;
+import plumlever.wire.HttpStatus;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
+
+/**
+ * Three controllers of three cells as processes of their own, with stand-ins for all that is round
+ * them. Load goes from cell to cell, so that shares move; machines with tasks are given away
+ * besides, and controllers are killed and paused right after. It passes if every job is done, each
+ * result was produced once, no two copies of a task ever ran, and no move had a task started anew.
+ */
+public final class SharingDrill {
+  /**
+   * What a drill is to do.
+   *
+   * @param seconds for which load comes
+   * @param shapes of the jobs
+   * @param failures whether controllers are killed and paused
+   * @param leastTransfers fewer than these make it fail
+   */
+  public record Plan(
+      int seconds,
+      int machines,
+      long seed,
+      List<JobShapeFile> shapes,
+      boolean failures,
+      int leastTransfers) {}
+
+  /** Where job shapes come from; no path for the built-in ones. */
+  public record JobShapeFile(Path path) {}
+
+  /** What came of it. */
+  public record Outcome(boolean passed, List<String> lines) {}
+
+  private static final List<String> CELLS = List.of("east", "north", "west");
+  private static final int BUFFER_BYTES = 8 * 1024;
+  private static final int CONNECTIONS = 2_048;
+  private static final long IDLE_MICROS = 60_000_000;
+  private static final long REPORT_MICROS = 1_500_000;
+  private static final long LEASE_MICROS = 20_000_000;
+  private static final long START_MICROS = 30_000_000;
+  private static final long TICK_MICROS = 500_000;
+  private static final long PHASE_MICROS = 25_000_000;
+  private static final long SUBMIT_EVERY_MICROS = 4_000_000;
+  private static final long FAILURE_EVERY_MICROS = 40_000_000;
+  private static final long MOVES_PER_RUN = 14;
+  private static final long LEAST_MOVE_MICROS = 8_000_000;
+  private static final long PAUSE_MICROS = 4_000_000;
+  private static final long RESTART_MICROS = 2_000_000;
+  private static final long CALL_MICROS = 2_000_000;
+  private static final double LOAD = 1.1;
+  private static final double CORES = 4;
+  private static final int FINISH_S = 150;
+  private static final int MILLIS = 1_000;
+
+  private final Plan plan;
+  private final List<JobShape> shapes;
+  private final SplittableRandom random;
+  private final Path directory;
+  private final XnioWorker worker;
+  private final XnioLoop loop;
+  private final UndertowCaller caller;
+  private final TaskResults results = new TaskResults();
+  private final TransferLog transfers;
+  private final StateStandIn state;
+  private final CloudStandIn cloud;
+  private final List<Server> servers = new ArrayList<>();
+  private final List<ControllerProcess> controllers = new ArrayList<>();
+  private final Map<String, WorkerStandIn> workers = new LinkedHashMap<>();
+  private final CompletableFuture<Outcome> outcome = new CompletableFuture<>();
+  private final List<String> events = new ArrayList<>();
+  private DrillUsers users;
+  private long beganMicros;
+  private long nextSubmitMicros;
+  private long nextMoveMicros;
+  private long nextFailureMicros;
+  private long requestsBefore;
+
+  private SharingDrill(Plan plan, List<JobShape> shapes, Path directory) throws IOException {
+    this.plan = plan;
+    this.shapes = shapes;
+    this.directory = directory;
+    this.random = new SplittableRandom(plan.seed());
+    this.worker =
+        Xnio.getInstance()
+            .createWorker(
+                OptionMap.builder()
+                    .set(Options.WORKER_NAME, "drill")
+                    .set(Options.WORKER_IO_THREADS, 1)
+                    .set(Options.WORKER_TASK_CORE_THREADS, 1)
+                    .set(Options.WORKER_TASK_MAX_THREADS, 1)
+                    .getMap());
+    this.loop = new XnioLoop(worker.getIoThread());
+    this.caller =
+        new UndertowCaller(
+            loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 4));
+    this.transfers = new TransferLog(loop);
+    this.state = new StateStandIn(loop, transfers::put);
+    this.cloud = new CloudStandIn(machine -> workers.get(machine).remove());
+  }
+
+  /** Plays the drill; it takes about as long as its plan says, and a minute or two more. */
+  public static Outcome run(Plan plan) throws IOException, InvalidMessage, InterruptedException {
+    List<JobShape> shapes = new ArrayList<>();
+    for (JobShapeFile file : plan.shapes()) {
+      shapes.addAll(JobShape.load(file.path()));
+    }
+    Path directory = Files.createTempDirectory("plumlever-drill");
+    SharingDrill drill =
+        new SharingDrill(plan, shapes.isEmpty() ? JobShape.builtIn() : shapes, directory);
+    try {
+      drill.build();
+      drill.loop.execute(drill::begin);
+      return drill.outcome.join();
+    } finally {
+      drill.close();
+    }
+  }
+
+  private void close() throws InterruptedException {
+    for (ControllerProcess controller : controllers) {
+      controller.end();
+    }
+    servers.forEach(Server::close);
+    worker.shutdownNow();
+  }
+
+  private Server serve(Server.Handler handler) {
+    Server server =
+        new Server(
+            worker,
+            new Endpoint("127.0.0.1", 0),
+            CONNECTIONS,
+            IDLE_MICROS,
+            Server.MAX_BODY,
+            handler);
+    server.start();
+    servers.add(server);
+    return server;
+  }
+
+  private static Endpoint freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0)) {
+      return new Endpoint("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  private void build() throws IOException {
+    Server stateServer = serve(state::handle);
+    Server cloudServer = serve(cloud::handle);
+    for (int i = 0; i < CELLS.size(); i++) {
+      controllers.add(new ControllerProcess("lever-" + i, freePort(), freePort(), directory));
+    }
+    for (ControllerProcess controller : controllers) {
+      Files.writeString(
+          controller.platformFile(),
+          DrillFiles.platform(
+              controller,
+              controllers,
+              stateServer.port(),
+              cloudServer.port(),
+              shapes,
+              REPORT_MICROS,
+              LEASE_MICROS));
+    }
+    Files.writeString(
+        controllers.get(0).operatorsFile(),
+        DrillFiles.sharing(CELLS, controllers, plan.machines()));
+    for (ControllerProcess controller : controllers) {
+      controller.start();
+    }
+  }
+
+  /** Runs on the loop, as all that follows. */
+  private void begin() {
+    Map<String, Endpoint> byLabel = new HashMap<>();
+    List<Endpoint> front = new ArrayList<>();
+    for (ControllerProcess controller : controllers) {
+      byLabel.put(controller.label(), controller.users());
+      front.add(controller.users());
+    }
+    users = new DrillUsers(loop, caller, front, results, random);
+    WorkerStandIn.Surroundings around =
+        new WorkerStandIn.Surroundings(
+            loop, caller, front, byLabel, results, REPORT_MICROS, LEASE_MICROS);
+    for (int i = 1; i <= plan.machines(); i++) {
+      String machine = String.format("i-%06d", i);
+      Server server =
+          serve((method, path, body, out) -> workers.get(machine).handle(method, path, body, out));
+      String endpoint = "127.0.0.1:" + server.port();
+      String zone = i % 2 == 0 ? "a" : "b";
+      cloud.add(machine, endpoint, zone);
+      workers.put(
+          machine, new WorkerStandIn(around, machine, zone, endpoint, i % controllers.size()));
+    }
+    loop.after(START_MICROS, this::beginLoad);
+  }
+
+  private void beginLoad() {
+    beganMicros = loop.nowMicros();
+    nextMoveMicros = beganMicros + PHASE_MICROS / 2;
+    nextFailureMicros = beganMicros + FAILURE_EVERY_MICROS;
+    requestsBefore = state.requests();
+    tick();
+  }
+
+  private void tick() {
+    long now = loop.nowMicros();
+    try {
+      if (now - beganMicros >= plan.seconds() * 1_000_000L) {
+        finish(now);
+        return;
+      }
+      if (now >= nextSubmitMicros) {
+        nextSubmitMicros = now + SUBMIT_EVERY_MICROS;
+        submit(now);
+      }
+      if (now >= nextMoveMicros) {
+        nextMoveMicros =
+            now + Math.max(LEAST_MOVE_MICROS, plan.seconds() * 1_000_000L / MOVES_PER_RUN);
+        moveBusy();
+      }
+      if (plan.failures() && now >= nextFailureMicros) {
+        nextFailureMicros = now + FAILURE_EVERY_MICROS;
+        fail();
+      }
+    } catch (IOException e) {
+      results.broke("a process could not be steered: " + e);
+    }
+    loop.after(TICK_MICROS, this::tick);
+  }
+
+  /** One cell at a time has more to do than its share of machines can hold. */
+  private void submit(long now) {
+    int cell = (int) ((now - beganMicros) / PHASE_MICROS % CELLS.size());
+    double cores = LOAD * CORES * plan.machines() * SUBMIT_EVERY_MICROS / PHASE_MICROS;
+    while (cores > 0) {
+      JobShape shape = shapes.get(random.nextInt(shapes.size()));
+      users.submit(shape, controllers.get(cell).users());
+      cores -= shape.cores();
+    }
+  }
+
+  /** The machine on which most tasks run goes to another cell. */
+  private void moveBusy() {
+    workers.entrySet().stream()
+        .max(Comparator.comparingInt(entry -> entry.getValue().running()))
+        .map(Map.Entry::getKey)
+        .ifPresent(this::move);
+  }
+
+  private void move(String machine) {
+    int owner = ownerOf(machine);
+    if (owner < 0) {
+      return;
+    }
+    int to = (owner + 1 + random.nextInt(CELLS.size() - 1)) % CELLS.size();
+    String body = Json.write(Json.object().put("machine", machine).put("to", CELLS.get(to)));
+    caller.call(
+        controllers.get(owner).peers(),
+        "POST",
+        "/transfer",
+        body.getBytes(StandardCharsets.UTF_8),
+        CALL_MICROS,
+        (status, answer) -> {
+          if (status != HttpStatus.OK) {
+            events.add(machine + " could not be given to " + CELLS.get(to) + ": " + status);
+          }
+        });
+  }
+
+  private int ownerOf(String machine) {
+    for (var entry : state.under("pool/owners/").entrySet()) {
+      try {
+        if (OwnerRecord.keyOf(machine).equals("/" + entry.getKey())) {
+          return OwnerRecord.parse(entry.getValue()).holder(machine).map(CELLS::indexOf).orElse(-1);
+        }
+      } catch (InvalidMessage e) {
+        results.broke("a record of owners can't be read: " + e.getMessage());
+      }
+    }
+    return -1;
+  }
+
+  /** A controller is killed or paused in the middle of a move of one of its machines. */
+  private void fail() throws IOException {
+    ControllerProcess controller = controllers.get(random.nextInt(controllers.size()));
+    moveBusy();
+    if (!controller.runs()) {
+      return;
+    }
+    if (random.nextBoolean()) {
+      controller.kill();
+      events.add(controller.label() + " was killed");
+      loop.after(RESTART_MICROS, () -> startAgain(controller));
+    } else {
+      controller.pause();
+      events.add(controller.label() + " was paused for " + PAUSE_MICROS / 1_000 + " ms");
+      loop.after(PAUSE_MICROS, () -> wake(controller));
+    }
+  }
+
+  private void startAgain(ControllerProcess controller) {
+    try {
+      controller.start();
+    } catch (IOException e) {
+      results.broke(controller.label() + " could not be started again: " + e);
+    }
+  }
+
+  private void wake(ControllerProcess controller) {
+    try {
+      controller.goOn();
+    } catch (IOException e) {
+      results.broke(controller.label() + " could not be woken: " + e);
+    }
+  }
+
+  private void finish(long now) {
+    boolean settled = state.under("pool/transfers/").isEmpty();
+    boolean late = now - beganMicros > (plan.seconds() + FINISH_S) * 1_000_000L;
+    if (late || (users.open().isEmpty() && settled)) {
+      outcome.complete(judge(settled));
+    } else {
+      loop.after(TICK_MICROS, this::tick);
+    }
+  }
+
+  private Outcome judge(boolean settled) {
+    List<String> wrong = new ArrayList<>(results.broken());
+    users.open().forEach(uid -> wrong.add(uid + " is not done"));
+    if (results.completedTasks() != users.submittedTasks()) {
+      wrong.add(results.completedTasks() + " results of " + users.submittedTasks() + " tasks");
+    }
+    if (results.completedTwice() > 0) {
+      wrong.add(results.completedTwice() + " results were produced twice");
+    }
+    if (results.startedAnew() > 0 && results.lapsedLeases() == 0) {
+      wrong.add(results.startedAnew() + " tasks were started anew");
+    }
+    if (transfers.count() < plan.leastTransfers()) {
+      wrong.add(transfers.count() + " transfers, " + plan.leastTransfers() + " are asked for");
+    }
+    if (!settled) {
+      wrong.add("transfers are not settled: " + state.under("pool/transfers/").keySet());
+    }
+    List<String> lines = new ArrayList<>();
+    lines.add("seed " + plan.seed() + ", " + plan.seconds() + " s of load, logs in " + directory);
+    lines.add(
+        users.submittedJobs()
+            + " jobs, "
+            + users.submittedTasks()
+            + " tasks, "
+            + results.completedTasks()
+            + " results, "
+            + results.completedTwice()
+            + " twice, "
+            + results.startedAnew()
+            + " tasks started anew, "
+            + results.lapsedLeases()
+            + " leases lapsed");
+    lines.add(
+        transfers.count()
+            + " transfers, "
+            + transfers.withTasks()
+            + " of machines with tasks ("
+            + transfers.tasksMoved()
+            + " tasks), from offer to owner "
+            + transfers.medianMicros() / MILLIS
+            + " ms in the middle, "
+            + transfers.longestMicros() / MILLIS
+            + " ms at most");
+    lines.add(
+        "state service: "
+            + (state.requests() - requestsBefore)
+            + " requests, "
+            + state.changesMade()
+            + " changes, ledger of "
+            + state.bytesUnder("pool/owners/")
+            + " bytes; "
+            + cloud.returned()
+            + " machines returned");
+    lines.addAll(events);
+    wrong.forEach(reason -> lines.add("wrong: " + reason));
+    return new Outcome(wrong.isEmpty(), lines);
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/rehearsal/StateStandIn.java
@@ -0,0 +1,296 @@
+package plumlever.rehearsal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.BiConsumer;
+import plumlever.concurrent.Loop;
+import plumlever.http.Responder;
+import plumlever.wire.HttpStatus;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
+
+/** A state service by its protocol, in memory. */
+final class StateStandIn {
+  private static final int REMEMBERED = 10_000;
+  private static final int MOST_ITEMS = 1_000;
+  private static final long EXPIRE_MICROS = 50_000;
+
+  private record Entry(JsonNode data, long stamp, long permit) {}
+
+  private record Change(long stamp, String key, JsonNode data) {}
+
+  /** A lease: when it ends, unless it is renewed. */
+  private record Grant(long ttlMicros, long endsMicros) {}
+
+  /** A watch that has found nothing yet. */
+  private record Watch(String prefix, long since, long untilMicros, Responder out) {}
+
+  private final Loop loop;
+  private final TreeMap<String, Entry> entries = new TreeMap<>();
+  private final Map<Long, Grant> grants = new HashMap<>();
+  private final ArrayDeque<Change> changes = new ArrayDeque<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private final BiConsumer<String, JsonNode> onPut;
+  private long revision = 1;
+  private long lastPermit;
+  private long requests;
+  private long puts;
+
+  /**
+   * @param onPut told of each value that is put
+   */
+  StateStandIn(Loop loop, BiConsumer<String, JsonNode> onPut) {
+    this.onPut = onPut;
+    this.loop = loop;
+    loop.after(EXPIRE_MICROS, this::expire);
+  }
+
+  /** Requests so far. */
+  long requests() {
+    return requests;
+  }
+
+  /** Puts and drops so far. */
+  long changesMade() {
+    return puts;
+  }
+
+  /** Bytes of all values under the prefix. */
+  long bytesUnder(String prefix) {
+    return entries.tailMap(prefix, true).entrySet().stream()
+        .takeWhile(entry -> entry.getKey().startsWith(prefix))
+        .mapToLong(entry -> Json.write(entry.getValue().data()).length())
+        .sum();
+  }
+
+  /** The values under the prefix by key. */
+  Map<String, JsonNode> under(String prefix) {
+    Map<String, JsonNode> found = new TreeMap<>();
+    entries
+        .tailMap(prefix, true)
+        .forEach(
+            (key, entry) -> {
+              if (key.startsWith(prefix)) {
+                found.put(key, entry.data());
+              }
+            });
+    return found;
+  }
+
+  void handle(String method, String target, byte[] body, Responder out) {
+    requests++;
+    try {
+      if (target.equals("/txn")) {
+        transact(Json.parseObject(body), out);
+      } else if (target.startsWith("/grants")) {
+        grant(method, target, body, out);
+      } else if (target.startsWith("/keys/")) {
+        get(target.substring("/keys/".length()), out);
+      } else if (target.startsWith("/keys?")) {
+        list(Query.of(target), out);
+      } else if (target.startsWith("/follow?")) {
+        follow(Query.of(target), out);
+      } else {
+        out.error(HttpStatus.NOT_FOUND, "no such path");
+      }
+    } catch (InvalidMessage | NumberFormatException e) {
+      out.error(HttpStatus.BAD_REQUEST, String.valueOf(e.getMessage()));
+    }
+  }
+
+  private void get(String key, Responder out) {
+    Entry entry = entries.get(key);
+    if (entry == null) {
+      out.send(HttpStatus.NOT_FOUND, Json.write(Json.object().put("epoch", revision)));
+    } else {
+      out.send(HttpStatus.OK, Json.write(item(key, entry)));
+    }
+  }
+
+  private static ObjectNode item(String key, Entry entry) {
+    ObjectNode item =
+        Json.object().put("k", key).put("stamp", entry.stamp()).put("permit", entry.permit());
+    item.set("data", entry.data());
+    return item;
+  }
+
+  private void list(Query query, Responder out) {
+    String prefix = query.text("under");
+    String since = query.text("since");
+    long page = Math.min(MOST_ITEMS, query.number("page", MOST_ITEMS));
+    ObjectNode answer = Json.object();
+    ArrayNode items = answer.putArray("items");
+    boolean more = false;
+    for (Map.Entry<String, Entry> entry :
+        entries.tailMap(since.isEmpty() ? prefix : since, since.isEmpty()).entrySet()) {
+      if (!entry.getKey().startsWith(prefix)) {
+        break;
+      }
+      if (items.size() == page) {
+        more = true;
+        break;
+      }
+      items.add(item(entry.getKey(), entry.getValue()));
+    }
+    out.send(HttpStatus.OK, Json.write(answer.put("more", more).put("epoch", revision)));
+  }
+
+  private void transact(ObjectNode transaction, Responder out) {
+    ArrayNode failed = Json.object().arrayNode();
+    for (JsonNode guard : transaction.path("guards")) {
+      Entry entry = entries.get(guard.path("k").asText());
+      if ((entry == null ? 0 : entry.stamp()) != guard.path("stamp").asLong()) {
+        failed.add(guard.path("k"));
+      }
+    }
+    if (!failed.isEmpty()) {
+      ObjectNode conflict = Json.object().put("epoch", revision);
+      conflict.set("failed", failed);
+      out.send(HttpStatus.CONFLICT, Json.write(conflict));
+      return;
+    }
+    for (JsonNode change : transaction.path("then")) {
+      if (change.hasNonNull("permit") && !grants.containsKey(change.get("permit").asLong())) {
+        out.error(HttpStatus.BAD_REQUEST, "no such lease");
+        return;
+      }
+    }
+    revision++;
+    transaction.path("then").forEach(this::apply);
+    out.send(HttpStatus.OK, Json.write(Json.object().put("epoch", revision)));
+    wake();
+  }
+
+  private void apply(JsonNode change) {
+    puts++;
+    if (change.hasNonNull("put")) {
+      String key = change.get("put").asText();
+      entries.put(key, new Entry(change.path("data"), revision, change.path("permit").asLong(0)));
+      remember(key, change.path("data"));
+      onPut.accept(key, change.path("data"));
+    } else {
+      drop(change.path("drop").asText());
+    }
+  }
+
+  private void drop(String key) {
+    if (entries.remove(key) != null) {
+      remember(key, null);
+    }
+  }
+
+  private void remember(String key, JsonNode data) {
+    changes.add(new Change(revision, key, data));
+    if (changes.size() > REMEMBERED) {
+      changes.poll();
+    }
+  }
+
+  private void grant(String method, String target, byte[] body, Responder out)
+      throws InvalidMessage {
+    if (target.equals("/grants")) {
+      long ttlMicros = Json.whole(Json.parseObject(body), "ttl_ms", 100, 600_000) * 1_000;
+      grants.put(++lastPermit, new Grant(ttlMicros, loop.nowMicros() + ttlMicros));
+      out.send(HttpStatus.OK, Json.write(Json.object().put("permit", lastPermit)));
+      return;
+    }
+    long permit = Long.parseLong(target.split("/")[2]);
+    Grant grant = grants.get(permit);
+    if (grant == null) {
+      out.error(HttpStatus.NOT_FOUND, "no such lease");
+    } else if (method.equals("DELETE")) {
+      end(permit);
+      out.send(HttpStatus.OK, "{}");
+    } else {
+      grants.put(permit, new Grant(grant.ttlMicros(), loop.nowMicros() + grant.ttlMicros()));
+      out.send(HttpStatus.OK, "{}");
+    }
+  }
+
+  private void end(long permit) {
+    grants.remove(permit);
+    List<String> keys = new ArrayList<>();
+    entries.forEach(
+        (key, entry) -> {
+          if (entry.permit() == permit) {
+            keys.add(key);
+          }
+        });
+    if (!keys.isEmpty()) {
+      revision++;
+      keys.forEach(this::drop);
+      wake();
+    }
+  }
+
+  private void expire() {
+    long now = loop.nowMicros();
+    grants.entrySet().stream()
+        .filter(entry -> entry.getValue().endsMicros() <= now)
+        .map(Map.Entry::getKey)
+        .toList()
+        .forEach(this::end);
+    for (Iterator<Watch> open = watches.iterator(); open.hasNext(); ) {
+      Watch watch = open.next();
+      if (watch.untilMicros() <= now) {
+        open.remove();
+        answer(watch);
+      }
+    }
+    loop.after(EXPIRE_MICROS, this::expire);
+  }
+
+  private void follow(Query query, Responder out) {
+    long since = query.number("since", 0);
+    if (changes.size() == REMEMBERED && changes.peek().stamp() > since) {
+      out.error(HttpStatus.GONE, "too old");
+      return;
+    }
+    long untilMicros = loop.nowMicros() + query.number("wait_ms", 0) * 1_000;
+    Watch watch = new Watch(query.text("under"), since, untilMicros, out);
+    if (found(watch).isEmpty()) {
+      watches.add(watch);
+    } else {
+      answer(watch);
+    }
+  }
+
+  private List<Change> found(Watch watch) {
+    return changes.stream()
+        .filter(change -> change.stamp() > watch.since())
+        .filter(change -> change.key().startsWith(watch.prefix()))
+        .toList();
+  }
+
+  private void answer(Watch watch) {
+    ObjectNode answer = Json.object().put("epoch", revision);
+    ArrayNode log = answer.putArray("log");
+    for (Change change : found(watch)) {
+      ObjectNode node = log.addObject().put("stamp", change.stamp());
+      if (change.data() == null) {
+        node.put("drop", change.key());
+      } else {
+        node.put("put", change.key()).set("data", change.data());
+      }
+    }
+    watch.out().send(HttpStatus.OK, Json.write(answer));
+  }
+
+  private void wake() {
+    for (Iterator<Watch> open = watches.iterator(); open.hasNext(); ) {
+      Watch watch = open.next();
+      if (!found(watch).isEmpty()) {
+        open.remove();
+        answer(watch);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/rehearsal/TransferLog.java
@@ -0,0 +1,93 @@
+package plumlever.rehearsal;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import plumlever.concurrent.Loop;
+
+/** Transfers as the records of the pool show them: how many, how long, with how many tasks. */
+final class TransferLog {
+  private static final String PREFIX = "pool/transfers/";
+  private static final String TAKEN = "TAKEN";
+  private static final String OFFERED = "OFFERED";
+
+  private final Loop loop;
+  private final Map<String, String> ownerOf = new HashMap<>();
+  private final Map<String, Long> offeredMicros = new HashMap<>();
+  private final Histogram took = new Histogram(3);
+  private final List<String> lines = new ArrayList<>();
+  private int tasksMoved;
+  private int withTasks;
+
+  TransferLog(Loop loop) {
+    this.loop = loop;
+  }
+
+  /** A value was put in the state service. */
+  void put(String key, JsonNode value) {
+    if (!key.startsWith(PREFIX)) {
+      return;
+    }
+    String machine = key.substring(PREFIX.length());
+    String owner = value.path("owner").asText();
+    if (value.path("state").asText().equals(OFFERED)) {
+      ownerOf.put(machine, owner);
+      offeredMicros.put(machine, loop.nowMicros());
+    } else if (value.path("state").asText().equals(TAKEN)
+        && ownerOf.containsKey(machine)
+        && !owner.equals(ownerOf.get(machine))) {
+      taken(machine, owner, value);
+    }
+  }
+
+  private void taken(String machine, String owner, JsonNode value) {
+    int tasks = 0;
+    for (JsonNode guests : value.path("homes")) {
+      tasks += guests.size();
+    }
+    long micros = loop.nowMicros() - offeredMicros.get(machine);
+    took.recordValue(micros);
+    tasksMoved += tasks;
+    withTasks += tasks > 0 ? 1 : 0;
+    lines.add(
+        machine
+            + " from "
+            + ownerOf.get(machine)
+            + " to "
+            + owner
+            + " with "
+            + tasks
+            + " tasks in "
+            + micros / 1_000
+            + " ms");
+    ownerOf.put(machine, owner);
+  }
+
+  int count() {
+    return lines.size();
+  }
+
+  /** Transfers of machines on which tasks ran. */
+  int withTasks() {
+    return withTasks;
+  }
+
+  int tasksMoved() {
+    return tasksMoved;
+  }
+
+  List<String> lines() {
+    return lines;
+  }
+
+  long medianMicros() {
+    return took.getValueAtPercentile(50);
+  }
+
+  long longestMicros() {
+    return took.getMaxValue();
+  }
+}
--- /dev/null
+++ b/src/main/java/plumlever/rehearsal/WorkerStandIn.java
@@ -0,0 +1,297 @@
+package plumlever.rehearsal;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import plumlever.concurrent.Loop;
+import plumlever.http.Caller;
+import plumlever.http.Responder;
+import plumlever.settings.Endpoint;
+import plumlever.wire.ExitCause;
+import plumlever.wire.HttpStatus;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
+import plumlever.wire.Order;
+import plumlever.wire.TaskStatus;
+
+/** The worker of one machine, by its protocol; tasks take the time that the results tell. */
+final class WorkerStandIn {
+  private static final long LEAST_PAUSE_MICROS = 500_000;
+  private static final long NEXT_NODE_MICROS = 1_000_000;
+  private static final long TIMEOUT_MICROS = 4_000_000;
+  private static final long FETCH_MICROS = 300_000;
+  private static final long LEASE_CHECK_MICROS = 200_000;
+
+  /** A task on this machine, in any state. */
+  private static final class Task {
+    private final String name;
+    private final long attempt;
+    private TaskStatus status = TaskStatus.PULLING;
+    private ExitCause cause;
+
+    Task(String name, long attempt) {
+      this.name = name;
+      this.attempt = attempt;
+    }
+  }
+
+  /** What all workers of a drill share. */
+  record Surroundings(
+      Loop loop,
+      Caller caller,
+      List<Endpoint> controllers,
+      Map<String, Endpoint> byLabel,
+      TaskResults results,
+      long reportMicros,
+      long leaseMicros) {}
+
+  private final Surroundings around;
+  private final Loop loop;
+  private final String machine;
+  private final String zone;
+  private final String endpoint;
+  private final Map<Long, Task> tasks = new LinkedHashMap<>();
+  private int node;
+  private Endpoint at;
+  private long session = 1;
+  private long sequence;
+  private long token;
+  private long leaseFromMicros;
+  private boolean reporting;
+  private boolean changed;
+  private long lastSentMicros;
+  private Loop.Timer timer;
+  private boolean gone;
+
+  WorkerStandIn(Surroundings around, String machine, String zone, String endpoint, int firstNode) {
+    this.around = around;
+    this.loop = around.loop();
+    this.machine = machine;
+    this.zone = zone;
+    this.endpoint = endpoint;
+    this.node = firstNode;
+    this.at = around.controllers().get(firstNode);
+    this.leaseFromMicros = loop.nowMicros();
+    schedule(0);
+    loop.after(LEASE_CHECK_MICROS, this::checkLease);
+  }
+
+  /** Running tasks now. */
+  int running() {
+    return (int) tasks.values().stream().filter(task -> task.status == TaskStatus.RUNNING).count();
+  }
+
+  /** The machine does not exist any more. */
+  void remove() {
+    gone = true;
+    tasks.values().forEach(task -> around.results().left(task.name, machine));
+    tasks.clear();
+  }
+
+  private void checkLease() {
+    if (gone) {
+      return;
+    }
+    if (loop.nowMicros() - leaseFromMicros > around.leaseMicros()) {
+      tasks.values().forEach(task -> around.results().left(task.name, machine));
+      tasks.clear();
+      session++;
+      leaseFromMicros = loop.nowMicros();
+      around.results().leaseLapsed();
+    }
+    loop.after(LEASE_CHECK_MICROS, this::checkLease);
+  }
+
+  private void schedule(long delayMicros) {
+    if (timer != null) {
+      timer.cancel();
+    }
+    timer = loop.after(Math.max(0, delayMicros), this::report);
+  }
+
+  private void noteChange() {
+    changed = true;
+    if (!reporting) {
+      schedule(lastSentMicros + LEAST_PAUSE_MICROS - loop.nowMicros());
+    }
+  }
+
+  private void report() {
+    if (reporting || gone) {
+      return;
+    }
+    reporting = true;
+    changed = false;
+    lastSentMicros = loop.nowMicros();
+    long sentMicros = lastSentMicros;
+    long sentSession = session;
+    around
+        .caller()
+        .call(
+            at,
+            "POST",
+            "/hello",
+            state(),
+            TIMEOUT_MICROS,
+            (status, body) -> {
+              reporting = false;
+              if (status == HttpStatus.OK) {
+                answered(body, sentMicros, sentSession);
+                schedule(changed ? LEAST_PAUSE_MICROS : around.reportMicros());
+              } else {
+                goOn(status, body);
+              }
+            });
+  }
+
+  private void goOn(int status, byte[] body) {
+    Endpoint named = null;
+    if (status == HttpStatus.MISDIRECTED_REQUEST) {
+      try {
+        named = around.byLabel().get(Json.parseObject(body).path("foreman").asText());
+      } catch (InvalidMessage e) {
+        named = null;
+      }
+    }
+    if (named != null && !named.equals(at)) {
+      at = named;
+      schedule(LEAST_PAUSE_MICROS / 2);
+    } else {
+      node = (node + 1) % around.controllers().size();
+      at = around.controllers().get(node);
+      schedule(NEXT_NODE_MICROS);
+    }
+  }
+
+  private void answered(byte[] body, long sentMicros, long sentSession) {
+    try {
+      ObjectNode answer = Json.parseObject(body);
+      long given = answer.path("baton").asLong();
+      if (sentSession != session || given < token) {
+        return;
+      }
+      changed |= given > token;
+      token = given;
+      leaseFromMicros = Math.max(leaseFromMicros, sentMicros);
+      Order.parseAnswer(body).forEach(this::execute);
+    } catch (InvalidMessage e) {
+      around.results().broke("an answer to " + machine + " can't be read: " + e.getMessage());
+    }
+  }
+
+  /** A direct call. */
+  void handle(String method, String path, byte[] body, Responder out) {
+    if (path.equals("/orders") && method.equals("POST")) {
+      try {
+        ObjectNode request = Json.parseObject(body);
+        long given = request.path("baton").asLong();
+        if (given < token || request.path("tenure").asLong() != session) {
+          out.send(HttpStatus.CONFLICT, new String(state(), StandardCharsets.UTF_8));
+          return;
+        }
+        if (given > token) {
+          token = given;
+          noteChange();
+        }
+        Order.parseAnswer(body).forEach(this::execute);
+      } catch (InvalidMessage e) {
+        out.error(HttpStatus.BAD_REQUEST, e.getMessage());
+        return;
+      }
+    }
+    out.send(HttpStatus.OK, new String(state(), StandardCharsets.UTF_8));
+  }
+
+  private void execute(Order order) {
+    Task task = tasks.get(order.attempt());
+    switch (order.verb()) {
+      case RUN -> {
+        if (task == null) {
+          run(order.task().wireName(), order.attempt());
+        }
+      }
+      case HALT -> {
+        if (task != null && task.status != TaskStatus.ENDED) {
+          end(task, ExitCause.HALTED);
+        }
+      }
+      case REAP -> {
+        if (task != null && task.status == TaskStatus.ENDED) {
+          tasks.remove(order.attempt());
+        }
+      }
+      default -> throw new IllegalStateException("no such command: " + order.verb());
+    }
+  }
+
+  private void run(String name, long attempt) {
+    Task task = new Task(name, attempt);
+    boolean alreadyHere =
+        tasks.values().stream()
+            .anyMatch(other -> other.name.equals(name) && other.status != TaskStatus.ENDED);
+    tasks.put(attempt, task);
+    if (alreadyHere) {
+      task.status = TaskStatus.ENDED;
+      task.cause = ExitCause.IN_USE;
+    } else {
+      loop.after(FETCH_MICROS, () -> begin(task));
+    }
+    noteChange();
+  }
+
+  private boolean lives(Task task, TaskStatus status) {
+    return tasks.get(task.attempt) == task && task.status == status;
+  }
+
+  private void begin(Task task) {
+    if (lives(task, TaskStatus.PULLING)) {
+      task.status = TaskStatus.RUNNING;
+      long runMicros = around.results().started(task.name, machine);
+      loop.after(runMicros, () -> complete(task));
+      noteChange();
+    }
+  }
+
+  private void complete(Task task) {
+    if (lives(task, TaskStatus.RUNNING)) {
+      around.results().completed(task.name);
+      end(task, ExitCause.DONE);
+    }
+  }
+
+  private void end(Task task, ExitCause cause) {
+    task.status = TaskStatus.ENDED;
+    task.cause = cause;
+    around.results().left(task.name, machine);
+    noteChange();
+  }
+
+  private byte[] state() {
+    ObjectNode report =
+        Json.object()
+            .put("host", machine)
+            .put("endpoint", endpoint)
+            .put("flavor", CloudStandIn.TYPE)
+            .put("site", zone)
+            .put("loaners", false)
+            .put("tenure", session)
+            .put("tick", ++sequence)
+            .put("baton", token);
+    ArrayNode pieces = report.putArray("pieces");
+    for (Task task : tasks.values()) {
+      ObjectNode piece =
+          pieces
+              .addObject()
+              .put("piece", task.name)
+              .put("try", task.attempt)
+              .put("status", task.status.wireName());
+      if (task.cause != null) {
+        piece.put("exit_cause", task.cause.wireName());
+      }
+    }
+    return Json.write(report).getBytes(StandardCharsets.UTF_8);
+  }
+}
