Sharing: demand by deadlines over all jobs, measurement, and a test of a part given unheard

Cause: what a round finds no room for is bounded by its searches, so a cell with far more work than its share asked for nothing. Now the processors that deadlines need are added up over all jobs.

--- a/src/main/java/plumlever/leader/SchedulingPass.java
+++ b/src/main/java/plumlever/leader/SchedulingPass.java
@@ -24,6 +24,7 @@
 import plumlever.scaling.RentalPlan;
 import plumlever.scaling.Standby;
 import plumlever.settings.Platform;
+import plumlever.sharing.CoreDemand;
 import plumlever.wire.Flavor;
 import plumlever.wire.JobSpec;
 import plumlever.wire.TaskStatus;
@@ -218,6 +219,25 @@
     return false;
   }
 
+  /** What is left of the jobs that may run, and the time that each has left. */
+  List<CoreDemand.Work> workLeft() {
+    long now = context.loop().nowMicros();
+    List<CoreDemand.Work> works = new ArrayList<>();
+    for (Job job : jobs.all()) {
+      if (job.complete() || job.over() || job.calledOff() || job.waiting()) {
+        continue;
+      }
+      long runMicros = estimates.runMicros(job);
+      long finish = objectives.finishBy(job, now);
+      long start = objectives.startBy(job, guaranteed(job), now);
+      long left = Math.min(finish, start == Long.MAX_VALUE ? start : start + runMicros) - now;
+      int tasks = job.freeCount() + job.liveCount();
+      works.add(
+          new CoreDemand.Work(job.spec().owner(), tasks, job.spec().cores(), runMicros, left));
+    }
+    return works;
+  }
+
   /** When the last task that runs on the machine should end. */
   long lastEndMicros(Machine machine) {
     long now = context.loop().nowMicros();
--- a/src/main/java/plumlever/leader/ShareDuty.java
+++ b/src/main/java/plumlever/leader/ShareDuty.java
@@ -12,8 +12,10 @@
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
 import plumlever.scaling.RentalPlan;
+import plumlever.settings.Platform;
 import plumlever.settings.SharingSettings;
 import plumlever.sharing.CellDemand;
+import plumlever.sharing.CoreDemand;
 import plumlever.sharing.PoolView;
 import plumlever.sharing.SharePolicy;
 import plumlever.sharing.TransferRecord;
@@ -106,13 +108,35 @@
     return !machine.running() && !pass.hasPlan(machine) && transfers.canOffer(machine);
   }
 
-  /** Machines of the usual size that would hold what waits. */
+  /**
+   * Machines of the usual size that would hold what the last round found no room for, or that are
+   * missing for deadlines over all jobs, whichever is more.
+   */
   private int machinesLacking() {
-    double cores = 0;
+    double unplaced = 0;
     for (RentalPlan.Demand demand : pass.demands()) {
-      cores += demand.tasks() * demand.job().cores();
+      unplaced += demand.tasks() * demand.job().cores();
+    }
+    Map<String, Double> limitOf = new HashMap<>();
+    for (Platform.Team team : context.platform().teams()) {
+      if (team.cpusMax() > 0) {
+        limitOf.put(team.name(), team.cpusMax());
+      }
+    }
+    double late = CoreDemand.coresNeeded(pass.workLeft(), limitOf) - coresOwned();
+    double cores = Math.max(unplaced, late);
+    return (int) Math.min(sharing.machines(), Math.ceil(Math.max(0, cores) / usualCores()));
+  }
+
+  private double coresOwned() {
+    double cores = 0;
+    for (Machine machine : fleet.machines()) {
+      Flavor flavor = context.prices().flavor(machine.flavor());
+      if (flavor != null && !machine.returning() && !machine.offered()) {
+        cores += flavor.cores() - machine.guests().cores();
+      }
     }
-    return (int) Math.min(sharing.machines(), Math.ceil(cores / usualCores()));
+    return cores;
   }
 
   private double usualCores() {
--- a/src/test/java/plumlever/sharing/SharePolicyTest.java
+++ b/src/test/java/plumlever/sharing/SharePolicyTest.java
@@ -130,6 +130,16 @@
         SharePolicy.plan(List.of(new CellState("a", 0, 1, 20, 0, 3), small), 5));
   }
 
+  @Test
+  void coresAreNeededForWhatCanNotFollowInTime() {
+    CoreDemand.Work urgent = new CoreDemand.Work("t", 10, 2, 30, 20);
+    CoreDemand.Work relaxed = new CoreDemand.Work("t", 12, 1, 10, 40);
+    assertEquals(20, CoreDemand.coresNeeded(List.of(urgent), Map.of()));
+    assertEquals(3, CoreDemand.coresNeeded(List.of(relaxed), Map.of()));
+    assertEquals(23, CoreDemand.coresNeeded(List.of(urgent, relaxed), Map.of()));
+    assertEquals(8, CoreDemand.coresNeeded(List.of(urgent, relaxed), Map.of("t", 8.0)));
+  }
+
   @Test
   void limitPartsNeverExceedTheLimitAndMoveWhole() {
     Map<String, Double> weights = Map.of("a", 1.0, "b", 2.0, "c", 0.5);
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -208,9 +208,9 @@
         .toList();
   }
 
-  /** How often the key was written. */
+  /** How often the key was written; all keys if none is named. */
   int changesOf(String key) {
-    return (int) log.stream().filter(change -> change.key.equals(key)).count();
+    return (int) log.stream().filter(change -> key.isEmpty() || change.key.equals(key)).count();
   }
 
   int count(String prefix) {
--- a/src/test/java/plumlever/sim/SharingHardCasesTest.java
+++ b/src/test/java/plumlever/sim/SharingHardCasesTest.java
@@ -411,6 +411,29 @@
     pool.endsWell(200);
   }
 
+  /**
+   * A part counts as given from before the transaction is sent, also while nothing is heard of it.
+   */
+  @Test
+  void aPartThatIsGivenUnheardIsNotUsedAnyMore() {
+    pool = new PoolScenario(86, 24, 12);
+    cluster = pool.cluster;
+    cluster.store.interveneBefore = "pool/limits/";
+    cluster.store.intervention =
+        () -> {
+          cluster.store.unheardOnce = "pool/limits/";
+          cluster.store.untold = "pool/";
+          for (String node : List.of("n0", "n2", "n4")) {
+            pool.submit(node, "red", 24, 20);
+          }
+          cluster.at(4_000_000, () -> cluster.store.untold = null);
+        };
+    pool.submit("n2", "red", 24, 30);
+    cluster.play(60);
+    assertTrue(cluster.store.carriedOutUnheard > 0, "a part was given unheard");
+    pool.endsWell(250);
+  }
+
   @Test
   void anyControllerAnswersForAnyJob() {
     tasksRun(85, 15);
--- /dev/null
+++ b/src/test/java/plumlever/sim/SharingMeasurement.java
@@ -0,0 +1,174 @@
+package plumlever.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import plumlever.settings.Platform;
+import plumlever.settings.SharingSettings;
+import plumlever.wire.JobSpec;
+import plumlever.wire.Json;
+import plumlever.wire.Urgency;
+
+/**
+ * Measures sharing on simulated machines: load that goes from cell to cell, on shared machines, on
+ * three fixed shares, and in one cell that has all machines. No test: docs/sharing.md says what
+ * came of it.
+ *
+ * <p>Arguments: how many machines, {@code shared}, {@code fixed} or {@code one}, and the most
+ * transfers that a cell may have under way.
+ */
+final class SharingMeasurement {
+  private static final int PHASES = 3;
+  private static final double PHASE_S = 90;
+  private static final double TASK_S = 20;
+  private static final int TASKS_PER_JOB = 400;
+  private static final double CORES_PER_MACHINE = 7;
+
+  /** Part of all processors that one cell asks for in its phase. */
+  private static final double LOAD = 1.5;
+
+  private final SimulatedCluster cluster;
+  private final FakeUsers users;
+  private final List<JobSpec> jobs = new ArrayList<>();
+  private final String mode;
+
+  private SharingMeasurement(int machines, String mode, int mostMoving) {
+    this.mode = mode;
+    List<SharingSettings.Cell> cells = mode.equals("one") ? List.of() : PoolScenario.CELLS;
+    cluster =
+        new SimulatedCluster(
+            5,
+            mode.equals("one") ? 3 : 6,
+            List.of(new Platform.Team("red", 0, 0, 0, 0)),
+            false,
+            InvariantChecker.CANCEL_MICROS,
+            new Platform.StateLimits(300, 40, 16_384, 12),
+            cells);
+    cluster.mostMoving = mostMoving;
+    cluster.cloud.most = 1;
+    cluster.cloud.provide(machines);
+    users = new FakeUsers(cluster);
+  }
+
+  /** With files that differ nobody gives anything. */
+  private void fixShares() {
+    for (SharingSettings.Cell cell : PoolScenario.CELLS) {
+      cluster.digests.put(cell.name(), cell.name());
+      cluster.cell(cell.name()).forEach(member -> member.crash(0.5));
+    }
+    cluster.play(30);
+  }
+
+  private void submit(int phase) {
+    String node = mode.equals("one") ? "n0" : "n" + 2 * phase;
+    JobSpec job =
+        new JobSpec(
+            users.nextUid(),
+            "c1",
+            "red",
+            Urgency.STANDARD,
+            TASKS_PER_JOB,
+            1,
+            0,
+            1,
+            "img",
+            0.1,
+            null,
+            null,
+            false,
+            false,
+            true,
+            TASK_S,
+            0,
+            0,
+            60);
+    jobs.add(job);
+    users.connect(job.uid(), node);
+    users.submit(job, false);
+  }
+
+  private long counted(String counter) {
+    return cluster.members.values().stream()
+        .mapToLong(member -> member.node().metrics().counted(counter))
+        .sum();
+  }
+
+  private void run(int machines) {
+    cluster.play(60);
+    if (mode.equals("fixed")) {
+      fixShares();
+    }
+    int changesBefore = cluster.store.changesOf("");
+    int requestsBefore = cluster.store.requestsSeen;
+    long takenBefore = counted("machines_taken");
+    List<String> phases = new ArrayList<>();
+    for (int phase = 0; phase < PHASES; phase++) {
+      long began = cluster.now();
+      long taken = counted("machines_taken");
+      int first = jobs.size();
+      double tasks = LOAD * CORES_PER_MACHINE * machines;
+      for (int i = 0; i * TASKS_PER_JOB < tasks; i++) {
+        submit(phase);
+      }
+      long firstMove = -1;
+      long allDone = -1;
+      while (cluster.now() - began < PHASE_S * 1e6) {
+        cluster.play(0.5);
+        if (firstMove < 0 && counted("machines_taken") > taken) {
+          firstMove = cluster.now() - began;
+        }
+        if (allDone < 0
+            && jobs.subList(first, jobs.size()).stream()
+                .allMatch(job -> cluster.invariants.allDone(job.uid()))) {
+          allDone = cluster.now() - began;
+        }
+      }
+      phases.add(
+          "first move "
+              + seconds(firstMove)
+              + ", all tasks done "
+              + seconds(allDone)
+              + ", "
+              + (counted("machines_taken") - taken)
+              + " moves");
+    }
+    long moves = counted("machines_taken") - takenBefore;
+    cluster.play(120);
+    int tasks = jobs.stream().mapToInt(JobSpec::pieces).sum();
+    int ledger = 0;
+    for (JsonNode value : cluster.store.values("pool/owners/")) {
+      ledger += Json.write(value).length();
+    }
+    System.out.println(
+        machines
+            + " machines, "
+            + mode
+            + ": "
+            + phases
+            + "; tasks "
+            + tasks
+            + ", starts "
+            + cluster.invariants.starts
+            + ", moves "
+            + moves
+            + ", changes "
+            + (cluster.store.changesOf("") - changesBefore)
+            + ", requests "
+            + (cluster.store.requestsSeen - requestsBefore)
+            + ", ledger bytes "
+            + ledger
+            + ", broken "
+            + cluster.invariants.broken);
+  }
+
+  private static String seconds(long micros) {
+    return micros < 0 ? "none" : micros / 1e6 + " s";
+  }
+
+  /** Runs one measurement. */
+  public static void main(String[] arguments) {
+    int machines = Integer.parseInt(arguments[0]);
+    int mostMoving = arguments.length > 2 ? Integer.parseInt(arguments[2]) : 8;
+    new SharingMeasurement(machines, arguments[1], mostMoving).run(machines);
+  }
+}
--- a/src/test/java/plumlever/sim/SimulatedCluster.java
+++ b/src/test/java/plumlever/sim/SimulatedCluster.java
@@ -260,6 +260,9 @@
   /** Cells whose controllers have another sharing file, or none, when they are started next. */
   final Map<String, String> digests = new HashMap<>();
 
+  /** Transfers that one cell may have under way. */
+  int mostMoving = 8;
+
   /** After how long a cell without a leader loses its machines. */
   long adoptAfterMicros = 600_000_000;
 
@@ -271,8 +274,8 @@
         .map(
             own ->
                 new SharingSettings(
-                    1_000,
-                    8,
+                    1_000_000,
+                    mostMoving,
                     adoptAfterMicros,
                     cells,
                     own,
