--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -20,6 +20,7 @@
 import plumlever.concurrent.RecurringTask;
 import plumlever.concurrent.Scope;
 import plumlever.election.DelegatedRenewal;
+import plumlever.election.ElectionListener;
 import plumlever.election.LeaderElection;
 import plumlever.election.PoolTerms;
 import plumlever.election.RenewalLimit;
@@ -154,7 +155,7 @@
             officeLoop,
             officeStore,
             tunables,
-            new LeaderElection.Holder() {
+            new ElectionListener() {
               @Override
               public void elected(Term term) {
                 loop.execute(() -> lead(term));
--- /dev/null
+++ b/src/main/java/plumlever/election/ElectionListener.java
@@ -0,0 +1,13 @@
+package plumlever.election;
+
+/** Told on the election's own loop how this node's terms begin and end. */
+public interface ElectionListener {
+  /** A term of this node has begun. */
+  void elected(Term term);
+
+  /** A term of this node has ended. */
+  void left(Term term);
+
+  /** Runs on the thread that decides, to see whether it still turns. */
+  void whenTurning(Runnable action);
+}
--- a/src/main/java/plumlever/election/LeaderElection.java
+++ b/src/main/java/plumlever/election/LeaderElection.java
@@ -24,16 +24,6 @@
  * Everything public may be asked on any thread.
  */
 public final class LeaderElection implements AutoCloseable {
-  /** Told on the office's own loop. */
-  public interface Holder {
-    void elected(Term term);
-
-    void left(Term term);
-
-    /** Runs on the thread that decides, to see whether it still turns. */
-    void whenTurning(Runnable action);
-  }
-
   static final String PREFIX = "office/";
 
   /** A stand-in's word that it renews leases under a mandate. */
@@ -57,15 +47,12 @@
    */
   private static final long STANDSTILL_MICROS = 10_000_000;
 
-  /** Both clocks may be off by 0.05%; this allows for twice the sum. */
-  private static final double DRIFT = 0.002;
-
   private final Logger log;
   private final String label;
   private final Loop loop;
   private final StateClient store;
   private final Tunables tunables;
-  private final Holder holder;
+  private final ElectionListener listener;
   private final SplittableRandom random;
   private final Scope scope = new Scope();
   private final RecurringTask touching;
@@ -103,7 +90,7 @@
       Loop loop,
       StateClient store,
       Tunables tunables,
-      Holder holder,
+      ElectionListener listener,
       Optional<PoolTerms> poolTerms,
       long seed,
       Logs logs) {
@@ -113,7 +100,7 @@
     this.loop = loop;
     this.store = store;
     this.tunables = tunables;
-    this.holder = holder;
+    this.listener = listener;
     this.random = new SplittableRandom(seed);
     this.nonce = Long.toHexString(random.nextLong());
     this.touching = scope.own(new RecurringTask("touch", loop, this::touch));
@@ -437,7 +424,7 @@
     leaderNonce = nonce;
     leaderSeenMicros = loop.nowMicros();
     turnedMicros = loop.nowMicros();
-    extend(otherTerm, sentAt);
+    otherTerm.extendFrom(sentAt, tunables);
     current = otherTerm;
     if (!otherTerm.mayAct()) {
       leave("the grant ran out while the office was taken");
@@ -445,12 +432,7 @@
     }
     log.info("leading, term {}", newTerm);
     touching.wakeIn(tunables.touchMicros());
-    holder.elected(otherTerm);
-  }
-
-  private void extend(Term term, long sentAt) {
-    term.extend(
-        sentAt + (long) (tunables.grantTtlMicros() * (1 - DRIFT)) - tunables.actMarginMicros());
+    listener.elected(otherTerm);
   }
 
   private long touch() {
@@ -467,7 +449,7 @@
       giveUp(term, "its decisions stand still", STANDSTILL_MICROS);
       return -1;
     }
-    holder.whenTurning(() -> turnedMicros = loop.nowMicros());
+    listener.whenTurning(() -> turnedMicros = loop.nowMicros());
     store.touch(
         term.permit(),
         result -> {
@@ -475,7 +457,7 @@
             return;
           }
           switch (result) {
-            case RENEWED -> extend(term, now);
+            case RENEWED -> term.extendFrom(now, tunables);
             case ENDED -> leave("the grant has ended");
             case UNKNOWN ->
                 touching.wakeIn(
@@ -491,7 +473,7 @@
     term.end();
     current = null;
     log.info("no longer leading term {}: {}", term.number(), why);
-    holder.left(term);
+    listener.left(term);
     if (mine()) {
       // Until the key is seen to go, or somebody else's comes, nothing is known of who leads.
       leaderLabel = null;
--- a/src/main/java/plumlever/election/Term.java
+++ b/src/main/java/plumlever/election/Term.java
@@ -1,6 +1,7 @@
 package plumlever.election;
 
 import plumlever.concurrent.Loop;
+import plumlever.settings.Tunables;
 import plumlever.store.Txn;
 
 /**
@@ -9,6 +10,9 @@
  * right of the new one. Extended on the office's thread, asked on any.
  */
 public final class Term {
+  /** Both clocks may be off by 0.05%; this allows for twice the sum. */
+  private static final double DRIFT = 0.002;
+
   private final Loop clock;
   private final long number;
   private final long stamp;
@@ -57,8 +61,15 @@
     return rightUntilMicros;
   }
 
-  void extend(long untilMicros) {
-    rightUntilMicros = Math.max(rightUntilMicros, untilMicros);
+  /**
+   * The lease that the term hangs on was renewed.
+   *
+   * @param sentMicros when that request had been sent
+   */
+  void extendFrom(long sentMicros, Tunables tunables) {
+    long lastsMicros = (long) (tunables.grantTtlMicros() * (1 - DRIFT));
+    rightUntilMicros =
+        Math.max(rightUntilMicros, sentMicros + lastsMicros - tunables.actMarginMicros());
   }
 
   void end() {
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -1,15 +1,10 @@
 package plumlever.fleet;
 
-import java.util.LinkedHashMap;
-import java.util.Map;
 import org.agrona.collections.Long2ObjectHashMap;
-import plumlever.wire.Flavor;
 import plumlever.wire.WorkerReport;
 
 /** What is known of one machine. */
 public final class Machine implements Registered {
-  private static final long STALE_FETCH_MICROS = 300_000_000;
-
   private final String id;
   private String endpoint;
   private final String flavor;
@@ -56,8 +51,7 @@
   private int unheardOf;
   private final Long2ObjectHashMap<Attempt> attempts = new Long2ObjectHashMap<>();
 
-  /** Images it should have or is fetching, the most recently used last. */
-  private final LinkedHashMap<String, Image> images = new LinkedHashMap<>(8, 0.75f, true);
+  private final ImageCache images = new ImageCache();
 
   /** A machine that is known by name and has not reported yet. */
   public Machine(
@@ -438,84 +432,8 @@
     lastErrorJob = null;
   }
 
-  /** Tells how long a task that needs the image would wait for it, as far as known. */
-  public long fetchMicros(String image, double gb, Flavor type, long nowMicros) {
-    Image held = images.get(image);
-    if (held != null && held.ready || type.fetchGbPerS() <= 0) {
-      return 0;
-    }
-    int others = 0;
-    for (Map.Entry<String, Image> entry : images.entrySet()) {
-      if (!entry.getValue().ready
-          && !entry.getKey().equals(image)
-          && nowMicros - entry.getValue().sinceMicros < STALE_FETCH_MICROS) {
-        others++;
-      }
-    }
-    // Several fetches at a time may share the rate.
-    long whole = (long) (gb / type.fetchGbPerS() * 1e6) * (1 + others);
-    return held == null ? whole : Math.max(whole / 10, whole - (nowMicros - held.sinceMicros));
-  }
-
-  /** A task that needs the image goes to the machine. */
-  public void useImage(String image, double gb, Flavor type, long nowMicros) {
-    Image held = images.get(image);
-    if (held == null) {
-      images.put(image, new Image(gb, nowMicros));
-    }
-    double sum = 0;
-    for (Image otherImage : images.values()) {
-      sum += otherImage.gb;
-    }
-    var it = images.entrySet().iterator();
-    while (sum > type.cacheGb() && it.hasNext()) {
-      Map.Entry<String, Image> eldest = it.next();
-      if (eldest.getKey().equals(image)) {
-        break;
-      }
-      sum -= eldest.getValue().gb;
-      it.remove();
-    }
-  }
-
-  /** A task that needs the image runs, so the machine has it. */
-  public void hasImage(String image, double gb) {
-    Image held = images.get(image);
-    if (held == null) {
-      held = new Image(gb, 0);
-      images.put(image, held);
-    }
-    held.ready = true;
-  }
-
-  /** Images it has, with their sizes. */
-  public Map<String, Double> readyImages() {
-    Map<String, Double> ready = new LinkedHashMap<>();
-    images.forEach(
-        (name, i) -> {
-          if (i.ready) {
-            ready.put(name, i.gb);
-          }
-        });
-    return ready;
-  }
-
-  /** The fetch was given up, since no task waits for it any more. */
-  public void dropFetch(String image) {
-    Image held = images.get(image);
-    if (held != null && !held.ready) {
-      images.remove(image);
-    }
-  }
-
-  private static final class Image {
-    private final double gb;
-    private final long sinceMicros;
-    private boolean ready;
-
-    Image(double gb, long sinceMicros) {
-      this.gb = gb;
-      this.sinceMicros = sinceMicros;
-    }
+  /** Images that it should have or is fetching. */
+  public ImageCache images() {
+    return images;
   }
 }
--- a/src/main/java/plumlever/leader/ActiveJobs.java
+++ b/src/main/java/plumlever/leader/ActiveJobs.java
@@ -17,9 +17,9 @@
 import plumlever.fleet.Job;
 import plumlever.store.JobFinder;
 import plumlever.store.JobStore;
+import plumlever.store.PrefixWatch;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
-import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.JobState;
 
@@ -58,7 +58,7 @@
   private final Map<Job, Map<String, Long>> chunks = new HashMap<>();
   private final List<String> strays = new ArrayList<>();
   private final RenewalLimit limit;
-  private long epoch;
+  private final PrefixWatch watch;
 
   /** When the last read that tells which jobs have ended had been sent. */
   private long knownMicros = Long.MIN_VALUE / 2;
@@ -72,6 +72,24 @@
     this.changed = changed;
     this.finder = new JobFinder(context.loop(), context.store());
     this.limit = new RenewalLimit(context.platform().workers());
+    this.watch =
+        new PrefixWatch(
+            context.loop(),
+            context.store(),
+            JobStore.ACTIVE,
+            limit::watchMicros,
+            RETRY_MICROS,
+            new PrefixWatch.Listener() {
+              @Override
+              public void listed(StateClient.Listing listing, long sentMicros) {
+                ActiveJobs.this.listed(listing, sentMicros);
+              }
+
+              @Override
+              public void changed(List<StateClient.Change> changes, long sentMicros) {
+                followed(changes, sentMicros);
+              }
+            });
   }
 
   Collection<Job> all() {
@@ -120,8 +138,7 @@
     atLoad = null;
     put.forEach(Runnable::run);
     settleChains();
-    epoch = jobs.epoch();
-    follow();
+    watch.followFrom(jobs.epoch());
   }
 
   private void readProgress(StateClient.Item item) {
@@ -428,82 +445,41 @@
     }
   }
 
-  private void follow() {
-    if (closed) {
-      return;
-    }
-    long sent = context.loop().nowMicros();
-    context
-        .store()
-        .follow(
-            JobStore.ACTIVE,
-            epoch,
-            limit.watchMicros(),
-            changes -> {
-              if (closed) {
-                return;
-              }
-              if (changes.status() == HttpStatus.GONE) {
-                relist();
-                return;
-              }
-              if (changes.status() != HttpStatus.OK) {
-                context.loop().after(RETRY_MICROS, this::follow);
-                return;
-              }
-              epoch = Math.max(epoch, changes.epoch());
-              knownMicros = sent;
-              for (StateClient.Change change : changes.log()) {
-                if (change.data() == null) {
-                  drop(change.key().substring(JobStore.ACTIVE.length()), null);
-                } else {
-                  put(change.key(), change.data(), change.stamp(), false);
-                }
-              }
-              if (!changes.log().isEmpty()) {
-                settleChains();
-                changed.run();
-              }
-              follow();
+  /** Changes were missed: what is not listed any more has ended. */
+  private void listed(StateClient.Listing listing, long sentMicros) {
+    Set<String> listed = new HashSet<>();
+    listing
+        .items()
+        .forEach(
+            i -> {
+              listed.add(i.key().substring(JobStore.ACTIVE.length()));
+              put(i.key(), i.data(), i.stamp(), false);
             });
+    List<String> gone = new ArrayList<>(active.keySet());
+    gone.removeAll(listed);
+    gone.forEach(uid -> drop(uid, null));
+    settleChains();
+    knownMicros = sentMicros;
+    changed.run();
   }
 
-  /** Changes were missed: what is not listed any more has ended. */
-  private void relist() {
-    long sent = context.loop().nowMicros();
-    context
-        .store()
-        .list(
-            JobStore.ACTIVE,
-            StateClient.Class.URGENT,
-            listing -> {
-              if (closed) {
-                return;
-              }
-              if (listing == null) {
-                context.loop().after(RETRY_MICROS, this::relist);
-                return;
-              }
-              Set<String> listed = new HashSet<>();
-              listing
-                  .items()
-                  .forEach(
-                      i -> {
-                        listed.add(i.key().substring(JobStore.ACTIVE.length()));
-                        put(i.key(), i.data(), i.stamp(), false);
-                      });
-              List<String> gone = new ArrayList<>(active.keySet());
-              gone.removeAll(listed);
-              gone.forEach(uid -> drop(uid, null));
-              settleChains();
-              epoch = listing.epoch();
-              knownMicros = sent;
-              changed.run();
-              follow();
-            });
+  private void followed(List<StateClient.Change> changes, long sentMicros) {
+    knownMicros = sentMicros;
+    for (StateClient.Change change : changes) {
+      if (change.data() == null) {
+        drop(change.key().substring(JobStore.ACTIVE.length()), null);
+      } else {
+        put(change.key(), change.data(), change.stamp(), false);
+      }
+    }
+    if (!changes.isEmpty()) {
+      settleChains();
+      changed.run();
+    }
   }
 
   void close() {
+    watch.close();
     closed = true;
   }
 }
--- a/src/main/java/plumlever/leader/CommandSender.java
+++ b/src/main/java/plumlever/leader/CommandSender.java
@@ -35,13 +35,20 @@
   private final Context context;
   private final SchedulingPass pass;
   private final ReportHandler reports;
+  private final TaskStarter starter;
   private final Runnable changed;
   private int starts;
   private int raises;
   private boolean closed;
 
-  CommandSender(Context context, SchedulingPass pass, ReportHandler reports, Runnable changed) {
+  CommandSender(
+      Context context,
+      SchedulingPass pass,
+      ReportHandler reports,
+      TaskStarter starter,
+      Runnable changed) {
     this.context = context;
+    this.starter = starter;
     this.log = context.logs().of(CommandSender.class);
     this.pass = pass;
     this.reports = reports;
@@ -68,7 +75,7 @@
         continue;
       }
       List<Order> orders = new ArrayList<>();
-      List<Attempt> sent = reports.start(machine, pass.planned(machine), true, orders);
+      List<Attempt> sent = starter.start(machine, pass.planned(machine), true, orders);
       pass.dropPlan(machine);
       if (!sent.isEmpty()) {
         start(machine, at, orders, sent);
--- /dev/null
+++ b/src/main/java/plumlever/leader/DeadCellAdoption.java
@@ -0,0 +1,115 @@
+package plumlever.leader;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.slf4j.Logger;
+import plumlever.election.LeaderElection;
+import plumlever.settings.SharingSettings;
+import plumlever.sharing.PoolView;
+import plumlever.sharing.TransferRecord;
+import plumlever.store.KeySpace;
+import plumlever.wire.HostEntry;
+
+/**
+ * Adopts the machines of cells that have had no leader for long. Nobody has renewed their leases
+ * meanwhile, so none of that cell's tasks is on them any more; its jobs stay where they are and go
+ * on when one of its controllers is back.
+ */
+final class DeadCellAdoption {
+  /** Beyond leases: the drift of clocks, and the time that an answer is under way. */
+  private static final long LAPSE_SLACK_MICROS = 10_000_000;
+
+  /** What is known of leaders counts only while it is not older. */
+  private static final long FRESH_MICROS = 5_000_000;
+
+  private final Logger log;
+  private final Context context;
+  private final SharingSettings sharing;
+  private final PoolLink link;
+  private final PoolView view;
+  private final TransferSteps steps;
+  private final Map<String, Long> leaderlessSince = new HashMap<>();
+
+  DeadCellAdoption(Context context, SharingSettings sharing, PoolLink link, TransferSteps steps) {
+    this.context = context;
+    this.log = context.logs().of(DeadCellAdoption.class);
+    this.sharing = sharing;
+    this.link = link;
+    this.view = link.view();
+    this.steps = steps;
+  }
+
+  private long now() {
+    return context.loop().nowMicros();
+  }
+
+  /**
+   * The cloud lists a machine of another cell. If that has had no leader for long, all leases there
+   * have lapsed, and the machine is adopted.
+   */
+  void listed(HostEntry host) {
+    Optional<String> holder = view.holder(host.uid());
+    if (holder.isEmpty() || host.endpoint() == null || steps.isUnderWay(host.uid())) {
+      return;
+    }
+    Optional<SharingSettings.Cell> cell =
+        sharing.others().stream().filter(other -> other.name().equals(holder.get())).findFirst();
+    if (cell.isPresent() && isDead(cell.get())) {
+      adopt(host, cell.get());
+    }
+  }
+
+  /** Watches which cells have a leader; only what is fresh counts. */
+  void watchLeaders() {
+    boolean fresh = now() - link.knownMicros() < FRESH_MICROS;
+    for (SharingSettings.Cell cell : sharing.others()) {
+      if (!fresh || view.leader(cell.name()).isPresent()) {
+        leaderlessSince.remove(cell.name());
+      } else {
+        leaderlessSince.putIfAbsent(cell.name(), now());
+      }
+    }
+  }
+
+  private boolean isDead(SharingSettings.Cell cell) {
+    long patience =
+        Math.max(
+            sharing.adoptAfterMicros(),
+            2 * context.platform().workers().leaseMicros() + LAPSE_SLACK_MICROS);
+    long since = leaderlessSince.getOrDefault(cell.name(), Long.MAX_VALUE);
+    return since != Long.MAX_VALUE && now() - since > patience;
+  }
+
+  private void adopt(HostEntry host, SharingSettings.Cell dead) {
+    String machine = host.uid();
+    steps.step(
+        machine,
+        () -> {
+          if (!view.holder(machine).equals(Optional.of(dead.name())) || !isDead(dead)) {
+            return Optional.empty();
+          }
+          TransferRecord before = steps.record(machine).orElseGet(() -> unmoved(host, dead));
+          String office = KeySpace.absolute(dead.prefix(), LeaderElection.LEADER);
+          return Optional.of(
+              steps.owned(machine, before.withoutHome(dead.name())).guard(office, 0));
+        },
+        () -> {
+          if (view.holder(machine).equals(Optional.of(sharing.own().name()))) {
+            log.warn("{} is adopted, {} has had no leader for long", machine, dead.name());
+          }
+        });
+  }
+
+  private static TransferRecord unmoved(HostEntry host, SharingSettings.Cell owner) {
+    return new TransferRecord(
+        TransferRecord.State.TAKEN,
+        new TransferRecord.Details(
+            host.uid(), host.endpoint(), host.flavor(), host.site(), host.loaners()),
+        0,
+        owner.name(),
+        0,
+        Optional.empty(),
+        Map.of());
+  }
+}
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -50,6 +50,7 @@
   private final Takeover takeover;
   private final ProgressWriter progress;
   private final ReportHandler reports;
+  private final TaskStarter starter;
   private final SchedulingPass pass;
   private final MachineRegistry registry;
   private final MachineManager machines;
@@ -75,9 +76,10 @@
     this.progress = new ProgressWriter(context, jobs);
     this.reports =
         new ReportHandler(context, fleet, jobs, estimates, takeover, progress, this::sharing);
+    this.starter = new TaskStarter(context, fleet, jobs, takeover);
     this.pass = new SchedulingPass(context, fleet, jobs, startedJobs, estimates, takeover);
     jobs.costs(pass::costMicros);
-    this.commands = new CommandSender(context, pass, reports, this::changed);
+    this.commands = new CommandSender(context, pass, reports, starter, this::changed);
     this.registry = new MachineRegistry(context, this::changed);
     this.sharing =
         context
@@ -338,7 +340,7 @@
         && pass.hasPlan(machine)
         && pass.recorded(machine)
         && !machine.unsettled()) {
-      reports.start(machine, pass.planned(machine), false, orders);
+      starter.start(machine, pass.planned(machine), false, orders);
       pass.dropPlan(machine);
     }
     // Checked once more: a turn that ran late may have outlived the right to act.
--- a/src/main/java/plumlever/leader/PoolLink.java
+++ b/src/main/java/plumlever/leader/PoolLink.java
@@ -4,8 +4,8 @@
 import java.util.List;
 import org.slf4j.Logger;
 import plumlever.sharing.PoolView;
+import plumlever.store.PrefixWatch;
 import plumlever.store.StateClient;
-import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 
 /** Keeps the view of the pool's records up with the state service, by following them. */
@@ -14,20 +14,39 @@
   private static final long RETRY_MICROS = 300_000;
 
   private final Logger log;
-  private final Context context;
-  private final Runnable changed;
+  private final PrefixWatch watch;
   private final PoolView view = new PoolView();
-  private long epoch;
   private long knownMicros = Long.MIN_VALUE / 4;
-  private boolean closed;
 
   /**
    * @param changed runs when records have changed
    */
   PoolLink(Context context, Runnable changed) {
-    this.context = context;
     this.log = context.logs().of(PoolLink.class);
-    this.changed = changed;
+    this.watch =
+        new PrefixWatch(
+            context.loop(),
+            context.store(),
+            PoolView.PREFIX,
+            () -> FOLLOW_MICROS,
+            RETRY_MICROS,
+            new PrefixWatch.Listener() {
+              @Override
+              public void listed(StateClient.Listing listing, long sentMicros) {
+                take(listing);
+                knownMicros = sentMicros;
+                changed.run();
+              }
+
+              @Override
+              public void changed(List<StateClient.Change> changes, long sentMicros) {
+                knownMicros = sentMicros;
+                changes.forEach(PoolLink.this::apply);
+                if (!changes.isEmpty()) {
+                  changed.run();
+                }
+              }
+            });
   }
 
   PoolView view() {
@@ -43,7 +62,7 @@
   void load(StateClient.Listing listing, long askedMicros) {
     take(listing);
     knownMicros = askedMicros;
-    follow();
+    watch.followFrom(listing.epoch());
   }
 
   private void take(StateClient.Listing listing) {
@@ -57,7 +76,6 @@
     } catch (InvalidMessage e) {
       throw new IllegalStateException("a drop can't be malformed", e);
     }
-    epoch = listing.epoch();
   }
 
   /** A record has changed, by this controller's own transaction or by another's. */
@@ -83,60 +101,7 @@
     }
   }
 
-  private void follow() {
-    if (closed) {
-      return;
-    }
-    long sent = context.loop().nowMicros();
-    context
-        .store()
-        .follow(
-            PoolView.PREFIX,
-            epoch,
-            FOLLOW_MICROS,
-            changes -> {
-              if (closed) {
-                return;
-              }
-              if (changes.status() == HttpStatus.GONE) {
-                relist();
-              } else if (changes.status() != HttpStatus.OK) {
-                context.loop().after(RETRY_MICROS, this::follow);
-              } else {
-                epoch = Math.max(epoch, changes.epoch());
-                knownMicros = sent;
-                changes.log().forEach(this::apply);
-                if (!changes.log().isEmpty()) {
-                  changed.run();
-                }
-                follow();
-              }
-            });
-  }
-
-  private void relist() {
-    long sent = context.loop().nowMicros();
-    context
-        .store()
-        .list(
-            PoolView.PREFIX,
-            StateClient.Class.URGENT,
-            listing -> {
-              if (closed) {
-                return;
-              }
-              if (listing == null) {
-                context.loop().after(RETRY_MICROS, this::relist);
-                return;
-              }
-              take(listing);
-              knownMicros = sent;
-              changed.run();
-              follow();
-            });
-  }
-
   void close() {
-    closed = true;
+    watch.close();
   }
 }
--- a/src/main/java/plumlever/leader/PoolSharing.java
+++ b/src/main/java/plumlever/leader/PoolSharing.java
@@ -42,6 +42,7 @@
   private final OwnerClaims claims;
   private final GuestBook guests;
   private final TransferDuty transfers;
+  private final DeadCellAdoption adoption;
   private final LimitDuty limits;
   private final ShareDuty share;
   private boolean loaded;
@@ -69,6 +70,8 @@
     this.writer = new PoolWriter(context, link, this::recordsChanged);
     this.claims = new OwnerClaims(context, sharing, view, writer);
     this.guests = new GuestBook(context, sharing, view);
+    TransferSteps steps = new TransferSteps(context, sharing.own().name(), view, writer);
+    this.adoption = new DeadCellAdoption(context, sharing, link, steps);
     this.transfers =
         new TransferDuty(
             context,
@@ -78,8 +81,8 @@
             reports,
             registry,
             pass,
-            link,
-            writer,
+            view,
+            steps,
             guests,
             commands::raise);
     this.limits = new LimitDuty(context, sharing, jobs, takeover, view, writer);
@@ -126,7 +129,7 @@
 
   private long turn() {
     if (context.term().mayAct()) {
-      transfers.watchLeaders();
+      adoption.watchLeaders();
       transfers.reconcile();
       limits.turn();
       share.turn();
@@ -140,7 +143,7 @@
       return true;
     }
     claims.found(listed.uid());
-    transfers.listed(listed);
+    adoption.listed(listed);
     return false;
   }
 
--- a/src/main/java/plumlever/leader/Preemption.java
+++ b/src/main/java/plumlever/leader/Preemption.java
@@ -127,7 +127,9 @@
       long ready =
           now
               + ORDER_MICROS
-              + machine.fetchMicros(job.spec().bundle(), job.spec().imageGb(), flavor, now);
+              + machine
+                  .images()
+                  .fetchMicros(job.spec().bundle(), job.spec().imageGb(), flavor, now);
       int harmed = 0;
       for (Attempt attempt : stop) {
         ready =
--- a/src/main/java/plumlever/leader/ReportHandler.java
+++ b/src/main/java/plumlever/leader/ReportHandler.java
@@ -10,18 +10,13 @@
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
 import plumlever.fleet.Machine;
-import plumlever.fleet.RegistrationState;
-import plumlever.placement.Zones;
 import plumlever.wire.ExitCause;
-import plumlever.wire.Flavor;
 import plumlever.wire.Order;
 import plumlever.wire.TaskStatus;
 import plumlever.wire.WorkerReport;
 
 /** Learns from reports, and writes the orders that answer them. */
 final class ReportHandler {
-  private static final double EPSILON = 1e-9;
-
   private final Logger log;
   private final Context context;
   private final Fleet fleet;
@@ -267,7 +262,10 @@
     }
     attempt.see(piece.status(), now);
     if (started) {
-      attempt.machine().hasImage(attempt.job().spec().bundle(), attempt.job().spec().imageGb());
+      attempt
+          .machine()
+          .images()
+          .isReady(attempt.job().spec().bundle(), attempt.job().spec().imageGb());
       context.metrics().time("start", now - attempt.job().acceptedMicros());
       if (!attempt.adopted()) {
         // What images cost: room that is held while a task waits for its own.
@@ -320,7 +318,7 @@
       case HALTED -> {
         context.metrics().count("tasks_halted");
         if (attempt.runningSinceMicros() < 0 && !waitsFor(machine, job.spec().bundle())) {
-          machine.dropFetch(job.spec().bundle());
+          machine.images().dropFetch(job.spec().bundle());
         }
       }
       default -> {
@@ -395,13 +393,15 @@
       Attempt attempt = fleet.adopt(job, task, piece.attempt(), machine, now);
       attempt.see(piece.status(), now);
       if (piece.status() == TaskStatus.RUNNING) {
-        machine.hasImage(job.spec().bundle(), job.spec().imageGb());
+        machine.images().isReady(job.spec().bundle(), job.spec().imageGb());
       } else if (context.prices().flavor(machine.flavor()) != null) {
-        machine.useImage(
-            job.spec().bundle(),
-            job.spec().imageGb(),
-            context.prices().flavor(machine.flavor()),
-            now);
+        machine
+            .images()
+            .use(
+                job.spec().bundle(),
+                job.spec().imageGb(),
+                context.prices().flavor(machine.flavor()),
+                now);
       }
       changed = true;
       context.metrics().count("attempts_adopted");
@@ -486,71 +486,4 @@
     }
     return orders;
   }
-
-  /** Takes the tasks planned for the machine, each rule checked again as the order is written. */
-  List<Attempt> start(
-      Machine machine,
-      Iterable<SchedulingPass.PlannedTasks> planned,
-      boolean direct,
-      List<Order> orders) {
-    Flavor flavor = context.prices().flavor(machine.flavor());
-    if (flavor == null
-        || !jobs.mayRenew()
-        || machine.draining()
-        || machine.returning()
-        || machine.offered()
-        || machine.enrolment() != RegistrationState.STORED
-        || !machine.accounted()
-        || machine.deaf()) {
-      return List.of();
-    }
-    List<Attempt> started = new ArrayList<>();
-    double cores = flavor.cores() - machine.guests().cores();
-    double accelerators = flavor.accelerators() - machine.guests().accelerators();
-    double memory = flavor.memoryGb() - machine.guests().memoryGb();
-    for (Attempt attempt : machine.attempts()) {
-      if (!attempt.over()) {
-        cores -= attempt.job().spec().cores();
-        accelerators -= attempt.job().spec().accelerators();
-        memory -= attempt.job().spec().memoryGb();
-      }
-    }
-    long now = context.loop().nowMicros();
-    for (SchedulingPass.PlannedTasks otherPlanned : planned) {
-      Job job = otherPlanned.job;
-      if (job.over()
-          || job.calledOff()
-          || job.waiting()
-          || job.enrolment() != RegistrationState.STORED
-          || takeover.blocks(job)
-          || !job.spec().allows(machine.flavor(), machine.site(), machine.spot())) {
-        continue;
-      }
-      Zones zones = SchedulingPass.zones(job);
-      for (int i = 0; i < otherPlanned.tasks && job.hasFree(); i++) {
-        if (cores + EPSILON < job.spec().cores()
-            || memory + EPSILON < job.spec().memoryGb()
-            || accelerators + EPSILON < job.spec().accelerators()
-            || !zones.allows(machine.site())
-            || takeover.quotaRoom(job) < 1) {
-          break;
-        }
-        int task = job.firstFree();
-        Attempt attempt = fleet.start(job, task, machine, direct, now);
-        started.add(attempt);
-        zones.add(machine.site());
-        cores -= job.spec().cores();
-        accelerators -= job.spec().accelerators();
-        memory -= job.spec().memoryGb();
-        machine.useImage(job.spec().bundle(), job.spec().imageGb(), flavor, now);
-        orders.add(Order.run(attempt.name(), attempt.id()));
-        context.metrics().count("runs_ordered");
-        context.metrics().time("wait", now - job.releasedMicros());
-        if (log.isDebugEnabled()) {
-          log.debug("{} goes to {}", attempt.name().wireName(), machine.id());
-        }
-      }
-    }
-    return started;
-  }
 }
--- a/src/main/java/plumlever/leader/SchedulingPass.java
+++ b/src/main/java/plumlever/leader/SchedulingPass.java
@@ -591,8 +591,9 @@
         zones,
         (seat, machine, image, gb) -> {
           Machine otherMachine = snapshot.machines.get(seat);
-          return otherMachine.fetchMicros(
-              image, gb, context.prices().flavor(otherMachine.flavor()), snapshot.now);
+          return otherMachine
+              .images()
+              .fetchMicros(image, gb, context.prices().flavor(otherMachine.flavor()), snapshot.now);
         },
         snapshot.now);
   }
--- a/src/main/java/plumlever/leader/SuccessorHints.java
+++ b/src/main/java/plumlever/leader/SuccessorHints.java
@@ -79,9 +79,11 @@
                 for (JsonNode index : e.getValue()) {
                   int otherIndex = index.asInt(-1);
                   if (otherIndex >= 0 && otherIndex < images.size()) {
-                    machine.hasImage(
-                        images.get(otherIndex).path(0).asText(),
-                        images.get(otherIndex).path(1).asDouble());
+                    machine
+                        .images()
+                        .isReady(
+                            images.get(otherIndex).path(0).asText(),
+                            images.get(otherIndex).path(1).asDouble());
                   }
                 }
               }
@@ -137,7 +139,7 @@
     part.bytes += Json.write(ratios).length();
     int limit = context.layout().valueBytes();
     for (Machine machine : fleet.machines()) {
-      Map<String, Double> held = machine.readyImages();
+      Map<String, Double> held = machine.images().ready();
       if (!held.isEmpty() && !part.add(machine, held, limit)) {
         part = new Part();
         parts.add(part);
--- /dev/null
+++ b/src/main/java/plumlever/leader/TaskStarter.java
@@ -0,0 +1,117 @@
+package plumlever.leader;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import plumlever.fleet.Attempt;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Job;
+import plumlever.fleet.Machine;
+import plumlever.fleet.RegistrationState;
+import plumlever.placement.Zones;
+import plumlever.wire.Flavor;
+import plumlever.wire.JobSpec;
+import plumlever.wire.Order;
+
+/** Starts planned tasks: the last place where every rule about a start is checked. */
+final class TaskStarter {
+  private static final double EPSILON = 1e-9;
+
+  /** What is free on a machine, while tasks are added to it. */
+  private static final class Room {
+    private double cores;
+    private double accelerators;
+    private double memoryGb;
+
+    Room(Machine machine, Flavor flavor) {
+      cores = flavor.cores() - machine.guests().cores();
+      accelerators = flavor.accelerators() - machine.guests().accelerators();
+      memoryGb = flavor.memoryGb() - machine.guests().memoryGb();
+      for (Attempt attempt : machine.attempts()) {
+        if (!attempt.over()) {
+          take(attempt.job().spec());
+        }
+      }
+    }
+
+    boolean holds(JobSpec job) {
+      return cores + EPSILON >= job.cores()
+          && memoryGb + EPSILON >= job.memoryGb()
+          && accelerators + EPSILON >= job.accelerators();
+    }
+
+    void take(JobSpec job) {
+      cores -= job.cores();
+      accelerators -= job.accelerators();
+      memoryGb -= job.memoryGb();
+    }
+  }
+
+  private final Logger log;
+  private final Context context;
+  private final Fleet fleet;
+  private final ActiveJobs jobs;
+  private final Takeover takeover;
+
+  TaskStarter(Context context, Fleet fleet, ActiveJobs jobs, Takeover takeover) {
+    this.context = context;
+    this.log = context.logs().of(TaskStarter.class);
+    this.fleet = fleet;
+    this.jobs = jobs;
+    this.takeover = takeover;
+  }
+
+  /** Takes the tasks planned for the machine, each rule checked again as the order is written. */
+  List<Attempt> start(
+      Machine machine,
+      Iterable<SchedulingPass.PlannedTasks> planned,
+      boolean direct,
+      List<Order> orders) {
+    Flavor flavor = context.prices().flavor(machine.flavor());
+    if (flavor == null
+        || !jobs.mayRenew()
+        || machine.draining()
+        || machine.returning()
+        || machine.offered()
+        || machine.enrolment() != RegistrationState.STORED
+        || !machine.accounted()
+        || machine.deaf()) {
+      return List.of();
+    }
+    List<Attempt> started = new ArrayList<>();
+    Room room = new Room(machine, flavor);
+    long now = context.loop().nowMicros();
+    for (SchedulingPass.PlannedTasks otherPlanned : planned) {
+      Job job = otherPlanned.job;
+      if (job.over()
+          || job.calledOff()
+          || job.waiting()
+          || job.enrolment() != RegistrationState.STORED
+          || takeover.blocks(job)
+          || !job.spec().allows(machine.flavor(), machine.site(), machine.spot())) {
+        continue;
+      }
+      Zones zones = SchedulingPass.zones(job);
+      for (int i = 0; i < otherPlanned.tasks && job.hasFree(); i++) {
+        if (!room.holds(job.spec())
+            || !zones.allows(machine.site())
+            || takeover.quotaRoom(job) < 1) {
+          break;
+        }
+        int task = job.firstFree();
+        Attempt attempt = fleet.start(job, task, machine, direct, now);
+        started.add(attempt);
+        zones.add(machine.site());
+        room.take(job.spec());
+        machine.images().use(job.spec().bundle(), job.spec().imageGb(), flavor, now);
+        orders.add(Order.run(attempt.name(), attempt.id()));
+        context.metrics().count("runs_ordered");
+        context.metrics().time("wait", now - job.releasedMicros());
+        if (log.isDebugEnabled()) {
+          log.debug("{} goes to {}", attempt.name().wireName(), machine.id());
+        }
+      }
+    }
+    return started;
+  }
+}
--- a/src/main/java/plumlever/leader/TransferDuty.java
+++ b/src/main/java/plumlever/leader/TransferDuty.java
@@ -23,7 +23,6 @@
 import plumlever.sharing.TransferRecord;
 import plumlever.store.KeySpace;
 import plumlever.wire.Flavor;
-import plumlever.wire.HostEntry;
 import plumlever.wire.Json;
 
 /**
@@ -43,9 +42,6 @@
 
   private static final double BOOT_MARGIN = 1.3;
 
-  /** Beyond a lease: the drift of clocks, and the time that an answer is under way. */
-  private static final long LAPSE_SLACK_MICROS = 10_000_000;
-
   private final Logger log;
   private final Context context;
   private final SharingSettings sharing;
@@ -55,18 +51,15 @@
   private final ReportHandler reports;
   private final MachineRegistry registry;
   private final SchedulingPass pass;
-  private final PoolLink link;
   private final PoolView view;
-  private final PoolWriter writer;
+  private final TransferSteps steps;
   private final GuestBook guests;
   private final Consumer<Machine> raiseToken;
   private final Map<String, Long> offeredMicros = new HashMap<>();
-  private final Set<String> stepping = new HashSet<>();
 
   /** Machines of other cells that were seen without any task of this one. */
   private final Set<String> empty = new HashSet<>();
 
-  private final Map<String, Long> leaderlessSince = new HashMap<>();
   private boolean digestMismatchLogged;
 
   TransferDuty(
@@ -77,8 +70,8 @@
       ReportHandler reports,
       MachineRegistry registry,
       SchedulingPass pass,
-      PoolLink link,
-      PoolWriter writer,
+      PoolView view,
+      TransferSteps steps,
       GuestBook guests,
       Consumer<Machine> raiseToken) {
     this.raiseToken = raiseToken;
@@ -91,9 +84,8 @@
     this.reports = reports;
     this.registry = registry;
     this.pass = pass;
-    this.link = link;
-    this.view = link.view();
-    this.writer = writer;
+    this.view = view;
+    this.steps = steps;
     this.guests = guests;
   }
 
@@ -162,7 +154,7 @@
     } else if (!machine.accounted() && machine.renewedElsewhereMicros() < 0) {
       machine.renewedElsewhere(now() + OFFER_VIEW_MICROS);
     }
-    if (record.state() == TransferRecord.State.TAKEN && !stepping.contains(machine.id())) {
+    if (record.state() == TransferRecord.State.TAKEN && !steps.isUnderWay(machine.id())) {
       machine.offered(false);
       offeredMicros.remove(machine.id());
     } else {
@@ -292,7 +284,8 @@
   private void clearIfOver(Machine machine) {
     boolean nothingThere =
         empty.contains(machine.id())
-            || record(machine.id())
+            || steps
+                .record(machine.id())
                 .filter(record -> record.homes().getOrDefault(own, List.of()).isEmpty())
                 .isPresent();
     if (nothingThere && machine.hasNoAttempts()) {
@@ -301,15 +294,17 @@
   }
 
   private void clear(String machine) {
-    step(
+    steps.step(
         machine,
         () ->
-            record(machine)
+            steps
+                .record(machine)
                 .filter(record -> record.isHome(own))
-                .map(record -> replaced(machine, record.withoutHome(own))),
+                .map(record -> steps.replaced(machine, record.withoutHome(own))),
         () -> {
           Machine away = fleet.away(machine);
-          if (away != null && record(machine).filter(record -> record.isHome(own)).isEmpty()) {
+          if (away != null
+              && steps.record(machine).filter(record -> record.isHome(own)).isEmpty()) {
             fleet.forgetAway(away);
             empty.remove(machine);
           }
@@ -317,12 +312,13 @@
   }
 
   private void settle(String machine) {
-    step(
+    steps.step(
         machine,
         () ->
-            record(machine)
+            steps
+                .record(machine)
                 .filter(record -> record.owner().equals(own) && record.isSettled())
-                .map(record -> transaction().drop(TransferRecord.keyOf(machine))),
+                .map(record -> steps.transaction().drop(TransferRecord.keyOf(machine))),
         () -> {
           Machine settled = fleet.machine(machine);
           if (settled != null && view.transfer(machine).isEmpty()) {
@@ -331,48 +327,6 @@
         });
   }
 
-  private Optional<TransferRecord> record(String machine) {
-    return view.transfer(machine).map(PoolView.Stamped::value);
-  }
-
-  private PoolTransaction transaction() {
-    return new PoolTransaction(view, context.term().guard());
-  }
-
-  private PoolTransaction replaced(String machine, TransferRecord record) {
-    String key = TransferRecord.keyOf(machine);
-    return record.isSettled() ? transaction().drop(key) : transaction().put(key, record.toJson());
-  }
-
-  /** What builds the next transaction of a machine; nothing when there is none to send. */
-  private interface Builder {
-    Optional<PoolTransaction> build();
-  }
-
-  /** One step of a machine at a time. */
-  private void step(String machine, Builder builder, Runnable finished) {
-    if (!stepping.add(machine)) {
-      return;
-    }
-    boolean taken =
-        writer.submit(
-            new PoolWriter.Step() {
-              @Override
-              public Optional<PoolTransaction> build() {
-                return builder.build();
-              }
-
-              @Override
-              public void finished() {
-                stepping.remove(machine);
-                finished.run();
-              }
-            });
-    if (!taken) {
-      stepping.remove(machine);
-    }
-  }
-
   /** True if the machine can be given away as it is. */
   boolean canOffer(Machine machine) {
     return owns(machine.id())
@@ -386,7 +340,7 @@
         && !machine.deaf()
         && !machine.calling()
         && !machine.unsettled()
-        && !stepping.contains(machine.id());
+        && !steps.isUnderWay(machine.id());
   }
 
   /** Gives the machine up to that cell; nothing is started on it from here on. */
@@ -396,11 +350,11 @@
     offeredMicros.put(machine.id(), now());
     context.metrics().count("machines_offered");
     log.info("{} is offered to {}, {} tasks run on it", machine.id(), to, machine.liveAttempts());
-    step(
+    steps.step(
         machine.id(),
         () -> buildOffer(machine, to),
         () -> {
-          if (record(machine.id()).flatMap(TransferRecord::offer).isEmpty()) {
+          if (steps.record(machine.id()).flatMap(TransferRecord::offer).isEmpty()) {
             machine.offered(false);
             offeredMicros.remove(machine.id());
           }
@@ -408,7 +362,7 @@
   }
 
   private Optional<PoolTransaction> buildOffer(Machine machine, String to) {
-    Optional<TransferRecord> before = record(machine.id());
+    Optional<TransferRecord> before = steps.record(machine.id());
     if (!owns(machine.id()) || before.flatMap(TransferRecord::offer).isPresent()) {
       return Optional.empty();
     }
@@ -430,7 +384,8 @@
       return Optional.empty();
     }
     return Optional.of(
-        transaction()
+        steps
+            .transaction()
             .guard(OwnerRecord.keyOf(machine.id()))
             .put(TransferRecord.keyOf(machine.id()), offer.toJson()));
   }
@@ -472,15 +427,16 @@
   }
 
   private void withdraw(String machine) {
-    step(
+    steps.step(
         machine,
         () ->
-            record(machine)
+            steps
+                .record(machine)
                 .filter(record -> record.owner().equals(own) && record.offer().isPresent())
-                .map(record -> replaced(machine, record.withdrawn())),
+                .map(record -> steps.replaced(machine, record.withdrawn())),
         () -> {
           Machine kept = fleet.machine(machine);
-          if (kept != null && record(machine).flatMap(TransferRecord::offer).isEmpty()) {
+          if (kept != null && steps.record(machine).flatMap(TransferRecord::offer).isEmpty()) {
             kept.offered(false);
             offeredMicros.remove(machine);
           }
@@ -488,12 +444,13 @@
   }
 
   private void take(String machine) {
-    step(machine, () -> buildTake(machine), () -> {});
+    steps.step(machine, () -> buildTake(machine), () -> {});
   }
 
   private Optional<PoolTransaction> buildTake(String machine) {
     Optional<TransferRecord> found =
-        record(machine)
+        steps
+            .record(machine)
             .filter(
                 record ->
                     record.offer().filter(offer -> offer.to().equals(own)).isPresent()
@@ -505,87 +462,6 @@
     String giversTerm =
         KeySpace.absolute(sharing.cell(record.owner()).prefix(), LeaderElection.TERM);
     return Optional.of(
-        owned(machine, record).guard(giversTerm, record.offer().orElseThrow().termStamp()));
-  }
-
-  /** The machine is this cell's, under a number newer than any other. */
-  private PoolTransaction owned(String machine, TransferRecord record) {
-    long number = view.counter() + 1;
-    return transaction()
-        .put(PoolView.COUNTER, Json.object().put("term", number))
-        .put(OwnerRecord.keyOf(machine), view.owners(machine).with(machine, own).toJson())
-        .put(TransferRecord.keyOf(machine), record.taken(own, number).toJson());
-  }
-
-  /**
-   * The cloud lists a machine of another cell. If that has had no leader for long, all leases there
-   * have lapsed, and the machine is adopted.
-   */
-  void listed(HostEntry host) {
-    Optional<String> holder = view.holder(host.uid());
-    if (holder.isEmpty() || host.endpoint() == null || offeredMicros.size() >= limit()) {
-      return;
-    }
-    Optional<SharingSettings.Cell> cell =
-        sharing.others().stream().filter(other -> other.name().equals(holder.get())).findFirst();
-    if (cell.isPresent() && isDead(cell.get())) {
-      adopt(host, cell.get());
-    }
-  }
-
-  private int limit() {
-    return sharing.mostMoving();
-  }
-
-  /** Watches which cells have a leader; only what is fresh counts. */
-  void watchLeaders() {
-    boolean fresh = now() - link.knownMicros() < OFFER_VIEW_MICROS;
-    for (SharingSettings.Cell cell : sharing.others()) {
-      if (!fresh || view.leader(cell.name()).isPresent()) {
-        leaderlessSince.remove(cell.name());
-      } else {
-        leaderlessSince.putIfAbsent(cell.name(), now());
-      }
-    }
-  }
-
-  private boolean isDead(SharingSettings.Cell cell) {
-    long patience =
-        Math.max(
-            sharing.adoptAfterMicros(),
-            2 * context.platform().workers().leaseMicros() + LAPSE_SLACK_MICROS);
-    long since = leaderlessSince.getOrDefault(cell.name(), Long.MAX_VALUE);
-    return since != Long.MAX_VALUE && now() - since > patience;
-  }
-
-  private void adopt(HostEntry host, SharingSettings.Cell dead) {
-    String machine = host.uid();
-    step(
-        machine,
-        () -> {
-          if (!view.holder(machine).equals(Optional.of(dead.name())) || !isDead(dead)) {
-            return Optional.empty();
-          }
-          TransferRecord before = record(machine).orElseGet(() -> unmoved(host, dead));
-          String office = KeySpace.absolute(dead.prefix(), LeaderElection.LEADER);
-          return Optional.of(owned(machine, before.withoutHome(dead.name())).guard(office, 0));
-        },
-        () -> {
-          if (owns(machine)) {
-            log.warn("{} is adopted, {} has had no leader for long", machine, dead.name());
-          }
-        });
-  }
-
-  private static TransferRecord unmoved(HostEntry host, SharingSettings.Cell owner) {
-    return new TransferRecord(
-        TransferRecord.State.TAKEN,
-        new TransferRecord.Details(
-            host.uid(), host.endpoint(), host.flavor(), host.site(), host.loaners()),
-        0,
-        owner.name(),
-        0,
-        Optional.empty(),
-        Map.of());
+        steps.owned(machine, record).guard(giversTerm, record.offer().orElseThrow().termStamp()));
   }
 }
--- a/src/main/java/plumlever/rehearsal/SharingDrill.java
+++ b/src/main/java/plumlever/rehearsal/SharingDrill.java
@@ -58,6 +58,7 @@
 
   private static final List<String> CELLS = List.of("east", "north", "west");
   private static final int BUFFER_BYTES = 8 * 1024;
+  private static final int BUFFERS = 64;
   private static final int CONNECTIONS = 2_048;
   private static final long IDLE_MICROS = 60_000_000;
   private static final long REPORT_MICROS = 1_500_000;
@@ -117,7 +118,7 @@
     this.loop = new XnioLoop(worker.getIoThread());
     this.caller =
         new UndertowCaller(
-            loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 4));
+            loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, BUFFERS, 4));
     this.transfers = new TransferLog(loop);
     this.state = new StateStandIn(loop, transfers::put);
     this.cloud = new CloudStandIn(machine -> workers.get(machine).remove());
--- a/src/main/java/plumlever/rehearsal/StateStandIn.java
+++ b/src/main/java/plumlever/rehearsal/StateStandIn.java
@@ -21,6 +21,8 @@
 final class StateStandIn {
   private static final int REMEMBERED = 10_000;
   private static final int MOST_ITEMS = 1_000;
+  private static final long LEAST_TTL_MS = 100;
+  private static final long MOST_TTL_MS = 600_000;
   private static final long EXPIRE_MICROS = 50_000;
 
   private record Entry(JsonNode data, long stamp, long permit) {}
@@ -197,7 +199,8 @@
   private void grant(String method, String target, byte[] body, Responder out)
       throws InvalidMessage {
     if (target.equals("/grants")) {
-      long ttlMicros = Json.whole(Json.parseObject(body), "ttl_ms", 100, 600_000) * 1_000;
+      long ttlMicros =
+          Json.whole(Json.parseObject(body), "ttl_ms", LEAST_TTL_MS, MOST_TTL_MS) * 1_000;
       grants.put(++lastPermit, new Grant(ttlMicros, loop.nowMicros() + ttlMicros));
       out.send(HttpStatus.OK, Json.write(Json.object().put("permit", lastPermit)));
       return;
--- a/src/main/java/plumlever/rehearsal/TransferLog.java
+++ b/src/main/java/plumlever/rehearsal/TransferLog.java
@@ -12,6 +12,7 @@
 final class TransferLog {
   private static final String PREFIX = "pool/transfers/";
   private static final String TAKEN = "TAKEN";
+  private static final double MEDIAN = 50;
   private static final String OFFERED = "OFFERED";
 
   private final Loop loop;
@@ -84,7 +85,7 @@
   }
 
   long medianMicros() {
-    return took.getValueAtPercentile(50);
+    return took.getValueAtPercentile(MEDIAN);
   }
 
   long longestMicros() {
--- /dev/null
+++ b/src/main/java/plumlever/store/PrefixWatch.java
@@ -0,0 +1,107 @@
+package plumlever.store;
+
+import java.util.List;
+import java.util.function.LongSupplier;
+import plumlever.concurrent.Loop;
+import plumlever.wire.HttpStatus;
+
+/**
+ * Follows all keys under a prefix, one watch after the other. Where changes were missed, everything
+ * is read anew. What is told counts from when its request was <em>sent</em>.
+ */
+public final class PrefixWatch {
+  /** Told of everything under the prefix. */
+  public interface Listener {
+    /** Changes were missed: this is all there is now. */
+    void listed(StateClient.Listing listing, long sentMicros);
+
+    /** Nothing else has changed; the list may be empty. */
+    void changed(List<StateClient.Change> changes, long sentMicros);
+  }
+
+  private final Loop loop;
+  private final StateClient store;
+  private final String prefix;
+  private final LongSupplier waitMicros;
+  private final long retryMicros;
+  private final Listener listener;
+  private long epoch;
+  private boolean closed;
+
+  /**
+   * @param waitMicros how long a watch may be left open
+   * @param retryMicros pause after a request that was refused or had no answer
+   */
+  public PrefixWatch(
+      Loop loop,
+      StateClient store,
+      String prefix,
+      LongSupplier waitMicros,
+      long retryMicros,
+      Listener listener) {
+    this.loop = loop;
+    this.store = store;
+    this.prefix = prefix;
+    this.waitMicros = waitMicros;
+    this.retryMicros = retryMicros;
+    this.listener = listener;
+  }
+
+  /** Follows what changes after that revision. */
+  public void followFrom(long revision) {
+    epoch = revision;
+    follow();
+  }
+
+  private void follow() {
+    if (closed) {
+      return;
+    }
+    long sent = loop.nowMicros();
+    store.follow(
+        prefix,
+        epoch,
+        waitMicros.getAsLong(),
+        changes -> {
+          if (closed) {
+            return;
+          }
+          if (changes.status() == HttpStatus.GONE) {
+            relist();
+          } else if (changes.status() != HttpStatus.OK) {
+            loop.after(retryMicros, this::follow);
+          } else {
+            epoch = Math.max(epoch, changes.epoch());
+            listener.changed(changes.log(), sent);
+            follow();
+          }
+        });
+  }
+
+  private void relist() {
+    if (closed) {
+      return;
+    }
+    long sent = loop.nowMicros();
+    store.list(
+        prefix,
+        StateClient.Class.URGENT,
+        listing -> {
+          if (closed) {
+            return;
+          }
+          if (listing == null) {
+            loop.after(retryMicros, this::relist);
+            return;
+          }
+          epoch = listing.epoch();
+          listener.listed(listing, sent);
+          follow();
+        });
+  }
+
+  /** Nothing is told from here on. */
+  public void close() {
+    closed = true;
+  }
+}
--- a/src/main/java/plumlever/store/Txn.java
+++ b/src/main/java/plumlever/store/Txn.java
@@ -48,6 +48,7 @@
     return this;
   }
 
+  /** Puts a value that stays. */
   public Txn put(String key, JsonNode data) {
     absolute |= key.charAt(0) == '/';
     then.addObject().put("put", key).set("data", data);
@@ -73,6 +74,7 @@
     return grant;
   }
 
+  /** Removes a key, if it is there. */
   public Txn drop(String key) {
     absolute |= key.charAt(0) == '/';
     then.addObject().put("drop", key);
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -43,6 +43,9 @@
   /** For tests of the checks: a prefix of which watches tell nothing. */
   String untold;
 
+  /** The only node that is told nothing; null for all. */
+  String untoldNode;
+
   /** For tests of the checks: a field that records of jobs lose. */
   String lostField;
 
@@ -269,7 +272,7 @@
       } else if (path.startsWith("/keys?")) {
         list(query(path), reply);
       } else if (path.startsWith("/follow?")) {
-        follow(query(path), cluster.now(), reply);
+        follow(from, query(path), cluster.now(), reply);
       } else {
         reply.send(404, "{}");
       }
@@ -317,7 +320,8 @@
     reply.send(200, Json.write(out));
   }
 
-  private void follow(Map<String, String> map, long since, SimulatedCluster.Reply reply) {
+  private void follow(
+      String node, Map<String, String> map, long since, SimulatedCluster.Reply reply) {
     String under = map.get("under");
     long from = Long.parseLong(map.get("since"));
     ObjectNode out = Json.object().put("epoch", epoch);
@@ -327,7 +331,7 @@
       return;
     }
     for (Change change : log) {
-      if (under.equals(untold)) {
+      if (under.equals(untold) && (untoldNode == null || untoldNode.equals(node))) {
         break;
       }
       if (change.stamp > from && change.key.startsWith(under)) {
@@ -349,7 +353,7 @@
         () -> {
           if (!woken[0]) {
             woken[0] = true;
-            follow(map, since, reply);
+            follow(node, map, since, reply);
           }
         };
     waiting.add(again);
--- a/src/test/java/plumlever/sim/SharingDaysTest.java
+++ b/src/test/java/plumlever/sim/SharingDaysTest.java
@@ -17,7 +17,8 @@
  * all the troubles that a single cell is played with. The checks follow each task over cells.
  */
 final class SharingDaysTest {
-  private static final List<String> CELLS = List.of("east", "north", "west");
+  private static final List<String> CELLS =
+      List.of(PoolScenario.GIVER, PoolScenario.TAKER, PoolScenario.THIRD);
   private static final int JOBS = 40;
 
   /** {@code -Dplumlever.pool.first=F -Dplumlever.pool.seeds=N} plays others. */
@@ -35,7 +36,7 @@
             seed % 2 == 0,
             InvariantChecker.CANCEL_MICROS,
             new Platform.StateLimits(400, 60, 4096, 8),
-            SharingTest.CELLS);
+            PoolScenario.CELLS);
     cluster.cloud.most = 20;
     cluster.cloud.provide(6);
     return cluster;
--- a/src/test/java/plumlever/sim/SharingHardCasesTest.java
+++ b/src/test/java/plumlever/sim/SharingHardCasesTest.java
@@ -411,24 +411,24 @@
     pool.endsWell(200);
   }
 
-  /**
-   * A part counts as given from before the transaction is sent, also while nothing is heard of it.
-   */
+  /** A part counts as given from before the transaction is sent, while nothing is heard of it. */
   @Test
   void aPartThatIsGivenUnheardIsNotUsedAnyMore() {
     pool = new PoolScenario(86, 24, 12);
     cluster = pool.cluster;
+    cluster.play(20);
+    pool.submit("n2", "red", 24, 40);
+    pool.submit("n4", "red", 8, 40);
     cluster.store.interveneBefore = "pool/limits/";
     cluster.store.intervention =
         () -> {
+          // Only the giver does not hear that its part is the other's now.
           cluster.store.unheardOnce = "pool/limits/";
           cluster.store.untold = "pool/";
-          for (String node : List.of("n0", "n2", "n4")) {
-            pool.submit(node, "red", 24, 20);
-          }
+          cluster.store.untoldNode = cluster.leader(GIVER).platform.label();
+          pool.submit("n0", "red", 8, 20);
           cluster.at(4_000_000, () -> cluster.store.untold = null);
         };
-    pool.submit("n2", "red", 24, 30);
     cluster.play(60);
     assertTrue(cluster.store.carriedOutUnheard > 0, "a part was given unheard");
     pool.endsWell(250);
--- a/src/test/java/plumlever/sim/SharingMeasurement.java
+++ b/src/test/java/plumlever/sim/SharingMeasurement.java
@@ -103,62 +103,52 @@
     long takenBefore = counted("machines_taken");
     List<String> phases = new ArrayList<>();
     for (int phase = 0; phase < PHASES; phase++) {
-      long began = cluster.now();
-      long taken = counted("machines_taken");
-      int first = jobs.size();
-      double tasks = LOAD * CORES_PER_MACHINE * machines;
-      for (int i = 0; i * TASKS_PER_JOB < tasks; i++) {
-        submit(phase);
-      }
-      long firstMove = -1;
-      long allDone = -1;
-      while (cluster.now() - began < PHASE_S * 1e6) {
-        cluster.play(0.5);
-        if (firstMove < 0 && counted("machines_taken") > taken) {
-          firstMove = cluster.now() - began;
-        }
-        if (allDone < 0
-            && jobs.subList(first, jobs.size()).stream()
-                .allMatch(job -> cluster.invariants.allDone(job.uid()))) {
-          allDone = cluster.now() - began;
-        }
-      }
-      phases.add(
-          "first move "
-              + seconds(firstMove)
-              + ", all tasks done "
-              + seconds(allDone)
-              + ", "
-              + (counted("machines_taken") - taken)
-              + " moves");
+      phases.add(phase(phase, machines));
     }
     long moves = counted("machines_taken") - takenBefore;
     cluster.play(120);
-    int tasks = jobs.stream().mapToInt(JobSpec::pieces).sum();
     int ledger = 0;
     for (JsonNode value : cluster.store.values("pool/owners/")) {
       ledger += Json.write(value).length();
     }
-    System.out.println(
-        machines
-            + " machines, "
-            + mode
-            + ": "
-            + phases
-            + "; tasks "
-            + tasks
-            + ", starts "
-            + cluster.invariants.starts
-            + ", moves "
-            + moves
-            + ", changes "
-            + (cluster.store.changesOf("") - changesBefore)
-            + ", requests "
-            + (cluster.store.requestsSeen - requestsBefore)
-            + ", ledger bytes "
-            + ledger
-            + ", broken "
-            + cluster.invariants.broken);
+    System.out.printf(
+        "%d machines, %s: %s; tasks %d, starts %d, moves %d, changes %d, requests %d, ledger bytes"
+            + " %d, broken %s%n",
+        machines,
+        mode,
+        phases,
+        jobs.stream().mapToInt(JobSpec::pieces).sum(),
+        cluster.invariants.starts,
+        moves,
+        cluster.store.changesOf("") - changesBefore,
+        cluster.store.requestsSeen - requestsBefore,
+        ledger,
+        cluster.invariants.broken);
+  }
+
+  private String phase(int phase, int machines) {
+    long began = cluster.now();
+    long taken = counted("machines_taken");
+    int first = jobs.size();
+    double tasks = LOAD * CORES_PER_MACHINE * machines;
+    for (int i = 0; i * TASKS_PER_JOB < tasks; i++) {
+      submit(phase);
+    }
+    long firstMove = -1;
+    long allDone = -1;
+    while (cluster.now() - began < PHASE_S * 1e6) {
+      cluster.play(0.5);
+      if (firstMove < 0 && counted("machines_taken") > taken) {
+        firstMove = cluster.now() - began;
+      }
+      if (allDone < 0
+          && jobs.subList(first, jobs.size()).stream()
+              .allMatch(job -> cluster.invariants.allDone(job.uid()))) {
+        allDone = cluster.now() - began;
+      }
+    }
+    return "first move %s, all tasks done %s, %d moves"
+        .formatted(seconds(firstMove), seconds(allDone), counted("machines_taken") - taken);
   }
 
   private static String seconds(long micros) {
