--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -63,6 +63,10 @@
   private static final long ALONE_MICROS = 3_000_000;
 
   private static final long PEER_FRESH_MICROS = 3_500_000;
+
+  /** Counts are for display only and may be this old. */
+  private static final long COUNTS_MICROS = 5_000_000;
+
   private static final long LATE_MICROS = 500_000;
   private static final long ON_TIME_MICROS = 200_000;
   private static final long LISTEN_MICROS = 1_000_000;
@@ -453,7 +457,7 @@
     if (leader != null) {
       return leader.counts(uid);
     }
-    for (PeerStatus peerStatus : peers.lately(5_000_000)) {
+    for (PeerStatus peerStatus : peers.lately(COUNTS_MICROS)) {
       int[] counts = peerStatus.leading() ? peerStatus.counts().get(uid) : null;
       if (counts != null) {
         return counts;
--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -31,6 +31,9 @@
 
   private static final Logger LOG = LoggerFactory.getLogger(Service.class);
   private static final int BUFFER_BYTES = 8 * 1024;
+  private static final int BUFFERS = 64;
+  private static final long BYTES_PER_MB = 1024 * 1024;
+  private static final long LAST_REQUEST_MICROS = 100_000;
   private static final int PEER_CONNECTIONS = 32;
 
   /**
@@ -80,7 +83,7 @@
     loop = new XnioLoop(worker.getIoThread());
     caller =
         new UndertowCaller(
-            loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, 64, 4));
+            loop, worker.getIoThread(), new DefaultByteBufferPool(false, BUFFER_BYTES, BUFFERS, 4));
     XnioLoop officeLoop = new XnioLoop(officeWorker.getIoThread());
     UndertowCaller officeCaller =
         new UndertowCaller(
@@ -122,7 +125,9 @@
     node.metrics()
         .gauge(
             "heap_mb",
-            () -> (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory()) >> 20);
+            () ->
+                (Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory())
+                    / BYTES_PER_MB);
     WarmUp warmUp =
         new WarmUp(
             loop, platform, settings.tunables(), node::latenessMicros, () -> node.leader() != null);
@@ -181,7 +186,7 @@
           () -> {
             node.close();
             // The last request, which ends the grant, gets a moment to go out.
-            loop.after(100_000, stopped::countDown);
+            loop.after(LAST_REQUEST_MICROS, stopped::countDown);
           });
       try {
         if (!stopped.await(STOP_S, TimeUnit.SECONDS)) {
--- a/src/main/java/plumlever/fleet/Estimates.java
+++ b/src/main/java/plumlever/fleet/Estimates.java
@@ -8,18 +8,22 @@
  * low.
  */
 public final class Estimates {
+  private static final double LEAST_RATIO = 0.2;
+  private static final double MOST_RATIO = 5;
+  private static final long LEAST_RUN_MICROS = 100_000;
+
   private static final double WEIGHT = 0.08;
 
   private final Map<String, Double> ratios = new HashMap<>();
 
   public void observe(String jobclass, double ratio) {
-    double bounded = Math.max(0.2, Math.min(5, ratio));
+    double bounded = Math.max(LEAST_RATIO, Math.min(MOST_RATIO, ratio));
     ratios.merge(jobclass, bounded, (old, seen) -> old * (1 - WEIGHT) + seen * WEIGHT);
   }
 
   /** What an earlier leader found. */
   public void suggest(String jobclass, double ratio) {
-    ratios.putIfAbsent(jobclass, Math.max(0.2, Math.min(5, ratio)));
+    ratios.putIfAbsent(jobclass, Math.max(LEAST_RATIO, Math.min(MOST_RATIO, ratio)));
   }
 
   public Map<String, Double> ratios() {
@@ -33,6 +37,6 @@
   /** Run time to plan with for a task of the job, on a machine of nominal speed. */
   public long runMicros(Job job) {
     double ratio = job.ratio(ratio(job.spec().jobclass()));
-    return Math.max(100_000, (long) (job.spec().expectS() * 1e6 * ratio));
+    return Math.max(LEAST_RUN_MICROS, (long) (job.spec().expectS() * 1e6 * ratio));
   }
 }
--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -7,6 +7,13 @@
 
 /** An accepted job that has not ended, and what is known of its tasks. */
 public final class Job implements Registered {
+  /** Errors before the pauses grow. */
+  private static final int FREE_ERRORS = 2;
+
+  private static final int DOUBLINGS = 6;
+  private static final long FIRST_PAUSE_MICROS = 1_000_000;
+  private static final long MOST_PAUSE_MICROS = 60_000_000;
+
   private final JobSpec spec;
   private final long stamp;
   private final long acceptedMicros;
@@ -272,7 +279,10 @@
   public void noteError(long nowMicros) {
     errors = Math.min(errors + 1, 16);
     long pause =
-        errors <= 2 ? 1_000_000L : Math.min(60_000_000L, 1_000_000L << Math.min(errors - 2, 6));
+        errors <= FREE_ERRORS
+            ? FIRST_PAUSE_MICROS
+            : Math.min(
+                MOST_PAUSE_MICROS, FIRST_PAUSE_MICROS << Math.min(errors - FREE_ERRORS, DOUBLINGS));
     notBeforeMicros = Math.max(notBeforeMicros, nowMicros + pause);
   }
 
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -5,6 +5,15 @@
 
 /** What is known of one machine. */
 public final class Machine implements Registered {
+  /** One run may be off by chance: ratios beyond these count as these. */
+  private static final double LEAST_RATIO = 0.5;
+
+  private static final double MOST_RATIO = 6;
+  private static final double LEAST_SLOWNESS = 0.8;
+
+  /** How much the last run counts against all before. */
+  private static final double NEWS_SHARE = 0.3;
+
   private final String id;
   private String endpoint;
   private final String flavor;
@@ -408,8 +417,8 @@
   }
 
   public void observe(double ratio) {
-    double bounded = Math.max(0.5, Math.min(6, ratio));
-    slowness = Math.max(0.8, 0.7 * slowness + 0.3 * bounded);
+    double bounded = Math.max(LEAST_RATIO, Math.min(MOST_RATIO, ratio));
+    slowness = Math.max(LEAST_SLOWNESS, (1 - NEWS_SHARE) * slowness + NEWS_SHARE * bounded);
   }
 
   /**
--- a/src/main/java/plumlever/http/UndertowCaller.java
+++ b/src/main/java/plumlever/http/UndertowCaller.java
@@ -44,6 +44,7 @@
   private static final int MAX_IDLE = 48;
 
   private static final int MAX_BODY = 8 << 20;
+  private static final int USUAL_BODY = 512;
   private static final byte[] NO_BODY = new byte[0];
 
   private final Loop loop;
@@ -265,7 +266,7 @@
 
     private void receive(ClientExchange exchange) {
       int status = exchange.getResponse().getResponseCode();
-      ByteArrayOutputStream into = new ByteArrayOutputStream(512);
+      ByteArrayOutputStream into = new ByteArrayOutputStream(USUAL_BODY);
       read(exchange.getResponseChannel(), into, status);
     }
 
--- a/src/main/java/plumlever/http/UserApi.java
+++ b/src/main/java/plumlever/http/UserApi.java
@@ -46,6 +46,10 @@
   private static final int MOST_AT_ONCE = 256;
   private static final int RETRY_AFTER_S = 1;
   private static final long AGAIN_MICROS = 150_000;
+
+  /** A state service that answered so lately only refuses what is over its rate. */
+  private static final long RECENTLY_MICROS = 500_000;
+
   private static final int TRIES = 4;
 
   private final Loop loop;
@@ -326,7 +330,7 @@
   }
 
   private boolean recentlyServed() {
-    return loop.nowMicros() - store.lastServedMicros() < 500_000;
+    return loop.nowMicros() - store.lastServedMicros() < RECENTLY_MICROS;
   }
 
   /** The record decides; if it can't be read or is not there yet, the user asks again. */
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -35,6 +35,9 @@
   private static final long ANSWER_SHOWS_MICROS = 2_000_000;
   private static final long LATE_MICROS = 50_000;
 
+  /** The next report comes within so many usual pauses. */
+  private static final double REPORT_PAUSES = 1.5;
+
   /** Calls under way at a time while late: enough to find out those that are gone. */
   private static final int MOST_RAISES_LATE = 6;
 
@@ -365,7 +368,7 @@
         double save = attempt.job().spec().snapshotS();
         // The next report comes within a few seconds; what could not be saved after it is saved
         // now.
-        double slack = 1.5 * context.platform().workers().reportMicros() / 1e6 + 1;
+        double slack = REPORT_PAUSES * context.platform().workers().reportMicros() / 1e6 + 1;
         if (report.reclaimInS() <= save + slack + 2) {
           attempt.halt(save + 1, now);
         }
--- a/src/main/java/plumlever/leader/MachineManager.java
+++ b/src/main/java/plumlever/leader/MachineManager.java
@@ -321,7 +321,7 @@
         }
       } else if (machine.draining() && !machine.running()) {
         giveBack(machine, "it is drained");
-      } else if (idleTooLong(machine, crowded, now)) {
+      } else if (idleTooLong(machine, crowded, now) && sharing.mayReturnIdle()) {
         giveBack(machine, "it is idle");
       }
     }
--- a/src/main/java/plumlever/leader/MachineRegistry.java
+++ b/src/main/java/plumlever/leader/MachineRegistry.java
@@ -24,6 +24,9 @@
   private static final String KINDS = "kinds";
   private static final int KINDS_BYTES = 500;
 
+  /** What an entry takes besides name and address. */
+  private static final int ENTRY_BYTES = 11;
+
   private final Logger log;
   private final Context context;
   private final SharedRecords<Machine> records;
@@ -95,7 +98,7 @@
 
     @Override
     public int bytes(Machine machine) {
-      return machine.id().length() + machine.endpoint().length() + 11;
+      return machine.id().length() + machine.endpoint().length() + ENTRY_BYTES;
     }
 
     @Override
--- a/src/main/java/plumlever/leader/MachineSharing.java
+++ b/src/main/java/plumlever/leader/MachineSharing.java
@@ -102,6 +102,11 @@
     return true;
   }
 
+  /** False while an idle machine may be of use to any cell. */
+  default boolean mayReturnIdle() {
+    return true;
+  }
+
   /** Machines that are being given to this cell. */
   default List<RentalPlan.Kind> coming() {
     return List.of();
--- a/src/main/java/plumlever/leader/PoolSharing.java
+++ b/src/main/java/plumlever/leader/PoolSharing.java
@@ -282,6 +282,11 @@
     return share.mayRent();
   }
 
+  @Override
+  public boolean mayReturnIdle() {
+    return share.mayReturnIdle();
+  }
+
   @Override
   public List<RentalPlan.Kind> coming() {
     return share.coming();
--- a/src/main/java/plumlever/leader/ProgressWriter.java
+++ b/src/main/java/plumlever/leader/ProgressWriter.java
@@ -25,6 +25,10 @@
  */
 final class ProgressWriter {
   private static final long RETRY_MICROS = 300_000;
+
+  /** Base64 holds six tasks in each byte. */
+  private static final int TASKS_PER_BYTE = 6;
+
   private static final long MOST_BYTES = 48 * 1024;
 
   /** A record that small jobs share. */
@@ -248,7 +252,8 @@
     }
     for (Map.Entry<Job, BitSet> entry : dirty.entrySet()) {
       Job job = entry.getKey();
-      int each = Math.min(context.layout().valueBytes(), job.spec().pieces() / 6 + 100);
+      int each =
+          Math.min(context.layout().valueBytes(), job.spec().pieces() / TASKS_PER_BYTE + 100);
       BitSet written = new BitSet();
       for (int first = entry.getValue().nextSetBit(0);
           first >= 0 && room > 0 && bytes + each <= MOST_BYTES;
--- a/src/main/java/plumlever/leader/SchedulingPass.java
+++ b/src/main/java/plumlever/leader/SchedulingPass.java
@@ -109,6 +109,9 @@
   private List<RentalPlan.Demand> demands = new ArrayList<>();
   private List<RentalPlan.Demand> lastDemands = List.of();
 
+  /** The last demand for work that has not come yet. */
+  private RentalPlan.Demand lastStandby;
+
   SchedulingPass(
       Context context,
       Fleet fleet,
@@ -179,6 +182,19 @@
   boolean canDoWithout(Set<Machine> without) {
     long now = context.loop().nowMicros();
     FleetSnapshot snapshot = new FleetSnapshot(now, without, false);
+    return servesAllInTime(snapshot, now) && snapshot.spareCores() >= standby.cores(now);
+  }
+
+  /**
+   * The same of what waits now only: what stands by for work that may come is less than what waits
+   * in another cell.
+   */
+  boolean servesWaitingWithout(Set<Machine> without) {
+    long now = context.loop().nowMicros();
+    return servesAllInTime(new FleetSnapshot(now, without, false), now);
+  }
+
+  private boolean servesAllInTime(FleetSnapshot snapshot, long now) {
     for (Job job : order(now)) {
       ResourceRequest request = request(job, now);
       Placer.Search search = search(request, zones(job), snapshot);
@@ -193,7 +209,7 @@
         search.commit(choice);
       }
     }
-    return snapshot.spareCores() >= standby.cores(now);
+    return true;
   }
 
   /** What waits for machines, as of the last whole round. */
@@ -201,6 +217,15 @@
     return lastDemands;
   }
 
+  /** Processors that tasks wait for which are there already, as of the last whole round. */
+  double coresWaitedFor() {
+    double cores = 0;
+    for (RentalPlan.Demand demand : lastDemands) {
+      cores += demand == lastStandby ? 0 : demand.tasks() * demand.job().cores();
+    }
+    return cores;
+  }
+
   Iterable<PlannedTasks> planned(Machine machine) {
     return plans.getOrDefault(machine.id(), Map.of()).values();
   }
@@ -303,9 +328,10 @@
     double missing = standby.cores(snapshot.now) - snapshot.spareCores();
     JobSpec like = standby.typical();
     if (missing > 0 && like != null && like.cores() > 0) {
-      demands.add(
+      lastStandby =
           new RentalPlan.Demand(
-              like, null, (int) Math.ceil(missing / like.cores()), (long) (like.expectS() * 1e6)));
+              like, null, (int) Math.ceil(missing / like.cores()), (long) (like.expectS() * 1e6));
+      demands.add(lastStandby);
     }
   }
 
--- a/src/main/java/plumlever/leader/ShareDuty.java
+++ b/src/main/java/plumlever/leader/ShareDuty.java
@@ -113,10 +113,6 @@
    * missing for deadlines over all jobs, whichever is more.
    */
   private int machinesLacking() {
-    double unplaced = 0;
-    for (RentalPlan.Demand demand : pass.demands()) {
-      unplaced += demand.tasks() * demand.job().cores();
-    }
     Map<String, Double> limitOf = new HashMap<>();
     for (Platform.Team team : context.platform().teams()) {
       if (team.cpusMax() > 0) {
@@ -124,7 +120,7 @@
       }
     }
     double late = CoreDemand.coresNeeded(pass.workLeft(), limitOf) - coresOwned();
-    double cores = Math.max(unplaced, late);
+    double cores = Math.max(pass.coresWaitedFor(), late);
     return (int) Math.min(sharing.machines(), Math.ceil(Math.max(0, cores) / usualCores()));
   }
 
@@ -239,7 +235,7 @@
         break;
       }
       without.add(machine);
-      if (!pass.canDoWithout(without)) {
+      if (!pass.servesWaitingWithout(without)) {
         break;
       }
       transfers.offer(machine, to);
@@ -268,6 +264,13 @@
                     .isPresent());
   }
 
+  /** False while any cell of the pool lacks machines: idle ones are for it, not for the cloud. */
+  boolean mayReturnIdle() {
+    return lackingSinceMicros < 0
+        && sharing.others().stream()
+            .noneMatch(cell -> other(cell).filter(state -> state.wanted() > 0).isPresent());
+  }
+
   /** Machines that are offered to this cell. */
   List<RentalPlan.Kind> coming() {
     List<RentalPlan.Kind> kinds = new ArrayList<>();
--- a/src/main/java/plumlever/leader/Takeover.java
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -26,6 +26,9 @@
    */
   private static final long OVERDUE_MICROS = 7_000_000;
 
+  /** What sums of fractions may be off by. */
+  private static final double ROUNDING = 1e-9;
+
   private final Logger log;
   private final Context context;
   private final Fleet fleet;
@@ -186,6 +189,7 @@
     if (limit <= 0 || each <= 0) {
       return Integer.MAX_VALUE;
     }
-    return (int) Math.max(0, Math.min(Integer.MAX_VALUE, Math.floor((limit - used) / each + 1e-9)));
+    return (int)
+        Math.max(0, Math.min(Integer.MAX_VALUE, Math.floor((limit - used) / each + ROUNDING)));
   }
 }
--- a/src/main/java/plumlever/metrics/Metrics.java
+++ b/src/main/java/plumlever/metrics/Metrics.java
@@ -11,6 +11,11 @@
  * decides, and the office's.
  */
 public final class Metrics {
+  private static final int HTTP_TOO_MANY_REQUESTS = 429;
+  private static final int HTTP_UNAVAILABLE = 503;
+  private static final double MEDIAN = 50;
+  private static final double TAIL = 99;
+
   private static final long MOST_MICROS = 3_600_000_000L;
 
   private final Logger log;
@@ -60,9 +65,9 @@
   public synchronized void outside(String service, int status) {
     if (status == 0) {
       count(service + "_silent");
-    } else if (status == 429) {
+    } else if (status == HTTP_TOO_MANY_REQUESTS) {
       count(service + "_over_rate");
-    } else if (status == 503) {
+    } else if (status == HTTP_UNAVAILABLE) {
       count(service + "_refused");
     }
   }
@@ -82,8 +87,8 @@
                     " %s_ms[n=%d p50=%.1f p99=%.1f max=%.1f]",
                     k,
                     h.getTotalCount(),
-                    h.getValueAtPercentile(50) / 1e3,
-                    h.getValueAtPercentile(99) / 1e3,
+                    h.getValueAtPercentile(MEDIAN) / 1e3,
+                    h.getValueAtPercentile(TAIL) / 1e3,
                     h.getMaxValue() / 1e3)));
     if (!spent.isEmpty()) {
       line.append(" spent_ms[");
--- a/src/main/java/plumlever/placement/Placer.java
+++ b/src/main/java/plumlever/placement/Placer.java
@@ -27,6 +27,9 @@
    */
   private static final int KINDS = 4;
 
+  /** What sums of fractions may be off by. */
+  private static final double ROUNDING = 1e-9;
+
   private static final int UNPADDED = 2;
 
   private final double padding;
@@ -91,7 +94,7 @@
       for (int i = 0; i < size; i++) {
         PlacementCandidate candidate = seats.get(i);
         double share = request.share(candidate);
-        if (share > 1 + 1e-9 || !request.allows(candidate)) {
+        if (share > 1 + ROUNDING || !request.allows(candidate)) {
           continue;
         }
         fetch[i] =
@@ -102,7 +105,7 @@
         score[i] = candidate.pricePerS * share * risk * (fetch[i] + run[i]);
         // Scores are never negative, so their bits are in their order; the seat's number is in the
         // low half.
-        keys[count++] = (long) Float.floatToIntBits((float) score[i]) << 32 | i;
+        keys[count++] = (long) Float.floatToIntBits((float) score[i]) << Integer.SIZE | i;
       }
       Arrays.sort(keys, 0, count);
       byScore = new int[count];
@@ -317,7 +320,7 @@
       if (candidate.fitsNow(request)
           && request.allows(candidate)
           && zones.allows(candidate.zone)
-          && request.share(candidate) <= 1 + 1e-9) {
+          && request.share(candidate) <= 1 + ROUNDING) {
         return true;
       }
     }
--- a/src/main/java/plumlever/settings/Endpoint.java
+++ b/src/main/java/plumlever/settings/Endpoint.java
@@ -2,6 +2,8 @@
 
 /** An address and port. */
 public record Endpoint(String host, int port) {
+  private static final int LAST_PORT = 65_535;
+
   /** Null if the text is not {@code ADDRESS:PORT}. */
   public static Endpoint parse(String text) {
     int colon = text.lastIndexOf(':');
@@ -10,7 +12,7 @@
     }
     try {
       int port = Integer.parseInt(text, colon + 1, text.length(), 10);
-      return port < 0 || port > 65535 ? null : new Endpoint(text.substring(0, colon), port);
+      return port < 0 || port > LAST_PORT ? null : new Endpoint(text.substring(0, colon), port);
     } catch (NumberFormatException e) {
       return null;
     }
--- a/src/main/java/plumlever/store/JobStore.java
+++ b/src/main/java/plumlever/store/JobStore.java
@@ -74,6 +74,20 @@
   /** What the JSON round a list of names takes. */
   private static final int NAMES_BASE_BYTES = 32;
 
+  private static final int DIGEST_LETTERS = 24;
+
+  /** Base64 makes so many letters of so many bytes. */
+  private static final int BASE64_LETTERS = 4;
+
+  private static final int BASE64_BYTES = 3;
+  private static final int TASKS_IN_LETTERS = BASE64_BYTES * Byte.SIZE;
+
+  /** What the JSON round a chunk, a pack and an entry of one takes. */
+  private static final int CHUNK_BASE_BYTES = 64;
+
+  private static final int PACK_BASE_BYTES = 32;
+  private static final int PACKED_ENTRY_BYTES = 8;
+
   private final WriteLimits limits;
   private final List<String> otherCells;
   private final int statedValueBytes;
@@ -215,7 +229,7 @@
     return Hashing.sha256()
         .hashString(valueBytes() + " " + String.join(" ", names), StandardCharsets.UTF_8)
         .toString()
-        .substring(0, 24);
+        .substring(0, DIGEST_LETTERS);
   }
 
   private Map<String, ObjectNode> parts(String prefix, List<String> names) {
@@ -365,7 +379,7 @@
   }
 
   private static int tasksPerChunk(int valueBytes) {
-    return (valueBytes - 64) / 4 * 3 * 8;
+    return (valueBytes - CHUNK_BASE_BYTES) / BASE64_LETTERS * BASE64_BYTES * Byte.SIZE;
   }
 
   public JsonNode chunk(BitSet done, int firstTask, int tasks) {
@@ -381,12 +395,14 @@
 
   /** Bytes the job takes in a pack, whether or not it may share one. */
   public static int packSize(JobSpec spec) {
-    return spec.uid().length() + 8 + (spec.pieces() + 23) / 24 * 4;
+    return spec.uid().length()
+        + PACKED_ENTRY_BYTES
+        + (spec.pieces() + TASKS_IN_LETTERS - 1) / TASKS_IN_LETTERS * BASE64_LETTERS;
   }
 
   /** Room in a pack. */
   public int packBytes() {
-    return valueBytes() - 32;
+    return valueBytes() - PACK_BASE_BYTES;
   }
 
   /** The record that holds the finished tasks of these jobs. */
--- a/src/main/java/plumlever/wire/Json.java
+++ b/src/main/java/plumlever/wire/Json.java
@@ -31,6 +31,7 @@
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
   static final int MOST_TEXT = 200;
+  private static final double MOST_AMOUNT = 1e9;
 
   private Json() {}
 
@@ -122,7 +123,7 @@
   }
 
   static boolean inRange(double value, double min) {
-    return Double.isFinite(value) && value >= min && value <= 1e9;
+    return Double.isFinite(value) && value >= min && value <= MOST_AMOUNT;
   }
 
   /** A field that must be a whole number within these bounds. */
--- a/src/main/java/plumlever/wire/Order.java
+++ b/src/main/java/plumlever/wire/Order.java
@@ -9,6 +9,8 @@
 
 /** A command to a worker. */
 public record Order(Verb verb, TaskName task, long attempt, double windDownS) {
+  private static final int USUAL_LETTERS = 64;
+
   /** Commands, by their names on the wire. */
   public enum Verb {
     RUN("run"),
@@ -65,7 +67,7 @@
   }
 
   private static String body(long token, long tenure, List<Order> orders) {
-    StringWriter out = new StringWriter(64);
+    StringWriter out = new StringWriter(USUAL_LETTERS);
     try (JsonGenerator jsonGenerator = Json.generator(out)) {
       jsonGenerator.writeStartObject();
       jsonGenerator.writeNumberField("baton", token);
--- /dev/null
+++ b/src/test/java/plumlever/rehearsal/SharingDrillTest.java
@@ -0,0 +1,19 @@
+package plumlever.rehearsal;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Seconds in place of minutes: controllers as processes, one of them killed or paused. */
+final class SharingDrillTest {
+  private static final int SECONDS = 50;
+  private static final int MACHINES = 6;
+
+  @Test
+  void machinesMoveBetweenProcessesAndNoResultIsLostOrProducedTwice() throws Exception {
+    SharingDrill.Outcome outcome =
+        SharingDrill.run(new SharingDrill.Plan(SECONDS, MACHINES, 3, List.of(), true, 2));
+    assertTrue(outcome.passed(), String.join("\n", outcome.lines()));
+  }
+}
--- /dev/null
+++ b/src/test/java/plumlever/rehearsal/package-info.java
@@ -0,0 +1,2 @@
+/** Short forms of the drills. */
+package plumlever.rehearsal;
