--- a/src/main/java/plumlever/leader/DeadCellAdoption.java
+++ b/src/main/java/plumlever/leader/DeadCellAdoption.java
@@ -1,6 +1,7 @@
 package plumlever.leader;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.slf4j.Logger;
@@ -92,7 +93,7 @@
           TransferRecord before = steps.record(machine).orElseGet(() -> unmoved(host, dead));
           String office = KeySpace.absolute(dead.prefix(), LeaderElection.LEADER);
           return Optional.of(
-              steps.owned(machine, before.withoutHome(dead.name())).guard(office, 0));
+              steps.owned(List.of(before.withoutHome(dead.name()))).guard(office, 0));
         },
         () -> {
           if (view.holder(machine).equals(Optional.of(sharing.own().name()))) {
--- a/src/main/java/plumlever/leader/TransferDuty.java
+++ b/src/main/java/plumlever/leader/TransferDuty.java
@@ -1,5 +1,6 @@
 package plumlever.leader;
 
+import com.google.common.collect.Lists;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -138,6 +139,7 @@
         offered(record);
       }
     }
+    takeOffers();
   }
 
   /** A machine of this cell: taken from another, or on offer. */
@@ -415,9 +417,7 @@
         withdraw(machine);
       }
     } else if (offer.to().equals(own)) {
-      if (offer.digest().equals(sharing.digest())) {
-        take(machine);
-      } else if (!digestMismatchLogged) {
+      if (!offer.digest().equals(sharing.digest()) && !digestMismatchLogged) {
         digestMismatchLogged = true;
         log.warn(
             "{} offers machines under another sharing file: none is taken until all are the same",
@@ -443,25 +443,51 @@
         });
   }
 
-  private void take(String machine) {
-    steps.step(machine, () -> buildTake(machine), () -> {});
+  /** Takes what is offered, as many machines in one transaction as it holds. */
+  private void takeOffers() {
+    Map<String, List<String>> groups = new TreeMap<>();
+    for (Map.Entry<String, PoolView.Stamped<TransferRecord>> entry : view.transfers().entrySet()) {
+      String machine = entry.getKey();
+      if (isOffered(entry.getValue().value()) && !steps.isUnderWay(machine)) {
+        String owner = entry.getValue().value().owner();
+        groups
+            .computeIfAbsent(owner + OwnerRecord.keyOf(machine), key -> new ArrayList<>())
+            .add(machine);
+      }
+    }
+    for (List<String> group : groups.values()) {
+      for (List<String> part : Lists.partition(group, steps.mostOwnedAtOnce())) {
+        steps.step(part, () -> buildTake(part), () -> {});
+      }
+    }
   }
 
-  private Optional<PoolTransaction> buildTake(String machine) {
-    Optional<TransferRecord> found =
-        steps
-            .record(machine)
-            .filter(
-                record ->
-                    record.offer().filter(offer -> offer.to().equals(own)).isPresent()
-                        && view.holder(machine).equals(Optional.of(record.owner())));
-    if (found.isEmpty()) {
+  private boolean isOffered(TransferRecord record) {
+    return record
+            .offer()
+            .filter(offer -> offer.to().equals(own) && offer.digest().equals(sharing.digest()))
+            .isPresent()
+        && view.holder(record.machine().id()).equals(Optional.of(record.owner()));
+  }
+
+  /** The machines must have one owner, and their offers must be of one term of its. */
+  private Optional<PoolTransaction> buildTake(List<String> machines) {
+    List<TransferRecord> offered =
+        machines.stream()
+            .map(steps::record)
+            .flatMap(Optional::stream)
+            .filter(this::isOffered)
+            .toList();
+    if (offered.isEmpty()) {
       return Optional.empty();
     }
-    TransferRecord record = found.get();
-    String giversTerm =
-        KeySpace.absolute(sharing.cell(record.owner()).prefix(), LeaderElection.TERM);
+    long termStamp = offered.get(0).offer().orElseThrow().termStamp();
+    List<TransferRecord> ofOneTerm =
+        offered.stream()
+            .filter(record -> record.offer().orElseThrow().termStamp() == termStamp)
+            .toList();
+    String giver = sharing.cell(offered.get(0).owner()).prefix();
     return Optional.of(
-        steps.owned(machine, record).guard(giversTerm, record.offer().orElseThrow().termStamp()));
+        steps.owned(ofOneTerm).guard(KeySpace.absolute(giver, LeaderElection.TERM), termStamp));
   }
 }
--- a/src/main/java/plumlever/leader/TransferSteps.java
+++ b/src/main/java/plumlever/leader/TransferSteps.java
@@ -1,6 +1,8 @@
 package plumlever.leader;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import plumlever.sharing.OwnerRecord;
@@ -15,6 +17,12 @@
     Optional<PoolTransaction> build();
   }
 
+  /** Puts of a transaction that are the same for all its machines. */
+  private static final int SHARED_PUTS = 2;
+
+  /** Of the 64 KiB that a transaction may take, what its records of transfers may. */
+  private static final int MOST_BYTES = 40 * 1024;
+
   private final Context context;
   private final String own;
   private final PoolView view;
@@ -52,20 +60,47 @@
     return record.isSettled() ? transaction().drop(key) : transaction().put(key, record.toJson());
   }
 
-  /** The machine is this cell's, under a number newer than any other. */
-  PoolTransaction owned(String machine, TransferRecord record) {
+  /** How many machines one transaction can make this cell's. */
+  int mostOwnedAtOnce() {
+    return context.layout().limits().txnOps() - SHARED_PUTS;
+  }
+
+  /**
+   * These machines are this cell's, under a number newer than any other; as many of them as one
+   * transaction holds.
+   *
+   * @param records of machines whose owners are in one record
+   */
+  PoolTransaction owned(List<TransferRecord> records) {
     long number = view.counter() + 1;
-    return transaction()
-        .put(PoolView.COUNTER, Json.object().put("term", number))
-        .put(OwnerRecord.keyOf(machine), view.owners(machine).with(machine, own).toJson())
-        .put(TransferRecord.keyOf(machine), record.taken(own, number).toJson());
+    String first = records.get(0).machine().id();
+    OwnerRecord owners = view.owners(first);
+    PoolTransaction transaction =
+        transaction().put(PoolView.COUNTER, Json.object().put("term", number));
+    int bytes = 0;
+    for (TransferRecord record : records) {
+      ObjectNode taken = record.taken(own, number).toJson();
+      bytes += Json.write(taken).length();
+      if (bytes <= MOST_BYTES || record == records.get(0)) {
+        String machine = record.machine().id();
+        owners = owners.with(machine, own);
+        transaction.put(TransferRecord.keyOf(machine), taken);
+      }
+    }
+    return transaction.put(OwnerRecord.keyOf(first), owners.toJson());
   }
 
   /** Does nothing if the machine has a step under way: whoever wants another asks again. */
   void step(String machine, Builder builder, Runnable finished) {
-    if (!underWay.add(machine)) {
+    step(List.of(machine), builder, finished);
+  }
+
+  /** The same for several machines; those that have a step under way must not be among them. */
+  void step(List<String> machines, Builder builder, Runnable finished) {
+    if (machines.isEmpty() || machines.stream().anyMatch(underWay::contains)) {
       return;
     }
+    underWay.addAll(machines);
     boolean taken =
         writer.submit(
             new PoolWriter.Step() {
@@ -76,12 +111,12 @@
 
               @Override
               public void finished() {
-                underWay.remove(machine);
+                machines.forEach(underWay::remove);
                 finished.run();
               }
             });
     if (!taken) {
-      underWay.remove(machine);
+      machines.forEach(underWay::remove);
     }
   }
 }
--- a/src/test/java/plumlever/sim/SharingMeasurement.java
+++ b/src/test/java/plumlever/sim/SharingMeasurement.java
@@ -2,9 +2,16 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
 import plumlever.settings.Platform;
 import plumlever.settings.SharingSettings;
+import plumlever.sharing.OwnerRecord;
+import plumlever.wire.InvalidMessage;
 import plumlever.wire.JobSpec;
 import plumlever.wire.Json;
 import plumlever.wire.Urgency;
@@ -134,13 +141,18 @@
     for (int i = 0; i * TASKS_PER_JOB < tasks; i++) {
       submit(phase);
     }
+    Map<String, Integer> ownedBefore = owners();
     long firstMove = -1;
+    long firstStart = -1;
     long allDone = -1;
     while (cluster.now() - began < PHASE_S * 1e6) {
       cluster.play(0.5);
       if (firstMove < 0 && counted("machines_taken") > taken) {
         firstMove = cluster.now() - began;
       }
+      if (firstStart < 0 && startedOnMoved(first, phase, ownedBefore)) {
+        firstStart = cluster.now() - began;
+      }
       if (allDone < 0
           && jobs.subList(first, jobs.size()).stream()
               .allMatch(job -> cluster.invariants.allDone(job.uid()))) {
@@ -151,6 +163,43 @@
         .formatted(seconds(firstMove), seconds(allDone), counted("machines_taken") - taken);
   }
 
+  /** The cell of each machine by its index, from the records. */
+  private Map<String, Integer> owners() {
+    Map<String, OwnerRecord> records = new HashMap<>();
+    cluster
+        .store
+        .entries("pool/owners/")
+        .forEach(
+            (key, value) -> {
+              try {
+                records.put("/" + key, OwnerRecord.parse(value));
+              } catch (InvalidMessage e) {
+                throw new AssertionError(e);
+              }
+            });
+    Map<String, Integer> owners = new HashMap<>();
+    for (String machine : cluster.cloud.machines.keySet()) {
+      OwnerRecord record = records.getOrDefault(OwnerRecord.keyOf(machine), OwnerRecord.EMPTY);
+      for (int i = 0; i < PoolScenario.CELLS.size(); i++) {
+        if (record.holder(machine).equals(Optional.of(PoolScenario.CELLS.get(i).name()))) {
+          owners.put(machine, i);
+        }
+      }
+    }
+    return owners;
+  }
+
+  private boolean startedOnMoved(int firstJob, int cell, Map<String, Integer> ownedBefore) {
+    Set<String> uids = new HashSet<>();
+    jobs.subList(firstJob, jobs.size()).forEach(job -> uids.add(job.uid()));
+    return cluster.cloud.machines.values().stream()
+        .filter(vm -> vm.worker != null)
+        .filter(vm -> ownedBefore.getOrDefault(vm.id, cell) != cell)
+        .flatMap(vm -> vm.worker.tasks.values().stream())
+        .anyMatch(
+            task -> task.on() && uids.contains(task.name.substring(0, task.name.indexOf('/'))));
+  }
+
   private static String seconds(long micros) {
     return micros < 0 ? "none" : micros / 1e6 + " s";
   }
