--- a/src/test/java/plumlever/sim/SharingMeasurement.java
+++ b/src/test/java/plumlever/sim/SharingMeasurement.java
@@ -159,8 +159,12 @@
         allDone = cluster.now() - began;
       }
     }
-    return "first move %s, all tasks done %s, %d moves"
-        .formatted(seconds(firstMove), seconds(allDone), counted("machines_taken") - taken);
+    return "first move %s, first start on a moved machine %s, all tasks done %s, %d moves"
+        .formatted(
+            seconds(firstMove),
+            seconds(firstStart),
+            seconds(allDone),
+            counted("machines_taken") - taken);
   }
 
   /** The cell of each machine by its index, from the records. */
