--- a/src/main/java/plumlever/leader/DeadCellAdoption.java
+++ b/src/main/java/plumlever/leader/DeadCellAdoption.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import plumlever.election.LeaderElection;
 import plumlever.settings.SharingSettings;
@@ -30,9 +31,20 @@
   private final PoolLink link;
   private final PoolView view;
   private final TransferSteps steps;
+  private final Consumer<TransferRecord> adopted;
+
+  /** What the step under way makes of its machine; steps come one after the other. */
+  private TransferRecord taking;
+
   private final Map<String, Long> leaderlessSince = new HashMap<>();
 
-  DeadCellAdoption(Context context, SharingSettings sharing, PoolLink link, TransferSteps steps) {
+  DeadCellAdoption(
+      Context context,
+      SharingSettings sharing,
+      PoolLink link,
+      TransferSteps steps,
+      Consumer<TransferRecord> adopted) {
+    this.adopted = adopted;
     this.context = context;
     this.log = context.logs().of(DeadCellAdoption.class);
     this.sharing = sharing;
@@ -92,16 +104,22 @@
           }
           TransferRecord before = steps.record(machine).orElseGet(() -> unmoved(host, dead));
           String office = KeySpace.absolute(dead.prefix(), LeaderElection.LEADER);
-          return Optional.of(
-              steps.owned(List.of(before.withoutHome(dead.name()))).guard(office, 0));
+          return Optional.of(taken(before.withoutHome(dead.name())).guard(office, 0));
         },
         () -> {
           if (view.holder(machine).equals(Optional.of(sharing.own().name()))) {
+            adopted.accept(taking);
             log.warn("{} is adopted, {} has had no leader for long", machine, dead.name());
           }
         });
   }
 
+  private PoolTransaction taken(TransferRecord before) {
+    TransferSteps.Taking built = steps.take(List.of(before));
+    taking = built.taken().get(0);
+    return built.transaction();
+  }
+
   private static TransferRecord unmoved(HostEntry host, SharingSettings.Cell owner) {
     return new TransferRecord(
         TransferRecord.State.TAKEN,
--- a/src/main/java/plumlever/leader/PoolSharing.java
+++ b/src/main/java/plumlever/leader/PoolSharing.java
@@ -71,7 +71,6 @@
     this.claims = new OwnerClaims(context, sharing, view, writer);
     this.guests = new GuestBook(context, sharing, view);
     TransferSteps steps = new TransferSteps(context, sharing.own().name(), view, writer);
-    this.adoption = new DeadCellAdoption(context, sharing, link, steps);
     this.transfers =
         new TransferDuty(
             context,
@@ -84,7 +83,9 @@
             view,
             steps,
             guests,
+            takeover,
             commands::raise);
+    this.adoption = new DeadCellAdoption(context, sharing, link, steps, transfers::acquire);
     this.limits = new LimitDuty(context, sharing, jobs, takeover, view, writer);
     this.share = new ShareDuty(context, sharing, fleet, pass, takeover, view, transfers, limits);
   }
--- a/src/main/java/plumlever/leader/SchedulingPass.java
+++ b/src/main/java/plumlever/leader/SchedulingPass.java
@@ -252,7 +252,7 @@
       if (job.complete() || job.over() || job.calledOff() || job.waiting()) {
         continue;
       }
-      long runMicros = estimates.runMicros(job);
+      long runMicros = costMicros(job);
       long finish = objectives.finishBy(job, now);
       long start = objectives.startBy(job, guaranteed(job), now);
       long left = Math.min(finish, start == Long.MAX_VALUE ? start : start + runMicros) - now;
--- a/src/main/java/plumlever/leader/Takeover.java
+++ b/src/main/java/plumlever/leader/Takeover.java
@@ -125,6 +125,11 @@
     }
   }
 
+  /** True while the machine runs tasks that this leader does not keep. */
+  boolean holdsForeign(Machine machine) {
+    return foreign.contains(machine);
+  }
+
   /** True while a task of the job could be running on a machine not accounted for. */
   boolean blocks(Job job) {
     return !loaded || (job.inherited() && !open.isEmpty());
--- a/src/main/java/plumlever/leader/TransferDuty.java
+++ b/src/main/java/plumlever/leader/TransferDuty.java
@@ -1,6 +1,5 @@
 package plumlever.leader;
 
-import com.google.common.collect.Lists;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,7 +11,6 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
-import plumlever.election.LeaderElection;
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
@@ -22,7 +20,6 @@
 import plumlever.sharing.OwnerRecord;
 import plumlever.sharing.PoolView;
 import plumlever.sharing.TransferRecord;
-import plumlever.store.KeySpace;
 import plumlever.wire.Flavor;
 import plumlever.wire.Json;
 
@@ -54,7 +51,9 @@
   private final SchedulingPass pass;
   private final PoolView view;
   private final TransferSteps steps;
+  private final OfferTaker takes;
   private final GuestBook guests;
+  private final Takeover takeover;
   private final Consumer<Machine> raiseToken;
   private final Map<String, Long> offeredMicros = new HashMap<>();
 
@@ -74,6 +73,7 @@
       PoolView view,
       TransferSteps steps,
       GuestBook guests,
+      Takeover takeover,
       Consumer<Machine> raiseToken) {
     this.raiseToken = raiseToken;
     this.context = context;
@@ -87,7 +87,9 @@
     this.pass = pass;
     this.view = view;
     this.steps = steps;
+    this.takes = new OfferTaker(sharing, view, steps, this::acquire);
     this.guests = guests;
+    this.takeover = takeover;
   }
 
   private long now() {
@@ -139,23 +141,27 @@
         offered(record);
       }
     }
-    takeOffers();
+    for (String machine : List.copyOf(offeredMicros.keySet())) {
+      if (view.transfer(machine).isEmpty() && !owns(machine) && !steps.isUnderWay(machine)) {
+        loseEmpty(machine);
+      }
+    }
+    takes.run();
+  }
+
+  /** It was taken without a task of this cell on it, so no record is left. */
+  private void loseEmpty(String id) {
+    Machine machine = fleet.machine(id);
+    offeredMicros.remove(id);
+    if (machine != null) {
+      release(machine);
+      fleet.remove(machine);
+    }
   }
 
   /** A machine of this cell: taken from another, or on offer. */
   private void mine(TransferRecord record) {
-    Machine machine = fleet.machine(record.machine().id());
-    if (machine == null) {
-      machine = gain(record);
-    } else if (machine.tokenTerm() < record.number()) {
-      // It went and came back before this was seen.
-      machine.tokenTerm(record.number());
-      machine.unaccount();
-      machine.renewedElsewhere(now() + OFFER_VIEW_MICROS);
-      raiseToken.accept(machine);
-    } else if (!machine.accounted() && machine.renewedElsewhereMicros() < 0) {
-      machine.renewedElsewhere(now() + OFFER_VIEW_MICROS);
-    }
+    Machine machine = acquire(record);
     if (record.state() == TransferRecord.State.TAKEN && !steps.isUnderWay(machine.id())) {
       machine.offered(false);
       offeredMicros.remove(machine.id());
@@ -168,6 +174,24 @@
     }
   }
 
+  /** The machine as this cell's, under the number of the record at least. */
+  Machine acquire(TransferRecord record) {
+    Machine machine = fleet.machine(record.machine().id());
+    if (machine == null) {
+      return gain(record);
+    }
+    if (machine.tokenTerm() < record.number()) {
+      // It went and came back before this was seen.
+      machine.tokenTerm(record.number());
+      machine.unaccount();
+      machine.renewedElsewhere(now() + OFFER_VIEW_MICROS);
+      raiseToken.accept(machine);
+    } else if (!machine.accounted() && machine.renewedElsewhereMicros() < 0) {
+      machine.renewedElsewhere(now() + OFFER_VIEW_MICROS);
+    }
+    return machine;
+  }
+
   private Machine gain(TransferRecord record) {
     TransferRecord.Details details = record.machine();
     Machine machine = fleet.away(details.id());
@@ -342,6 +366,7 @@
         && !machine.deaf()
         && !machine.calling()
         && !machine.unsettled()
+        && !takeover.holdsForeign(machine)
         && !steps.isUnderWay(machine.id());
   }
 
@@ -356,7 +381,9 @@
         machine.id(),
         () -> buildOffer(machine, to),
         () -> {
-          if (steps.record(machine.id()).flatMap(TransferRecord::offer).isEmpty()) {
+          if (!owns(machine.id()) && steps.record(machine.id()).isEmpty()) {
+            loseEmpty(machine.id());
+          } else if (steps.record(machine.id()).flatMap(TransferRecord::offer).isEmpty()) {
             machine.offered(false);
             offeredMicros.remove(machine.id());
           }
@@ -370,7 +397,9 @@
     }
     Map<String, List<GuestTask>> homes =
         new TreeMap<>(before.map(TransferRecord::homes).orElse(Map.of()));
-    homes.put(own, guestsOf(machine));
+    if (!machine.hasNoAttempts()) {
+      homes.put(own, guestsOf(machine));
+    }
     TransferRecord offer =
         TransferRecord.offered(
             new TransferRecord.Details(
@@ -442,52 +471,4 @@
           }
         });
   }
-
-  /** Takes what is offered, as many machines in one transaction as it holds. */
-  private void takeOffers() {
-    Map<String, List<String>> groups = new TreeMap<>();
-    for (Map.Entry<String, PoolView.Stamped<TransferRecord>> entry : view.transfers().entrySet()) {
-      String machine = entry.getKey();
-      if (isOffered(entry.getValue().value()) && !steps.isUnderWay(machine)) {
-        String owner = entry.getValue().value().owner();
-        groups
-            .computeIfAbsent(owner + OwnerRecord.keyOf(machine), key -> new ArrayList<>())
-            .add(machine);
-      }
-    }
-    for (List<String> group : groups.values()) {
-      for (List<String> part : Lists.partition(group, steps.mostOwnedAtOnce())) {
-        steps.step(part, () -> buildTake(part), () -> {});
-      }
-    }
-  }
-
-  private boolean isOffered(TransferRecord record) {
-    return record
-            .offer()
-            .filter(offer -> offer.to().equals(own) && offer.digest().equals(sharing.digest()))
-            .isPresent()
-        && view.holder(record.machine().id()).equals(Optional.of(record.owner()));
-  }
-
-  /** The machines must have one owner, and their offers must be of one term of its. */
-  private Optional<PoolTransaction> buildTake(List<String> machines) {
-    List<TransferRecord> offered =
-        machines.stream()
-            .map(steps::record)
-            .flatMap(Optional::stream)
-            .filter(this::isOffered)
-            .toList();
-    if (offered.isEmpty()) {
-      return Optional.empty();
-    }
-    long termStamp = offered.get(0).offer().orElseThrow().termStamp();
-    List<TransferRecord> ofOneTerm =
-        offered.stream()
-            .filter(record -> record.offer().orElseThrow().termStamp() == termStamp)
-            .toList();
-    String giver = sharing.cell(offered.get(0).owner()).prefix();
-    return Optional.of(
-        steps.owned(ofOneTerm).guard(KeySpace.absolute(giver, LeaderElection.TERM), termStamp));
-  }
 }
--- a/src/main/java/plumlever/leader/TransferSteps.java
+++ b/src/main/java/plumlever/leader/TransferSteps.java
@@ -1,6 +1,7 @@
 package plumlever.leader;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -23,6 +24,13 @@
   /** Of the 64 KiB that a transaction may take, what its records of transfers may. */
   private static final int MOST_BYTES = 40 * 1024;
 
+  /**
+   * A transaction that makes machines this cell's.
+   *
+   * @param taken their records from then on; of those without guests none is stored
+   */
+  record Taking(PoolTransaction transaction, List<TransferRecord> taken) {}
+
   private final Context context;
   private final String own;
   private final PoolView view;
@@ -71,23 +79,31 @@
    *
    * @param records of machines whose owners are in one record
    */
-  PoolTransaction owned(List<TransferRecord> records) {
+  Taking take(List<TransferRecord> records) {
     long number = view.counter() + 1;
     String first = records.get(0).machine().id();
     OwnerRecord owners = view.owners(first);
     PoolTransaction transaction =
         transaction().put(PoolView.COUNTER, Json.object().put("term", number));
     int bytes = 0;
+    List<TransferRecord> all = new ArrayList<>();
     for (TransferRecord record : records) {
-      ObjectNode taken = record.taken(own, number).toJson();
-      bytes += Json.write(taken).length();
-      if (bytes <= MOST_BYTES || record == records.get(0)) {
-        String machine = record.machine().id();
-        owners = owners.with(machine, own);
-        transaction.put(TransferRecord.keyOf(machine), taken);
+      TransferRecord taken = record.taken(own, number);
+      ObjectNode json = taken.toJson();
+      bytes += Json.write(json).length();
+      if (bytes > MOST_BYTES && !all.isEmpty()) {
+        break;
+      }
+      all.add(taken);
+      String machine = record.machine().id();
+      owners = owners.with(machine, own);
+      if (taken.isSettled()) {
+        transaction.drop(TransferRecord.keyOf(machine));
+      } else {
+        transaction.put(TransferRecord.keyOf(machine), json);
       }
     }
-    return transaction.put(OwnerRecord.keyOf(first), owners.toJson());
+    return new Taking(transaction.put(OwnerRecord.keyOf(first), owners.toJson()), all);
   }
 
   /** Does nothing if the machine has a step under way: whoever wants another asks again. */
--- a/src/main/java/plumlever/sharing/CoreDemand.java
+++ b/src/main/java/plumlever/sharing/CoreDemand.java
@@ -10,7 +10,7 @@
    * What is left of one job.
    *
    * @param tasks that run or wait
-   * @param runMicros about what one takes
+   * @param runMicros what one takes, padded, with its image
    * @param leftMicros until the job should be done
    */
   public record Work(String team, int tasks, double cores, long runMicros, long leftMicros) {}
@@ -26,7 +26,7 @@
   public static double coresNeeded(List<Work> works, Map<String, Double> limits) {
     Map<String, Double> byTeam = new HashMap<>();
     for (Work work : works) {
-      double inARow = Math.max(1, (double) work.leftMicros() / Math.max(1, work.runMicros()));
+      long inARow = Math.max(1, work.leftMicros() / Math.max(1, work.runMicros()));
       byTeam.merge(work.team(), work.tasks() * work.cores() / inARow, Double::sum);
     }
     double needed = 0;
