--- /dev/null
+++ b/src/main/java/plumlever/leader/FleetSizing.java
@@ -0,0 +1,145 @@
+package plumlever.leader;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.slf4j.Logger;
+import plumlever.fleet.Attempt;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Machine;
+import plumlever.scaling.RentalPlan;
+import plumlever.wire.Flavor;
+
+/** Closes machines that the aims can do without, where money matters, and opens them again. */
+final class FleetSizing {
+  /** The cloud charges at least this for a machine. */
+  static final long LEAST_CHARGE_MICROS = 58_000_000;
+
+  private static final long SIZE_EVERY_MICROS = 3_000_000;
+
+  /** Prices for each processor and hour are compared in steps of this part of one. */
+  private static final double COARSE = 400;
+
+  private final Logger log;
+  private final Context context;
+  private final Fleet fleet;
+  private final SchedulingPass pass;
+  private final Takeover takeover;
+  private final MachineRentals rentals;
+  private final Runnable changed;
+  private int closeStep = 1;
+  private long sizedMicros;
+
+  FleetSizing(
+      Context context,
+      Fleet fleet,
+      SchedulingPass pass,
+      Takeover takeover,
+      MachineRentals rentals,
+      Runnable changed) {
+    this.context = context;
+    this.log = context.logs().of(FleetSizing.class);
+    this.fleet = fleet;
+    this.pass = pass;
+    this.takeover = takeover;
+    this.rentals = rentals;
+    this.changed = changed;
+  }
+
+  /**
+   * Keeps no more machines open than the aims need. One at a time, the dearest and emptiest, is
+   * closed when all that waits can do without it; the cheapest is opened again before anything is
+   * rented.
+   */
+  void size(long now) {
+    Set<Machine> closed = pass.closed();
+    closed.removeIf(m -> fleet.machine(m.id()) != m);
+    if (!pass.demands().isEmpty()) {
+      reopen(closed, now);
+      sizedMicros = now;
+      return;
+    }
+    if (now - sizedMicros < SIZE_EVERY_MICROS || !takeover.complete()) {
+      return;
+    }
+    sizedMicros = now;
+    List<Machine> able = new ArrayList<>();
+    for (Machine machine : fleet.machines()) {
+      if (machine.heard()
+          && !closed.contains(machine)
+          && !machine.returning()
+          && !machine.draining()
+          && now - machine.knownSinceMicros() > LEAST_CHARGE_MICROS) {
+        able.add(machine);
+      }
+    }
+    able.sort(
+        Comparator.comparingDouble(this::price).reversed().thenComparingDouble(FleetSizing::load));
+    int step = Math.min(closeStep, able.size());
+    if (step == 0) {
+      return;
+    }
+    Set<Machine> fewer = new LinkedHashSet<>(closed);
+    fewer.addAll(able.subList(0, step));
+    if (pass.canDoWithout(fewer)) {
+      closed.addAll(fewer);
+      context.metrics().count("machines_closed", step);
+      log.debug("{} more machines get no new tasks, the others will do", step);
+      // A large fleet is too large by many machines at a time; what goes well is tried twice as
+      // far.
+      closeStep = Math.min(Math.max(1, able.size() / 10), closeStep * 2);
+    } else {
+      closeStep = Math.max(1, closeStep / 2);
+    }
+  }
+
+  /** The cheapest closed machines, as many as hold what waits, are opened again. */
+  private void reopen(Set<Machine> closed, long now) {
+    double cores = 0;
+    for (RentalPlan.Demand demand : pass.demands()) {
+      cores += demand.tasks() * demand.job().cores();
+    }
+    List<Machine> able = new ArrayList<>();
+    for (Machine machine : closed) {
+      if (!machine.returning() && !machine.draining()) {
+        able.add(machine);
+      }
+    }
+    able.sort(Comparator.comparingDouble(this::price));
+    boolean any = false;
+    for (Machine machine : able) {
+      if (any && cores <= 0) {
+        break;
+      }
+      Flavor flavor = context.prices().flavor(machine.flavor());
+      cores -= flavor == null ? 0 : flavor.cores() - load(machine);
+      closed.remove(machine);
+      any = true;
+    }
+    if (any) {
+      rentals.sizeChanged(now);
+      changed.run();
+    }
+    closeStep = 1;
+  }
+
+  /** Price for each processor; spot prices move a little, so kinds are compared coarsely. */
+  private double price(Machine machine) {
+    Flavor flavor = context.prices().flavor(machine.flavor());
+    return flavor == null
+        ? Double.MAX_VALUE
+        : Math.round(context.prices().hourly(flavor, machine.spot()) / flavor.cores() * COARSE);
+  }
+
+  private static double load(Machine machine) {
+    double cores = 0;
+    for (Attempt attempt : machine.attempts()) {
+      if (!attempt.over()) {
+        cores += attempt.job().spec().cores();
+      }
+    }
+    return cores;
+  }
+}
