--- a/src/main/java/plumlever/leader/OfferTaker.java
+++ b/src/main/java/plumlever/leader/OfferTaker.java
@@ -26,6 +26,9 @@
   /** What the transaction under way makes of its machines; they come one after the other. */
   private List<TransferRecord> taking = List.of();
 
+  /** Transactions that are under way or wait for their turn. */
+  private int takes;
+
   /**
    * @param acquire makes a machine this cell's in memory
    */
@@ -47,6 +50,10 @@
 
   /** Takes what is offered, as many machines in one transaction as it holds. */
   void run() {
+    // What is offered while a transaction waits for its turn goes with the next one together.
+    if (takes > 0) {
+      return;
+    }
     Map<String, List<String>> groups = new TreeMap<>();
     for (Map.Entry<String, PoolView.Stamped<TransferRecord>> entry : view.transfers().entrySet()) {
       String machine = entry.getKey();
@@ -59,7 +66,10 @@
     }
     for (List<String> group : groups.values()) {
       for (List<String> part : Lists.partition(group, steps.mostOwnedAtOnce())) {
-        steps.step(part, () -> buildTake(part), this::acquireTaken);
+        takes++;
+        if (!steps.step(part, () -> buildTake(part), this::acquireTaken)) {
+          takes--;
+        }
       }
     }
   }
@@ -97,6 +107,7 @@
 
   /** What has guests is found by its record; what has none is acquired here. */
   private void acquireTaken() {
+    takes--;
     for (TransferRecord record : taking) {
       String machine = record.machine().id();
       if (owns(machine) && view.transfer(machine).isEmpty()) {
--- a/src/main/java/plumlever/leader/TransferSteps.java
+++ b/src/main/java/plumlever/leader/TransferSteps.java
@@ -106,15 +106,19 @@
     return new Taking(transaction.put(OwnerRecord.keyOf(first), owners.toJson()), all);
   }
 
-  /** Does nothing if the machine has a step under way: whoever wants another asks again. */
-  void step(String machine, Builder builder, Runnable finished) {
-    step(List.of(machine), builder, finished);
+  /**
+   * Whoever wants another step of a machine that has one under way asks again.
+   *
+   * @return false if this one will not be
+   */
+  boolean step(String machine, Builder builder, Runnable finished) {
+    return step(List.of(machine), builder, finished);
   }
 
   /** The same for several machines; those that have a step under way must not be among them. */
-  void step(List<String> machines, Builder builder, Runnable finished) {
+  boolean step(List<String> machines, Builder builder, Runnable finished) {
     if (machines.isEmpty() || machines.stream().anyMatch(underWay::contains)) {
-      return;
+      return false;
     }
     underWay.addAll(machines);
     boolean taken =
@@ -134,5 +138,6 @@
     if (!taken) {
       machines.forEach(underWay::remove);
     }
+    return taken;
   }
 }
