--- /dev/null
+++ b/src/test/java/plumlever/settings/DeployFilesTest.java
@@ -0,0 +1,35 @@
+package plumlever.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The example files under {@code deploy/} are what a controller would take. */
+final class DeployFilesTest {
+  @Test
+  void theSharingFileFitsADeploymentOfThree() throws Exception {
+    Platform platform =
+        new Platform(
+            "lever-1",
+            "a",
+            new Endpoint("127.0.0.1", 1),
+            new Endpoint("127.0.0.1", 2),
+            List.of(
+                new Platform.Seed("lever-0", "a", new Endpoint("127.0.0.1", 3)),
+                new Platform.Seed("lever-2", "a", new Endpoint("127.0.0.1", 4))),
+            new Endpoint("127.0.0.1", 5),
+            new Endpoint("127.0.0.1", 6),
+            List.of(),
+            List.of(),
+            new Platform.Workers(3_000_000, 20_000_000, 40_000_000),
+            new Platform.StateLimits(100, 20, 4096, 8),
+            new Platform.CloudLimits(6, 3_000_000),
+            2_000);
+    SharingSettings sharing =
+        OperatorFile.load(Path.of("deploy/sharing.yaml"), platform).sharing().orElseThrow();
+    assertEquals("north", sharing.own().name());
+    assertEquals(3, sharing.cells().size());
+  }
+}
