--- a/src/main/java/plumlever/leader/TransferSteps.java
+++ b/src/main/java/plumlever/leader/TransferSteps.java
@@ -1,6 +1,9 @@
 package plumlever.leader;
 
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import plumlever.sharing.OwnerRecord;
@@ -15,6 +18,19 @@
     Optional<PoolTransaction> build();
   }
 
+  /** Puts of a transaction that are the same for all its machines. */
+  private static final int SHARED_PUTS = 2;
+
+  /** Of the 64 KiB that a transaction may take, what its records of transfers may. */
+  private static final int MOST_BYTES = 40 * 1024;
+
+  /**
+   * A transaction that makes machines this cell's.
+   *
+   * @param taken their records from then on; of those without guests none is stored
+   */
+  record Taking(PoolTransaction transaction, List<TransferRecord> taken) {}
+
   private final Context context;
   private final String own;
   private final PoolView view;
@@ -52,20 +68,55 @@
     return record.isSettled() ? transaction().drop(key) : transaction().put(key, record.toJson());
   }
 
-  /** The machine is this cell's, under a number newer than any other. */
-  PoolTransaction owned(String machine, TransferRecord record) {
+  /** How many machines one transaction can make this cell's. */
+  int mostOwnedAtOnce() {
+    return context.layout().limits().txnOps() - SHARED_PUTS;
+  }
+
+  /**
+   * These machines are this cell's, under a number newer than any other; as many of them as one
+   * transaction holds.
+   *
+   * @param records of machines whose owners are in one record
+   */
+  Taking take(List<TransferRecord> records) {
     long number = view.counter() + 1;
-    return transaction()
-        .put(PoolView.COUNTER, Json.object().put("term", number))
-        .put(OwnerRecord.keyOf(machine), view.owners(machine).with(machine, own).toJson())
-        .put(TransferRecord.keyOf(machine), record.taken(own, number).toJson());
+    String first = records.get(0).machine().id();
+    OwnerRecord owners = view.owners(first);
+    PoolTransaction transaction =
+        transaction().put(PoolView.COUNTER, Json.object().put("term", number));
+    int bytes = 0;
+    List<TransferRecord> all = new ArrayList<>();
+    for (TransferRecord record : records) {
+      TransferRecord taken = record.taken(own, number);
+      ObjectNode json = taken.toJson();
+      bytes += Json.write(json).length();
+      if (bytes > MOST_BYTES && !all.isEmpty()) {
+        break;
+      }
+      all.add(taken);
+      String machine = record.machine().id();
+      owners = owners.with(machine, own);
+      if (taken.isSettled()) {
+        transaction.drop(TransferRecord.keyOf(machine));
+      } else {
+        transaction.put(TransferRecord.keyOf(machine), json);
+      }
+    }
+    return new Taking(transaction.put(OwnerRecord.keyOf(first), owners.toJson()), all);
   }
 
   /** Does nothing if the machine has a step under way: whoever wants another asks again. */
   void step(String machine, Builder builder, Runnable finished) {
-    if (!underWay.add(machine)) {
+    step(List.of(machine), builder, finished);
+  }
+
+  /** The same for several machines; those that have a step under way must not be among them. */
+  void step(List<String> machines, Builder builder, Runnable finished) {
+    if (machines.isEmpty() || machines.stream().anyMatch(underWay::contains)) {
       return;
     }
+    underWay.addAll(machines);
     boolean taken =
         writer.submit(
             new PoolWriter.Step() {
@@ -76,12 +127,12 @@
 
               @Override
               public void finished() {
-                underWay.remove(machine);
+                machines.forEach(underWay::remove);
                 finished.run();
               }
             });
     if (!taken) {
-      underWay.remove(machine);
+      machines.forEach(underWay::remove);
     }
   }
 }
