Renewed for the leader, a lease voids the leader's unanswered starts

Cause: a start sent straight to a machine may be carried out until the machine has seen a higher token or its session has ended. The controller that renewed leases for the leader answered with the token that the report showed, so neither ever came to a machine behind a partition: its session lived on, and the start with it. The class of the fault: whoever renews a lease prolongs whatever may still arrive in that session, and a report lists what has arrived.

Change: the leader stores a token with each delegated zone, above all that it has sent there, and sends nothing straight to machines of the zone until the delegation can't count any more; renewals carry that token. Answers that renew a lease are built by lease.LeaseRenewal alone, from typed evidence (an ArchUnit check holds that). The leader's own evidence now counts its unanswered starts beside what a report lists, and when what it knew of ended jobs as it sent them is too old, refuses and raises the token instead. Machines behind a cut are asked by GET /inspect, not by an empty command. The delegation's record has a new form in which former versions find no zone, since they would renew without voiding; what they wrote holds no token and gives no right here.

--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -2,15 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.function.Consumer;
 import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,9 +19,9 @@
 import plumlever.election.ElectionListener;
 import plumlever.election.LeaderElection;
 import plumlever.election.PoolTerms;
-import plumlever.election.RenewalLimit;
 import plumlever.election.Term;
 import plumlever.http.Caller;
+import plumlever.http.DelegatedHeartbeats;
 import plumlever.http.JobForwarder;
 import plumlever.http.PoolRequests;
 import plumlever.http.RequestRouter;
@@ -33,6 +29,8 @@
 import plumlever.http.UserApi;
 import plumlever.leader.Context;
 import plumlever.leader.Leader;
+import plumlever.lease.LeaseRenewal;
+import plumlever.lease.RenewalLimit;
 import plumlever.metrics.Logs;
 import plumlever.metrics.Metrics;
 import plumlever.peer.PeerStatus;
@@ -49,9 +47,6 @@
 import plumlever.wire.Flavor;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
-import plumlever.wire.Order;
-import plumlever.wire.TaskStatus;
-import plumlever.wire.WorkerReport;
 
 /** One controller, without its sockets: everything lives on the loop it is given. */
 public final class Node implements AutoCloseable {
@@ -276,24 +271,14 @@
               public void strayReport(String host) {
                 strays.put(host, loop.nowMicros());
               }
-
-              @Override
-              public boolean mayRenew(String site, long token) {
-                return delegatedRenewal.mayRenew(site, token);
-              }
-
-              @Override
-              public void renewed() {
-                delegatedRenewal.renewed();
-              }
-
-              @Override
-              public void endedPieces(
-                  WorkerReport report, Consumer<RequestRouter.StandInHalts> then) {
-                Node.this.endedPieces(report, then);
-              }
             },
-            new RenewalLimit(platform.workers()),
+            new DelegatedHeartbeats(
+                loop,
+                delegatedRenewal,
+                jobRecords,
+                new LeaseRenewal(new RenewalLimit(platform.workers())),
+                metrics,
+                logs),
             metrics);
   }
 
@@ -529,36 +514,6 @@
     return pulseDueMicros == 0 ? 0 : Math.max(lateMicros, loop.nowMicros() - pulseDueMicros);
   }
 
-  private void endedPieces(WorkerReport report, Consumer<RequestRouter.StandInHalts> then) {
-    Set<String> uids = new HashSet<>();
-    report
-        .pieces()
-        .forEach(
-            p -> {
-              if (p.status() != TaskStatus.ENDED) {
-                uids.add(p.task().job());
-              }
-            });
-    jobRecords.endedOf(
-        uids,
-        ended -> {
-          if (ended == null) {
-            then.accept(null);
-            return;
-          }
-          List<Order> halts = new ArrayList<>();
-          report
-              .pieces()
-              .forEach(
-                  p -> {
-                    if (p.status() != TaskStatus.ENDED && ended.uids().contains(p.task().job())) {
-                      halts.add(Order.halt(p.task(), p.attempt(), 0));
-                    }
-                  });
-          then.accept(new RequestRouter.StandInHalts(halts, ended.askedMicros()));
-        });
-  }
-
   /** The most that another controller lately told of. */
   private int workersElsewhere() {
     int most = 0;
--- a/src/main/java/plumlever/election/DelegatedRenewal.java
+++ b/src/main/java/plumlever/election/DelegatedRenewal.java
@@ -1,11 +1,12 @@
 package plumlever.election;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.slf4j.Logger;
 import plumlever.concurrent.Loop;
 import plumlever.concurrent.RecurringTask;
-import plumlever.fleet.Fleet;
+import plumlever.lease.DelegationRecord;
 import plumlever.metrics.Logs;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
@@ -13,27 +14,33 @@
 
 /**
  * A follower's right to renew leases for a leader that can't reach the workers of some zones,
- * although both reach the state service. The leader's mandate is a key on its grant, dropped by
- * whoever takes the office next. It counts here for a short time from when a read that showed it
- * was <em>sent</em>; the leader waits that long, and a lease, before it takes a machine of these
- * zones for lapsed (see {@code MachineManager.lapsesAt}). Nothing but halts of ended jobs is
- * ordered by a stand-in.
+ * although both reach the state service. The leader's delegation is a key on its grant, dropped by
+ * whoever is elected next. It counts here for a short time from when a read that showed it was
+ * <em>sent</em>; the leader waits that long, and a lease, before it takes a machine of these zones
+ * for lapsed (see {@code MachineManager.lapsesAt}), and that long before it sends a command there.
  */
 public final class DelegatedRenewal {
-  /** How long a read of the mandate is good for. */
+  /** How long a read of the delegation is good for. */
   public static final long VALID_MICROS = 2_000_000;
 
   private static final long READ_MICROS = 600_000;
 
+  /**
+   * The right in one zone.
+   *
+   * @param token that renewals carry
+   * @param validUntilMicros until when the read that it rests on is good
+   */
+  public record Right(long token, long validUntilMicros) {}
+
   private final Logger log;
   private final Loop loop;
   private final StateClient store;
   private final LeaderElection election;
   private long readSentMicros = Long.MIN_VALUE / 2;
-  private long term = -1;
   private long stamp = -1;
   private long announced = -1;
-  private Set<String> sites = Set.of();
+  private DelegationRecord delegation = new DelegationRecord(-1, Map.of());
 
   /** Reads the leader's delegation by this client. */
   public DelegatedRenewal(Loop loop, StateClient store, LeaderElection election, Logs logs) {
@@ -43,8 +50,9 @@
     this.election = election;
   }
 
+  /** Reads the delegation again and again while there is one. */
   public RecurringTask duty() {
-    return new RecurringTask("stand-in", loop, this::read);
+    return new RecurringTask("delegated renewal", loop, this::read);
   }
 
   private long read() {
@@ -56,29 +64,39 @@
         LeaderElection.MANDATE,
         StateClient.Class.URGENT,
         got -> {
-          if (!got.found()) {
+          if (got.found()) {
+            take(DelegationRecord.read(got.item().data()), got.item().stamp(), sent);
+          } else if (got.missing()) {
             // Only an answer that says so ends it before its time.
-            if (got.missing()) {
-              sites = Set.of();
-            }
-            return;
+            delegation = new DelegationRecord(-1, Map.of());
           }
-          Set<String> now = new HashSet<>();
-          got.item().data().path("sites").forEach(s -> now.add(s.asText()));
-          if (!now.equals(sites)) {
-            log.info("standing in for the leader, leases are renewed in {}", now);
-          }
-          sites = now;
-          stamp = got.item().stamp();
-          term = got.item().data().path("term").asLong(-1);
-          readSentMicros = Math.max(readSentMicros, sent);
         });
     return READ_MICROS;
   }
 
+  private void take(DelegationRecord read, long readStamp, long sentMicros) {
+    if (readStamp < stamp) {
+      // Answers may overtake each other; an older record may name tokens that are not sufficient
+      // any more.
+      return;
+    }
+    if (!read.equals(delegation)) {
+      log.info(
+          "leases are renewed for the leader of term {}, zones and tokens {} (revision {}, read {}"
+              + " ms ago)",
+          read.term(),
+          read.tokenByZone(),
+          readStamp,
+          (loop.nowMicros() - sentMicros) / 1_000);
+    }
+    delegation = read;
+    stamp = readStamp;
+    readSentMicros = Math.max(readSentMicros, sentMicros);
+  }
+
   /**
    * A lease was renewed: the leader is told once that somebody can reach its workers, or it would
-   * give the mandate up.
+   * take the delegation back.
    */
   public void renewed() {
     if (announced == stamp) {
@@ -96,11 +114,13 @@
         });
   }
 
-  /** Asked again right before each answer. */
-  public boolean mayRenew(String site, long token) {
-    return loop.nowMicros() - readSentMicros < VALID_MICROS
-        && sites.contains(site)
-        && Fleet.termOf(token) == term
-        && !election.leading();
+  /** The right to renew leases in the zone, if there is one; asked again right before each use. */
+  public Optional<Right> in(String zone) {
+    long validUntil = readSentMicros + VALID_MICROS;
+    OptionalLong token = delegation.tokenOf(zone);
+    if (token.isEmpty() || election.leading() || loop.nowMicros() >= validUntil) {
+      return Optional.empty();
+    }
+    return Optional.of(new Right(token.getAsLong(), validUntil));
   }
 }
--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -29,6 +29,7 @@
   private long tokenTerm;
   private long answeredToken;
   private long directToken = -1;
+  private long directEndsKnownMicros;
   private boolean calling;
   private int failedCalls;
   private int unheard;
@@ -157,10 +158,18 @@
 
   /**
    * A direct order carries the present token; until the token is raised a copy of it may be carried
-   * out late.
+   * out late. There is no other without an answer at that time.
+   *
+   * @param endsKnownMicros when the last heard read of ended jobs had been sent
    */
-  public void direct() {
+  public void direct(long endsKnownMicros) {
     directToken = token;
+    directEndsKnownMicros = endsKnownMicros;
+  }
+
+  /** What was known of ended jobs when the last direct order was sent to it. */
+  public long directEndsKnownMicros() {
+    return directEndsKnownMicros;
   }
 
   /** From the next answer on, no direct order sent before will be carried out. */
--- a/src/main/java/plumlever/http/RequestRouter.java
+++ b/src/main/java/plumlever/http/RequestRouter.java
@@ -1,15 +1,11 @@
 package plumlever.http;
 
-import java.util.List;
-import java.util.function.Consumer;
 import plumlever.concurrent.Loop;
-import plumlever.election.RenewalLimit;
 import plumlever.leader.Leader;
 import plumlever.metrics.Metrics;
 import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
 import plumlever.wire.Json;
-import plumlever.wire.Order;
 import plumlever.wire.WorkerReport;
 
 /** Routes requests of users, workers and health checks. */
@@ -26,30 +22,8 @@
 
     /** A worker reported to a node that does not lead. */
     void strayReport(String host);
-
-    /**
-     * True while this node may renew the lease of a worker in the zone that has seen the token, for
-     * the leader.
-     */
-    boolean mayRenew(String site, long token);
-
-    /** A lease was renewed for the leader. */
-    void renewed();
-
-    /**
-     * The halts that a stand-in gives with its answer; null when it can't be found out which jobs
-     * have ended.
-     */
-    void endedPieces(WorkerReport report, Consumer<StandInHalts> then);
   }
 
-  /**
-   * What a stand-in orders.
-   *
-   * @param knownMicros when the oldest read that it rests on had been sent
-   */
-  public record StandInHalts(List<Order> halts, long knownMicros) {}
-
   static final String JOBS = "/submissions";
   static final String ABORT = "/abort";
 
@@ -57,12 +31,12 @@
   private final UserApi users;
   private final House house;
   private final Metrics metrics;
-  private final RenewalLimit limit;
+  private final DelegatedHeartbeats delegated;
 
   /** Routes requests to the parts of this node. */
   public RequestRouter(
-      Loop clock, UserApi users, House house, RenewalLimit limit, Metrics metrics) {
-    this.limit = limit;
+      Loop clock, UserApi users, House house, DelegatedHeartbeats delegated, Metrics metrics) {
+    this.delegated = delegated;
     this.clock = clock;
     this.users = users;
     this.house = house;
@@ -144,22 +118,7 @@
       return;
     }
     house.strayReport(report.host());
-    if (house.mayRenew(report.site(), report.baton())) {
-      house.endedPieces(
-          report,
-          found -> {
-            // Asked again: finding out took its time. A lease is not renewed for tasks whose halt
-            // can't be given.
-            if (found != null
-                && house.mayRenew(report.site(), report.baton())
-                && limit.mayRenew(clock.nowMicros(), found.knownMicros())) {
-              metrics.count("leases_renewed_for_leader");
-              house.renewed();
-              out.send(HttpStatus.OK, Order.answer(report.baton(), found.halts()));
-            } else {
-              out.later(HttpStatus.UNAVAILABLE, "can't stand in", 1);
-            }
-          });
+    if (delegated.answer(report, out)) {
       return;
     }
     String label = house.leaderLabel();
--- a/src/main/java/plumlever/leader/ActiveJobs.java
+++ b/src/main/java/plumlever/leader/ActiveJobs.java
@@ -12,9 +12,9 @@
 import java.util.Set;
 import java.util.function.ToLongFunction;
 import org.slf4j.Logger;
-import plumlever.election.RenewalLimit;
 import plumlever.fleet.DependencyGraph;
 import plumlever.fleet.Job;
+import plumlever.lease.RenewalLimit;
 import plumlever.store.JobFinder;
 import plumlever.store.JobStore;
 import plumlever.store.PrefixWatch;
@@ -126,6 +126,11 @@
     return limit.mayRenew(context.loop().nowMicros(), knownMicros);
   }
 
+  /** When the last read of ended jobs that was heard had been sent. */
+  long endsKnownMicros() {
+    return knownMicros;
+  }
+
   /** Takes in all jobs and which of them earlier leaders may have begun, and goes on following. */
   void load(StoredRecords found) {
     knownMicros = found.askedMicros();
--- a/src/main/java/plumlever/leader/CommandSender.java
+++ b/src/main/java/plumlever/leader/CommandSender.java
@@ -7,6 +7,7 @@
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
+import plumlever.metrics.LogBudget;
 import plumlever.settings.Endpoint;
 import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
@@ -30,26 +31,35 @@
   private static final int MOST_STARTS = 48;
 
   private static final int MOST_RAISES = 64;
+  private static final int LINES_PER_SECOND = 20;
 
   private final Logger log;
   private final Context context;
   private final SchedulingPass pass;
   private final ReportHandler reports;
   private final TaskStarter starter;
+  private final RenewalDelegation delegation;
   private final Runnable changed;
+  private final ActiveJobs jobs;
+  private final LogBudget lines;
   private int starts;
   private int raises;
   private boolean closed;
 
   CommandSender(
       Context context,
+      ActiveJobs jobs,
       SchedulingPass pass,
       ReportHandler reports,
       TaskStarter starter,
+      RenewalDelegation delegation,
       Runnable changed) {
     this.context = context;
     this.starter = starter;
+    this.delegation = delegation;
     this.log = context.logs().of(CommandSender.class);
+    this.lines = new LogBudget(log, LINES_PER_SECOND);
+    this.jobs = jobs;
     this.pass = pass;
     this.reports = reports;
     this.changed = changed;
@@ -74,6 +84,10 @@
           || !pass.recorded(machine)) {
         continue;
       }
+      if (!delegation.mayCommand(machine.site())) {
+        context.metrics().count("starts_left_to_reports_delegated");
+        continue;
+      }
       List<Order> orders = new ArrayList<>();
       List<Attempt> sent = starter.start(machine, pass.planned(machine), true, orders);
       pass.dropPlan(machine);
@@ -84,9 +98,11 @@
   }
 
   private void start(Machine machine, Endpoint at, List<Order> orders, List<Attempt> sent) {
-    machine.direct();
+    machine.direct(jobs.endsKnownMicros());
     machine.calling(true);
     starts++;
+    long token = machine.token();
+    long session = machine.tenure();
     long since = context.loop().nowMicros();
     call(
         machine,
@@ -108,6 +124,7 @@
           } else if (status != HttpStatus.OK || r == null) {
             context.metrics().count("direct_unheard");
             machine.voidDirect();
+            logUnanswered(machine, session, token, sent);
           }
           if (reports.takeChanged()) {
             changed.run();
@@ -125,6 +142,10 @@
     if (at == null || machine.calling() || raises >= MOST_RAISES || !context.term().mayAct()) {
       return;
     }
+    if (!delegation.mayCommand(machine.site())) {
+      probe(machine);
+      return;
+    }
     raises++;
     machine.calling(true);
     call(
@@ -153,6 +174,37 @@
         });
   }
 
+  /** Asks the machine how it is, without a command: it may be in a zone where none may be sent. */
+  void probe(Machine machine) {
+    Endpoint at = machine.endpoint() == null ? null : Endpoint.parse(machine.endpoint());
+    if (at == null || machine.calling() || raises >= MOST_RAISES || !context.term().mayAct()) {
+      return;
+    }
+    raises++;
+    machine.calling(true);
+    context
+        .caller()
+        .call(
+            at,
+            "GET",
+            "/inspect",
+            null,
+            RAISE_TIMEOUT_MICROS,
+            (status, data) -> {
+              raises--;
+              machine.calling(false);
+              WorkerReport report = status == HttpStatus.OK ? read(machine, data) : null;
+              machine.called(report != null);
+              if (closed || report == null || !context.term().mayAct()) {
+                return;
+              }
+              reports.apply(machine, report, false);
+              if (reports.takeChanged()) {
+                changed.run();
+              }
+            });
+  }
+
   /** How many machines are being called to raise the token. */
   int raises() {
     return raises;
@@ -179,20 +231,37 @@
             body,
             timeoutMicros,
             (status, data) -> {
-              WorkerReport report = null;
-              if (status == HttpStatus.OK || status == HttpStatus.CONFLICT) {
-                try {
-                  report = WorkerReport.parse(data);
-                } catch (InvalidMessage e) {
-                  log.warn(
-                      "the direct answer of {} can't be read: {}", machine.id(), e.getMessage());
-                }
-              }
-              then.take(
-                  status, report != null && report.host().equals(machine.id()) ? report : null);
+              boolean tells = status == HttpStatus.OK || status == HttpStatus.CONFLICT;
+              then.take(status, tells ? read(machine, data) : null);
             });
   }
 
+  /** The machine's own report, or null if it can't be read or is another's. */
+  private WorkerReport read(Machine machine, byte[] data) {
+    try {
+      WorkerReport report = WorkerReport.parse(data);
+      return report.host().equals(machine.id()) ? report : null;
+    } catch (InvalidMessage e) {
+      log.warn("the direct answer of {} can't be read: {}", machine.id(), e.getMessage());
+      return null;
+    }
+  }
+
+  private void logUnanswered(Machine machine, long session, long token, List<Attempt> sent) {
+    if (lines.debug(context.loop().nowMicros())) {
+      log.debug(
+          "starts of {} on {} session {} with token {} had no answer: they may be carried out until"
+              + " it shows a higher token, its next answer carries {}",
+          sent.stream()
+              .map(attempt -> attempt.name().wireName() + " attempt " + attempt.id())
+              .toList(),
+          machine.id(),
+          session,
+          token,
+          machine.token());
+    }
+  }
+
   void close() {
     closed = true;
   }
--- a/src/main/java/plumlever/leader/GuestBook.java
+++ b/src/main/java/plumlever/leader/GuestBook.java
@@ -13,6 +13,7 @@
 import org.slf4j.Logger;
 import plumlever.fleet.GuestLoad;
 import plumlever.fleet.Machine;
+import plumlever.lease.GuestEvidence;
 import plumlever.settings.Endpoint;
 import plumlever.settings.Platform;
 import plumlever.settings.SharingSettings;
@@ -254,21 +255,27 @@
     }
   }
 
-  /** True unless a cancellation could be outlived that the home of a running guest confirmed. */
-  boolean mayRenew(Machine machine) {
+  /**
+   * What is known of the jobs whose tasks may be on the machine. Until it shows this owner's token,
+   * that is all that the homes handed over, whatever its reports list.
+   */
+  GuestEvidence evidence(Machine machine) {
     Lodging lodging = lodgings.get(machine.id());
     if (lodging == null) {
-      return true;
+      return GuestEvidence.NONE;
     }
+    boolean anyRunning = false;
+    long knownMicros = Long.MAX_VALUE;
     for (Map.Entry<String, Guests> entry : lodging.byHome.entrySet()) {
       boolean running =
           entry.getValue().tasks.keySet().stream()
               .anyMatch(attempt -> !lodging.ended.contains(attempt));
-      if (running && !watch(entry.getKey()).mayRenew()) {
-        return false;
+      if (running) {
+        anyRunning = true;
+        knownMicros = Math.min(knownMicros, watch(entry.getKey()).endsKnownMicros());
       }
     }
-    return true;
+    return new GuestEvidence(anyRunning, knownMicros);
   }
 
   /** What the homes want, and halts of jobs whose end is on record. */
--- a/src/main/java/plumlever/leader/HomeWatch.java
+++ b/src/main/java/plumlever/leader/HomeWatch.java
@@ -3,7 +3,7 @@
 import java.util.HashSet;
 import java.util.Set;
 import org.slf4j.Logger;
-import plumlever.election.RenewalLimit;
+import plumlever.lease.RenewalLimit;
 import plumlever.store.JobStore;
 import plumlever.store.KeySpace;
 import plumlever.store.StateClient;
@@ -65,9 +65,12 @@
     return ended.contains(uid);
   }
 
-  /** True while an end that is not known here can't come to its limit before a lease does. */
-  boolean mayRenew() {
-    return unread.isEmpty() && limit.mayRenew(context.loop().nowMicros(), knownMicros);
+  /**
+   * When the last read that tells of all watched jobs' ends had been sent; long ago while one of
+   * them has not been read.
+   */
+  long endsKnownMicros() {
+    return unread.isEmpty() ? knownMicros : Long.MIN_VALUE / 4;
   }
 
   /** The revision is asked for first: what ends after it is followed, what ended before is read. */
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import org.slf4j.Logger;
 import plumlever.concurrent.RecurringTask;
 import plumlever.concurrent.Scope;
@@ -14,6 +15,7 @@
 import plumlever.fleet.Machine;
 import plumlever.fleet.RegistrationState;
 import plumlever.http.Responder;
+import plumlever.lease.RenewalRefusal;
 import plumlever.sharing.PoolView;
 import plumlever.store.JobStore;
 import plumlever.wire.HttpStatus;
@@ -63,6 +65,7 @@
   private final EarlyReports early;
   private final DependencyListCleanup lists;
   private final MachineSharing sharing;
+  private final HeartbeatAnswers answers;
   private boolean loaded;
   private boolean due = true;
 
@@ -82,7 +85,9 @@
     this.starter = new TaskStarter(context, fleet, jobs, takeover);
     this.pass = new SchedulingPass(context, fleet, jobs, startedJobs, estimates, takeover);
     jobs.costs(pass::costMicros);
-    this.commands = new CommandSender(context, pass, reports, starter, this::changed);
+    RenewalDelegation delegation = new RenewalDelegation(context, fleet);
+    this.commands =
+        new CommandSender(context, jobs, pass, reports, starter, delegation, this::changed);
     this.registry = new MachineRegistry(context, this::changed);
     this.sharing =
         context
@@ -101,9 +106,19 @@
                         commands,
                         this::changed))
             .orElse(MachineSharing.NONE);
+    this.answers = new HeartbeatAnswers(context, jobs, sharing);
     this.machines =
         new MachineManager(
-            context, fleet, registry, pass, reports, commands, takeover, sharing, this::changed);
+            context,
+            fleet,
+            registry,
+            pass,
+            reports,
+            commands,
+            delegation,
+            takeover,
+            sharing,
+            this::changed);
     this.hints = new SuccessorHints(context, fleet, estimates);
     this.early = new EarlyReports(context.loop(), context.platform().socketLimit());
     this.lists = new DependencyListCleanup(context, jobs);
@@ -280,9 +295,7 @@
       return;
     }
     if (!loaded) {
-      // Nothing runs there that could have been cancelled; the lease is renewed, and the term
-      // shown.
-      out.send(HttpStatus.OK, Order.answer(Fleet.firstToken(term), List.of()));
+      answers.sendToIdle(report, out);
       return;
     }
     long now = context.loop().nowMicros();
@@ -328,12 +341,14 @@
       notice(machine, report, now);
     }
     sharing.reported(machine, report);
-    boolean endsKnown = jobs.mayRenew() || !reports.holdsOpenTasks(report);
-    if (!endsKnown || !sharing.mayRenew(machine)) {
-      // A cancellation confirmed by another controller may not be known here, and would be outlived
-      // by the lease.
-      context.metrics().count("renewals_refused");
-      out.later(HttpStatus.UNAVAILABLE, "which jobs have ended is not known", 1);
+    boolean holdsOpenTasks = reports.holdsOpenTasks(report);
+    Optional<RenewalRefusal> refusal = answers.refusal(machine, holdsOpenTasks);
+    if (refusal.isPresent()) {
+      answers.refuse(report, refusal.get(), out);
+      if (refusal.get() == RenewalRefusal.UNANSWERED_COMMAND) {
+        // With a higher token the command is void, and the next report may be answered.
+        commands.raise(machine);
+      }
       return;
     }
     List<Order> orders = reports.standing(machine, report);
@@ -347,12 +362,9 @@
       pass.dropPlan(machine);
     }
     // Checked once more: a turn that ran late may have outlived the right to act.
-    if (!context.term().mayAct()) {
-      out.later(HttpStatus.UNAVAILABLE, "not in office", 1);
-      return;
+    if (answers.send(machine, report, holdsOpenTasks, orders, out)) {
+      machine.answered(context.loop().nowMicros());
     }
-    machine.answered(context.loop().nowMicros());
-    out.send(HttpStatus.OK, Order.answer(machine.token(), orders));
   }
 
   /**
--- a/src/main/java/plumlever/leader/MachineManager.java
+++ b/src/main/java/plumlever/leader/MachineManager.java
@@ -98,6 +98,7 @@
       SchedulingPass pass,
       ReportHandler reports,
       CommandSender commands,
+      RenewalDelegation delegation,
       Takeover takeover,
       MachineSharing sharing,
       Runnable changed) {
@@ -109,7 +110,7 @@
     this.pass = pass;
     this.reports = reports;
     this.commands = commands;
-    this.delegation = new RenewalDelegation(context);
+    this.delegation = delegation;
     this.takeover = takeover;
     this.changed = changed;
     this.silence = new MachineSilence(context, fleet, takeover);
@@ -319,7 +320,7 @@
       if (now - machine.lastSeenMicros() < REACHED_MICROS) {
         unreached.remove(machine.site());
       } else if (calls.merge(machine.site(), 1, Integer::sum) <= PROBES) {
-        commands.raise(machine);
+        commands.probe(machine);
       }
     }
     delegation.want(unreached);
--- a/src/main/java/plumlever/leader/MachineSharing.java
+++ b/src/main/java/plumlever/leader/MachineSharing.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import plumlever.fleet.Machine;
 import plumlever.http.Responder;
+import plumlever.lease.GuestEvidence;
 import plumlever.scaling.RentalPlan;
 import plumlever.settings.Platform;
 import plumlever.sharing.LimitParts;
@@ -69,12 +70,9 @@
   /** A report of the machine was taken in. */
   default void reported(Machine machine, WorkerReport report) {}
 
-  /**
-   * True unless an answer to the machine could outlive a cancellation that another cell may have
-   * confirmed of one of its tasks there.
-   */
-  default boolean mayRenew(Machine machine) {
-    return true;
+  /** What is known of the jobs of other cells whose tasks may be on the machine. */
+  default GuestEvidence guestEvidence(Machine machine) {
+    return GuestEvidence.NONE;
   }
 
   /** What the cells whose tasks are on the machine want done with them. */
--- a/src/main/java/plumlever/leader/PoolSharing.java
+++ b/src/main/java/plumlever/leader/PoolSharing.java
@@ -10,6 +10,7 @@
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
 import plumlever.http.Responder;
+import plumlever.lease.GuestEvidence;
 import plumlever.scaling.RentalPlan;
 import plumlever.settings.Platform;
 import plumlever.settings.SharingSettings;
@@ -220,8 +221,8 @@
   }
 
   @Override
-  public boolean mayRenew(Machine machine) {
-    return guests.mayRenew(machine);
+  public GuestEvidence guestEvidence(Machine machine) {
+    return guests.evidence(machine);
   }
 
   @Override
@@ -264,7 +265,7 @@
     if (reports.takeChanged()) {
       changed.run();
     }
-    out.send(HttpStatus.OK, Order.answer(0, orders));
+    out.send(HttpStatus.OK, Order.relayed(orders));
   }
 
   @Override
--- a/src/main/java/plumlever/leader/RenewalDelegation.java
+++ b/src/main/java/plumlever/leader/RenewalDelegation.java
@@ -1,22 +1,30 @@
 package plumlever.leader;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
+import plumlever.election.DelegatedRenewal;
 import plumlever.election.LeaderElection;
+import plumlever.fleet.Fleet;
+import plumlever.fleet.Machine;
+import plumlever.lease.DelegationRecord;
 import plumlever.store.StateClient;
 import plumlever.store.Txn;
-import plumlever.wire.Json;
 
 /**
  * Lets the other controllers renew leases in zones that this leader can't reach, for as long as it
- * can't. From when the mandate is sent until it has surely been dropped and the last read of it has
- * run out, no lease there lapses by time.
+ * can't. From when the delegation is sent until it has surely been taken back and the last read of
+ * it has run out, no lease there lapses by time, and nothing is sent straight to a machine there.
+ *
+ * <p>With each zone goes a token above all that this leader has sent there. Renewals carry it, so
+ * they void the starts that have had no answer; and it stays above all commands, since none is sent
+ * while a renewal can still carry it.
  */
 final class RenewalDelegation {
 
@@ -27,8 +35,19 @@
 
   private static final long BARRED_MICROS = 90_000_000;
 
+  /** The other controller's clock may be slower by twice the bound on drift. */
+  private static final long READ_LASTS_MICROS =
+      DelegatedRenewal.VALID_MICROS + DelegatedRenewal.VALID_MICROS / 500;
+
+  /** So that the record fits the smallest value, whatever the zones are called. */
+  private static final int MOST_ZONES = 8;
+
   private final Logger log;
   private final Context context;
+  private final Fleet fleet;
+
+  /** The last token that went with each zone. */
+  private final Map<String, Long> tokens = new HashMap<>();
 
   /** Zones others may be renewing leases in. */
   private final Set<String> given = new HashSet<>();
@@ -42,8 +61,9 @@
   private long givenMicros;
   private boolean writing;
 
-  RenewalDelegation(Context context) {
+  RenewalDelegation(Context context, Fleet fleet) {
     this.context = context;
+    this.fleet = fleet;
     this.log = context.logs().of(RenewalDelegation.class);
   }
 
@@ -51,7 +71,16 @@
     return given.contains(site);
   }
 
-  /** When the mandate for the zone was surely gone from the state service, or far in the past. */
+  /**
+   * False while another controller may renew leases in the zone: what is sent there now could have
+   * the very token that its renewals carry, and would not be voided by them.
+   */
+  boolean mayCommand(String site) {
+    return !given.contains(site)
+        && context.loop().nowMicros() >= endedMicros(site) + READ_LASTS_MICROS;
+  }
+
+  /** When the delegation of the zone was surely gone from the state service, or long ago. */
   long endedMicros(String site) {
     return endedMicros.getOrDefault(site, Long.MIN_VALUE / 4);
   }
@@ -62,6 +91,10 @@
     Set<String> sites = new HashSet<>(unreached);
     barredUntil.values().removeIf(until -> until < now);
     sites.removeAll(barredUntil.keySet());
+    List<String> inOrder = new ArrayList<>(sites);
+    inOrder.sort(
+        Comparator.comparing((String site) -> !given.contains(site)).thenComparing(s -> s));
+    inOrder.stream().skip(MOST_ZONES).forEach(sites::remove);
     if (!given.isEmpty()
         && !writing
         && now - givenMicros > PATIENCE_MICROS
@@ -77,7 +110,8 @@
         || context.sharing().isPresent()) {
       return;
     }
-    // A zone that is wanted no more stays covered until the whole mandate has ended: others may not
+    // A zone that is wanted no more stays covered until the whole delegation has ended: others may
+    // not
     // have read it yet.
     if (sites.isEmpty() || stamp < 0) {
       end();
@@ -90,7 +124,14 @@
     Set<String> before = new HashSet<>(given);
     givenMicros = context.loop().nowMicros();
     given.addAll(sites);
-    log.info("leases in {} may be renewed by the other controllers", given);
+    given.stream()
+        .filter(site -> !before.contains(site))
+        .forEach(site -> tokens.put(site, sufficientToken(site)));
+    log.info(
+        "leases in {} may be renewed by the other controllers, term {}, tokens {}",
+        given,
+        context.term().number(),
+        tokens);
     write(
         context.term().guard().guard(LeaderElection.MANDATE, stamp),
         given,
@@ -108,6 +149,17 @@
         });
   }
 
+  /** Above the tokens of all commands sent to the zone, and of all earlier delegations of it. */
+  private long sufficientToken(String site) {
+    long highest = tokens.getOrDefault(site, Fleet.firstToken(context.term().number()));
+    for (Machine machine : fleet.machines()) {
+      if (machine.site().equals(site)) {
+        highest = Math.max(highest, machine.token());
+      }
+    }
+    return highest + 1;
+  }
+
   /**
    * Written empty, not dropped, and whatever was there: with that its revision moves on, and a
    * mandate whose answer was not heard can't be carried out any more.
@@ -131,13 +183,13 @@
 
   private void write(Txn txn, Set<String> sites, Consumer<Txn.Result> then) {
     writing = true;
-    ObjectNode object = Json.object().put("term", context.term().number());
-    ArrayNode array = object.putArray("sites");
-    sites.forEach(array::add);
+    Map<String, Long> tokenByZone = new HashMap<>(tokens);
+    tokenByZone.keySet().retainAll(sites);
+    DelegationRecord record = new DelegationRecord(context.term().number(), tokenByZone);
     context
         .store()
         .txn(
-            txn.put(LeaderElection.MANDATE, object, context.term().permit()),
+            txn.put(LeaderElection.MANDATE, record.write(), context.term().permit()),
             StateClient.Class.URGENT,
             result -> {
               writing = false;
--- /dev/null
+++ b/src/main/java/plumlever/lease/LeaderEvidence.java
@@ -0,0 +1,50 @@
+package plumlever.lease;
+
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+
+/**
+ * The evidence of the leader that owns the machine.
+ *
+ * @param mayAct the right to act, asked from the clock as the answer is built
+ * @param token the machine's present token, above that of every command that has had no answer for
+ *     its time
+ * @param holdsOpenTasks true if the report lists a task of a job that is not known to have ended
+ * @param endsKnownMicros when the last read of ended jobs that was heard had been sent
+ * @param unanswered commands that may add to what the report lists
+ * @param guests tasks of other cells
+ */
+public record LeaderEvidence(
+    BooleanSupplier mayAct,
+    long token,
+    boolean holdsOpenTasks,
+    long endsKnownMicros,
+    UnansweredCommands unanswered,
+    GuestEvidence guests)
+    implements RenewalEvidence {
+
+  /** Nothing runs on the machine, and no command of this term has been sent to it. */
+  public static LeaderEvidence ofIdleMachine(BooleanSupplier mayAct, long token) {
+    return new LeaderEvidence(mayAct, token, false, 0, UnansweredCommands.NONE, GuestEvidence.NONE);
+  }
+
+  @Override
+  public Optional<RenewalRefusal> refusal(RenewalLimit limit, long nowMicros) {
+    if (!mayAct.getAsBoolean()) {
+      return Optional.of(RenewalRefusal.NOT_LEADING);
+    }
+    boolean mayRun = holdsOpenTasks || unanswered.pending();
+    boolean endsKnown =
+        (!mayRun || limit.mayRenew(nowMicros, endsKnownMicros))
+            && (!guests.running() || limit.mayRenew(nowMicros, guests.endsKnownMicros()));
+    if (!endsKnown) {
+      return Optional.of(RenewalRefusal.ENDED_JOBS_UNKNOWN);
+    }
+    // The report does not list what such a command may add, so the lease must end in time for
+    // every cancellation that came after it was sent.
+    if (unanswered.pending() && !limit.mayRenew(nowMicros, unanswered.endsKnownMicros())) {
+      return Optional.of(RenewalRefusal.UNANSWERED_COMMAND);
+    }
+    return Optional.empty();
+  }
+}
--- a/src/main/java/plumlever/election/RenewalLimit.java
+++ b/src/main/java/plumlever/lease/RenewalLimit.java
@@ -1,4 +1,4 @@
-package plumlever.election;
+package plumlever.lease;
 
 import plumlever.settings.Platform;
 
--- a/src/main/java/plumlever/wire/Order.java
+++ b/src/main/java/plumlever/wire/Order.java
@@ -36,7 +36,12 @@
     return new Order(Verb.REAP, task, attempt, 0);
   }
 
-  /** The body of an answer to a report. */
+  /** The body of an answer to what another cell has passed on; it goes to no worker. */
+  public static String relayed(List<Order> orders) {
+    return body(0, 0, orders);
+  }
+
+  /** The body of an answer to a report: it renews the worker's lease. */
   public static String answer(long token, List<Order> orders) {
     return body(token, 0, orders);
   }
--- /dev/null
+++ b/src/test/java/plumlever/lease/LeaseRenewalTest.java
@@ -0,0 +1,172 @@
+package plumlever.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import plumlever.fleet.Fleet;
+import plumlever.settings.Platform;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
+import plumlever.wire.Order;
+
+/** Leases are renewed in one place, and only with evidence that is sufficient. */
+final class LeaseRenewalTest {
+  private static final long LEASE = 26_000_000;
+  private static final long CANCEL = 56_000_000;
+  private static final long NOW = 1_000_000_000L;
+  private static final long TOKEN = Fleet.firstToken(5) + 3;
+
+  private final LeaseRenewal renewal =
+      new LeaseRenewal(new RenewalLimit(new Platform.Workers(3_000_000, LEASE, CANCEL)));
+
+  private static DelegateEvidence delegate(long reported, long validUntil, long known) {
+    return new DelegateEvidence(TOKEN, reported, validUntil, known);
+  }
+
+  private Optional<RenewalRefusal> refusal(RenewalEvidence evidence) {
+    return renewal.refusal(evidence, NOW);
+  }
+
+  @Test
+  void aDelegatesAnswerCarriesTheDelegationsToken() {
+    RenewalDecision decision = renewal.answer(delegate(TOKEN - 2, NOW + 1, NOW), List.of(), NOW);
+    assertEquals(
+        Order.answer(TOKEN, List.of()),
+        assertInstanceOf(RenewalDecision.Renewed.class, decision).body());
+  }
+
+  @Test
+  void aDelegateRefusesWithoutSufficientEvidence() {
+    assertEquals(Optional.of(RenewalRefusal.DELEGATION_OVER), refusal(delegate(TOKEN, NOW, NOW)));
+    assertEquals(
+        Optional.of(RenewalRefusal.OTHER_TERM),
+        refusal(delegate(Fleet.firstToken(4), NOW + 1, NOW)));
+    assertEquals(
+        Optional.of(RenewalRefusal.TOKEN_NOT_SUFFICIENT),
+        refusal(delegate(TOKEN + 1, NOW + 1, NOW)));
+    assertEquals(
+        Optional.of(RenewalRefusal.ENDED_JOBS_UNKNOWN),
+        refusal(delegate(TOKEN, NOW + 1, NOW - CANCEL)));
+    assertEquals(Optional.empty(), refusal(delegate(TOKEN, NOW + 1, NOW)));
+  }
+
+  @Test
+  void aLeaderWithoutTheRightRenewsNothing() {
+    assertEquals(
+        Optional.of(RenewalRefusal.NOT_LEADING),
+        refusal(LeaderEvidence.ofIdleMachine(() -> false, TOKEN)));
+    assertEquals(Optional.empty(), refusal(LeaderEvidence.ofIdleMachine(() -> true, TOKEN)));
+  }
+
+  /** What the report does not list may still be started. */
+  @Test
+  void anUnansweredCommandCountsAlthoughNothingIsListed() {
+    UnansweredCommands unanswered = UnansweredCommands.sentAfter(NOW);
+    assertEquals(
+        Optional.of(RenewalRefusal.ENDED_JOBS_UNKNOWN),
+        refusal(leader(false, NOW - CANCEL, unanswered)));
+    assertEquals(
+        Optional.of(RenewalRefusal.UNANSWERED_COMMAND),
+        refusal(leader(false, NOW, UnansweredCommands.sentAfter(NOW - CANCEL + LEASE))));
+    assertEquals(Optional.empty(), refusal(leader(false, NOW, unanswered)));
+    assertEquals(Optional.empty(), refusal(leader(false, NOW - CANCEL, UnansweredCommands.NONE)));
+  }
+
+  private static LeaderEvidence leader(
+      boolean holdsTasks, long known, UnansweredCommands unanswered) {
+    return new LeaderEvidence(() -> true, TOKEN, holdsTasks, known, unanswered, GuestEvidence.NONE);
+  }
+
+  @Test
+  void guestsCountByTheirHomesReads() {
+    GuestEvidence unknown = new GuestEvidence(true, NOW - CANCEL);
+    assertEquals(
+        Optional.of(RenewalRefusal.ENDED_JOBS_UNKNOWN),
+        refusal(
+            new LeaderEvidence(() -> true, TOKEN, false, NOW, UnansweredCommands.NONE, unknown)));
+  }
+
+  /**
+   * The plain model: whatever may be on the machine, listed, unanswered or a guest, may belong to a
+   * job cancelled right after what was last known of it, and must end in time for that.
+   */
+  @Test
+  void aLeadersRenewalAgreesWithThePlainModel() {
+    SplittableRandom random = new SplittableRandom(31);
+    int renewed = 0;
+    for (int i = 0; i < 20_000; i++) {
+      boolean listed = random.nextBoolean();
+      boolean pending = random.nextBoolean();
+      boolean guest = random.nextBoolean();
+      long known = NOW - random.nextLong(2 * CANCEL);
+      long sentKnown = NOW - random.nextLong(2 * CANCEL);
+      long guestKnown = NOW - random.nextLong(2 * CANCEL);
+      LeaderEvidence evidence =
+          new LeaderEvidence(
+              () -> true,
+              TOKEN,
+              listed,
+              known,
+              pending ? UnansweredCommands.sentAfter(sentKnown) : UnansweredCommands.NONE,
+              guest ? new GuestEvidence(true, guestKnown) : GuestEvidence.NONE);
+      if (refusal(evidence).isEmpty()) {
+        renewed++;
+        long ends = NOW + LEASE;
+        assertTrue(!listed || ends < known + CANCEL);
+        assertTrue(!pending || (ends < known + CANCEL && ends < sentKnown + CANCEL));
+        assertTrue(!guest || ends < guestKnown + CANCEL);
+      }
+    }
+    assertTrue(renewed > 1_000, "some are renewed: " + renewed);
+  }
+
+  @Test
+  void theRecordIsReadAsItWasWritten() throws InvalidMessage {
+    DelegationRecord record = new DelegationRecord(5, Map.of("east", TOKEN, "west", TOKEN + 7));
+    assertEquals(
+        "{\"term\":5,\"zones\":[{\"zone\":\"east\",\"token\":5242883},"
+            + "{\"zone\":\"west\",\"token\":5242890}]}",
+        Json.write(record.write()));
+    assertEquals(record, DelegationRecord.read(Json.parseObject(Json.write(record.write()))));
+  }
+
+  @Test
+  void whatHoldsNoTokenGivesNoRight() throws InvalidMessage {
+    for (String stored :
+        List.of(
+            "{}",
+            "{\"term\":5,\"sites\":[\"east\"]}",
+            "{\"term\":5,\"zones\":[{\"zone\":\"east\"},{\"token\":1},{\"zone\":\"east\",\"token\":\"x\"}]}")) {
+      assertEquals(
+          OptionalLong.empty(),
+          DelegationRecord.read(Json.parseObject(stored)).tokenOf("east"),
+          stored);
+    }
+  }
+
+  /** An answer that renews a lease can't be built anywhere else. */
+  @Test
+  void onlyOnePlaceBuildsAnswersThatRenew() {
+    JavaClasses project =
+        new ClassFileImporter()
+            .withImportOption(ImportOption.Predefined.DO_NOT_INCLUDE_TESTS)
+            .importPackages("plumlever");
+    ArchRuleDefinition.noClasses()
+        .that()
+        .doNotHaveFullyQualifiedName(LeaseRenewal.class.getName())
+        .should()
+        .callMethod(Order.class, "answer", long.class, List.class)
+        .check(project);
+  }
+}
--- /dev/null
+++ b/src/test/java/plumlever/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the proofs under which leases are renewed. */
+package plumlever.lease;
--- a/src/test/java/plumlever/sim/FakeStore.java
+++ b/src/test/java/plumlever/sim/FakeStore.java
@@ -429,6 +429,9 @@
           termSince = cluster.now();
           cluster.newTerm();
         }
+        if (change.get("put").asText().equals("office/mandate")) {
+          cluster.delegations.stored(change.path("data"));
+        }
         if (lostField != null && change.path("data").path("job") instanceof ObjectNode job) {
           job.remove(lostField);
         }
--- a/src/test/java/plumlever/sim/HeldStartTest.java
+++ b/src/test/java/plumlever/sim/HeldStartTest.java
@@ -138,6 +138,7 @@
     cluster.play(APART_S - 1);
     assertTrue(counted("leases_renewed_for_leader") > 20, "leases are renewed behind the cut");
     assertTrue(counted("direct_unheard") > 0, "starts have had no answer");
+    assertTrue(cluster.delegations.voided > 0, "and are voided by renewals");
     cluster.play(60);
     assertEquals(List.of(), cluster.invariants.broken);
     assertEquals("aborted", cluster.invariants.lastTold.get(cancelled.uid()));
--- a/src/test/java/plumlever/sim/SimulatedCluster.java
+++ b/src/test/java/plumlever/sim/SimulatedCluster.java
@@ -55,6 +55,7 @@
 
   final SplittableRandom random;
   final InvariantChecker invariants;
+  final DelegationChecker delegations = new DelegationChecker(this);
   final FakeStore store;
   final FakeCloud cloud;
   final Map<String, Member> members = new LinkedHashMap<>();
@@ -367,6 +368,9 @@
             answer.accept(new Object[] {0, ""});
           }
         });
+    if (path.equals("/orders") && cells.isEmpty()) {
+      delegations.sent(to.host(), body);
+    }
     boolean lose =
         random.nextDouble() < loseAnswer
             || (path.equals("/orders") && random.nextDouble() < loseOrderAnswers);
