--- a/src/test/java/plumlever/sim/DelegationChecker.java
+++ b/src/test/java/plumlever/sim/DelegationChecker.java
@@ -40,7 +40,11 @@
   /** The delegation was written. */
   void stored(JsonNode data) {
     DelegationRecord record = DelegationRecord.read(data);
-    term = record.term();
+    if (record.term() != term) {
+      // An election drops what the leader before had delegated.
+      countsUntil.clear();
+      term = record.term();
+    }
     Set<String> zones = new HashSet<>(countsUntil.keySet());
     zones.addAll(record.tokenByZone().keySet());
     for (String zone : zones) {
--- a/src/test/java/plumlever/sim/SimulatedCluster.java
+++ b/src/test/java/plumlever/sim/SimulatedCluster.java
@@ -76,6 +76,11 @@
   /** Extra time that direct orders are under way. */
   long slowOrdersMicros;
 
+  /** Share of direct orders that are held back, for up to the time below. */
+  double holdOrders;
+
+  long holdOrdersMicros;
+
   /** Share of direct orders whose answer is lost. */
   double loseOrderAnswers;
 
@@ -376,6 +381,9 @@
             || (path.equals("/orders") && random.nextDouble() < loseOrderAnswers);
     long delay =
         LATENCY_MICROS + random.nextInt(2_000) + (path.equals("/orders") ? slowOrdersMicros : 0);
+    if (path.equals("/orders") && holdOrders > 0 && random.nextDouble() < holdOrders) {
+      delay += random.nextLong(holdOrdersMicros);
+    }
     if (random.nextDouble() < executeLate) {
       delay += 1_000_000L + random.nextLong(60_000_000L);
     }
