--- /dev/null
+++ b/src/main/java/plumlever/leader/AttemptLog.java
@@ -0,0 +1,110 @@
+package plumlever.leader;
+
+import java.util.List;
+import org.slf4j.Logger;
+import plumlever.fleet.Attempt;
+import plumlever.fleet.Machine;
+import plumlever.metrics.LogBudget;
+import plumlever.wire.WorkerReport;
+
+/**
+ * The life of each attempt, for one search by job or machine: each line names task, attempt,
+ * machine, session and token. Debug lines only, so many a second at most.
+ */
+final class AttemptLog {
+  private static final int LINES_PER_SECOND = 200;
+
+  private final Context context;
+  private final Logger log;
+  private final LogBudget lines;
+
+  AttemptLog(Context context) {
+    this.context = context;
+    this.log = context.logs().of(AttemptLog.class);
+    this.lines = new LogBudget(log, LINES_PER_SECOND);
+  }
+
+  private boolean enabled() {
+    return lines.debug(context.loop().nowMicros());
+  }
+
+  /**
+   * @param endsKnownMicros when the last heard read of ended jobs had been sent
+   */
+  void started(Attempt attempt, boolean direct, long endsKnownMicros) {
+    if (enabled()) {
+      log.debug(
+          "{} attempt {} goes to {} session {} {} token {}, ended jobs as of {} ms ago",
+          attempt.name().wireName(),
+          attempt.id(),
+          attempt.machine().id(),
+          attempt.tenure(),
+          direct ? "straight, with" : "with its answer,",
+          attempt.machine().token(),
+          (context.loop().nowMicros() - endsKnownMicros) / 1_000);
+    }
+  }
+
+  void runs(Attempt attempt) {
+    say(attempt, "runs");
+  }
+
+  void done(Attempt attempt) {
+    say(attempt, "is done");
+  }
+
+  private void say(Attempt attempt, String what) {
+    if (enabled()) {
+      log.debug(
+          "{} attempt {} {} on {} session {}",
+          attempt.name().wireName(),
+          attempt.id(),
+          what,
+          attempt.machine().id(),
+          attempt.tenure());
+    }
+  }
+
+  /** Its job has ended, so from now on every answer stops it. */
+  void stopped(Attempt attempt) {
+    if (!attempt.halting() && enabled()) {
+      log.debug(
+          "{} attempt {} on {} session {} is stopped with token {}: its job has ended",
+          attempt.name().wireName(),
+          attempt.id(),
+          attempt.machine().id(),
+          attempt.tenure(),
+          attempt.machine().token());
+    }
+  }
+
+  /** Why a start that was never heard of, or a task that is not listed any more, is over. */
+  void settled(Attempt attempt, WorkerReport report) {
+    if (enabled()) {
+      log.debug(
+          "{} attempt {} on {} session {} is over: a report shows token {}, the start had {}",
+          attempt.name().wireName(),
+          attempt.id(),
+          report.host(),
+          report.tenure(),
+          report.baton(),
+          attempt.directToken() < 0 ? "gone with an answer" : attempt.directToken());
+    }
+  }
+
+  /** These starts had no answer in their time. */
+  void unanswered(Machine machine, long session, long token, List<Attempt> sent) {
+    if (enabled()) {
+      log.debug(
+          "starts of {} on {} session {} with token {} had no answer: they may be carried out until"
+              + " it shows a higher token, its next answer carries {}",
+          sent.stream()
+              .map(attempt -> attempt.name().wireName() + " attempt " + attempt.id())
+              .toList(),
+          machine.id(),
+          session,
+          token,
+          machine.token());
+    }
+  }
+}
--- a/src/main/java/plumlever/leader/CommandSender.java
+++ b/src/main/java/plumlever/leader/CommandSender.java
@@ -7,7 +7,6 @@
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
-import plumlever.metrics.LogBudget;
 import plumlever.settings.Endpoint;
 import plumlever.wire.HttpStatus;
 import plumlever.wire.InvalidMessage;
@@ -31,7 +30,6 @@
   private static final int MOST_STARTS = 48;
 
   private static final int MOST_RAISES = 64;
-  private static final int LINES_PER_SECOND = 20;
 
   private final Logger log;
   private final Context context;
@@ -41,7 +39,7 @@
   private final RenewalDelegation delegation;
   private final Runnable changed;
   private final ActiveJobs jobs;
-  private final LogBudget lines;
+  private final AttemptLog attemptLog;
   private int starts;
   private int raises;
   private boolean closed;
@@ -58,7 +56,7 @@
     this.starter = starter;
     this.delegation = delegation;
     this.log = context.logs().of(CommandSender.class);
-    this.lines = new LogBudget(log, LINES_PER_SECOND);
+    this.attemptLog = new AttemptLog(context);
     this.jobs = jobs;
     this.pass = pass;
     this.reports = reports;
@@ -124,7 +122,7 @@
           } else if (status != HttpStatus.OK || r == null) {
             context.metrics().count("direct_unheard");
             machine.voidDirect();
-            logUnanswered(machine, session, token, sent);
+            attemptLog.unanswered(machine, session, token, sent);
           }
           if (reports.takeChanged()) {
             changed.run();
@@ -247,21 +245,6 @@
     }
   }
 
-  private void logUnanswered(Machine machine, long session, long token, List<Attempt> sent) {
-    if (lines.debug(context.loop().nowMicros())) {
-      log.debug(
-          "starts of {} on {} session {} with token {} had no answer: they may be carried out until"
-              + " it shows a higher token, its next answer carries {}",
-          sent.stream()
-              .map(attempt -> attempt.name().wireName() + " attempt " + attempt.id())
-              .toList(),
-          machine.id(),
-          session,
-          token,
-          machine.token());
-    }
-  }
-
   void close() {
     closed = true;
   }
--- a/src/main/java/plumlever/leader/ReportHandler.java
+++ b/src/main/java/plumlever/leader/ReportHandler.java
@@ -25,6 +25,7 @@
   private final Takeover takeover;
   private final ProgressWriter progress;
   private final Supplier<MachineSharing> sharing;
+  private final AttemptLog attemptLog;
   private boolean changed;
 
   ReportHandler(
@@ -43,6 +44,7 @@
     this.takeover = takeover;
     this.progress = progress;
     this.sharing = sharing;
+    this.attemptLog = new AttemptLog(context);
   }
 
   /** True if anything changed that placement cares for, since asked last. */
@@ -186,6 +188,7 @@
         changed = true;
         lost |= attempt.status() == null;
         context.metrics().count(attempt.status() == null ? "runs_lost" : "attempts_vanished");
+        attemptLog.settled(attempt, report);
       }
       fleet.forget(attempt);
     }
@@ -275,9 +278,7 @@
                 "core_ms_fetching",
                 (long) (attempt.job().spec().cores() * (now - attempt.sentMicros()) / 1_000));
       }
-      if (log.isDebugEnabled()) {
-        log.debug("{} runs on {}", attempt.name().wireName(), attempt.machine().id());
-      }
+      attemptLog.runs(attempt);
     }
     if (piece.status() == TaskStatus.ENDED) {
       ended(attempt, piece.cause(), now);
@@ -301,9 +302,7 @@
                   (long) (job.spec().cores() * (now - attempt.runningSinceMicros()) / 1_000));
         }
         observe(attempt, now);
-        if (log.isDebugEnabled()) {
-          log.debug("{} done on {}", attempt.name().wireName(), machine.id());
-        }
+        attemptLog.done(attempt);
         done(job, attempt.task());
       }
       case ERROR, NO_SUCH -> {
@@ -454,6 +453,7 @@
         if (attempt.job().over()
             || attempt.job().calledOff()
             || attempt.job().done().get(attempt.task())) {
+          attemptLog.stopped(attempt);
           attempt.halt(0, now);
         }
         if (attempt.halting()) {
--- a/src/main/java/plumlever/leader/TaskStarter.java
+++ b/src/main/java/plumlever/leader/TaskStarter.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import org.slf4j.Logger;
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
@@ -47,15 +46,15 @@
     }
   }
 
-  private final Logger log;
   private final Context context;
   private final Fleet fleet;
   private final ActiveJobs jobs;
   private final Takeover takeover;
+  private final AttemptLog attemptLog;
 
   TaskStarter(Context context, Fleet fleet, ActiveJobs jobs, Takeover takeover) {
     this.context = context;
-    this.log = context.logs().of(TaskStarter.class);
+    this.attemptLog = new AttemptLog(context);
     this.fleet = fleet;
     this.jobs = jobs;
     this.takeover = takeover;
@@ -107,9 +106,7 @@
         orders.add(Order.run(attempt.name(), attempt.id()));
         context.metrics().count("runs_ordered");
         context.metrics().time("wait", now - job.releasedMicros());
-        if (log.isDebugEnabled()) {
-          log.debug("{} goes to {}", attempt.name().wireName(), machine.id());
-        }
+        attemptLog.started(attempt, direct, jobs.endsKnownMicros());
       }
     }
     return started;
