--- a/src/test/java/plumlever/sim/HeldStartTest.java
+++ b/src/test/java/plumlever/sim/HeldStartTest.java
@@ -33,10 +33,12 @@
 final class HeldStartTest {
   private static final double APART_S = 62;
   private static final long CANCEL_AFTER_MICROS = 2_600_000;
+  private static final long CHANGE_AFTER_MICROS = 14_000_000;
   private static final long ORDERS_TAKE_MICROS = 200_000;
 
   private SimulatedCluster cluster;
   private FakeUsers users;
+  private final List<JobSpec> running = new ArrayList<>();
 
   private void deployment(long seed) {
     cluster =
@@ -107,17 +109,17 @@
         .forEach(machine -> cluster.cut(controller, machine, on));
   }
 
-  @ParameterizedTest
-  @ValueSource(longs = {211, 212, 213, 214})
-  void aStartHeldByAPartitionIsNotCarriedOutAfterTheCancellation(long seed) {
+  /** Brings the story about, up to a second before the zones find each other again. */
+  private JobSpec cancelledWhileApart(long seed, Runnable whileApart) {
     deployment(seed);
-    List<JobSpec> running = new ArrayList<>();
     for (int i = 0; i < 6; i++) {
       running.add(submit("blue", 6, 150));
     }
     // What ends just before the partition leaves room in both zones.
     JobSpec brief = submit("blue", 24, 20);
-    cluster.play(45);
+    for (int i = 0; i < 90 && !"done".equals(cluster.invariants.lastTold.get(brief.uid())); i++) {
+      cluster.play(1);
+    }
     assertEquals("done", cluster.invariants.lastTold.get(brief.uid()));
     String leader = cluster.leader().platform.label();
     String behind =
@@ -135,7 +137,16 @@
     cluster.slowOrdersMicros = 0;
     cluster.at(CANCEL_AFTER_MICROS, () -> users.cancel(cancelled.uid()));
     cluster.at((long) (APART_S * 1e6), () -> cutZone(behind, zone, false));
+    cluster.at(CHANGE_AFTER_MICROS, whileApart);
     cluster.play(APART_S - 1);
+    return cancelled;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {211, 212, 213, 214})
+  void aStartHeldByAPartitionIsNotCarriedOutAfterTheCancellation(long seed) {
+    JobSpec cancelled = cancelledWhileApart(seed, () -> {});
+    String leader = cluster.leader().platform.label();
     assertTrue(counted("leases_renewed_for_leader") > 20, "leases are renewed behind the cut");
     assertTrue(counted("direct_unheard") > 0, "starts have had no answer");
     assertTrue(cluster.delegations.voided > 0, "and are voided by renewals");
@@ -147,4 +158,16 @@
     cluster.play(120);
     running.forEach(job -> assertEquals("done", cluster.invariants.lastTold.get(job.uid())));
   }
+
+  /** The leader that sent the starts ends while they are held, and its delegation with it. */
+  @ParameterizedTest
+  @ValueSource(longs = {221, 222, 223, 224})
+  void norAfterAChangeOfLeader(long seed) {
+    JobSpec cancelled = cancelledWhileApart(seed, () -> cluster.leader().crash(20));
+    assertTrue(cluster.store.term() > 1, "another term has begun");
+    cluster.play(200);
+    assertEquals(List.of(), cluster.invariants.broken);
+    assertEquals("aborted", cluster.invariants.lastTold.get(cancelled.uid()));
+    running.forEach(job -> assertEquals("done", cluster.invariants.lastTold.get(job.uid())));
+  }
 }
