--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -270,12 +270,38 @@
 
   /** Answers a worker's report; the caller has checked that this node leads. */
   public void report(WorkerReport report, Responder out) {
+    if (answeredWithoutTakingIn(report, out)) {
+      return;
+    }
+    Machine machine = known(report);
+    if (fleet.tokensRunOut(machine)) {
+      endTermForNumbers();
+    }
+    ReportHandler.News news = reports.apply(machine, report, true);
+    if (reports.takeChanged()) {
+      due = true;
+    }
+    if (news == ReportHandler.News.COPY) {
+      context.metrics().count("report_copies");
+      out.later(HttpStatus.UNAVAILABLE, "a newer report is known", 1);
+    } else if (machine.deaf()) {
+      // Were it answered, its lease would count as renewed for ever, and nobody else could have its
+      // tasks.
+      out.later(HttpStatus.UNAVAILABLE, "answers do not arrive", 1);
+    } else {
+      takeIn(machine, report, news);
+      renew(machine, report, news, out);
+    }
+  }
+
+  /** Answers a report that tells this leader nothing: it must not act on it, or not yet. */
+  private boolean answeredWithoutTakingIn(WorkerReport report, Responder out) {
     if (!context.term().mayAct()) {
       out.later(HttpStatus.UNAVAILABLE, "not in office", 1);
-      return;
+      return true;
     }
     if (sharing.answered(report, out)) {
-      return;
+      return true;
     }
     if (!sharing.inPool() && Fleet.termOf(report.baton()) > term) {
       // Somebody holds a later term, so this one is over whatever this node believes.
@@ -284,21 +310,22 @@
           .resign(
               context.term(), "a worker has seen term " + Fleet.termOf(report.baton()), 1_000_000);
       out.later(HttpStatus.UNAVAILABLE, "not in office", 1);
-      return;
+      return true;
     }
     if (machines.isDeleted(report.host())) {
       out.later(HttpStatus.UNAVAILABLE, "this machine was returned", 1);
-      return;
+      return true;
     }
     if (!loaded && report.holdsTasks()) {
       early.keep(report, out);
-      return;
-    }
-    if (!loaded) {
+    } else if (!loaded) {
       answers.sendToIdle(report, out);
-      return;
     }
-    long now = context.loop().nowMicros();
+    return !loaded;
+  }
+
+  /** The machine of the report, which may be heard of for the first time. */
+  private Machine known(WorkerReport report) {
     Machine machine = fleet.machine(report.host());
     if (machine == null) {
       machine =
@@ -308,28 +335,15 @@
               report.flavor(),
               report.site(),
               report.loaners(),
-              now);
+              context.loop().nowMicros());
       fleet.add(machine);
     }
     machine.learnEndpoint(report.endpoint());
-    if (fleet.tokensRunOut(machine)) {
-      endTermForNumbers();
-    }
-    ReportHandler.News news = reports.apply(machine, report, true);
-    if (reports.takeChanged()) {
-      due = true;
-    }
-    if (news == ReportHandler.News.COPY) {
-      context.metrics().count("report_copies");
-      out.later(HttpStatus.UNAVAILABLE, "a newer report is known", 1);
-      return;
-    }
-    if (machine.deaf()) {
-      // Were it answered, its lease would count as renewed for ever, and nobody else could have its
-      // tasks.
-      out.later(HttpStatus.UNAVAILABLE, "answers do not arrive", 1);
-      return;
-    }
+    return machine;
+  }
+
+  /** What follows from a report that may be answered, whether or not the lease is renewed. */
+  private void takeIn(Machine machine, WorkerReport report, ReportHandler.News news) {
     if (machine.enrolment() == RegistrationState.NONE
         && !machine.returning()
         && (machine.accounted() || report.baton() == 0)) {
@@ -338,9 +352,13 @@
       registry.enroll(machine);
     }
     if (news == ReportHandler.News.NEWS) {
-      notice(machine, report, now);
+      notice(machine, report, context.loop().nowMicros());
     }
     sharing.reported(machine, report);
+  }
+
+  /** Renews the lease, with all commands that are due, if there is evidence enough for it. */
+  private void renew(Machine machine, WorkerReport report, ReportHandler.News news, Responder out) {
     boolean holdsOpenTasks = reports.holdsOpenTasks(report);
     Optional<RenewalRefusal> refusal = answers.refusal(machine, holdsOpenTasks);
     if (refusal.isPresent()) {
