--- a/src/main/java/plumlever/Node.java
+++ b/src/main/java/plumlever/Node.java
@@ -1,16 +1,13 @@
 package plumlever;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import plumlever.cloud.CloudClient;
+import plumlever.cloud.MachineTypeDuty;
 import plumlever.cloud.PriceBook;
 import plumlever.concurrent.Loop;
 import plumlever.concurrent.RecurringTask;
@@ -44,15 +41,10 @@
 import plumlever.store.JobStore;
 import plumlever.store.KeySpace;
 import plumlever.store.StateClient;
-import plumlever.wire.Flavor;
-import plumlever.wire.InvalidMessage;
-import plumlever.wire.Json;
 
 /** One controller, without its sockets: everything lives on the loop it is given. */
 public final class Node implements AutoCloseable {
-  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
   private static final long SUMMARY_MICROS = 60_000_000;
-  private static final long CATALOG_RETRY_MICROS = 1_500_000;
 
   /** Longer than it takes any node to notice a common outage and tell its peers. */
   private static final long ALONE_MICROS = 3_000_000;
@@ -80,7 +72,7 @@
   private final Metrics metrics;
   private final Scope scope = new Scope();
   private final StateClient store;
-  private final CloudClient cloud;
+  private final MachineTypeDuty machineTypes;
   private final PriceBook prices;
   private final LeaderElection election;
   private final Peers peers;
@@ -132,8 +124,10 @@
     Caller caller = metered(bare);
     this.store =
         new StateClient(loop, caller, platform.state(), platform.stateLimits(), metrics, keySpace);
-    this.cloud = new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
+    CloudClient cloud =
+        new CloudClient(loop, caller, platform.cloud(), platform.cloudLimits(), metrics);
     this.prices = new PriceBook(tunables);
+    this.machineTypes = new MachineTypeDuty(loop, cloud, store, prices, logs);
     JobStore layout =
         new JobStore(
             store.limits(),
@@ -307,7 +301,7 @@
   public void start() {
     scope.own(election);
     election.start();
-    scope.own(new RecurringTask("catalog", loop, this::learnCatalog)).start();
+    scope.own(machineTypes.duty()).start();
     scope.own(peers.duty()).start();
     scope.own(delegatedRenewal.duty()).start();
     scope.own(new RecurringTask("listen", loop, this::listen)).start();
@@ -375,69 +369,6 @@
     return election.mayAct();
   }
 
-  /** The machine types from the cloud, or while it is down from what was last stored. */
-  private long learnCatalog() {
-    if (prices.known()) {
-      return -1;
-    }
-    cloud.catalog(
-        flavors -> {
-          if (flavors != null) {
-            prices.update(flavors);
-            storeCatalog(flavors);
-          } else {
-            store.get(
-                JobStore.CATALOG,
-                StateClient.Class.ORDINARY,
-                got -> {
-                  if (got.found()
-                      && !prices.known()
-                      && got.item().data() instanceof ObjectNode object) {
-                    try {
-                      prices.update(Flavor.parseCatalog(object));
-                      LOG.info(
-                          "machine types taken from the state service, the cloud does not answer");
-                    } catch (InvalidMessage e) {
-                      LOG.warn("the stored machine types can't be read: {}", e.getMessage());
-                    }
-                  }
-                });
-          }
-        });
-    return CATALOG_RETRY_MICROS;
-  }
-
-  private void storeCatalog(List<Flavor> flavors) {
-    ObjectNode object = Json.object();
-    ArrayNode array = object.putArray("flavors");
-    for (Flavor flavor : flavors) {
-      ObjectNode value = array.addObject();
-      value
-          .put("sku", flavor.sku())
-          .put("cores", flavor.cores())
-          .put("accelerators", flavor.accelerators())
-          .put("memory_gb", flavor.memoryGb())
-          .put("cache_gb", flavor.cacheGb())
-          .put("fetch_gb_per_s", flavor.fetchGbPerS())
-          .put("hourly", flavor.hourly())
-          .put("low_price", flavor.lowPrice())
-          .put("startup_s", flavor.startupS());
-      ArrayNode sites = value.putArray("sites");
-      flavor.sites().forEach(sites::add);
-    }
-    store.get(
-        JobStore.CATALOG,
-        StateClient.Class.ORDINARY,
-        got -> {
-          if (got.missing()) {
-            store.txn(
-                new plumlever.store.Txn().guard(JobStore.CATALOG, 0).put(JobStore.CATALOG, object),
-                StateClient.Class.ORDINARY,
-                result -> LOG.debug("machine types stored: {}", result.outcome()));
-          }
-        });
-  }
-
   private int[] counts(String uid) {
     if (leader != null) {
       return leader.counts(uid);
--- /dev/null
+++ b/src/main/java/plumlever/cloud/MachineTypeDuty.java
@@ -0,0 +1,118 @@
+package plumlever.cloud;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.slf4j.Logger;
+import plumlever.concurrent.Loop;
+import plumlever.concurrent.RecurringTask;
+import plumlever.metrics.Logs;
+import plumlever.store.JobStore;
+import plumlever.store.StateClient;
+import plumlever.store.Txn;
+import plumlever.wire.Flavor;
+import plumlever.wire.InvalidMessage;
+import plumlever.wire.Json;
+
+/**
+ * Learns the machine types once: from the cloud, which are then stored, or from what was last
+ * stored while the cloud does not answer.
+ */
+public final class MachineTypeDuty {
+  private static final long RETRY_MICROS = 1_500_000;
+
+  private final Logger log;
+  private final Loop loop;
+  private final CloudClient cloud;
+  private final StateClient store;
+  private final PriceBook prices;
+
+  /** Fills the price book by these clients. */
+  public MachineTypeDuty(
+      Loop loop, CloudClient cloud, StateClient store, PriceBook prices, Logs logs) {
+    this.log = logs.of(MachineTypeDuty.class);
+    this.loop = loop;
+    this.cloud = cloud;
+    this.store = store;
+    this.prices = prices;
+  }
+
+  /** Asks until the types are known. */
+  public RecurringTask duty() {
+    return new RecurringTask("machine types", loop, this::learn);
+  }
+
+  private long learn() {
+    if (prices.known()) {
+      return -1;
+    }
+    cloud.catalog(
+        flavors -> {
+          if (flavors != null) {
+            prices.update(flavors);
+            storeOnce(flavors);
+          } else {
+            readStored();
+          }
+        });
+    return RETRY_MICROS;
+  }
+
+  private void readStored() {
+    store.get(
+        JobStore.CATALOG,
+        StateClient.Class.ORDINARY,
+        got -> {
+          if (got.found() && !prices.known()) {
+            take(got.item().data());
+          }
+        });
+  }
+
+  private void take(JsonNode stored) {
+    if (!(stored instanceof ObjectNode catalog)) {
+      return;
+    }
+    try {
+      prices.update(Flavor.parseCatalog(catalog));
+      log.info("machine types taken from the state service, the cloud does not answer");
+    } catch (InvalidMessage e) {
+      log.warn("the stored machine types can't be read: {}", e.getMessage());
+    }
+  }
+
+  private void storeOnce(List<Flavor> flavors) {
+    store.get(
+        JobStore.CATALOG,
+        StateClient.Class.ORDINARY,
+        got -> {
+          if (got.missing()) {
+            store.txn(
+                new Txn().guard(JobStore.CATALOG, 0).put(JobStore.CATALOG, record(flavors)),
+                StateClient.Class.ORDINARY,
+                result -> log.debug("machine types stored: {}", result.outcome()));
+          }
+        });
+  }
+
+  private static ObjectNode record(List<Flavor> flavors) {
+    ObjectNode catalog = Json.object();
+    ArrayNode array = catalog.putArray("flavors");
+    for (Flavor flavor : flavors) {
+      ObjectNode type = array.addObject();
+      type.put("sku", flavor.sku())
+          .put("cores", flavor.cores())
+          .put("accelerators", flavor.accelerators())
+          .put("memory_gb", flavor.memoryGb())
+          .put("cache_gb", flavor.cacheGb())
+          .put("fetch_gb_per_s", flavor.fetchGbPerS())
+          .put("hourly", flavor.hourly())
+          .put("low_price", flavor.lowPrice())
+          .put("startup_s", flavor.startupS());
+      ArrayNode sites = type.putArray("sites");
+      flavor.sites().forEach(sites::add);
+    }
+    return catalog;
+  }
+}
