--- a/src/main/java/plumlever/election/DelegatedRenewal.java
+++ b/src/main/java/plumlever/election/DelegatedRenewal.java
@@ -56,12 +56,12 @@
   }
 
   private long read() {
-    if (!election.mandateSeen() || election.leading()) {
+    if (!election.delegationSeen() || election.leading()) {
       return READ_MICROS;
     }
     long sent = loop.nowMicros();
     store.get(
-        LeaderElection.MANDATE,
+        LeaderElection.DELEGATION,
         StateClient.Class.URGENT,
         got -> {
           if (got.found()) {
@@ -105,7 +105,7 @@
     long now = stamp;
     announced = now;
     store.txn(
-        new Txn().put(LeaderElection.STAND_IN, Json.object().put("mandate", now)),
+        new Txn().put(LeaderElection.RENEWAL_ANNOUNCEMENT, Json.object().put("mandate", now)),
         StateClient.Class.URGENT,
         result -> {
           if (!result.applied() && announced == now) {
--- a/src/main/java/plumlever/election/LeaderElection.java
+++ b/src/main/java/plumlever/election/LeaderElection.java
@@ -26,11 +26,11 @@
 public final class LeaderElection implements AutoCloseable {
   static final String PREFIX = "office/";
 
-  /** A stand-in's word that it renews leases under a mandate. */
-  static final String STAND_IN = PREFIX + "stand-in";
+  /** A controller's word that it renews leases under a delegation. */
+  static final String RENEWAL_ANNOUNCEMENT = PREFIX + "stand-in";
 
   /** Allows the other controllers to renew leases for the leader, see {@link DelegatedRenewal}. */
-  public static final String MANDATE = PREFIX + "mandate";
+  public static final String DELEGATION = PREFIX + "mandate";
 
   /** Hangs on the leader's lease. */
   public static final String LEADER = PREFIX + "leader";
@@ -78,8 +78,8 @@
   private volatile Term current;
 
   private boolean busy;
-  private volatile boolean mandateSeen;
-  private volatile long standInFor = -1;
+  private volatile boolean delegationSeen;
+  private volatile long announcedDelegation = -1;
   private long notBeforeMicros;
   private volatile long turnedMicros;
   private int lost;
@@ -120,15 +120,16 @@
   }
 
   /**
-   * Revision of the mandate under which another controller has said that it renews leases; advice.
+   * Revision of the delegation under which another controller has said that it renews leases;
+   * advice.
    */
-  public long standInFor() {
-    return standInFor;
+  public long announcedDelegation() {
+    return announcedDelegation;
   }
 
-  /** True if a mandate was there when the office was last heard of: advice to look. */
-  public boolean mandateSeen() {
-    return mandateSeen;
+  /** True if a delegation was there when the office was last heard of: advice to look. */
+  public boolean delegationSeen() {
+    return delegationSeen;
   }
 
   /**
@@ -182,7 +183,7 @@
           leaderStamp = 0;
           leaderLabel = null;
           termStamp = 0;
-          mandateSeen = listing.items().stream().anyMatch(i -> i.key().equals(MANDATE));
+          delegationSeen = listing.items().stream().anyMatch(i -> i.key().equals(DELEGATION));
           seePool(listing.items().stream().anyMatch(i -> i.key().equals(PoolTerms.MARKER)));
           long newTerm = 0;
           for (StateClient.Item item : listing.items()) {
@@ -246,12 +247,12 @@
               } else if (change.data() != null && change.stamp() > leaderStamp) {
                 seeLeader(change.data(), change.stamp());
               }
-            } else if (change.key().equals(STAND_IN) && change.data() != null) {
-              standInFor = change.data().path("mandate").asLong(-1);
+            } else if (change.key().equals(RENEWAL_ANNOUNCEMENT) && change.data() != null) {
+              announcedDelegation = change.data().path("mandate").asLong(-1);
             } else if (change.key().equals(PoolTerms.MARKER)) {
               seePool(change.data() != null);
-            } else if (change.key().equals(MANDATE)) {
-              mandateSeen = change.data() != null;
+            } else if (change.key().equals(DELEGATION)) {
+              delegationSeen = change.data() != null;
             } else if (change.key().equals(TERM)
                 && change.data() != null
                 && change.stamp() > termStamp) {
@@ -345,7 +346,7 @@
           if (poolTerms.isPresent()) {
             poolTerms.get().addTo(txn, next, label, p);
           } else {
-            txn.drop(MANDATE);
+            txn.drop(DELEGATION);
           }
           store.txn(
               txn,
--- a/src/main/java/plumlever/leader/MachineManager.java
+++ b/src/main/java/plumlever/leader/MachineManager.java
@@ -214,12 +214,14 @@
     }
     // An answer of this term renewed the lease at the latest; before the first, an earlier leader
     // may have, or a
-    // stand-in of its, whose last read of the mandate is good for a while longer.
-    long stoodIn =
+    // delegate of its, whose last read of the delegation is good for a while longer.
+    long renewedForLeader =
         Math.max(takeover.loadedMicros(), delegation.endedMicros(machine.site()))
             + DelegatedRenewal.VALID_MICROS;
     long renewed =
-        Math.max(Math.max(stoodIn, machine.renewedElsewhereMicros()), machine.lastAnswerMicros());
+        Math.max(
+            Math.max(renewedForLeader, machine.renewedElsewhereMicros()),
+            machine.lastAnswerMicros());
     return renewed
         + (long) (context.platform().workers().leaseMicros() * (1 + DRIFT))
         + LAPSE_MARGIN_MICROS;
--- a/src/main/java/plumlever/leader/RenewalDelegation.java
+++ b/src/main/java/plumlever/leader/RenewalDelegation.java
@@ -98,7 +98,7 @@
     if (!given.isEmpty()
         && !writing
         && now - givenMicros > PATIENCE_MICROS
-        && context.election().standInFor() != stamp) {
+        && context.election().announcedDelegation() != stamp) {
       // Nobody else reaches these workers either: their leases lapse, and it must be seen when they
       // have.
       given.forEach(s -> barredUntil.put(s, now + BARRED_MICROS));
@@ -133,7 +133,7 @@
         context.term().number(),
         tokens);
     write(
-        context.term().guard().guard(LeaderElection.MANDATE, stamp),
+        context.term().guard().guard(LeaderElection.DELEGATION, stamp),
         given,
         result -> {
           switch (result.outcome()) {
@@ -162,7 +162,7 @@
 
   /**
    * Written empty, not dropped, and whatever was there: with that its revision moves on, and a
-   * mandate whose answer was not heard can't be carried out any more.
+   * delegation whose answer was not heard can't be carried out any more.
    */
   private void end() {
     write(
@@ -189,7 +189,7 @@
     context
         .store()
         .txn(
-            txn.put(LeaderElection.MANDATE, record.write(), context.term().permit()),
+            txn.put(LeaderElection.DELEGATION, record.write(), context.term().permit()),
             StateClient.Class.URGENT,
             result -> {
               writing = false;
--- a/src/test/java/plumlever/sim/FaultTest.java
+++ b/src/test/java/plumlever/sim/FaultTest.java
@@ -279,7 +279,8 @@
   }
 
   /**
-   * Where nobody reaches a zone, its tasks are given to others about as soon as without stand-ins.
+   * Where nobody reaches a zone, its tasks are given to others about as soon as without delegated
+   * renewal.
    */
   @Test
   void aZoneThatNobodyReachesIsNotWaitedFor() {
@@ -300,11 +301,11 @@
   }
 
   /**
-   * The leader dies while others stand in for it: its successor must not take their machines for
-   * lapsed too soon.
+   * The leader dies while others renew leases for it: its successor must not take their machines
+   * for lapsed too soon.
    */
   @Test
-  void aSuccessorWaitsForStandIns() {
+  void aSuccessorWaitsForDelegates() {
     List<JobSpec> all = new ArrayList<>();
     for (int i = 0; i < 10; i++) {
       all.add(submit(job("blue", Urgency.STANDARD, 8, 2, 60, i % 2 == 0)));
--- a/src/test/java/plumlever/sim/SimulatedCluster.java
+++ b/src/test/java/plumlever/sim/SimulatedCluster.java
@@ -300,7 +300,7 @@
 
   /**
    * Nor is this a rule of the protocol: a lease is renewed only in the name of the latest leader,
-   * but for what a stand-in has read a moment ago.
+   * but for what a delegate has read a moment ago.
    */
   private void checkInOffice(String answer, boolean asLeader) {
     try {
