--- /dev/null
+++ b/review/kit/History.java
@@ -0,0 +1,140 @@
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.file.*;
+import java.util.*;
+
+/**
+ * A leader is killed while chains of jobs run, in a deployment whose state service holds the final
+ * states of one day of jobs.
+ */
+final class History {
+  private static final int CHAINS = 42;
+  private static final int PIECES = 6;
+  private static final long WAIT_MS = 90_000;
+
+  public static void main(String[] args) throws Exception {
+    Kit.open(Paths.get(args[0]));
+    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+    int ended = Integer.parseInt(System.getenv().getOrDefault("ENDED", "66500"));
+    int code;
+    try {
+      code = run(trouble, ended);
+    } catch (Exception e) {
+      Kit.note("the case could not run: %s", e);
+      code = 2;
+    }
+    Kit.note("exit %d", code);
+    System.exit(code);
+  }
+
+  private static int run(boolean trouble, int ended) throws Exception {
+    Cluster c = new Cluster(3, 100, 40, 16, 12);
+    c.addMachines(20);
+    // One job first: its record is the model of the records of the day before.
+    c.start(0);
+    if (!c.awaitReady(15_000)) {
+      return 2;
+    }
+    c.submit(c.job("job-000001", 1, 2, 300, List.of()), 0);
+    JsonNode model = await(() -> c.state.value("ended/job-000001"), 15_000);
+    if (model == null) {
+      return 2;
+    }
+    c.kill(0);
+    for (int i = 0; i < ended; i++) {
+      c.state.preload("ended/job-" + (1_000_000 + i), model);
+    }
+    Kit.note("%d ended jobs are on record, each as %s", c.state.count("ended/"), model);
+    for (int i = 0; i < 3; i++) {
+      c.start(i);
+    }
+    if (!c.awaitReady(15_000)) {
+      return 2;
+    }
+    List<String> first = new ArrayList<>();
+    List<String> second = new ArrayList<>();
+    List<Thread> users = new ArrayList<>();
+    List<String> refused = Collections.synchronizedList(new ArrayList<>());
+    for (int i = 0; i < CHAINS; i++) {
+      String a = String.format("job-%06d", 100 + i);
+      String b = String.format("job-%06d", 200 + i);
+      first.add(a);
+      second.add(b);
+      int node = i % 3;
+      Thread user = new Thread(() -> {
+        if (c.submit(c.job(a, 1, 1, 500, List.of()).put("urgency", "prod"), node).status() != 201
+            || c.submit(c.job(b, PIECES, 8, 4000, List.of(a)).put("urgency", "idle"), node).status() != 201) {
+          refused.add(b);
+        }
+      });
+      user.start();
+      users.add(user);
+      Kit.sleep(60);
+    }
+    for (Thread user : users) {
+      user.join();
+    }
+    if (!refused.isEmpty()) {
+      Kit.note("not accepted: %s", refused);
+      return 2;
+    }
+    await(() -> first.stream().allMatch(a -> c.state.value("ended/" + a) != null) ? true : null, 20_000);
+    int leader = c.leader();
+    Kit.note("leader is lever-%d, %d tasks run", leader, c.tasksRunning());
+    if (trouble) {
+      c.kill(leader);
+      Kit.sleep(6000);
+      c.start(leader);
+      c.awaitReady(8000);
+    }
+    long over = Kit.nowMs();
+    Kit.note("the trouble is over");
+    Map<String, Long> idleSince = new HashMap<>();
+    Set<String> unfinished = new TreeSet<>(second);
+    while (true) {
+      for (String b : List.copyOf(unfinished)) {
+        for (int node = 0; node < 3; node++) {
+          Kit.Answer answer = c.poll(b, node);
+          if (answer.status() == 200 && answer.json().path("status").asText().equals("done")) {
+            unfinished.remove(b);
+            break;
+          }
+        }
+      }
+      int running = c.tasksRunning();
+      Kit.note("%d jobs are not done, %d tasks run on %d machines, leader lever-%d", unfinished.size(), running,
+          c.machinesUp(), c.leader());
+      if (unfinished.isEmpty()) {
+        Kit.note("state service answered: %s", c.state.servedCounts());
+        return 0;
+      }
+      long now = Kit.nowMs();
+      // A machine has room for a task of each of these jobs as long as one runs nothing.
+      if (running >= c.machinesUp()) {
+        over = now;
+      }
+      if (now - over > WAIT_MS) {
+        String one = unfinished.iterator().next();
+        for (int node = 0; node < 3; node++) {
+          Kit.Answer answer = c.poll(one, node);
+          Kit.note("poll %s at lever-%d: %d %s", one, node, answer.status(), answer.body());
+        }
+        Kit.note("state service answered: %s", c.state.servedCounts());
+        Kit.note("broken: %d accepted jobs have waited for 90 s while machines were free: %s", unfinished.size(), unfinished);
+        return 1;
+      }
+      Kit.sleep(1500);
+    }
+  }
+
+  private static <T> T await(java.util.concurrent.Callable<T> condition, long ms) throws Exception {
+    long until = Kit.nowMs() + ms;
+    while (Kit.nowMs() < until) {
+      T value = condition.call();
+      if (value != null) {
+        return value;
+      }
+      Kit.sleep(100);
+    }
+    return null;
+  }
+}
