--- a/review/kit/Cluster.java
+++ b/review/kit/Cluster.java
@@ -25,6 +25,7 @@
   final StateService state;
   private final int cloudPort;
   private final int count;
+  private final String stateLimits;
   private final int[] user;
   private final int[] peer;
   private final Process[] process;
@@ -36,6 +37,12 @@
   final List<String> ranTwice = new ArrayList<>();
   private int machineNumber = 100;
 
+  /** The limit of CPUs of the team, as the next settings files state it. */
+  double cpusMax = 600;
+
+  /** The operators' file, if there is one; it is handed over with --settings. */
+  Path operators;
+
   Cluster(int count, double rps, double writeRps, int valueKb, int ops) throws Exception {
     this.count = count;
     this.dir = Files.createTempDirectory("plumlever-review");
@@ -48,13 +55,11 @@
       user[i] = Kit.freePort();
       peer[i] = Kit.freePort();
     }
-    for (int i = 0; i < count; i++) {
-      Files.writeString(dir.resolve("lever-" + i + ".toml"), settings(i, rps, writeRps, valueKb, ops));
-    }
+    this.stateLimits = "rps = " + rps + "\nwrite_rps = " + writeRps + "\nvalue_kb = " + (double) valueKb + "\ntxn_ops = " + ops + "\n";
     Runtime.getRuntime().addShutdownHook(new Thread(this::close));
   }
 
-  private String settings(int i, double rps, double writeRps, int valueKb, int ops) {
+  private String settings(int i) {
     StringBuilder s = new StringBuilder();
     s.append("label = \"lever-" + i + "\"\narea = \"" + ZONES[i % 2] + "\"\nbind = \"127.0.0.1:" + user[i]
         + "\"\nback = \"127.0.0.1:" + peer[i] + "\"\n");
@@ -65,10 +70,10 @@
     }
     s.append("[outside]\ncloud = \"127.0.0.1:" + cloudPort + "\"\nstate = \"127.0.0.1:" + state.port() + "\"\n");
     s.append("[deployment]\ncount = " + count + "\nzones = [\"daejeon-hub\", \"icheon-dc\"]\nskew_ms = 250.0\n");
-    s.append("[[deployment.teams]]\nname = \"hub-ops\"\ncpus = 400.0\ncpus_max = 600.0\ngpus = 0.0\ngpus_max = 0.0\n");
+    s.append("[[deployment.teams]]\nname = \"hub-ops\"\ncpus = 16.0\ncpus_max = " + cpusMax + "\ngpus = 0.0\ngpus_max = 0.0\n");
     s.append("[[deployment.objectives]]\nkind = \"wait\"\nclass = \"chute-recalc\"\nwithin_s = 8.0\nshare = 0.88\n");
     s.append("[deployment.workers]\nreport_s = 3.0\nlease_s = 26.0\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = 56.0\n");
-    s.append("[deployment.state]\nrps = " + rps + "\nwrite_rps = " + writeRps + "\nvalue_kb = " + (double) valueKb + "\ntxn_ops = " + ops + "\n");
+    s.append("[deployment.state]\n" + stateLimits);
     s.append("[deployment.cloud]\nrps = 6.0\nlist_lag_s = 5.0\n[deployment.quota]\ncpu_share = 0.204\nmemory_mb = 263.0\nfd_limit = 1500\n");
     return s.toString();
   }
@@ -95,7 +100,13 @@
         .filter(l -> l.startsWith("run = ")).findFirst().orElseThrow();
     run = run.substring(run.indexOf('"') + 1, run.lastIndexOf('"'));
     List<String> command = new ArrayList<>(List.of(run.split(" ")));
-    command.add(dir.resolve("lever-" + node + ".toml").toString());
+    Path file = dir.resolve("lever-" + node + ".toml");
+    Files.writeString(file, settings(node));
+    command.add(file.toString());
+    if (operators != null) {
+      command.add("--settings");
+      command.add(operators.toString());
+    }
     ProcessBuilder builder = new ProcessBuilder(command).directory(root.toFile()).redirectErrorStream(true);
     builder.environment().put("LOG_LEVEL", System.getenv().getOrDefault("LOG_LEVEL", "info"));
     builder.redirectOutput(ProcessBuilder.Redirect.appendTo(new File(log(node).toString())));
@@ -108,6 +119,15 @@
     Kit.note("controller lever-%d killed", node);
   }
 
+  /** Stops the controller in order, with SIGTERM. */
+  void stop(int node) throws Exception {
+    process[node].destroy();
+    if (!process[node].waitFor(10, TimeUnit.SECONDS)) {
+      process[node].destroyForcibly().waitFor();
+    }
+    Kit.note("controller lever-%d stopped", node);
+  }
+
   void signal(int node, String signal) throws Exception {
     new ProcessBuilder("kill", "-" + signal, Long.toString(process[node].pid())).start().waitFor();
     Kit.note("controller lever-%d: signal %s", node, signal);
