--- a/review/kit/Cluster.java
+++ b/review/kit/Cluster.java
@@ -37,7 +37,12 @@
   final List<String> ranTwice = new ArrayList<>();
   private int machineNumber = 100;
 
-  /** The limit of CPUs of the team, as the next settings files state it. */
+  /** How many more machines of type sobaek-8 the cloud has to rent out. */
+  int capacity;
+
+  private final Map<String, String> rentals = new HashMap<>();
+
+  /** The limit of CPUs of the team, as the next settings files state it; 0 for none. */
   double cpusMax = 600;
 
   /** The operators' file, if there is one; it is handed over with --settings. */
@@ -70,7 +75,7 @@
     }
     s.append("[outside]\ncloud = \"127.0.0.1:" + cloudPort + "\"\nstate = \"127.0.0.1:" + state.port() + "\"\n");
     s.append("[deployment]\ncount = " + count + "\nzones = [\"daejeon-hub\", \"icheon-dc\"]\nskew_ms = 250.0\n");
-    s.append("[[deployment.teams]]\nname = \"hub-ops\"\ncpus = 16.0\ncpus_max = " + cpusMax + "\ngpus = 0.0\ngpus_max = 0.0\n");
+    s.append("[[deployment.teams]]\nname = \"hub-ops\"\ncpus = " + (cpusMax > 0 ? 16.0 : 0.0) + "\ncpus_max = " + cpusMax + "\ngpus = 0.0\ngpus_max = 0.0\n");
     s.append("[[deployment.objectives]]\nkind = \"wait\"\nclass = \"chute-recalc\"\nwithin_s = 8.0\nshare = 0.88\n");
     s.append("[deployment.workers]\nreport_s = 3.0\nlease_s = 26.0\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = 56.0\n");
     s.append("[deployment.state]\n" + stateLimits);
@@ -214,7 +219,8 @@
     } else if (path.equals("/hosts") && exchange.getRequestMethod().equals("GET")) {
       Kit.reply(exchange, 200, list(query));
     } else if (path.equals("/hosts")) {
-      Kit.reply(exchange, 503, "{\"error\":\"no capacity\"}");
+      String rented = rent(Kit.parse(body));
+      Kit.reply(exchange, rented == null ? 503 : 200, rented == null ? "{\"error\":\"no capacity\"}" : rented);
     } else if (path.equals("/hosts/return")) {
       for (JsonNode host : Kit.parse(body).path("hosts")) {
         Worker worker;
@@ -232,6 +238,28 @@
     }
   }
 
+  /** Rents machines; their workers begin to report at once. Returns null without capacity. */
+  private synchronized String rent(JsonNode request) throws Exception {
+    String name = request.path("rental").asText();
+    if (rentals.containsKey(name)) {
+      return rentals.get(name);
+    }
+    if (capacity <= 0 || !request.path("flavor").asText().equals("sobaek-8") || request.path("loaners").asBoolean()) {
+      return null;
+    }
+    ObjectNode reply = Kit.object();
+    ArrayNode hosts = reply.putArray("hosts");
+    for (int i = 0; i < request.path("count").asInt() && capacity > 0; i++) {
+      capacity--;
+      String host = String.format("i-%06d", machineNumber++);
+      machines.put(host, new Worker(this, host, "sobaek-8", request.path("site").asText(), i % count));
+      hosts.add(host);
+    }
+    Kit.note("cloud: %s rents %s", name, hosts);
+    rentals.put(name, reply.toString());
+    return reply.toString();
+  }
+
   private synchronized String list(Map<String, String> query) {
     ObjectNode reply = Kit.object();
     ArrayNode hosts = reply.putArray("hosts");
