--- a/review/kit/History.java
+++ b/review/kit/History.java
@@ -4,7 +4,7 @@
 
 /**
  * A leader is killed while chains of jobs run, in a deployment whose state service holds the final
- * states of one day of jobs.
+ * states of two days of jobs.
  */
 final class History {
   private static final int CHAINS = 42;
@@ -14,7 +14,7 @@
   public static void main(String[] args) throws Exception {
     Kit.open(Paths.get(args[0]));
     boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    int ended = Integer.parseInt(System.getenv().getOrDefault("ENDED", "66500"));
+    int ended = Integer.parseInt(System.getenv().getOrDefault("ENDED", "133000"));
     int code;
     try {
       code = run(trouble, ended);
@@ -52,32 +52,29 @@
     }
     List<String> first = new ArrayList<>();
     List<String> second = new ArrayList<>();
-    List<Thread> users = new ArrayList<>();
-    List<String> refused = Collections.synchronizedList(new ArrayList<>());
     for (int i = 0; i < CHAINS; i++) {
-      String a = String.format("job-%06d", 100 + i);
-      String b = String.format("job-%06d", 200 + i);
-      first.add(a);
-      second.add(b);
-      int node = i % 3;
-      Thread user = new Thread(() -> {
-        if (!c.submit(c.job(a, 1, 1, 500, List.of()).put("urgency", "prod"), node).accepted()
-            || !c.submit(c.job(b, PIECES, 8, 4000, List.of(a)).put("urgency", "idle"), node).accepted()) {
-          refused.add(b);
-        }
-      });
-      user.start();
-      users.add(user);
-      Kit.sleep(60);
+      first.add(String.format("job-%06d", 100 + i));
+      second.add(String.format("job-%06d", 200 + i));
     }
-    for (Thread user : users) {
-      user.join();
+    boolean accepted = submitAll(first, (i, uid) -> c.submit(c.job(uid, 1, 1, 500, List.of()), i % 3))
+        && await(() -> first.stream().allMatch(a -> c.state.value("ended/" + a) != null) ? true : null, 20_000) != null
+        && submitAll(second, (i, uid) -> c.submit(c.job(uid, PIECES, 8, 4000, List.of(first.get(i))), i % 3));
+    if (!accepted) {
+      return 2;
     }
-    if (!refused.isEmpty()) {
-      Kit.note("not accepted: %s", refused);
+    // The leader ends while at least 30 jobs wait or run whose first job has ended.
+    Object enough = await(() -> {
+      int open = 0;
+      for (int i = 0; i < CHAINS; i++) {
+        boolean begun = c.state.value("ended/" + first.get(i)) != null;
+        boolean over = c.state.value("ended/" + second.get(i)) != null;
+        open += begun && !over ? 1 : 0;
+      }
+      return open >= 30 ? open : null;
+    }, 20_000);
+    if (enough == null) {
       return 2;
     }
-    await(() -> first.stream().allMatch(a -> c.state.value("ended/" + a) != null) ? true : null, 20_000);
     int leader = c.leader();
     Kit.note("leader is lever-%d, %d tasks run", leader, c.tasksRunning());
     if (trouble) {
@@ -88,11 +85,14 @@
     }
     long over = Kit.nowMs();
     Kit.note("the trouble is over");
-    Map<String, Long> idleSince = new HashMap<>();
     Set<String> unfinished = new TreeSet<>(second);
     int node = 0;
+    int round = 0;
     while (true) {
-      for (String b : List.copyOf(unfinished)) {
+      // Ten jobs a round, in turn.
+      List<String> turn = new ArrayList<>(unfinished);
+      Collections.rotate(turn, -10 * round++ % turn.size());
+      for (String b : turn.subList(0, Math.min(10, turn.size()))) {
         node = (node + 1) % 3;
         Kit.Answer answer = c.poll(b, node);
         if (answer.status() == 200 && answer.json().path("status").asText().equals("done")) {
@@ -121,8 +121,37 @@
         Kit.note("broken: %d accepted jobs have waited for 90 s while machines were free: %s", unfinished.size(), unfinished);
         return 1;
       }
-      Kit.sleep(1500);
+      Kit.sleep(500);
+    }
+  }
+
+  private interface Submission {
+    Kit.Answer send(int index, String uid) throws Exception;
+  }
+
+  /** Each job is submitted by a user of its own. Returns true if all were accepted. */
+  private static boolean submitAll(List<String> uids, Submission submission) throws Exception {
+    List<Thread> users = new ArrayList<>();
+    Set<String> accepted = Collections.synchronizedSet(new HashSet<>());
+    for (int i = 0; i < uids.size(); i++) {
+      int index = i;
+      Thread user = new Thread(() -> {
+        try {
+          if (submission.send(index, uids.get(index)).accepted()) {
+            accepted.add(uids.get(index));
+          }
+        } catch (Exception e) {
+          Kit.note("user of %s: %s", uids.get(index), e);
+        }
+      });
+      user.start();
+      users.add(user);
+      Kit.sleep(50);
+    }
+    for (Thread user : users) {
+      user.join();
     }
+    return accepted.size() == uids.size();
   }
 
   private static <T> T await(java.util.concurrent.Callable<T> condition, long ms) throws Exception {
