--- a/review/kit/History.java
+++ b/review/kit/History.java
@@ -18,12 +18,12 @@
     int code;
     try {
       code = run(trouble, ended);
-    } catch (Exception e) {
+    } catch (Throwable e) {
       Kit.note("the case could not run: %s", e);
       code = 2;
     }
     Kit.note("exit %d", code);
-    System.exit(code);
+    System.exit(code == 0 ? 10 : code == 1 ? 11 : 2);
   }
 
   private static int run(boolean trouble, int ended) throws Exception {
