End attempts by lease expiry only after the last event from which the lease may run

Cause: a lease starts at two kinds of events, the sending of an answered heartbeat and the beginning of an incarnation. Nobody renewed that lease: it ran from 32.68 to 58.68 (lease_s 26). The leader's bound was counted from its last renewal of incarnation 1, before 30.40, and ended before 57.95.

Change: lease.LeaseExpiryBound is the one place that computes when a lease has certainly ended, from ExpiryEvidence, which names every event: own renewal, renewal by others, first sign of the incarnation. MachineContact keeps the time at which the incarnation became known, however it became known. RenewalLimit and DeadShardAdoption use the same bound (RenewalLimit: same numbers as before; DeadShardAdoption waits 2 x 1.5 s and the drift longer). LeaseExpiry moved to leader.heartbeat, which may use lease.

Why it works: the incarnation began before its first message was received, and an attempt runs only in the incarnation that its command names.

Logs: each end by expiry says the incarnation and the times that it rests on; a leader's own renewals, incarnations first seen and attempts that end with an incarnation have debug lines; starts say how old incarnation and renewal are; the start of a term names its tokens.

LeaseExpiryChecker compares every end by expiry in every simulated test with the lease of the simulated worker.";

--- a/src/main/java/plumlever/fleet/MachineContact.java
+++ b/src/main/java/plumlever/fleet/MachineContact.java
@@ -22,6 +22,7 @@
   private static final long DISTANT_PAST_MICROS = Long.MIN_VALUE / 4;
 
   private long incarnation;
+  private long incarnationSeenMicros = DISTANT_PAST_MICROS;
   private long sequenceNumber;
   private long heartbeatSequenceNumber;
   private long lastHeartbeatMicros = -1;
@@ -45,8 +46,19 @@
    * Raises the worker's incarnation (a number that increases each time its lease expires) to at
    * least the given one, which another leader has reported for the machine.
    */
-  public void raiseIncarnation(long known) {
-    incarnation = Math.max(incarnation, known);
+  public void raiseIncarnation(long known, long nowMicros) {
+    if (known > incarnation) {
+      incarnation = known;
+      incarnationSeenMicros = nowMicros;
+    }
+  }
+
+  /**
+   * Time at which this leader learned of the worker's present incarnation; a time in the distant
+   * past before the first heartbeat. The incarnation began before that time.
+   */
+  public long incarnationSeenMicros() {
+    return incarnationSeenMicros;
   }
 
   /**
@@ -69,8 +81,8 @@
   void recordHeartbeat(Heartbeat heartbeat, HeartbeatSource source, long nowMicros) {
     if (heartbeat.incarnation() > incarnation) {
       heartbeatSequenceNumber = 0;
+      raiseIncarnation(heartbeat.incarnation(), nowMicros);
     }
-    incarnation = heartbeat.incarnation();
     sequenceNumber = heartbeat.sequenceNumber();
     lastSeenMicros = nowMicros;
     if (source == HeartbeatSource.WORKER) {
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import org.slf4j.Logger;
 import plumlever.concurrent.Scope;
+import plumlever.fleet.Fleet;
 import plumlever.fleet.Job;
 import plumlever.http.Responder;
 import plumlever.http.TaskCounts;
@@ -56,9 +57,10 @@
     loaded = true;
     components.endCompleteJobs();
     log.info(
-        "term {} started with {} jobs and {} machines not yet accounted for, {} ms after the"
-            + " election",
+        "term {} (tokens from {}) started with {} jobs and {} machines not yet accounted for, {}"
+            + " ms after the election",
         context.term().number(),
+        Fleet.firstToken(context.term().number()),
         components.jobs().all().size(),
         components.failover().unaccounted().size(),
         (context.loop().nowMicros() - components.failover().startedMicros()) / 1_000);
--- a/src/main/java/plumlever/leader/heartbeat/AbsentAttempts.java
+++ b/src/main/java/plumlever/leader/heartbeat/AbsentAttempts.java
@@ -121,6 +121,7 @@
       if (!attempt.hasEnded()) {
         placementChange.mark();
         context.metrics().count("attempts_lost");
+        attemptLog.incarnationEnded(attempt);
       }
       fleet.removeAttempt(attempt);
     }
--- a/src/main/java/plumlever/leader/heartbeat/AttemptLog.java
+++ b/src/main/java/plumlever/leader/heartbeat/AttemptLog.java
@@ -44,7 +44,7 @@
     if (enabled()) {
       log.debug(
           "task {} attempt {} is sent to machine {} incarnation {} {} token {}, last read of ended"
-              + " jobs sent {} ms ago",
+              + " jobs sent {} ms ago, incarnation known for {} ms, lease last renewed {} ms ago",
           attempt.name().wireName(),
           attempt.id(),
           attempt.machine().id(),
@@ -53,10 +53,17 @@
               ? "by direct command,"
               : "in a heartbeat response,",
           attempt.machine().tokens().current(),
-          (context.loop().nowMicros() - endedJobsReadMicros) / 1_000);
+          millisSince(endedJobsReadMicros),
+          millisSince(attempt.machine().contact().incarnationSeenMicros()),
+          millisSince(attempt.machine().contact().lastRenewalMicros()));
     }
   }
 
+  /** Returns the milliseconds since the time, or -1 for an event that has not happened. */
+  private long millisSince(long micros) {
+    return micros < 0 ? -1 : (context.loop().nowMicros() - micros) / 1_000;
+  }
+
   /** Logs that the worker reports the attempt as running. */
   void running(Attempt attempt) {
     logEvent(attempt, "is running");
@@ -95,6 +102,14 @@
     }
   }
 
+  /**
+   * Logs that the attempt has ended because its incarnation has: a later one has begun, the lease
+   * has expired, or the machine has been returned.
+   */
+  void incarnationEnded(Attempt attempt) {
+    logEvent(attempt, "has ended with its incarnation or its machine,");
+  }
+
   /** Logs that a heartbeat proves that the attempt is not on its machine. */
   void absent(Attempt attempt, Heartbeat heartbeat) {
     if (enabled()) {
--- a/src/main/java/plumlever/leader/heartbeat/HeartbeatHandler.java
+++ b/src/main/java/plumlever/leader/heartbeat/HeartbeatHandler.java
@@ -14,6 +14,7 @@
 import plumlever.leader.failover.Failover;
 import plumlever.leader.job.ActiveJobs;
 import plumlever.leader.progress.ProgressWriter;
+import plumlever.metrics.LogRateLimiter;
 import plumlever.wire.AttemptState;
 import plumlever.wire.Heartbeat;
 import plumlever.wire.WorkerCommand;
@@ -25,7 +26,10 @@
  * through this class.
  */
 public final class HeartbeatHandler {
+  private static final int MAX_INCARNATION_LINES_PER_SECOND = 50;
+
   private final Logger log;
+  private final LogRateLimiter incarnationLogLimiter;
   private final TermContext context;
   private final ActiveJobs jobs;
   private final Failover failover;
@@ -53,6 +57,7 @@
       Supplier<MachineSharing> sharing) {
     this.context = context;
     this.log = context.loggerProvider().of(HeartbeatHandler.class);
+    this.incarnationLogLimiter = new LogRateLimiter(log, MAX_INCARNATION_LINES_PER_SECOND);
     this.jobs = jobs;
     this.failover = failover;
     this.sharing = sharing;
@@ -104,6 +109,9 @@
     boolean incarnationChanged =
         machine.contact().incarnation() > 0
             && heartbeat.incarnation() > machine.contact().incarnation();
+    if (incarnationChanged) {
+      logIncarnation(machine, heartbeat, source, now);
+    }
     endEarlierIncarnations(machine, heartbeat);
     recordHeartbeat(machine, heartbeat, source, now);
     boolean currentTerm = machine.tokens().isOfSameTerm(heartbeat.fencingToken());
@@ -140,6 +148,22 @@
     return Freshness.DUPLICATE;
   }
 
+  private void logIncarnation(
+      Machine machine, Heartbeat heartbeat, HeartbeatSource source, long now) {
+    context.metrics().count("incarnations_changed");
+    if (incarnationLogLimiter.tryAcquireDebugLine(now)) {
+      log.debug(
+          "machine {} is in incarnation {}, before in {}: learned from {} with sequence number {}"
+              + " and token {}",
+          machine.id(),
+          heartbeat.incarnation(),
+          machine.contact().incarnation(),
+          source == HeartbeatSource.WORKER ? "a heartbeat" : "the response to a direct call",
+          heartbeat.sequenceNumber(),
+          heartbeat.fencingToken());
+    }
+  }
+
   private void endEarlierIncarnations(Machine machine, Heartbeat heartbeat) {
     if (heartbeat.incarnation() > machine.contact().incarnation()) {
       absentAttempts.endIncarnationsBefore(machine, heartbeat.incarnation());
--- a/src/main/java/plumlever/leader/heartbeat/HeartbeatResponses.java
+++ b/src/main/java/plumlever/leader/heartbeat/HeartbeatResponses.java
@@ -27,6 +27,7 @@
  */
 public final class HeartbeatResponses {
   private static final int MAX_LINES_PER_SECOND = 20;
+  private static final int MAX_RENEWAL_LINES_PER_SECOND = 100;
 
   private final TermContext context;
   private final ActiveJobs jobs;
@@ -34,6 +35,7 @@
   private final LeaseRenewal renewal;
   private final Logger log;
   private final LogRateLimiter logRateLimiter;
+  private final LogRateLimiter renewalLogLimiter;
 
   /**
    * Creates a sender of responses that uses the given jobs and the given view of the pool to decide
@@ -46,6 +48,7 @@
     this.renewal = new LeaseRenewal(new RenewalLimit(context.platform().workers()));
     this.log = context.loggerProvider().of(HeartbeatResponses.class);
     this.logRateLimiter = new LogRateLimiter(log, MAX_LINES_PER_SECOND);
+    this.renewalLogLimiter = new LogRateLimiter(log, MAX_RENEWAL_LINES_PER_SECOND);
   }
 
   /** Returns why the machine's lease must not be renewed now, or empty if it may be renewed. */
@@ -98,6 +101,7 @@
       Heartbeat heartbeat, LeaderEvidence evidence, List<WorkerCommand> commands, Responder out) {
     RenewalDecision decision = renewal.decide(evidence, commands, context.loop().nowMicros());
     if (decision instanceof RenewalDecision.Renewed renewed) {
+      logRenewal(heartbeat, evidence, commands);
       out.send(HttpStatus.OK, renewed.body());
       return true;
     }
@@ -105,6 +109,25 @@
     return false;
   }
 
+  private void logRenewal(
+      Heartbeat heartbeat, LeaderEvidence evidence, List<WorkerCommand> commands) {
+    long now = context.loop().nowMicros();
+    if (renewalLogLimiter.tryAcquireDebugLine(now)) {
+      log.debug(
+          "lease of machine {} incarnation {} is renewed in response to heartbeat {}: heartbeat"
+              + " token {}, response token {}, tasks of active jobs {}, last read of ended jobs"
+              + " sent {} ms ago, {} commands",
+          heartbeat.machineId(),
+          heartbeat.incarnation(),
+          heartbeat.sequenceNumber(),
+          heartbeat.fencingToken(),
+          evidence.token(),
+          evidence.holdsTasksOfActiveJobs(),
+          (now - evidence.endedJobsReadMicros()) / 1_000,
+          commands.size());
+    }
+  }
+
   /** Sends a refusal, which does not renew the lease. */
   public void refuse(Heartbeat heartbeat, RenewalRefusal refusal, Responder out) {
     context.metrics().count("renewals_refused");
--- a/src/main/java/plumlever/leader/machine/MachineManager.java
+++ b/src/main/java/plumlever/leader/machine/MachineManager.java
@@ -6,6 +6,7 @@
 import plumlever.leader.context.TermContext;
 import plumlever.leader.failover.Failover;
 import plumlever.leader.heartbeat.HeartbeatHandler;
+import plumlever.leader.heartbeat.LeaseExpiry;
 import plumlever.leader.heartbeat.RenewalDelegation;
 import plumlever.leader.scheduling.CommandSender;
 import plumlever.leader.scheduling.SchedulingPass;
--- a/src/main/java/plumlever/leader/pool/DeadShardAdoption.java
+++ b/src/main/java/plumlever/leader/pool/DeadShardAdoption.java
@@ -8,6 +8,7 @@
 import org.slf4j.Logger;
 import plumlever.election.LeaderElection;
 import plumlever.leader.context.TermContext;
+import plumlever.lease.LeaseExpiryBound;
 import plumlever.settings.SharingSettings;
 import plumlever.sharing.PoolView;
 import plumlever.sharing.TransferRecord;
@@ -21,10 +22,11 @@
  */
 final class DeadShardAdoption {
   /**
-   * A shard's machines are not adopted before it has had no leader for twice the lease time plus
-   * this margin. The margin covers clock drift and the time that a response is in transit.
+   * A shard's machines are not adopted before it has had no leader for twice the longest time that
+   * a lease can last without renewal, plus this margin. The margin covers the age of this leader's
+   * view of the pool.
    */
-  private static final long LEASE_EXPIRY_MARGIN_MICROS = 10_000_000;
+  private static final long VIEW_MARGIN_MICROS = 10_000_000;
 
   /** A shard counts as leaderless only while this leader's view of the pool is at most this old. */
   private static final long MAX_VIEW_AGE_MICROS = 5_000_000;
@@ -35,6 +37,7 @@
   private final PoolRecordWatch recordWatch;
   private final PoolView view;
   private final TransferSteps steps;
+  private final LeaseExpiryBound leaseBound;
   private final Consumer<TransferRecord> onAdopted;
 
   /**
@@ -52,6 +55,7 @@
       TransferSteps steps,
       Consumer<TransferRecord> onAdopted) {
     this.onAdopted = onAdopted;
+    this.leaseBound = new LeaseExpiryBound(context.platform().workers());
     this.context = context;
     this.log = context.loggerProvider().of(DeadShardAdoption.class);
     this.sharing = sharing;
@@ -103,7 +107,7 @@
     long minLeaderlessMicros =
         Math.max(
             sharing.adoptionDelayMicros(),
-            2 * context.platform().workers().leaseMicros() + LEASE_EXPIRY_MARGIN_MICROS);
+            2 * leaseBound.maxRemainingMicros() + VIEW_MARGIN_MICROS);
     long since = leaderlessSince.getOrDefault(shard.name(), Long.MAX_VALUE);
     return since != Long.MAX_VALUE && now() - since > minLeaderlessMicros;
   }
--- a/src/main/java/plumlever/leader/pool/MachineTransfers.java
+++ b/src/main/java/plumlever/leader/pool/MachineTransfers.java
@@ -259,7 +259,7 @@
             details.zone(),
             details.spot(),
             now());
-    machine.contact().raiseIncarnation(record.incarnation());
+    machine.contact().raiseIncarnation(record.incarnation(), now());
     machine.markAccounted();
     for (ForeignTask foreignTask : record.tasksByShard().get(ownShard)) {
       Job job = jobs.get(foreignTask.task().job());
--- a/src/main/java/plumlever/leader/pool/PoolSharing.java
+++ b/src/main/java/plumlever/leader/pool/PoolSharing.java
@@ -272,6 +272,16 @@
     machine.tokens().startTerm(relayed.ownershipNumber());
     boolean applied;
     if (relayed.leaseExpired()) {
+      if (machine.load().mayRunTasks()) {
+        log.info(
+            "lease of machine {} incarnation {} has expired according to its owner {}, ownership"
+                + " number {}: its {} attempts are ended",
+            id,
+            machine.contact().incarnation(),
+            relayed.owningShard(),
+            relayed.ownershipNumber(),
+            machine.load().liveAttempts());
+      }
       heartbeats.endAllAttempts(machine);
       applied = true;
     } else {
--- a/src/main/java/plumlever/lease/RenewalLimit.java
+++ b/src/main/java/plumlever/lease/RenewalLimit.java
@@ -12,12 +12,6 @@
  * the run time of cancelled tasks.
  */
 public final class RenewalLimit {
-  /**
-   * Time after the end of the lease duration at which the lease has certainly expired. Covers a
-   * response in flight and a late timer of the worker.
-   */
-  private static final long EXPIRY_MARGIN_MICROS = 1_500_000;
-
   /**
    * One read of ended jobs allows the renewal of leases for some time; this many reads fit into
    * that time, so that no lease expires because one read was lost or slow.
@@ -36,8 +30,7 @@
   public RenewalLimit(PlatformConfiguration.Workers workers) {
     this.maxReadAgeMicros =
         ClockDrift.minElapsedMicros(workers.cancelMicros())
-            - ClockDrift.maxElapsedMicros(workers.leaseMicros())
-            - EXPIRY_MARGIN_MICROS;
+            - new LeaseExpiryBound(workers).maxRemainingMicros();
   }
 
   /**
--- a/src/test/java/plumlever/leader/context/ContextFixture.java
+++ b/src/test/java/plumlever/leader/context/ContextFixture.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import plumlever.cloud.MachineTypeCatalog;
-import plumlever.concurrent.EventLoop;
 import plumlever.concurrent.ManualEventLoop;
 import plumlever.http.HttpClient;
 import plumlever.metrics.LoggerProvider;
@@ -18,14 +17,17 @@
 import plumlever.wire.Json;
 
 /**
- * A leader's context for unit tests, with no election, term or cloud. The clock does not advance,
- * timers never fire, and requests are not answered, except for the writes refused by {@link
- * #refuseValueOfSize}.
+ * A leader's context for unit tests, with no election, term or cloud. The clock advances, and
+ * timers fire, only by calls of {@link #advance}. Requests are not answered, except for the writes
+ * refused by {@link #refuseValueOfSize}.
  */
 public final class ContextFixture {
   /** The initial limit on the size of a stored value. */
   public static final int VALUE_BYTES = 8192;
 
+  /** The duration of a worker's lease. */
+  public static final long LEASE_MICROS = 26_000_000;
+
   private static final Endpoint UNUSED_ENDPOINT = new Endpoint("nowhere", 1);
   private static final PlatformConfiguration.StateLimits LIMITS =
       new PlatformConfiguration.StateLimits(100, 40, VALUE_BYTES, 8);
@@ -40,12 +42,12 @@
           UNUSED_ENDPOINT,
           List.of(new PlatformConfiguration.Team("blue", 0, 0, 0, 0)),
           List.of(),
-          new PlatformConfiguration.Workers(3_000_000, 26_000_000, 30_000_000),
+          new PlatformConfiguration.Workers(3_000_000, LEASE_MICROS, 30_000_000),
           LIMITS,
           new PlatformConfiguration.CloudLimits(6, 5_000_000),
           1000);
 
-  private final EventLoop loop = new ManualEventLoop(1_000_000_000L);
+  private final ManualEventLoop loop = new ManualEventLoop(1_000_000_000L);
   private final Metrics metrics = new Metrics(LoggerProvider.SERVICE);
   private final TermContext context;
   private boolean refusesWrites;
@@ -92,6 +94,11 @@
     return loop.nowMicros();
   }
 
+  /** Advances the clock by this duration. */
+  public void advance(long micros) {
+    loop.advance(micros);
+  }
+
   /**
    * Makes the state service refuse a value of this size, which lowers the limit on value sizes to
    * half of that size.
--- a/src/test/java/plumlever/leader/heartbeat/HeartbeatFixture.java
+++ b/src/test/java/plumlever/leader/heartbeat/HeartbeatFixture.java
@@ -36,11 +36,13 @@
 final class HeartbeatFixture {
   static final long TERM = 7;
   static final String JOB = "job-000001";
+  static final long LEASE_MICROS = ContextFixture.LEASE_MICROS;
 
   final Fleet fleet = new Fleet(TERM);
   final Machine machine;
   final Job job;
   final HeartbeatHandler handler;
+  final LeaseExpiry leaseExpiry;
   private final ContextFixture contextFixture = new ContextFixture(HeartbeatFixture::list);
   private long sequenceNumber;
 
@@ -53,15 +55,32 @@
     job = jobs.get(JOB);
     machine = new Machine("i-1", "i-1:9", "small", "a", false, contextFixture.nowMicros());
     fleet.add(machine);
+    Failover failover = new Failover(context, fleet, () -> MachineSharing.NONE);
     handler =
         new HeartbeatHandler(
             context,
             fleet,
             jobs,
             new RunTimeEstimates(),
-            new Failover(context, fleet, () -> MachineSharing.NONE),
+            failover,
             new ProgressWriter(context, jobs),
             () -> MachineSharing.NONE);
+    leaseExpiry =
+        new LeaseExpiry(
+            context,
+            handler,
+            new RenewalDelegation(context, fleet),
+            failover,
+            MachineSharing.NONE,
+            () -> {});
+  }
+
+  long nowMicros() {
+    return contextFixture.nowMicros();
+  }
+
+  void advance(long micros) {
+    contextFixture.advance(micros);
   }
 
   private static void list(String prefix, Consumer<Optional<StateClient.Listing>> onRead) {
@@ -121,11 +140,11 @@
   }
 
   /**
-   * Returns the worker's first heartbeat after its lease has expired; its incarnation number is
-   * higher by one.
+   * Returns a heartbeat that the worker sends after its lease has expired; its incarnation number
+   * is higher by one.
    */
-  Heartbeat heartbeatOfNextIncarnation() {
-    return heartbeat(2, machine.tokens().current(), List.of());
+  Heartbeat heartbeatOfNextIncarnation(Heartbeat.AttemptStatus... attempts) {
+    return heartbeat(2, machine.tokens().current(), List.of(attempts));
   }
 
   private Heartbeat heartbeat(
--- a/src/test/java/plumlever/sim/FakeWorker.java
+++ b/src/test/java/plumlever/sim/FakeWorker.java
@@ -52,6 +52,10 @@
   private long nextHeartbeatMicros;
   private double preemptionNoticeS = -1;
   private boolean dead;
+
+  /** Simulated time in microseconds until which the machine is down after a restart. */
+  private long downUntilMicros;
+
   boolean hung;
 
   FakeWorker(SimulatedCluster cluster, FakeCloud.Vm vm) {
@@ -71,6 +75,44 @@
     cluster.network.services.remove(cluster.workerEndpoint.apply(vm.id));
   }
 
+  /**
+   * Restarts the machine: all tasks end, and the next incarnation begins with the fencing token and
+   * the sequence number of the present one. The machine sends and handles nothing while it is down.
+   */
+  void restart(long downMicros) {
+    beginNextIncarnation();
+    downUntilMicros = cluster.now() + downMicros;
+    scheduleHeartbeat(downMicros);
+  }
+
+  private void beginNextIncarnation() {
+    tasks.values().forEach(t -> cluster.invariants.taskEnded(t.name, this));
+    tasks.clear();
+    incarnation++;
+    leaseStartMicros = cluster.now();
+  }
+
+  private boolean isDown() {
+    return cluster.now() < downUntilMicros;
+  }
+
+  /**
+   * True once no attempt that was started in the incarnation, or in an earlier one, can run: the
+   * worker's lease has ended or a later incarnation has begun.
+   */
+  boolean hasEndedIncarnation(long number) {
+    return dead || incarnation > number || cluster.now() - leaseStartMicros > LEASE_MICROS;
+  }
+
+  /** Time since the event from which the worker's lease runs. */
+  long leaseAgeMicros() {
+    return cluster.now() - leaseStartMicros;
+  }
+
+  boolean hasLiveTasks() {
+    return tasks.values().stream().anyMatch(task -> !task.status.equals("ended"));
+  }
+
   boolean heartbeatsTo(String controller) {
     return !dead && heartbeatTarget.equals(controller);
   }
@@ -121,10 +163,7 @@
     // A worker ends its tasks when its lease expires. This also holds for a hung worker, whose
     // tasks continue only until the lease expires.
     if (cluster.now() - leaseStartMicros > LEASE_MICROS) {
-      tasks.values().forEach(t -> cluster.invariants.taskEnded(t.name, this));
-      tasks.clear();
-      incarnation++;
-      leaseStartMicros = cluster.now();
+      beginNextIncarnation();
     }
     cluster.at(200_000, this::checkLease);
   }
@@ -156,7 +195,7 @@
     if (dead || heartbeatInFlight) {
       return;
     }
-    if (hung) {
+    if (hung || isDown()) {
       scheduleHeartbeat(500_000);
       return;
     }
@@ -178,6 +217,10 @@
           if (dead) {
             return;
           }
+          if (isDown()) {
+            scheduleHeartbeat(downUntilMicros - cluster.now());
+            return;
+          }
           int status = response.status();
           if (status == 200) {
             handleResponse(response.body(), sent, sentIncarnation, controller);
@@ -353,7 +396,7 @@
   @Override
   public void handle(
       String from, String method, String path, String body, SimulatedNetwork.Reply reply) {
-    if (dead) {
+    if (dead || isDown()) {
       return;
     }
     if (hung) {
--- a/src/test/java/plumlever/sim/RenewalSoakTest.java
+++ b/src/test/java/plumlever/sim/RenewalSoakTest.java
@@ -17,12 +17,14 @@
  * cancellation of their job was confirmed. Random simulations combine the faults that can lead
  * there: links delay messages for seconds up to more than the limit, zones are partitioned, lease
  * renewal is delegated, leaders change, and workers hang and resume, while most jobs are cancelled
- * soon after they are accepted.
+ * soon after they are accepted. In a second group of simulations, machines also restart while their
+ * heartbeats are lost and direct commands reach them.
  *
  * <p>{@code -Dplumlever.soak.first=F -Dplumlever.soak.seeds=N} runs N seeds from seed F.
  */
 final class RenewalSoakTest {
   private static final long FIRST_SEED = 7_100;
+  private static final long FIRST_SEED_WITH_RESTARTS = 8_500;
   private static final int SEEDS = 16;
   private static final double FAULT_PHASE_S = 420;
   private static final double RECOVERY_PHASE_S = 130;
@@ -32,9 +34,14 @@
   private static final class Simulation {
     private final SimulatedCluster cluster;
     private final FakeUsers users;
+    private final boolean machineRestarts;
     private boolean faultsEnabled = true;
 
-    Simulation(long seed) {
+    /**
+     * @param machineRestarts whether machines also restart while their heartbeats are lost
+     */
+    Simulation(long seed, boolean machineRestarts) {
+      this.machineRestarts = machineRestarts;
       cluster =
           new SimulatedCluster(
               seed,
@@ -53,9 +60,14 @@
       cluster.network.heldCommandMicros = InvariantChecker.CANCEL_MICROS * 3 / 2;
       cluster.network.duplicatedHeartbeatShare = 0.01;
       cluster.at(0, this::injectNextFault);
+      if (machineRestarts) {
+        cluster.at(0, this::restartNextMachines);
+      }
       cluster.runFor(FAULT_PHASE_S);
       faultsEnabled = false;
       cluster.network.blockedLinks.clear();
+      cluster.network.machinesWithLostHeartbeats.clear();
+      cluster.cloud.outage = false;
       cluster.network.heldCommandShare = 0;
       cluster.store.refusedControllers.clear();
       cluster.store.endOutage();
@@ -182,6 +194,34 @@
               });
     }
 
+    /**
+     * Loses the heartbeats of some machines, which direct commands still reach, and restarts these
+     * machines while the leader still starts tasks on them. Meanwhile the cloud returns no machine.
+     */
+    private void restartNextMachines() {
+      if (!faultsEnabled) {
+        return;
+      }
+      long durationMicros = FakeWorker.LEASE_MICROS + cluster.random.nextLong(30_000_000L);
+      cluster.cloud.outage = true;
+      cluster.at(durationMicros, () -> cluster.cloud.outage = false);
+      cluster.cloud.machines.values().stream()
+          .filter(vm -> vm.worker != null && cluster.random.nextInt(3) == 0)
+          .forEach(vm -> restartWithoutHeartbeats(vm, durationMicros));
+      cluster.at(durationMicros + cluster.random.nextLong(20_000_000L), this::restartNextMachines);
+    }
+
+    private void restartWithoutHeartbeats(FakeCloud.Vm vm, long durationMicros) {
+      cluster.network.machinesWithLostHeartbeats.add(vm.id);
+      cluster.at(durationMicros, () -> cluster.network.machinesWithLostHeartbeats.remove(vm.id));
+      int restarts = 1 + cluster.random.nextInt(2);
+      for (int i = 0; i < restarts; i++) {
+        cluster.at(
+            500_000L + cluster.random.nextLong(6_000_000L),
+            () -> vm.worker.restart(50_000L + cluster.random.nextLong(500_000L)));
+      }
+    }
+
     private void refuseLeaderAtStore(long durationMicros) {
       cluster.controllers.values().stream()
           .filter(SimulatedController::leads)
@@ -202,21 +242,22 @@
     }
   }
 
-  private static LongStream seeds() {
-    long first = Long.getLong("plumlever.soak.first", FIRST_SEED);
+  private static LongStream seeds(long defaultFirst) {
+    long first = Long.getLong("plumlever.soak.first", defaultFirst);
     return LongStream.range(first, first + Integer.getInteger("plumlever.soak.seeds", SEEDS));
   }
 
-  @Test
-  void noTaskRunsBeyondTheCancellationLimit() {
-    Map<Long, List<String>> violationsBySeed = new TreeMap<>();
-    long renewed = 0;
-    long invalidated = 0;
-    long cancelled = 0;
-    long startsAfterCancel = 0;
-    for (long seed : seeds().toArray()) {
-      Simulation simulation = new Simulation(seed);
-      simulation.run();
+  /** What the simulations of several seeds have shown. */
+  private static final class Findings {
+    private final Map<Long, List<String>> violationsBySeed = new TreeMap<>();
+    private long renewed;
+    private long invalidated;
+    private long cancelled;
+    private long startsAfterCancel;
+    private long incarnations;
+    private long expiries;
+
+    void add(long seed, Simulation simulation) {
       if (!simulation.cluster.invariants.violations.isEmpty()) {
         violationsBySeed.put(seed, simulation.cluster.invariants.violations.subList(0, 1));
       }
@@ -224,14 +265,53 @@
       invalidated += simulation.cluster.network.delegationChecker.invalidatedStarts;
       cancelled += simulation.cluster.invariants.cancelledAt.size();
       startsAfterCancel += simulation.cluster.invariants.startsAfterCancel;
+      incarnations += simulation.sumOfCounter("incarnations_changed");
+      expiries += simulation.cluster.leaseExpiryChecker.expiries;
+    }
+
+    void print(String name) {
+      System.out.printf(
+          "%s: %d delegated renewals, %d starts invalidated by them, %d jobs cancelled, %d tasks"
+              + " started after cancellation but within the limit, %d incarnations begun, %d"
+              + " leases expired; violations: %s%n",
+          name,
+          renewed,
+          invalidated,
+          cancelled,
+          startsAfterCancel,
+          incarnations,
+          expiries,
+          violationsBySeed);
+    }
+  }
+
+  private static Findings simulate(long firstSeed, boolean machineRestarts) {
+    Findings findings = new Findings();
+    for (long seed : seeds(firstSeed).toArray()) {
+      Simulation simulation = new Simulation(seed, machineRestarts);
+      simulation.run();
+      findings.add(seed, simulation);
     }
-    System.out.printf(
-        "soak: %d delegated renewals, %d starts invalidated by them, %d jobs cancelled, %d tasks"
-            + " started after cancellation but within the limit; violations: %s%n",
-        renewed, invalidated, cancelled, startsAfterCancel, violationsBySeed);
-    assertEquals(Map.of(), violationsBySeed);
+    return findings;
+  }
+
+  @Test
+  void noTaskRunsBeyondTheCancellationLimit() {
+    Findings findings = simulate(FIRST_SEED, false);
+    findings.print("soak");
+    assertEquals(Map.of(), findings.violationsBySeed);
     assertTrue(
-        renewed > 0 && invalidated > 0 && cancelled > 0,
+        findings.renewed > 0 && findings.invalidated > 0 && findings.cancelled > 0,
         "expected renewals, invalidated starts and cancellations in some seed");
   }
+
+  @Test
+  void noTaskRunsTwiceWhenMachinesRestartWithoutHeartbeats() {
+    Findings findings = simulate(FIRST_SEED_WITH_RESTARTS, true);
+    findings.print("soak with restarts");
+    assertEquals(Map.of(), findings.violationsBySeed);
+    assertTrue(
+        findings.incarnations > 0 && findings.expiries > 0 && findings.cancelled > 0,
+        "expected restarts, expired leases and cancellations in some seed");
+  }
 }
--- a/src/test/java/plumlever/sim/SimulatedCluster.java
+++ b/src/test/java/plumlever/sim/SimulatedCluster.java
@@ -39,6 +39,7 @@
   final FakeStore store;
   final FakeCloud cloud;
   final SimulatedNetwork network;
+  final LeaseExpiryChecker leaseExpiryChecker;
   final Map<String, SimulatedController> controllers = new LinkedHashMap<>();
 
   /**
@@ -148,6 +149,7 @@
     invariants = new InvariantChecker(this, teams);
     store = new FakeStore(this);
     cloud = new FakeCloud(this);
+    leaseExpiryChecker = new LeaseExpiryChecker(this);
     network =
         new SimulatedNetwork(
             events, random, controllers.keySet(), new DelegationChecker(this), shards.isEmpty());
--- a/src/test/java/plumlever/sim/SimulatedController.java
+++ b/src/test/java/plumlever/sim/SimulatedController.java
@@ -6,7 +6,6 @@
 import plumlever.http.HttpClient;
 import plumlever.http.Responder;
 import plumlever.leader.Leader;
-import plumlever.metrics.LoggerProvider;
 import plumlever.settings.OperatorSettings;
 import plumlever.settings.PlatformConfiguration;
 import plumlever.settings.SchedulerParameters;
@@ -90,7 +89,7 @@
             platform,
             new OperatorSettings(SchedulerParameters.defaults(), cluster.sharing(platform.label())),
             cluster.random.nextLong(),
-            LoggerProvider.SERVICE);
+            cluster.leaseExpiryChecker);
     serve(ownProcessNumber, controller);
     Controller started = controller;
     cluster.at(
