Requests have a deadline as a whole, and slow connections make way for new ones

What callers would see: as many connections as a listener allows, each sending a byte a second of a header or a body, kept /up, heartbeats and polls from being answered at all; one such connection stayed open for as long as bytes came.

Cause: the listener limited the idle time between bytes and, for headers only, the time to parse (10 s). At its limit of connections it stopped accepting.

Change: ConnectionGuard sees the bytes of each connection. A request that is not complete 5 s after its first byte (no client waits longer for an answer) ends its connection; near the limit, each accepted connection replaces the one that has waited longest for a complete request. Connections that wait between requests are left alone. After a pause of the process, buffered input is read before a request counts as overdue. The listener is opened without Undertow's builder, which has no hook for accepted connections; options are as before. Both listeners (users and workers, controllers) are this class.

--- a/src/main/java/plumlever/cli/Service.java
+++ b/src/main/java/plumlever/cli/Service.java
@@ -176,6 +176,8 @@
     int maxConnections = sharedConnections(platform);
     metrics.gauge("connections", userServer::connections);
     metrics.gauge("connections_most", () -> maxConnections);
+    metrics.gauge("connections_overdue", userServer::connectionsOverdue);
+    metrics.gauge("connections_replaced", userServer::connectionsReplaced);
     metrics.gauge("heap_mb", Service::heapMb);
     metrics.gauge("cpu_ms", Service::processorMs);
   }
--- a/src/main/java/plumlever/http/Server.java
+++ b/src/main/java/plumlever/http/Server.java
@@ -1,20 +1,30 @@
 package plumlever.http;
 
-import io.undertow.Undertow;
 import io.undertow.UndertowOptions;
-import io.undertow.server.ConnectorStatistics;
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.DefaultByteBufferPool;
 import io.undertow.server.HttpServerExchange;
 import io.undertow.server.RequestTooBigException;
+import io.undertow.server.protocol.http.HttpOpenListener;
+import io.undertow.util.AttachmentKey;
 import io.undertow.util.Headers;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.xnio.ChannelListeners;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
 import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
 import plumlever.settings.Endpoint;
 import plumlever.wire.HttpStatus;
 
@@ -47,18 +57,29 @@
    */
   private static final int BACKLOG = 8 * 1024;
 
-  private static final int PARSE_TIMEOUT_MS = 10_000;
+  private static final int PARSE_TIMEOUT_MS =
+      (int) (ConnectionGuard.REQUEST_DEADLINE_MICROS / 1_000);
+  private static final long OVERDUE_CHECK_INTERVAL_MS = 250;
+  private static final int MIN_RESERVED_CONNECTIONS = 4;
+  private static final int RESERVED_CONNECTIONS_DIVISOR = 32;
+  private static final AttachmentKey<Boolean> CLOSE_OBSERVED = AttachmentKey.create(Boolean.class);
   private static final int BUFFER_BYTES = 8 * 1024;
   private static final int MAX_HEADER_BYTES = 16 * 1024;
 
-  private final Undertow undertow;
-  private final RequestHandler handler;
+  private final XnioWorker worker;
+  private final Endpoint endpoint;
+  private final int maxConnections;
   private final int nearConnectionLimitThreshold;
-  private ConnectorStatistics statistics;
+  private final HttpOpenListener openListener;
+  private final ConnectionGuard guard = new ConnectionGuard(() -> System.nanoTime() / 1_000);
+  private final RequestHandler handler;
+  private AcceptingChannel<StreamConnection> listener;
+  private XnioExecutor.Key overdueCheck;
 
   /**
    * Creates a listener that accepts no connections until {@link #start}.
    *
+   * @param worker has one I/O thread, which runs the handler
    * @param idleMicros idle time after which a connection counts as dead and is closed, because a
    *     machine that has been preempted or returned does not close its connections
    */
@@ -69,39 +90,84 @@
       long idleMicros,
       long maxBodyBytes,
       RequestHandler handler) {
+    this.worker = worker;
+    this.endpoint = endpoint;
     this.handler = handler;
+    this.maxConnections = maxConnections;
     this.nearConnectionLimitThreshold = (int) (maxConnections * NEAR_CONNECTION_LIMIT_FRACTION);
+    this.openListener =
+        new HttpOpenListener(
+            new DefaultByteBufferPool(false, BUFFER_BYTES), options(idleMicros, maxBodyBytes));
+    openListener.setRootHandler(this::receive);
+  }
+
+  private static OptionMap options(long idleMicros, long maxBodyBytes) {
     int idleMs = (int) (idleMicros / 1_000);
-    this.undertow =
-        Undertow.builder()
-            .setWorker(worker)
-            .setBufferSize(BUFFER_BYTES)
-            .setDirectBuffers(false)
-            .addHttpListener(endpoint.port(), endpoint.host())
-            .setServerOption(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
-            .setServerOption(UndertowOptions.IDLE_TIMEOUT, idleMs)
-            .setServerOption(UndertowOptions.NO_REQUEST_TIMEOUT, idleMs)
-            .setServerOption(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MS)
-            .setServerOption(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
-            .setServerOption(UndertowOptions.ENABLE_STATISTICS, true)
-            .setServerOption(UndertowOptions.RECORD_REQUEST_START_TIME, false)
-            .setServerOption(UndertowOptions.ALWAYS_SET_DATE, false)
-            .setSocketOption(Options.BACKLOG, BACKLOG)
-            .setSocketOption(Options.CONNECTION_HIGH_WATER, maxConnections)
-            .setSocketOption(Options.CONNECTION_LOW_WATER, maxConnections)
-            .setHandler(this::receive)
-            .build();
-  }
-
-  /** Starts to accept connections. */
+    return OptionMap.builder()
+        .set(UndertowOptions.BUFFER_PIPELINED_DATA, true)
+        .set(UndertowOptions.MAX_ENTITY_SIZE, maxBodyBytes)
+        .set(UndertowOptions.IDLE_TIMEOUT, idleMs)
+        .set(UndertowOptions.NO_REQUEST_TIMEOUT, idleMs)
+        .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, PARSE_TIMEOUT_MS)
+        .set(UndertowOptions.MAX_HEADER_SIZE, MAX_HEADER_BYTES)
+        .set(UndertowOptions.ENABLE_STATISTICS, true)
+        .set(UndertowOptions.RECORD_REQUEST_START_TIME, false)
+        .set(UndertowOptions.ALWAYS_SET_DATE, false)
+        .getMap();
+  }
+
+  private OptionMap socketOptions() {
+    return OptionMap.builder()
+        .set(Options.TCP_NODELAY, true)
+        .set(Options.REUSE_ADDRESSES, true)
+        .set(Options.BACKLOG, BACKLOG)
+        .set(Options.CONNECTION_HIGH_WATER, maxConnections)
+        .set(Options.CONNECTION_LOW_WATER, maxConnections)
+        .getMap();
+  }
+
+  /** Starts to accept connections; throws an unchecked exception if the port is not available. */
   public void start() {
-    undertow.start();
-    statistics = undertow.getListenerInfo().get(0).getConnectorStatistics();
+    try {
+      listener =
+          worker.createStreamConnectionServer(
+              new InetSocketAddress(endpoint.host(), endpoint.port()),
+              ChannelListeners.openListenerAdapter(this::accept),
+              socketOptions());
+    } catch (IOException e) {
+      throw new UncheckedIOException("cannot listen on " + endpoint, e);
+    }
+    overdueCheck =
+        worker
+            .getIoThread()
+            .executeAtInterval(
+                guard::closeOverdue, OVERDUE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    listener.resumeAccepts();
+  }
+
+  private void accept(StreamConnection connection) {
+    guard.accept(connection, connections() >= maxConnections - reservedConnections());
+    openListener.handleEvent(connection);
+  }
+
+  /** The number of connections kept free for accepted connections that are about to be replaced. */
+  private int reservedConnections() {
+    return Math.max(MIN_RESERVED_CONNECTIONS, maxConnections / RESERVED_CONNECTIONS_DIVISOR);
   }
 
   /** The number of open connections. */
   public long connections() {
-    return statistics.getActiveConnections();
+    return openListener.getConnectorStatistics().getActiveConnections();
+  }
+
+  /** The number of connections closed because no complete request was received in time. */
+  public long connectionsOverdue() {
+    return guard.closedAsOverdue();
+  }
+
+  /** The number of connections without a request that were closed in favor of newer ones. */
+  public long connectionsReplaced() {
+    return guard.closedForOthers();
   }
 
   /**
@@ -109,15 +175,23 @@
    * it.
    */
   public int port() {
-    return ((InetSocketAddress) undertow.getListenerInfo().get(0).getAddress()).getPort();
+    return ((InetSocketAddress) listener.getLocalAddress()).getPort();
   }
 
   @Override
   public void close() {
-    undertow.stop();
+    if (listener != null) {
+      overdueCheck.remove();
+      IoUtils.safeClose(listener);
+    }
+  }
+
+  private static StreamConnection connectionOf(HttpServerExchange exchange) {
+    return ((AbstractServerConnection) exchange.getConnection()).getChannel();
   }
 
   private void receive(HttpServerExchange exchange) {
+    forgetOnceClosed(exchange);
     if (exchange.getRequestContentLength() > exchange.getMaxEntitySize()) {
       reject(exchange, HttpStatus.PAYLOAD_TOO_LARGE, "the body is too long");
       return;
@@ -126,6 +200,7 @@
   }
 
   private void handleBody(HttpServerExchange exchange, byte[] body) {
+    guard.requestReceived(connectionOf(exchange));
     exchange.dispatch(SameThreadExecutor.INSTANCE, () -> handle(exchange, body));
   }
 
@@ -144,6 +219,14 @@
     }
   }
 
+  private void forgetOnceClosed(HttpServerExchange exchange) {
+    if (exchange.getConnection().getAttachment(CLOSE_OBSERVED) == null) {
+      StreamConnection connection = connectionOf(exchange);
+      exchange.getConnection().putAttachment(CLOSE_OBSERVED, true);
+      exchange.getConnection().addCloseListener(closed -> guard.closed(connection));
+    }
+  }
+
   private static String pathAndQuery(HttpServerExchange exchange) {
     String query = exchange.getQueryString();
     return query.isEmpty() ? exchange.getRequestPath() : exchange.getRequestPath() + "?" + query;
@@ -176,7 +259,7 @@
 
     @Override
     public boolean nearConnectionLimit() {
-      return statistics != null && connections() > nearConnectionLimitThreshold;
+      return connections() > nearConnectionLimitThreshold;
     }
 
     @Override
