Drill: a returned machine answers nothing, a command without token or incarnation gets 400

Cause: the emulated worker went on answering and running tasks after its machine had been returned, and took a missing token or incarnation for 0. Change: as the protocol says.

--- a/src/main/java/plumlever/drill/WorkerEmulator.java
+++ b/src/main/java/plumlever/drill/WorkerEmulator.java
@@ -190,11 +190,18 @@
     }
   }
 
-  /** Handles a request that a controller sends to the worker. */
+  /** Handles a request that a controller sends to the worker; a removed worker never answers. */
   void handle(String method, String path, byte[] body, Responder out) {
+    if (removed) {
+      return;
+    }
     if (path.equals("/orders") && method.equals("POST")) {
       try {
         ObjectNode request = Json.parseObject(body);
+        if (Json.isAbsent(request, "baton") || Json.isAbsent(request, "tenure")) {
+          out.error(HttpStatus.BAD_REQUEST, "baton or tenure is missing");
+          return;
+        }
         long receivedToken = request.path("baton").asLong();
         if (receivedToken < fencingToken || request.path("tenure").asLong() != incarnation) {
           out.send(HttpStatus.CONFLICT, new String(heartbeatBody(), StandardCharsets.UTF_8));
