--- a/src/main/java/plumlever/leader/heartbeat/LeaseExpiry.java
+++ b/src/main/java/plumlever/leader/heartbeat/LeaseExpiry.java
@@ -1,6 +1,7 @@
 package plumlever.leader.heartbeat;
 
 import org.slf4j.Logger;
+import org.slf4j.event.Level;
 import plumlever.election.DelegatedRenewal;
 import plumlever.fleet.Machine;
 import plumlever.fleet.MachineContact;
@@ -54,7 +55,7 @@
     }
     boolean mayRunTasks = machine.load().mayRunTasks();
     if (mayRunTasks || !machine.accounted()) {
-      logExpiry(machine, evidence, now);
+      logExpiry(machine, mayRunTasks ? Level.INFO : Level.DEBUG, evidence, now);
     }
     heartbeats.endAllAttempts(machine);
     sharing.leaseExpired(machine);
@@ -88,18 +89,19 @@
         + DelegatedRenewal.VALID_MICROS;
   }
 
-  private void logExpiry(Machine machine, ExpiryEvidence evidence, long now) {
-    log.info(
-        "lease of machine {} incarnation {} has expired, its {} attempts are ended: renewed at the"
-            + " latest {} ms ago by this leader and {} ms ago by others, incarnation known for {}"
-            + " ms, longest lease {} ms",
-        machine.id(),
-        machine.contact().incarnation(),
-        machine.load().liveAttempts(),
-        millisBefore(now, evidence.renewedMicros()),
-        millisBefore(now, evidence.renewedByOthersMicros()),
-        millisBefore(now, evidence.incarnationSeenMicros()),
-        bound.maxRemainingMicros() / 1_000);
+  private void logExpiry(Machine machine, Level level, ExpiryEvidence evidence, long now) {
+    log.atLevel(level)
+        .log(
+            "lease of machine {} incarnation {} has expired, its {} attempts are ended: renewed at"
+                + " the latest {} ms ago by this leader and {} ms ago by others, incarnation known"
+                + " for {} ms, longest lease {} ms",
+            machine.id(),
+            machine.contact().incarnation(),
+            machine.load().liveAttempts(),
+            millisBefore(now, evidence.renewedMicros()),
+            millisBefore(now, evidence.renewedByOthersMicros()),
+            millisBefore(now, evidence.incarnationSeenMicros()),
+            bound.maxRemainingMicros() / 1_000);
   }
 
   /** Returns the milliseconds from the event until now, or -1 if it has not happened. */
--- a/src/test/java/plumlever/http/SlowRequestTest.java
+++ b/src/test/java/plumlever/http/SlowRequestTest.java
@@ -41,7 +41,7 @@
   private static final int USER_TIMEOUT_MS = 5_000;
 
   private static final String HEAD =
-      "POST /hello HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: ";
+      "POST /p HTTP/1.1\r\nHost: a\r\nContent-Type: application/json\r\nContent-Length: ";
   private static final String ENDLESS_HEADER = "GET /up HTTP/1.1\r\nHost: a\r\nX-Slow: ";
 
   private final List<Socket> sockets = new ArrayList<>();
@@ -170,8 +170,8 @@
         HEAD + "-1\r\n\r\n{}",
         HEAD + "x\r\n\r\n{}",
         HEAD + "99999999999999999999\r\n\r\n{}",
-        "POST /hello HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
-        "POST /hello HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
         "\0\0\0\0",
         "GET /up",
         "GET\r\n\r\n"
--- a/src/test/java/plumlever/sim/FakeCloud.java
+++ b/src/test/java/plumlever/sim/FakeCloud.java
@@ -67,6 +67,14 @@
   private double tokens = 2 * REQUESTS_PER_S;
   private long refilledMicros;
 
+  /**
+   * Share of rental and deletion requests that get no answer and are carried out 2 to 62 s late.
+   */
+  double executedLateShare;
+
+  /** Number of rental and deletion requests carried out late. */
+  int executedLate;
+
   /** True if rented machines boot within two seconds instead of 5 to 20 s. */
   boolean fastBoots;
 
@@ -101,33 +109,46 @@
       reply.send(503, "{\"error\":\"trouble\"}");
       return;
     }
-    try {
-      if (cluster.now() > refilledMicros) {
-        tokens =
-            Math.min(
-                2 * REQUESTS_PER_S,
-                tokens + (cluster.now() - refilledMicros) * REQUESTS_PER_S / 1e6);
-        refilledMicros = cluster.now();
-      }
-      if (limitsRate && tokens < 1) {
-        requestsRefused++;
-        reply.send(429, "{}");
-        return;
-      }
-      tokens--;
-      if (path.equals("/catalog")) {
-        reply.send(200, CATALOG);
-      } else if (path.startsWith("/hosts?")) {
-        long listedAtMicros =
-            cluster.now() - LIST_LAG_MICROS - cluster.random.nextLong(LIST_LAG_MICROS);
-        ArrayNode listed = Json.object().putArray("hosts");
-        for (Object[] snapshot : listSnapshots) {
-          if ((Long) snapshot[0] <= listedAtMicros) {
-            listed = (ArrayNode) snapshot[1];
-          }
+    if (cluster.now() > refilledMicros) {
+      tokens =
+          Math.min(
+              2 * REQUESTS_PER_S, tokens + (cluster.now() - refilledMicros) * REQUESTS_PER_S / 1e6);
+      refilledMicros = cluster.now();
+    }
+    if (limitsRate && tokens < 1) {
+      requestsRefused++;
+      reply.send(429, "{}");
+      return;
+    }
+    tokens--;
+    if (path.equals("/catalog")) {
+      reply.send(200, CATALOG);
+    } else if (path.startsWith("/hosts?")) {
+      long listedAtMicros =
+          cluster.now() - LIST_LAG_MICROS - cluster.random.nextLong(LIST_LAG_MICROS);
+      ArrayNode listed = Json.object().putArray("hosts");
+      for (Object[] snapshot : listSnapshots) {
+        if ((Long) snapshot[0] <= listedAtMicros) {
+          listed = (ArrayNode) snapshot[1];
         }
-        reply.send(200, Json.write(page(listed, path)));
-      } else if (path.equals("/hosts")) {
+      }
+      reply.send(200, Json.write(page(listed, path)));
+    } else if (executedLateShare > 0
+        && method.equals("POST")
+        && cluster.random.nextDouble() < executedLateShare) {
+      executedLate++;
+      cluster.at(
+          2_000_000 + cluster.random.nextLong(60_000_000),
+          () -> change(path, body, (status, answer) -> {}));
+    } else {
+      change(path, body, reply);
+    }
+  }
+
+  /** Carries out a request to rent or delete machines. */
+  private void change(String path, String body, SimulatedNetwork.Reply reply) {
+    try {
+      if (path.equals("/hosts")) {
         rent(Json.parseObject(body), reply);
       } else if (path.equals("/hosts/return")) {
         Json.parseObject(body).path("hosts").forEach(h -> delete(h.asText()));
--- a/src/test/java/plumlever/sim/FakeWorker.java
+++ b/src/test/java/plumlever/sim/FakeWorker.java
@@ -104,6 +104,16 @@
     return dead || incarnation > number || cluster.now() - leaseStartMicros > LEASE_MICROS;
   }
 
+  /**
+   * Sends a heartbeat to the controller now, whether or not an earlier one is still waiting for its
+   * response.
+   */
+  void sendHeartbeatNow(String controller) {
+    heartbeatTarget = controller;
+    heartbeatInFlight = false;
+    heartbeat();
+  }
+
   /** Time since the event from which the worker's lease runs. */
   long leaseAgeMicros() {
     return cluster.now() - leaseStartMicros;
--- a/src/test/java/plumlever/sim/HeldStartTest.java
+++ b/src/test/java/plumlever/sim/HeldStartTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import plumlever.settings.PlatformConfiguration;
@@ -36,6 +37,9 @@
   private static final long LEADER_CHANGE_AFTER_MICROS = 14_000_000;
   private static final long COMMAND_DELAY_MICROS = 200_000;
 
+  /** A time after which a lease renewed at the beginning still runs. */
+  private static final long LATE_IN_THE_LEASE_MICROS = 18_500_000;
+
   private SimulatedCluster cluster;
   private FakeUsers users;
   private final List<JobSpec> runningJobs = new ArrayList<>();
@@ -186,4 +190,76 @@
     runningJobs.forEach(
         job -> assertEquals("done", cluster.invariants.lastReportedStatus.get(job.uid())));
   }
+
+  /**
+   * Lets a held direct start arrive between the first heartbeat that a new leader answers and the
+   * answer, after which the machine reaches nobody and is reached by nobody. The job is cancelled
+   * right after the start was sent.
+   *
+   * @param cancelMicros the limit in the controllers' settings
+   * @return microseconds from the confirmed cancellation until the task was gone
+   */
+  private long runTimeAfterCancellation(long seed, long cancelMicros) {
+    cluster =
+        new SimulatedCluster(
+            seed,
+            3,
+            List.of(new PlatformConfiguration.Team("blue", 16, 0, 0, 0)),
+            false,
+            cancelMicros);
+    users = new FakeUsers(cluster);
+    cluster.cloud.capacity = 1;
+    cluster.cloud.addRunningMachines(1);
+    FakeCloud.Vm vm = cluster.cloud.machines.firstEntry().getValue();
+    cluster.runFor(15);
+    while (vm.worker.leaseAgeMicros() > 50_000) {
+      cluster.runFor(0.01);
+    }
+    cluster.network.machinesWithLostHeartbeats.add(vm.id);
+    cluster.network.extraCommandDelayMicros = LATE_IN_THE_LEASE_MICROS;
+    long startsSentBefore = sumOfCounter("starts_sent");
+    JobSpec job =
+        TestJob.job(users.nextUid()).team("blue").cores(16).zone(vm.zone).runS(300).build();
+    users.submit(job, false);
+    while (sumOfCounter("starts_sent") == startsSentBefore) {
+      cluster.runFor(0.01);
+    }
+    cluster.network.machinesWithLostCalls.add(vm.id);
+    cluster.network.extraCommandDelayMicros = 0;
+    cluster.cloud.outage = true;
+    long arrivesMicros = cluster.now() + LATE_IN_THE_LEASE_MICROS;
+    users.cancel(job.uid());
+    cluster.runFor(0.5);
+    long cancelledMicros = cluster.invariants.cancelledAt.get(job.uid());
+    cluster.leader().crash(300);
+    cluster.runFor((arrivesMicros - cluster.now() - 300_000) / 1e6);
+    cluster.network.machinesWithLostHeartbeats.clear();
+    cluster.network.extraHeartbeatResponseDelayMicros = 1_000_000;
+    vm.worker.sendHeartbeatNow(cluster.leader().platform.label());
+    cluster.runFor(0.2);
+    cluster.network.machinesWithLostHeartbeats.add(vm.id);
+    cluster.runFor(1.5);
+    assertTrue(vm.worker.hasLiveTasks(), "expected that the held start was executed");
+    while (vm.worker.hasLiveTasks()) {
+      cluster.runFor(0.01);
+    }
+    return cluster.now() - cancelledMicros;
+  }
+
+  /** The bound holds at any time: the task ends with the second lease after the start was sent. */
+  @ParameterizedTest
+  @ValueSource(longs = {231, 232, 233})
+  void aStartThatArrivesDuringANewLeadersFirstRenewalEndsWithThatLease(long seed) {
+    long ran = runTimeAfterCancellation(seed, InvariantChecker.CANCEL_MICROS);
+    assertTrue(ran < 2 * FakeWorker.LEASE_MICROS, "ran for " + ran / 1e6 + " s");
+    assertEquals(List.of(), cluster.invariants.violations);
+  }
+
+  @Test
+  void aStartThatArrivesDuringANewLeadersFirstRenewalEndsWithinTheCancellationLimit() {
+    long limitMicros = 30_000_000;
+    long ran = runTimeAfterCancellation(231, limitMicros);
+    assertTrue(
+        ran <= limitMicros, "ran for " + ran / 1e6 + " s after the cancellation was confirmed");
+  }
 }
--- a/src/test/java/plumlever/sim/LeaseExpiryChecker.java
+++ b/src/test/java/plumlever/sim/LeaseExpiryChecker.java
@@ -81,7 +81,7 @@
 
     @Override
     public boolean isDebugEnabled() {
-      return service.isDebugEnabled();
+      return true;
     }
 
     @Override
--- a/src/test/java/plumlever/sim/SimulatedNetwork.java
+++ b/src/test/java/plumlever/sim/SimulatedNetwork.java
@@ -107,6 +107,12 @@
   /** Machines whose heartbeats reach no controller, while direct commands reach the machines. */
   final Set<String> machinesWithLostHeartbeats = new HashSet<>();
 
+  /** Machines that direct calls sent from now on never reach. */
+  final Set<String> machinesWithLostCalls = new HashSet<>();
+
+  /** Additional delay of the responses to heartbeats. */
+  long extraHeartbeatResponseDelayMicros;
+
   final DelegationChecker delegationChecker;
 
   private final EventQueue events;
@@ -199,7 +205,8 @@
       deliver(message, NO_REPLY, 4_000_000L + random.nextLong(16_000_000L));
       deliver(message, NO_REPLY, 500_000L + random.nextLong(MAX_DUPLICATE_DELAY_MICROS));
     }
-    if (message.isHeartbeat() && machinesWithLostHeartbeats.contains(from)) {
+    if (message.isHeartbeat() && machinesWithLostHeartbeats.contains(from)
+        || machinesWithLostCalls.contains(to.host())) {
       return;
     }
     if (message.isHeartbeat()) {
@@ -295,7 +302,7 @@
 
     private void sendBack(Response sent) {
       events.at(
-          LATENCY_MICROS,
+          LATENCY_MICROS + (message.isHeartbeat() ? extraHeartbeatResponseDelayMicros : 0),
           () -> {
             if (!isLost && !isBlocked(message.to.host(), message.from)) {
               response.take(sent);
