Failover: tasks of earlier leaders do not wait for later incarnations of their machine

Change: LeaseExpiryBound.hasExpiredForOthers counts renewals alone. Earlier leaders and former owners sent commands only for incarnations that they had seen, and those began before this leader loaded the machines or owned them; a later incarnation holds nothing of theirs. The leader's own attempts are still counted from the first sign of their incarnation. Both ends have a log line of their own, and LeaseExpiryChecker checks the second by the terms of live tasks.

--- a/src/main/java/plumlever/leader/heartbeat/LeaseExpiry.java
+++ b/src/main/java/plumlever/leader/heartbeat/LeaseExpiry.java
@@ -50,22 +50,45 @@
   /** Ends all attempts that may run on the machine if its lease has certainly expired. */
   public void endIfExpired(Machine machine, long now) {
     ExpiryEvidence evidence = evidence(machine);
-    if (!bound.hasExpired(evidence, now)) {
-      return;
+    if (bound.hasExpiredForOthers(evidence, now)) {
+      endTasksOfOthers(machine, evidence, now);
     }
-    boolean mayRunTasks = machine.load().mayRunTasks();
-    if (mayRunTasks || !machine.accounted()) {
-      logExpiry(machine, mayRunTasks ? Level.INFO : Level.DEBUG, evidence, now);
+    if (bound.hasExpired(evidence, now)) {
+      endOwnAttempts(machine, evidence, now);
     }
-    heartbeats.endAllAttempts(machine);
-    sharing.leaseExpired(machine);
-    if (mayRunTasks) {
-      context.metrics().count("leases_expired_with_tasks");
-      onChange.run();
+  }
+
+  /** Ends what earlier leaders and former owners of the machine may have started on it. */
+  private void endTasksOfOthers(Machine machine, ExpiryEvidence evidence, long now) {
+    boolean hadForeignTasks = machine.load().foreignTasks().tasks() > 0;
+    if (hadForeignTasks || !machine.accounted()) {
+      log.atLevel(hadForeignTasks ? Level.INFO : Level.DEBUG)
+          .log(
+              "tasks that others started on machine {} have ended with its lease, term {}: renewed"
+                  + " at the latest {} ms ago by this leader and {} ms ago by others",
+              machine.id(),
+              context.term().number(),
+              millisBefore(now, evidence.renewedMicros()),
+              millisBefore(now, evidence.renewedByOthersMicros()));
     }
+    sharing.leaseExpired(machine);
     if (!machine.accounted()) {
       failover.markAccounted(machine, "its lease has expired");
       onChange.run();
+    } else if (hadForeignTasks) {
+      onChange.run();
+    }
+  }
+
+  private void endOwnAttempts(Machine machine, ExpiryEvidence evidence, long now) {
+    boolean mayRunTasks = machine.load().liveAttempts() > 0;
+    if (mayRunTasks) {
+      logExpiry(machine, evidence, now);
+    }
+    heartbeats.endAllAttempts(machine);
+    if (mayRunTasks) {
+      context.metrics().count("leases_expired_with_tasks");
+      onChange.run();
     }
   }
 
@@ -89,19 +112,18 @@
         + DelegatedRenewal.VALID_MICROS;
   }
 
-  private void logExpiry(Machine machine, Level level, ExpiryEvidence evidence, long now) {
-    log.atLevel(level)
-        .log(
-            "lease of machine {} incarnation {} has expired, its {} attempts are ended: renewed at"
-                + " the latest {} ms ago by this leader and {} ms ago by others, incarnation known"
-                + " for {} ms, longest lease {} ms",
-            machine.id(),
-            machine.contact().incarnation(),
-            machine.load().liveAttempts(),
-            millisBefore(now, evidence.renewedMicros()),
-            millisBefore(now, evidence.renewedByOthersMicros()),
-            millisBefore(now, evidence.incarnationSeenMicros()),
-            bound.maxRemainingMicros() / 1_000);
+  private void logExpiry(Machine machine, ExpiryEvidence evidence, long now) {
+    log.info(
+        "lease of machine {} incarnation {} has expired, its {} attempts are ended: renewed at"
+            + " the latest {} ms ago by this leader and {} ms ago by others, incarnation known"
+            + " for {} ms, longest lease {} ms",
+        machine.id(),
+        machine.contact().incarnation(),
+        machine.load().liveAttempts(),
+        millisBefore(now, evidence.renewedMicros()),
+        millisBefore(now, evidence.renewedByOthersMicros()),
+        millisBefore(now, evidence.incarnationSeenMicros()),
+        bound.maxRemainingMicros() / 1_000);
   }
 
   /** Returns the milliseconds from the event until now, or -1 if it has not happened. */
--- a/src/main/java/plumlever/lease/LeaseExpiryBound.java
+++ b/src/main/java/plumlever/lease/LeaseExpiryBound.java
@@ -29,8 +29,8 @@
   }
 
   /**
-   * Returns the time from which the lease has certainly ended, or empty while another controller
-   * may renew it.
+   * Returns the time from which the lease of the present incarnation, and of every earlier one, has
+   * certainly ended; empty while another controller may renew it.
    */
   public OptionalLong expiredFromMicros(ExpiryEvidence evidence) {
     return evidence.renewableByOthers()
@@ -38,9 +38,22 @@
         : OptionalLong.of(evidence.latestStartMicros() + maxRemainingMicros);
   }
 
-  /** Returns whether the lease has certainly ended. */
+  /** Returns whether the lease of the present incarnation has certainly ended. */
   public boolean hasExpired(ExpiryEvidence evidence, long nowMicros) {
-    OptionalLong expiredFrom = expiredFromMicros(evidence);
-    return expiredFrom.isPresent() && nowMicros >= expiredFrom.getAsLong();
+    return isReached(expiredFromMicros(evidence), nowMicros);
+  }
+
+  /**
+   * Returns whether the lease has certainly ended of every incarnation in which another controller,
+   * an earlier leader or a former owner of the machine, can have started tasks. A machine whose
+   * incarnations follow each other without renewal therefore does not keep those tasks forever.
+   */
+  public boolean hasExpiredForOthers(ExpiryEvidence evidence, long nowMicros) {
+    return !evidence.renewableByOthers()
+        && nowMicros >= evidence.latestRenewalMicros() + maxRemainingMicros;
+  }
+
+  private static boolean isReached(OptionalLong fromMicros, long nowMicros) {
+    return fromMicros.isPresent() && nowMicros >= fromMicros.getAsLong();
   }
 }
--- a/src/test/java/plumlever/sim/FakeWorker.java
+++ b/src/test/java/plumlever/sim/FakeWorker.java
@@ -20,6 +20,9 @@
 final class FakeWorker implements SimulatedNetwork.Service {
   static final long LEASE_MICROS = 20_000_000;
 
+  /** Number of low bits of an attempt number that count attempts; the others are the term. */
+  private static final int ATTEMPT_COUNTER_BITS = 24;
+
   /** A task attempt on this machine, in any state. */
   static final class Task {
     final String name;
@@ -119,6 +122,13 @@
     return cluster.now() - leaseStartMicros;
   }
 
+  /** True if a task is live whose attempt number a leader of another term has assigned. */
+  boolean hasLiveTasksOfOtherTerms(long term) {
+    return tasks.values().stream()
+        .anyMatch(
+            task -> !task.status.equals("ended") && task.attempt >> ATTEMPT_COUNTER_BITS != term);
+  }
+
   boolean hasLiveTasks() {
     return tasks.values().stream().anyMatch(task -> !task.status.equals("ended"));
   }
--- a/src/test/java/plumlever/sim/LeaseExpiryChecker.java
+++ b/src/test/java/plumlever/sim/LeaseExpiryChecker.java
@@ -1,5 +1,6 @@
 package plumlever.sim;
 
+import java.util.Optional;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,8 +24,8 @@
   private static final int MACHINE_ARGUMENT = 0;
   private static final int INCARNATION_ARGUMENT = 1;
 
-  /** Incarnation of a machine from which the controller has received no message in its term. */
-  private static final long UNKNOWN_INCARNATION = 0;
+  private static final String OTHERS_LINE = "tasks that others started on machine {} have ended";
+  private static final int TERM_ARGUMENT = 1;
 
   private final SimulatedCluster cluster;
 
@@ -41,28 +42,35 @@
     return DECIDING_CLASSES.contains(owner.getName()) ? new ObservedLogger(service) : service;
   }
 
+  private Optional<FakeWorker> worker(String machineId) {
+    return Optional.ofNullable(cluster.cloud.machines.get(machineId)).map(vm -> vm.worker);
+  }
+
   private void onExpiry(String machineId, long incarnation) {
     expiries++;
-    FakeCloud.Vm vm = cluster.cloud.machines.get(machineId);
-    if (vm == null || vm.worker == null) {
-      return;
+    if (worker(machineId).filter(worker -> !worker.hasEndedIncarnation(incarnation)).isPresent()) {
+      addViolation(machineId, "attempts of incarnation " + incarnation);
     }
-    boolean ended =
-        incarnation == UNKNOWN_INCARNATION
-            ? !vm.worker.hasLiveTasks()
-            : vm.worker.hasEndedIncarnation(incarnation);
-    if (!ended) {
-      cluster.invariants.violations.add(
-          "lease_expiry at "
-              + cluster.now() / 1e6
-              + ": attempts of incarnation "
-              + incarnation
-              + " on "
-              + machineId
-              + " are ended before the worker's lease");
+  }
+
+  private void onExpiryForOthers(String machineId, long term) {
+    expiries++;
+    if (worker(machineId).filter(worker -> worker.hasLiveTasksOfOtherTerms(term)).isPresent()) {
+      addViolation(machineId, "tasks of other terms than " + term);
     }
   }
 
+  private void addViolation(String machineId, String ended) {
+    cluster.invariants.violations.add(
+        "lease_expiry at "
+            + cluster.now() / 1e6
+            + ": "
+            + ended
+            + " on "
+            + machineId
+            + " are ended before the worker's lease");
+  }
+
   /** Passes all lines on and reports those that say that a lease has expired. */
   private final class ObservedLogger extends LegacyAbstractLogger {
     private static final long serialVersionUID = 1L;
@@ -109,6 +117,8 @@
         Level level, Marker marker, String message, Object[] arguments, Throwable throwable) {
       if (message.startsWith(EXPIRY_LINE)) {
         onExpiry((String) arguments[MACHINE_ARGUMENT], (Long) arguments[INCARNATION_ARGUMENT]);
+      } else if (message.startsWith(OTHERS_LINE)) {
+        onExpiryForOthers((String) arguments[MACHINE_ARGUMENT], (Long) arguments[TERM_ARGUMENT]);
       }
       service.atLevel(level).setCause(throwable).log(message, arguments);
     }
