--- /dev/null
+++ b/review/stand-in-2/Faults.java
@@ -0,0 +1,210 @@
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+/** The cases of the review, by name. Arguments: the repository, the case, the record. */
+final class Faults {
+  private static final String NEAR = "daejeon-hub";
+  private static final String FAR = "icheon-dc";
+  private static final String CLASS = "scan-archive";
+
+  private Faults() {}
+
+  public static void main(String[] args) throws IOException {
+    Net.recordTo(Path.of(args[2]));
+    Net.log("%s, %s the disruption", args[1], Site.trouble() ? "with" : "without");
+    int result;
+    try {
+      result =
+          switch (args[1]) {
+            case "faulty-machine" -> faultyMachine(Path.of(args[0]));
+            case "one-error" -> oneError(Path.of(args[0]));
+            case "hang" -> hang(Path.of(args[0]));
+            case "many-tasks" -> manyTasks(Path.of(args[0]));
+            case "versions" -> versions(Path.of(args[0]));
+            default -> Site.NOT_RUN;
+          };
+    } catch (IOException | RuntimeException e) {
+      Net.log("the case could not run: %s", e);
+      result = Site.NOT_RUN;
+    }
+    Net.log("result: %d", result);
+    System.out.println(args[1] + ": " + result);
+    System.exit(result);
+  }
+
+  /** A deployment of Hanbit's kind; all machines of the type that the cloud has are up. */
+  private static Site site(Path repository, String type, double cores, double memoryGb, int perZone)
+      throws IOException {
+    return new Site(
+        repository,
+        Site.HANBIT,
+        List.of(new Cloud.Type(type, cores, memoryGb, 40, List.of(NEAR, FAR), perZone)));
+  }
+
+  /** Starts the controllers; false if none leads in time. */
+  private static boolean ready(Site site) throws IOException {
+    site.startAll();
+    if (!site.awaitLeader(20)) {
+      Net.log("no controller leads");
+      return false;
+    }
+    Net.sleep(4);
+    return true;
+  }
+
+  private static boolean submit(
+      Site site, String uid, int pieces, double cores, double memory, double runS, String zone) {
+    boolean accepted =
+        site.submit(
+            uid,
+            new Worker.Job(cores, memory, pieces, runS),
+            site.submission(uid, CLASS, pieces, cores, memory, runS, zone));
+    Net.log("%s is %saccepted", uid, accepted ? "" : "not ");
+    return accepted;
+  }
+
+  /** Polls every 5 s until the job is done or the time is over. */
+  private static boolean done(Site site, String uid, double until) {
+    while (Net.now() < until) {
+      if (site.poll(uid).equals("done")) {
+        return true;
+      }
+      Net.sleep(Math.min(5, Math.max(0.1, until - Net.now())));
+    }
+    return site.poll(uid).equals("done");
+  }
+
+  private static int result(Site site, boolean held) {
+    site.recordLogs();
+    return held ? Site.HELD : Site.BROKEN;
+  }
+
+  /**
+   * One machine is faulty, one is healthy and idle. A third one, in another zone, runs other work
+   * all the time, so that the scheduler always has an occasion to start the job again.
+   */
+  private static int faultyMachine(Path repository) throws IOException {
+    try (Site site = site(repository, "sobaek-8", 8, 32, 2)) {
+      Worker faulty = site.cloud.add("sobaek-8", NEAR, 0);
+      Worker healthy = site.cloud.add("sobaek-8", NEAR, 0);
+      Worker other = site.cloud.add("sobaek-8", FAR, 0);
+      site.cloud.add("sobaek-8", FAR, 0);
+      if (!ready(site)) {
+        return Site.NOT_RUN;
+      }
+      faulty.faulty = Site.trouble();
+      if (!submit(site, "job-000001", 1, 2, 4, 10, NEAR)) {
+        return Site.NOT_RUN;
+      }
+      double until = Net.now() + 85;
+      int next = 1000;
+      boolean done = false;
+      while (!done && Net.now() < until) {
+        if (!submit(site, "job-" + next++, 1, 2, 4, 2, FAR)) {
+          return Site.NOT_RUN;
+        }
+        Net.sleep(4);
+        done = site.poll("job-000001").equals("done");
+      }
+      Net.log(
+          "starts: %s (faulty) %d, of them failed %d; %s (healthy) %d; %s (other work) %d",
+          faulty.name, faulty.starts, faulty.errors, healthy.name, healthy.starts, other.name,
+          other.starts);
+      return result(site, done);
+    }
+  }
+
+  /** Two long tasks keep the machines of both zones in use, with room for more beside them. */
+  private static boolean submitLongWork(Site site) {
+    boolean accepted =
+        submit(site, "job-000001", 1, 2, 4, 7200, NEAR)
+            && submit(site, "job-000002", 1, 2, 4, 7200, FAR);
+    Net.sleep(4);
+    return accepted;
+  }
+
+  /** A job's only task fails once; two machines have room for it all the time. */
+  private static int oneError(Path repository) throws IOException {
+    try (Site site = site(repository, "sobaek-8", 8, 32, 1)) {
+      site.cloud.add("sobaek-8", NEAR, 0);
+      site.cloud.add("sobaek-8", FAR, 0);
+      if (!ready(site) || !submitLongWork(site)) {
+        return Site.NOT_RUN;
+      }
+      if (Site.trouble()) {
+        site.world.failing.add("job-000003/0");
+      }
+      if (!submit(site, "job-000003", 1, 2, 4, 5, null)) {
+        return Site.NOT_RUN;
+      }
+      return result(site, done(site, "job-000003", Net.now() + 80));
+    }
+  }
+
+  /** The only machine of a zone hangs for a few seconds; meanwhile a job for the zone arrives. */
+  private static int hang(Path repository) throws IOException {
+    // A hang of 8 s is far below the lease (26 s): the machine keeps its tasks.
+    try (Site site = site(repository, "sobaek-8", 8, 32, 1)) {
+      Worker hanging = site.cloud.add("sobaek-8", NEAR, 0);
+      site.cloud.add("sobaek-8", FAR, 0);
+      if (!ready(site) || !submitLongWork(site)) {
+        return Site.NOT_RUN;
+      }
+      hanging.hangAfterReportS = Site.trouble() ? 8 : 0;
+      while (hanging.hangAfterReportS > 0) {
+        Net.sleep(0.02);
+      }
+      Net.sleep(6.5);
+      if (!submit(site, "job-000003", 1, 2, 4, 5, NEAR)) {
+        return Site.NOT_RUN;
+      }
+      return result(site, done(site, "job-000003", Net.now() + 75));
+    }
+  }
+
+  /** A job of small tasks, more than fit one request to a worker. */
+  private static int manyTasks(Path repository) throws IOException {
+    try (Site site = site(repository, "halla-64", 64, 256, 1)) {
+      Worker only = site.cloud.add("halla-64", NEAR, 0);
+      if (!ready(site)) {
+        return Site.NOT_RUN;
+      }
+      int pieces = Site.trouble() ? 2000 : 200;
+      if (!submit(site, "job-000001", pieces, 0.03, 0.1, 5, null)) {
+        return Site.NOT_RUN;
+      }
+      boolean done = done(site, "job-000001", Net.now() + 80);
+      Net.log("starts %d, longest request %d bytes", only.starts, only.longestBody);
+      return result(site, done);
+    }
+  }
+
+  /** The versions of the state service pass 2^63 while jobs arrive; the limit is 2^64. */
+  private static int versions(Path repository) throws IOException {
+    long first = Site.trouble() ? Long.MAX_VALUE - 30 : 1;
+    List<Cloud.Type> types =
+        List.of(new Cloud.Type("sobaek-8", 8, 32, 40, List.of(NEAR, FAR), 1));
+    try (Site site = new Site(repository, Site.HANBIT, types, first)) {
+      site.cloud.add("sobaek-8", NEAR, 0);
+      site.cloud.add("sobaek-8", FAR, 0);
+      if (!ready(site)) {
+        return Site.NOT_RUN;
+      }
+      int jobs = 12;
+      for (int i = 0; i < jobs; i++) {
+        Net.log("epoch %s", site.state.epoch());
+        if (!submit(site, "job-" + (1000 + i), 1, 2, 4, 2, null)) {
+          return Site.NOT_RUN;
+        }
+        Net.sleep(0.5);
+      }
+      double until = Net.now() + 60;
+      boolean held = true;
+      for (int i = 0; i < jobs; i++) {
+        held &= done(site, "job-" + (1000 + i), until);
+      }
+      return result(site, held);
+    }
+  }
+}
