--- a/review/stand-in-2/Cloud.java
+++ b/review/stand-in-2/Cloud.java
@@ -6,7 +6,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** The cloud of PROTOCOL-plumlever.md: rents machines, each with a worker. */
 final class Cloud implements Net.Handler {
@@ -18,6 +20,9 @@
   private final TreeMap<String, Worker> workers = new TreeMap<>();
   private final Map<String, List<String>> rentals = new HashMap<>();
   private final Worker.World world;
+  /** Zones in which the cloud has no machine to give. */
+  final Set<String> exhausted = ConcurrentHashMap.newKeySet();
+
   private int counter;
 
   Cloud(List<Type> types, Worker.World world) {
@@ -94,7 +99,7 @@
               .filter(worker -> worker.type == type && worker.zone.equals(zone))
               .count();
       int count = (int) Math.min(request.path("count").asInt(), type.perZone - used);
-      if (request.path("loaners").asBoolean() || count <= 0) {
+      if (request.path("loaners").asBoolean() || count <= 0 || exhausted.contains(zone)) {
         return Net.answer(503, Net.object().put("error", "no capacity"));
       }
       names = new ArrayList<>();
--- a/review/stand-in-2/Faults.java
+++ b/review/stand-in-2/Faults.java
@@ -6,7 +6,6 @@
 final class Faults {
   private static final String NEAR = "daejeon-hub";
   private static final String FAR = "icheon-dc";
-  private static final String CLASS = "scan-archive";
 
   private Faults() {}
 
@@ -21,7 +20,7 @@
             case "one-error" -> oneError(Path.of(args[0]));
             case "hang" -> hang(Path.of(args[0]));
             case "many-tasks" -> manyTasks(Path.of(args[0]));
-            case "versions" -> versions(Path.of(args[0]));
+            case "exhausted-zone" -> exhaustedZone(Path.of(args[0]));
             default -> Site.NOT_RUN;
           };
     } catch (IOException | RuntimeException e) {
@@ -59,7 +58,7 @@
         site.submit(
             uid,
             new Worker.Job(cores, memory, pieces, runS),
-            site.submission(uid, CLASS, pieces, cores, memory, runS, zone));
+            site.submission(uid, pieces, cores, memory, runS, zone));
     Net.log("%s is %saccepted", uid, accepted ? "" : "not ");
     return accepted;
   }
@@ -180,31 +179,28 @@
     }
   }
 
-  /** The versions of the state service pass 2^63 while jobs arrive; the limit is 2^64. */
-  private static int versions(Path repository) throws IOException {
-    long first = Site.trouble() ? Long.MAX_VALUE - 30 : 1;
+  /** Jobs wait for a zone without machines; a job for another zone, which has some, comes after them. */
+  private static int exhaustedZone(Path repository) throws IOException {
+    String full = "sobral-rack";
+    String free = "sala-sul";
     List<Cloud.Type> types =
-        List.of(new Cloud.Type("sobaek-8", 8, 32, 40, List.of(NEAR, FAR), 1));
-    try (Site site = new Site(repository, Site.HANBIT, types, first)) {
-      site.cloud.add("sobaek-8", NEAR, 0);
-      site.cloud.add("sobaek-8", FAR, 0);
+        List.of(new Cloud.Type("caju-large", 8, 64, 10, List.of(full, free), 2));
+    try (Site site = new Site(repository, Site.CEARACLIMA, types)) {
+      site.cloud.exhausted.add(full);
       if (!ready(site)) {
         return Site.NOT_RUN;
       }
-      int jobs = 12;
-      for (int i = 0; i < jobs; i++) {
-        Net.log("epoch %s", site.state.epoch());
-        if (!submit(site, "job-" + (1000 + i), 1, 2, 4, 2, null)) {
+      int waiting = Site.trouble() ? 26 : 5;
+      for (int i = 0; i < waiting; i++) {
+        if (!submit(site, "job-" + (1000 + i), 1, 1, 2.4, 20, full)) {
           return Site.NOT_RUN;
         }
-        Net.sleep(0.5);
       }
-      double until = Net.now() + 60;
-      boolean held = true;
-      for (int i = 0; i < jobs; i++) {
-        held &= done(site, "job-" + (1000 + i), until);
+      Net.sleep(3);
+      if (!submit(site, "job-2000", 1, 1, 2.4, 10, free)) {
+        return Site.NOT_RUN;
       }
-      return result(site, held);
+      return result(site, done(site, "job-2000", Net.now() + 85));
     }
   }
 }
--- a/review/stand-in-2/Site.java
+++ b/review/stand-in-2/Site.java
@@ -23,6 +23,7 @@
   record Deployment(
       List<String> zones,
       String team,
+      String jobClass,
       double leaseS,
       double cancelS,
       double stateRps,
@@ -37,6 +38,7 @@
       new Deployment(
           List.of("sala-norte", "sala-sul", "sobral-rack", "nuvem-recife"),
           "equipe-modelos",
+          "backfill-archive",
           27,
           47,
           250,
@@ -81,6 +83,7 @@
       new Deployment(
           List.of("daejeon-hub", "icheon-dc"),
           "hub-ops",
+          "scan-archive",
           26,
           56,
           100,
@@ -140,11 +143,6 @@
   private int nextNode;
 
   Site(Path repository, Deployment deployment, List<Cloud.Type> types) throws IOException {
-    this(repository, deployment, types, 1);
-  }
-
-  Site(Path repository, Deployment deployment, List<Cloud.Type> types, long firstEpoch)
-      throws IOException {
     this.repository = repository;
     this.deployment = deployment;
     this.folder = Files.createTempDirectory("plumlever-review");
@@ -155,7 +153,7 @@
     world = new Worker.World(new ArrayList<>(binds.values()), binds, REPORT_S, deployment.leaseS);
     state =
         new State(
-            deployment.stateRps, deployment.writeRps, deployment.valueKb, deployment.txnOps, firstEpoch);
+            deployment.stateRps, deployment.writeRps, deployment.valueKb, deployment.txnOps);
     cloud = new Cloud(types, world);
     stateAddress = Net.serve(state);
     cloudAddress = Net.serve(cloud);
@@ -261,7 +259,6 @@
 
   String submission(
       String uid,
-      String jobClass,
       int pieces,
       double cores,
       double memoryGb,
@@ -275,7 +272,7 @@
             + "\"one_zone\":false,\"spread\":false,\"loaners\":true,\"expect_s\":%s,"
             + "\"snapshot_every_s\":0.0,\"snapshot_s\":0.0,\"due_s\":null}",
         uid,
-        jobClass,
+        deployment.jobClass,
         deployment.team,
         pieces,
         cores,
--- a/review/stand-in-2/State.java
+++ b/review/stand-in-2/State.java
@@ -1,7 +1,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.math.BigInteger;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -28,10 +27,7 @@
   private final double writeRps;
   private final int valueBytes;
   private final int txnOps;
-
-  /** Versions are integers below 2^64: all are written and read as numbers without a sign. */
-  private long epoch;
-
+  private long epoch = 1;
   private long lastPermit;
   private double requestsLeft;
   private double writesLeft;
@@ -39,8 +35,7 @@
   private volatile boolean outage;
   long refusedAsMalformed;
 
-  State(double rps, double writeRps, int valueKb, int txnOps, long firstEpoch) {
-    epoch = firstEpoch;
+  State(double rps, double writeRps, int valueKb, int txnOps) {
     this.rps = rps;
     this.writeRps = writeRps;
     this.valueBytes = valueKb * 1024;
@@ -104,16 +99,8 @@
     return true;
   }
 
-  private static BigInteger number(long version) {
-    return new BigInteger(Long.toUnsignedString(version));
-  }
-
-  synchronized BigInteger epoch() {
-    return number(epoch);
-  }
-
   private static ObjectNode item(String key, Entry entry) {
-    ObjectNode item = Net.object().put("k", key).put("stamp", number(entry.stamp));
+    ObjectNode item = Net.object().put("k", key).put("stamp", entry.stamp);
     item.set("data", entry.data);
     if (entry.permit > 0) {
       item.put("permit", entry.permit);
@@ -124,7 +111,7 @@
   private Net.Answer get(String key) {
     Entry entry = entries.get(key);
     return entry == null
-        ? Net.answer(404, Net.object().put("epoch", number(epoch)))
+        ? Net.answer(404, Net.object().put("epoch", epoch))
         : Net.answer(200, item(key, entry));
   }
 
@@ -151,7 +138,7 @@
       }
       items.add(item);
     }
-    ObjectNode answer = Net.object().put("more", more).put("epoch", number(epoch));
+    ObjectNode answer = Net.object().put("more", more).put("epoch", epoch);
     answer.set("items", items);
     return Net.answer(200, answer);
   }
@@ -190,13 +177,12 @@
     ArrayNode failed = Net.array();
     for (JsonNode guard : guards) {
       Entry entry = entries.get(guard.path("k").asText());
-      BigInteger stamp = guard.path("stamp").bigIntegerValue();
-      if (!stamp.equals(entry == null ? BigInteger.ZERO : number(entry.stamp))) {
+      if (guard.path("stamp").asLong() != (entry == null ? 0 : entry.stamp)) {
         failed.add(guard.path("k").asText());
       }
     }
     if (!failed.isEmpty()) {
-      ObjectNode answer = Net.object().put("epoch", number(epoch));
+      ObjectNode answer = Net.object().put("epoch", epoch);
       answer.set("failed", failed);
       return Net.answer(409, answer);
     }
@@ -211,7 +197,7 @@
       }
       notifyAll();
     }
-    return Net.answer(200, Net.object().put("epoch", number(epoch)));
+    return Net.answer(200, Net.object().put("epoch", epoch));
   }
 
   private void put(String key, JsonNode data, long permit) {
@@ -294,26 +280,26 @@
       return new Net.Answer(429, "{}");
     }
     String under = query.getOrDefault("under", "");
-    long since = Long.parseUnsignedLong(query.get("since"));
+    long since = Long.parseLong(query.get("since"));
     double until = Net.now() + Long.parseLong(query.getOrDefault("wait_ms", "0")) / 1e3;
     while (true) {
-      if (history.size() == HISTORY && Long.compareUnsigned(history.peek().stamp, since + 1) > 0) {
+      if (history.size() == HISTORY && history.peek().stamp > since + 1) {
         return new Net.Answer(410, "{}");
       }
       ArrayNode log = Net.array();
       for (Change change : history) {
-        if (Long.compareUnsigned(change.stamp, since) > 0 && change.key.startsWith(under)) {
+        if (change.stamp > since && change.key.startsWith(under)) {
           ObjectNode entry =
               Net.object().put(change.data == null ? "drop" : "put", change.key);
           if (change.data != null) {
             entry.set("data", change.data);
           }
-          log.add(entry.put("stamp", number(change.stamp)));
+          log.add(entry.put("stamp", change.stamp));
         }
       }
       double left = until - Net.now();
       if (!outage && (!log.isEmpty() || left <= 0)) {
-        ObjectNode answer = Net.object().put("epoch", number(epoch));
+        ObjectNode answer = Net.object().put("epoch", epoch);
         answer.set("log", log);
         return Net.answer(200, answer);
       }
