--- a/review/stand-in-2/Faults.java
+++ b/review/stand-in-2/Faults.java
@@ -19,8 +19,8 @@
             case "faulty-machine" -> faultyMachine(Path.of(args[0]));
             case "one-error" -> oneError(Path.of(args[0]));
             case "hang" -> hang(Path.of(args[0]));
-            case "many-tasks" -> manyTasks(Path.of(args[0]));
             case "exhausted-zone" -> exhaustedZone(Path.of(args[0]));
+            case "held-start" -> heldStart(Path.of(args[0]));
             default -> Site.NOT_RUN;
           };
     } catch (IOException | RuntimeException e) {
@@ -32,13 +32,10 @@
     System.exit(result);
   }
 
-  /** A deployment of Hanbit's kind; all machines of the type that the cloud has are up. */
-  private static Site site(Path repository, String type, double cores, double memoryGb, int perZone)
-      throws IOException {
-    return new Site(
-        repository,
-        Site.HANBIT,
-        List.of(new Cloud.Type(type, cores, memoryGb, 40, List.of(NEAR, FAR), perZone)));
+  /** A deployment of Hanbit's kind; all machines that the cloud has are up. */
+  private static Site site(Path repository, int perZone) throws IOException {
+    Cloud.Type type = new Cloud.Type("sobaek-8", 8, 32, 40, List.of(NEAR, FAR), perZone);
+    return new Site(repository, Site.HANBIT, List.of(type));
   }
 
   /** Starts the controllers; false if none leads in time. */
@@ -84,7 +81,7 @@
    * all the time, so that the scheduler always has an occasion to start the job again.
    */
   private static int faultyMachine(Path repository) throws IOException {
-    try (Site site = site(repository, "sobaek-8", 8, 32, 2)) {
+    try (Site site = site(repository, 2)) {
       Worker faulty = site.cloud.add("sobaek-8", NEAR, 0);
       Worker healthy = site.cloud.add("sobaek-8", NEAR, 0);
       Worker other = site.cloud.add("sobaek-8", FAR, 0);
@@ -125,7 +122,7 @@
 
   /** A job's only task fails once; two machines have room for it all the time. */
   private static int oneError(Path repository) throws IOException {
-    try (Site site = site(repository, "sobaek-8", 8, 32, 1)) {
+    try (Site site = site(repository, 1)) {
       site.cloud.add("sobaek-8", NEAR, 0);
       site.cloud.add("sobaek-8", FAR, 0);
       if (!ready(site) || !submitLongWork(site)) {
@@ -144,7 +141,7 @@
   /** The only machine of a zone hangs for a few seconds; meanwhile a job for the zone arrives. */
   private static int hang(Path repository) throws IOException {
     // A hang of 8 s is far below the lease (26 s): the machine keeps its tasks.
-    try (Site site = site(repository, "sobaek-8", 8, 32, 1)) {
+    try (Site site = site(repository, 1)) {
       Worker hanging = site.cloud.add("sobaek-8", NEAR, 0);
       site.cloud.add("sobaek-8", FAR, 0);
       if (!ready(site) || !submitLongWork(site)) {
@@ -162,23 +159,6 @@
     }
   }
 
-  /** A job of small tasks, more than fit one request to a worker. */
-  private static int manyTasks(Path repository) throws IOException {
-    try (Site site = site(repository, "halla-64", 64, 256, 1)) {
-      Worker only = site.cloud.add("halla-64", NEAR, 0);
-      if (!ready(site)) {
-        return Site.NOT_RUN;
-      }
-      int pieces = Site.trouble() ? 2000 : 200;
-      if (!submit(site, "job-000001", pieces, 0.03, 0.1, 5, null)) {
-        return Site.NOT_RUN;
-      }
-      boolean done = done(site, "job-000001", Net.now() + 80);
-      Net.log("starts %d, longest request %d bytes", only.starts, only.longestBody);
-      return result(site, done);
-    }
-  }
-
   /** Jobs wait for a zone without machines; a job for another zone, which has some, comes after them. */
   private static int exhaustedZone(Path repository) throws IOException {
     String full = "sobral-rack";
@@ -203,4 +183,76 @@
       return result(site, done(site, "job-2000", Net.now() + 85));
     }
   }
+
+  /**
+   * A zone is cut off right after a report, with a start on its way to each of its two machines. The
+   * job is cancelled, the leader ends. Late in the lease the cut ends for one report.
+   */
+  private static int heldStart(Path repository) throws IOException {
+    String zone = "sobral-rack";
+    List<Cloud.Type> types =
+        List.of(new Cloud.Type("caju-large", 8, 64, 25, List.of("sala-sul", zone), 2));
+    try (Site site = new Site(repository, Site.CEARACLIMA, types)) {
+      List<Worker> cut =
+          List.of(site.cloud.add("caju-large", zone, 0), site.cloud.add("caju-large", zone, 0));
+      site.cloud.add("caju-large", "sala-sul", 0);
+      site.cloud.add("caju-large", "sala-sul", 0);
+      // A first job in the zone, after which the leader has a connection to each of its machines.
+      if (!ready(site)
+          || !submit(site, "job-000001", 2, 8, 16, 2, zone)
+          || !done(site, "job-000001", Net.now() + 15)) {
+        return Site.NOT_RUN;
+      }
+      if (Site.trouble()) {
+        Worker.awaitReports(cut);
+        cut.forEach(worker -> worker.cutOff = true);
+        Net.log("the zone %s is cut off", zone);
+      }
+      double began = Net.now();
+      if (!submit(site, "job-000002", 2, 8, 16, 300, zone)) {
+        return Site.NOT_RUN;
+      }
+      while (Net.now() < began + 3 && cut.stream().anyMatch(w -> w.heldCommands() + w.live() == 0)) {
+        Net.sleep(0.02);
+      }
+      double cancelled = cancel(site, "job-000002");
+      String leader = site.state.leader();
+      if (Site.trouble()) {
+        site.kill(leader);
+        Net.sleep(6);
+        site.start(leader);
+        Net.sleep(began + 25 - Net.now());
+        String next = site.state.leader();
+        Net.log("%s leads; the cut ends for one report", next);
+        for (Worker worker : cut) {
+          worker.reportTo = site.bind(next);
+          worker.oneReport = true;
+        }
+      }
+      double limit = cancelled + 47;
+      int late = 0;
+      while (Net.now() < limit + 6) {
+        Net.sleep(0.2);
+        if (Net.now() > limit) {
+          int live = cut.stream().mapToInt(Worker::live).sum();
+          if (live > 0 && late == 0) {
+            Net.log("%d tasks run %.1f s after the cancellation", live, Net.now() - cancelled);
+          }
+          late = Math.max(late, live);
+        }
+      }
+      return result(site, late == 0);
+    }
+  }
+
+  /** Cancels a job; returns when its user was told. */
+  private static double cancel(Site site, String uid) {
+    while (true) {
+      Net.Answer answer = site.user("POST", "/submissions/" + uid + "/abort", null, 5);
+      if (answer.status() == 200) {
+        return Net.now();
+      }
+      Net.sleep(1);
+    }
+  }
 }
--- a/review/stand-in-2/Site.java
+++ b/review/stand-in-2/Site.java
@@ -14,10 +14,10 @@
  */
 final class Site implements AutoCloseable {
   /** How a case ends. */
-  static final int HELD = 0;
+  static final int HELD = 10;
 
-  static final int BROKEN = 1;
-  static final int NOT_RUN = 2;
+  static final int BROKEN = 11;
+  static final int NOT_RUN = 12;
 
   /** The settings of a deployment; times in seconds, those of the brief. */
   record Deployment(
@@ -172,8 +172,9 @@
     return binds.get(label);
   }
 
-  Process process(String label) {
-    return processes.get(label);
+  void kill(String label) {
+    processes.get(label).destroyForcibly();
+    Net.log("%s is killed", label);
   }
 
   void startAll() throws IOException {
--- a/review/stand-in-2/Worker.java
+++ b/review/stand-in-2/Worker.java
@@ -2,9 +2,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
 /** A machine's worker as PROTOCOL-plumlever.md describes it. */
@@ -19,7 +21,7 @@
     final Map<String, Job> jobs = new ConcurrentHashMap<>();
 
     /** Tasks whose next run fails. */
-    final java.util.Set<String> failing = ConcurrentHashMap.newKeySet();
+    final Set<String> failing = ConcurrentHashMap.newKeySet();
 
     World(List<String> nodes, Map<String, String> nodeByLabel, double reportS, double leaseS) {
       this.nodes = nodes;
@@ -61,19 +63,31 @@
   /** On a faulty machine every task fails soon after it has started. */
   volatile boolean faulty;
 
+  /** While the machine is cut off, it reaches nobody, and commands to it are held back or lost. */
+  volatile boolean cutOff;
+
+  /** The node to which the next report goes, or null. */
+  volatile String reportTo;
+
+  private volatile double answeredAt;
+
+  /** Set to let a cut end for one report: held commands arrive before its answer does. */
+  volatile boolean oneReport;
+
+  /** Commands on their way when the cut began. */
+  private final List<JsonNode> held = new ArrayList<>();
+
   /** How long the machine hangs after its next report; 0 if it does not. */
   volatile double hangAfterReportS;
 
   /** A hanging machine neither executes its tasks nor answers nor reports. */
   private volatile boolean hanging;
 
-  volatile int bodiesTooLong;
-  volatile int longestBody;
   volatile int starts;
   volatile int errors;
   private final World world;
   private final Map<Long, Piece> pieces = new LinkedHashMap<>();
-  private final java.util.Set<String> results = ConcurrentHashMap.newKeySet();
+  private final Set<String> results = ConcurrentHashMap.newKeySet();
   private long tenure = 1;
   private long tick;
   private long baton;
@@ -110,6 +124,39 @@
     return seconds > 0;
   }
 
+  private void awaitNetwork() {
+    while (cutOff && !oneReport && !ended) {
+      Net.sleep(0.02);
+      synchronized (this) {
+        progress();
+      }
+    }
+  }
+
+  /** Waits until each of the workers has just had an answer to a report. */
+  static void awaitReports(List<Worker> workers) {
+    double began = Net.now();
+    while (workers.stream().anyMatch(worker -> worker.answeredAt < began)) {
+      Net.sleep(0.01);
+    }
+  }
+
+  synchronized int heldCommands() {
+    return held.size();
+  }
+
+  /** Executes a request to /orders; false if token or session do not match. */
+  private boolean obey(JsonNode request) {
+    long token = request.path("baton").asLong();
+    if (token < baton || request.path("tenure").asLong() != tenure) {
+      return false;
+    }
+    changed |= token > baton;
+    baton = token;
+    request.path("orders").forEach(this::execute);
+    return true;
+  }
+
   private void awaitContinue() {
     while (hanging) {
       Net.sleep(0.02);
@@ -131,6 +178,11 @@
     String address = world.nodes.get(node);
     while (!ended) {
       awaitContinue();
+      awaitNetwork();
+      if (reportTo != null) {
+        address = reportTo;
+        reportTo = null;
+      }
       double sent = Net.now();
       long session;
       String body;
@@ -142,8 +194,18 @@
       }
       Net.Answer answer = Net.call("POST", address, "/hello", body, 4);
       double pause = 1;
+      if (oneReport) {
+        Net.log("%s reports to %s: %d", name, address, answer.status());
+      }
       if (answer.status() == 200) {
         synchronized (this) {
+          if (oneReport) {
+            held.forEach(this::obey);
+            held.clear();
+            oneReport = false;
+            cutOff = true;
+            Net.log("%s is cut off again", name);
+          }
           take(Net.parse(answer.body().getBytes()), session, sent);
         }
         pause = world.reportS * (0.75 + 0.5 * Math.random());
@@ -183,6 +245,7 @@
     changed |= token > baton;
     baton = token;
     leaseFrom = Math.max(leaseFrom, sent);
+    answeredAt = Net.now();
     response.path("orders").forEach(this::execute);
   }
 
@@ -311,28 +374,33 @@
       return null;
     }
     awaitContinue();
-    longestBody = Math.max(longestBody, body.length);
     if (body.length > MAX_BODY) {
-      bodiesTooLong++;
       Net.log("%s refuses a request of %d bytes: over 64 KiB", name, body.length);
       return new Net.Answer(413, "{}");
     }
     synchronized (this) {
       progress();
       if (path.equals("/inspect")) {
+        if (cutOff) {
+          return null;
+        }
         return new Net.Answer(200, state());
       }
       JsonNode request = Net.parse(body);
       if (!request.has("baton") || !request.has("tenure")) {
         return new Net.Answer(400, "{}");
       }
-      long token = request.path("baton").asLong();
-      if (token < baton || request.path("tenure").asLong() != tenure) {
+      if (cutOff) {
+        // A command that was on its way is delivered later. Connection attempts during the cut fail.
+        if (!request.path("orders").isEmpty()) {
+          Net.log("held back on the way to %s: %s", name, request);
+          held.add(request);
+        }
+        return null;
+      }
+      if (!obey(request)) {
         return new Net.Answer(409, state());
       }
-      changed |= token > baton;
-      baton = token;
-      request.path("orders").forEach(this::execute);
       return new Net.Answer(200, state());
     }
   }
