A new leader renews no lease before commands of earlier leaders are void

Cause: a start that the former leader had sent by direct command, held up on its way, was executed between a new leader's first heartbeat from the machine and the arrival of the answer. The answer's higher token came too late to void it, carried no stop, and renewed the lease for another lease_s.

Change: the first renewal of a term needs proof that no earlier command can be executed: the machine has shown a token of this term, or the lease has expired since anybody else can have renewed it, or no stored record lists the machine. Otherwise the heartbeat waits for a direct call that raises the token, and is answered from that call's response, so with the stops of what arrived before the raise (RenewalsAwaitingToken). Before the records are loaded all heartbeats are deferred, those of machines without tasks, too. A heartbeat overtaken by a direct response is refused while the machine runs tasks that only the response lists. TokenRaiser calls machines first whose heartbeats wait; it no longer skips machines that were renewed lately, as none is renewed before.

New: aStartThatArrivesBeforeTheTokenRaiseIsStoppedByTheFirstRenewal. LeaseRenewalTest: the idle machine's evidence has no constructor of its own any more; the same evidence is written out, and the reference model knows the new condition.

--- a/src/main/java/plumlever/fleet/Machine.java
+++ b/src/main/java/plumlever/fleet/Machine.java
@@ -26,6 +26,7 @@
   private final MachineLoad load = new MachineLoad();
   private final ImageCache images = new ImageCache();
 
+  private boolean inherited;
   private boolean accounted;
   private long preemptedAtMicros = -1;
   private boolean draining;
@@ -145,13 +146,22 @@
   }
 
   /**
-   * Records that this leader does not know all tasks on the machine, because the machine now
-   * belongs to another shard than before.
+   * Records that earlier leaders or a former owner may have started tasks on the machine that this
+   * leader does not know: a stored record lists the machine, or it belonged to another shard.
    */
-  public void markUnaccounted() {
+  public void markInherited() {
+    inherited = true;
     accounted = false;
   }
 
+  /**
+   * True if a command that an earlier leader or a former owner sent may still be executed on the
+   * machine.
+   */
+  public boolean mayExecuteEarlierCommands() {
+    return inherited && !accounted;
+  }
+
   /**
    * Time at which the cloud preempts the machine according to the preemption notice, or -1 without
    * a notice.
--- a/src/main/java/plumlever/leader/HeartbeatResponder.java
+++ b/src/main/java/plumlever/leader/HeartbeatResponder.java
@@ -7,6 +7,7 @@
 import plumlever.http.Responder;
 import plumlever.leader.context.MachineSharing;
 import plumlever.leader.context.TermContext;
+import plumlever.leader.failover.Failover;
 import plumlever.leader.heartbeat.HeartbeatHandler;
 import plumlever.leader.machine.MachineRegistry;
 import plumlever.wire.Heartbeat;
@@ -20,6 +21,7 @@
   private final MachineRegistry registry;
   private final MachineSharing sharing;
   private final SchedulingPasses passes;
+  private final Failover failover;
   private final HeartbeatScreening screening;
   private final LeaseRenewalResponder renewals;
   private final PreemptionNotices preemptionNotices;
@@ -31,6 +33,7 @@
       MachineRegistry registry,
       MachineSharing sharing,
       SchedulingPasses passes,
+      Failover failover,
       HeartbeatScreening screening,
       LeaseRenewalResponder renewals) {
     this.context = context;
@@ -39,6 +42,7 @@
     this.registry = registry;
     this.sharing = sharing;
     this.passes = passes;
+    this.failover = failover;
     this.screening = screening;
     this.renewals = renewals;
     this.preemptionNotices = new PreemptionNotices(context);
@@ -66,7 +70,10 @@
     if (heartbeats.getAndClearPlacementChanged()) {
       passes.request();
     }
-    if (freshness == HeartbeatHandler.Freshness.DUPLICATE) {
+    if (freshness == HeartbeatHandler.Freshness.DUPLICATE
+        || freshness == HeartbeatHandler.Freshness.SUPERSEDED
+            && failover.runsUntrackedTasks(machine)) {
+      // The tasks of ended jobs that only the newer message lists would not be stopped.
       context.metrics().count("heartbeat_copies");
       out.retryLater(HttpStatus.SERVICE_UNAVAILABLE, "a newer report is known", 1);
     } else if (machine.contact().unreachable()) {
@@ -85,6 +92,14 @@
     }
   }
 
+  /**
+   * Called after the response to a direct call, which lists all tasks on the machine, has been
+   * applied as its newest state.
+   */
+  void directResponseApplied(Machine machine, Heartbeat response) {
+    renewals.directResponseApplied(machine, response);
+  }
+
   /** Returns the machine of the heartbeat; adds the machine to the fleet if it is unknown. */
   private Machine findOrAddMachine(Heartbeat heartbeat) {
     Machine machine = fleet.machine(heartbeat.machineId());
--- a/src/main/java/plumlever/leader/LeaseRenewalResponder.java
+++ b/src/main/java/plumlever/leader/LeaseRenewalResponder.java
@@ -24,6 +24,7 @@
   private final MachineSharing sharing;
   private final PlannedStarts plannedStarts;
   private final CommandSender commands;
+  private final RenewalsAwaitingToken awaitingToken;
 
   LeaseRenewalResponder(
       TermContext context,
@@ -31,13 +32,15 @@
       HeartbeatResponses responses,
       MachineSharing sharing,
       PlannedStarts plannedStarts,
-      CommandSender commands) {
+      CommandSender commands,
+      RenewalsAwaitingToken awaitingToken) {
     this.context = context;
     this.heartbeats = heartbeats;
     this.responses = responses;
     this.sharing = sharing;
     this.plannedStarts = plannedStarts;
     this.commands = commands;
+    this.awaitingToken = awaitingToken;
   }
 
   /**
@@ -46,8 +49,11 @@
    * @param newest whether the heartbeat is the newest of its machine
    */
   void respond(Machine machine, Heartbeat heartbeat, boolean newest, Responder out) {
-    boolean holdsTasksOfActiveJobs = heartbeats.holdsTasksOfActiveJobs(heartbeat);
-    Optional<RenewalRefusal> refusal = responses.refusal(machine, holdsTasksOfActiveJobs);
+    awaitingToken.refuseWaiting(machine);
+    // The machine may run attempts that only the response to a direct call has listed.
+    boolean mayRunActiveJobs =
+        heartbeats.holdsTasksOfActiveJobs(heartbeat) || machine.load().liveAttempts() > 0;
+    Optional<RenewalRefusal> refusal = responses.refusal(machine, mayRunActiveJobs);
     if (refusal.isPresent()) {
       refuse(machine, heartbeat, refusal.get(), out);
       return;
@@ -59,12 +65,30 @@
     }
     // The leader's right to act may have ended since the check above if this thread ran late, so
     // renew() checks the right again.
-    if (responses.renew(machine, heartbeat, holdsTasksOfActiveJobs, due, out)) {
+    if (responses.renew(machine, heartbeat, mayRunActiveJobs, due, out)) {
       machine.recordRenewal(context.loop().nowMicros());
     }
   }
 
+  /**
+   * Answers the machine's waiting heartbeat after the response to a direct call has been applied,
+   * if the response shows that no command of an earlier leader can be executed any more.
+   *
+   * @param shown the response, which lists all tasks on the machine
+   */
+  void directResponseApplied(Machine machine, Heartbeat shown) {
+    if (!machine.mayExecuteEarlierCommands()) {
+      awaitingToken
+          .take(machine, shown.incarnation())
+          .ifPresent(out -> respond(machine, shown, false, out));
+    }
+  }
+
   private void refuse(Machine machine, Heartbeat heartbeat, RenewalRefusal refusal, Responder out) {
+    if (refusal == RenewalRefusal.EARLIER_TERM_COMMAND) {
+      awaitingToken.add(machine, heartbeat, out);
+      return;
+    }
     responses.refuse(heartbeat, refusal, out);
     if (refusal == RenewalRefusal.UNANSWERED_COMMAND) {
       // A higher fencing token invalidates the unanswered command, so that the response to the next
--- a/src/main/java/plumlever/leader/TermComponents.java
+++ b/src/main/java/plumlever/leader/TermComponents.java
@@ -3,6 +3,7 @@
 import plumlever.concurrent.RecurringTask;
 import plumlever.concurrent.Scope;
 import plumlever.fleet.Fleet;
+import plumlever.fleet.Machine;
 import plumlever.fleet.RunTimeEstimates;
 import plumlever.leader.context.MachineSharing;
 import plumlever.leader.context.TermContext;
@@ -25,6 +26,7 @@
 import plumlever.leader.scheduling.TaskStarter;
 import plumlever.sharing.PoolView;
 import plumlever.store.RecordLayout;
+import plumlever.wire.Heartbeat;
 
 /**
  * The components that work for the leader during one term. Creates them, loads the records of
@@ -65,15 +67,25 @@
     jobs.useTaskDurations(pass::durationMicros);
     RenewalDelegation delegation = new RenewalDelegation(context, fleet);
     this.commands =
-        new CommandSender(context, jobs, pass, heartbeats, starter, delegation, this::requestPass);
+        new CommandSender(
+            context,
+            jobs,
+            pass,
+            heartbeats,
+            starter,
+            delegation,
+            this::requestPass,
+            this::directResponseApplied);
     this.passes = new SchedulingPasses(context, fleet, pass, commands);
     this.registry = new MachineRegistry(context, this::requestPass);
     this.sharing = createSharing();
     this.machines = createMachineManager(delegation);
     this.warmState = new WarmState(context, fleet, estimates);
     this.dependencyListCleanup = new DependencyListCleanup(context, jobs);
-    this.tokenRaiser = new TokenRaiser(context, fleet, failover, commands);
-    this.responder = createResponder(deferredHeartbeats, starter);
+    HeartbeatResponses responses = new HeartbeatResponses(context, jobs, sharing);
+    RenewalsAwaitingToken awaitingToken = new RenewalsAwaitingToken(context, responses, commands);
+    this.tokenRaiser = new TokenRaiser(context, fleet, failover, commands, awaitingToken);
+    this.responder = createResponder(deferredHeartbeats, starter, responses, awaitingToken);
   }
 
   private MachineSharing createSharing() {
@@ -110,8 +122,10 @@
   }
 
   private HeartbeatResponder createResponder(
-      DeferredHeartbeats deferredHeartbeats, TaskStarter starter) {
-    HeartbeatResponses responses = new HeartbeatResponses(context, jobs, sharing);
+      DeferredHeartbeats deferredHeartbeats,
+      TaskStarter starter,
+      HeartbeatResponses responses,
+      RenewalsAwaitingToken awaitingToken) {
     return new HeartbeatResponder(
         context,
         fleet,
@@ -119,9 +133,20 @@
         registry,
         sharing,
         passes,
-        new HeartbeatScreening(context, machines, sharing, deferredHeartbeats, responses),
+        failover,
+        new HeartbeatScreening(context, machines, sharing, deferredHeartbeats),
         new LeaseRenewalResponder(
-            context, heartbeats, responses, sharing, new PlannedStarts(pass, starter), commands));
+            context,
+            heartbeats,
+            responses,
+            sharing,
+            new PlannedStarts(pass, starter),
+            commands,
+            awaitingToken));
+  }
+
+  private void directResponseApplied(Machine machine, Heartbeat response) {
+    responder.directResponseApplied(machine, response);
   }
 
   private void requestPass() {
--- a/src/main/java/plumlever/leader/TokenRaiser.java
+++ b/src/main/java/plumlever/leader/TokenRaiser.java
@@ -14,16 +14,15 @@
  * unknown tasks of earlier leaders receive the term's token without having to send a heartbeat
  * first. Unreachable machines are called periodically, because their heartbeats are not answered.
  */
-record TokenRaiser(TermContext context, Fleet fleet, Failover failover, CommandSender commands) {
+record TokenRaiser(
+    TermContext context,
+    Fleet fleet,
+    Failover failover,
+    CommandSender commands,
+    RenewalsAwaitingToken awaitingToken) {
   private static final long FAILOVER_INTERVAL_MICROS = 100_000;
   private static final long UNREACHABLE_INTERVAL_MICROS = 4_000_000;
 
-  /**
-   * A machine is not called within this time after a heartbeat response was sent to it, because its
-   * next heartbeat shows whether it has seen the response's token.
-   */
-  private static final long RESPONSE_SHOWS_TOKEN_MICROS = 2_000_000;
-
   /**
    * The lateness of the loop thread above which the number of concurrent calls to workers is
    * limited.
@@ -53,28 +52,26 @@
   }
 
   private void sendToUnaccounted() {
-    long now = context.loop().nowMicros();
-    // Machines that did not respond to earlier calls are called last. Otherwise dozens of machines
-    // behind a network partition would be called repeatedly and no other machine would be called.
+    // Machines whose heartbeats wait for the call come first. Machines that did not respond to
+    // earlier calls are called last. Otherwise dozens of machines behind a network partition would
+    // be called repeatedly and no other machine would be called.
     List<Machine> unaccounted = new ArrayList<>(failover.unaccounted());
     unaccounted.sort(
-        Comparator.comparingInt(machine -> machine.contact().consecutiveFailedCalls()));
+        Comparator.comparing((Machine machine) -> !awaitingToken.contains(machine))
+            .thenComparingInt(machine -> machine.contact().consecutiveFailedCalls()));
     int maxCalls = maxCalls();
     for (Machine machine : unaccounted) {
-      if (commands.tokenRaisesInFlight() >= maxCalls) {
+      if (!awaitingToken.contains(machine) && commands.tokenRaisesInFlight() >= maxCalls) {
         break;
       }
-      if (!showsTokenSoon(machine, now)) {
-        commands.sendToken(machine);
-      }
+      commands.sendToken(machine);
     }
   }
 
   /**
-   * Returns the maximum number of concurrent calls that raise fencing tokens. While the loop thread
-   * is late, the number is low so that heartbeats are handled first: a heartbeat and the response
-   * to a call both list the tasks of the machine, and every working machine sends a heartbeat
-   * within seconds.
+   * Returns the maximum number of concurrent calls that raise the fencing tokens of machines none
+   * of whose heartbeats waits for the call. While the loop thread is late, the number is low so
+   * that heartbeats are handled first: every working machine sends a heartbeat within seconds.
    */
   private int maxCalls() {
     return context.latenessMicros().getAsLong() > LATENESS_THRESHOLD_MICROS
@@ -82,11 +79,6 @@
         : Integer.MAX_VALUE;
   }
 
-  private static boolean showsTokenSoon(Machine machine, long now) {
-    long lastRenewal = machine.contact().lastRenewalMicros();
-    return lastRenewal >= 0 && now - lastRenewal <= RESPONSE_SHOWS_TOKEN_MICROS;
-  }
-
   private void sendToUnreachable() {
     for (Machine machine : fleet.machines()) {
       if (machine.contact().unreachable()) {
--- a/src/main/java/plumlever/leader/heartbeat/HeartbeatResponses.java
+++ b/src/main/java/plumlever/leader/heartbeat/HeartbeatResponses.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.Optional;
 import org.slf4j.Logger;
-import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
 import plumlever.http.Responder;
 import plumlever.leader.context.MachineSharing;
@@ -52,8 +51,8 @@
   }
 
   /** Returns why the machine's lease must not be renewed now, or empty if it may be renewed. */
-  public Optional<RenewalRefusal> refusal(Machine machine, boolean holdsTasksOfActiveJobs) {
-    return renewal.refusal(evidence(machine, holdsTasksOfActiveJobs), context.loop().nowMicros());
+  public Optional<RenewalRefusal> refusal(Machine machine, boolean mayRunActiveJobs) {
+    return renewal.refusal(evidence(machine, mayRunActiveJobs), context.loop().nowMicros());
   }
 
   /**
@@ -65,25 +64,13 @@
   public boolean renew(
       Machine machine,
       Heartbeat heartbeat,
-      boolean holdsTasksOfActiveJobs,
+      boolean mayRunActiveJobs,
       List<WorkerCommand> commands,
       Responder out) {
-    return renew(heartbeat, evidence(machine, holdsTasksOfActiveJobs), commands, out);
+    return renew(heartbeat, evidence(machine, mayRunActiveJobs), commands, out);
   }
 
-  /**
-   * Renews the lease of a machine without tasks before the leader has loaded the jobs. No task of a
-   * cancelled job can be running on the machine, and the token of the new term invalidates the
-   * commands of earlier leaders.
-   */
-  public void renewIdle(Heartbeat heartbeat, Responder out) {
-    LeaderEvidence evidence =
-        LeaderEvidence.ofIdleMachine(
-            context.term()::mayAct, Fleet.firstToken(context.term().number()));
-    renew(heartbeat, evidence, List.of(), out);
-  }
-
-  private LeaderEvidence evidence(Machine machine, boolean holdsTasksOfActiveJobs) {
+  private LeaderEvidence evidence(Machine machine, boolean mayRunActiveJobs) {
     UnansweredCommands unansweredCommands =
         machine.load().hasUnconfirmedStart()
             ? UnansweredCommands.sentAfter(machine.tokens().endedJobsReadAtLastCommandMicros())
@@ -91,9 +78,10 @@
     return new LeaderEvidence(
         context.term()::mayAct,
         machine.tokens().current(),
-        holdsTasksOfActiveJobs,
+        mayRunActiveJobs,
         jobs.endedJobsReadMicros(),
         unansweredCommands,
+        machine.mayExecuteEarlierCommands(),
         sharing.foreignTaskEvidence(machine));
   }
 
@@ -122,7 +110,7 @@
           heartbeat.sequenceNumber(),
           heartbeat.fencingToken(),
           evidence.token(),
-          evidence.holdsTasksOfActiveJobs(),
+          evidence.mayRunActiveJobs(),
           (now - evidence.endedJobsReadMicros()) / 1_000,
           commands.size());
     }
--- a/src/main/java/plumlever/leader/machine/MachineRegistry.java
+++ b/src/main/java/plumlever/leader/machine/MachineRegistry.java
@@ -79,6 +79,7 @@
       for (JsonNode node : item.data().path(MACHINES)) {
         if (fleet.machine(node.path(MACHINE_ID).asText()) == null) {
           Machine machine = readMachine(node, item.data().path(KINDS));
+          machine.markInherited();
           fleet.add(machine);
           entries.add(machine);
         }
--- a/src/main/java/plumlever/leader/pool/MachineTransfers.java
+++ b/src/main/java/plumlever/leader/pool/MachineTransfers.java
@@ -188,7 +188,7 @@
     if (machine.tokens().term() < record.number()) {
       // The machine was transferred away and back before this controller read either change.
       machine.tokens().startTerm(record.number());
-      machine.markUnaccounted();
+      machine.markInherited();
       machine.contact().recordFormerOwnerRenewal(now() + MAX_VIEW_AGE_MICROS);
       sendToken.accept(machine);
     } else if (!machine.accounted() && machine.contact().formerOwnerRenewalMicros() < 0) {
@@ -203,7 +203,6 @@
     machinesWithoutOwnTasks.remove(details.id());
     if (machine != null) {
       fleet.removeTransferred(machine);
-      machine.markUnaccounted();
     } else {
       machine =
           new Machine(
@@ -214,6 +213,7 @@
               details.spot(),
               now() - bootMicros(details.machineType()));
     }
+    machine.markInherited();
     machine.tokens().startTerm(record.number());
     machine.contact().recordFormerOwnerRenewal(now() + MAX_VIEW_AGE_MICROS);
     fleet.add(machine);
--- a/src/main/java/plumlever/leader/scheduling/CommandSender.java
+++ b/src/main/java/plumlever/leader/scheduling/CommandSender.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import plumlever.fleet.Attempt;
 import plumlever.fleet.Fleet;
 import plumlever.fleet.HeartbeatSource;
@@ -47,6 +48,7 @@
   private final TaskStarter starter;
   private final RenewalDelegation delegation;
   private final Runnable onPlacementChange;
+  private final BiConsumer<Machine, Heartbeat> onResponseApplied;
   private final WorkerCalls calls;
   private final AttemptLog attemptLog;
   private int startsInFlight;
@@ -57,6 +59,8 @@
    * Creates the sender of direct commands for one term.
    *
    * @param onPlacementChange runs when a worker's response changes the input of placement
+   * @param onResponseApplied receives each worker's response that has been applied as the newest
+   *     state of its machine
    */
   public CommandSender(
       TermContext context,
@@ -65,7 +69,8 @@
       HeartbeatHandler heartbeats,
       TaskStarter starter,
       RenewalDelegation delegation,
-      Runnable onPlacementChange) {
+      Runnable onPlacementChange,
+      BiConsumer<Machine, Heartbeat> onResponseApplied) {
     this.context = context;
     this.jobs = jobs;
     this.pass = pass;
@@ -73,6 +78,7 @@
     this.starter = starter;
     this.delegation = delegation;
     this.onPlacementChange = onPlacementChange;
+    this.onResponseApplied = onResponseApplied;
     this.calls = new WorkerCalls(context);
     this.attemptLog = new AttemptLog(context);
   }
@@ -137,11 +143,7 @@
           context
               .metrics()
               .recordDuration("direct_command", context.loop().nowMicros() - sentMicros);
-          response
-              .heartbeat()
-              .ifPresent(
-                  heartbeat ->
-                      heartbeats.apply(machine, heartbeat, HeartbeatSource.DIRECT_RESPONSE));
+          response.heartbeat().ifPresent(heartbeat -> applyResponse(machine, heartbeat));
           if (response instanceof WorkerResponse.Refused) {
             heartbeats.endRefusedStarts(sent);
           } else if (response instanceof WorkerResponse.Unanswered) {
@@ -192,7 +194,7 @@
     boolean incarnationChanged =
         response instanceof WorkerResponse.Refused
             && heartbeat.incarnation() != machine.contact().incarnation();
-    heartbeats.apply(machine, heartbeat, HeartbeatSource.DIRECT_RESPONSE);
+    applyResponse(machine, heartbeat);
     if (incarnationChanged && !machine.accounted()) {
       // Sends the command again with the current incarnation, which the response contained: the
       // machine refused the command because it named another incarnation.
@@ -201,6 +203,13 @@
     notifyPlacementChange();
   }
 
+  private void applyResponse(Machine machine, Heartbeat response) {
+    if (heartbeats.apply(machine, response, HeartbeatSource.DIRECT_RESPONSE)
+        == HeartbeatHandler.Freshness.LATEST) {
+      onResponseApplied.accept(machine, response);
+    }
+  }
+
   /**
    * Requests the machine's state without sending a command, which also works in delegated zones.
    * Does nothing in the cases in which {@link #sendToken} does nothing.
@@ -219,7 +228,7 @@
           tokenRaiseEnded(machine);
           machine.contact().recordDirectCall(state.isPresent());
           if (state.isPresent() && !closed && context.term().mayAct()) {
-            heartbeats.apply(machine, state.get(), HeartbeatSource.DIRECT_RESPONSE);
+            applyResponse(machine, state.get());
             notifyPlacementChange();
           }
         });
--- a/src/main/java/plumlever/lease/LeaderEvidence.java
+++ b/src/main/java/plumlever/lease/LeaderEvidence.java
@@ -6,34 +6,34 @@
 /**
  * What the leader that owns a machine knows when it decides whether to renew the machine's lease.
  *
+ * <p>The leader does not know which commands earlier leaders, or former owners of the machine, have
+ * sent. Such a command can be executed until the machine has seen a token of this leader's term.
+ * The response carries such a token, but the command may be executed before the response arrives;
+ * the response would then prolong a task that it does not stop. So the lease is renewed only once
+ * no such command can be executed.
+ *
  * @param mayAct whether the leader may still act according to the clock; checked when the response
  *     is built
  * @param token the machine's current token, higher than that of every command that was not answered
  *     within its timeout
- * @param holdsTasksOfActiveJobs true if the heartbeat lists a task of a job that is not known to
- *     have ended
+ * @param mayRunActiveJobs true if a task of a job that is not known to have ended is known to be on
+ *     the machine: a heartbeat or the response to a direct call has listed it
  * @param endedJobsReadMicros time at which the last answered read of ended jobs was sent
  * @param unansweredCommands commands that may start tasks that the heartbeat does not list
+ * @param earlierCommandsPossible true if a command that an earlier leader or a former owner sent
+ *     may still be executed
  * @param foreignTasks what is known of the tasks of other shards on the machine
  */
 public record LeaderEvidence(
     BooleanSupplier mayAct,
     long token,
-    boolean holdsTasksOfActiveJobs,
+    boolean mayRunActiveJobs,
     long endedJobsReadMicros,
     UnansweredCommands unansweredCommands,
+    boolean earlierCommandsPossible,
     ForeignTaskEvidence foreignTasks)
     implements RenewalEvidence {
 
-  /**
-   * Returns what the leader knows about a machine without tasks to which this leader has sent no
-   * command.
-   */
-  public static LeaderEvidence ofIdleMachine(BooleanSupplier mayAct, long token) {
-    return new LeaderEvidence(
-        mayAct, token, false, 0, UnansweredCommands.NONE, ForeignTaskEvidence.NONE);
-  }
-
   @Override
   public Optional<RenewalRefusal> refusal(RenewalLimit limit, long nowMicros) {
     if (!mayAct.getAsBoolean()) {
@@ -45,11 +45,13 @@
     if (!unansweredCommandsEndInTime(limit, nowMicros)) {
       return Optional.of(RenewalRefusal.UNANSWERED_COMMAND);
     }
-    return Optional.empty();
+    return earlierCommandsPossible
+        ? Optional.of(RenewalRefusal.EARLIER_TERM_COMMAND)
+        : Optional.empty();
   }
 
   private boolean ownTasksEndInTime(RenewalLimit limit, long nowMicros) {
-    boolean mayRun = holdsTasksOfActiveJobs || unansweredCommands.exist();
+    boolean mayRun = mayRunActiveJobs || unansweredCommands.exist();
     return !mayRun || limit.mayRenew(nowMicros, endedJobsReadMicros);
   }
 
--- a/src/main/java/plumlever/lease/RenewalRefusal.java
+++ b/src/main/java/plumlever/lease/RenewalRefusal.java
@@ -13,6 +13,9 @@
   /** A command in flight may start a task that the heartbeat does not list. */
   UNANSWERED_COMMAND("a command without an answer may still be carried out"),
 
+  /** A command of an earlier leader or owner may still be executed before the response arrives. */
+  EARLIER_TERM_COMMAND("a command of an earlier term may still be carried out"),
+
   /** The last read of the delegation under which leases are renewed has expired. */
   DELEGATION_OVER("the leader's delegation has run out"),
 
--- a/src/test/java/plumlever/lease/LeaseRenewalTest.java
+++ b/src/test/java/plumlever/lease/LeaseRenewalTest.java
@@ -81,12 +81,36 @@
   void aLeaderThatMayNotActRenewsNothing() {
     assertEquals(
         Optional.of(RenewalRefusal.NOT_LEADING),
-        refusal(LeaderEvidence.ofIdleMachine(() -> false, TOKEN)));
+        refusal(
+            new LeaderEvidence(
+                () -> false,
+                TOKEN,
+                false,
+                NOW_MICROS,
+                UnansweredCommands.NONE,
+                false,
+                ForeignTaskEvidence.NONE)));
   }
 
   @Test
   void aLeaderThatMayActRenewsForAnIdleMachine() {
-    assertEquals(Optional.empty(), refusal(LeaderEvidence.ofIdleMachine(() -> true, TOKEN)));
+    assertEquals(Optional.empty(), refusal(leader(false, 0, UnansweredCommands.NONE)));
+  }
+
+  /** Guards against a renewal that prolongs a task which an earlier leader's command starts. */
+  @Test
+  void aPossibleCommandOfAnEarlierLeaderPreventsRenewalAlthoughNoTaskIsListed() {
+    assertEquals(
+        Optional.of(RenewalRefusal.EARLIER_TERM_COMMAND),
+        refusal(
+            new LeaderEvidence(
+                () -> true,
+                TOKEN,
+                false,
+                NOW_MICROS,
+                UnansweredCommands.NONE,
+                true,
+                ForeignTaskEvidence.NONE)));
   }
 
   /**
@@ -130,6 +154,7 @@
         hasUnfinishedAttempts,
         endedJobsRead,
         unanswered,
+        false,
         ForeignTaskEvidence.NONE);
   }
 
@@ -140,7 +165,7 @@
         Optional.of(RenewalRefusal.ENDED_JOBS_UNKNOWN),
         refusal(
             new LeaderEvidence(
-                () -> true, TOKEN, false, NOW_MICROS, UnansweredCommands.NONE, unknown)));
+                () -> true, TOKEN, false, NOW_MICROS, UnansweredCommands.NONE, false, unknown)));
   }
 
   /**
@@ -156,6 +181,7 @@
       boolean listed = random.nextBoolean();
       boolean unanswered = random.nextBoolean();
       boolean foreignTask = random.nextBoolean();
+      boolean earlierCommand = random.nextBoolean();
       long endedJobsRead = NOW_MICROS - random.nextLong(2 * CANCEL_MICROS);
       long readBeforeCommand = NOW_MICROS - random.nextLong(2 * CANCEL_MICROS);
       long foreignJobsRead = NOW_MICROS - random.nextLong(2 * CANCEL_MICROS);
@@ -168,12 +194,14 @@
               unanswered
                   ? UnansweredCommands.sentAfter(readBeforeCommand)
                   : UnansweredCommands.NONE,
+              earlierCommand,
               foreignTask
                   ? new ForeignTaskEvidence(true, foreignJobsRead)
                   : ForeignTaskEvidence.NONE);
       if (refusal(evidence).isEmpty()) {
         renewed++;
         long ends = NOW_MICROS + LEASE_MICROS;
+        assertTrue(!earlierCommand);
         assertTrue(!listed || ends < endedJobsRead + CANCEL_MICROS);
         assertTrue(
             !unanswered
--- a/src/test/java/plumlever/sim/HeldStartTest.java
+++ b/src/test/java/plumlever/sim/HeldStartTest.java
@@ -40,6 +40,9 @@
   /** A time after which a lease renewed at the beginning still runs. */
   private static final long LATE_IN_THE_LEASE_MICROS = 18_500_000;
 
+  /** A delay of direct calls after which they arrive later than the held start. */
+  private static final long CALL_DELAY_MICROS = 400_000;
+
   private SimulatedCluster cluster;
   private FakeUsers users;
   private final List<JobSpec> runningJobs = new ArrayList<>();
@@ -193,13 +196,15 @@
 
   /**
    * Lets a held direct start arrive between the first heartbeat that a new leader answers and the
-   * answer, after which the machine reaches nobody and is reached by nobody. The job is cancelled
-   * right after the start was sent.
+   * answer, after which the machine reaches nobody. The job is cancelled right after the start was
+   * sent.
    *
    * @param cancelMicros the limit in the controllers' settings
+   * @param callsReachMachine whether direct calls reach the machine from its heartbeat on, but only
+   *     after the held start
    * @return microseconds from the confirmed cancellation until the task was gone
    */
-  private long runTimeAfterCancellation(long seed, long cancelMicros) {
+  private long runTimeAfterCancellation(long seed, long cancelMicros, boolean callsReachMachine) {
     cluster =
         new SimulatedCluster(
             seed,
@@ -234,11 +239,16 @@
     cluster.leader().crash(300);
     cluster.runFor((arrivesMicros - cluster.now() - 300_000) / 1e6);
     cluster.network.machinesWithLostHeartbeats.clear();
-    cluster.network.extraHeartbeatResponseDelayMicros = 1_000_000;
+    if (callsReachMachine) {
+      cluster.network.machinesWithLostCalls.clear();
+      cluster.network.extraCommandDelayMicros = CALL_DELAY_MICROS;
+    } else {
+      cluster.network.extraHeartbeatResponseDelayMicros = 1_000_000;
+    }
     vm.worker.sendHeartbeatNow(cluster.leader().platform.label());
     cluster.runFor(0.2);
     cluster.network.machinesWithLostHeartbeats.add(vm.id);
-    cluster.runFor(1.5);
+    cluster.runFor(0.15);
     assertTrue(vm.worker.hasLiveTasks(), "expected that the held start was executed");
     while (vm.worker.hasLiveTasks()) {
       cluster.runFor(0.01);
@@ -250,7 +260,7 @@
   @ParameterizedTest
   @ValueSource(longs = {231, 232, 233})
   void aStartThatArrivesDuringANewLeadersFirstRenewalEndsWithThatLease(long seed) {
-    long ran = runTimeAfterCancellation(seed, InvariantChecker.CANCEL_MICROS);
+    long ran = runTimeAfterCancellation(seed, InvariantChecker.CANCEL_MICROS, false);
     assertTrue(ran < 2 * FakeWorker.LEASE_MICROS, "ran for " + ran / 1e6 + " s");
     assertEquals(List.of(), cluster.invariants.violations);
   }
@@ -258,8 +268,22 @@
   @Test
   void aStartThatArrivesDuringANewLeadersFirstRenewalEndsWithinTheCancellationLimit() {
     long limitMicros = 30_000_000;
-    long ran = runTimeAfterCancellation(231, limitMicros);
+    long ran = runTimeAfterCancellation(231, limitMicros, false);
     assertTrue(
         ran <= limitMicros, "ran for " + ran / 1e6 + " s after the cancellation was confirmed");
   }
+
+  /** Guards against a first renewal that does not stop what only the token raise has shown. */
+  @ParameterizedTest
+  @ValueSource(longs = {241, 242, 243})
+  void aStartThatArrivesBeforeTheTokenRaiseIsStoppedByTheFirstRenewal(long seed) {
+    long ran = runTimeAfterCancellation(seed, InvariantChecker.CANCEL_MICROS, true);
+    assertTrue(
+        cluster.leader().controller().metrics().counter("renewals_awaiting_token") > 0,
+        "expected a renewal to be held");
+    assertTrue(
+        ran < LATE_IN_THE_LEASE_MICROS + 2_500_000,
+        "the task ended " + ran / 1e6 + " s after the cancellation was confirmed");
+    assertEquals(List.of(), cluster.invariants.violations);
+  }
 }
