A delegate renews no lease before commands of the leader are void

The delegation's token is above the command's, but it arrives with the answer.

Change: DelegateEvidence refuses while the machine has not shown the delegation's token; the delegate then raises it by a direct call without commands (TokenRaise) and answers the heartbeat from the response, which lists what arrived before. The token is the leader's, so it has one author still.

--- a/src/main/java/plumlever/Controller.java
+++ b/src/main/java/plumlever/Controller.java
@@ -217,6 +217,7 @@
             delegatedRenewal,
             jobRecords,
             new LeaseRenewal(new RenewalLimit(environment.platform().workers())),
+            clients.httpClient(),
             clients.metrics(),
             environment.loggerProvider());
     return new HeartbeatEndpoint(
--- a/src/main/java/plumlever/http/DelegatedHeartbeatHandler.java
+++ b/src/main/java/plumlever/http/DelegatedHeartbeatHandler.java
@@ -29,7 +29,8 @@
  * <p>The response carries the fencing token that the leader stored with the delegation. This token
  * invalidates start commands that the leader sent earlier. If the response only repeated the token
  * of the heartbeat, the worker could still execute such a command minutes later, after the job's
- * cancellation.
+ * cancellation. The first response waits until the machine has seen the token, because such a
+ * command could also be executed before that response arrives.
  */
 public final class DelegatedHeartbeatHandler {
   private static final int MAX_LOG_LINES_PER_SECOND = 20;
@@ -38,6 +39,7 @@
   private final DelegatedRenewal delegation;
   private final JobRecordCache jobs;
   private final LeaseRenewal renewal;
+  private final TokenRaise tokenRaise;
   private final Metrics metrics;
   private final Logger log;
   private final LogRateLimiter logRateLimiter;
@@ -47,18 +49,21 @@
    * controller to renew leases in a zone) is valid.
    *
    * @param jobs provides the ended jobs, whose tasks are stopped
+   * @param httpClient sends the calls that raise the machines' fencing tokens
    */
   public DelegatedHeartbeatHandler(
       EventLoop loop,
       DelegatedRenewal delegation,
       JobRecordCache jobs,
       LeaseRenewal renewal,
+      HttpClient httpClient,
       Metrics metrics,
       LoggerProvider loggerProvider) {
     this.loop = loop;
     this.delegation = delegation;
     this.jobs = jobs;
     this.renewal = renewal;
+    this.tokenRaise = new TokenRaise(httpClient);
     this.metrics = metrics;
     this.log = loggerProvider.of(DelegatedHeartbeatHandler.class);
     this.logRateLimiter = new LogRateLimiter(log, MAX_LOG_LINES_PER_SECOND);
@@ -75,16 +80,43 @@
         delegation.renewalRight(heartbeat.zone());
     // Check the conditions that do not depend on the jobs first, so that no jobs are looked up for
     // a heartbeat that is refused anyway.
-    if (renewalRight.isEmpty()
-        || renewal
-            .refusal(evidence(renewalRight.get(), heartbeat, loop.nowMicros()), loop.nowMicros())
-            .isPresent()) {
-      renewalRight.ifPresent(known -> logRefusal(heartbeat, known, "before the job lookup"));
+    if (renewalRight.isEmpty()) {
       return false;
     }
+    Optional<RenewalRefusal> refusal =
+        renewal.refusal(
+            evidence(renewalRight.get(), heartbeat, loop.nowMicros()), loop.nowMicros());
+    if (refusal.isEmpty()) {
+      lookUpJobs(heartbeat, out);
+      return true;
+    }
+    if (refusal.get() == RenewalRefusal.UNANSWERED_COMMAND) {
+      raiseToken(heartbeat, renewalRight.get(), out);
+      return true;
+    }
+    logRefusal(heartbeat, renewalRight.get(), "before the job lookup");
+    return false;
+  }
+
+  /**
+   * Raises the machine's token to the delegation's by a direct call, and responds to the heartbeat
+   * with the tasks that the machine lists after that.
+   */
+  private void raiseToken(
+      Heartbeat heartbeat, DelegatedRenewal.RenewalRight renewalRight, Responder out) {
+    metrics.count("tokens_raised_for_leader");
+    tokenRaise.send(
+        heartbeat,
+        renewalRight.token(),
+        state ->
+            state.ifPresentOrElse(
+                shown -> lookUpJobs(shown, out),
+                () -> refuse(heartbeat, RenewalRefusal.UNANSWERED_COMMAND, out)));
+  }
+
+  private void lookUpJobs(Heartbeat heartbeat, Responder out) {
     jobs.findEnded(
         liveJobIds(heartbeat), endedJobs -> respondWithEndedJobs(heartbeat, endedJobs, out));
-    return true;
   }
 
   private void respondWithEndedJobs(
