Controllers tell each other which starts are settled; failovers call few machines

Cause: with the rule that a new leader renews no lease before earlier commands are void, it had to call every machine at each failover.

Change: the response to a peer's status carries, from a leader that may act, the age of its last read of ended jobs and the machines that may execute unanswered starts of this or an earlier term. It answers a request, so it is younger than the request; no clocks are compared. The next leader renews a machine's lease at once while it ends in time for a cancellation that came right after that read (SettledCommands, the check that UnansweredCommands has), and calls the machine otherwise: where a start was unanswered, after all controllers ended, in a pool, or if the read is too old. Idle machines are renewed before the records are loaded again, by the same check. Former versions answer {} and ignore the report, so during an upgrade machines are called. Token raises stop looking for machines once their limit is reached.

--- a/src/main/java/plumlever/Controller.java
+++ b/src/main/java/plumlever/Controller.java
@@ -23,9 +23,11 @@
 import plumlever.leader.Leader;
 import plumlever.lease.LeaseRenewal;
 import plumlever.lease.RenewalLimit;
+import plumlever.lease.SettledCommands;
 import plumlever.metrics.LoggerProvider;
 import plumlever.metrics.Metrics;
 import plumlever.peer.Peers;
+import plumlever.peer.SettlementReport;
 import plumlever.settings.OperatorSettings;
 import plumlever.settings.PlatformConfiguration;
 import plumlever.settings.SchedulerParameters;
@@ -169,9 +171,16 @@
         clients.httpClient(),
         environment.platform(),
         ownStatus::current,
+        () -> leadership.leader().flatMap(Leader::settledCommands).map(this::toReport),
         cancellations::confirmedByPeer);
   }
 
+  private SettlementReport toReport(SettledCommands settled) {
+    return new SettlementReport(
+        environment.loop().nowMicros() - settled.endedJobsReadMicros(),
+        settled.unsettledMachines());
+  }
+
   private RequestRouter createRouter() {
     ServingHealth health =
         new ControllerHealth(
--- a/src/main/java/plumlever/PeerReports.java
+++ b/src/main/java/plumlever/PeerReports.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 import plumlever.http.TaskCounts;
+import plumlever.lease.ClockDrift;
+import plumlever.lease.SettledCommands;
 import plumlever.peer.PeerStatus;
 import plumlever.peer.Peers;
 import plumlever.settings.SharingSettings;
@@ -53,6 +55,24 @@
         .orElse(0);
   }
 
+  /**
+   * Returns what the leaders before this controller's next term have reported about their start
+   * commands. In a pool, where leaders of several shards report, nothing is relied on.
+   */
+  SettledCommands settledCommands() {
+    return peers
+        .latestSettlement()
+        .filter(received -> sharing.isEmpty())
+        .map(PeerReports::toSettledCommands)
+        .orElse(SettledCommands.UNKNOWN);
+  }
+
+  private static SettledCommands toSettledCommands(Peers.ReceivedSettlement received) {
+    long readAgeMicros = ClockDrift.maxElapsedMicros(received.report().endedJobsReadAgeMicros());
+    return new SettledCommands(
+        received.requestSentMicros() - readAgeMicros, received.report().unsettledMachines());
+  }
+
   private boolean isOfOwnShard(String label) {
     return sharing.isEmpty() || sharing.get().ownShard().controllers().contains(label);
   }
--- a/src/main/java/plumlever/TermContextFactory.java
+++ b/src/main/java/plumlever/TermContextFactory.java
@@ -34,6 +34,7 @@
         lateness::micros,
         environment.loggerProvider(),
         platform.costMatters(parameters.provisioningMicros()),
-        environment.settings().sharing());
+        environment.settings().sharing(),
+        peers.settledCommands());
   }
 }
--- a/src/main/java/plumlever/leader/HeartbeatScreening.java
+++ b/src/main/java/plumlever/leader/HeartbeatScreening.java
@@ -5,6 +5,7 @@
 import plumlever.leader.context.MachineSharing;
 import plumlever.leader.context.TermContext;
 import plumlever.leader.heartbeat.DeferredHeartbeats;
+import plumlever.leader.heartbeat.HeartbeatResponses;
 import plumlever.leader.machine.MachineManager;
 import plumlever.wire.Heartbeat;
 import plumlever.wire.HttpStatus;
@@ -21,17 +22,20 @@
   private final MachineManager machines;
   private final MachineSharing sharing;
   private final DeferredHeartbeats deferredHeartbeats;
+  private final HeartbeatResponses responses;
   private boolean recordsLoaded;
 
   HeartbeatScreening(
       TermContext context,
       MachineManager machines,
       MachineSharing sharing,
-      DeferredHeartbeats deferredHeartbeats) {
+      DeferredHeartbeats deferredHeartbeats,
+      HeartbeatResponses responses) {
     this.context = context;
     this.machines = machines;
     this.sharing = sharing;
     this.deferredHeartbeats = deferredHeartbeats;
+    this.responses = responses;
   }
 
   /** Called once the records of earlier leaders have been loaded. */
@@ -69,9 +73,10 @@
     if (recordsLoaded) {
       return false;
     }
-    // Until the records are loaded, this leader knows neither which jobs have ended nor whether a
-    // command of an earlier leader may still start a task on the machine.
-    deferredHeartbeats.defer(heartbeat, out);
+    // Until the records are loaded, this leader does not know which jobs have ended.
+    if (heartbeat.hasUnfinishedAttempts() || !responses.tryRenewIdle(heartbeat, out)) {
+      deferredHeartbeats.defer(heartbeat, out);
+    }
     return true;
   }
 
--- a/src/main/java/plumlever/leader/Leader.java
+++ b/src/main/java/plumlever/leader/Leader.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.slf4j.Logger;
 import plumlever.concurrent.Scope;
 import plumlever.fleet.Fleet;
@@ -13,6 +14,7 @@
 import plumlever.leader.context.TermContext;
 import plumlever.leader.heartbeat.DeferredHeartbeats;
 import plumlever.leader.record.RecoveryRead;
+import plumlever.lease.SettledCommands;
 import plumlever.wire.Heartbeat;
 import plumlever.wire.JobState;
 import plumlever.wire.RelayedHeartbeat;
@@ -24,6 +26,9 @@
  * jobs and defers the heartbeats of machines with tasks.
  */
 public final class Leader implements AutoCloseable {
+  /** More unsettled machines than this are not reported, so that the report stays short. */
+  private static final int MAX_UNSETTLED_REPORTED = 200;
+
   private final Logger log;
   private final TermContext context;
   private final Scope scope = new Scope();
@@ -95,6 +100,20 @@
     return components.failover().isComplete();
   }
 
+  /**
+   * Returns which start commands are settled, for the controllers that may lead next; empty while
+   * this leader may not act or does not know all commands of earlier leaders that may be unsettled.
+   */
+  public Optional<SettledCommands> settledCommands() {
+    if (!loaded || !mayAct() || context.sharing().isPresent()) {
+      return Optional.empty();
+    }
+    Set<String> unsettled = components.unsettledMachines();
+    return unsettled.size() > MAX_UNSETTLED_REPORTED
+        ? Optional.empty()
+        : Optional.of(new SettledCommands(components.jobs().endedJobsReadMicros(), unsettled));
+  }
+
   /** Returns the job, or empty if this leader does not know the job. */
   public Optional<Job> job(String uid) {
     return loaded ? Optional.ofNullable(components.jobs().get(uid)) : Optional.empty();
--- a/src/main/java/plumlever/leader/RenewalsAwaitingToken.java
+++ b/src/main/java/plumlever/leader/RenewalsAwaitingToken.java
@@ -19,7 +19,7 @@
  */
 final class RenewalsAwaitingToken {
   /** Longer than the timeout of a direct call; shorter than a worker's request timeout of 4 s. */
-  private static final long MAX_WAIT_MICROS = 2_000_000;
+  private static final long MAX_WAIT_MICROS = 3_000_000;
 
   private record Waiting(Heartbeat heartbeat, Responder out) {}
 
--- a/src/main/java/plumlever/leader/TermComponents.java
+++ b/src/main/java/plumlever/leader/TermComponents.java
@@ -1,5 +1,7 @@
 package plumlever.leader;
 
+import java.util.HashSet;
+import java.util.Set;
 import plumlever.concurrent.RecurringTask;
 import plumlever.concurrent.Scope;
 import plumlever.fleet.Fleet;
@@ -134,7 +136,7 @@
         sharing,
         passes,
         failover,
-        new HeartbeatScreening(context, machines, sharing, deferredHeartbeats),
+        new HeartbeatScreening(context, machines, sharing, deferredHeartbeats, responses),
         new LeaseRenewalResponder(
             context,
             heartbeats,
@@ -157,6 +159,20 @@
     passes.startedJobsRecorded();
   }
 
+  /**
+   * Returns the machines that may execute start commands which this leader or an earlier one sent
+   * in direct calls and which are neither answered nor void.
+   */
+  Set<String> unsettledMachines() {
+    Set<String> unsettled = new HashSet<>();
+    for (Machine machine : fleet.machines()) {
+      if (machine.load().hasUnconfirmedStart() || machine.mayExecuteEarlierCommands()) {
+        unsettled.add(machine.id());
+      }
+    }
+    return unsettled;
+  }
+
   MachineSharing sharing() {
     return sharing;
   }
--- a/src/main/java/plumlever/leader/TokenRaiser.java
+++ b/src/main/java/plumlever/leader/TokenRaiser.java
@@ -23,6 +23,12 @@
   private static final long FAILOVER_INTERVAL_MICROS = 100_000;
   private static final long UNREACHABLE_INTERVAL_MICROS = 4_000_000;
 
+  /**
+   * A machine is not called within this time after a heartbeat response was sent to it, because its
+   * next heartbeat shows whether it has seen the response's token.
+   */
+  private static final long RESPONSE_SHOWS_TOKEN_MICROS = 2_000_000;
+
   /**
    * The lateness of the loop thread above which the number of concurrent calls to workers is
    * limited.
@@ -52,6 +58,9 @@
   }
 
   private void sendToUnaccounted() {
+    if (commands.tokenRaisesInFlight() >= CommandSender.MAX_TOKEN_RAISES_IN_FLIGHT) {
+      return;
+    }
     // Machines whose heartbeats wait for the call come first. Machines that did not respond to
     // earlier calls are called last. Otherwise dozens of machines behind a network partition would
     // be called repeatedly and no other machine would be called.
@@ -61,13 +70,23 @@
             .thenComparingInt(machine -> machine.contact().consecutiveFailedCalls()));
     int maxCalls = maxCalls();
     for (Machine machine : unaccounted) {
-      if (!awaitingToken.contains(machine) && commands.tokenRaisesInFlight() >= maxCalls) {
+      int limit =
+          awaitingToken.contains(machine) ? CommandSender.MAX_TOKEN_RAISES_IN_FLIGHT : maxCalls;
+      if (commands.tokenRaisesInFlight() >= limit) {
         break;
       }
-      commands.sendToken(machine);
+      if (!showsTokenSoon(machine)) {
+        commands.sendToken(machine);
+      }
     }
   }
 
+  private boolean showsTokenSoon(Machine machine) {
+    long lastRenewal = machine.contact().lastRenewalMicros();
+    return lastRenewal >= 0
+        && context.loop().nowMicros() - lastRenewal <= RESPONSE_SHOWS_TOKEN_MICROS;
+  }
+
   /**
    * Returns the maximum number of concurrent calls that raise the fencing tokens of machines none
    * of whose heartbeats waits for the call. While the loop thread is late, the number is low so
@@ -76,7 +95,7 @@
   private int maxCalls() {
     return context.latenessMicros().getAsLong() > LATENESS_THRESHOLD_MICROS
         ? MAX_CALLS_WHILE_LATE
-        : Integer.MAX_VALUE;
+        : CommandSender.MAX_TOKEN_RAISES_IN_FLIGHT;
   }
 
   private void sendToUnreachable() {
--- a/src/main/java/plumlever/leader/context/TermContext.java
+++ b/src/main/java/plumlever/leader/context/TermContext.java
@@ -10,6 +10,7 @@
 import plumlever.election.LeaderElection;
 import plumlever.election.Term;
 import plumlever.http.HttpClient;
+import plumlever.lease.SettledCommands;
 import plumlever.metrics.LoggerProvider;
 import plumlever.metrics.Metrics;
 import plumlever.settings.PlatformConfiguration;
@@ -45,6 +46,8 @@
  *     machines for each machine of each pass
  * @param sharing how the machines of a pool are shared, if this leader's shard belongs to a pool;
  *     used by the recovery read, by the delegation of renewals and when the components are created
+ * @param settledCommands what earlier leaders reported about their start commands; used for the
+ *     first renewal of each machine
  */
 public record TermContext(
     EventLoop loop,
@@ -63,7 +66,8 @@
     LongSupplier latenessMicros,
     LoggerProvider loggerProvider,
     boolean costMatters,
-    Optional<SharingSettings> sharing) {
+    Optional<SharingSettings> sharing,
+    SettledCommands settledCommands) {
 
   /** Lists the records of earlier leaders on a thread other than the loop thread. */
   public interface RecoveryReader {
--- a/src/main/java/plumlever/leader/heartbeat/HeartbeatResponses.java
+++ b/src/main/java/plumlever/leader/heartbeat/HeartbeatResponses.java
@@ -3,11 +3,13 @@
 import java.util.List;
 import java.util.Optional;
 import org.slf4j.Logger;
+import plumlever.fleet.Fleet;
 import plumlever.fleet.Machine;
 import plumlever.http.Responder;
 import plumlever.leader.context.MachineSharing;
 import plumlever.leader.context.TermContext;
 import plumlever.leader.job.ActiveJobs;
+import plumlever.lease.ForeignTaskEvidence;
 import plumlever.lease.LeaderEvidence;
 import plumlever.lease.LeaseRenewal;
 import plumlever.lease.RenewalDecision;
@@ -70,6 +72,26 @@
     return renew(heartbeat, evidence(machine, mayRunActiveJobs), commands, out);
   }
 
+  /**
+   * Renews the lease of a machine without tasks before the leader has loaded the jobs, if every
+   * start command of earlier leaders that the machine may still execute was sent lately.
+   *
+   * @return false if the lease may not be renewed; no response has been sent
+   */
+  public boolean tryRenewIdle(Heartbeat heartbeat, Responder out) {
+    LeaderEvidence evidence =
+        new LeaderEvidence(
+            context.term()::mayAct,
+            Fleet.firstToken(context.term().number()),
+            false,
+            0,
+            UnansweredCommands.NONE,
+            context.settledCommands().unansweredOn(heartbeat.machineId()),
+            ForeignTaskEvidence.NONE);
+    return renewal.refusal(evidence, context.loop().nowMicros()).isEmpty()
+        && renew(heartbeat, evidence, List.of(), out);
+  }
+
   private LeaderEvidence evidence(Machine machine, boolean mayRunActiveJobs) {
     UnansweredCommands unansweredCommands =
         machine.load().hasUnconfirmedStart()
@@ -81,10 +103,16 @@
         mayRunActiveJobs,
         jobs.endedJobsReadMicros(),
         unansweredCommands,
-        machine.mayExecuteEarlierCommands(),
+        earlierCommands(machine),
         sharing.foreignTaskEvidence(machine));
   }
 
+  private UnansweredCommands earlierCommands(Machine machine) {
+    return machine.mayExecuteEarlierCommands()
+        ? context.settledCommands().unansweredOn(machine.id())
+        : UnansweredCommands.NONE;
+  }
+
   private boolean renew(
       Heartbeat heartbeat, LeaderEvidence evidence, List<WorkerCommand> commands, Responder out) {
     RenewalDecision decision = renewal.decide(evidence, commands, context.loop().nowMicros());
--- a/src/main/java/plumlever/leader/scheduling/CommandSender.java
+++ b/src/main/java/plumlever/leader/scheduling/CommandSender.java
@@ -39,7 +39,8 @@
    */
   private static final int MAX_STARTS_IN_FLIGHT = 48;
 
-  private static final int MAX_TOKEN_RAISES_IN_FLIGHT = 64;
+  /** Maximum number of concurrent calls that raise a token or request a machine's state. */
+  public static final int MAX_TOKEN_RAISES_IN_FLIGHT = 64;
 
   private final TermContext context;
   private final ActiveJobs jobs;
@@ -249,12 +250,11 @@
    * may be sent now, otherwise empty.
    */
   private Optional<Endpoint> endpointForTokenRaise(Machine machine) {
-    Optional<Endpoint> endpoint = endpoint(machine);
     return machine.contact().commandInFlight()
             || tokenRaisesInFlight >= MAX_TOKEN_RAISES_IN_FLIGHT
             || !context.term().mayAct()
         ? Optional.empty()
-        : endpoint;
+        : endpoint(machine);
   }
 
   private static Optional<Endpoint> endpoint(Machine machine) {
--- a/src/main/java/plumlever/lease/LeaderEvidence.java
+++ b/src/main/java/plumlever/lease/LeaderEvidence.java
@@ -10,7 +10,7 @@
  * sent. Such a command can be executed until the machine has seen a token of this leader's term.
  * The response carries such a token, but the command may be executed before the response arrives;
  * the response would then prolong a task that it does not stop. So the lease is renewed only once
- * no such command can be executed.
+ * no such command can be executed, or if the task would end in time all the same.
  *
  * @param mayAct whether the leader may still act according to the clock; checked when the response
  *     is built
@@ -20,8 +20,8 @@
  *     the machine: a heartbeat or the response to a direct call has listed it
  * @param endedJobsReadMicros time at which the last answered read of ended jobs was sent
  * @param unansweredCommands commands that may start tasks that the heartbeat does not list
- * @param earlierCommandsPossible true if a command that an earlier leader or a former owner sent
- *     may still be executed
+ * @param earlierCommands start commands of earlier leaders or of a former owner that may still be
+ *     executed
  * @param foreignTasks what is known of the tasks of other shards on the machine
  */
 public record LeaderEvidence(
@@ -30,7 +30,7 @@
     boolean mayRunActiveJobs,
     long endedJobsReadMicros,
     UnansweredCommands unansweredCommands,
-    boolean earlierCommandsPossible,
+    UnansweredCommands earlierCommands,
     ForeignTaskEvidence foreignTasks)
     implements RenewalEvidence {
 
@@ -42,12 +42,13 @@
     if (!ownTasksEndInTime(limit, nowMicros) || !foreignTasksEndInTime(limit, nowMicros)) {
       return Optional.of(RenewalRefusal.ENDED_JOBS_UNKNOWN);
     }
-    if (!unansweredCommandsEndInTime(limit, nowMicros)) {
+    if (!endInTime(unansweredCommands, limit, nowMicros)) {
       return Optional.of(RenewalRefusal.UNANSWERED_COMMAND);
     }
-    return earlierCommandsPossible
-        ? Optional.of(RenewalRefusal.EARLIER_TERM_COMMAND)
-        : Optional.empty();
+    if (!endInTime(earlierCommands, limit, nowMicros)) {
+      return Optional.of(RenewalRefusal.EARLIER_TERM_COMMAND);
+    }
+    return Optional.empty();
   }
 
   private boolean ownTasksEndInTime(RenewalLimit limit, long nowMicros) {
@@ -65,8 +66,8 @@
    * the lease expires. The time limit is counted from the sending of the last read of ended jobs
    * that was answered before the commands were sent.
    */
-  private boolean unansweredCommandsEndInTime(RenewalLimit limit, long nowMicros) {
-    return !unansweredCommands.exist()
-        || limit.mayRenew(nowMicros, unansweredCommands.endedJobsReadMicros());
+  private static boolean endInTime(
+      UnansweredCommands commands, RenewalLimit limit, long nowMicros) {
+    return !commands.exist() || limit.mayRenew(nowMicros, commands.endedJobsReadMicros());
   }
 }
--- a/src/main/java/plumlever/peer/Peers.java
+++ b/src/main/java/plumlever/peer/Peers.java
@@ -24,18 +24,33 @@
 
   private record ReceivedStatus(PeerStatus status, long receivedMicros) {}
 
+  /**
+   * A report in the response to a status.
+   *
+   * @param requestSentMicros time at which the status was sent; the report was made after it
+   */
+  public record ReceivedSettlement(SettlementReport report, long requestSentMicros) {
+    private long leastReadMicros() {
+      return requestSentMicros - report.endedJobsReadAgeMicros();
+    }
+  }
+
   private final EventLoop loop;
   private final HttpClient httpClient;
   private final PlatformConfiguration platform;
   private final Supplier<PeerStatus> ownStatus;
+  private final Supplier<Optional<SettlementReport>> ownSettlement;
   private final Consumer<PeerStatus> listener;
   private final PeerStatus.Codec codec = new PeerStatus.Codec();
   private final Map<String, ReceivedStatus> receivedByLabel = new HashMap<>();
+  private Optional<ReceivedSettlement> latestSettlement = Optional.empty();
 
   /**
    * Prepares the exchange of status messages with the other controllers of the deployment.
    *
    * @param ownStatus provides the status that is sent
+   * @param ownSettlement provides the report for the response to a status; empty while this
+   *     controller does not lead
    * @param listener receives each status that another controller sends
    */
   public Peers(
@@ -43,11 +58,13 @@
       HttpClient httpClient,
       PlatformConfiguration platform,
       Supplier<PeerStatus> ownStatus,
+      Supplier<Optional<SettlementReport>> ownSettlement,
       Consumer<PeerStatus> listener) {
     this.loop = loop;
     this.httpClient = httpClient;
     this.platform = platform;
     this.ownStatus = ownStatus;
+    this.ownSettlement = ownSettlement;
     this.listener = listener;
   }
 
@@ -62,11 +79,36 @@
   private long sendStatus() {
     byte[] body = codec.write(ownStatus.get());
     for (PlatformConfiguration.PeerController peer : platform.peers()) {
-      httpClient.call(peer.endpoint(), "POST", PATH, body, TIMEOUT_MICROS, (status, data) -> {});
+      long sentMicros = loop.nowMicros();
+      httpClient.call(
+          peer.endpoint(),
+          "POST",
+          PATH,
+          body,
+          TIMEOUT_MICROS,
+          (status, data) -> handleResponse(status, data, sentMicros));
     }
     return SEND_INTERVAL_MICROS;
   }
 
+  private void handleResponse(int status, byte[] body, long requestSentMicros) {
+    if (status != HttpStatus.OK) {
+      return;
+    }
+    SettlementReport.read(body)
+        .map(report -> new ReceivedSettlement(report, requestSentMicros))
+        .filter(
+            received ->
+                latestSettlement.isEmpty()
+                    || received.leastReadMicros() >= latestSettlement.get().leastReadMicros())
+        .ifPresent(received -> latestSettlement = Optional.of(received));
+  }
+
+  /** Returns the latest report of a leader in another process. */
+  public Optional<ReceivedSettlement> latestSettlement() {
+    return latestSettlement;
+  }
+
   /**
    * Handles an HTTP request that arrived at the address on which this controller listens for other
    * controllers.
@@ -83,7 +125,7 @@
     }
     receivedByLabel.put(status.get().label(), new ReceivedStatus(status.get(), loop.nowMicros()));
     listener.accept(status.get());
-    out.send(HttpStatus.OK, "{}");
+    out.send(HttpStatus.OK, SettlementReport.write(ownSettlement.get()));
   }
 
   private Optional<PeerStatus> read(byte[] body) {
--- /dev/null
+++ b/src/test/java/plumlever/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the messages between controllers. No I/O. */
+package plumlever.peer;
