A task is not tried again on the machine on which it failed while another may be had

Cause: nothing remembers where a task failed. A machine counts as faulty after failures of two jobs only, and the image that the failed run left there makes it the cheapest place for the next try.

TaskStarter looks at the retry time, so that a plan made before the failure does not start the task there. A worker that does not know a job (no_such) says nothing about the machine.

The candidates of PlacerTest's random fleets have other ids than the excluded machine, so its comparison with the reference model is as before.

--- a/src/main/java/plumlever/fleet/Job.java
+++ b/src/main/java/plumlever/fleet/Job.java
@@ -43,6 +43,7 @@
   private final BitSet restartedTasks = new BitSet();
 
   private final RetryBackoff backoff = new RetryBackoff();
+  private final FailureHistory failures = new FailureHistory();
 
   private int completedCount;
   private boolean ended;
@@ -322,21 +323,36 @@
   }
 
   /**
-   * Records that an attempt of the job failed, possibly because of a fault in the job, and delays
-   * the next attempt.
+   * Records that an attempt of the job failed on the machine, possibly because of a fault in the
+   * job, and delays the next attempt.
    */
-  public void recordError(long nowMicros) {
+  public void recordError(Machine machine, long nowMicros) {
+    failures.recordError(machine.id(), nowMicros);
     backoff.recordError(nowMicros);
   }
 
   /**
-   * Records that a task of the job completed, which ends the retry delay and resets the count of
-   * consecutive errors.
+   * Records that a worker did not know the job when it was to start a task, and delays the next
+   * attempt.
    */
-  public void recordSuccess() {
+  public void recordUnknownToWorker(long nowMicros) {
+    backoff.recordError(nowMicros);
+  }
+
+  /**
+   * Records that a task of the job completed on the machine, which ends the retry delay and resets
+   * the count of consecutive errors.
+   */
+  public void recordSuccess(Machine machine) {
+    failures.recordSuccess(machine.id());
     backoff.recordSuccess();
   }
 
+  /** The machines on which tasks of the job have failed. */
+  public FailureHistory failures() {
+    return failures;
+  }
+
   /**
    * The earliest time at which the job's next attempt may start after errors; 0 if there is no
    * delay.
--- a/src/main/java/plumlever/fleet/MachineHealth.java
+++ b/src/main/java/plumlever/fleet/MachineHealth.java
@@ -1,5 +1,9 @@
 package plumlever.fleet;
 
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
 /**
  * The health of a machine: its speed relative to the nominal speed of its type, and its task
  * failures.
@@ -25,10 +29,13 @@
 
   private static final int FAULTY_MIN_ERRORS = 3;
 
+  /** Number of jobs whose errors are remembered; more than are needed to find a machine faulty. */
+  private static final int MAX_FAILED_JOBS = 16;
+
   private double slowness = 1;
-  private int consecutiveErrors;
-  private String lastErrorJob;
-  private int failedJobs;
+
+  /** Errors since the last success by job, beginning with the job that failed first. */
+  private final Map<Job, Integer> errorsByJob = new LinkedHashMap<>();
 
   /**
    * Exponential moving average of observed run time divided by planned run time of the tasks on
@@ -47,21 +54,29 @@
   /**
    * Records that a task of the job failed on the machine.
    *
-   * @return true if the machine is faulty, because tasks of several jobs have failed on it
+   * @return true if the machine is faulty, because tasks of several jobs have failed on it. Jobs
+   *     that are probably the cause of their failures do not count.
    */
-  public boolean recordError(String job) {
-    consecutiveErrors++;
-    if (!job.equals(lastErrorJob)) {
-      lastErrorJob = job;
-      failedJobs++;
+  public boolean recordError(Job job) {
+    errorsByJob.merge(job, 1, Integer::sum);
+    if (errorsByJob.size() > MAX_FAILED_JOBS) {
+      Iterator<Job> jobs = errorsByJob.keySet().iterator();
+      jobs.next();
+      jobs.remove();
+    }
+    int failedJobs = 0;
+    int errors = 0;
+    for (Map.Entry<Job, Integer> entry : errorsByJob.entrySet()) {
+      if (!entry.getKey().failures().suspectsJob()) {
+        failedJobs++;
+        errors += entry.getValue();
+      }
     }
-    return failedJobs >= FAULTY_MIN_FAILED_JOBS && consecutiveErrors >= FAULTY_MIN_ERRORS;
+    return failedJobs >= FAULTY_MIN_FAILED_JOBS && errors >= FAULTY_MIN_ERRORS;
   }
 
   /** Records that a task completed on the machine, which resets the machine's count of errors. */
   public void recordSuccess() {
-    consecutiveErrors = 0;
-    failedJobs = 0;
-    lastErrorJob = null;
+    errorsByJob.clear();
   }
 }
--- a/src/main/java/plumlever/leader/heartbeat/AttemptUpdates.java
+++ b/src/main/java/plumlever/leader/heartbeat/AttemptUpdates.java
@@ -79,7 +79,8 @@
     fleet.endAttempt(attempt, cause);
     switch (cause) {
       case DONE -> applyCompletion(attempt, now);
-      case ERROR, NO_SUCH -> applyError(attempt, cause, now);
+      case ERROR -> applyError(attempt, now);
+      case NO_SUCH -> applyUnknownJob(attempt, now);
       case STOPPED -> applyStop(attempt);
       default -> {
         context.metrics().count("tasks_refused");
@@ -93,7 +94,7 @@
   }
 
   private void applyCompletion(Attempt attempt, long now) {
-    attempt.job().recordSuccess();
+    attempt.job().recordSuccess(attempt.machine());
     attempt.machine().health().recordSuccess();
     if (attempt.runningSinceMicros() >= 0) {
       countCoreMillis("core_ms_running", attempt.job(), now - attempt.runningSinceMicros());
@@ -103,18 +104,32 @@
     markTaskCompleted(attempt.job(), attempt.task());
   }
 
-  private void applyError(Attempt attempt, ExitCause cause, long now) {
+  private void applyError(Attempt attempt, long now) {
     Job job = attempt.job();
     Machine machine = attempt.machine();
-    job.recordError(now);
-    context.metrics().count("task_errors");
-    log.info("task {} ended with {} on machine {}", attempt.name().wireName(), cause, machine.id());
-    if (cause == ExitCause.ERROR && machine.health().recordError(job.uid())) {
+    job.recordError(machine, now);
+    countError(attempt, ExitCause.ERROR);
+    if (machine.health().recordError(job)) {
+      context.metrics().count("machines_drained");
       log.warn("draining machine {}: tasks of several jobs have failed on it", machine.id());
       machine.drain();
     }
   }
 
+  private void applyUnknownJob(Attempt attempt, long now) {
+    attempt.job().recordUnknownToWorker(now);
+    countError(attempt, ExitCause.NO_SUCH);
+  }
+
+  private void countError(Attempt attempt, ExitCause cause) {
+    context.metrics().count("task_errors");
+    log.info(
+        "task {} ended with {} on machine {}",
+        attempt.name().wireName(),
+        cause,
+        attempt.machine().id());
+  }
+
   private void applyStop(Attempt attempt) {
     context.metrics().count("tasks_stopped");
     String image = attempt.job().spec().image();
--- a/src/main/java/plumlever/leader/scheduling/CandidateSearches.java
+++ b/src/main/java/plumlever/leader/scheduling/CandidateSearches.java
@@ -34,12 +34,31 @@
   /**
    * Returns the resource request of one task of the job, with the job's current start objective.
    */
-  ResourceRequest request(Job job, long nowMicros) {
-    return request(job, nowMicros, goals.startByMicros(job, nowMicros));
+  ResourceRequest request(Job job, FleetSnapshot snapshot) {
+    return request(job, snapshot, goals.startByMicros(job, snapshot.nowMicros()));
   }
 
   /** Returns the resource request of one task of the job, with the given latest start time. */
-  ResourceRequest request(Job job, long nowMicros, long startByMicros) {
+  ResourceRequest request(Job job, FleetSnapshot snapshot, long startByMicros) {
+    ResourceRequest request = requestElsewhere(job, startByMicros, snapshot.nowMicros());
+    return mayBePlacedElsewhere(job, request, snapshot)
+        ? request
+        : request.withoutExcludedMachines();
+  }
+
+  /**
+   * Returns whether the task can have a machine on which no task of its job has failed: one has
+   * free capacity now, or may soon have, or may be rented. A job that is probably the cause of its
+   * failures gets no machine rented to avoid others.
+   */
+  private boolean mayBePlacedElsewhere(Job job, ResourceRequest request, FleetSnapshot snapshot) {
+    return request.constraints().excludedMachines().isEmpty()
+        || job.failures().worthWaiting(snapshot.nowMicros())
+        || Placer.hasFreeCapacityNow(request, snapshot.candidates(), JobZones.of(job));
+  }
+
+  /** Returns the request that excludes the machines on which tasks of the job have failed. */
+  private ResourceRequest requestElsewhere(Job job, long startByMicros, long nowMicros) {
     JobSpec spec = job.spec();
     return new ResourceRequest(
         new ResourceRequest.Resources(spec.cores(), spec.accelerators(), spec.memoryGb()),
@@ -48,7 +67,11 @@
         new ResourceRequest.Timing(
             times.runMicros(job), goals.finishByMicros(job, nowMicros), startByMicros),
         new ResourceRequest.MachineConstraints(
-            spec.machineTypes(), spec.zone(), spec.spotAllowed(), spec.savesCheckpoints()));
+            spec.machineTypes(),
+            spec.zone(),
+            spec.spotAllowed(),
+            spec.savesCheckpoints(),
+            job.failures().machines(nowMicros)));
   }
 
   /**
--- a/src/main/java/plumlever/leader/scheduling/FleetReduction.java
+++ b/src/main/java/plumlever/leader/scheduling/FleetReduction.java
@@ -72,7 +72,7 @@
 
   private boolean servesJob(Job job, FleetSnapshot snapshot) {
     long nowMicros = snapshot.nowMicros();
-    ResourceRequest request = searches.request(job, nowMicros);
+    ResourceRequest request = searches.request(job, snapshot);
     Placer.Search search = searches.search(request, JobZones.of(job), snapshot);
     int tasks = Math.min(job.pendingCount(), failover.quotaHeadroom(job));
     for (int i = 0; i < tasks; i++) {
--- a/src/main/java/plumlever/leader/scheduling/JobPlacer.java
+++ b/src/main/java/plumlever/leader/scheduling/JobPlacer.java
@@ -75,7 +75,7 @@
       return;
     }
     long nowMicros = snapshot.nowMicros();
-    ResourceRequest request = searches.request(job, nowMicros);
+    ResourceRequest request = searches.request(job, snapshot);
     Zones zones = JobZones.of(job);
     int tasks = Math.min(job.pendingCount(), tasksWithinQuota(job, nowMicros));
     if (tasks < 1) {
@@ -206,7 +206,7 @@
       if (nextStartByMicros <= request.startByMicros()) {
         return false;
       }
-      request = searches.request(job, nowMicros, nextStartByMicros);
+      request = searches.request(job, snapshot, nextStartByMicros);
       search = searches.search(request, zones, snapshot);
       return true;
     }
--- a/src/main/java/plumlever/leader/scheduling/Preemption.java
+++ b/src/main/java/plumlever/leader/scheduling/Preemption.java
@@ -153,7 +153,8 @@
     private boolean isEligible(Machine machine, Zones zones) {
       return availability.acceptsTasks(machine, nowMicros)
           && job.spec().allows(machine.machineType(), machine.zone(), machine.spot())
-          && zones.allows(machine.zone());
+          && zones.allows(machine.zone())
+          && !request.constraints().excludedMachines().contains(machine.id());
     }
 
     private Option option(Machine machine, MachineType machineType, List<Attempt> victims) {
--- a/src/main/java/plumlever/leader/scheduling/TaskStarter.java
+++ b/src/main/java/plumlever/leader/scheduling/TaskStarter.java
@@ -97,6 +97,7 @@
     return JobQueue.mayRun(job)
         && job.registration() == RegistrationState.STORED
         && !failover.blocks(job)
+        && job.retryNotBeforeMicros() <= context.loop().nowMicros()
         && job.spec().allows(machine.machineType(), machine.zone(), machine.spot());
   }
 
--- a/src/main/java/plumlever/placement/ResourceRequest.java
+++ b/src/main/java/plumlever/placement/ResourceRequest.java
@@ -1,6 +1,7 @@
 package plumlever.placement;
 
 import java.util.List;
+import java.util.Set;
 
 /**
  * Requirements of one task of a job: resources, image, times to meet and machine constraints.
@@ -43,15 +44,31 @@
    * @param spotAllowed whether spot machines are allowed
    * @param writesCheckpoints whether the task writes checkpoints, which limit the lost work if the
    *     machine is lost
+   * @param excludedMachines ids of machines on which the task must not be placed
    */
   public record MachineConstraints(
-      List<String> machineTypes, String zone, boolean spotAllowed, boolean writesCheckpoints) {
+      List<String> machineTypes,
+      String zone,
+      boolean spotAllowed,
+      boolean writesCheckpoints,
+      Set<String> excludedMachines) {
 
     boolean allow(PlacementCandidate candidate) {
       return (machineTypes == null || machineTypes.contains(candidate.shape.machineType()))
           && (zone == null || zone.equals(candidate.zone))
-          && (spotAllowed || !candidate.shape.spot());
+          && (spotAllowed || !candidate.shape.spot())
+          && !excludedMachines.contains(candidate.machineId);
     }
+
+    private MachineConstraints withoutExcludedMachines() {
+      return new MachineConstraints(machineTypes, zone, spotAllowed, writesCheckpoints, Set.of());
+    }
+  }
+
+  /** Returns the same request without excluded machines. */
+  public ResourceRequest withoutExcludedMachines() {
+    return new ResourceRequest(
+        resources, image, imageGb, timing, constraints.withoutExcludedMachines());
   }
 
   /** Latest time at which the task should start, or {@link #ANY_TIME}. */
--- a/src/test/java/plumlever/placement/PlacerTest.java
+++ b/src/test/java/plumlever/placement/PlacerTest.java
@@ -6,6 +6,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
@@ -13,6 +14,10 @@
 final class PlacerTest {
   private static final long NOW_MICROS = 1_000_000_000L;
   private static final long SECOND_MICROS = 1_000_000L;
+
+  /** The candidates of the random fleets have other ids. */
+  private static final Set<String> EXCLUDED_MACHINES = Set.of("excluded");
+
   private static final PlacementParameters PARAMETERS =
       new PlacementParameters(0.05, 0.02, 10_000_000L, 0.3);
 
@@ -218,7 +223,39 @@
         "img",
         1,
         new ResourceRequest.Timing(runMicros, deadlineMicros, startByMicros),
-        new ResourceRequest.MachineConstraints(null, zone, spotAllowed, runMicros % 2 == 0));
+        new ResourceRequest.MachineConstraints(
+            null, zone, spotAllowed, runMicros % 2 == 0, EXCLUDED_MACHINES));
+  }
+
+  /** Guards against a task that is tried again on a machine that its request excludes. */
+  @Test
+  void excludedMachinesGetNoTask() {
+    PlacementCandidate excluded =
+        new PlacementCandidate("excluded", "a", new MachineShape("f", false, 4, 0, 16, 1), 1, 0);
+    ResourceRequest request =
+        request(
+            resources(1, 1),
+            20 * SECOND_MICROS,
+            ResourceRequest.ANY_TIME,
+            ResourceRequest.ANY_TIME,
+            null,
+            true);
+    assertFalse(
+        Placer.hasFreeCapacityNow(request, List.of(excluded), Zones.unrestricted()),
+        "an excluded machine has no free capacity for the task");
+    assertFalse(firstChoice(request, excluded).exists());
+    assertTrue(firstChoice(request.withoutExcludedMachines(), excluded).exists());
+  }
+
+  private static Placer.Choice firstChoice(ResourceRequest request, PlacementCandidate candidate) {
+    return new Placer(PARAMETERS)
+        .search(
+            request,
+            List.of(candidate),
+            Zones.unrestricted(),
+            (index, image, imageGb) -> 0,
+            NOW_MICROS)
+        .next();
   }
 
   @Test
--- a/src/test/java/plumlever/sim/FakeWorker.java
+++ b/src/test/java/plumlever/sim/FakeWorker.java
@@ -20,6 +20,9 @@
 final class FakeWorker implements SimulatedNetwork.Service {
   static final long LEASE_MICROS = 20_000_000;
 
+  /** Time after which every task on a faulty machine fails. */
+  private static final long FAULTY_RUN_MICROS = 300_000;
+
   /** Number of low bits of an attempt number that count attempts; the others are the term. */
   private static final int ATTEMPT_COUNTER_BITS = 24;
 
@@ -61,6 +64,15 @@
 
   boolean hung;
 
+  /** Number of refused start commands for attempts that had been removed before. */
+  int refusedCopies;
+
+  /** Number of tasks that have failed on a faulty machine. */
+  int errors;
+
+  /** True if every task fails shortly after its start. */
+  boolean faulty;
+
   FakeWorker(SimulatedCluster cluster, FakeCloud.Vm vm) {
     this.cluster = cluster;
     this.vm = vm;
@@ -320,6 +332,15 @@
     }
   }
 
+  /** Counts a refused copy of a command that started an attempt which has been removed since. */
+  private void countRefusedCopy(JsonNode commands) {
+    for (JsonNode command : commands) {
+      if (removedAttempts.contains(command.path("try").asLong())) {
+        refusedCopies++;
+      }
+    }
+  }
+
   private void fetchAndStart(String name, long attempt) {
     if (removedAttempts.contains(attempt)) {
       // The protocol has no rule against a start command for an attempt that was already removed.
@@ -351,11 +372,22 @@
     task.status = "running";
     cluster.invariants.started(task.name, this);
     requestHeartbeat();
+    if (faulty || cluster.failingJobs.contains(task.name.split("/")[0])) {
+      cluster.at(FAULTY_RUN_MICROS, () -> fail(task));
+      return;
+    }
     finishIn(
         task,
         cluster.invariants.completed(task.name) ? 0 : cluster.invariants.runMicros(task.name));
   }
 
+  private void fail(Task task) {
+    if (!dead && tasks.get(task.attempt) == task && task.status.equals("running")) {
+      errors++;
+      endTask(task, "error");
+    }
+  }
+
   private void finishIn(Task task, long micros) {
     cluster.at(
         micros,
@@ -432,6 +464,7 @@
       ObjectNode object = Json.parseObject(body);
       if (object.path("baton").asLong() < fencingToken
           || object.path("tenure").asLong() != incarnation) {
+        countRefusedCopy(object.path("orders"));
         reply.send(409, Json.write(status()));
         return;
       }
--- a/src/test/java/plumlever/sim/SimulatedCluster.java
+++ b/src/test/java/plumlever/sim/SimulatedCluster.java
@@ -70,6 +70,9 @@
    */
   final Map<String, String> sharingDigestByShard = new HashMap<>();
 
+  /** Ids of jobs whose tasks fail on every machine. */
+  final Set<String> failingJobs = new HashSet<>();
+
   /** Maximum number of machine transfers in progress per shard. */
   int maxTransfers = 8;
 
