--- a/src/test/java/plumlever/sim/SimulatedNetwork.java
+++ b/src/test/java/plumlever/sim/SimulatedNetwork.java
@@ -113,6 +113,15 @@
   /** Additional delay of the responses to heartbeats. */
   long extraHeartbeatResponseDelayMicros;
 
+  /**
+   * Direct commands that were executed and answered, in the order of their answers, if {@link
+   * #recordsExecutedCommands} is set.
+   */
+  private final List<Message> executedCommands = new ArrayList<>();
+
+  /** True if executed direct commands are recorded, so that copies of them can be delivered. */
+  boolean recordsExecutedCommands;
+
   final DelegationChecker delegationChecker;
 
   private final EventQueue events;
@@ -167,6 +176,14 @@
     }
   }
 
+  /**
+   * Delivers a copy of each recorded direct command, like a network that repeats messages which
+   * were executed and answered before.
+   */
+  void deliverCopiesOfExecutedCommands() {
+    executedCommands.forEach(command -> deliver(command, NO_REPLY, LATENCY_MICROS));
+  }
+
   private record Message(String from, Endpoint to, String method, String path, String body) {
     boolean isCommand() {
       return path.equals(ProtocolPath.COMMANDS);
@@ -301,6 +318,9 @@
     }
 
     private void sendBack(Response sent) {
+      if (recordsExecutedCommands && message.isCommand() && sent.status() == 200) {
+        executedCommands.add(message);
+      }
       events.at(
           LATENCY_MICROS + (message.isHeartbeat() ? extraHeartbeatResponseDelayMicros : 0),
           () -> {
